--- /dev/null
+++ b/packages/contracts/src/documentDelta.ts
@@ -0,0 +1,65 @@
+/**
+ * Differences between two documents, entry by entry. At the size we design for a document is near a megabyte and changes
+ * 9,700 times a day; instances therefore get the entries that differ and not the document.
+ */
+import * as z from 'zod'
+import * as doc from './document.js'
+
+const PARTS = ['zones', 'priorities', 'services', 'models', 'carriages', 'clientAccounts', 'patience', 'operators'] as const
+const SCALARS = ['deployment', 'timeZone', 'ledger'] as const
+
+/** One difference: an entry set or removed, or a scalar part replaced. */
+export const change = z.discriminatedUnion('op', [
+  z.object({ op: z.literal('set'), part: z.enum(PARTS), id: z.string(), value: z.unknown() }),
+  z.object({ op: z.literal('remove'), part: z.enum(PARTS), id: z.string() }),
+  z.object({ op: z.literal('replace'), part: z.enum(SCALARS), value: z.unknown() })
+])
+/** One difference between two documents. */
+export type Change = z.infer<typeof change>
+
+/**
+ * Lists what turns one document into another.
+ * @param from the older document
+ * @param to the newer document
+ * @returns the differences, in a stable order
+ */
+export function diffDocuments (from: doc.Document, to: doc.Document): Change[] {
+  const changes: Change[] = []
+  for (const part of SCALARS) {
+    if (!isEqual(from[part], to[part])) changes.push({ op: 'replace', part, value: to[part] })
+  }
+  for (const part of PARTS) {
+    const before: Record<string, unknown> = from[part]
+    const after: Record<string, unknown> = to[part]
+    for (const key of Object.keys(after)) {
+      if (!isEqual(before[key], after[key])) changes.push({ op: 'set', part, id: key, value: after[key] })
+    }
+    for (const key of Object.keys(before)) {
+      if (!(key in after)) changes.push({ op: 'remove', part, id: key })
+    }
+  }
+  return changes
+}
+
+/**
+ * Applies differences; the given document is left as it is.
+ * @param from the document they were taken against
+ * @param changes what {@link diffDocuments} listed
+ * @returns the newer document
+ */
+export function applyChanges (from: doc.Document, changes: readonly Change[]): doc.Document {
+  const to: Record<string, unknown> = { ...from }
+  for (const part of PARTS) to[part] = { ...from[part] }
+  for (const item of changes) {
+    switch (item.op) {
+      case 'replace': to[item.part] = item.value; break
+      case 'set': (to[item.part] as Record<string, unknown>)[item.id] = item.value; break
+      case 'remove': delete (to[item.part] as Record<string, unknown>)[item.id]; break
+    }
+  }
+  return to as doc.Document
+}
+
+function isEqual (left: unknown, right: unknown): boolean {
+  return JSON.stringify(left) === JSON.stringify(right)
+}
--- /dev/null
+++ b/packages/contracts/src/index.ts
@@ -0,0 +1,13 @@
+/** Public face of the contracts: schemas, messages, errors, events, constants and hash helpers. */
+export * from './announcements.js'
+export * from './binary.js'
+export * from './callerApi.js'
+export * from './constants.js'
+export * from './controlMessages.js'
+export * from './document.js'
+export * from './documentDelta.js'
+export * from './errors.js'
+export * from './events.js'
+export * from './fleet.js'
+export * from './hashing.js'
+export * from './peerMessages.js'
--- /dev/null
+++ b/packages/control/src/controlInstance.ts
@@ -0,0 +1,169 @@
+/** A control instance: replicas of the fleet's state and of the ledger, the leases of router instances, and the operators' side. */
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as membership from '@kingcupdeck/membership'
+import * as state from '@kingcupdeck/state'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as leasesOf from './leases.js'
+import * as operatorServer from './operatorServer.js'
+import * as replicaGroups from './replicaGroups.js'
+
+/** What a control instance is built from. */
+export interface ControlOptions {
+  id: string
+  /** IP number and port for peers. */
+  peerListen: string
+  /** IP number and port for operators; port 0 takes a free one. */
+  listen: string
+  controls: readonly membership.ControlAddress[]
+  dataFolder: string
+  secret: string
+  ledgerGroups: number
+  snapshotEvery?: number
+  /** The document to begin with, when the fleet has none. */
+  document?: contracts.Document
+  log: telemetry.Log
+  isFatal: boolean
+}
+
+/** A running control instance. */
+export interface Control {
+  readonly url: string
+  readonly peerPort: number
+  invariants (): Record<telemetry.Invariant, telemetry.Tally>
+  /** Hands leadership over and ends. */
+  shutdown (): Promise<void>
+}
+
+/**
+ * Starts a control instance.
+ * @param opts who it is and where its data lives
+ * @returns the instance
+ */
+export async function createControl (opts: ControlOptions): Promise<Control> {
+  const { log } = opts
+  const metrics = telemetry.createControlMetrics()
+  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, isFatal: opts.isFatal })
+  const groups = new Map<string, state.Replica>()
+  const who = { role: 'control' as const, id: opts.id }
+  const count: links.CountBytes = (direction, bytes) => { metrics.linkBytes.inc({ direction }, bytes) }
+  const handlers: links.LinkHandlers = { onEvent: body => { onEvent(body) }, onCall: async (body, link) => await onCall(body, link) }
+  const peers = links.createPeerBook({ who, secret: opts.secret, log, count, handlers })
+  const groupOptions: replicaGroups.GroupOptions = { ...opts, peers, invariants }
+
+  const fleetMachine = state.createFleetMachine(() => { leases.onChange() })
+  const leases: leasesOf.Leases = leasesOf.createLeases({ machine: fleetMachine, replica: () => groups.get('fleet'), log })
+
+  const found = async (): Promise<void> => {
+    if (opts.document === undefined || fleetMachine.version() > 0) return
+    await groups.get('fleet')?.propose({ t: 'put', operator: 'founding', operation: 'founding', baseVersion: 0, document: opts.document } satisfies state.FleetCommand)
+  }
+
+  const server = await links.listen(opts.peerListen, { who, secret: opts.secret, log, count, handlers }, link => { if (link.peer.role === 'control') peers.add(link) })
+  groups.set('fleet', await replicaGroups.startReplica(groupOptions, 'fleet', fleetMachine, isLeader => {
+    leases.onLeadership(isLeader)
+    if (isLeader) found().catch(() => {})
+  }))
+  for (let i = 0; i < opts.ledgerGroups; i++) {
+    groups.set(`ledger-${i}`, await replicaGroups.startReplica(groupOptions, `ledger-${i}`, state.createLedgerMachine(), () => {}))
+  }
+
+  const onEvent = (body: unknown): void => {
+    const event = contracts.controlEvent.safeParse(body)
+    if (event.success) leases.onEvent(event.data)
+  }
+
+  const onCall = async (body: unknown, link: links.Link): Promise<unknown> => {
+    const groupMessage = replicaGroups.toGroupMessage(body)
+    if (groupMessage !== undefined) {
+      const replica = groups.get(groupMessage.raft)
+      if (replica === undefined) throw new Error(`no group ${groupMessage.raft} here`)
+      return await replica.handle(groupMessage.msg)
+    }
+    return await answer(contracts.controlCall.parse(body), link)
+  }
+
+  const answer = async (call: contracts.ControlCall, link: links.Link): Promise<contracts.ControlReply> => {
+    const group = 'group' in call ? `ledger-${call.group}` : 'fleet'
+    const replica = groups.get(group)
+    if (replica === undefined || !replica.isReady()) return { t: 'notLeader', leader: replica?.leaderName() ?? null }
+    try {
+      return await obey(call, replica, link)
+    } catch (err) {
+      if (err instanceof state.ProposalError) return { t: 'notLeader', leader: err.leader }
+      throw err
+    }
+  }
+
+  const obey = async (call: contracts.ControlCall, replica: state.Replica, link: links.Link): Promise<contracts.ControlReply> => {
+    switch (call.t) {
+      case 'renew': return await leases.renew(call, link)
+      case 'leave': return await leases.leave(call.instance, call.incarnation)
+      case 'ledgerBegin': {
+        const retentionMs = (fleetMachine.document()?.ledger.retentionHours ?? DEFAULT_RETENTION_HOURS) * 3_600_000
+        return await proposeLedger(replica, { t: 'begin', account: call.account, key: call.key, attempt: call.attempt, hash: call.hash, keyMs: toKeyMs(call.key), retentionMs })
+      }
+      case 'ledgerFinish': return await proposeLedger(replica, { t: 'finish', account: call.account, key: call.key, attempt: call.attempt, answer: call.answer })
+      case 'ledgerAbort': return await proposeLedger(replica, { t: 'abort', account: call.account, key: call.key, attempt: call.attempt })
+      case 'documentGet': return { t: 'document', version: fleetMachine.version(), document: fleetMachine.document() }
+      case 'documentPut': return await putDocument(call, replica)
+      case 'documentHistory': return { t: 'history', items: [...fleetMachine.history()] }
+      case 'status': return { t: 'status', status: toStatus(replica) }
+    }
+  }
+
+  const proposeLedger = async (replica: state.Replica, cmd: state.LedgerCommand): Promise<contracts.ControlReply> => {
+    return { t: 'ledger', state: await replica.propose(cmd) as contracts.LedgerState }
+  }
+
+  const putDocument = async (call: Extract<contracts.ControlCall, { t: 'documentPut' }>, replica: state.Replica): Promise<contracts.ControlReply> => {
+    const checked = contracts.checkDocument(call.document)
+    if (checked.kind === 'invalid') return { t: 'invalid', faults: checked.faults }
+    const result = await replica.propose({ t: 'put', operator: call.operator, operation: call.operation, baseVersion: call.baseVersion, document: checked.document } satisfies state.FleetCommand) as state.FleetResult
+    if (result.t === 'put') {
+      log.event('documentAccepted', { version: result.version, operator: call.operator })
+      return { t: 'put', version: result.version }
+    }
+    return { t: 'conflict', currentVersion: fleetMachine.version(), document: fleetMachine.document() }
+  }
+
+  const toStatus = (replica: state.Replica): contracts.FleetStatus => ({
+    leader: opts.id,
+    term: replica.status().term,
+    documentVersion: fleetMachine.version(),
+    view: fleetMachine.view(),
+    instances: leases.toStatus(),
+    pools: leases.pools(),
+    replicas: [...groups.values()].map(item => item.status())
+  })
+
+  // Operators may ask any control instance; this client finds the leader for them.
+  const client = membership.createControlClient({ who, secret: opts.secret, log, controls: opts.controls, onEvent: () => {} })
+  const operators = await operatorServer.startOperatorServer(opts.listen, { client, machine: fleetMachine, registry: metrics.registry, log })
+
+  log.event('started', { role: 'control', url: operators.url, peerPort: server.port })
+
+  return {
+    url: operators.url,
+    peerPort: server.port,
+    invariants: invariants.tallies,
+    async shutdown () {
+      log.event('stopping')
+      await operators.close()
+      leases.stop()
+      for (const replica of groups.values()) await replica.stop()
+      client.close()
+      peers.close()
+      await server.close()
+      log.event('stopped')
+    }
+  }
+}
+
+const DEFAULT_RETENTION_HOURS = 24
+const TIME_HEX_DIGITS = 12
+
+/** The time that a UUIDv7 carries; the entry instance has checked that it is one. */
+function toKeyMs (key: string): number {
+  return parseInt(key.replaceAll('-', '').slice(0, TIME_HEX_DIGITS), 16)
+}
--- /dev/null
+++ b/packages/control/src/operatorServer.ts
@@ -0,0 +1,160 @@
+/** The operators' side of a control instance: the document, its history, the status of the fleet, and the console. */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as prom from 'prom-client'
+import * as consolePages from '@kingcupdeck/console'
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as membership from '@kingcupdeck/membership'
+import * as state from '@kingcupdeck/state'
+import * as telemetry from '@kingcupdeck/telemetry'
+
+/** What the server works with. */
+export interface OperatorServerOptions {
+  client: membership.ControlClient
+  machine: state.FleetMachine
+  registry: prom.Registry
+  log: telemetry.Log
+}
+
+/** The running server. */
+export interface OperatorServer { readonly url: string, close (): Promise<void> }
+
+const CALL_MS = 6000
+
+/**
+ * Starts the server.
+ * @param address IP number and port; port 0 takes a free one
+ * @param opts what the handlers work with
+ * @returns the server
+ */
+export async function startOperatorServer (address: string, opts: OperatorServerOptions): Promise<OperatorServer> {
+  const server = http.createServer({ requestTimeout: 30_000, headersTimeout: 10_000 }, (req, res) => { void serve(opts, req, res) })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(links.parseAddress(address), resolve)
+  })
+  return {
+    url: `http://${links.parseAddress(address).host}:${(server.address() as net.AddressInfo).port}`,
+    close: async () => {
+      await new Promise<void>(resolve => {
+        server.close(() => { resolve() })
+        server.closeIdleConnections()
+      })
+    }
+  }
+}
+
+async function serve (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  try {
+    await route(opts, req, res)
+  } catch (err) {
+    const failure = err instanceof membership.ControlError
+      ? { kind: 'ledger_unavailable' as const, ran: 'unknown' as const, retryAfterMs: 2000 }
+      : contracts.toFailure(err)
+    if (failure.kind === 'internal') opts.log.event('uncaught', { detail: err instanceof Error ? err.stack ?? '' : String(err) })
+    if (!res.headersSent) send(res, contracts.toStatus(failure), contracts.toErrorBody(failure), req.complete)
+  }
+}
+
+async function route (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://instance')
+  const page = consolePages.findPage(url.pathname)
+  if (page !== undefined && req.method === 'GET') {
+    res.writeHead(200, { 'content-type': page.contentType, 'cache-control': 'no-cache', 'content-security-policy': "default-src 'self'; frame-ancestors 'none'" })
+    res.end(page.body)
+    return
+  }
+  switch (`${req.method ?? 'GET'} ${url.pathname}`) {
+    case 'GET /health': send(res, 200, { ok: true, documentVersion: opts.machine.version(), view: opts.machine.view() }); return
+    case 'GET /metrics':
+      res.writeHead(200, { 'content-type': opts.registry.contentType })
+      res.end(await opts.registry.metrics())
+      return
+    case 'GET /v1/schema': send(res, 200, consolePages.toDocumentSchema()); return
+    case 'GET /v1/config': await getDocument(opts, req, res); return
+    case 'PUT /v1/config': await putDocument(opts, req, res, url); return
+    case 'POST /v1/config/check': await checkDocument(opts, req, res); return
+    case 'GET /v1/config/history': await getHistory(opts, req, res); return
+    case 'GET /v1/status': await getStatus(opts, req, res); return
+    default: throw new contracts.FailureError({ kind: 'not_found', what: `${req.method ?? 'GET'} ${url.pathname}` })
+  }
+}
+
+function send (res: http.ServerResponse, status: number, body: unknown, isComplete = true): void {
+  res.writeHead(status, { 'content-type': 'application/json', ...(isComplete ? {} : { connection: 'close' }) })
+  res.end(JSON.stringify(body))
+}
+
+/** @returns the operator's id. @throws FailureError `unauthenticated` */
+function toOperator (opts: OperatorServerOptions, req: http.IncomingMessage): string {
+  const header = req.headers.authorization ?? ''
+  const digest = contracts.sha256(header.startsWith('Bearer ') ? header.slice(7, 600) : '')
+  for (const [id, spec] of Object.entries(opts.machine.document()?.operators ?? {})) {
+    if (spec.tokens.some(known => contracts.isSameSecret(known, digest))) return id
+  }
+  throw new contracts.FailureError({ kind: 'unauthenticated', what: 'The token is not that of an operator' })
+}
+
+async function readDocument (req: http.IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = []
+  let size = 0
+  for await (const part of req) {
+    size += (part as Buffer).length
+    if (size > contracts.MAX_DOCUMENT_BYTES) throw new contracts.FailureError({ kind: 'body_too_large', limitBytes: contracts.MAX_DOCUMENT_BYTES })
+    parts.push(part as Buffer)
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8'))
+  } catch (err) {
+    throw new contracts.FailureError({ kind: 'bad_request', detail: `The document is not JSON: ${err instanceof Error ? err.message : String(err)}` })
+  }
+}
+
+async function getDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  toOperator(opts, req)
+  const reply = await opts.client.call('fleet', { t: 'documentGet' }, CALL_MS)
+  if (reply.t !== 'document') throw new Error(`unexpected reply ${reply.t}`)
+  send(res, 200, { version: reply.version, document: reply.document })
+}
+
+/** `PUT /v1/config?base=<version>&operation=<id>`: a resend with the same operation id gets the first answer. */
+async function putDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse, url: URL): Promise<void> {
+  const operator = toOperator(opts, req)
+  const baseVersion = Number(url.searchParams.get('base') ?? NaN)
+  const operation = url.searchParams.get('operation') ?? ''
+  if (!Number.isInteger(baseVersion) || operation === '' || operation.length > 100) {
+    throw new contracts.FailureError({ kind: 'bad_request', detail: 'Name the version that the document is based on and an id of this operation: PUT /v1/config?base=<version>&operation=<id>.' })
+  }
+  const reply = await opts.client.call('fleet', { t: 'documentPut', operator, operation, baseVersion, document: await readDocument(req) }, CALL_MS)
+  switch (reply.t) {
+    case 'put': send(res, 200, { version: reply.version }); return
+    case 'conflict': {
+      const failure: contracts.Failure = { kind: 'conflict', baseVersion, currentVersion: reply.currentVersion }
+      send(res, 409, { ...contracts.toErrorBody(failure), current: { version: reply.currentVersion, document: reply.document } })
+      return
+    }
+    case 'invalid': throw new contracts.FailureError({ kind: 'invalid_document', faults: reply.faults })
+    default: throw new Error(`unexpected reply ${reply.t}`)
+  }
+}
+
+async function checkDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  toOperator(opts, req)
+  const checked = contracts.checkDocument(await readDocument(req))
+  send(res, 200, checked.kind === 'valid' ? { valid: true, faults: [] } : { valid: false, faults: checked.faults })
+}
+
+async function getHistory (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  toOperator(opts, req)
+  const reply = await opts.client.call('fleet', { t: 'documentHistory' }, CALL_MS)
+  if (reply.t !== 'history') throw new Error(`unexpected reply ${reply.t}`)
+  send(res, 200, { items: reply.items })
+}
+
+async function getStatus (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  toOperator(opts, req)
+  const reply = await opts.client.call('fleet', { t: 'status' }, CALL_MS)
+  if (reply.t !== 'status') throw new Error(`unexpected reply ${reply.t}`)
+  send(res, 200, reply.status)
+}
--- /dev/null
+++ b/packages/control/src/replicaGroups.ts
@@ -0,0 +1,72 @@
+/** The replica groups that a control instance hosts, and the way between the replicas of a group. */
+import * as path from 'node:path'
+import * as crypto from 'node:crypto'
+import * as links from '@kingcupdeck/links'
+import * as membership from '@kingcupdeck/membership'
+import * as state from '@kingcupdeck/state'
+import * as telemetry from '@kingcupdeck/telemetry'
+
+/** A message between replicas, with the group it is for. */
+export interface GroupMessage { raft: string, msg: state.Rpc }
+
+/** What groups are built from. */
+export interface GroupOptions {
+  id: string
+  controls: readonly membership.ControlAddress[]
+  dataFolder: string
+  peers: links.PeerBook
+  log: telemetry.Log
+  invariants: telemetry.Invariants
+  snapshotEvery?: number
+}
+
+/** Longer than a sync of the disk under load, shorter than an election. */
+const RPC_MS = 800
+
+/**
+ * Tells whether a call's body is a message between replicas.
+ * @param body what came
+ * @returns the message, or undefined
+ */
+export function toGroupMessage (body: unknown): GroupMessage | undefined {
+  const { raft, msg } = body as { raft?: unknown, msg?: unknown }
+  if (typeof raft !== 'string') return undefined
+  return { raft, msg: state.rpc.parse(msg) }
+}
+
+/**
+ * Starts this instance's replica of a group.
+ * @param opts where its data lives and how peers are reached
+ * @param group the group's name
+ * @param machine the state that the group replicates
+ * @param onLeadership told when this replica starts to lead or stops
+ * @returns the replica
+ */
+export async function startReplica (opts: GroupOptions, group: string, machine: state.Machine, onLeadership: (isLeader: boolean) => void): Promise<state.Replica> {
+  return await state.createReplica({
+    group,
+    name: opts.id,
+    names: opts.controls.map(control => control.id),
+    storage: await state.createFileStorage(path.join(opts.dataFolder, group)),
+    transport: createTransport(opts, group),
+    machine,
+    clock: state.systemClock,
+    random: Math.random,
+    createIncarnation: () => crypto.randomUUID(),
+    log: opts.log,
+    invariants: opts.invariants,
+    snapshotEvery: opts.snapshotEvery,
+    onLeadership
+  })
+}
+
+function createTransport (opts: GroupOptions, group: string): state.Transport {
+  return {
+    async call (name, msg) {
+      const control = opts.controls.find(item => item.id === name)
+      if (control === undefined) throw new Error(`no control instance ${name} in the settings`)
+      const link = await opts.peers.get(control.id, control.address)
+      return state.rpcReply.parse(await link.call({ raft: group, msg } satisfies GroupMessage, RPC_MS))
+    }
+  }
+}
--- /dev/null
+++ b/packages/kingcupdeck/bin/kingcupdeck.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js'
--- /dev/null
+++ b/packages/kingcupdeck/src/output.ts
@@ -0,0 +1,38 @@
+/** What the commands print: results to standard output, remarks to standard error. */
+import * as exitCodes from './exitCodes.js'
+import type * as operatorClient from './operatorClient.js'
+
+/**
+ * Prints a result.
+ * @param line one line or more
+ */
+export function print (line: string): void {
+  process.stdout.write(line + '\n')
+}
+
+/**
+ * Prints a remark.
+ * @param line one line or more
+ */
+export function printNote (line: string): void {
+  process.stderr.write(line + '\n')
+}
+
+/**
+ * Prints why an operator's call failed.
+ * @param reply what came back
+ * @param json print JSON
+ * @returns the exit code that goes with it
+ */
+export function printFailure (reply: Exclude<operatorClient.OperatorReply<unknown>, { kind: 'ok' }>, json: boolean): exitCodes.ExitCode {
+  if (reply.kind === 'unreachable') {
+    if (json) print(JSON.stringify({ error: { type: 'unreachable', message: reply.detail } }))
+    else printNote(`No answer: ${reply.detail}. Check --address, and that a quorum of control instances is up.`)
+    return exitCodes.ExitCode.unreachable
+  }
+  if (json) print(JSON.stringify(reply.body))
+  else printNote(reply.error.message)
+  if (reply.error.type === 'conflict') return exitCodes.ExitCode.conflict
+  if (reply.error.type === 'invalid_document' || reply.error.type === 'bad_request') return exitCodes.ExitCode.usage
+  return reply.status === 503 ? exitCodes.ExitCode.unreachable : exitCodes.ExitCode.failed
+}
--- /dev/null
+++ b/packages/links/src/index.ts
@@ -0,0 +1,8 @@
+/** Public face of the links: frames, authenticated links, peer books, streams, and HTTP connections to endpoints. */
+export * from './connect.js'
+export * from './endpointClient.js'
+export * from './frames.js'
+export * from './handshake.js'
+export * from './link.js'
+export * from './peerBook.js'
+export * from './streams.js'
--- /dev/null
+++ b/packages/membership/src/endpointTable.ts
@@ -0,0 +1,96 @@
+/** All endpoints that an instance has heard of, merged by the endpoints' own numbering, with digests to find gaps. */
+import * as contracts from '@kingcupdeck/contracts'
+
+/** The endpoints that an instance has heard of. */
+export interface EndpointTable {
+  get (id: string): contracts.EndpointEntry | undefined
+  /** @returns all entries, those of endpoints that went away among them */
+  all (): IterableIterator<contracts.EndpointEntry>
+  /** @returns the entries of a pool that are ready */
+  ready (service: string): contracts.EndpointEntry[]
+  /** Takes an entry if it is newer. @returns whether it was */
+  merge (entry: contracts.EndpointEntry): boolean
+  /** @returns one number a bucket; equal tables have equal digests */
+  digests (): number[]
+  /** @returns the entries of buckets whose digest differs */
+  differing (digests: readonly number[]): contracts.EndpointEntry[]
+  /** Grows with each change; lets readers keep what they derived. */
+  version (): number
+  /** Forgets endpoints that went away long ago. */
+  sweep (nowMs: number): void
+}
+
+/** Digest buckets: one mismatch then costs a thirty-second part of the table. */
+const BUCKETS = 32
+const FORGET_GONE_MS = 600_000
+/** At equal numbers the graver state wins: nothing comes back without a newer announcement. */
+const GRAVITY: Record<contracts.EndpointEntry['state'], number> = { ready: 0, leaving: 1, gone: 2 }
+
+/**
+ * Creates an empty table.
+ * @returns the table
+ */
+export function createEndpointTable (): EndpointTable {
+  const entries = new Map<string, contracts.EndpointEntry>()
+  const goneSince = new Map<string, number>()
+  const digests = new Array<number>(BUCKETS).fill(0)
+  const readyOf = new Map<string, contracts.EndpointEntry[]>()
+  let version = 0
+
+  const toggle = (entry: contracts.EndpointEntry): void => {
+    const bucket = toBucket(entry.id)
+    digests[bucket] = (digests[bucket] ^ contracts.hash32(`${entry.id} ${entry.boot} ${entry.seq} ${entry.state}`)) >>> 0
+  }
+
+  const set = (entry: contracts.EndpointEntry): void => {
+    const known = entries.get(entry.id)
+    if (known !== undefined) toggle(known)
+    entries.set(entry.id, entry)
+    toggle(entry)
+    readyOf.clear()
+    version++
+    if (entry.state === 'gone') goneSince.set(entry.id, performance.now())
+    else goneSince.delete(entry.id)
+  }
+
+  return {
+    get: id => entries.get(id),
+    all: () => entries.values(),
+    ready (service) {
+      const known = readyOf.get(service)
+      if (known !== undefined) return known
+      const list = [...entries.values()].filter(entry => entry.service === service && entry.state === 'ready')
+      readyOf.set(service, list)
+      return list
+    },
+    merge (entry) {
+      const known = entries.get(entry.id)
+      if (known !== undefined && !isNewer(entry, known)) return false
+      set(entry)
+      return true
+    },
+    digests: () => [...digests],
+    differing: theirs => [...entries.values()].filter(entry => digests[toBucket(entry.id)] !== theirs[toBucket(entry.id)]),
+    version: () => version,
+    sweep (nowMs) {
+      for (const [id, since] of goneSince) {
+        const entry = entries.get(id)
+        if (nowMs - since < FORGET_GONE_MS || entry === undefined) continue
+        toggle(entry)
+        entries.delete(id)
+        goneSince.delete(id)
+        version++
+      }
+    }
+  }
+}
+
+function toBucket (id: string): number {
+  return contracts.hash32(id, 7) % BUCKETS
+}
+
+function isNewer (entry: contracts.EndpointEntry, known: contracts.EndpointEntry): boolean {
+  if (entry.boot !== known.boot) return entry.boot > known.boot
+  if (entry.seq !== known.seq) return entry.seq > known.seq
+  return GRAVITY[entry.state] > GRAVITY[known.state]
+}
--- /dev/null
+++ b/packages/router/src/chatEntry.ts
@@ -0,0 +1,232 @@
+/** The entry of chats: reads the request, places it, follows its answer to the end, and takes it up again when it breaks. */
+import * as contracts from '@kingcupdeck/contracts'
+import * as answers from './answer.js'
+import type * as auths from './auth.js'
+import type * as context from './entryContext.js'
+import * as helpers from './http.js'
+import * as ids from './ids.js'
+import * as placing from './placing.js'
+
+/** After this many attempts a request ends in an error, whatever the retry budget says. */
+const MAX_ATTEMPTS = 5
+/** The share of a chat that tells it from others when the caller names none. */
+const RETURNING_MESSAGES = 3
+
+/**
+ * Serves `POST /v1/chat/completions`.
+ * @param ctx the entry instance
+ * @param exchange the caller's request
+ * @param account who calls
+ */
+export async function serveChat (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account): Promise<void> {
+  const body = await helpers.readBody(exchange.req, ctx.maxBodyBytes)
+  const chat = parseChat(helpers.parseJson(body))
+  const doc = ctx.needDocument()
+  const model = doc.models[chat.model]
+  if (model === undefined || !account.spec.services.includes(model.service)) throw new contracts.FailureError({ kind: 'unknown_model', model: chat.model })
+  ctx.checkLimit(account)
+  const run = createRun(ctx, exchange, account, chat, model.service, body)
+  await followToEnd(ctx, run)
+}
+
+function parseChat (input: unknown): contracts.ChatRequest {
+  const parsed = contracts.chatRequest.safeParse(input)
+  if (parsed.success) return parsed.data
+  const faults = parsed.error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`)
+  throw new contracts.FailureError({ kind: 'bad_request', detail: `The request is not a chat completion: ${faults.join('; ')}` })
+}
+
+interface Run {
+  exchange: helpers.Exchange
+  account: auths.Account
+  priority: string
+  startedAt: number
+  answer: answers.GrowingAnswer
+  writer: answers.AnswerWriter
+  request: placing.PlacingRequest
+  /** Whether an endpoint may have begun it. */
+  isReached: boolean
+  engine: string
+}
+
+function createRun (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account, chat: contracts.ChatRequest, service: string, body: Buffer): Run {
+  const { priority, rank, patienceMs } = ctx.toUrgency(exchange, account)
+  const startedAt = performance.now()
+  const gone = ctx.watchCaller(exchange)
+  const chatKey = toChatKey(exchange, account.id, chat)
+  const run: Run = { exchange, account, priority, startedAt, isReached: false, engine: '' } as Run
+  const headers = (): Record<string, string> => ({ [contracts.HEADERS.engine]: run.engine })
+  const isUsageWanted = chat.stream_options?.include_usage === true
+  run.writer = chat.stream === true ? answers.createStreamWriter(exchange, isUsageWanted, headers) : answers.createWholeWriter(exchange, headers)
+  run.answer = answers.createGrowingAnswer(timeFirst(ctx, run))
+  run.request = {
+    requestId: exchange.requestId,
+    service,
+    key: chatKey,
+    fingerprint: ids.toFingerprint(service, body),
+    account: account.id,
+    accountWeight: account.spec.weight,
+    rank,
+    toBody: () => toEngineBody(chat, run.answer),
+    patienceUntil: startedAt + patienceMs,
+    accepts: entry => entry.models.includes(chat.model),
+    toWork: importFrom => ({ kind: 'chat', model: chat.model, chat: chatKey, importFrom, resumeFrom: run.answer.due() }),
+    isRepeatable: true,
+    isReturning: chat.messages.length >= RETURNING_MESSAGES,
+    excluded: new Set(),
+    isSuspect: false,
+    trace: ctx.traces.open(exchange.requestId),
+    signal: gone
+  }
+  return run
+}
+
+/** Notes the first token and the time between tokens on their way to the caller. */
+function timeFirst (ctx: context.EntryContext, run: Run): answers.AnswerWriter {
+  let lastAt: number | undefined
+  const account = ctx.metrics.toAccountLabel(run.account.id)
+  return {
+    write (data) {
+      const now = performance.now()
+      if (lastAt === undefined) ctx.metrics.firstToken.observe({ account, priority: run.priority }, (now - run.startedAt) / 1000)
+      else ctx.metrics.betweenTokens.observe({ priority: run.priority }, (now - lastAt) / 1000)
+      lastAt = now
+      run.writer.write(data)
+    },
+    finish () { run.writer.finish() }
+  }
+}
+
+/** The request as an engine gets it: always a stream, and with the text so far where another engine began the answer. */
+function toEngineBody (chat: contracts.ChatRequest, answer: answers.GrowingAnswer): Uint8Array {
+  const due = answer.due()
+  const resume = due > 0 ? { kingcupdeck_resume: { offset: due, text: answer.text() } } : {}
+  return Buffer.from(JSON.stringify({ ...chat, stream: true, stream_options: { ...chat.stream_options, include_usage: true }, ...resume }))
+}
+
+function toChatKey (exchange: helpers.Exchange, account: string, chat: contracts.ChatRequest): string {
+  const named = helpers.toHeader(exchange.req, contracts.HEADERS.chat) ?? chat.prompt_cache_key ?? undefined
+  const firstUser = chat.messages.findIndex(message => message.role === 'user')
+  const opening = named ?? JSON.stringify(chat.messages.slice(0, firstUser + 1))
+  return contracts.sha256(`${account}\n${chat.model}\n${opening}`).slice(0, 24)
+}
+
+async function followToEnd (ctx: context.EntryContext, run: Run): Promise<void> {
+  const { request } = run
+  ctx.budget.earn()
+  let placed = await placeOrThrow(ctx, run)
+  for (let attemptNo = 1; ; attemptNo++) {
+    run.engine = placed.endpoint
+    ctx.placer.countOwn(placed.endpoint, 1)
+    const end = await follow(ctx, run, placed).finally(() => {
+      placed.attempt.end()
+      ctx.placer.countOwn(placed.endpoint, -1)
+    })
+    if (end.kind === 'whole') return
+    if (end.kind === 'failed') throw new contracts.FailureError(end.failure)
+    request.trace.note('broke', `${placed.endpoint} by ${placed.owner.id}: ${end.why}`)
+    const isAllowed = attemptNo < MAX_ATTEMPTS && (end.isFree || ctx.budget.spend())
+    if (!isAllowed) throw new contracts.FailureError(toLost(run, end.why))
+    placed = await reattach(ctx, run, placed, end) ?? await placeOrThrow(ctx, run)
+  }
+}
+
+function toLost (run: Run, why: string): contracts.Failure {
+  if (run.answer.due() > 0) return { kind: 'answer_cut', detail: why }
+  return { kind: 'endpoint_lost', ran: run.isReached ? 'unknown' : 'no', detail: why }
+}
+
+async function placeOrThrow (ctx: context.EntryContext, run: Run): Promise<placing.Placed> {
+  const placed = await ctx.placer.place(run.request)
+  if (placed.kind === 'placed') return placed
+  const { failure } = placed
+  const isTrue = !run.isReached || contracts.toRan(failure) !== 'no'
+  if (isTrue) {
+    ctx.invariants.check('notRunIsTrue', !run.isReached, () => run.exchange.requestId)
+    throw new contracts.FailureError(failure)
+  }
+  // An endpoint had it before: that nobody takes it now does not mean that it did not run.
+  throw new contracts.FailureError(toLost(run, contracts.describe(failure)))
+}
+
+type FollowEnd =
+  | { kind: 'whole' }
+  | { kind: 'failed', failure: contracts.Failure }
+  | { kind: 'broke', why: string, isFree: boolean, isLinkLost: boolean }
+
+async function follow (ctx: context.EntryContext, run: Run, placed: placing.Placed): Promise<FollowEnd> {
+  const { answer, request } = run
+  while (true) {
+    const event = await Promise.race([placed.attempt.next(), toAborted(request.signal)])
+    if (event === 'aborted') {
+      void ctx.attempts.cancel(placed.owner, placed.attempt.id)
+      return { kind: 'failed', failure: { kind: 'cancelled', ran: 'unknown' } }
+    }
+    switch (event.t) {
+      case 'chunk':
+        run.isReached = true
+        ctx.invariants.check('attemptMatch', event.attempt === placed.attempt.id, () => `${event.attempt} in ${placed.attempt.id}`)
+        if (answer.take(event.n, event.data) === 'gap') return { kind: 'broke', why: `event ${event.n} where ${answer.due()} was due`, isFree: false, isLinkLost: false }
+        break
+      case 'done':
+        ctx.invariants.check('answerOrder', event.count === answer.due(), () => `${answer.due()} events of ${event.count}`)
+        run.writer.finish()
+        noteDone(ctx, run, event)
+        return { kind: 'whole' }
+      case 'declined':
+        if (event.reason === 'connect_refused') request.excluded.add(placed.endpoint)
+        return { kind: 'broke', why: `declined: ${event.reason}`, isFree: true, isLinkLost: false }
+      case 'lost':
+        run.isReached = true
+        return onLost(ctx, run, placed, event)
+      case 'linkLost':
+        // Whether the owner went on with it is not known.
+        run.isReached = true
+        return { kind: 'broke', why: `the link to ${placed.owner.id} was lost`, isFree: true, isLinkLost: true }
+      default: break
+    }
+  }
+}
+
+function onLost (ctx: context.EntryContext, run: Run, placed: placing.Placed, event: Extract<contracts.PeerEvent, { t: 'lost' }>): FollowEnd {
+  const { request } = run
+  if (event.status !== undefined && event.status < 500) return { kind: 'failed', failure: { kind: 'endpoint_error', status: event.status, detail: event.detail } }
+  request.excluded.add(placed.endpoint)
+  if (event.death !== undefined) {
+    ctx.suspects.note(request.fingerprint, event.death)
+    request.isSuspect = true
+  }
+  return { kind: 'broke', why: event.detail, isFree: false, isLinkLost: false }
+}
+
+/** After a lost link, the owner may still have the attempt: the same attempt id takes it up where it was. */
+async function reattach (ctx: context.EntryContext, run: Run, placed: placing.Placed, end: Extract<FollowEnd, { kind: 'broke' }>): Promise<placing.Placed | undefined> {
+  if (!end.isLinkLost) return undefined
+  const isStillThere = ctx.member.views.find(placed.owner.id)?.incarnation === placed.owner.incarnation
+  if (!isStillThere) return undefined
+  const tried = await ctx.placer.tryOne(run.request, placed.endpoint, { waitMs: 0, importFrom: undefined, attemptId: placed.attempt.id })
+  return tried.kind === 'placed' ? tried : undefined
+}
+
+function noteDone (ctx: context.EntryContext, run: Run, event: Extract<contracts.PeerEvent, { t: 'done' }>): void {
+  const account = ctx.metrics.toAccountLabel(run.account.id)
+  ctx.metrics.duration.observe({ account, priority: run.priority }, (performance.now() - run.startedAt) / 1000)
+  ctx.metrics.requests.inc({ account, outcome: 'answered' })
+  ctx.metrics.promptTokens.inc({ cached: 'yes' }, event.cachedTokens)
+  ctx.metrics.promptTokens.inc({ cached: 'no' }, Math.max(0, event.promptTokens - event.cachedTokens))
+  run.request.trace.note('answered', `${event.count} events, ${event.cachedTokens} of ${event.promptTokens} prompt tokens from the cache`)
+}
+
+const aborted = new WeakMap<AbortSignal, Promise<'aborted'>>()
+
+function toAborted (signal: AbortSignal): Promise<'aborted'> {
+  let known = aborted.get(signal)
+  if (known === undefined) {
+    known = new Promise(resolve => {
+      if (signal.aborted) resolve('aborted')
+      signal.addEventListener('abort', () => { resolve('aborted') }, { once: true })
+    })
+    aborted.set(signal, known)
+  }
+  return known
+}
--- /dev/null
+++ b/packages/router/src/ownedEndpoint.ts
@@ -0,0 +1,124 @@
+/** An endpoint as its owner keeps it: the exact count in flight, the queue, the connections and the last announcement. */
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as routing from '@kingcupdeck/routing'
+import type * as session from './session.js'
+
+/** An endpoint as its owner keeps it. */
+export interface OwnedEndpoint {
+  readonly id: string
+  /** The last announcement that came here; undefined once another instance owns the endpoint. */
+  announcement: contracts.Announcement | undefined
+  heardAt: number
+  client: links.EndpointClient
+  address: string
+  /** Requests admitted and not ended; the exact count in flight of this owner. */
+  readonly sessions: Set<session.Session>
+  readonly queue: routing.FairQueue<session.Session>
+  readonly wait: routing.WaitEstimate
+  /** Requests of an earlier owner that may still run: an upper bound that only falls. */
+  foreign: number
+  /** Lowest own count since the last announcement, and in the interval before. */
+  low: { current: number, previous: number }
+  /** The suspect that runs here; no other may run beside it. */
+  suspect: session.Session | undefined
+  /** Highest fencing number sent to it or announced by it. */
+  fence: number
+  orderedAt: number
+  /** Times at which it came back after being gone. */
+  returns: number[]
+  heldUntil: number
+  wasGone: boolean
+  /** The check of whether it died, while one is under way. */
+  verdict: Promise<Verdict> | undefined
+}
+
+/** What became of an endpoint whose connection failed. */
+export type Verdict = 'alive' | 'died' | 'unresponsive'
+
+const FLAP_WINDOW_MS = 60_000
+const FLAPS_ALLOWED = 2
+const MAX_HOLD_MS = 30_000
+
+/**
+ * Creates an owned endpoint that has not announced itself here yet.
+ * @param id the endpoint
+ * @param address IP number and port
+ * @returns the endpoint
+ */
+export function createOwnedEndpoint (id: string, address: string): OwnedEndpoint {
+  return {
+    id,
+    announcement: undefined,
+    heardAt: -Infinity,
+    client: links.createEndpointClient(`http://${address}`),
+    address,
+    sessions: new Set(),
+    queue: routing.createFairQueue(),
+    wait: routing.createWaitEstimate(),
+    foreign: 0,
+    low: { current: 0, previous: 0 },
+    suspect: undefined,
+    fence: 0,
+    orderedAt: -Infinity,
+    returns: [],
+    heldUntil: -Infinity,
+    wasGone: false,
+    verdict: undefined
+  }
+}
+
+/**
+ * Takes an announcement into the owner's books.
+ * @param endpoint the endpoint
+ * @param announcement what it says of itself
+ * @param handedOver requests that an earlier owner says it still has in flight there
+ */
+export function takeAnnouncement (endpoint: OwnedEndpoint, announcement: contracts.Announcement, handedOver: number): void {
+  const before = endpoint.announcement
+  const address = `${announcement.host}:${announcement.port}`
+  if (address !== endpoint.address) {
+    endpoint.client.distrust()
+    endpoint.client = links.createEndpointClient(`http://${address}`)
+    endpoint.address = address
+  }
+  if (before === undefined) endpoint.foreign = Math.max(handedOver, announcement.load - endpoint.sessions.size)
+  else if (before.boot !== announcement.boot) endpoint.foreign = 0
+  else lowerForeign(endpoint, announcement.load)
+  endpoint.low = { current: endpoint.sessions.size, previous: endpoint.low.current }
+  endpoint.announcement = announcement
+  endpoint.heardAt = performance.now()
+  endpoint.fence = Math.max(endpoint.fence, announcement.fence)
+}
+
+/**
+ * The announced load is old by an unknown lag, but at that time it was our own count plus the foreign one, and the
+ * foreign one only falls. So what is left after our lowest own count in the interval is an upper bound.
+ */
+function lowerForeign (endpoint: OwnedEndpoint, announcedLoad: number): void {
+  const lowest = Math.min(endpoint.low.current, endpoint.low.previous)
+  endpoint.foreign = Math.min(endpoint.foreign, Math.max(0, announcedLoad - lowest))
+}
+
+/**
+ * The exact load as the cap counts it.
+ * @param endpoint the endpoint
+ * @returns requests in flight, those of an earlier owner among them
+ */
+export function toLoad (endpoint: OwnedEndpoint): number {
+  return endpoint.sessions.size + endpoint.foreign
+}
+
+/**
+ * Notes that an endpoint came back, and holds one back that comes and goes.
+ * @param endpoint the endpoint
+ * @returns whether it is held back now
+ */
+export function noteReturn (endpoint: OwnedEndpoint): boolean {
+  const now = performance.now()
+  endpoint.returns = [...endpoint.returns.filter(at => now - at < FLAP_WINDOW_MS), now]
+  const excess = endpoint.returns.length - FLAPS_ALLOWED
+  if (excess <= 0) return false
+  endpoint.heldUntil = now + Math.min(MAX_HOLD_MS, 1000 * 2 ** excess)
+  return true
+}
--- /dev/null
+++ b/packages/router/src/placing.ts
@@ -0,0 +1,288 @@
+/** Finds an owner that takes a request: home first, then spills, then a place in a queue within the caller's patience. */
+import * as timers from 'node:timers/promises'
+import * as contracts from '@kingcupdeck/contracts'
+import * as membership from '@kingcupdeck/membership'
+import * as routing from '@kingcupdeck/routing'
+import * as attempts from './attempts.js'
+import * as ids from './ids.js'
+import * as traces from './traces.js'
+
+/** A request as placing sees it. */
+export interface PlacingRequest {
+  requestId: string
+  service: string
+  /** What keeps a chat together. */
+  key: string
+  fingerprint: string
+  account: string
+  accountWeight: number
+  rank: number
+  /** @returns the body for an endpoint, as it stands now */
+  toBody (): Uint8Array
+  /** Monotonic time at which the caller's patience ends. */
+  patienceUntil: number
+  /** Whether an endpoint can serve it at all. */
+  accepts (entry: contracts.EndpointEntry): boolean
+  /** @returns the work for an endpoint, with where the chat's cache lies */
+  toWork (importFrom: string | undefined): contracts.Dispatch['work']
+  /** Whether it may run twice. */
+  isRepeatable: boolean
+  /** Whether the chat was here before, so that a cache is worth looking for. */
+  isReturning: boolean
+  /** Endpoints that failed it already. */
+  excluded: Set<string>
+  /** Whether it was in flight at a death of an endpoint. */
+  isSuspect: boolean
+  trace: traces.Trace
+  /** Aborted when the caller goes away. */
+  signal: AbortSignal
+}
+
+/** An attempt that an owner took. */
+export interface Placed { kind: 'placed', attempt: attempts.Attempt, owner: contracts.Instance, endpoint: string, msg: contracts.Dispatch }
+
+/** What came of placing. */
+export type Placing = Placed | { kind: 'failed', failure: contracts.Failure }
+
+/** What placing is built from. */
+export interface PlacerOptions {
+  member: membership.Membership
+  table: membership.EndpointTable
+  attempts: attempts.Attempts
+  suspects: routing.Suspects
+  policy: routing.Policy
+  random: () => number
+  /** @returns addresses of other instances, for a caller that must go elsewhere */
+  otherAddresses (): string[]
+}
+
+/** Places requests. */
+export interface Placer {
+  place (request: PlacingRequest): Promise<Placing>
+  /** Hands one request to the owner of a certain endpoint. */
+  tryOne (request: PlacingRequest, endpoint: string, how: TryHow): Promise<Tried>
+  /** Notes that this instance has one more or one less in flight on an endpoint. */
+  countOwn (endpoint: string, by: 1 | -1): void
+}
+
+/** How an endpoint is asked. */
+export interface TryHow { waitMs: number, importFrom: string | undefined, attemptId?: string }
+
+/** What one owner said. */
+export type Tried =
+  | Placed
+  | { kind: 'declined', reason: contracts.DeclineReason, load: number, retryAfterMs: number, endpoint: string | undefined }
+  | { kind: 'uncertain', owner: contracts.Instance, attemptId: string }
+
+/** Asking more owners than this for a free place costs more than a short wait in a queue. */
+const MAX_TRIES = 6
+const PAUSE_MS = 100
+/** With no endpoint at all, a request waits no longer than an ownership takes to move. */
+const NO_ENDPOINT_MS = 8000
+const NO_ENDPOINT_RETRY_MS = 3000
+/** A load that was heard longer ago says nothing. */
+const LOAD_MEMORY_MS = 3000
+
+/**
+ * Creates a placer.
+ * @param opts what it decides with
+ * @returns the placer
+ */
+export function createPlacer (opts: PlacerOptions): Placer {
+  const { member, table, suspects } = opts
+  const reported = new Map<string, { load: number, at: number }>()
+  const own = new Map<string, number>()
+  const firstSeen = new Map<string, number>()
+  let turn = 0
+
+  const loads: routing.LoadView = {
+    reported: id => {
+      const known = reported.get(id)
+      return known === undefined || performance.now() - known.at > LOAD_MEMORY_MS ? 0 : known.load
+    },
+    own: id => own.get(id) ?? 0
+  }
+
+  const noteLoad = (endpoint: string, load: number): void => { reported.set(endpoint, { load, at: performance.now() }) }
+
+  const toCandidates = (request: PlacingRequest): contracts.EndpointEntry[] => {
+    const ready = table.ready(request.service).filter(request.accepts)
+    const fresh = ready.filter(entry => !request.excluded.has(entry.id))
+    return fresh.length > 0 ? fresh : ready
+  }
+
+  const tryOne = async (request: PlacingRequest, endpoint: string, how: TryHow): Promise<Tried> => {
+    const declined = (reason: contracts.DeclineReason): Tried => ({ kind: 'declined', reason, load: 0, retryAfterMs: 0, endpoint: undefined })
+    const entry = table.get(endpoint)
+    const owner = entry === undefined ? undefined : member.views.ownerOf(entry)
+    if (owner === undefined) return declined('not_owner')
+    const msg: contracts.Dispatch = {
+      t: 'dispatch',
+      attempt: how.attemptId ?? ids.createAttemptId(),
+      request: request.requestId,
+      incarnation: owner.incarnation,
+      endpoint,
+      service: request.service,
+      work: request.toWork(how.importFrom),
+      account: request.account,
+      accountWeight: request.accountWeight,
+      rank: request.rank,
+      waitMs: Math.max(0, how.waitMs),
+      suspect: request.isSuspect ? request.fingerprint : undefined,
+      fingerprint: request.fingerprint,
+      body: request.toBody()
+    }
+    const attempt = await opts.attempts.start(owner, msg)
+    const event = await attempt.next()
+    switch (event.t) {
+      case 'accepted':
+        noteLoad(endpoint, event.load)
+        request.trace.note('accepted', `${endpoint} by ${owner.id} at load ${event.load}`)
+        return { kind: 'placed', attempt, owner, endpoint, msg }
+      case 'declined':
+        attempt.end()
+        noteLoad(endpoint, event.load)
+        request.trace.note('declined', `${endpoint} by ${owner.id}: ${event.reason} at load ${event.load}`)
+        return { kind: 'declined', reason: event.reason, load: event.load, retryAfterMs: event.retryAfterMs, endpoint: event.endpoint }
+      default:
+        attempt.end()
+        request.trace.note('uncertain', `${owner.id} was lost before it said whether it took the request`)
+        return { kind: 'uncertain', owner, attemptId: msg.attempt }
+    }
+  }
+
+  /** @returns where the chat's cache lies if it is not on the endpoint that is asked */
+  const findCache = (request: PlacingRequest, endpoint: string, ranked: readonly string[], knownPlace: string | undefined): string | undefined => {
+    if (!request.isReturning) return undefined
+    if (knownPlace !== undefined) return knownPlace
+    if (endpoint !== ranked[0]) return ranked[0]
+    // The home itself came later than the chat, or the engine before it in rank is leaving: the cache lies there.
+    const leaving = [...table.all()].filter(entry => entry.service === request.service && entry.state === 'leaving' && request.accepts({ ...entry, state: 'ready' }))
+    const [before] = routing.rank({ key: request.key, candidates: [...leaving, ...toCandidates(request)] })
+    if (before !== ranked[0]) return before
+    return isNewcomer(ranked[0]) ? ranked[1] : undefined
+  }
+
+  const isNewcomer = (id: string): boolean => {
+    const boot = `${id}@${table.get(id)?.boot ?? 0}`
+    const now = performance.now()
+    const since = firstSeen.get(boot) ?? now
+    firstSeen.set(boot, since)
+    return now - since < NEWCOMER_MS
+  }
+
+  const resolveUncertain = async (request: PlacingRequest, tried: Extract<Tried, { kind: 'uncertain' }>): Promise<contracts.Failure | undefined> => {
+    if (request.isRepeatable) {
+      void opts.attempts.cancel(tried.owner, tried.attemptId)
+      return undefined
+    }
+    // Guards the promise "not run": a request handed to a peer that went silent may run when the peer thaws. Only the
+    // peer's own word that it dropped the request makes it safe to go on.
+    const ran = await opts.attempts.cancel(tried.owner, tried.attemptId)
+    if (ran === 'no') return undefined
+    return { kind: 'endpoint_lost', ran: 'unknown', detail: `instance ${tried.owner.id} was lost with the request` }
+  }
+
+  const place = async (request: PlacingRequest): Promise<Placing> => {
+    const startedAt = performance.now()
+    const failed = (failure: contracts.Failure): Placing => ({ kind: 'failed', failure })
+    while (true) {
+      if (request.signal.aborted) return failed({ kind: 'cancelled', ran: 'no' })
+      if (suspects.isQuarantined(request.fingerprint)) return failed({ kind: 'request_quarantined', deaths: suspects.deaths(request.fingerprint), retryAfterMs: suspects.leftMs(request.fingerprint) })
+      const round = await tryRound(request)
+      if (round.kind !== 'none') return round
+      const now = performance.now()
+      if (!member.isServing()) {
+        request.trace.note('not serving', 'the lease is not held')
+        if (now - startedAt > NO_ENDPOINT_MS || now > request.patienceUntil) return failed({ kind: 'not_serving', detail: 'its lease ran out', addresses: opts.otherAddresses(), retryAfterMs: 1000 })
+      }
+      if (now > request.patienceUntil) return failed({ kind: 'patience_over', retryAfterMs: Math.max(1000, round.retryAfterMs) })
+      if (now - startedAt > NO_ENDPOINT_MS) return failed({ kind: 'no_endpoint', pool: request.service, retryAfterMs: NO_ENDPOINT_RETRY_MS })
+      await timers.setTimeout(PAUSE_MS)
+    }
+  }
+
+  type Round = Placing | { kind: 'none', retryAfterMs: number }
+
+  const tryRound = async (request: PlacingRequest): Promise<Round> => {
+    const candidates = toCandidates(request)
+    if (candidates.length === 0) return { kind: 'none', retryAfterMs: 0 }
+    const spec = member.document()?.services[request.service]
+    const order = routing.orderEndpoints({ policy: opts.policy, key: request.key, candidates, loads, loadFactor: spec?.loadFactor ?? 1.25, random: opts.random, turn: turn++ })
+    const ranked = routing.rank({ key: request.key, candidates })
+    let knownPlace: string | undefined
+    let fullest: { endpoint: string, load: number } | undefined
+    const queue = order.slice(0, MAX_TRIES)
+    for (let i = 0; i < queue.length; i++) {
+      const endpoint = queue[i]
+      const tried = await tryOne(request, endpoint, { waitMs: 0, importFrom: findCache(request, endpoint, ranked, knownPlace) })
+      if (tried.kind === 'placed') {
+        noteSpill(request, ranked[0], endpoint)
+        return tried
+      }
+      if (tried.kind === 'uncertain') {
+        const failure = await resolveUncertain(request, tried)
+        if (failure !== undefined) return { kind: 'failed', failure }
+        continue
+      }
+      switch (tried.reason) {
+        case 'elsewhere':
+          knownPlace = tried.endpoint
+          if (knownPlace !== undefined && queue.indexOf(knownPlace) !== i + 1) queue.splice(i + 1, 0, knownPlace)
+          break
+        case 'full':
+          if (fullest === undefined || tried.load < fullest.load) fullest = { endpoint, load: tried.load }
+          break
+        case 'quarantined':
+          return { kind: 'failed', failure: { kind: 'request_quarantined', deaths: routing.QUARANTINE_DEATHS, retryAfterMs: tried.retryAfterMs } }
+        case 'not_owner':
+        case 'unready':
+        case 'patience':
+        case 'void':
+        case 'suspect_running':
+        case 'connect_refused':
+          break
+      }
+    }
+    if (fullest === undefined) return { kind: 'none', retryAfterMs: 0 }
+    return await waitInQueue(request, fullest.endpoint, ranked, knownPlace)
+  }
+
+  const waitInQueue = async (request: PlacingRequest, endpoint: string, ranked: readonly string[], knownPlace: string | undefined): Promise<Round> => {
+    const waitMs = request.patienceUntil - performance.now()
+    if (waitMs <= 0) return { kind: 'none', retryAfterMs: 0 }
+    request.trace.note('queues', `${endpoint}, up to ${Math.round(waitMs)} ms`)
+    const tried = await tryOne(request, endpoint, { waitMs, importFrom: findCache(request, endpoint, ranked, knownPlace) })
+    switch (tried.kind) {
+      case 'placed':
+        noteSpill(request, ranked[0], endpoint)
+        return tried
+      case 'uncertain': {
+        const failure = await resolveUncertain(request, tried)
+        return failure === undefined ? { kind: 'none', retryAfterMs: 0 } : { kind: 'failed', failure }
+      }
+      case 'declined':
+        if (tried.reason === 'patience') return { kind: 'failed', failure: { kind: 'patience_over', retryAfterMs: tried.retryAfterMs } }
+        return { kind: 'none', retryAfterMs: tried.retryAfterMs }
+    }
+  }
+
+  /** Tells the home's owner where the chat ran, so that it is found there next time. */
+  const noteSpill = (request: PlacingRequest, home: string, endpoint: string): void => {
+    const entry = table.get(home)
+    const work = request.toWork(undefined)
+    if (entry === undefined || work.kind !== 'chat' || opts.policy !== 'owner') return
+    const owner = member.views.ownerOf(entry)
+    if (owner === undefined) return
+    if (home !== endpoint) opts.attempts.notePlace(owner, { t: 'placed', chat: work.chat, home, endpoint })
+  }
+
+  return {
+    place,
+    tryOne,
+    countOwn (endpoint, by) { own.set(endpoint, Math.max(0, (own.get(endpoint) ?? 0) + by)) }
+  }
+}
+
+/** An engine counts as a newcomer, whose chats still have their cache elsewhere, for this long. */
+const NEWCOMER_MS = 5 * 60 * 1000
--- /dev/null
+++ b/packages/router/src/plainEntry.ts
@@ -0,0 +1,167 @@
+/**
+ * The entry of calls to plain services. A call that is not idempotent goes through the ledger: its start is committed
+ * before the first byte goes out, its answer before the caller gets it.
+ */
+import * as contracts from '@kingcupdeck/contracts'
+import type * as auths from './auth.js'
+import type * as context from './entryContext.js'
+import * as helpers from './http.js'
+import * as ids from './ids.js'
+import type * as ledgerClient from './ledgerClient.js'
+import * as placing from './placing.js'
+
+const MAX_ATTEMPTS = 3
+const REPEAT_WAIT_MS = 4000
+const REPEAT_POLL_MS = 250
+
+/** A call of a plain service. */
+export interface PlainCall { service: string, call: string, isIdempotent: boolean, priority: string | undefined }
+
+interface PlainAnswer { status: number, contentType: string, body: Uint8Array }
+
+/**
+ * Serves `/v1/services/{service}/{call}`.
+ * @param ctx the entry instance
+ * @param exchange the caller's request
+ * @param account who calls
+ * @param service the service's id
+ * @param call the call's id
+ */
+export async function servePlain (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account, service: string, call: string): Promise<void> {
+  const spec = ctx.needDocument().services[service]
+  const isAllowed = account.spec.services.includes(service)
+  const callSpec = spec?.kind === 'plain' && isAllowed ? spec.calls[call] : undefined
+  if (callSpec === undefined) throw new contracts.FailureError({ kind: 'unknown_service', service: `${service}/${call}` })
+  const body = await helpers.readBody(exchange.req, ctx.maxBodyBytes)
+  ctx.checkLimit(account)
+  const plain: PlainCall = { service, call, isIdempotent: callSpec.idempotent, priority: callSpec.priority }
+  const request = toRequest(ctx, exchange, account, plain, body)
+  const answer = plain.isIdempotent
+    ? await runOnEndpoint(ctx, request)
+    : await runOnce(ctx, exchange, account, plain, request, body)
+  ctx.metrics.requests.inc({ account: ctx.metrics.toAccountLabel(account.id), outcome: 'answered' })
+  exchange.res.writeHead(answer.status, { 'content-type': answer.contentType, [contracts.HEADERS.requestId]: exchange.requestId, [contracts.HEADERS.ran]: 'yes' })
+  exchange.res.end(answer.body)
+}
+
+function toRequest (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account, plain: PlainCall, body: Buffer): placing.PlacingRequest {
+  const { rank, patienceMs } = ctx.toUrgency(exchange, account, plain.priority)
+  const idempotencyKey = helpers.toHeader(exchange.req, contracts.HEADERS.idempotencyKey)
+  const contentType = helpers.toHeader(exchange.req, 'content-type')
+  // Once its start is recorded, a non-idempotent call goes on without its caller, so that the outcome is known.
+  const signal = plain.isIdempotent ? ctx.watchCaller(exchange) : new AbortController().signal
+  return {
+    requestId: exchange.requestId,
+    service: plain.service,
+    key: idempotencyKey ?? exchange.requestId,
+    fingerprint: ids.toFingerprint(`${plain.service}/${plain.call}`, body),
+    account: account.id,
+    accountWeight: account.spec.weight,
+    rank,
+    toBody: () => body,
+    patienceUntil: performance.now() + patienceMs,
+    accepts: () => true,
+    toWork: () => ({ kind: 'plain', call: plain.call, method: exchange.req.method ?? 'POST', idempotent: plain.isIdempotent, idempotencyKey, contentType }),
+    isRepeatable: plain.isIdempotent,
+    isReturning: false,
+    excluded: new Set(),
+    isSuspect: false,
+    trace: ctx.traces.open(exchange.requestId),
+    signal
+  }
+}
+
+/** At most once: see the header of this module. */
+async function runOnce (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account, plain: PlainCall, request: placing.PlacingRequest, body: Buffer): Promise<PlainAnswer> {
+  const key = helpers.toHeader(exchange.req, contracts.HEADERS.idempotencyKey)
+  if (key === undefined) throw new contracts.FailureError({ kind: 'key_required' })
+  const checked = ids.checkKey(key)
+  if (checked.kind === 'unusable') throw new contracts.FailureError({ kind: 'key_invalid', detail: checked.detail })
+  const entry: ledgerClient.LedgerKey = { account: account.id, key, attempt: ids.createAttemptId() }
+  const hash = contracts.sha256(Buffer.concat([Buffer.from(`${plain.service}/${plain.call}\n`), body]))
+  const earlier = await begin(ctx, request, entry, hash)
+  if (earlier !== undefined) return earlier
+  let answer: PlainAnswer
+  try {
+    answer = await runOnEndpoint(ctx, request, entry)
+  } catch (err) {
+    if (contracts.toRan(contracts.toFailure(err)) === 'no') await ctx.ledger.abort(entry)
+    throw err
+  }
+  await finish(ctx, request, entry, answer)
+  return answer
+}
+
+/** @returns the answer of an earlier attempt, or undefined if this one is the first */
+async function begin (ctx: context.EntryContext, request: placing.PlacingRequest, entry: ledgerClient.LedgerKey, hash: string): Promise<PlainAnswer | undefined> {
+  const deadline = performance.now() + REPEAT_WAIT_MS
+  while (true) {
+    const state = await askLedger(ctx, entry, hash)
+    request.trace.note('ledger', state.kind)
+    switch (state.kind) {
+      case 'begun': return undefined
+      case 'finished':
+        if (state.answer === null) throw new contracts.FailureError({ kind: 'answer_not_kept', finishedAt: new Date(state.finishedAt).toISOString() })
+        return state.answer
+      case 'reused': throw new contracts.FailureError({ kind: 'key_reused' })
+      case 'expired': throw new contracts.FailureError({ kind: 'key_expired', retentionHours: state.retentionHours })
+      case 'ahead': throw new contracts.FailureError({ kind: 'key_invalid', detail: 'its time lies in the future' })
+      case 'started':
+        if (performance.now() > deadline) throw new contracts.FailureError({ kind: 'outcome_unknown', startedAt: new Date(state.startedAt).toISOString() })
+        await new Promise(resolve => setTimeout(resolve, REPEAT_POLL_MS))
+    }
+  }
+}
+
+async function askLedger (ctx: context.EntryContext, entry: ledgerClient.LedgerKey, hash: string): Promise<contracts.LedgerState> {
+  try {
+    return await ctx.ledger.begin(entry, hash)
+  } catch {
+    // Nothing was dispatched. The record may have been made all the same; it is taken back so that a resend can run.
+    void ctx.ledger.abort(entry).catch(() => {})
+    throw new contracts.FailureError({ kind: 'ledger_unavailable', ran: 'no', retryAfterMs: 2000 })
+  }
+}
+
+async function finish (ctx: context.EntryContext, request: placing.PlacingRequest, entry: ledgerClient.LedgerKey, answer: PlainAnswer): Promise<void> {
+  const { maxAnswerBytes } = ctx.needDocument().ledger
+  const isRecorded = await ctx.ledger.finish(entry, answer.body.length <= maxAnswerBytes ? answer : null)
+  request.trace.note('ledger', isRecorded ? 'finished' : 'the answer could not be recorded')
+}
+
+async function runOnEndpoint (ctx: context.EntryContext, request: placing.PlacingRequest, recorded?: ledgerClient.LedgerKey): Promise<PlainAnswer> {
+  let isReached = false
+  for (let attemptNo = 1; ; attemptNo++) {
+    // Guards against running a call twice: without a committed record a resend could not be told from a new call.
+    ctx.invariants.check('recordBeforeDispatch', request.isRepeatable || recorded !== undefined, () => `${request.requestId} without a record`)
+    const placed = await ctx.placer.place(request)
+    if (placed.kind === 'failed') throw new contracts.FailureError(isReached ? { kind: 'endpoint_lost', ran: 'unknown', detail: contracts.describe(placed.failure) } : placed.failure)
+    const end = await waitForAnswer(ctx, request, placed).finally(() => { placed.attempt.end() })
+    if (end.kind === 'answer') return end.answer
+    request.trace.note('broke', `${placed.endpoint}: ${end.why}`)
+    isReached ||= end.ran !== 'no'
+    const isAllowed = attemptNo < MAX_ATTEMPTS && (end.ran === 'no' || (request.isRepeatable && ctx.budget.spend()))
+    if (!isAllowed) throw new contracts.FailureError({ kind: 'endpoint_lost', ran: isReached ? 'unknown' : 'no', detail: end.why })
+    request.excluded.add(placed.endpoint)
+  }
+}
+
+type PlainEnd = { kind: 'answer', answer: PlainAnswer } | { kind: 'broke', why: string, ran: contracts.Ran }
+
+async function waitForAnswer (ctx: context.EntryContext, request: placing.PlacingRequest, placed: placing.Placed): Promise<PlainEnd> {
+  while (true) {
+    const event = await placed.attempt.next()
+    switch (event.t) {
+      case 'answer': return { kind: 'answer', answer: { status: event.status, contentType: event.contentType, body: event.body } }
+      case 'declined': return { kind: 'broke', why: event.reason, ran: 'no' }
+      case 'lost':
+        if (event.death !== undefined) {
+          ctx.suspects.note(request.fingerprint, event.death)
+          request.isSuspect = true
+        }
+        return { kind: 'broke', why: event.detail, ran: 'unknown' }
+      case 'linkLost': return { kind: 'broke', why: `the link to ${placed.owner.id} was lost`, ran: await ctx.attempts.cancel(placed.owner, placed.attempt.id) }
+      default: break
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,263 @@
+/** A router instance: the entry for callers and the owner of its share of the endpoints, as a library. */
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as membership from '@kingcupdeck/membership'
+import * as routing from '@kingcupdeck/routing'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as attempts from './attempts.js'
+import * as auths from './auth.js'
+import type * as context from './entryContext.js'
+import * as helpers from './http.js'
+import * as ids from './ids.js'
+import * as ledgerClient from './ledgerClient.js'
+import * as owners from './owner.js'
+import * as ownerTasks from './ownerTasks.js'
+import * as placing from './placing.js'
+import * as servers from './server.js'
+import * as traces from './traces.js'
+
+/** What a router instance is built from. */
+export interface RouterOptions {
+  id: string
+  zone: string
+  /** Names this start of the process. */
+  boot: string
+  /** IP number and port for callers; port 0 takes a free one. */
+  listen: string
+  /** IP number and port for peers; port 0 takes a free one. */
+  peerListen: string
+  /** Base URL that callers are told; from `listen` when absent. */
+  advertiseUrl?: string
+  /** Address that peers are told; from `peerListen` when absent. */
+  advertisePeer?: string
+  controls: readonly membership.ControlAddress[]
+  secret: string
+  ledgerGroups: number
+  maxBodyBytes: number
+  policy: routing.Policy
+  isImporting: boolean
+  log: telemetry.Log
+  /** Whether a broken invariant ends the process. */
+  isFatal: boolean
+  /** A number in [0, 1). */
+  random?: () => number
+}
+
+/** A running router instance. */
+export interface Router {
+  readonly url: string
+  readonly peerAddress: string
+  readonly metrics: telemetry.RouterMetrics
+  readonly member: membership.Membership
+  invariants (): Record<telemetry.Invariant, telemetry.Tally>
+  /** Leaves without cutting a request: see docs/OPERATIONS.md. */
+  shutdown (): Promise<void>
+  /** Ends at once. */
+  stop (): Promise<void>
+}
+
+const DATA_MESSAGES = new Set(['dispatch', 'accepted', 'chunk', 'answer', 'done', 'declined', 'lost', 'cancel'])
+const LEDGER_MESSAGES = new Set(['ledgerBegin', 'ledgerFinish', 'ledgerAbort', 'ledger'])
+const PEER_CALL_MS = 1500
+const SUSPECT_NEWS_MS = 5000
+const DRAIN_LOOK_MS = 100
+
+/**
+ * Starts a router instance.
+ * @param opts who it is and how it works
+ * @returns the instance, which serves once it holds a lease
+ * @example
+ * const router = await createRouter({ id: 'r1', zone: 'a', listen: '127.0.0.1:8080', ... })
+ * process.on('SIGTERM', () => router.shutdown())
+ */
+export async function createRouter (opts: RouterOptions): Promise<Router> {
+  const { log } = opts
+  const random = opts.random ?? Math.random
+  const metrics = telemetry.createRouterMetrics()
+  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, isFatal: opts.isFatal })
+  const table = membership.createEndpointTable()
+  const suspects = routing.createSuspects()
+  const limits = routing.createAccountLimits()
+  const budget = routing.createRetryBudget()
+  const requestTraces = traces.createTraces()
+  const count = createByteCounter(metrics)
+
+  const peers: links.PeerBook = links.createPeerBook({ who: { role: 'router', id: opts.id }, secret: opts.secret, log, count, handlers: { onEvent: (body, link) => { onEvent(body, link) }, onCall: async body => await onCall(body) } })
+  const peerServer = await links.listen(opts.peerListen, { who: { role: 'router', id: opts.id }, secret: opts.secret, log, count, handlers: { onEvent: (body, link) => { onEvent(body, link) }, onCall: async body => await onCall(body) } }, link => { peers.add(link) })
+  const peerAddress = opts.advertisePeer ?? `${links.parseAddress(opts.peerListen).host}:${peerServer.port}`
+
+  const callPeer = async (peer: contracts.Instance, msg: contracts.PeerCall): Promise<contracts.PeerReply> => {
+    const link = await peers.get(peer.id, peer.peer)
+    return contracts.peerReply.parse(await link.call(msg, PEER_CALL_MS))
+  }
+  const sendTo = (peer: contracts.Instance, event: contracts.PeerEvent): void => {
+    peers.get(peer.id, peer.peer).then(link => { link.send(event) }, () => {})
+  }
+
+  const others = (): contracts.Instance[] => member.views.instances().filter(item => item.id !== opts.id)
+  const spreadSuspects = (): void => {
+    const list = suspects.toNews()
+    if (list.length > 0) for (const peer of others()) sendTo(peer, { t: 'suspects', list })
+  }
+
+  const ctx = {} as context.EntryContext
+  const auth = auths.createAuth(() => member.document())
+  // The HTTP port must be known before the instance joins, because the view carries its URL.
+  const server = await servers.startServer(opts.listen, {
+    ctx,
+    auth,
+    log,
+    table,
+    get owner () { return owner },
+    explain: async requestId => await explain(requestId)
+  })
+  const url = opts.advertiseUrl ?? `http://${links.parseAddress(opts.listen).host}:${server.port}`
+
+  const member: membership.Membership = membership.createMembership({
+    instance: { id: opts.id, boot: opts.boot, zone: opts.zone, peer: peerAddress, url },
+    controls: opts.controls,
+    secret: opts.secret,
+    log,
+    invariants,
+    count,
+    loads: () => owner.loads(),
+    takeDemand: limits.takeDemand
+  })
+  const gossip = membership.createGossip({ table, peers: others, call: callPeer, random })
+  const owner: owners.Owner = owners.createOwner({ member, table, gossip, suspects, log, metrics, invariants, policy: opts.policy, isImporting: opts.isImporting, spreadSuspects })
+  const openAttempts = attempts.createAttempts({ selfId: opts.id, peers, dispatchHere: owner.dispatch, cancelHere: owner.cancel, notePlaceHere: owner.notePlace })
+  const otherAddresses = (): string[] => others().filter(item => !item.leaving).map(item => item.url)
+  const placer = placing.createPlacer({ member, table, attempts: openAttempts, suspects, policy: opts.policy, random, otherAddresses })
+
+  Object.assign(ctx, {
+    member,
+    placer,
+    attempts: openAttempts,
+    ledger: ledgerClient.createLedgerClient(member.control, opts.ledgerGroups, log),
+    suspects,
+    budget,
+    traces: requestTraces,
+    metrics,
+    invariants,
+    maxBodyBytes: opts.maxBodyBytes,
+    needDocument: () => {
+      const doc = member.document()
+      if (doc === null) throw new contracts.FailureError({ kind: 'not_serving', detail: 'it has not got the configuration yet', addresses: otherAddresses(), retryAfterMs: 1000 })
+      return doc
+    },
+    checkLimit: account => {
+      const waitMs = limits.take(account.id, account.spec, member.accountShare(account.id))
+      if (waitMs > 0) throw new contracts.FailureError({ kind: 'account_limit', retryAfterMs: waitMs })
+    },
+    toUrgency: (exchange, account, priority) => toUrgency(ctx.needDocument(), exchange, account, priority),
+    watchCaller
+  } satisfies context.EntryContext)
+
+  const stopTasks = ownerTasks.startOwnerTasks({ owner, member, table, gossip, log, invariants, sendTo })
+  const stopSuspects = links.runEvery(SUSPECT_NEWS_MS, spreadSuspects, () => {})
+
+  const onEvent = (body: unknown, link: links.Link): void => {
+    const msg = parseEvent(body)
+    if (msg === undefined) return
+    switch (msg.t) {
+      case 'dispatch': owner.dispatch(msg, { send: event => { link.send(event) }, isOpen: link.isOpen, drained: link.drained }); break
+      case 'placed': owner.notePlace(msg.chat, msg.home, msg.endpoint); break
+      case 'handover': owner.takeAnnouncement(msg.announcement, msg.inFlight); break
+      case 'suspects': suspects.learn(msg.list); break
+      default: openAttempts.take(msg)
+    }
+  }
+
+  const onCall = async (body: unknown): Promise<contracts.PeerReply> => {
+    const msg = contracts.peerCall.parse(body)
+    switch (msg.t) {
+      case 'cancel': return { t: 'cancel', reached: owner.cancel(msg.attempt).reached }
+      case 'gossip': return gossip.onCall(msg)
+      case 'explain': {
+        const lines = requestTraces.find(msg.request)
+        return { t: 'explain', found: lines !== undefined, lines: lines ?? [] }
+      }
+    }
+  }
+
+  const explain = async (requestId: string): Promise<traces.Step[] | undefined> => {
+    const here = requestTraces.find(requestId)
+    if (here !== undefined) return here
+    const peer = others().find(item => item.id === ids.toEntryInstance(requestId))
+    if (peer === undefined) return undefined
+    const reply = await callPeer(peer, { t: 'explain', request: requestId })
+    return reply.t === 'explain' && reply.found ? reply.lines : undefined
+  }
+
+  const stop = async (): Promise<void> => {
+    stopTasks()
+    stopSuspects()
+    gossip.stop()
+    member.stop()
+    peers.close()
+    await peerServer.close()
+  }
+
+  log.event('started', { role: 'router', url, peer: peerAddress, zone: opts.zone })
+
+  return {
+    url,
+    peerAddress,
+    metrics,
+    member,
+    invariants: invariants.tallies,
+    stop: async () => {
+      await stop()
+      void server.close()
+    },
+    async shutdown () {
+      log.event('stopping', { inFlight: owner.inFlight() })
+      await member.beginLeaving()
+      // Callers keep old addresses until these expire, so the instance serves on until then.
+      await wait(contracts.ADDRESS_MAX_AGE_MS + contracts.LEASE_RENEW_MS)
+      await server.close()
+      while (owner.inFlight() > 0) await wait(DRAIN_LOOK_MS)
+      await member.leave()
+      await stop()
+      log.event('stopped')
+    }
+  }
+}
+
+async function wait (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+/** Hot path: chunks are checked by hand, all other events by their schema. */
+function parseEvent (body: unknown): contracts.PeerEvent | undefined {
+  const chunk = body as { t?: unknown, attempt?: unknown, n?: unknown, data?: unknown } | null
+  if (chunk?.t === 'chunk' && typeof chunk.attempt === 'string' && typeof chunk.n === 'number' && typeof chunk.data === 'string') return chunk as contracts.PeerEvent
+  const parsed = contracts.peerEvent.safeParse(body)
+  return parsed.success ? parsed.data : undefined
+}
+
+function createByteCounter (metrics: telemetry.RouterMetrics): links.CountBytes {
+  return (direction, bytes, body) => {
+    const tag = (body as { t?: string } | null)?.t ?? ''
+    const group = DATA_MESSAGES.has(tag) ? 'data' : LEDGER_MESSAGES.has(tag) ? 'ledger' : 'control'
+    metrics.controlBytes.inc({ direction, class: group }, bytes)
+  }
+}
+
+/** A caller may ask for less urgency than its account has, and for less patience than the hour allows. */
+function toUrgency (doc: contracts.Document, exchange: helpers.Exchange, account: auths.Account, fixed: string | undefined): context.Urgency {
+  const asked = fixed ?? helpers.toHeader(exchange.req, contracts.HEADERS.priority)
+  if (asked !== undefined && doc.priorities[asked] === undefined) throw new contracts.FailureError({ kind: 'bad_request', detail: `There is no priority "${asked}". Use one of ${Object.keys(doc.priorities).join(', ')}.` })
+  const own = doc.priorities[account.spec.priority]
+  const isLower = asked !== undefined && doc.priorities[asked].rank >= own.rank
+  const priority = isLower || fixed !== undefined ? asked ?? account.spec.priority : account.spec.priority
+  const patienceMs = routing.toPatienceMs(doc, priority, Date.now())
+  const asksLess = Number(helpers.toHeader(exchange.req, contracts.HEADERS.patience))
+  return { priority, rank: doc.priorities[priority].rank, patienceMs: asksLess > 0 ? Math.min(patienceMs, asksLess * 1000) : patienceMs }
+}
+
+function watchCaller (exchange: helpers.Exchange): AbortSignal {
+  const gone = new AbortController()
+  exchange.res.on('close', () => { if (!exchange.res.writableFinished) gone.abort() })
+  return gone.signal
+}
--- /dev/null
+++ b/packages/router/src/server.ts
@@ -0,0 +1,204 @@
+/** The HTTP face of a router instance: callers, endpoints, operators and monitoring. */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as membership from '@kingcupdeck/membership'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as addresses from './addresses.js'
+import type * as auths from './auth.js'
+import * as chatEntry from './chatEntry.js'
+import type * as context from './entryContext.js'
+import * as helpers from './http.js'
+import * as ids from './ids.js'
+import type * as owners from './owner.js'
+import * as plainEntry from './plainEntry.js'
+import type * as traces from './traces.js'
+
+/** What the server is built from. */
+export interface ServerOptions {
+  ctx: context.EntryContext
+  auth: auths.Auth
+  owner: owners.Owner
+  table: membership.EndpointTable
+  log: telemetry.Log
+  /** Asks the instance that a request entered at for its trace. */
+  explain (requestId: string): Promise<traces.Step[] | undefined>
+}
+
+/** The running server. */
+export interface EntryServer {
+  /** The port it listens on. */
+  readonly port: number
+  /** @returns requests being served */
+  open (): number
+  /** Stops taking connections and resolves when the last request has its answer. */
+  close (): Promise<void>
+}
+
+const REQUEST_MS = 30_000
+const HEADERS_MS = 10_000
+
+/**
+ * Starts the server.
+ * @param address IP number and port; port 0 takes a free one
+ * @param opts what the handlers work with
+ * @returns the server
+ */
+export async function startServer (address: string, opts: ServerOptions): Promise<EntryServer> {
+  let open = 0
+  let isClosing = false
+  const server = http.createServer({ requestTimeout: REQUEST_MS, headersTimeout: HEADERS_MS, keepAliveTimeout: 5000 }, (req, res) => {
+    open++
+    res.on('close', () => { open-- })
+    if (isClosing) res.setHeader('connection', 'close')
+    void serve(opts, req, res)
+  })
+  server.on('clientError', (err, socket) => {
+    const isTooLarge = (err as { code?: string }).code === 'HPE_HEADER_OVERFLOW'
+    if (socket.writable) socket.end(`HTTP/1.1 ${isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(links.parseAddress(address), resolve)
+  })
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    open: () => open,
+    close: async () => {
+      isClosing = true
+      const closed = new Promise<void>(resolve => { server.close(() => { resolve() }) })
+      server.closeIdleConnections()
+      await closed
+    }
+  }
+}
+
+async function serve (opts: ServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  const { ctx } = opts
+  const requestId = ids.createRequestId(ctx.member.self().id)
+  const exchange: helpers.Exchange = { req, res, requestId, url: toUrl(req) }
+  res.on('error', () => {})
+  try {
+    await route(opts, exchange)
+  } catch (err) {
+    const failure = contracts.toFailure(err)
+    ctx.traces.find(requestId)?.push({ atMs: 0, step: 'failed', why: contracts.describe(failure) })
+    ctx.metrics.requests.inc({ account: '', outcome: failure.kind })
+    opts.log.event(failure.kind === 'internal' ? 'uncaught' : 'requestFailed', { request: requestId, kind: failure.kind, ran: contracts.toRan(failure), detail: failure.kind === 'internal' && err instanceof Error ? err.stack ?? '' : contracts.describe(failure) })
+    if (!res.destroyed) helpers.sendFailure(exchange, failure)
+  }
+}
+
+function toUrl (req: http.IncomingMessage): URL {
+  try {
+    return new URL(req.url ?? '/', 'http://instance')
+  } catch {
+    return new URL('http://instance/')
+  }
+}
+
+async function route (opts: ServerOptions, exchange: helpers.Exchange): Promise<void> {
+  const { ctx, auth } = opts
+  const { req, url } = exchange
+  const parts = url.pathname.split('/').filter(part => part !== '')
+  const [version, what, first, second] = parts
+  if (url.pathname === '/health') { sendHealth(opts, exchange); return }
+  if (url.pathname === '/metrics') { await sendMetrics(opts, exchange); return }
+  if (version !== 'v1') throw notFound(exchange)
+  switch (what) {
+    case 'chat':
+      if (req.method !== 'POST' || first !== 'completions' || parts.length !== 3) throw notFound(exchange)
+      ctx.needDocument()
+      await chatEntry.serveChat(ctx, exchange, auth.toAccount(req))
+      return
+    case 'services':
+      if (parts.length !== 4) throw notFound(exchange)
+      ctx.needDocument()
+      await plainEntry.servePlain(ctx, exchange, auth.toAccount(req), first, second)
+      return
+    case 'models': sendModels(opts, exchange); return
+    case 'addresses': sendAddresses(opts, exchange); return
+    case 'announcements': await takeAnnouncement(opts, exchange); return
+    case 'explain':
+      auth.toOperator(req)
+      await sendTrace(opts, exchange, decodeURIComponent(first ?? ''))
+      return
+    default: throw notFound(exchange)
+  }
+}
+
+function notFound (exchange: helpers.Exchange): contracts.FailureError {
+  return new contracts.FailureError({ kind: 'not_found', what: `${exchange.req.method ?? 'GET'} ${exchange.url.pathname}` })
+}
+
+function sendHealth (opts: ServerOptions, exchange: helpers.Exchange): void {
+  const { member } = opts.ctx
+  const isServing = member.isServing()
+  helpers.sendJson(exchange, isServing ? 200 : 503, {
+    instance: member.self().id,
+    serving: isServing,
+    leaving: member.self().leaving,
+    view: member.views.number(),
+    documentVersion: member.documentVersion(),
+    leaseMsLeft: Math.round(Math.max(0, member.leaseLeftMs())),
+    endpoints: [...opts.table.all()].filter(entry => entry.state === 'ready').length,
+    invariants: opts.ctx.invariants.tallies(),
+    owned: [...opts.owner.endpoints.values()].filter(item => item.announcement !== undefined).map(item => ({ endpoint: item.id, inFlight: item.sessions.size, foreign: item.foreign, queued: item.queue.size() }))
+  })
+}
+
+async function sendMetrics (opts: ServerOptions, exchange: helpers.Exchange): Promise<void> {
+  const { registry } = opts.ctx.metrics
+  const text = await registry.metrics()
+  exchange.res.writeHead(200, { 'content-type': registry.contentType })
+  exchange.res.end(text)
+}
+
+function sendModels (opts: ServerOptions, exchange: helpers.Exchange): void {
+  const account = opts.auth.toAccount(exchange.req)
+  const models = Object.entries(opts.ctx.needDocument().models).filter(([, model]) => account.spec.services.includes(model.service))
+  helpers.sendJson(exchange, 200, { object: 'list', data: models.map(([id]) => ({ id, object: 'model', created: 0, owned_by: 'kingcupdeck' })) })
+}
+
+function sendAddresses (opts: ServerOptions, exchange: helpers.Exchange): void {
+  const { ctx, auth, table } = opts
+  const account = auth.toAccount(exchange.req)
+  const query = exchange.url.searchParams
+  const model = query.get('model') ?? ''
+  const chat = query.get('chat')
+  const chatKey = chat === null ? undefined : contracts.sha256(`${account.id}\n${model}\n${chat}`).slice(0, 24)
+  const home = chatKey === undefined ? undefined : addresses.findHomeOwner(ctx.member.views, table, ctx.needDocument(), model, chatKey)
+  const list = addresses.toAddressList(ctx.member.views, { seed: chatKey ?? exchange.requestId, zone: query.get('zone') ?? undefined, home })
+  helpers.sendJson(exchange, 200, list, { 'cache-control': `max-age=${list.maxAgeSeconds}` })
+}
+
+const MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+
+async function takeAnnouncement (opts: ServerOptions, exchange: helpers.Exchange): Promise<void> {
+  const { ctx, auth, owner } = opts
+  if (exchange.req.method !== 'POST') throw notFound(exchange)
+  // The token is looked up before the body is read, so that a stranger's body costs nothing.
+  if (exchange.req.headers.authorization === undefined) throw new contracts.FailureError({ kind: 'unauthenticated', what: 'There is no usable bearer token' })
+  const parsed = contracts.announcement.safeParse(helpers.parseJson(await helpers.readBody(exchange.req, MAX_ANNOUNCEMENT_BYTES)))
+  if (!parsed.success) throw new contracts.FailureError({ kind: 'bad_request', detail: parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
+  const announcement = parsed.data
+  ctx.needDocument()
+  try {
+    auth.checkEndpoint(exchange.req, announcement.service)
+  } catch (err) {
+    opts.log.event('announcementRefused', { endpoint: announcement.endpoint, service: announcement.service })
+    throw err
+  }
+  const place = { id: announcement.endpoint, zone: announcement.zone }
+  const next = ctx.member.views.ownerOf(place)
+  if (next?.id === ctx.member.self().id) owner.takeAnnouncement(announcement, 0)
+  const reply: contracts.AnnouncementReply = { owner: next?.url ?? null, intervalMs: contracts.ANNOUNCE_MS }
+  helpers.sendJson(exchange, 200, reply)
+}
+
+async function sendTrace (opts: ServerOptions, exchange: helpers.Exchange, requestId: string): Promise<void> {
+  const steps = await opts.explain(requestId)
+  if (steps === undefined) throw new contracts.FailureError({ kind: 'not_found', what: `trace of request "${requestId}" (traces are kept for the latest 5,000 requests of an instance)` })
+  helpers.sendJson(exchange, 200, { request: requestId, steps })
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,11 @@
+/** Public face of routing: the decisions, each a small unit without input or output of its own. */
+export * from './accountLimits.js'
+export * from './fairQueue.js'
+export * from './fleetRates.js'
+export * from './loadCap.js'
+export * from './patience.js'
+export * from './placement.js'
+export * from './retryBudget.js'
+export * from './spillMemory.js'
+export * from './suspects.js'
+export * from './waitEstimate.js'
--- /dev/null
+++ b/packages/routing/src/suspects.ts
@@ -0,0 +1,69 @@
+/**
+ * Requests that were in flight on endpoints when these died. A request seen at one death is a suspect and runs apart from
+ * other suspects; seen at two deaths it is quarantined. The fingerprint leaves out the key and the attempt, because the
+ * caller sends the same request again.
+ */
+
+/** News of suspects, as peers exchange it. */
+export interface SuspectNews { fingerprint: string, boots: string[], ageMs: number }
+
+/** The suspects that an instance knows of. */
+export interface Suspects {
+  /** Notes that a request was in flight on an endpoint that died. @returns whether this was news */
+  note (fingerprint: string, boot: string, ageMs?: number): boolean
+  /** @returns at how many deaths it was seen */
+  deaths (fingerprint: string): number
+  isQuarantined (fingerprint: string): boolean
+  /** @returns milliseconds until it may be tried again */
+  leftMs (fingerprint: string): number
+  /** @returns all that is known, for peers */
+  toNews (): SuspectNews[]
+  /** Takes what a peer knows. @returns whether anything was news */
+  learn (news: readonly SuspectNews[]): boolean
+}
+
+/** Deaths after which a request is held back. */
+export const QUARANTINE_DEATHS = 2
+const REMEMBER_MS = 10 * 60 * 1000
+const MAX_SUSPECTS = 10_000
+
+interface Suspect { boots: Set<string>, at: number }
+
+/**
+ * Creates the suspects.
+ * @param now monotonic milliseconds
+ * @returns none yet
+ */
+export function createSuspects (now: () => number = () => performance.now()): Suspects {
+  const known = new Map<string, Suspect>()
+
+  const find = (fingerprint: string): Suspect | undefined => {
+    const suspect = known.get(fingerprint)
+    if (suspect === undefined || now() - suspect.at < REMEMBER_MS) return suspect
+    known.delete(fingerprint)
+    return undefined
+  }
+
+  const note = (fingerprint: string, boot: string, ageMs = 0): boolean => {
+    const suspect = find(fingerprint) ?? { boots: new Set<string>(), at: now() - ageMs }
+    if (suspect.boots.has(boot)) return false
+    suspect.boots.add(boot)
+    suspect.at = Math.max(suspect.at, now() - ageMs)
+    known.delete(fingerprint)
+    known.set(fingerprint, suspect)
+    if (known.size > MAX_SUSPECTS) known.delete(known.keys().next().value as string)
+    return true
+  }
+
+  return {
+    note,
+    deaths: fingerprint => find(fingerprint)?.boots.size ?? 0,
+    isQuarantined: fingerprint => (find(fingerprint)?.boots.size ?? 0) >= QUARANTINE_DEATHS,
+    leftMs: fingerprint => {
+      const suspect = find(fingerprint)
+      return suspect === undefined ? 0 : REMEMBER_MS - (now() - suspect.at)
+    },
+    toNews: () => [...known].map(([fingerprint, suspect]) => ({ fingerprint, boots: [...suspect.boots], ageMs: now() - suspect.at })),
+    learn: news => news.map(item => item.boots.map(boot => note(item.fingerprint, boot, item.ageMs)).some(Boolean)).some(Boolean)
+  }
+}
--- /dev/null
+++ b/packages/state/src/fleetMachine.ts
@@ -0,0 +1,172 @@
+/**
+ * The replicated state of the fleet: the configuration document with its history, and the view of instances.
+ * A document is taken only by compare-and-set on the version it was based on, so racing operators cannot undo each other,
+ * and with an operation id, so that a resend after a lost answer gets the first answer.
+ */
+import * as cbor from 'cbor-x'
+import * as z from 'zod'
+import * as contracts from '@kingcupdeck/contracts'
+import type * as replicaCore from './replicaCore.js'
+
+const HISTORY_ITEMS = 1000
+const OPERATIONS = 2000
+const DELTAS = 200
+const VIEW_CHANGES = 400
+
+/** A command of the fleet's machine. */
+export const fleetCommand = z.discriminatedUnion('t', [
+  z.object({ t: z.literal('put'), operator: z.string(), operation: z.string(), baseVersion: z.int(), document: z.unknown() }),
+  z.object({ t: z.literal('join'), instance: contracts.instance }),
+  z.object({ t: z.literal('left'), id: z.string(), incarnation: z.int() }),
+  z.object({ t: z.literal('leaving'), id: z.string(), incarnation: z.int() })
+])
+/** A command of the fleet's machine. */
+export type FleetCommand = z.infer<typeof fleetCommand>
+
+/** What a command gave. */
+export type FleetResult =
+  | { t: 'put', version: number }
+  | { t: 'conflict', currentVersion: number }
+  | { t: 'joined', incarnation: number }
+  | { t: 'done' }
+
+interface Operation { id: string, version: number }
+interface Delta { version: number, changes: contracts.Change[] }
+
+interface State {
+  version: number
+  document: contracts.Document | null
+  history: contracts.HistoryItem[]
+  operations: Operation[]
+  deltas: Delta[]
+  view: number
+  instances: contracts.Instance[]
+  viewChanges: contracts.ViewChange[]
+}
+
+/** The fleet's machine, with what readers need of its state. */
+export interface FleetMachine extends replicaCore.Machine {
+  version (): number
+  document (): contracts.Document | null
+  history (): readonly contracts.HistoryItem[]
+  /** @returns what brings a holder of `from` up to date, or undefined if it is */
+  documentUpdate (from: number): contracts.DocumentUpdate | undefined
+  view (): number
+  instances (): readonly contracts.Instance[]
+  find (id: string): contracts.Instance | undefined
+  /** @returns what brings a holder of view `from` up to date */
+  viewUpdate (from: number, laggards: contracts.ViewUpdate['laggards']): contracts.ViewUpdate
+}
+
+const codec = new cbor.Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+
+/**
+ * Creates the fleet's machine.
+ * @param onChange told of each change that was applied
+ * @returns the machine, empty
+ */
+export function createFleetMachine (onChange: (what: 'document' | 'view') => void = () => {}): FleetMachine {
+  let state: State = { version: 0, document: null, history: [], operations: [], deltas: [], view: 0, instances: [], viewChanges: [] }
+
+  const put = (cmd: Extract<FleetCommand, { t: 'put' }>, atMs: number): FleetResult => {
+    const earlier = state.operations.find(item => item.id === `${cmd.operator}/${cmd.operation}`)
+    if (earlier !== undefined) return { t: 'put', version: earlier.version }
+    if (cmd.baseVersion !== state.version) return { t: 'conflict', currentVersion: state.version }
+    const next = cmd.document as contracts.Document
+    const changes = state.document === null ? [] : contracts.diffDocuments(state.document, next)
+    state.version++
+    state.document = next
+    state.history = [...state.history, { version: state.version, operator: cmd.operator, operation: cmd.operation, atMs, changes: changes.length }].slice(-HISTORY_ITEMS)
+    state.operations = [...state.operations, { id: `${cmd.operator}/${cmd.operation}`, version: state.version }].slice(-OPERATIONS)
+    state.deltas = [...state.deltas, { version: state.version, changes }].slice(-DELTAS)
+    onChange('document')
+    return { t: 'put', version: state.version }
+  }
+
+  const step = (kind: contracts.ViewChange['kind'], instance: contracts.Instance): void => {
+    state.view++
+    state.viewChanges = [...state.viewChanges, { number: state.view, kind, instance }].slice(-VIEW_CHANGES)
+    onChange('view')
+  }
+
+  const join = (asked: contracts.Instance): FleetResult => {
+    const known = state.instances.find(item => item.id === asked.id)
+    if (known !== undefined) return { t: 'joined', incarnation: known.boot === asked.boot ? known.incarnation : 0 }
+    const instance = { ...asked, incarnation: state.view + 1, leaving: false }
+    state.instances = [...state.instances, instance]
+    step('joined', instance)
+    return { t: 'joined', incarnation: instance.incarnation }
+  }
+
+  const left = (id: string, incarnation: number): FleetResult => {
+    const known = state.instances.find(item => item.id === id && item.incarnation === incarnation)
+    if (known === undefined) return { t: 'done' }
+    state.instances = state.instances.filter(item => item !== known)
+    step('left', known)
+    return { t: 'done' }
+  }
+
+  const leaving = (id: string, incarnation: number): FleetResult => {
+    const known = state.instances.find(item => item.id === id && item.incarnation === incarnation)
+    if (known === undefined || known.leaving) return { t: 'done' }
+    const instance = { ...known, leaving: true }
+    state.instances = state.instances.map(item => item === known ? instance : item)
+    step('leaving', instance)
+    return { t: 'done' }
+  }
+
+  return {
+    apply (command, ctx) {
+      const cmd = command as FleetCommand
+      switch (cmd.t) {
+        case 'put': return put(cmd, ctx.atMs)
+        case 'join': return join(cmd.instance)
+        case 'left': return left(cmd.id, cmd.incarnation)
+        case 'leaving': return leaving(cmd.id, cmd.incarnation)
+      }
+    },
+    save: () => codec.encode(state),
+    restore (bytes) {
+      state = codec.decode(bytes) as State
+      onChange('document')
+      onChange('view')
+    },
+    version: () => state.version,
+    document: () => state.document,
+    history: () => state.history,
+    documentUpdate (from) {
+      if (from === state.version || state.document === null) return undefined
+      const deltas = state.deltas.filter(item => item.version > from)
+      const isComplete = from > 0 && deltas.length === state.version - from
+      if (!isComplete) return { version: state.version, whole: state.document }
+      return { version: state.version, baseVersion: from, changes: deltas.flatMap(item => item.changes) }
+    },
+    view: () => state.view,
+    instances: () => state.instances,
+    find: id => state.instances.find(item => item.id === id),
+    viewUpdate (from, laggards) {
+      const oldestHeld = state.viewChanges[0]?.number ?? state.view + 1
+      if (from > 0 && from + 1 >= oldestHeld) {
+        return { number: state.view, changes: state.viewChanges.filter(item => item.number > from), laggards }
+      }
+      // A newcomer gets an older view with the steps since, so that it can tell who owned an endpoint before.
+      const oldestNeeded = Math.min(state.view, ...laggards.map(item => Math.max(item.seen, oldestHeld - 1)))
+      const { instances, changes } = rewind(state, oldestNeeded)
+      return { number: state.view, base: { number: oldestNeeded, instances }, changes, laggards }
+    }
+  }
+}
+
+/** Undoes the latest view changes, to get the instances of an earlier view. */
+function rewind (state: State, to: number): { instances: contracts.Instance[], changes: contracts.ViewChange[] } {
+  const changes = state.viewChanges.filter(item => item.number > to)
+  let instances = [...state.instances]
+  for (const item of [...changes].reverse()) {
+    switch (item.kind) {
+      case 'joined': instances = instances.filter(other => other.id !== item.instance.id); break
+      case 'left': instances = [...instances, item.instance]; break
+      case 'leaving': instances = instances.map(other => other.id === item.instance.id ? { ...other, leaving: false } : other); break
+    }
+  }
+  return { instances, changes }
+}
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,10 @@
+/** Public face of the state: the replicated log and the machines on it. */
+export * from './clock.js'
+export * from './entries.js'
+export * from './fileStorage.js'
+export * from './fleetMachine.js'
+export * from './ledgerMachine.js'
+export * from './replica.js'
+export { ProposalError } from './replicaCore.js'
+export type { Machine, ReplicaOptions, Transport } from './replicaCore.js'
+export type { Loaded, Storage } from './storage.js'
--- /dev/null
+++ b/packages/state/src/replica.ts
@@ -0,0 +1,136 @@
+/**
+ * One replica of a group: a replicated log with a state machine on top. Own work, after the published descriptions of
+ * leader-based replicated logs; docs/STATE.md gives the rules and the failure each guards against.
+ */
+import * as entries from './entries.js'
+import * as election from './election.js'
+import * as founding from './founding.js'
+import * as repair from './repair.js'
+import * as replicaCore from './replicaCore.js'
+import * as replication from './replication.js'
+
+/** How a replica stands, for operators. */
+export interface ReplicaStatus { group: string, name: string, role: string, term: number, commit: number, leader: string | null, voters: string[], learners: string[] }
+
+/** One replica of a group. */
+export interface Replica {
+  /** Answers another replica. */
+  handle (msg: entries.Rpc): Promise<entries.RpcReply>
+  /**
+   * Appends a command and waits until it is committed and applied.
+   * @returns what the machine gave
+   * @throws ProposalError
+   */
+  propose (command: unknown): Promise<unknown>
+  /** @returns whether this replica leads, has applied all that was committed before, and its lease lasts */
+  isReady (): boolean
+  leaderName (): string | null
+  status (): ReplicaStatus
+  /** Hands leadership to the replica that is furthest, if this one leads, then ends all tasks. */
+  stop (): Promise<void>
+}
+
+/**
+ * Reads the data folder and starts a replica's tasks.
+ * @param opts what the replica is built from
+ * @returns the replica
+ */
+export async function createReplica (opts: replicaCore.ReplicaOptions): Promise<Replica> {
+  const core = replicaCore.createCore(opts)
+  const inbox: replication.SnapshotInbox = { lastIndex: 0, lastTerm: 0, parts: [], bytes: 0 }
+  let isFlushing = false
+
+  await founding.loadReplica(core)
+  core.lastHeardAt = opts.clock.now()
+
+  /** Writes the leader's own entries, many proposals in one sync. */
+  const flush = async (): Promise<void> => {
+    if (isFlushing) return
+    isFlushing = true
+    try {
+      while (core.isRunning && core.queuedIndex < core.log.lastIndex()) {
+        await core.persist()
+        core.countAcks()
+      }
+    } catch (err) {
+      core.fail(err)
+    } finally {
+      isFlushing = false
+    }
+  }
+
+  const appendAsLeader = async (body: entries.Entry['body']): Promise<unknown> => {
+    const { role } = core
+    if (role.kind !== 'leader') throw new replicaCore.ProposalError('notLeader', core.leader)
+    const index = core.log.lastIndex() + 1
+    const outcome = new Promise((resolve, reject) => { role.lead.waiting.set(index, { resolve, reject }) })
+    core.log.append([{ index, term: role.lead.term, body }])
+    for (const peer of role.lead.peers.values()) peer.wake()
+    void flush()
+    return await outcome
+  }
+
+  const lead = async (): Promise<void> => {
+    const leadership = replication.startLeading(core)
+    void replication.watchLease(core, leadership)
+    void repair.runRepairs(core, leadership, async voters => {
+      const done = appendAsLeader({ kind: 'membership', voters })
+      replication.feedPeers(core, leadership)
+      await done
+    })
+    await flush()
+  }
+
+  void founding.runJoining(core).catch(core.fail)
+  void election.runElections(core, lead).catch(core.fail)
+
+  const handOver = async (): Promise<void> => {
+    const { role } = core
+    if (role.kind !== 'leader') return
+    const furthest = [...role.lead.peers.values()]
+      .filter(peer => core.voters().some(who => entries.toMemberId(who) === entries.toMemberId(peer.member)))
+      .sort((a, b) => b.match - a.match)[0]
+    // The lease must be given up before anyone is asked to take over: two leaders could answer otherwise.
+    core.stepDown('graceful shutdown')
+    if (furthest === undefined) return
+    await opts.transport.call(furthest.member.name, { t: 'takeOver', term: core.meta.term, leader: core.self() }).catch(() => undefined)
+  }
+
+  return {
+    async handle (msg) {
+      switch (msg.t) {
+        case 'hello': return founding.onHello(core)
+        case 'join': return repair.onJoin(core, msg.from)
+        case 'preVote':
+        case 'vote': return await election.onBallot(core, msg)
+        case 'append': return await replication.onAppend(core, msg)
+        case 'snapshot': return await replication.onSnapshotPart(core, inbox, msg)
+        case 'takeOver':
+          if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') void election.campaign(core, true, lead)
+          return { t: 'takeOver', from: core.self() }
+      }
+    },
+    async propose (command) {
+      if (!core.isReady()) throw new replicaCore.ProposalError('notLeader', core.role.kind === 'leader' ? null : core.leader)
+      const atMs = Math.max(core.lastAtMs, opts.clock.wallNow())
+      return await appendAsLeader({ kind: 'command', atMs, command })
+    },
+    isReady: core.isReady,
+    leaderName: () => core.leader,
+    status: () => ({
+      group: opts.group,
+      name: opts.name,
+      role: core.role.kind === 'follower' && !core.isVoter() ? 'learner' : core.role.kind,
+      term: core.meta.term,
+      commit: core.commit,
+      leader: core.leader,
+      voters: core.voters().map(entries.toMemberId),
+      learners: core.role.kind === 'leader' ? [...core.role.lead.learners.keys()] : []
+    }),
+    async stop () {
+      await handOver()
+      core.isRunning = false
+      await opts.storage.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/state/src/replicaCore.ts
@@ -0,0 +1,286 @@
+/**
+ * What the tasks of one replica share: its log, its term and vote, its role, and the steps that must not be interleaved.
+ * The tasks themselves stand in election.ts, replication.ts, repair.ts and founding.ts.
+ */
+import * as contracts from '@kingcupdeck/contracts'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as clocks from './clock.js'
+import * as entries from './entries.js'
+import * as memoryLog from './memoryLog.js'
+import * as storage from './storage.js'
+
+/** The state that a group replicates. Applying must depend on nothing but the command and its context. */
+export interface Machine {
+  /** Applies a committed command. @returns what the proposer gets */
+  apply (command: unknown, ctx: { index: number, atMs: number }): unknown
+  /** @returns the whole state */
+  save (): Uint8Array
+  /** Replaces the whole state. */
+  restore (state: Uint8Array): void
+}
+
+/** How replicas reach each other. */
+export interface Transport {
+  /** Asks another replica. @throws Error when there is no reply */
+  call (name: string, msg: entries.Rpc): Promise<entries.RpcReply>
+}
+
+/** What a replica is built from. */
+export interface ReplicaOptions {
+  /** Name of the group, for logs. */
+  group: string
+  /** Name of this replica. */
+  name: string
+  /** Names of all replicas that the settings list, this one with them. */
+  names: readonly string[]
+  storage: storage.Storage
+  transport: Transport
+  machine: Machine
+  clock: clocks.Clock
+  /** A number in [0, 1). */
+  random: () => number
+  /** A fresh incarnation for a new data folder. */
+  createIncarnation: () => string
+  log: telemetry.Log
+  invariants: telemetry.Invariants
+  /** Applied entries between two snapshots. */
+  snapshotEvery?: number
+  /** Told when this replica starts to lead (and is ready) or stops. */
+  onLeadership?: (isLeader: boolean) => void
+}
+
+/** A proposal was not taken, or its outcome is not known. */
+export class ProposalError extends Error {
+  /**
+   * @param kind `notLeader`: nothing was appended; `unknown`: it was appended but leadership was lost before commit
+   * @param leader the leader's name if known
+   */
+  constructor (readonly kind: 'notLeader' | 'unknown', readonly leader: string | null) {
+    super(kind === 'notLeader' ? `not the leader; try ${leader ?? 'another replica'}` : 'leadership was lost before the outcome was known')
+    this.name = 'ProposalError'
+  }
+}
+
+/** How far a peer has come, as its leader knows. */
+export interface Progress {
+  member: entries.Member
+  next: number
+  match: number
+  /** When the last append that it acknowledged was sent. */
+  ackedSentAt: number
+  /** Wakes the task that feeds it. */
+  wake: () => void
+}
+
+/** What a leader keeps for its term. */
+export interface Leadership {
+  term: number
+  /** Index of the entry that opened the term. */
+  firstIndex: number
+  startedAt: number
+  peers: Map<string, Progress>
+  learners: Map<string, entries.Member>
+  waiting: Map<number, { resolve: (result: unknown) => void, reject: (err: Error) => void }>
+  isAnnounced: boolean
+}
+
+/** A replica's part in its group. */
+export type Role =
+  | { kind: 'outside' }
+  | { kind: 'follower' }
+  | { kind: 'candidate' }
+  | { kind: 'leader', lead: Leadership }
+
+/** A leader counts on its lease for this share of the shortest election timeout: covers differing clock rates. */
+const LEASE_SHARE = 0.8
+const SNAPSHOT_EVERY = 500
+/** Entries kept behind a snapshot for followers that are a little behind. */
+const KEEP_BEHIND_SNAPSHOT = 100
+
+/** What the tasks of a replica share. */
+export interface Core extends ReturnType<typeof createCore> {}
+
+/**
+ * Creates what the tasks of a replica share.
+ * @param opts what the replica is built from
+ * @returns the shared state and its steps
+ */
+export function createCore (opts: ReplicaOptions) {
+  const { clock, storage: disk, invariants } = opts
+  const log = memoryLog.createMemoryLog()
+  const snapshotEvery = opts.snapshotEvery ?? SNAPSHOT_EVERY
+  const core = {
+    opts,
+    log,
+    meta: { incarnation: '', term: 0, votedFor: null, founding: null } as entries.Meta,
+    syncedMeta: undefined as entries.Meta | undefined,
+    role: { kind: 'outside' } as Role,
+    leader: null as string | null,
+    lastHeardAt: clock.now(),
+    isRunning: true,
+    commit: 0,
+    applied: 0,
+    lastAtMs: 0,
+    snapshotVoters: [] as entries.Member[],
+    snapshotIndex: 0,
+    lastSnapshot: undefined as entries.Snapshot | undefined,
+    /** Last index handed to the disk. */
+    queuedIndex: 0,
+    /** Last index known to be synced. */
+    syncedIndex: 0,
+    /** The latest write of entries; writes are done in order, so it ends after all earlier ones. */
+    lastWrite: Promise.resolve() as Promise<void>,
+
+    self: (): entries.Member => ({ name: opts.name, incarnation: core.meta.incarnation }),
+    selfId: () => entries.toMemberId(core.self()),
+    voters: (): entries.Member[] => log.membership()?.voters ?? core.snapshotVoters,
+    isVoter: () => core.voters().some(who => entries.toMemberId(who) === core.selfId()),
+    quorum: () => Math.floor(core.voters().length / 2) + 1,
+
+    /** Writes term, vote and founding as they are now; later changes are written later, in order. */
+    async saveMeta (): Promise<void> {
+      const copy = { ...core.meta }
+      await disk.saveMeta(copy)
+      core.syncedMeta = copy
+    },
+
+    /** Takes a higher term, with no vote given in it yet. */
+    async observeTerm (term: number): Promise<void> {
+      if (term <= core.meta.term) return
+      core.meta = { ...core.meta, term, votedFor: null }
+      core.stepDown('a higher term was seen')
+      await core.saveMeta()
+    },
+
+    /** Ends leadership or candidacy. */
+    stepDown (why: string): void {
+      const was = core.role
+      if (was.kind === 'outside') return
+      core.role = { kind: 'follower' }
+      if (was.kind !== 'leader') return
+      core.leader = null
+      core.lastHeardAt = clock.now()
+      for (const waiter of was.lead.waiting.values()) waiter.reject(new ProposalError('unknown', null))
+      for (const peer of was.lead.peers.values()) peer.wake()
+      opts.log.event('leaderLost', { group: opts.group, replica: opts.name, term: was.lead.term, why })
+      if (was.lead.isAnnounced) opts.onLeadership?.(false)
+    },
+
+    /** Writes all entries that the disk has not been given yet, and waits until they are synced. */
+    async persist (): Promise<void> {
+      const list = log.from(core.queuedIndex + 1, Infinity)
+      const last = log.lastIndex()
+      if (list.length > 0) {
+        core.queuedIndex = last
+        core.lastWrite = disk.append(list)
+      }
+      // Entries that another task handed to the disk count only when that write is synced as well.
+      await core.lastWrite
+      core.syncedIndex = Math.min(Math.max(core.syncedIndex, last), log.lastIndex())
+    },
+
+    /** Removes entries that another leader's log contradicts. */
+    async truncateFrom (index: number): Promise<void> {
+      invariants.check('commitNeverReverts', index > core.commit, () => `truncating at ${index}, committed ${core.commit}`)
+      log.truncateFrom(index)
+      core.syncedIndex = Math.min(core.syncedIndex, index - 1)
+      if (index > core.queuedIndex) return
+      core.queuedIndex = index - 1
+      await disk.truncateFrom(index)
+    },
+
+    /** Commits up to an index and applies what became committed. */
+    advanceCommit (index: number): void {
+      const to = Math.min(index, log.lastIndex())
+      if (to <= core.commit) return
+      core.commit = to
+      while (core.applied < core.commit) applyNext()
+      core.maybeSnapshot()
+    },
+
+    /** As leader: commits what a quorum of voters has synced. */
+    countAcks (): void {
+      const { role } = core
+      if (role.kind !== 'leader') return
+      const matches = core.voters().map(who => {
+        const id = entries.toMemberId(who)
+        return id === core.selfId() ? core.syncedIndex : role.lead.peers.get(id)?.match ?? 0
+      })
+      const index = matches.sort((a, b) => b - a)[core.quorum() - 1] ?? 0
+      // An entry of an earlier term may be overwritten even when a quorum holds it, so only one of this term commits it.
+      if (log.termAt(index) === role.lead.term) core.advanceCommit(index)
+    },
+
+    /** @returns until when no other replica can lead, by the acknowledgements of a quorum */
+    leaseEnd (): number {
+      const { role } = core
+      if (role.kind !== 'leader') return -Infinity
+      const sent = core.voters().map(who => {
+        const id = entries.toMemberId(who)
+        return id === core.selfId() ? clock.now() : role.lead.peers.get(id)?.ackedSentAt ?? -Infinity
+      })
+      const since = sent.sort((a, b) => b - a)[core.quorum() - 1] ?? -Infinity
+      return since + contracts.ELECTION_MIN_MS * LEASE_SHARE
+    },
+
+    /** Guards against an isolated leader that still believes: it may answer only while its lease lasts. */
+    isReady (): boolean {
+      const { role } = core
+      if (role.kind !== 'leader') return false
+      return core.applied >= role.lead.firstIndex && clock.now() < core.leaseEnd()
+    },
+
+    /** Takes a snapshot when enough was applied since the last one. */
+    maybeSnapshot (): void {
+      if (core.applied - core.snapshotIndex < snapshotEvery) return
+      const snapshot: entries.Snapshot = {
+        lastIndex: core.applied,
+        lastTerm: log.termAt(core.applied) ?? 0,
+        lastAtMs: core.lastAtMs,
+        voters: votersAt(core.applied),
+        state: opts.machine.save()
+      }
+      core.lastSnapshot = snapshot
+      core.snapshotIndex = snapshot.lastIndex
+      core.snapshotVoters = snapshot.voters
+      const keepFrom = Math.max(log.base().index + 1, snapshot.lastIndex - KEEP_BEHIND_SNAPSHOT + 1)
+      if (keepFrom - 1 > log.base().index) log.compactTo(keepFrom - 1)
+      opts.log.event('snapshotTaken', { group: opts.group, replica: opts.name, index: snapshot.lastIndex })
+      disk.saveSnapshot(snapshot, keepFrom).catch(core.fail)
+    },
+
+    /** A disk that fails makes the replica useless: better no replica than one that forgets. */
+    fail (err: unknown): void {
+      core.isRunning = false
+      opts.log.event('uncaught', { group: opts.group, replica: opts.name, detail: err instanceof Error ? err.message : String(err) })
+    }
+  }
+
+  const votersAt = (index: number): entries.Member[] => {
+    const latest = log.membership()
+    if (latest === undefined || latest.index <= index) return core.voters()
+    for (let i = index; i > log.base().index; i--) {
+      const body = log.at(i)?.body
+      if (body?.kind === 'membership') return body.voters
+    }
+    return core.snapshotVoters
+  }
+
+  const applyNext = (): void => {
+    const item = log.at(core.applied + 1)
+    if (item === undefined) throw new Error(`entry ${core.applied + 1} is committed but not held`)
+    core.applied = item.index
+    let result: unknown
+    if (item.body.kind === 'command') {
+      core.lastAtMs = item.body.atMs
+      result = opts.machine.apply(item.body.command, { index: item.index, atMs: item.body.atMs })
+    }
+    const { role } = core
+    if (role.kind !== 'leader') return
+    const waiter = role.lead.waiting.get(item.index)
+    role.lead.waiting.delete(item.index)
+    waiter?.resolve(result)
+  }
+
+  return core
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,4 @@
+/** Public face of telemetry: log, metrics and invariants. */
+export * from './invariants.js'
+export * from './log.js'
+export * from './metrics.js'
--- /dev/null
+++ b/packages/trials/src/fleet.ts
@@ -0,0 +1,210 @@
+/** A whole fleet as separate processes on loopback: control and router instances, engines and plain services. */
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as undici from 'undici'
+import * as contracts from '@kingcupdeck/contracts'
+import * as processes from './processes.js'
+import * as relay from './relay.js'
+import * as engineModel from './standIn/engineModel.js'
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  deployment: 'suwanrat' | 'vanua'
+  routers: number
+  controls: number
+  engines: number
+  plains: number
+  /** Put relays between instances, so that links can be cut. */
+  isRelayed?: boolean
+  policy?: string
+  isImporting?: boolean
+  loadFactor?: number
+  speed?: Partial<engineModel.EngineSpeed>
+  snapshotEvery?: number
+  ledgerGroups?: number
+  /** Seeds the stand-ins' choices of instances. */
+  seed?: number
+}
+
+/** A running fleet. */
+export interface Fleet {
+  readonly document: contracts.Document
+  readonly folder: string
+  readonly routers: RouterNode[]
+  readonly controls: ControlNode[]
+  readonly engines: EndpointNode[]
+  readonly plains: EndpointNode[]
+  readonly modelService: string
+  readonly plainService: string
+  /** Ends all processes and removes the data, unless it is to be kept. */
+  end (isKept?: boolean): Promise<void>
+}
+
+/** A router instance of a trial. */
+export interface RouterNode {
+  readonly id: string
+  readonly zone: string
+  readonly url: string
+  process: processes.TrialProcess
+  /** Relays that peers reach it through, and through which it reaches the control instances. */
+  relays: relay.Relay[]
+  start (): void
+}
+
+/** A control instance of a trial. */
+export interface ControlNode {
+  readonly id: string
+  readonly url: string
+  readonly dataFolder: string
+  process: processes.TrialProcess
+  relays: relay.Relay[]
+  start (): void
+}
+
+/** An endpoint of a trial. */
+export interface EndpointNode {
+  readonly id: string
+  readonly zone: string
+  readonly url: string
+  process: processes.TrialProcess
+  start (): void
+}
+
+const SECRET = 'a-secret-of-the-trial-fleet'
+/** Token of the operator in the deployment documents. */
+export const OPERATOR_TOKEN = 'demo-operator'
+const READY_MS = 20_000
+
+/**
+ * Starts a fleet and waits until every router instance serves and knows every endpoint.
+ * @param opts what it is made of
+ * @returns the fleet
+ */
+export async function startFleet (opts: FleetOptions): Promise<Fleet> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcupdeck-'))
+  const logFolder = path.join(folder, 'logs')
+  const document = readDeployment(opts)
+  const documentFile = path.join(folder, 'document.json')
+  fs.writeFileSync(documentFile, JSON.stringify(document))
+  const zones = Object.keys(document.zones)
+  const toZone = (i: number): string => zones[i % zones.length]
+  const services = Object.entries(document.services)
+  const modelService = services.find(([, spec]) => spec.kind === 'model')?.[0] ?? ''
+  const plainService = services.find(([, spec]) => spec.kind === 'plain')?.[0] ?? ''
+  const ports = await processes.findPorts(2 * opts.controls + 2 * opts.routers + opts.engines + opts.plains)
+  const takePort = (): number => ports.shift() as number
+
+  const controlPorts = Array.from({ length: opts.controls }, (_, i) => ({ id: `c${i + 1}`, peer: takePort(), http: takePort() }))
+  /** The addresses of the control instances as one instance sees them, through relays of its own where asked for. */
+  const seeControls = async (relays: relay.Relay[], selfId?: string): Promise<string> => {
+    const list = await Promise.all(controlPorts.map(async item => {
+      if (opts.isRelayed !== true || item.id === selfId) return `${item.id}=127.0.0.1:${item.peer}`
+      const between = await relay.startRelay('127.0.0.1', item.peer)
+      relays.push(between)
+      return `${item.id}=${between.address}`
+    }))
+    return list.join(',')
+  }
+
+  const common = { 'fleet-secret': SECRET, 'fatal-invariants': 'true', 'ledger-groups': String(opts.ledgerGroups ?? 1), 'log-json': 'true' }
+
+  const controls = await Promise.all(controlPorts.map(async item => {
+    const relays: relay.Relay[] = []
+    const dataFolder = path.join(folder, item.id)
+    const flags = { ...common, id: item.id, 'peer-listen': `127.0.0.1:${item.peer}`, listen: `127.0.0.1:${item.http}`, control: await seeControls(relays, item.id), 'data-folder': dataFolder, document: documentFile, 'snapshot-every': String(opts.snapshotEvery ?? 500) }
+    const node = { id: item.id, url: `http://127.0.0.1:${item.http}`, dataFolder, relays } as unknown as ControlNode
+    node.start = () => { node.process = processes.startProgram(item.id, 'control', flags, logFolder) }
+    node.start()
+    return node
+  }))
+
+  const routers = await Promise.all(Array.from({ length: opts.routers }, async (_, i) => {
+    const id = `r${i + 1}`
+    const http = takePort()
+    const peer = takePort()
+    const relays: relay.Relay[] = []
+    const front = opts.isRelayed === true ? await relay.startRelay('127.0.0.1', peer) : undefined
+    if (front !== undefined) relays.push(front)
+    const flags = {
+      ...common,
+      id,
+      zone: toZone(i),
+      listen: `127.0.0.1:${http}`,
+      'peer-listen': `127.0.0.1:${peer}`,
+      'advertise-peer': front?.address ?? '',
+      control: await seeControls(relays),
+      policy: opts.policy ?? 'owner',
+      'kv-import': String(opts.isImporting ?? true)
+    }
+    const node = { id, zone: toZone(i), url: `http://127.0.0.1:${http}`, relays } as unknown as RouterNode
+    node.start = () => { node.process = processes.startProgram(id, 'router', flags, logFolder) }
+    node.start()
+    return node
+  }))
+
+  const urls = routers.map(item => item.url)
+  const startEndpoint = (id: string, i: number, port: number, standIn: Record<string, unknown>): EndpointNode => {
+    const node = { id, zone: toZone(i), url: `http://127.0.0.1:${port}` } as unknown as EndpointNode
+    node.start = () => { node.process = processes.startStandIn(id, { endpoint: id, zone: node.zone, routers: urls, port, ...standIn }, logFolder) }
+    node.start()
+    return node
+  }
+  const checksFencing = document.services[modelService].kind === 'model' && (document.services[modelService] as { checksFencing: boolean }).checksFencing
+  const engines = Array.from({ length: opts.engines }, (_, i) => startEndpoint(`engine-${i + 1}`, i, takePort(), {
+    kind: 'engine', service: modelService, token: `demo-endpoint-${modelService}`, speed: { ...engineModel.USUAL_SPEED, ...opts.speed }, checksFencing, kvBytesPerToken: 131072, kvBytesPerSecond: 5e9, modelLoadMs: 300, carries: []
+  }))
+  const plains = Array.from({ length: opts.plains }, (_, i) => startEndpoint(`${plainService}-${i + 1}`, i, takePort(), { kind: 'plain', service: plainService, token: `demo-endpoint-${plainService}`, callMs: 25 }))
+
+  const fleet: Fleet = {
+    document,
+    folder,
+    routers,
+    controls,
+    engines,
+    plains,
+    modelService,
+    plainService,
+    async end (isKept = false) {
+      const nodes = [...routers, ...controls, ...engines, ...plains]
+      await Promise.all(nodes.map(async node => { if (node.process.isRunning()) await node.process.kill() }))
+      for (const node of [...routers, ...controls]) for (const between of node.relays) between.close()
+      if (!isKept) fs.rmSync(folder, { recursive: true, force: true })
+    }
+  }
+  await waitReady(fleet, opts.engines + opts.plains)
+  return fleet
+}
+
+function readDeployment (opts: FleetOptions): contracts.Document {
+  const file = path.join(processes.ROOT, 'deployments', `${opts.deployment}.json`)
+  const checked = contracts.checkDocument(JSON.parse(fs.readFileSync(file, 'utf8')))
+  if (checked.kind === 'invalid') throw new Error(`${file}: ${JSON.stringify(checked.faults)}`)
+  if (opts.loadFactor === undefined) return checked.document
+  for (const spec of Object.values(checked.document.services)) if (spec.kind === 'model') spec.loadFactor = opts.loadFactor
+  return checked.document
+}
+
+async function waitReady (fleet: Fleet, endpoints: number): Promise<void> {
+  const deadline = performance.now() + READY_MS
+  while (performance.now() < deadline) {
+    const states = await Promise.all(fleet.routers.map(async node => await getJson(`${node.url}/health`).catch(() => undefined)))
+    const isReady = states.every(state => state?.serving === true && Number(state.endpoints) >= endpoints)
+    const engines = isReady ? await Promise.all(fleet.engines.map(async node => await getJson(`${node.url}/stats`).catch(() => undefined))) : []
+    const models = Object.keys(fleet.document.models).length
+    if (isReady && engines.every(state => (state?.carries as unknown[] | undefined)?.length === models)) return
+    await new Promise(resolve => setTimeout(resolve, 100))
+  }
+  throw new Error(`the fleet is not ready after ${READY_MS} ms; logs in ${fleet.folder}`)
+}
+
+/**
+ * Gets JSON.
+ * @param address the URL
+ * @param token sent as a bearer token where given
+ * @returns the object
+ */
+export async function getJson (address: string, token?: string): Promise<Record<string, unknown>> {
+  const res = await undici.request(address, { signal: AbortSignal.timeout(2000), headers: token === undefined ? {} : { authorization: `Bearer ${token}` } })
+  return await res.body.json() as Record<string, unknown>
+}
--- /dev/null
+++ b/packages/trials/src/observers.ts
@@ -0,0 +1,130 @@
+/** What a trial sees from outside: counts kept by the stand-ins, and bytes on the sockets of instances. */
+import * as undici from 'undici'
+import * as fleets from './fleet.js'
+
+/** What an engine stand-in says of itself. */
+export interface EngineStats { endpoint: string, load: number, prompt: number, cached: number, imported: number, maxLoad: number, finished: number, runs: Array<[string, number]>, orders: Array<{ fence: number, isObeyed: boolean }>, lateStarts: number[], carries: unknown[] }
+
+/** Watches the endpoints of a fleet. */
+export interface Observer {
+  /** Stops and takes the last counts. */
+  finish (): Promise<Observation>
+}
+
+/** What an observer saw. */
+export interface Observation {
+  promptTokens: number
+  cachedTokens: number
+  importedTokens: number
+  /** Largest load over mean load, at each look at which there was load. */
+  skews: number[]
+  /** How often each request began at an engine. */
+  engineRuns: Map<string, number>
+  /** How often each idempotency key ran. */
+  keyRuns: Map<string, number>
+  /** How often each request ran at a plain service. */
+  plainRuns: Map<string, number>
+  lateStarts: number[]
+}
+
+const LOOK_MS = 250
+/** Below this mean a skew says nothing: one request more or less doubles it. */
+const MIN_MEAN = 1
+
+/**
+ * Starts to watch.
+ * @param fleet the fleet
+ * @returns the observer
+ */
+export function startObserver (fleet: fleets.Fleet): Observer {
+  const engines = new Map<string, EngineStats>()
+  const ended: EngineStats[] = []
+  const keys = new Map<string, Map<string, number>>()
+  const plainRuns = new Map<string, Map<string, number>>()
+  const skews: number[] = []
+
+  const look = async (): Promise<void> => {
+    const loads: number[] = []
+    await Promise.all(fleet.engines.map(async node => {
+      const stats = await fleets.getJson(`${node.url}/stats`).catch(() => undefined) as EngineStats | undefined
+      if (stats === undefined) return
+      const before = engines.get(node.id)
+      // An engine that was restarted counts anew: what it had counted stays.
+      if (before !== undefined && before.prompt > stats.prompt) ended.push(before)
+      engines.set(node.id, stats)
+      loads.push(stats.load)
+    }))
+    await Promise.all(fleet.plains.map(async node => {
+      const stats = await fleets.getJson(`${node.url}/stats`).catch(() => undefined)
+      if (stats === undefined) return
+      keys.set(node.id, new Map(stats.keys as Array<[string, number]>))
+      plainRuns.set(node.id, new Map(stats.runs as Array<[string, number]>))
+    }))
+    const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length)
+    if (mean >= MIN_MEAN) skews.push(Math.max(...loads) / mean)
+  }
+
+  let isBusy = false
+  const timer = setInterval(() => {
+    if (isBusy) return
+    isBusy = true
+    void look().finally(() => { isBusy = false })
+  }, LOOK_MS)
+
+  return {
+    async finish () {
+      clearInterval(timer)
+      await look()
+      const all = [...ended, ...engines.values()]
+      const sum = (pickOne: (stats: EngineStats) => number): number => all.reduce((total, stats) => total + pickOne(stats), 0)
+      return {
+        promptTokens: sum(stats => stats.prompt),
+        cachedTokens: sum(stats => stats.cached),
+        importedTokens: sum(stats => stats.imported),
+        skews,
+        engineRuns: addUp(all.map(stats => stats.runs)),
+        keyRuns: addUp([...keys.values()]),
+        plainRuns: addUp([...plainRuns.values()]),
+        lateStarts: all.flatMap(stats => stats.lateStarts)
+      }
+    }
+  }
+}
+
+function addUp (lists: Array<Iterable<[string, number]>>): Map<string, number> {
+  const sums = new Map<string, number>()
+  for (const list of lists) {
+    for (const [key, count] of list) sums.set(key, (sums.get(key) ?? 0) + count)
+  }
+  return sums
+}
+
+/**
+ * Reads the bytes that router instances sent and received on links between instances, by class.
+ * @param fleet the fleet
+ * @returns bytes by class, summed over the instances that answer, and how many these are
+ */
+export async function readLinkBytes (fleet: fleets.Fleet): Promise<{ control: number, data: number, ledger: number, instances: number }> {
+  const total = { control: 0, data: 0, ledger: 0, instances: 0 }
+  await Promise.all(fleet.routers.map(async node => {
+    const text = await undici.request(`${node.url}/metrics`, { signal: AbortSignal.timeout(2000) }).then(async res => await res.body.text()).catch(() => undefined)
+    if (text === undefined) return
+    total.instances++
+    for (const match of text.matchAll(/kingcupdeck_link_bytes_total\{direction="\w+",class="(\w+)"\} (\d+)/g)) {
+      total[match[1] as 'control' | 'data' | 'ledger'] += Number(match[2])
+    }
+  }))
+  return total
+}
+
+/**
+ * A quantile of a list.
+ * @param list numbers
+ * @param share from 0 to 1
+ * @returns the value, or 0 for an empty list
+ */
+export function toQuantile (list: readonly number[], share: number): number {
+  if (list.length === 0) return 0
+  const sorted = [...list].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]
+}
--- /dev/null
+++ b/packages/trials/src/processes.ts
@@ -0,0 +1,89 @@
+/** Processes of a trial: started, frozen, killed, and always ended with the trial. */
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as net from 'node:net'
+import * as path from 'node:path'
+import * as url from 'node:url'
+
+/** Root of the repository. */
+export const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../../..')
+const PROGRAM = path.join(ROOT, 'packages/kingcupdeck/bin/kingcupdeck.js')
+const STAND_IN = path.join(ROOT, 'packages/trials/dist/src/standIn/main.js')
+
+/** One process of a trial. */
+export interface TrialProcess {
+  readonly name: string
+  isRunning (): boolean
+  /** Ends it at once, as a lost machine does. */
+  kill (): Promise<void>
+  /** Freezes it. */
+  freeze (): void
+  thaw (): void
+  /** Asks it to end in order. @returns its exit code */
+  stop (): Promise<number | null>
+}
+
+const running = new Set<childProcess.ChildProcess>()
+process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
+
+/**
+ * Starts a process.
+ * @param name for its log
+ * @param program the script
+ * @param args its arguments
+ * @param logFolder where its output goes
+ * @returns the process
+ */
+export function startProcess (name: string, program: string, args: string[], logFolder: string): TrialProcess {
+  fs.mkdirSync(logFolder, { recursive: true })
+  const out = fs.openSync(path.join(logFolder, `${name}.log`), 'a')
+  const child = childProcess.spawn(process.execPath, [program, ...args], { stdio: ['ignore', out, out] })
+  fs.closeSync(out)
+  running.add(child)
+  const ended = new Promise<number | null>(resolve => {
+    child.once('exit', code => {
+      running.delete(child)
+      resolve(code)
+    })
+  })
+  return {
+    name,
+    isRunning: () => running.has(child),
+    async kill () {
+      child.kill('SIGKILL')
+      await ended
+    },
+    freeze () { child.kill('SIGSTOP') },
+    thaw () { child.kill('SIGCONT') },
+    async stop () {
+      child.kill('SIGTERM')
+      return await ended
+    }
+  }
+}
+
+/** Starts the program with flags. */
+export function startProgram (name: string, command: string, flags: Record<string, string>, logFolder: string): TrialProcess {
+  const args = Object.entries(flags).flatMap(([key, value]) => [`--${key}`, value])
+  return startProcess(name, PROGRAM, [command, ...args], logFolder)
+}
+
+/** Starts a stand-in. */
+export function startStandIn (name: string, opts: unknown, logFolder: string): TrialProcess {
+  return startProcess(name, STAND_IN, [JSON.stringify(opts)], logFolder)
+}
+
+/**
+ * Finds free ports.
+ * @param count how many
+ * @returns ports that nothing listens on now
+ */
+export async function findPorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => await new Promise<net.Server>(resolve => {
+    const server = net.createServer()
+    server.listen(0, '127.0.0.1', () => { resolve(server) })
+  })))
+  const ports = servers.map(server => (server.address() as net.AddressInfo).port)
+  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
+  return ports
+}
--- /dev/null
+++ b/packages/trials/src/standIn/engineServer.ts
@@ -0,0 +1,354 @@
+/**
+ * The engine stand-in as a server: an OpenAI-style stream with numbered events, resume by the last event id, cancelling,
+ * KV export and import, orders under a rate-limited weight store, announcements, and faults on demand.
+ */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
+import * as undici from 'undici'
+import * as contracts from '@kingcupdeck/contracts'
+import * as announcer from './announcer.js'
+import * as answers from './answers.js'
+import * as engineModel from './engineModel.js'
+import * as prefixCache from './prefixCache.js'
+
+/** A fault that the next request meets. */
+export type Fault = 'stall' | 'cut' | 'cross' | 'duplicate' | 'error'
+
+/** What an engine stand-in is built from. */
+export interface EngineOptions {
+  endpoint: string
+  service: string
+  zone: string
+  token: string
+  routers: readonly string[]
+  port: number
+  speed: engineModel.EngineSpeed
+  checksFencing: boolean
+  /** Bytes of KV cache for a token, and how fast engines pass them on; the cost of an import. */
+  kvBytesPerToken: number
+  kvBytesPerSecond: number
+  /** Time the weight store takes for one model. */
+  modelLoadMs: number
+  /** What it carries before any order. */
+  carries: contracts.Carried[]
+  /** Ends the process, or what stands for it in a test; called by a request that crashes the engine. */
+  crash (): void
+}
+
+/** A running engine stand-in. */
+export interface Engine {
+  readonly port: number
+  readonly model: engineModel.EngineModel
+  /** How often each request began here, by request id. */
+  readonly runs: Map<string, number>
+  /** Fencing numbers of the orders that came, and whether each was obeyed. */
+  readonly orders: Array<{ fence: number, isObeyed: boolean }>
+  /** Requests that began after the engine said that it is leaving, with how long after, ms. */
+  readonly lateStarts: number[]
+  setFault (fault: Fault | undefined): void
+  leave (): Promise<void>
+  /** Ends at once, as a killed process does. */
+  kill (): void
+}
+
+/** A prompt with this word crashes the engine that runs it. */
+export const POISON = 'poison-pill'
+const STEP_MS = 4
+const DETACHED_MS = 3000
+const KEEP_DONE_MS = 5000
+const POISON_AFTER_WORDS = 2
+
+interface Running {
+  job: engineModel.Job
+  requestId: string
+  events: string[]
+  isDone: boolean
+  /** The connection that follows it. */
+  follower: http.ServerResponse | undefined
+  detachedAt: number | undefined
+  /** Duplicate or crossed events, on demand. */
+  fault: Fault | undefined
+}
+
+/**
+ * Starts an engine.
+ * @param opts how it is
+ * @returns the engine
+ */
+export async function startEngine (opts: EngineOptions): Promise<Engine> {
+  const model = engineModel.createEngineModel(opts.speed)
+  const boot = Date.now()
+  const attempts = new Map<string, Running>()
+  const runs = new Map<string, number>()
+  const orders: Engine['orders'] = []
+  const lateStarts: number[] = []
+  let carries = opts.carries
+  let fence = 0
+  let nextFault: Fault | undefined
+  let leftAt: number | undefined
+  let cacheSeq = 0
+  let cacheEvents: contracts.Announcement['cacheEvents'] = []
+  let loading: Promise<void> = Promise.resolve()
+
+  const server = http.createServer((req, res) => {
+    route(req, res).catch(err => {
+      if (!res.headersSent) sendJson(res, 500, { error: { message: String(err) } })
+    })
+  })
+
+  const route = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+    const url = new URL(req.url ?? '/', 'http://engine')
+    switch (`${req.method ?? 'GET'} ${url.pathname}`) {
+      case 'GET /health': sendJson(res, 200, { ok: true, boot }); return
+      case 'POST /v1/chat/completions': await complete(req, res); return
+      case 'POST /cancel': {
+        const { attempt } = await readJson(req) as { attempt: string }
+        const running = attempts.get(attempt)
+        if (running !== undefined) model.cancel(running.job)
+        attempts.delete(attempt)
+        sendJson(res, 200, { cancelled: running !== undefined })
+        return
+      }
+      case 'GET /kv': sendJson(res, 200, { blocks: model.blocksOf(url.searchParams.get('chat') ?? '') }); return
+      case 'POST /kv/import': await importCache(req, res); return
+      case 'POST /orders': await takeOrder(req, res); return
+      case 'POST /fault':
+        nextFault = (await readJson(req) as { fault?: Fault }).fault
+        sendJson(res, 200, {})
+        return
+      case 'POST /leave':
+        await leave()
+        sendJson(res, 200, {})
+        return
+      case 'GET /stats':
+        sendJson(res, 200, { endpoint: opts.endpoint, load: model.load(), ...model.totals, runs: [...runs], orders, lateStarts, carries })
+        return
+      default: sendJson(res, 404, { error: { message: 'no such path' } })
+    }
+  }
+
+  const complete = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+    const attempt = String(req.headers[contracts.HEADERS.attempt] ?? '')
+    const lastEvent = req.headers['last-event-id']
+    const body = await readJson(req) as contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }
+    const from = lastEvent === undefined ? 0 : Number(String(lastEvent).split('.').at(-1)) + 1
+    const known = attempts.get(attempt)
+    if (known !== undefined) {
+      follow(known, res, attempt, from)
+      return
+    }
+    const carried = carries.find(item => item.model === body.model)
+    if (carried === undefined) {
+      sendJson(res, 503, { error: { message: `${body.model} is not loaded here` } })
+      return
+    }
+    const fault = nextFault
+    nextFault = undefined
+    if (fault === 'error') {
+      sendJson(res, 500, { error: { message: 'out of memory' } })
+      return
+    }
+    const running = begin(attempt, req, body, fault)
+    follow(running, res, attempt, body.kingcupdeck_resume?.offset ?? 0)
+  }
+
+  const begin = (attempt: string, req: http.IncomingMessage, body: contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }, fault: Fault | undefined): Running => {
+    const requestId = String(req.headers[contracts.HEADERS.requestId] ?? attempt)
+    runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
+    if (leftAt !== undefined) lateStarts.push(Date.now() - leftAt)
+    const messages = body.messages as answers.Message[]
+    const words = body.max_completion_tokens ?? body.max_tokens ?? answers.DEFAULT_ANSWER_TOKENS
+    const isPoison = messages.some(message => String(message.content).includes(POISON))
+    const offset = Math.min(words, body.kingcupdeck_resume?.offset ?? 0)
+    const running: Running = { job: undefined as unknown as engineModel.Job, requestId, events: [], isDone: false, follower: undefined, detachedAt: undefined, fault }
+    const chat = String(req.headers[contracts.HEADERS.chat] ?? '')
+    running.job = model.submit({
+      attempt,
+      requestId,
+      chat,
+      rank: Number(req.headers[contracts.HEADERS.priority] ?? 5),
+      messages,
+      words,
+      begun: offset,
+      onWord: (index, word) => {
+        if (isPoison && index >= POISON_AFTER_WORDS) {
+          opts.crash()
+          return
+        }
+        if (word === undefined) noteCache(chat)
+        emit(running, attempt, index, word, body.model)
+      }
+    })
+    for (let i = 0; i < offset; i++) running.events.push('')
+    attempts.set(attempt, running)
+    return running
+  }
+
+  const noteCache = (chat: string): void => {
+    cacheSeq++
+    // Cache events arrive with gaps: every eighth is lost.
+    if (cacheSeq % 8 !== 0) cacheEvents = [...cacheEvents, { seq: cacheSeq, op: 'stored' as const, chat }].slice(-50)
+  }
+
+  const emit = (running: Running, attempt: string, index: number, word: string | undefined, model: string): void => {
+    const base = { id: `chatcmpl-${running.requestId}`, object: 'chat.completion.chunk', created: Math.floor(boot / 1000), model }
+    const push = (chunk: unknown): void => {
+      running.events.push(JSON.stringify(chunk))
+      send(running, attempt, running.events.length - 1)
+    }
+    if (word !== undefined) {
+      const delta = { ...(index === 0 ? { role: 'assistant' } : {}), content: index === 0 ? word : ' ' + word }
+      push({ ...base, choices: [{ index: 0, delta, finish_reason: null }] })
+      return
+    }
+    const { job } = running
+    push({ ...base, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] })
+    push({ ...base, choices: [], usage: { prompt_tokens: job.promptTokens, completion_tokens: job.words.length, total_tokens: job.promptTokens + job.words.length, prompt_tokens_details: { cached_tokens: job.cachedTokens } } })
+    running.isDone = true
+    running.follower?.end('data: [DONE]\n\n')
+    setTimeout(() => attempts.delete(attempt), KEEP_DONE_MS).unref()
+  }
+
+  const send = (running: Running, attempt: string, n: number): void => {
+    const { follower } = running
+    if (follower === undefined) return
+    if (running.fault === 'stall' && n >= 3) return
+    if (running.fault === 'cut' && n === 4) {
+      running.fault = undefined
+      running.follower = undefined
+      follower.destroy()
+      return
+    }
+    const claimed = running.fault === 'cross' && n === 2 ? 'another-attempt' : attempt
+    follower.write(`id: ${claimed}.${n}\ndata: ${running.events[n]}\n\n`)
+    if (running.fault === 'duplicate') follower.write(`id: ${attempt}.${n}\ndata: ${running.events[n]}\n\n`)
+  }
+
+  /** Connects a caller to a request, from the event that it names on. */
+  const follow = (running: Running, res: http.ServerResponse, attempt: string, from: number): void => {
+    if (running.follower !== undefined) {
+      running.fault = undefined
+      running.follower.destroy()
+    }
+    running.follower = res
+    running.detachedAt = undefined
+    res.writeHead(200, { 'content-type': 'text/event-stream', [contracts.HEADERS.attempt]: attempt })
+    res.flushHeaders()
+    res.on('close', () => {
+      if (running.follower !== res) return
+      running.follower = undefined
+      running.detachedAt = performance.now()
+    })
+    for (let n = from; n < running.events.length; n++) send(running, attempt, n)
+    if (running.isDone) res.end('data: [DONE]\n\n')
+  }
+
+  const importCache = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+    const { chat, from } = await readJson(req) as { chat: string, from: string }
+    const reply = await undici.request(`http://${from}/kv?chat=${encodeURIComponent(chat)}`, { signal: AbortSignal.timeout(1000) })
+    const { blocks } = await reply.body.json() as { blocks: number[] }
+    const missing = (blocks.length - model.cache.match(blocks)) * prefixCache.BLOCK_TOKENS
+    const bytes = missing * opts.kvBytesPerToken
+    if (missing > 0) await timers.setTimeout(bytes / opts.kvBytesPerSecond * 1000)
+    const tokens = missing > 0 ? model.importBlocks(chat, blocks) : 0
+    sendJson(res, 200, { tokens, bytes })
+  }
+
+  const takeOrder = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+    const order = contracts.order.parse(await readJson(req))
+    const isOld = order.fence < fence
+    const isObeyed = !(isOld && opts.checksFencing)
+    orders.push({ fence: order.fence, isObeyed })
+    if (!isObeyed) {
+      sendJson(res, 409, { error: { message: `order ${order.fence} is older than ${fence}` } })
+      return
+    }
+    fence = Math.max(fence, order.fence)
+    // The weight store is rate-limited: one model after the other.
+    loading = loading.then(async () => {
+      const fresh = order.carries.filter(item => !carries.some(other => other.model === item.model && other.adapter === item.adapter && other.version === item.version))
+      for (const item of fresh) {
+        await timers.setTimeout(opts.modelLoadMs)
+        carries = [...carries.filter(other => other.model !== item.model), item]
+      }
+      carries = carries.filter(item => order.carries.some(other => other.model === item.model))
+    })
+    sendJson(res, 202, {})
+  }
+
+  await new Promise<void>(resolve => { server.listen(opts.port, '127.0.0.1', resolve) })
+  const { port } = server.address() as net.AddressInfo
+
+  let lastStepAt = performance.now()
+  const stepTimer = setInterval(() => {
+    const now = performance.now()
+    model.step(Math.min(200, now - lastStepAt))
+    lastStepAt = now
+  }, STEP_MS)
+  const careTimer = setInterval(() => {
+    for (const [attempt, running] of attempts) {
+      if (running.isDone) continue
+      if (running.fault !== 'stall' || running.events.length < 3) running.follower?.write(': wait\n\n')
+      const isForsaken = running.detachedAt !== undefined && performance.now() - running.detachedAt > DETACHED_MS
+      if (!isForsaken) continue
+      model.cancel(running.job)
+      attempts.delete(attempt)
+    }
+  }, contracts.STREAM_KEEPALIVE_MS)
+
+  const announcing = announcer.startAnnouncer({
+    routers: opts.routers,
+    token: opts.token,
+    toAnnouncement: seq => {
+      const events = cacheEvents
+      cacheEvents = []
+      return { endpoint: opts.endpoint, service: opts.service, zone: opts.zone, host: '127.0.0.1', port, boot, seq, state: leftAt === undefined ? 'ready' : 'leaving', slots: opts.speed.slots, weight: 1, load: model.load(), carries, checksFencing: opts.checksFencing, fence, cacheEvents: events }
+    }
+  })
+
+  const leave = async (): Promise<void> => {
+    leftAt ??= Date.now()
+    await announcing.announceNow()
+  }
+
+  return {
+    port,
+    model,
+    runs,
+    orders,
+    lateStarts,
+    setFault: fault => { nextFault = fault },
+    leave,
+    kill () {
+      announcing.stop()
+      clearInterval(stepTimer)
+      clearInterval(careTimer)
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+/**
+ * Answers with JSON.
+ * @param res the answer
+ * @param status HTTP status
+ * @param body what to send
+ */
+export function sendJson (res: http.ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { 'content-type': 'application/json' })
+  res.end(JSON.stringify(body))
+}
+
+/**
+ * Reads a body as JSON.
+ * @param req the request
+ * @returns the value; an empty object for an empty body
+ */
+export async function readJson (req: http.IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = []
+  for await (const part of req) parts.push(part as Buffer)
+  const text = Buffer.concat(parts).toString('utf8')
+  return text === '' ? {} : JSON.parse(text)
+}
