--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -137,12 +137,15 @@
       socket.write(frames.encode([frames.FrameKind.event, 0, body]))
     },
     async next (): Promise<unknown> {
-      while (early.length === 0 && failure === undefined) await new Promise<void>(resolve => { wake = resolve })
-      if (early.length === 0) {
-        clearTimeout(timer)
-        throw failure ?? new Error('handshake failed')
+      while (true) {
+        const item = early.shift()
+        if (item !== undefined) return item.frame[2]
+        if (failure !== undefined) {
+          clearTimeout(timer)
+          throw failure
+        }
+        await new Promise<void>(resolve => { wake = resolve })
       }
-      return early.shift()?.frame[2]
     },
     finish (): { reader: frames.FrameReader, early: frames.Received[] } {
       clearTimeout(timer)
--- /dev/null
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -0,0 +1,217 @@
+/**
+ * A replica group in one process on a clock of its own: the code the processes run, with a network that loses and delays,
+ * and disks that lose what was not synced when their replica crashes.
+ */
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
+import * as uniform from 'pure-rand/distribution/uniformFloat64'
+import * as state from '../../src/index.js'
+
+interface Timer { at: number, order: number, run: () => void }
+
+/** A clock that jumps from one timer to the next. */
+export class VirtualClock {
+  private at = 0
+  private order = 0
+  private timers: Timer[] = []
+
+  now (): number { return this.at }
+
+  schedule (ms: number, run: () => void): void {
+    this.timers.push({ at: this.at + Math.max(0, ms), order: this.order++, run })
+  }
+
+  /** Lets time pass; between two timers all promises settle. */
+  async advance (ms: number): Promise<void> {
+    const until = this.at + ms
+    while (true) {
+      await settle()
+      this.timers.sort((a, b) => a.at - b.at || a.order - b.order)
+      const next = this.timers[0]
+      if (next === undefined || next.at > until) break
+      this.timers.shift()
+      this.at = next.at
+      next.run()
+    }
+    this.at = until
+  }
+}
+
+async function settle (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
+
+/** A disk that survives the crash of its replica, but for what was not synced. */
+class MemoryDisk {
+  meta: state.Meta | undefined
+  entries: state.Entry[] = []
+  snapshot: state.Snapshot | undefined
+
+  wipe (): void {
+    this.meta = undefined
+    this.entries = []
+    this.snapshot = undefined
+  }
+}
+
+/** One running incarnation of a replica process. */
+interface Process { isDead: boolean, replica: state.Replica | undefined, applied: string[] }
+
+interface Node { name: string, disk: MemoryDisk, process: Process, starts: number }
+
+/** What the cluster's network does to a message. */
+export interface Network { loss: number, delayMs: number, /** Nodes that are cut off. */ cut: Set<string>, /** Single links that are cut, as `a b` in the order of the names. */ cutLinks: Set<string> }
+
+/** A replica group under test. */
+export class VirtualCluster {
+  readonly clock = new VirtualClock()
+  readonly network: Network = { loss: 0, delayMs: 3, cut: new Set(), cutLinks: new Set() }
+  readonly nodes = new Map<string, Node>()
+  /** Commands whose proposer was told that they are committed, in that order. */
+  readonly acknowledged: string[] = []
+  /** Terms with their leader; two for one term would be an error. */
+  readonly leaders = new Map<number, string>()
+  readonly broken: string[] = []
+  private readonly random: () => number
+
+  constructor (readonly names: string[], seed: number, readonly snapshotEvery = 20) {
+    const generator = xoroshiro.xoroshiro128plus(seed)
+    this.random = () => uniform.uniformFloat64(generator)
+    for (const name of names) this.nodes.set(name, { name, disk: new MemoryDisk(), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+  }
+
+  node (name: string): Node { return this.nodes.get(name) as Node }
+
+  async start (name: string): Promise<void> {
+    const node = this.node(name)
+    const process: Process = { isDead: false, replica: undefined, applied: [] }
+    node.process = process
+    node.starts++
+    const log = telemetry.createLog({ instance: name, level: 'silent' })
+    const invariants: telemetry.Invariants = {
+      check: (invariant, holds, detail) => { if (!holds) this.broken.push(`${invariant}: ${detail()}`) },
+      tallies: () => ({} as ReturnType<telemetry.Invariants['tallies']>)
+    }
+    const starting = state.createReplica({
+      group: 'test',
+      name,
+      names: this.names,
+      storage: this.toStorage(node, process),
+      transport: { call: async (to, msg) => await this.call(name, process, to, msg) },
+      machine: this.toMachine(process),
+      clock: {
+        now: () => this.clock.now(),
+        wallNow: () => this.clock.now(),
+        sleep: async ms => { await new Promise<void>(resolve => { this.clock.schedule(ms, () => { if (!process.isDead) resolve() }) }) }
+      },
+      random: this.random,
+      createIncarnation: () => `${name}-${node.starts}`,
+      log,
+      invariants,
+      snapshotEvery: this.snapshotEvery
+    })
+    void starting.then(replica => { process.replica = replica })
+  }
+
+  crash (name: string): void {
+    this.node(name).process.isDead = true
+    this.node(name).process.replica = undefined
+  }
+
+  wipe (name: string): void {
+    this.crash(name)
+    this.node(name).disk.wipe()
+  }
+
+  isUp (name: string): boolean { return !this.node(name).process.isDead }
+
+  leader (): Node | undefined {
+    return [...this.nodes.values()].find(node => node.process.replica?.isReady() === true)
+  }
+
+  /** Notes who leads which term. */
+  look (): void {
+    for (const node of this.nodes.values()) {
+      const status = node.process.replica?.status()
+      if (status?.role !== 'leader') continue
+      const known = this.leaders.get(status.term)
+      if (known !== undefined && known !== node.name) this.broken.push(`term ${status.term} is led by ${known} and ${node.name}`)
+      this.leaders.set(status.term, node.name)
+    }
+    const ready = [...this.nodes.values()].filter(node => node.process.replica?.isReady() === true)
+    if (ready.length > 1) this.broken.push(`two leaders hold a lease: ${ready.map(node => node.name).join(', ')}`)
+  }
+
+  propose (command: string): void {
+    const replica = this.leader()?.process.replica
+    replica?.propose(command).then(() => { this.acknowledged.push(command) }, () => {})
+  }
+
+  applied (name: string): string[] { return this.node(name).process.applied }
+
+  private toMachine (process: Process): state.Machine {
+    return {
+      apply: command => { process.applied.push(command as string) },
+      save: () => Buffer.from(JSON.stringify(process.applied)),
+      restore: bytes => { process.applied.splice(0, Infinity, ...JSON.parse(Buffer.from(bytes).toString()) as string[]) }
+    }
+  }
+
+  private toStorage (node: Node, process: Process): state.Storage {
+    let queue: Promise<void> = Promise.resolve()
+    const { disk } = node
+    // A write reaches the disk after a while; a crash before that loses it.
+    const write = async (apply: () => void): Promise<void> => {
+      const turn = queue.then(async () => {
+        await new Promise<void>(resolve => { this.clock.schedule(1 + this.random() * 8, resolve) })
+        if (process.isDead) await new Promise(() => {})
+        apply()
+      })
+      queue = turn
+      await turn
+    }
+    return {
+      load: async () => disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0 },
+      wipe: async () => { await write(() => { disk.wipe() }) },
+      saveMeta: async meta => { await write(() => { disk.meta = meta }) },
+      append: async list => {
+        const copy = [...list]
+        await write(() => { disk.entries.push(...copy) })
+      },
+      truncateFrom: async index => { await write(() => { disk.entries = disk.entries.filter(item => item.index < index) }) },
+      saveSnapshot: async (snapshot, keepFrom) => {
+        await write(() => {
+          disk.snapshot = snapshot
+          disk.entries = disk.entries.filter(item => item.index >= keepFrom)
+        })
+      },
+      close: async () => {}
+    }
+  }
+
+  private async call (from: string, caller: Process, to: string, msg: state.Rpc): Promise<state.RpcReply> {
+    return await new Promise((resolve, reject) => {
+      const isLost = (): boolean => this.random() < this.network.loss || this.network.cut.has(from) || this.network.cut.has(to) || this.network.cutLinks.has([from, to].sort().join(' '))
+      const fail = (): void => { this.clock.schedule(300, () => { if (!caller.isDead) reject(new Error('no reply')) }) }
+      if (isLost()) {
+        fail()
+        return
+      }
+      const copy = structuredClone(msg)
+      this.clock.schedule(this.toDelay(), () => {
+        const target = this.node(to).process
+        const handled = target.replica?.handle(copy)
+        if (handled === undefined) {
+          fail()
+          return
+        }
+        handled.then(reply => {
+          if (target.isDead || isLost()) fail()
+          else this.clock.schedule(this.toDelay(), () => { if (!caller.isDead) resolve(structuredClone(reply)) })
+        }, fail)
+      })
+    })
+  }
+
+  private toDelay (): number { return this.network.delayMs * (0.5 + 2 * this.random()) }
+}
--- /dev/null
+++ b/packages/state/__tests__/replicaSchedules.test.ts
@@ -0,0 +1,200 @@
+/** The replicated log over many seeded schedules of loss, delay, crashes, partitions and lost disks. */
+import * as ava from 'ava'
+import * as fc from 'fast-check'
+import type * as state from '../src/index.js'
+import * as virtual from './helpers/virtualCluster.js'
+
+const test = ava.default
+const RUNS = 40
+
+type Fault = { at: number, kind: 'crash' | 'cut' | 'wipe' | 'noise', target: number, lastMs: number }
+
+const faults = fc.array(fc.record({
+  at: fc.integer({ min: 3000, max: 40_000 }),
+  kind: fc.constantFrom('crash' as const, 'cut' as const, 'wipe' as const, 'noise' as const),
+  target: fc.integer({ min: 0, max: 4 }),
+  lastMs: fc.integer({ min: 200, max: 9000 })
+}), { minLength: 3, maxLength: 14 })
+
+/** Replicas that are down, cut off or not yet repaired; the group must survive a minority of them. */
+async function runPlan (size: number, seed: number, plan: Fault[]): Promise<virtual.VirtualCluster> {
+  const cluster = new virtual.VirtualCluster(Array.from({ length: size }, (_, i) => `n${i}`), seed)
+  for (const name of cluster.names) await cluster.start(name)
+  const ending = new Map<string, { at: number, end: () => Promise<void> }>()
+  const isWhole = (): boolean => {
+    const status = cluster.leader()?.process.replica?.status()
+    return status !== undefined && status.voters.length === size && status.learners.length === 0 && status.voters.every(id => cluster.isUp(id.split('#')[0]))
+  }
+  const queue = [...plan].sort((a, b) => a.at - b.at)
+  for (let at = 0, n = 0; at < 55_000; at += 100) {
+    await cluster.clock.advance(100)
+    cluster.look()
+    if (at % 300 === 0) cluster.propose(`cmd-${n++}`)
+    for (const [name, item] of ending) {
+      if (item.at > at) continue
+      ending.delete(name)
+      await item.end()
+    }
+    while (queue.length > 0 && queue[0].at <= at) {
+      const fault = queue.shift() as Fault
+      const name = cluster.names[fault.target % size]
+      const isBearable = ending.size < Math.floor((size - 1) / 2) && !ending.has(name)
+      // A second disk is lost only once the first repair is done: that is what the repair promises.
+      if (!isBearable || (fault.kind === 'wipe' && !isWhole())) continue
+      ending.set(name, { at: at + fault.lastMs, end: begin(cluster, name, fault) })
+    }
+  }
+  for (const item of ending.values()) await item.end()
+  cluster.network.loss = 0
+  await cluster.clock.advance(25_000)
+  cluster.look()
+  return cluster
+}
+
+function begin (cluster: virtual.VirtualCluster, name: string, fault: Fault): () => Promise<void> {
+  switch (fault.kind) {
+    case 'crash':
+      cluster.crash(name)
+      return async () => { await cluster.start(name) }
+    case 'wipe':
+      cluster.wipe(name)
+      return async () => { await cluster.start(name) }
+    case 'cut':
+      cluster.network.cut.add(name)
+      return async () => { cluster.network.cut.delete(name) }
+    case 'noise':
+      cluster.network.loss = 0.15
+      cluster.network.delayMs = 25
+      return async () => {
+        cluster.network.loss = 0
+        cluster.network.delayMs = 3
+      }
+  }
+}
+
+function check (t: ava.ExecutionContext, cluster: virtual.VirtualCluster): void {
+  t.deepEqual(cluster.broken, [])
+  t.true(cluster.acknowledged.length > 20, `only ${cluster.acknowledged.length} commands were acknowledged`)
+  const longest = cluster.names.map(name => cluster.applied(name)).sort((a, b) => b.length - a.length)[0]
+  for (const name of cluster.names) t.deepEqual(cluster.applied(name), longest, `${name} holds another history`)
+  const held = new Set(longest)
+  t.deepEqual(cluster.acknowledged.filter(command => !held.has(command)), [], 'an acknowledged command is lost')
+  t.is(held.size, longest.length, 'a command was applied twice')
+}
+
+// An operator is told "accepted", and later the change is gone. It takes a leader whose entry a quorum holds, a crash or a
+// lost disk among that quorum, and an election that the forgetful one takes part in.
+for (const size of [3, 5]) {
+  test(`nothing acknowledged is lost, ${size} replicas`, async t => {
+    await fc.assert(fc.asyncProperty(faults, fc.integer({ min: 1, max: 1e6 }), async (plan, seed) => {
+      check(t, await runPlan(size, seed, plan))
+    }), { seed: 20261203, numRuns: RUNS, endOnFailure: true })
+  })
+}
+
+// A replica whose disk was lost comes back empty under its old name. If it voted, it could elect a leader that lacks
+// entries which the lost disk had acknowledged. Order: commit on A and B, wipe B, isolate A, let B and C vote.
+test('a replica that lost its disk does not vote', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 11)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  const first = cluster.leader()?.name ?? ''
+  const [behind, witness] = cluster.names.filter(name => name !== first)
+  cluster.network.cut.add(behind)
+  await cluster.clock.advance(100)
+  cluster.propose('precious')
+  await cluster.clock.advance(500)
+  t.deepEqual(cluster.acknowledged, ['precious'])
+  cluster.wipe(witness)
+  cluster.network.cut.add(first)
+  cluster.network.cut.delete(behind)
+  await cluster.start(witness)
+  await cluster.clock.advance(20_000)
+  t.is(cluster.leader(), undefined, 'the wiped replica helped to elect a leader without the entry')
+  cluster.network.cut.delete(first)
+  await cluster.clock.advance(20_000)
+  t.true(cluster.applied(cluster.leader()?.name ?? '').includes('precious'))
+  t.true(cluster.applied(witness).includes('precious'))
+  t.deepEqual(cluster.broken, [])
+})
+
+// "A second instance lost right after a repair": the repaired one must count again before the second is lost.
+test('a second disk may be lost right after a repair', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 5)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  for (let i = 0; i < 60; i++) {
+    cluster.propose(`before-${i}`)
+    await cluster.clock.advance(30)
+  }
+  for (const lost of ['b', 'c', 'a']) {
+    cluster.wipe(lost)
+    await cluster.clock.advance(500)
+    await cluster.start(lost)
+    for (let waited = 0; waited < 30_000; waited += 200) {
+      await cluster.clock.advance(200)
+      const voters = cluster.leader()?.process.replica?.status().voters ?? []
+      if (voters.length === 3 && voters.some(id => id === `${lost}#${lost}-${cluster.node(lost).starts}`)) break
+    }
+  }
+  cluster.propose('after')
+  await cluster.clock.advance(3000)
+  t.is(cluster.acknowledged.filter(command => command.startsWith('before')).length, 60)
+  t.true(cluster.acknowledged.includes('after'))
+  for (const name of cluster.names) t.is(cluster.applied(name).length, 61)
+  t.deepEqual(cluster.broken, [])
+})
+
+// A leader is cut off silently and goes on believing. Operators who reach only it must not be told that a change is in
+// force: it may answer only while its lease lasts.
+test('an isolated leader stops answering by itself', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 3)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  const isolated = cluster.leader()?.name ?? ''
+  cluster.network.cut.add(isolated)
+  await cluster.clock.advance(1000)
+  t.false(cluster.node(isolated).process.replica?.isReady())
+  await cluster.clock.advance(6000)
+  t.not(cluster.leader()?.name, isolated)
+  t.not(cluster.leader(), undefined)
+  t.not(cluster.node(isolated).process.replica?.status().role, 'leader')
+  t.deepEqual(cluster.broken, [])
+})
+
+// One link breaks, between the leader and one follower. That follower stands for election, and the other one, which hears
+// the leader well, could elect it: then two leaders would hold a lease at once.
+test('a follower that hears its leader elects nobody else', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 8)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  const leader = cluster.leader()?.name ?? ''
+  const [cutOff] = cluster.names.filter(name => name !== leader)
+  cluster.network.cutLinks.add([leader, cutOff].sort().join(' '))
+  for (let i = 0; i < 1000; i++) {
+    await cluster.clock.advance(10)
+    cluster.look()
+  }
+  t.is(cluster.leader()?.name, leader)
+  t.deepEqual(cluster.broken, [])
+})
+
+// A leader repeats an append because the first answer took too long. The repeat finds the entries in memory already; its
+// answer must wait for the disk all the same, or a crash would lose what the leader counts as held.
+test('a repeated append is answered only when the first is synced', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 2)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  const leader = cluster.leader() as NonNullable<ReturnType<typeof cluster.leader>>
+  const follower = cluster.node(cluster.names.filter(name => name !== leader.name)[0])
+  const replica = follower.process.replica
+  const last = follower.disk.entries.at(-1)
+  if (replica === undefined || last === undefined) return t.fail('no follower')
+  const [name, incarnation] = (leader.process.replica?.status().voters.find(id => id.startsWith(leader.name)) ?? '').split('#')
+  const append: state.Rpc = { t: 'append', term: last.term, leader: { name, incarnation }, prevIndex: last.index, prevTerm: last.term, entries: [{ index: last.index + 1, term: last.term, body: { kind: 'noop' } }], commit: 0 }
+  const isOnDisk = (): boolean => follower.disk.entries.at(-1)?.index === last.index + 1
+  const seen: boolean[] = []
+  for (const msg of [append, structuredClone(append)]) void replica.handle(msg).then(() => { seen.push(isOnDisk()) })
+  await cluster.clock.advance(100)
+  t.deepEqual(seen, [true, true])
+})
