test(trials): soak run with kills, freezes, cuts, wiped folders and racing operators

Cause: the promises were not yet tried under failure. Change: faults drawn by fast-check from a seed, two at a time, over relays between separate processes; invariants of the instances gathered over restarts, others seen from outside.

--- /dev/null
+++ b/packages/trials/src/faults.ts
@@ -0,0 +1,183 @@
+/** The faults of a soak run: what each does, how long it lasts, and how it ends. Plans are drawn by fast-check from a seed. */
+import * as fs from 'node:fs'
+import * as fc from 'fast-check'
+import * as undici from 'undici'
+import type * as fleets from './fleet.js'
+
+/** The kinds of faults. */
+export const FAULT_KINDS = [
+  'killRouter', 'freezeRouter', 'stopRouter', 'cutRouter', 'silenceRouter', 'forgetLinks',
+  'killControl', 'freezeControl', 'cutControl', 'silenceControl', 'wipeControl',
+  'killEngine', 'freezeEngine', 'leaveEngine', 'flapEngine',
+  'stallStream', 'cutStream', 'crossStream', 'duplicateStream', 'engineError', 'silentPlain',
+  'raceOperators', 'surge', 'poison'
+] as const
+/** A kind of fault. */
+export type FaultKind = typeof FAULT_KINDS[number]
+
+/** One fault of a plan. */
+export interface Fault { kind: FaultKind, target: number, lastMs: number, pauseMs: number }
+
+/**
+ * Draws a plan.
+ * @param seed the same seed gives the same plan
+ * @param length number of faults
+ * @returns the faults in their order; every kind comes once before any comes twice
+ */
+export function drawPlan (seed: number, length: number): Fault[] {
+  const details = fc.record({ target: fc.nat(1000), lastMs: fc.integer({ min: 800, max: 7500 }), pauseMs: fc.integer({ min: 300, max: 1800 }) })
+  const rounds = Math.ceil(length / FAULT_KINDS.length)
+  const kinds = fc.sample(fc.shuffledSubarray([...FAULT_KINDS], { minLength: FAULT_KINDS.length }), { seed, numRuns: rounds }).flat()
+  return fc.sample(details, { seed, numRuns: length }).map((item, i) => ({ ...item, kind: kinds[i] }))
+}
+
+/** What a fault needs of the run. */
+export interface FaultContext {
+  fleet: fleets.Fleet
+  /** Parts that a fault holds now; no second fault touches them. */
+  busy: Set<string>
+  /** @returns whether every control replica is a voter and none is being repaired */
+  isWhole (): Promise<boolean>
+  raceOperators (): Promise<void>
+  surge (): Promise<void>
+  poison (): Promise<void>
+}
+
+/** Ends a fault. */
+export type EndFault = () => Promise<void>
+
+/**
+ * Begins a fault.
+ * @param ctx the run
+ * @param fault which
+ * @returns how to end it, or undefined where it would be more than the promises cover now
+ */
+export async function beginFault (ctx: FaultContext, fault: Fault): Promise<EndFault | undefined> {
+  switch (fault.kind) {
+    case 'killRouter': return await onRouter(ctx, fault, async node => {
+      await node.process.kill()
+      return async () => { node.start() }
+    })
+    case 'freezeRouter': return await onRouter(ctx, fault, async node => {
+      node.process.freeze()
+      return async () => { node.process.thaw() }
+    })
+    case 'stopRouter': return await onRouter(ctx, fault, async node => {
+      const stopped = node.process.stop()
+      return async () => {
+        await stopped
+        node.start()
+      }
+    })
+    case 'cutRouter': return await onRouter(ctx, fault, async node => setRelays(node.relays, 'cut'))
+    case 'silenceRouter': return await onRouter(ctx, fault, async node => setRelays(node.relays, 'silent'))
+    case 'forgetLinks': return await onRouter(ctx, fault, async node => {
+      for (const item of node.relays) item.forgetOpen()
+      return async () => {}
+    })
+    case 'killControl': return await onControl(ctx, fault, async node => {
+      await node.process.kill()
+      return async () => { node.start() }
+    })
+    case 'freezeControl': return await onControl(ctx, fault, async node => {
+      node.process.freeze()
+      return async () => { node.process.thaw() }
+    })
+    case 'cutControl': return await onControl(ctx, fault, async node => setRelays(around(ctx, node), 'cut'))
+    case 'silenceControl': return await onControl(ctx, fault, async node => setRelays(around(ctx, node), 'silent'))
+    case 'wipeControl': {
+      // A second disk is lost only when the first repair is done: that is what a repair promises.
+      if (!await ctx.isWhole()) return undefined
+      return await onControl(ctx, fault, async node => {
+        await node.process.kill()
+        fs.rmSync(node.dataFolder, { recursive: true, force: true })
+        return async () => { node.start() }
+      })
+    }
+    case 'killEngine': return await onEngine(ctx, fault, async node => {
+      await node.process.kill()
+      return async () => { node.start() }
+    })
+    case 'freezeEngine': return await onEngine(ctx, fault, async node => {
+      node.process.freeze()
+      return async () => { node.process.thaw() }
+    })
+    case 'leaveEngine': return await onEngine(ctx, fault, async node => {
+      await post(`${node.url}/leave`)
+      return async () => {
+        await pause(4500)
+        await node.process.kill()
+        node.start()
+      }
+    })
+    case 'flapEngine': return await onEngine(ctx, fault, async node => {
+      for (let i = 0; i < 2; i++) {
+        await node.process.kill()
+        node.start()
+        await pause(900)
+      }
+      return async () => {}
+    })
+    case 'stallStream': return await onStream(ctx, fault, 'stall')
+    case 'cutStream': return await onStream(ctx, fault, 'cut')
+    case 'crossStream': return await onStream(ctx, fault, 'cross')
+    case 'duplicateStream': return await onStream(ctx, fault, 'duplicate')
+    case 'engineError': return await onStream(ctx, fault, 'error')
+    case 'silentPlain': {
+      await post(`${ctx.fleet.plains[fault.target % ctx.fleet.plains.length].url}/silent`)
+      return async () => {}
+    }
+    case 'raceOperators':
+      await ctx.raceOperators()
+      return async () => {}
+    case 'surge':
+      await ctx.surge()
+      return async () => {}
+    case 'poison':
+      await ctx.poison()
+      return async () => {}
+  }
+}
+
+function setRelays (relays: readonly fleets.NamedRelay[], mode: 'cut' | 'silent'): EndFault {
+  for (const item of relays) item.setMode(mode)
+  return async () => { for (const item of relays) item.setMode('open') }
+}
+
+/** All relays that lead to a control instance or away from it. */
+function around (ctx: FaultContext, node: fleets.ControlNode): fleets.NamedRelay[] {
+  const others = [...ctx.fleet.routers, ...ctx.fleet.controls].flatMap(other => other.relays.filter(item => item.target === node.id))
+  return [...node.relays, ...others]
+}
+
+async function hold<T extends { id: string }> (ctx: FaultContext, list: readonly T[], target: number, most: number, begin: (node: T) => Promise<EndFault>): Promise<EndFault | undefined> {
+  const held = list.filter(node => ctx.busy.has(node.id)).length
+  const free = list.filter(node => !ctx.busy.has(node.id))
+  if (held >= most || free.length === 0) return undefined
+  const node = free[target % free.length]
+  ctx.busy.add(node.id)
+  const end = await begin(node)
+  return async () => {
+    await end()
+    ctx.busy.delete(node.id)
+  }
+}
+
+const onRouter = async (ctx: FaultContext, fault: Fault, begin: (node: fleets.RouterNode) => Promise<EndFault>): Promise<EndFault | undefined> => await hold(ctx, ctx.fleet.routers, fault.target, 2, begin)
+const onControl = async (ctx: FaultContext, fault: Fault, begin: (node: fleets.ControlNode) => Promise<EndFault>): Promise<EndFault | undefined> => await hold(ctx, ctx.fleet.controls, fault.target, 2, begin)
+const onEngine = async (ctx: FaultContext, fault: Fault, begin: (node: fleets.EndpointNode) => Promise<EndFault>): Promise<EndFault | undefined> => await hold(ctx, ctx.fleet.engines, fault.target, 2, begin)
+
+const onStream = async (ctx: FaultContext, fault: Fault, kind: string): Promise<EndFault | undefined> => await onEngine(ctx, fault, async node => {
+  await post(`${node.url}/fault`, { fault: kind })
+  return async () => {}
+})
+
+async function post (url: string, body: unknown = {}): Promise<void> {
+  await undici.request(url, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), signal: AbortSignal.timeout(2000) })
+    .then(async res => { await res.body.dump() })
+    .catch(() => {})
+}
+
+async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/packages/trials/src/fleet.ts
+++ b/packages/trials/src/fleet.ts
@@ -41,14 +41,17 @@
   end (isKept?: boolean): Promise<void>
 }
 
+/** A relay with the instance that it leads to. */
+export interface NamedRelay extends relay.Relay { target: string }
+
 /** A router instance of a trial. */
 export interface RouterNode {
   readonly id: string
   readonly zone: string
   readonly url: string
   process: processes.TrialProcess
-  /** Relays that peers reach it through, and through which it reaches the control instances. */
-  relays: relay.Relay[]
+  /** Relays that peers reach it through (target: itself), and through which it reaches the control instances. */
+  relays: NamedRelay[]
   start (): void
 }
 
@@ -58,7 +61,7 @@
   readonly url: string
   readonly dataFolder: string
   process: processes.TrialProcess
-  relays: relay.Relay[]
+  relays: NamedRelay[]
   start (): void
 }
 
@@ -97,11 +100,11 @@
 
   const controlPorts = Array.from({ length: opts.controls }, (_, i) => ({ id: `c${i + 1}`, peer: takePort(), http: takePort() }))
   /** The addresses of the control instances as one instance sees them, through relays of its own where asked for. */
-  const seeControls = async (relays: relay.Relay[], selfId?: string): Promise<string> => {
+  const seeControls = async (relays: NamedRelay[], selfId?: string): Promise<string> => {
     const list = await Promise.all(controlPorts.map(async item => {
       if (opts.isRelayed !== true || item.id === selfId) return `${item.id}=127.0.0.1:${item.peer}`
       const between = await relay.startRelay('127.0.0.1', item.peer)
-      relays.push(between)
+      relays.push({ ...between, target: item.id })
       return `${item.id}=${between.address}`
     }))
     return list.join(',')
@@ -110,7 +113,7 @@
   const common = { 'fleet-secret': SECRET, 'fatal-invariants': 'true', 'ledger-groups': String(opts.ledgerGroups ?? 1), 'log-json': 'true' }
 
   const controls = await Promise.all(controlPorts.map(async item => {
-    const relays: relay.Relay[] = []
+    const relays: NamedRelay[] = []
     const dataFolder = path.join(folder, item.id)
     const flags = { ...common, id: item.id, 'peer-listen': `127.0.0.1:${item.peer}`, listen: `127.0.0.1:${item.http}`, control: await seeControls(relays, item.id), 'data-folder': dataFolder, document: documentFile, 'snapshot-every': String(opts.snapshotEvery ?? 500) }
     const node = { id: item.id, url: `http://127.0.0.1:${item.http}`, dataFolder, relays } as unknown as ControlNode
@@ -123,9 +126,9 @@
     const id = `r${i + 1}`
     const http = takePort()
     const peer = takePort()
-    const relays: relay.Relay[] = []
+    const relays: NamedRelay[] = []
     const front = opts.isRelayed === true ? await relay.startRelay('127.0.0.1', peer) : undefined
-    if (front !== undefined) relays.push(front)
+    if (front !== undefined) relays.push({ ...front, target: id })
     const flags = {
       ...common,
       id,
