fix(router): an answer is whole only after its finish, not after its end mark alone

An engine that drops the events from the fourth on and still sends its end mark passed for whole, because events were numbered from the front and nothing said how many there should be. Ruled out: crossed answers (attempt ids were right), resume at another engine (one engine only in the trace). Change: the owner takes an answer for whole only if it saw the finish or the token counts itself; a resume asks for one event that is there already, so that the finish is seen again. A quarantined request says so also after words were sent. Before: 'a stream with the fault "stall" is whole in the end' failed with 3 of 30 words. After: it passes, as does the new fault "gap".

--- a/packages/contracts/src/errors.ts
+++ b/packages/contracts/src/errors.ts
@@ -30,7 +30,7 @@
   | { kind: 'endpoint_lost', ran: Ran, detail: string }
   | { kind: 'answer_cut', detail: string }
   | { kind: 'endpoint_error', status: number, detail: string }
-  | { kind: 'request_quarantined', deaths: number, retryAfterMs: number }
+  | { kind: 'request_quarantined', ran: Ran, deaths: number, retryAfterMs: number }
   | { kind: 'cancelled', ran: Ran }
   | { kind: 'conflict', baseVersion: number, currentVersion: number }
   | { kind: 'invalid_document', faults: Array<{ path: string, message: string }> }
@@ -79,6 +79,7 @@
     case 'ledger_unavailable':
     case 'endpoint_lost':
     case 'cancelled':
+    case 'request_quarantined':
       return failure.ran
     case 'outcome_unknown':
     case 'internal':
@@ -140,7 +141,7 @@
     case 'endpoint_lost': return `The endpoint was lost (${failure.detail}). ${failure.ran === 'no' ? 'It did not run; resend it.' : 'Whether it ran is unknown.'}`
     case 'answer_cut': return `The answer was cut (${failure.detail}) and could not be resumed. What came so far is not the whole answer; ask again.`
     case 'endpoint_error': return `The endpoint answered with status ${failure.status}: ${failure.detail}`
-    case 'request_quarantined': return `This request was running on ${failure.deaths} endpoints when they died, so it is held back. It did not run now; change it, or come back in ${seconds(failure.retryAfterMs)} s.`
+    case 'request_quarantined': return `This request was running on ${failure.deaths} endpoints when they died, so it is held back. It is not tried again now; change it, or come back in ${seconds(failure.retryAfterMs)} s.`
     case 'cancelled': return 'The caller closed the connection.'
     case 'conflict': return `The document was changed meanwhile: yours is based on version ${failure.baseVersion}, in force is ${failure.currentVersion}. Get the current one, merge, put again.`
     case 'invalid_document': return `The document has ${failure.faults.length} fault(s): ${failure.faults.slice(0, 20).map(f => `${f.path}: ${f.message}`).join('; ')}`
--- a/packages/router/src/chatEntry.ts
+++ b/packages/router/src/chatEntry.ts
@@ -145,6 +145,7 @@
     ctx.invariants.check('notRunIsTrue', !run.isReached, () => run.exchange.requestId)
     throw new contracts.FailureError(failure)
   }
+  if (failure.kind === 'request_quarantined') throw new contracts.FailureError({ ...failure, ran: 'unknown' })
   // An endpoint had it before: that nobody takes it now does not mean that it did not run.
   throw new contracts.FailureError(toLost(run, contracts.describe(failure)))
 }
--- a/packages/router/src/engineStream.ts
+++ b/packages/router/src/engineStream.ts
@@ -3,6 +3,7 @@
  * - the attempt id in the response and in each event: an answer that belongs to another request;
  * - the numbers of the events: an answer with a part missing or sent twice;
  * - the end mark: an answer that was cut, which a closed connection alone would pass off as whole;
+ * - the finish before the end mark: an answer whose last events are missing although its end mark came;
  * - the watch on silence: a connection that something between the two ends has forgotten.
  */
 import * as contracts from '@kingcupdeck/contracts'
@@ -93,6 +94,7 @@
       if (event === undefined) continue
       if (event.data === '[DONE]') isWhole = true
       if (isWhole) continue
+      if (isFinish(event.data)) session.isFinished = true
       const problem = checkEvent(session, event)
       if (problem !== undefined) return problem
       if (event.n < session.nextChunk) continue
@@ -103,7 +105,8 @@
     await session.drained()
   }
   // Read to its end also after the end mark: a connection with a rest in it cannot be used again.
-  return isWhole ? { kind: 'whole', ...usage } : { kind: 'cut', detail: 'the stream ended without its end mark' }
+  if (isWhole && session.isFinished) return { kind: 'whole', ...usage }
+  return { kind: 'cut', detail: isWhole ? 'the end mark came before the finish' : 'the stream ended without its end mark' }
 }
 
 interface StreamEvent { attempt: string, n: number, data: string }
@@ -128,6 +131,11 @@
   return undefined
 }
 
+/** The last events of an answer: the one that gives the reason of its finish, and the one with the token counts. */
+function isFinish (data: string): boolean {
+  return data.includes('"finish_reason":"') || data.includes('"usage":{')
+}
+
 function toUsage (data: string): Usage | undefined {
   if (!data.includes('"usage":{')) return undefined
   const usage = (JSON.parse(data) as { usage?: { prompt_tokens?: number, completion_tokens?: number, prompt_tokens_details?: { cached_tokens?: number } } }).usage
--- a/packages/router/src/execution.ts
+++ b/packages/router/src/execution.ts
@@ -58,7 +58,8 @@
       lease.giveBack()
       return obstacle
     }
-    const lastEvent = session.nextChunk > 0 || resumes > 0 ? `${session.msg.attempt}.${session.nextChunk - 1}` : undefined
+    // One event is asked for again: it may be the finish, which this owner must have seen itself.
+    const lastEvent = session.nextChunk > 0 || resumes > 0 ? `${session.msg.attempt}.${Math.max(-1, session.nextChunk - 2)}` : undefined
     const end = await engineStream.runStream({ lease, session, lastEvent })
     switch (end.kind) {
       case 'whole':
--- a/packages/router/src/owner.ts
+++ b/packages/router/src/owner.ts
@@ -122,6 +122,7 @@
     clearTimeout(session.patienceTimer)
     session.state = 'ended'
     bySession.delete(session.msg.attempt)
+    metrics.attempts.inc({ outcome: `declined_${reason}` })
     invariants.check('notRunIsTrue', !session.reached, () => `${session.msg.attempt} declined as ${reason} after it was sent`)
     session.emit({ t: 'declined', attempt: session.msg.attempt, reason, load: extra.load ?? 0, retryAfterMs: extra.retryAfterMs ?? 0, endpoint: extra.endpoint })
   }
--- a/packages/router/src/placing.ts
+++ b/packages/router/src/placing.ts
@@ -188,7 +188,7 @@
     const failed = (failure: contracts.Failure): Placing => ({ kind: 'failed', failure })
     while (true) {
       if (request.signal.aborted) return failed({ kind: 'cancelled', ran: 'no' })
-      if (suspects.isQuarantined(request.fingerprint)) return failed({ kind: 'request_quarantined', deaths: suspects.deaths(request.fingerprint), retryAfterMs: suspects.leftMs(request.fingerprint) })
+      if (suspects.isQuarantined(request.fingerprint)) return failed({ kind: 'request_quarantined', ran: 'no', deaths: suspects.deaths(request.fingerprint), retryAfterMs: suspects.leftMs(request.fingerprint) })
       const round = await tryRound(request)
       if (round.kind !== 'none') return round
       const now = performance.now()
@@ -234,7 +234,7 @@
           if (fullest === undefined || tried.load < fullest.load) fullest = { endpoint, load: tried.load }
           break
         case 'quarantined':
-          return { kind: 'failed', failure: { kind: 'request_quarantined', deaths: routing.QUARANTINE_DEATHS, retryAfterMs: tried.retryAfterMs } }
+          return { kind: 'failed', failure: { kind: 'request_quarantined', ran: 'no', deaths: routing.QUARANTINE_DEATHS, retryAfterMs: tried.retryAfterMs } }
         case 'not_owner':
         case 'unready':
         case 'patience':
--- a/packages/router/src/session.ts
+++ b/packages/router/src/session.ts
@@ -28,6 +28,8 @@
   drained (): Promise<void>
   /** Next chunk number that the owner expects from the engine. */
   nextChunk: number
+  /** Whether the engine sent the finish of the answer. */
+  isFinished: boolean
 }
 
 /**
@@ -47,6 +49,7 @@
     admittedAt: 0,
     queuedAt: performance.now(),
     patienceTimer: undefined,
+    isFinished: false,
     nextChunk: msg.work.kind === 'chat' ? msg.work.resumeFrom : 0,
     emit (event) {
       kept.push(event)
--- /dev/null
+++ b/packages/routing/__tests__/decisions.test.ts
@@ -0,0 +1,107 @@
+/** The decisions, each on its own. */
+import * as ava from 'ava'
+import * as fc from 'fast-check'
+import type * as contracts from '@kingcupdeck/contracts'
+import * as routing from '../src/index.js'
+
+const test = ava.default
+const SEED = { seed: 20261203 }
+
+test('the caps of a pool always leave room for one more', t => {
+  fc.assert(fc.property(fc.integer({ min: 1, max: 50 }), fc.integer({ min: 0, max: 2000 }), fc.double({ min: 1.01, max: 4, noNaN: true }), (n, total, factor) => {
+    const cap = routing.toCap({ factor, total, weightSum: n, weight: 1, slots: 1e9 })
+    return cap * n >= total + 1 && cap <= Math.max(1, factor * (total + 1) / n + 1)
+  }), SEED)
+  t.is(routing.toCap({ factor: 1.25, total: 7, weightSum: 8, weight: 1, slots: 16 }), 2)
+  t.is(routing.toCap({ factor: 1.25, total: 700, weightSum: 8, weight: 1, slots: 16 }), 16)
+})
+
+const candidates = Array.from({ length: 8 }, (_, i) => ({ id: `e${i}`, zone: 'z', weight: 1 }))
+const input = (policy: routing.Policy, key = 'chat'): routing.PlacementInput => ({ policy, key, candidates, loads: { reported: id => id === 'e3' ? 0 : 5, own: () => 0 }, loadFactor: 1.25, random: () => 0.4, turn: 3 })
+
+test('every policy orders every endpoint once', t => {
+  for (const policy of routing.POLICIES) t.deepEqual(routing.orderEndpoints(input(policy)).sort(), candidates.map(item => item.id), policy)
+})
+
+test('a chat keeps its home when others come and go', t => {
+  const keys = Array.from({ length: 300 }, (_, i) => `chat-${i}`)
+  const homes = keys.map(key => routing.rank({ key, candidates })[0])
+  const without = keys.map(key => routing.rank({ key, candidates: candidates.slice(1) })[0])
+  t.true(keys.every((_, i) => homes[i] === 'e0' || homes[i] === without[i]))
+  t.true(new Set(homes).size === 8)
+})
+
+test('the queue serves by rank, then fairly by weight', t => {
+  const queue = routing.createFairQueue<string>()
+  for (let i = 0; i < 6; i++) queue.push({ item: `surge-${i}`, rank: 2, account: 'surge', weight: 1 })
+  for (let i = 0; i < 2; i++) queue.push({ item: `calm-${i}`, rank: 2, account: 'calm', weight: 1 })
+  for (let i = 0; i < 4; i++) queue.push({ item: `heavy-${i}`, rank: 2, account: 'heavy', weight: 2 })
+  queue.push({ item: 'urgent', rank: 0, account: 'other', weight: 1 })
+  const order = Array.from({ length: 13 }, () => queue.take()?.item ?? '')
+  t.is(order[0], 'urgent')
+  t.true(order.indexOf('calm-1') < 7, order.join(' '))
+  t.true(order.indexOf('heavy-3') < 10, order.join(' '))
+  t.is(queue.take(), undefined)
+})
+
+test('a request that may not run now does not hold up the next', t => {
+  const queue = routing.createFairQueue<string>()
+  queue.push({ item: 'blocked', rank: 0, account: 'a', weight: 1 })
+  queue.push({ item: 'free', rank: 1, account: 'b', weight: 1 })
+  t.is(queue.take(item => item !== 'blocked')?.item, 'free')
+  t.true(queue.remove('blocked'))
+  t.is(queue.size(), 0)
+})
+
+const window = (from: string, to: string, waitSeconds: number): contracts.PatienceWindow => ({ priority: 'p', from, to, waitSeconds })
+const at = (clock: string): number => Date.parse(`2026-12-03T${clock}:00Z`)
+
+test('patience follows the hour of the deployment, also over midnight', t => {
+  const doc = { timeZone: 'Asia/Bangkok', patience: { day: window('08:00', '18:00', 5), night: window('18:00', '08:00', 60) } } as unknown as contracts.Document
+  t.is(routing.toPatienceMs(doc, 'p', at('05:00')), 5000)
+  t.is(routing.toPatienceMs(doc, 'p', at('11:30')), 60_000)
+  t.is(routing.toPatienceMs(doc, 'p', at('23:30')), 60_000)
+  t.is(routing.toPatienceMs(doc, 'q', at('05:00')), routing.DEFAULT_PATIENCE_MS)
+})
+
+// One account sends ten times its limit through nine instances, which each see a ninth of it.
+test('slivers add up to the fleet-wide limit', t => {
+  let now = 0
+  const limit = { requestsPerSecond: 30, burst: 10 }
+  const instances = Array.from({ length: 9 }, () => routing.createAccountLimits(() => now))
+  const rates = routing.createFleetRates(() => now)
+  const shares = new Array<number>(9).fill(1)
+  let passed = 0
+  for (let second = 0; second < 20; second++) {
+    for (let ms = 0; ms < 1000; ms += 30) {
+      now = second * 1000 + ms
+      instances.forEach((item, i) => { if (item.take('a', limit, shares[i]) === 0 && second >= 10) passed++ })
+    }
+    instances.forEach((item, i) => {
+      rates.add(item.takeDemand())
+      shares[i] = rates.share('a', limit.requestsPerSecond)
+    })
+  }
+  t.true(passed / 10 > 0.7 * 30 && passed / 10 < 1.3 * 30, `${passed / 10} a second`)
+})
+
+test('retries end when first attempts do not pay for them', t => {
+  const budget = routing.createRetryBudget({ share: 0.2, max: 5 })
+  t.is(Array.from({ length: 10 }, () => budget.spend()).filter(Boolean).length, 5)
+  for (let i = 0; i < 10; i++) budget.earn()
+  t.is(Array.from({ length: 10 }, () => budget.spend()).filter(Boolean).length, 2)
+})
+
+test('a request at two deaths is held back, for a while', t => {
+  let now = 0
+  const suspects = routing.createSuspects(() => now)
+  t.true(suspects.note('f', 'engine@1'))
+  t.false(suspects.note('f', 'engine@1'))
+  t.false(suspects.isQuarantined('f'))
+  const peer = routing.createSuspects(() => now)
+  peer.note('f', 'engine@2')
+  t.true(suspects.learn(peer.toNews()))
+  t.true(suspects.isQuarantined('f'))
+  now = 11 * 60 * 1000
+  t.false(suspects.isQuarantined('f'))
+})
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -8,6 +8,9 @@
   spend (): boolean
 }
 
+/** Shares of one do not add up exactly. */
+const ROUNDING = 1e-9
+
 /** What a budget is built from. */
 export interface RetryBudgetOptions {
   /** Retries earned by one first attempt. */
@@ -28,7 +31,7 @@
   return {
     earn () { left = Math.min(max, left + share) },
     spend () {
-      if (left < 1) return false
+      if (left < 1 - ROUNDING) return false
       left--
       return true
     }
--- /dev/null
+++ b/packages/trials/__tests__/openai.test.ts
@@ -0,0 +1,70 @@
+/** The ordinary OpenAI client, unchanged, with nothing but a base URL and a key. */
+import * as ava from 'ava'
+import * as openai from 'openai'
+import * as answers from '../src/standIn/answers.js'
+import * as small from './helpers/smallFleet.js'
+
+const test = ava.default
+let fleet: small.SmallFleet
+const closing: Array<() => Promise<void>> = []
+
+test.before(async () => {
+  fleet = await small.startSmallFleet({ teardown: run => { closing.push(run as () => Promise<void>) } })
+})
+test.after.always(async () => { for (const run of closing) await run() })
+
+const createClient = (apiKey = 'demo-clerks'): openai.OpenAI => new openai.OpenAI({ baseURL: `${fleet.routers[0].url}/v1`, apiKey, maxRetries: 0 })
+const ask = (content: string): Array<{ role: 'user', content: string }> => [{ role: 'user', content }]
+
+test('without streaming', async t => {
+  const messages = ask('how much gold leaf is left')
+  const answer = await createClient().chat.completions.create({ model: 'frame-assistant', messages, max_tokens: 12 })
+  t.is(answer.choices[0].message.content, answers.toAnswerText(messages, 12))
+  t.is(answer.choices[0].finish_reason, 'stop')
+  t.is(answer.usage?.completion_tokens, 12)
+  t.is(answer.object, 'chat.completion')
+})
+
+test('with streaming', async t => {
+  const messages = ask('and how much gesso')
+  const stream = await createClient().chat.completions.create({ model: 'frame-assistant', messages, max_tokens: 12, stream: true })
+  let text = ''
+  let usages = 0
+  for await (const chunk of stream) {
+    text += chunk.choices[0]?.delta.content ?? ''
+    if (chunk.usage != null) usages++
+  }
+  t.is(text, answers.toAnswerText(messages, 12))
+  t.is(usages, 0)
+})
+
+test('token counts come when asked for', async t => {
+  const stream = await createClient().chat.completions.create({ model: 'frame-assistant', messages: ask('counts'), max_tokens: 5, stream: true, stream_options: { include_usage: true } })
+  let tokens = 0
+  for await (const chunk of stream) tokens = chunk.usage?.completion_tokens ?? tokens
+  t.is(tokens, 5)
+})
+
+test('errors have the shape that the client knows', async t => {
+  const wrongKey = await t.throwsAsync(createClient('nobody').models.list(), { instanceOf: openai.AuthenticationError })
+  t.is(wrongKey?.code, 'unauthenticated')
+  const wrongModel = await t.throwsAsync(createClient().chat.completions.create({ model: 'nothing', messages: ask('x') }), { instanceOf: openai.NotFoundError })
+  t.is(wrongModel?.code, 'unknown_model')
+  const wrongBody = await t.throwsAsync(createClient().chat.completions.create({ model: 'frame-assistant', messages: [] }), { instanceOf: openai.BadRequestError })
+  t.is(wrongBody?.code, 'bad_request')
+})
+
+test('lists the models of the account', async t => {
+  const list = await createClient().models.list()
+  t.deepEqual(list.data.map(model => model.id).sort(), ['archive-tagger', 'frame-assistant'])
+})
+
+// A client closes its window in the middle of an answer. The engine must stop working for nobody.
+test('an abort cancels at the engine', async t => {
+  const stream = await createClient().chat.completions.create({ model: 'frame-assistant', messages: ask('a long story'), max_tokens: 3000, stream: true })
+  const first = await stream[Symbol.asyncIterator]().next()
+  t.false(first.done)
+  stream.controller.abort()
+  await small.until(() => fleet.engines.every(engine => engine.model.load() === 0), 8000)
+  t.pass()
+})
--- /dev/null
+++ b/packages/trials/__tests__/ownership.test.ts
@@ -0,0 +1,105 @@
+/** What an owner promises for its endpoints: the load cap, no work for the leaving, orders that never go back. */
+import * as ava from 'ava'
+import * as contracts from '@kingcupdeck/contracts'
+import * as small from './helpers/smallFleet.js'
+
+const test = ava.default
+const chat = (content: string, words = 20): unknown => ({ model: 'frame-assistant', max_tokens: words, messages: [{ role: 'user', content }] })
+
+// Many callers come at once through different instances, each of which sees a part. Without an owner per engine, some
+// engine gets far more than its share.
+test('no engine goes over the cap in a burst', async t => {
+  const fleet = await small.startSmallFleet(t, { routers: 4, engines: 4 })
+  const total = 56
+  const replies = await Promise.all(Array.from({ length: total }, async (_, i) => await small.post(`${fleet.routers[i % 4].url}/v1/chat/completions`, 'clerks', chat(`same ${i % 3}`))))
+  t.true(replies.every(reply => reply.status === 200))
+  const cap = Math.ceil(1.25 * (total + 1) / 4)
+  for (const engine of fleet.engines) t.true(engine.model.totals.maxLoad <= cap, `${engine.model.totals.maxLoad} over ${cap}`)
+  for (const router of fleet.routers) t.is(router.invariants().loadCap.broken, 0)
+  t.true(fleet.routers.some(router => router.invariants().loadCap.checked > 0))
+})
+
+// An engine says that it leaves while callers keep coming. What runs there goes on; nothing new may begin.
+test('a leaving engine finishes its work and gets no more', async t => {
+  const fleet = await small.startSmallFleet(t, { engines: 2 })
+  const send = async (i: number): Promise<small.Reply> => await small.post(`${fleet.routers[i % 2].url}/v1/chat/completions`, 'clerks', chat(`frame ${i}`, 60))
+  const before = Promise.all(Array.from({ length: 12 }, async (_, i) => await send(i)))
+  await small.until(() => fleet.engines[0].runs.size + fleet.engines[1].runs.size === 12)
+  await fleet.engines[0].leave()
+  const startedBefore = fleet.engines[0].runs.size
+  const after = await Promise.all(Array.from({ length: 12 }, async (_, i) => await send(100 + i)))
+  t.true([...await before, ...after].every(reply => reply.status === 200))
+  t.is(fleet.engines[0].runs.size, startedBefore)
+  t.deepEqual(fleet.engines[0].lateStarts, [])
+})
+
+// A new engine joins, and an operator changes what engines carry. Its cache is empty; chats bring theirs along.
+test('a chat that moves takes its cache along', async t => {
+  const fleet = await small.startSmallFleet(t, { engines: 1 })
+  const url = `${fleet.routers[0].url}/v1/chat/completions`
+  const messages: Array<{ role: string, content: string }> = [{ role: 'user', content: 'gold '.repeat(600) }]
+  const turn = async (): Promise<void> => {
+    const reply = await small.post(url, 'clerks', { model: 'frame-assistant', max_tokens: 8, messages }, { 'x-chat-id': 'one' })
+    const { content } = (reply.body as { choices: Array<{ message: { content: string } }> }).choices[0].message
+    messages.push({ role: 'assistant', content }, { role: 'user', content: 'and then' })
+  }
+  await turn()
+  await fleet.addEngine('engine-2')
+  await fleet.engines[0].leave()
+  await small.until(async () => (await fetch(`http://127.0.0.1:${fleet.engines[1].port}/stats`).then(async res => await res.json() as { carries: unknown[] })).carries.length === 2)
+  await small.until(async () => (await fetch(`${fleet.routers[0].url}/health`).then(async res => await res.json() as { endpoints: number })).endpoints === 1)
+  await turn()
+  const { totals } = fleet.engines[1].model
+  t.true(totals.imported >= 560, `imported ${totals.imported}`)
+  t.true(totals.cached / totals.prompt > 0.9, `${totals.cached} of ${totals.prompt}`)
+})
+
+// The operator's change reaches the engines as orders. Engines that check fencing numbers refuse an old one; for those
+// that do not, only the owner sends orders, and it never goes back.
+for (const checksFencing of [true, false]) {
+  test(`orders follow the document, checked at the engine: ${checksFencing}`, async t => {
+    const fleet = await small.startSmallFleet(t, { engines: 2, checksFencing })
+    const target = `${fleet.controls[0].url}/v1/config`
+    const headers = { authorization: 'Bearer demo-operator', 'content-type': 'application/json' }
+    const { version, document } = await fetch(target, { headers }).then(async res => await res.json() as { version: number, document: contracts.Document })
+    document.models['frame-assistant'].version = '4'
+    const put = await fetch(`${target}?base=${version}&operation=upgrade`, { method: 'PUT', headers, body: JSON.stringify(document) })
+    t.is(put.status, 200)
+    await small.until(async () => {
+      const all = await Promise.all(fleet.engines.map(async engine => await fetch(`http://127.0.0.1:${engine.port}/stats`).then(async res => await res.json() as { carries: contracts.Carried[] })))
+      return all.every(stats => stats.carries.some(item => item.model === 'frame-assistant' && item.version === '4'))
+    })
+    for (const engine of fleet.engines) {
+      const fences = engine.orders.map(order => order.fence)
+      t.deepEqual(fences, [...fences].sort((a, b) => a - b))
+      t.true(engine.orders.every(order => order.isObeyed))
+    }
+  })
+}
+
+// An instance is told to stop while a stream runs through it, as entry and as owner. The caller must notice nothing.
+test('a graceful shutdown cuts no stream', async t => {
+  const fleet = await small.startSmallFleet(t, { routers: 2, engines: 2 })
+  const streams = Promise.all([0, 1].map(async i => await small.post(`${fleet.routers[i].url}/v1/chat/completions`, 'clerks', chat(`long ${i}`, 400))))
+  await small.until(() => fleet.engines.some(engine => engine.model.load() > 0))
+  const gone = fleet.routers[0].shutdown()
+  await small.pause(1500)
+  const late = await small.post(`${fleet.routers[0].url}/v1/chat/completions`, 'clerks', chat('an old address'))
+  t.is(late.status, 200, 'callers that hold the old address are still served')
+  const list = await fetch(`${fleet.routers[1].url}/v1/addresses`, { headers: { authorization: 'Bearer demo-clerks' } }).then(async res => await res.json() as contracts.AddressList)
+  t.deepEqual(list.addresses.map(item => item.instance), ['r2'])
+  for (const reply of await streams) t.is(reply.status, 200, JSON.stringify(reply.body))
+  await gone
+  const after = await small.post(`${fleet.routers[1].url}/v1/chat/completions`, 'clerks', chat('afterwards'))
+  t.is(after.status, 200)
+})
+
+// Something between two instances forgets their connection: it stays open, and nothing comes through. New ones work.
+test('a link that went silent is replaced and the answer is whole', async t => {
+  const fleet = await small.startSmallFleet(t, { routers: 3, engines: 3, isRelayed: true })
+  const replies = Promise.all(Array.from({ length: 9 }, async (_, i) => await small.post(`${fleet.routers[i % 3].url}/v1/chat/completions`, 'clerks', chat(`silent ${i}`, 150))))
+  await small.pause(400)
+  for (const relay of fleet.relays) relay.forgetOpen()
+  for (const reply of await replies) t.is(reply.status, 200, JSON.stringify(reply.body))
+  t.true(fleet.lines.some(line => line.includes('"event":"linkSilent"')))
+})
--- /dev/null
+++ b/packages/trials/__tests__/poison.test.ts
@@ -0,0 +1,31 @@
+/** A request that crashes each endpoint that runs it, and whose caller sends it again. */
+import * as ava from 'ava'
+import * as answers from '../src/standIn/answers.js'
+import * as engineServer from '../src/standIn/engineServer.js'
+import * as small from './helpers/smallFleet.js'
+
+const test = ava.default
+
+// The caller sends the crashing request again and again. Without the quarantine every engine dies in turn and everyone's
+// answers with it. Order: it kills one engine, is tried apart from other suspects, kills a second one, is held back.
+test('it costs two engines at most, and its neighbours are answered', async t => {
+  const fleet = await small.startSmallFleet(t, { engines: 5 })
+  const url = `${fleet.routers[0].url}/v1/chat/completions`
+  const neighbours = Array.from({ length: 8 }, (_, i) => ({ model: 'frame-assistant', max_tokens: 60, messages: [{ role: 'user', content: `neighbour ${i}` }] }))
+  const answered = Promise.all(neighbours.map(async body => await small.post(url, 'clerks', body)))
+  await small.until(() => fleet.engines.reduce((sum, engine) => sum + engine.runs.size, 0) === neighbours.length)
+  const poison = { model: 'frame-assistant', max_tokens: 20, messages: [{ role: 'user', content: engineServer.POISON }] }
+  const first = await small.post(url, 'clerks', poison)
+  t.is(small.toError(first).code, 'request_quarantined')
+  for (const router of fleet.routers) {
+    const again = await small.post(`${router.url}/v1/chat/completions`, 'clerks', poison)
+    t.is(small.toError(again).code, 'request_quarantined')
+    t.is(again.headers.get('x-should-retry'), 'false')
+  }
+  const replies = await answered
+  for (const [i, reply] of replies.entries()) {
+    t.is((reply.body as { choices?: Array<{ message: { content: string } }> }).choices?.[0].message.content, answers.toAnswerText(neighbours[i].messages, 60), JSON.stringify(reply.body))
+  }
+  const alive = await Promise.all(fleet.engines.map(async engine => await fetch(`http://127.0.0.1:${engine.port}/health`).then(() => true, () => false)))
+  t.is(alive.filter(isAlive => !isAlive).length, 2)
+})
--- /dev/null
+++ b/packages/trials/__tests__/streams.test.ts
@@ -0,0 +1,44 @@
+/** Whole answer, own answer: streams that break in every way an engine or a connection can break them. */
+import * as ava from 'ava'
+import * as answers from '../src/standIn/answers.js'
+import * as engineServer from '../src/standIn/engineServer.js'
+import * as small from './helpers/smallFleet.js'
+
+const test = ava.default
+let fleet: small.SmallFleet
+const closing: Array<() => Promise<void>> = []
+
+test.before(async () => {
+  fleet = await small.startSmallFleet({ teardown: run => { closing.push(run as () => Promise<void>) } }, { engines: 3 })
+})
+test.after.always(async () => { for (const run of closing) await run() })
+
+async function askStreaming (content: string, words: number): Promise<string> {
+  const res = await fetch(`${fleet.routers[0].url}/v1/chat/completions`, { method: 'POST', headers: { authorization: 'Bearer demo-clerks' }, body: JSON.stringify({ model: 'frame-assistant', messages: [{ role: 'user', content }], max_tokens: words, stream: true }) })
+  const text = await res.text()
+  const events = text.split('\n\n').filter(block => block !== '').map(block => block.replace('data: ', ''))
+  if (events.at(-1) !== '[DONE]') return `no end mark: ${text.slice(-300)}`
+  return events.slice(0, -1).map(data => (JSON.parse(data) as { choices: Array<{ delta: { content?: string } }> }).choices[0].delta.content ?? '').join('')
+}
+
+// What the caller sees without the guards: half an answer passed off as whole (cut, stall), words twice (duplicate), or
+// another caller's words (cross). Each engine is told to break the next stream in this way.
+for (const fault of ['cut', 'stall', 'gap', 'cross', 'duplicate', 'error'] as const) {
+  test.serial(`a stream with the fault "${fault}" is whole in the end`, async t => {
+    for (const engine of fleet.engines) engine.setFault(fault)
+    const content = `tell me of the frame ${fault}`
+    t.is(await askStreaming(content, 30), answers.toAnswerText([{ role: 'user', content }], 30))
+    for (const engine of fleet.engines) engine.setFault(undefined)
+  })
+}
+
+// An engine dies in the middle of an answer. Another one goes on from the words that the caller has already.
+test.serial('a stream goes on at another engine when its own dies', async t => {
+  const content = 'a long report on the condition of the frame'
+  const answer = askStreaming(content, 120)
+  await small.until(() => fleet.engines.some(engine => engine.model.load() > 0))
+  await small.pause(300)
+  const busy = fleet.engines.find(engine => engine.model.load() > 0) as engineServer.Engine
+  busy.kill()
+  t.is(await answer, answers.toAnswerText([{ role: 'user', content }], 120))
+})
--- a/packages/trials/src/callers.ts
+++ b/packages/trials/src/callers.ts
@@ -10,6 +10,8 @@
   refusedNotRun: number
   unknown: number
   wrongAnswers: number
+  /** Of wrong answers, the first few: who got what in place of what. */
+  wrong: string[]
   /** Ids of requests that were refused with "not run". */
   notRun: string[]
   /** Requests by the kind of their refusal. */
@@ -22,7 +24,7 @@
 
 /** @returns a tally of nothing */
 export function createTally (): Tally {
-  return { answered: 0, refusedNotRun: 0, unknown: 0, wrongAnswers: 0, notRun: [], refusals: new Map(), firstTokenMs: new Map(), receipts: new Map() }
+  return { answered: 0, refusedNotRun: 0, unknown: 0, wrongAnswers: 0, wrong: [], notRun: [], refusals: new Map(), firstTokenMs: new Map(), receipts: new Map() }
 }
 
 /** A caller's way to the fleet. */
@@ -83,7 +85,7 @@
 
 /** How a request ended for its caller. */
 export type CallEnd =
-  | { kind: 'answered', text: string }
+  | { kind: 'answered', text: string, requestId: string }
   | { kind: 'refused', ran: string, type: string, requestId: string, retryAfterMs: number }
   | { kind: 'broken' }
 
@@ -115,7 +117,10 @@
   switch (end.kind) {
     case 'answered':
       if (end.text === expected) tally.answered++
-      else tally.wrongAnswers++
+      else {
+        tally.wrongAnswers++
+        tally.wrong.push(`${opts.account} ${end.requestId}: got "${end.text}" for "${expected}"`)
+      }
       break
     case 'refused':
       tally.refusals.set(end.type, (tally.refusals.get(end.type) ?? 0) + 1)
@@ -140,11 +145,12 @@
       signal: AbortSignal.timeout(CALL_MS)
     })
     if (res.statusCode !== 200) return toRefusal(await res.body.json())
+    const requestId = String(res.headers[contracts.HEADERS.requestId] ?? '')
     if (!shape.stream) {
       const body = await res.body.json() as { choices: Array<{ message: { content: string } }> }
-      return { kind: 'answered', text: body.choices[0].message.content }
+      return { kind: 'answered', text: body.choices[0].message.content, requestId }
     }
-    return await readStream(res.body, () => {
+    return await readStream(res.body, requestId, () => {
       const list = opts.tally.firstTokenMs.get(opts.account) ?? []
       list.push(performance.now() - startedAt)
       opts.tally.firstTokenMs.set(opts.account, list)
@@ -154,7 +160,7 @@
   }
 }
 
-async function readStream (body: AsyncIterable<Uint8Array>, onFirst: () => void): Promise<CallEnd> {
+async function readStream (body: AsyncIterable<Uint8Array>, requestId: string, onFirst: () => void): Promise<CallEnd> {
   const decoder = new TextDecoder()
   let buffer = ''
   let text = ''
@@ -167,7 +173,7 @@
     buffer = blocks.pop() ?? ''
     for (const block of blocks) {
       const data = block.replace(/^data: /, '')
-      if (data === '[DONE]') return { kind: 'answered', text }
+      if (data === '[DONE]') return { kind: 'answered', text, requestId }
       const chunk = JSON.parse(data) as { error?: contracts.ErrorBody['error'], choices?: Array<{ delta?: { content?: string } }> }
       if (chunk.error !== undefined) return toRefusal(chunk)
       text += chunk.choices?.[0]?.delta?.content ?? ''
@@ -197,7 +203,7 @@
     if (input.key !== undefined) headers[contracts.HEADERS.idempotencyKey] = input.key
     const res = await undici.request(`${url}/v1/services/${input.service}/${input.call}`, { method: 'POST', headers, body: JSON.stringify(input.body), signal: AbortSignal.timeout(CALL_MS) })
     const text = await res.body.text()
-    if (res.statusCode === 200) return { kind: 'answered', text }
+    if (res.statusCode === 200) return { kind: 'answered', text, requestId: String(res.headers[contracts.HEADERS.requestId] ?? '') }
     return toRefusal(JSON.parse(text))
   } catch {
     return { kind: 'broken' }
--- a/packages/trials/src/faults.ts
+++ b/packages/trials/src/faults.ts
@@ -9,7 +9,7 @@
   'killRouter', 'freezeRouter', 'stopRouter', 'cutRouter', 'silenceRouter', 'forgetLinks',
   'killControl', 'freezeControl', 'cutControl', 'silenceControl', 'wipeControl',
   'killEngine', 'freezeEngine', 'leaveEngine', 'flapEngine',
-  'stallStream', 'cutStream', 'crossStream', 'duplicateStream', 'engineError', 'silentPlain',
+  'stallStream', 'gapStream', 'cutStream', 'crossStream', 'duplicateStream', 'engineError', 'silentPlain',
   'raceOperators', 'surge', 'poison'
 ] as const
 /** A kind of fault. */
@@ -119,6 +119,7 @@
       return async () => {}
     })
     case 'stallStream': return await onStream(ctx, fault, 'stall')
+    case 'gapStream': return await onStream(ctx, fault, 'gap')
     case 'cutStream': return await onStream(ctx, fault, 'cut')
     case 'crossStream': return await onStream(ctx, fault, 'cross')
     case 'duplicateStream': return await onStream(ctx, fault, 'duplicate')
--- a/packages/trials/src/soak.ts
+++ b/packages/trials/src/soak.ts
@@ -128,9 +128,14 @@
 for (const [key, count] of seen.keyRuns) checks.check('keyRunsAtMostOnce', count <= 1, () => `${key} ran ${count} times`)
 for (const key of tally.receipts.keys()) checks.check('answeredKeyRanOnce', seen.keyRuns.get(key) === 1, () => `${key} was answered and ran ${seen.keyRuns.get(key) ?? 0} times`)
 for (const id of tally.notRun) checks.check('notRunDidNotRun', !seen.engineRuns.has(id) && !seen.plainRuns.has(id), () => `${id} was refused as not run and ran`)
+for (const detail of tally.wrong.slice(0, 5)) say(`WRONG  ${detail}`)
 checks.add('ownWholeAnswer', { checked: tally.answered + tally.wrongAnswers, broken: tally.wrongAnswers })
 for (const ms of seen.lateStarts) checks.check('leavingGetsNoNewWork', ms <= LATE_START_MS, () => `work began ${ms} ms after leaving`)
 checks.check('leavingGetsNoNewWork', true, () => '')
+for (const node of fleet.routers) {
+  const text = await fetch(`${node.url}/metrics`).then(async res => await res.text()).catch(() => '')
+  say(`${node.id}  ${[...text.matchAll(/kingcupdeck_attempts_total\{outcome="(\w+)"\} (\d+)/g)].map(match => `${match[1]} ${match[2]}`).join(', ')}`)
+}
 await fleet.end(flags.keep)
 
 const requests = tally.answered + tally.wrongAnswers + tally.refusedNotRun + tally.unknown
--- a/packages/trials/src/standIn/engineServer.ts
+++ b/packages/trials/src/standIn/engineServer.ts
@@ -13,7 +13,7 @@
 import * as prefixCache from './prefixCache.js'
 
 /** A fault that the next request meets. */
-export type Fault = 'stall' | 'cut' | 'cross' | 'duplicate' | 'error'
+export type Fault = 'stall' | 'gap' | 'cut' | 'cross' | 'duplicate' | 'error'
 
 /** What an engine stand-in is built from. */
 export interface EngineOptions {
@@ -132,7 +132,7 @@
     const attempt = String(req.headers[contracts.HEADERS.attempt] ?? '')
     const lastEvent = req.headers['last-event-id']
     const body = await readJson(req) as contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }
-    const from = lastEvent === undefined ? 0 : Number(String(lastEvent).split('.').at(-1)) + 1
+    const from = lastEvent === undefined ? 0 : Number(/\.(-?\d+)$/.exec(String(lastEvent))?.[1] ?? -1) + 1
     const known = attempts.get(attempt)
     if (known !== undefined) {
       follow(known, res, attempt, from)
@@ -150,7 +150,7 @@
       return
     }
     const running = begin(attempt, req, body, fault)
-    follow(running, res, attempt, body.kingcupdeck_resume?.offset ?? 0)
+    follow(running, res, attempt, Math.max(0, (body.kingcupdeck_resume?.offset ?? 0) - 1))
   }
 
   const begin = (attempt: string, req: http.IncomingMessage, body: contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }, fault: Fault | undefined): Running => {
@@ -180,7 +180,7 @@
         emit(running, attempt, index, word, body.model)
       }
     })
-    for (let i = 0; i < offset; i++) running.events.push('')
+    for (let i = 0; i < offset; i++) running.events.push(JSON.stringify({ choices: [{ index: 0, delta: {}, finish_reason: null }] }))
     attempts.set(attempt, running)
     return running
   }
@@ -206,14 +206,14 @@
     push({ ...base, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] })
     push({ ...base, choices: [], usage: { prompt_tokens: job.promptTokens, completion_tokens: job.words.length, total_tokens: job.promptTokens + job.words.length, prompt_tokens_details: { cached_tokens: job.cachedTokens } } })
     running.isDone = true
-    running.follower?.end('data: [DONE]\n\n')
+    if (running.fault !== 'stall') running.follower?.end('data: [DONE]\n\n')
     setTimeout(() => attempts.delete(attempt), KEEP_DONE_MS).unref()
   }
 
   const send = (running: Running, attempt: string, n: number): void => {
     const { follower } = running
     if (follower === undefined) return
-    if (running.fault === 'stall' && n >= 3) return
+    if ((running.fault === 'stall' || running.fault === 'gap') && n >= 3) return
     if (running.fault === 'cut' && n === 4) {
       running.fault = undefined
       running.follower = undefined
