--- /dev/null
+++ b/packages/console/src/script.ts
@@ -0,0 +1,322 @@
+/** The script of the console. It is served as it stands, so it is written for browsers and needs no build. */
+export const SCRIPT = String.raw`'use strict'
+const PARTS = {
+  services: 'Services',
+  clientAccounts: 'Client accounts',
+  priorities: 'Priorities',
+  patience: 'Patience windows',
+  models: 'Models, adapters, versions',
+  carriages: 'What engines carry',
+  zones: 'Availability zones',
+  operators: 'Operators'
+}
+const app = { token: '', schema: null, base: 0, document: null, draft: null, faults: [], part: 'fleet', timer: 0 }
+const byId = id => document.getElementById(id)
+
+function el (tag, props = {}, ...children) {
+  const node = document.createElement(tag)
+  for (const [key, value] of Object.entries(props)) {
+    if (key.startsWith('on')) node.addEventListener(key.slice(2), value)
+    else if (value !== undefined && value !== false) node.setAttribute(key, value === true ? '' : value)
+  }
+  node.append(...children.filter(child => child !== undefined))
+  return node
+}
+
+async function call (method, path, body) {
+  const res = await fetch(path, { method, headers: { authorization: 'Bearer ' + app.token, 'content-type': 'application/json' }, body: body === undefined ? undefined : JSON.stringify(body) })
+  return { status: res.status, body: await res.json() }
+}
+
+const copy = value => JSON.parse(JSON.stringify(value))
+const isSame = (left, right) => JSON.stringify(left) === JSON.stringify(right)
+
+async function signIn () {
+  app.token = byId('token').value
+  const reply = await call('GET', '/v1/config')
+  if (reply.status !== 200) {
+    byId('loginFault').textContent = reply.body.error.message
+    return
+  }
+  app.schema = (await call('GET', '/v1/schema')).body
+  takeDocument(reply.body.version, reply.body.document)
+  byId('login').hidden = true
+  byId('work').hidden = false
+  drawTabs()
+  show('fleet')
+}
+
+function takeDocument (version, doc) {
+  app.base = version
+  app.document = doc
+  app.draft = copy(doc)
+  app.faults = []
+}
+
+function drawTabs () {
+  const tabs = [['fleet', 'Fleet'], ...Object.entries(PARTS)]
+  byId('tabs').replaceChildren(...tabs.map(([part, title]) => el('button', { type: 'button', role: 'tab', id: 'tab-' + part, 'aria-selected': String(part === app.part), onclick: () => show(part) }, title)))
+}
+
+function show (part) {
+  app.part = part
+  clearInterval(app.timer)
+  for (const id of ['review', 'conflict']) byId(id).hidden = true
+  byId('panel').hidden = false
+  drawTabs()
+  drawState()
+  if (part === 'fleet') {
+    drawFleet()
+    app.timer = setInterval(drawFleet, 2000)
+  } else drawPart(part)
+}
+
+function drawState () {
+  const count = listChanges(app.document, app.draft).length
+  byId('state').textContent = 'Based on version ' + app.base + '. ' + (count === 0 ? 'No changes.' : count + ' change(s) not sent yet.')
+  byId('check').disabled = count === 0
+}
+
+/* ---- forms from the schema ---- */
+
+function drawPart (part) {
+  const itemSchema = resolve(app.schema.properties[part].additionalProperties)
+  const entries = Object.entries(app.draft[part]).map(([id, value]) => drawEntry(part, id, value, itemSchema))
+  const name = el('input', { id: 'newId', 'aria-label': 'Id of a new entry', placeholder: 'id of a new entry' })
+  const add = el('button', { type: 'button', id: 'add', onclick: () => addEntry(part, name.value, itemSchema) }, 'Add')
+  byId('panel').replaceChildren(el('h2', {}, PARTS[part]), ...entries, el('div', { class: 'field' }, name, add))
+}
+
+function addEntry (part, id, schema) {
+  if (id === '' || id in app.draft[part]) return
+  app.draft[part][id] = toBlank(schema)
+  drawPart(part)
+  drawState()
+  byId('entry-' + part + '-' + id).open = true
+}
+
+function drawEntry (part, id, value, schema) {
+  const title = typeof value.title === 'string' && value.title !== '' ? id + ': ' + value.title : id
+  const remove = el('button', { type: 'button', onclick: () => { delete app.draft[part][id]; drawPart(part); drawState() } }, 'Remove ' + id)
+  const hasFault = app.faults.some(fault => fault.path.startsWith(part + '.' + id + '.'))
+  return el('details', { id: 'entry-' + part + '-' + id, open: hasFault }, el('summary', {}, title), ...drawValue(value, schema, [part, id], next => { app.draft[part][id] = next }), remove)
+}
+
+function resolve (schema) {
+  if (schema.$ref !== undefined) return resolve(schema.$ref.split('/').slice(1).reduce((at, key) => at[key], app.schema))
+  return schema
+}
+
+function toBlank (raw) {
+  const schema = resolve(raw)
+  if (schema.default !== undefined) return copy(schema.default)
+  if (schema.const !== undefined) return schema.const
+  const variants = schema.oneOf || schema.anyOf
+  if (variants !== undefined) return toBlank(variants[0])
+  switch (schema.type) {
+    case 'object': return Object.fromEntries((schema.required || []).map(key => [key, toBlank(schema.properties[key])]))
+    case 'array': return []
+    case 'boolean': return false
+    case 'number': case 'integer': return 1
+    default: return schema.enum === undefined ? '' : schema.enum[0]
+  }
+}
+
+/** One value: its fields, or a control. Every control writes into the draft as it changes. */
+function drawValue (value, raw, path, set) {
+  const schema = resolve(raw)
+  const variants = schema.oneOf || schema.anyOf
+  if (variants !== undefined) return drawVariants(value, variants.map(resolve), path, set)
+  if (schema.type === 'object' && schema.properties !== undefined) {
+    return Object.entries(schema.properties).flatMap(([key, sub]) => drawField(key, value[key], sub, [...path, key], next => { value[key] = next }))
+  }
+  if (schema.type === 'object') return drawRecord(value, schema.additionalProperties, path)
+  return [drawControl(value, schema, path, set)]
+}
+
+function drawVariants (value, variants, path, set) {
+  const kinds = variants.map(variant => variant.properties.kind.const)
+  const chosen = Math.max(0, kinds.indexOf(value.kind))
+  const select = el('select', { id: toId([...path, 'kind']), onchange: event => { set(toBlank(variants[event.target.selectedIndex])); drawPart(path[0]); drawState() } }, ...kinds.map((kind, i) => el('option', { selected: i === chosen }, kind)))
+  const fields = Object.entries(variants[chosen].properties).filter(([key]) => key !== 'kind')
+  return [toField('kind', select, [...path, 'kind']), ...fields.flatMap(([key, sub]) => drawField(key, value[key], sub, [...path, key], next => { value[key] = next }))]
+}
+
+function drawField (key, value, raw, path, set) {
+  const schema = resolve(raw)
+  if (schema.type === 'object') {
+    return [el('fieldset', {}, el('legend', {}, toWords(key)), ...drawValue(value === undefined ? {} : value, schema, path, set))]
+  }
+  return [toField(key, drawControl(value === undefined ? toBlank(schema) : value, schema, path, set), path, toHint(schema))]
+}
+
+function drawRecord (value, raw, path) {
+  const schema = resolve(raw)
+  const fieldsets = Object.keys(value).map(key => el('fieldset', {}, el('legend', {}, key), ...drawValue(value[key], schema, [...path, key], next => { value[key] = next }), el('button', { type: 'button', onclick: () => { delete value[key]; drawPart(path[0]); drawState() } }, 'Remove ' + key)))
+  const name = el('input', { 'aria-label': 'Name of a new entry', placeholder: 'name of a new entry' })
+  const add = el('button', { type: 'button', onclick: () => { if (name.value !== '') { value[name.value] = toBlank(schema); drawPart(path[0]); drawState() } } }, 'Add')
+  return [...fieldsets, el('div', { class: 'field' }, name, add)]
+}
+
+function drawControl (value, schema, path, set) {
+  const id = toId(path)
+  const write = next => { set(next); drawState() }
+  const isFaulty = app.faults.some(fault => fault.path === path.join('.') || fault.path.startsWith(path.join('.') + '.'))
+  const common = { id, 'aria-invalid': isFaulty ? 'true' : undefined, 'aria-describedby': isFaulty ? id + '-fault' : undefined }
+  if (schema.enum !== undefined) return el('select', { ...common, onchange: event => write(event.target.value) }, ...schema.enum.map(item => el('option', { selected: item === value }, item)))
+  switch (schema.type) {
+    case 'boolean': return el('input', { ...common, type: 'checkbox', checked: value, onchange: event => write(event.target.checked) })
+    case 'number': case 'integer': return el('input', { ...common, type: 'text', inputmode: 'decimal', value: String(value), oninput: event => write(event.target.value.trim() === '' ? '' : Number(event.target.value)) })
+    case 'array': {
+      const area = el('textarea', { ...common, rows: '2', spellcheck: 'false', oninput: event => write(event.target.value.split(/[\s,]+/).filter(item => item !== '')) })
+      area.value = value.join('\n')
+      return area
+    }
+    default: return el('input', { ...common, type: 'text', value: String(value), oninput: event => write(event.target.value) })
+  }
+}
+
+function toField (key, control, path, hint) {
+  const fault = app.faults.filter(item => item.path === path.join('.') || item.path.startsWith(path.join('.') + '.')).map(item => item.message).join('; ')
+  return el('div', { class: 'field' }, el('label', { for: toId(path) }, toWords(key)), control,
+    hint === undefined ? undefined : el('span', { class: 'hint' }, hint),
+    fault === '' ? undefined : el('span', { class: 'fault', id: toId(path) + '-fault', role: 'alert' }, fault))
+}
+
+function toHint (schema) {
+  const low = schema.minimum === undefined ? schema.exclusiveMinimum : schema.minimum
+  if (low !== undefined && schema.maximum !== undefined && schema.maximum < 1e9) return 'from ' + low + ' to ' + schema.maximum
+  if (schema.type === 'array') return 'one a line'
+  return undefined
+}
+
+const toId = path => 'f-' + path.join('-')
+const toWords = key => key.replace(/([A-Z])/g, ' $1').toLowerCase()
+
+/* ---- review, sending, conflicts ---- */
+
+function listChanges (from, to) {
+  const changes = []
+  for (const part of Object.keys(to)) {
+    const isEntries = part in PARTS
+    const keys = isEntries ? [...new Set([...Object.keys(from[part]), ...Object.keys(to[part])])] : [null]
+    for (const key of keys) {
+      const before = key === null ? from[part] : from[part][key]
+      const after = key === null ? to[part] : to[part][key]
+      if (!isSame(before, after)) changes.push({ part, key, before, after })
+    }
+  }
+  return changes
+}
+
+const toName = change => (PARTS[change.part] || change.part) + (change.key === null ? '' : ', ' + change.key)
+const toText = value => value === undefined ? '(absent)' : JSON.stringify(value, null, 2)
+
+function drawSides (changes, left, right) {
+  return changes.map(change => el('div', {}, el('h3', {}, toName(change)), el('div', { class: 'sides' }, el('div', {}, left, el('pre', {}, toText(change.before))), el('div', {}, right, el('pre', {}, toText(change.after))))))
+}
+
+async function review () {
+  const reply = await call('POST', '/v1/config/check', app.draft)
+  app.faults = reply.body.faults || []
+  if (app.faults.length > 0) {
+    const part = app.faults[0].path.split('.')[0]
+    show(part in PARTS ? part : 'services')
+    byId('state').textContent = app.faults.length + ' fault(s): ' + app.faults.map(fault => fault.path + ' ' + fault.message).join('; ')
+    const first = document.querySelector('[aria-invalid=true]')
+    if (first !== null) first.focus()
+    return
+  }
+  byId('panel').hidden = true
+  byId('review').hidden = false
+  byId('diff').replaceChildren(...drawSides(listChanges(app.document, app.draft), 'now', 'then'))
+  byId('send').focus()
+}
+
+async function send () {
+  const operation = crypto.randomUUID ? crypto.randomUUID() : String(Math.random()).slice(2)
+  let reply
+  /* A resend with the same operation is answered like the first: safe after a lost answer. */
+  for (let tries = 0; tries < 3 && reply === undefined; tries++) reply = await call('PUT', '/v1/config?base=' + app.base + '&operation=' + operation, app.draft).catch(() => undefined)
+  if (reply === undefined) {
+    byId('state').textContent = 'No answer. Nothing is lost: your entries are still here; send again.'
+    return
+  }
+  if (reply.status === 409) {
+    showConflict(reply.body.current)
+    return
+  }
+  if (reply.status !== 200) {
+    byId('state').textContent = reply.body.error.message
+    return
+  }
+  takeDocument(reply.body.version, copy(app.draft))
+  show('fleet')
+  byId('state').textContent = 'Version ' + reply.body.version + ' is accepted.'
+}
+
+function showConflict (current) {
+  app.current = current
+  byId('review').hidden = true
+  byId('conflict').hidden = false
+  byId('conflictText').textContent = 'Yours is based on version ' + app.base + '; in force is ' + current.version + '.'
+  byId('sides').replaceChildren(...drawSides(listChanges(current.document, app.draft), 'in force now', 'yours'))
+  byId('rebase').focus()
+}
+
+/** Puts this operator's own changes on top of the other version. */
+function rebase () {
+  const mine = listChanges(app.document, app.draft)
+  const next = copy(app.current.document)
+  for (const change of mine) {
+    if (change.key === null) next[change.part] = change.after
+    else if (change.after === undefined) delete next[change.part][change.key]
+    else next[change.part][change.key] = change.after
+  }
+  app.base = app.current.version
+  app.document = app.current.document
+  app.draft = next
+  review()
+}
+
+/* ---- the fleet ---- */
+
+async function drawFleet () {
+  const reply = await call('GET', '/v1/status')
+  if (app.part !== 'fleet') return
+  if (reply.status !== 200) {
+    byId('panel').replaceChildren(el('p', { class: 'fault' }, reply.body.error.message))
+    return
+  }
+  const fleet = reply.body
+  const owners = (await call('GET', '/v1/endpoints')).body.endpoints || []
+  if (app.part !== 'fleet') return
+  const endpoints = owners.sort((a, b) => a.endpoint < b.endpoint ? -1 : 1).map(item => [item.endpoint, item.service, item.zone, item.owner, item.state, item.load + ' of ' + item.cap, String(item.queued)])
+  const rows = fleet.instances.map(item => [item.id, item.zone, item.url, String(item.documentVersion) + (item.documentVersion === fleet.documentVersion ? '' : ' (behind)'), String(item.viewSeen), Math.max(0, item.leaseMsLeft) + ' ms', item.leaving ? 'leaving' : 'serving'])
+  const pools = fleet.pools.map(pool => {
+    const factor = app.document.services[pool.pool] ? app.document.services[pool.pool].loadFactor : 1
+    const mean = pool.endpoints === 0 ? 0 : pool.load / pool.endpoints
+    return [pool.pool, String(pool.endpoints), String(pool.load), mean.toFixed(2), String(Math.max(1, Math.ceil(factor * (pool.load + 1) / Math.max(1, pool.endpoints))))]
+  })
+  const replicas = fleet.replicas.map(item => [item.group, item.name, item.role, String(item.term), String(item.commit), item.voters.map(voter => voter.split('#')[0]).join(', '), item.learners.map(voter => voter.split('#')[0]).join(', ')])
+  byId('panel').replaceChildren(
+    el('h2', {}, 'Fleet'),
+    el('p', {}, 'Leader ' + fleet.leader + ', term ' + fleet.term + ', document version ' + fleet.documentVersion + ', view ' + fleet.view + '.'),
+    toTable('Instances', ['instance', 'availability zone', 'address', 'document in force', 'view', 'lease left', 'state'], rows),
+    toTable('Endpoints', ['endpoint', 'service', 'availability zone', 'owner', 'state', 'load against cap', 'queued'], endpoints),
+    toTable('Pools', ['service', 'endpoints', 'in flight', 'mean', 'cap for one more'], pools),
+    toTable('Replicas as the leader hosts them', ['group', 'replica', 'role', 'term', 'committed', 'voters', 'learners'], replicas))
+}
+
+function toTable (title, heads, rows) {
+  return el('div', { class: 'scroll' }, el('h3', {}, title), el('table', {}, el('thead', {}, el('tr', {}, ...heads.map(head => el('th', { scope: 'col' }, head)))), el('tbody', {}, ...rows.map(row => el('tr', {}, ...row.map(cell => el('td', {}, cell)))))))
+}
+
+byId('login').addEventListener('submit', event => { event.preventDefault(); signIn() })
+byId('check').addEventListener('click', review)
+byId('send').addEventListener('click', send)
+byId('back').addEventListener('click', () => show(Object.keys(PARTS).includes(app.part) ? app.part : 'services'))
+byId('rebase').addEventListener('click', rebase)
+byId('discard').addEventListener('click', () => { takeDocument(app.current.version, app.current.document); show('services') })
+byId('token').focus()
+`
--- a/packages/contracts/src/constants.ts
+++ b/packages/contracts/src/constants.ts
@@ -24,7 +24,7 @@
 /** A link on which nothing came for this long, in spite of pings, is destroyed. */
 export const LINK_SILENT_MS = 2100
 /** An idle link without outstanding calls is pinged this often. */
-export const LINK_IDLE_PING_MS = 5000
+export const LINK_IDLE_PING_MS = 15_000
 /** The largest frame that a link accepts. */
 export const MAX_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -35,10 +35,14 @@
 
 /** How long a caller may keep an answer of the address lookup. */
 export const ADDRESS_MAX_AGE_MS = 3000
-/** How often an endpoint announces itself. */
+/** How often an endpoint announces itself at most; an owner of many endpoints asks each for fewer announcements. */
 export const ANNOUNCE_MS = 1000
-/** An endpoint that has not announced itself for this long gets no new work. */
-export const ANNOUNCE_SILENT_MS = 3500
+/** What announcements may cost an owner, bytes a second. */
+export const ANNOUNCE_BYTES_PER_SECOND = 3000
+/** Size of an announcement with its HTTP headers, for that budget. */
+export const ANNOUNCE_BYTES = 600
+/** An endpoint that is silent for this many of its intervals gets no new work. */
+export const ANNOUNCE_SILENT_INTERVALS = 3.5
 /** A stream on which an engine sends nothing (not even a keep-alive) for this long is given up. */
 export const STREAM_SILENT_MS = 2500
 /** How often an engine writes a keep-alive comment into a stream that has no token ready. */
--- a/packages/contracts/src/controlMessages.ts
+++ b/packages/contracts/src/controlMessages.ts
@@ -25,7 +25,11 @@
 export const controlCall = z.discriminatedUnion('t', [
   z.object({
     t: z.literal('renew'),
-    instance: fleet.instance,
+    id: z.string(),
+    incarnation: z.int().nonnegative(),
+    leaving: z.boolean(),
+    /** Sent when joining; later renewals name the instance only. */
+    instance: fleet.instance.optional(),
     viewSeen: z.int(),
     documentVersion: z.int(),
     loads: z.array(fleet.poolLoad),
--- a/packages/contracts/src/fleet.ts
+++ b/packages/contracts/src/fleet.ts
@@ -55,6 +55,20 @@
 /** An endpoint as gossip carries it. */
 export type EndpointEntry = z.infer<typeof endpointEntry>
 
+/** An endpoint as its owner shows it to operators. */
+export const ownedStatus = z.object({
+  endpoint: z.string(),
+  service: z.string(),
+  zone: z.string(),
+  state: z.enum(['ready', 'leaving', 'silent']),
+  load: z.int(),
+  /** The largest load that an admission may lead to now. */
+  cap: z.int(),
+  queued: z.int()
+})
+/** An endpoint as its owner shows it to operators. */
+export type OwnedStatus = z.infer<typeof ownedStatus>
+
 /** What one owner has in flight on its endpoints of a pool. */
 export const poolLoad = z.object({
   pool: z.string(),
--- a/packages/contracts/src/peerMessages.ts
+++ b/packages/contracts/src/peerMessages.ts
@@ -14,7 +14,7 @@
   service: z.string(),
   /** What the endpoint is asked for: a chat completion, or a call of a plain service. */
   work: z.discriminatedUnion('kind', [
-    z.object({ kind: z.literal('chat'), model: z.string(), chat: z.string(), importFrom: z.string().optional(), resumeFrom: z.int().nonnegative() }),
+    z.object({ kind: z.literal('chat'), model: z.string(), chat: z.string(), importFrom: z.string().optional(), avoid: z.array(z.string()).optional(), resumeFrom: z.int().nonnegative() }),
     z.object({ kind: z.literal('plain'), call: z.string(), method: z.string(), idempotent: z.boolean(), idempotencyKey: z.string().optional(), contentType: z.string().optional() })
   ]),
   account: z.string(),
@@ -55,6 +55,7 @@
 /** What one instance asks another. */
 export const peerCall = z.discriminatedUnion('t', [
   z.object({ t: z.literal('cancel'), attempt: z.string() }),
+  /** `digests`: none, one over all, or one for each bucket after the one over all differed. */
   z.object({ t: z.literal('gossip'), digests: z.array(z.int()), entries: z.array(fleet.endpointEntry) }),
   z.object({ t: z.literal('explain'), request: z.string() })
 ])
@@ -64,7 +65,7 @@
 /** The answers to {@link PeerCall}, by the same tag. */
 export const peerReply = z.discriminatedUnion('t', [
   z.object({ t: z.literal('cancel'), reached: z.boolean() }),
-  z.object({ t: z.literal('gossip'), entries: z.array(fleet.endpointEntry) }),
+  z.object({ t: z.literal('gossip'), entries: z.array(fleet.endpointEntry), isEqual: z.boolean() }),
   z.object({ t: z.literal('explain'), found: z.boolean(), lines: z.array(z.object({ atMs: z.number(), step: z.string(), why: z.string() })) })
 ])
 /** The answers to {@link PeerCall}. */
--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -139,7 +139,7 @@
 
   // Operators may ask any control instance; this client finds the leader for them.
   const client = membership.createControlClient({ who, secret: opts.secret, log, controls: opts.controls, onEvent: () => {} })
-  const operators = await operatorServer.startOperatorServer(opts.listen, { client, machine: fleetMachine, registry: metrics.registry, log })
+  const operators = await operatorServer.startOperatorServer(opts.listen, { client, machine: fleetMachine, registry: metrics.registry, log, toHealth: () => ({ peerPort: server.port, invariants: invariants.tallies() }) })
 
   log.event('started', { role: 'control', url: operators.url, peerPort: server.port })
 
--- a/packages/control/src/leases.ts
+++ b/packages/control/src/leases.ts
@@ -48,7 +48,7 @@
 
 const EXPIRE_MS = 250
 const PUSH_MS = 20
-const POOL_PUSH_MS = 100
+const POOL_PUSH_MS = 150
 /** Loads of others are pushed when they changed by more than this share. */
 const POOL_CHANGE = 0.03
 
@@ -179,20 +179,20 @@
 
   const renew: Leases['renew'] = async (call, link) => {
     if (!isReady()) return notLeader()
-    const { instance } = call
-    let { incarnation } = instance
+    const { id } = call
+    let { incarnation } = call
     if (incarnation === 0) {
-      incarnation = await join(instance)
+      incarnation = call.instance === undefined ? 0 : await join(call.instance)
       if (incarnation === 0) return { t: 'lapsed', incarnation: 0 }
     }
-    const known = machine.find(instance.id)
-    const row = rows.get(instance.id)
-    if (known?.incarnation !== incarnation || row?.isRemoved === true) return { t: 'lapsed', incarnation: instance.incarnation }
-    if (instance.leaving && !known.leaving) await propose({ t: 'leaving', id: instance.id, incarnation })
+    const known = machine.find(id)
+    const row = rows.get(id)
+    if (known?.incarnation !== incarnation || row?.isRemoved === true) return { t: 'lapsed', incarnation: call.incarnation }
+    if (call.leaving && !known.leaving) await propose({ t: 'leaving', id, incarnation })
     // Checked again after every wait: a leader may grant only while nobody else can lead.
     if (!isReady()) return notLeader()
-    const held = ensureRow(instance.id, incarnation)
-    if (held.isRemoved) return { t: 'lapsed', incarnation: instance.incarnation }
+    const held = ensureRow(id, incarnation)
+    if (held.isRemoved) return { t: 'lapsed', incarnation: call.incarnation }
     held.expiresAt = toExpiry()
     held.link = link
     held.loads = call.loads
@@ -204,7 +204,7 @@
       incarnation,
       view: machine.viewUpdate(call.viewSeen, laggards()),
       document: machine.documentUpdate(call.documentVersion),
-      pools: toPools(instance.id),
+      pools: toPools(id),
       limits: toLimits(call.demand)
     }
   }
--- a/packages/control/src/operatorServer.ts
+++ b/packages/control/src/operatorServer.ts
@@ -2,6 +2,8 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as prom from 'prom-client'
+import * as undici from 'undici'
+import * as z from 'zod'
 import * as consolePages from '@kingcupdeck/console'
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
@@ -15,6 +17,8 @@
   machine: state.FleetMachine
   registry: prom.Registry
   log: telemetry.Log
+  /** @returns what the health page shows beside the versions */
+  toHealth (): Record<string, unknown>
 }
 
 /** The running server. */
@@ -66,7 +70,7 @@
     return
   }
   switch (`${req.method ?? 'GET'} ${url.pathname}`) {
-    case 'GET /health': send(res, 200, { ok: true, documentVersion: opts.machine.version(), view: opts.machine.view() }); return
+    case 'GET /health': send(res, 200, { ok: true, documentVersion: opts.machine.version(), view: opts.machine.view(), ...opts.toHealth() }); return
     case 'GET /metrics':
       res.writeHead(200, { 'content-type': opts.registry.contentType })
       res.end(await opts.registry.metrics())
@@ -77,6 +81,7 @@
     case 'POST /v1/config/check': await checkDocument(opts, req, res); return
     case 'GET /v1/config/history': await getHistory(opts, req, res); return
     case 'GET /v1/status': await getStatus(opts, req, res); return
+    case 'GET /v1/endpoints': await getEndpoints(opts, req, res); return
     default: throw new contracts.FailureError({ kind: 'not_found', what: `${req.method ?? 'GET'} ${url.pathname}` })
   }
 }
@@ -158,3 +163,20 @@
   if (reply.t !== 'status') throw new Error(`unexpected reply ${reply.t}`)
   send(res, 200, reply.status)
 }
+
+const OWNER_MS = 1500
+const owned = z.object({ owned: z.array(contracts.ownedStatus) })
+
+/** The endpoints as their owners show them; an instance that does not answer is named as such. */
+async function getEndpoints (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  toOperator(opts, req)
+  const lists = await Promise.all(opts.machine.instances().map(async instance => {
+    try {
+      const reply = await undici.request(`${instance.url}/health`, { signal: AbortSignal.timeout(OWNER_MS) })
+      return owned.parse(await reply.body.json()).owned.map(item => ({ ...item, owner: instance.id }))
+    } catch {
+      return []
+    }
+  }))
+  send(res, 200, { endpoints: lists.flat() })
+}
--- a/packages/membership/src/endpointTable.ts
+++ b/packages/membership/src/endpointTable.ts
@@ -6,10 +6,14 @@
   get (id: string): contracts.EndpointEntry | undefined
   /** @returns all entries, those of endpoints that went away among them */
   all (): IterableIterator<contracts.EndpointEntry>
-  /** @returns the entries of a pool that are ready */
-  ready (service: string): contracts.EndpointEntry[]
+  /** @returns the entries of a pool that are ready and carry a model; the same array until something changes */
+  ready (service: string, model?: string): readonly contracts.EndpointEntry[]
+  /** @returns the entries of a pool that are leaving */
+  leaving (service: string): readonly contracts.EndpointEntry[]
   /** Takes an entry if it is newer. @returns whether it was */
   merge (entry: contracts.EndpointEntry): boolean
+  /** @returns one number for the whole table */
+  digest (): number
   /** @returns one number a bucket; equal tables have equal digests */
   digests (): number[]
   /** @returns the entries of buckets whose digest differs */
@@ -34,7 +38,7 @@
   const entries = new Map<string, contracts.EndpointEntry>()
   const goneSince = new Map<string, number>()
   const digests = new Array<number>(BUCKETS).fill(0)
-  const readyOf = new Map<string, contracts.EndpointEntry[]>()
+  const lists = new Map<string, readonly contracts.EndpointEntry[]>()
   let version = 0
 
   const toggle = (entry: contracts.EndpointEntry): void => {
@@ -47,28 +51,32 @@
     if (known !== undefined) toggle(known)
     entries.set(entry.id, entry)
     toggle(entry)
-    readyOf.clear()
+    lists.clear()
     version++
     if (entry.state === 'gone') goneSince.set(entry.id, performance.now())
     else goneSince.delete(entry.id)
   }
 
+  const listOnce = (key: string, accepts: (entry: contracts.EndpointEntry) => boolean): readonly contracts.EndpointEntry[] => {
+    const known = lists.get(key)
+    if (known !== undefined) return known
+    const list = [...entries.values()].filter(accepts)
+    lists.set(key, list)
+    return list
+  }
+
   return {
     get: id => entries.get(id),
     all: () => entries.values(),
-    ready (service) {
-      const known = readyOf.get(service)
-      if (known !== undefined) return known
-      const list = [...entries.values()].filter(entry => entry.service === service && entry.state === 'ready')
-      readyOf.set(service, list)
-      return list
-    },
+    ready: (service, model) => listOnce(`ready ${service} ${model ?? ''}`, entry => entry.service === service && entry.state === 'ready' && (model === undefined || entry.models.includes(model))),
+    leaving: service => listOnce(`leaving ${service}`, entry => entry.service === service && entry.state === 'leaving'),
     merge (entry) {
       const known = entries.get(entry.id)
       if (known !== undefined && !isNewer(entry, known)) return false
       set(entry)
       return true
     },
+    digest: () => digests.reduce((sum, digest, bucket) => (sum ^ contracts.hash32(String(digest), bucket)) >>> 0, 0),
     digests: () => [...digests],
     differing: theirs => [...entries.values()].filter(entry => digests[toBucket(entry.id)] !== theirs[toBucket(entry.id)]),
     version: () => version,
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -1,6 +1,6 @@
 /**
- * Spreads endpoint entries between instances under a byte budget: news goes to a few random peers at once, and digests
- * exchanged with one random peer a second find whatever was missed.
+ * Spreads endpoint entries between instances under a byte budget: news goes to a few random peers at once, and a digest
+ * compared with one random peer a second finds whatever was missed.
  */
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
@@ -30,7 +30,7 @@
 const TICK_MS = 200
 const DIGEST_EVERY_TICKS = 5
 /** To how many peers an instance passes a piece of news on: enough for all to hear with high probability. */
-const NEWS_FANOUT = 3
+const NEWS_FANOUT = 2
 const DEFAULT_BYTES_PER_SECOND = 2500
 /** Size of an entry on the wire, for the budget. */
 const ENTRY_BYTES = 170
@@ -78,9 +78,14 @@
     const peers = opts.peers()
     if (peers.length === 0 || allowance < DIGESTS_BYTES) return
     const peer = peers[Math.floor(opts.random() * peers.length)]
-    if (isDigestTurn) allowance -= DIGESTS_BYTES
-    const entries = takeNews()
-    const reply = await opts.call(peer, { t: 'gossip', digests: isDigestTurn ? opts.table.digests() : [], entries })
+    const reply = await opts.call(peer, { t: 'gossip', digests: isDigestTurn ? [opts.table.digest()] : [], entries: takeNews() })
+    if (reply.t === 'gossip' && isDigestTurn && !reply.isEqual) await compareBuckets(peer)
+  }
+
+  /** The tables differ: each side gives the other what lies in the buckets that differ. */
+  const compareBuckets = async (peer: contracts.Instance): Promise<void> => {
+    allowance -= DIGESTS_BYTES
+    const reply = await opts.call(peer, { t: 'gossip', digests: opts.table.digests(), entries: [] })
     if (reply.t === 'gossip') reply.entries.forEach(learn)
   }
 
@@ -91,13 +96,14 @@
     learn,
     onCall (msg) {
       msg.entries.forEach(learn)
-      if (msg.digests.length === 0) return { t: 'gossip', entries: [] }
+      if (msg.digests.length === 0) return { t: 'gossip', entries: [], isEqual: true }
+      if (msg.digests.length === 1) return { t: 'gossip', entries: [], isEqual: msg.digests[0] === opts.table.digest() }
       const missing = opts.table.differing(msg.digests)
       const most = Math.max(0, Math.floor(allowance / ENTRY_BYTES))
       const start = missing.length > most ? Math.floor(opts.random() * missing.length) : 0
       const entries = [...missing.slice(start), ...missing.slice(0, start)].slice(0, most)
       allowance -= entries.length * ENTRY_BYTES
-      return { t: 'gossip', entries }
+      return { t: 'gossip', entries, isEqual: false }
     },
     stop () {
       stop()
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -59,7 +59,7 @@
 
 const RENEW_TIMEOUT_MS = 2500
 /** At most this often, loads are reported between renewals. */
-const REPORT_MS = 100
+const REPORT_MS = 200
 
 /**
  * Joins the fleet and keeps the lease until stopped.
@@ -82,7 +82,11 @@
   let shares = new Map<string, number>()
   let reportTimer: NodeJS.Timeout | undefined
 
-  const self = (): contracts.Instance => ({ ...opts.instance, incarnation, leaving: isLeaving })
+  let known: contracts.Instance = { ...opts.instance, incarnation, leaving: isLeaving }
+  const self = (): contracts.Instance => {
+    if (known.incarnation !== incarnation || known.leaving !== isLeaving) known = { ...opts.instance, incarnation, leaving: isLeaving }
+    return known
+  }
 
   const control = controlClient.createControlClient({
     who: { role: 'router', id: opts.instance.id },
@@ -139,7 +143,7 @@
     // The lease counts from before the renewal is sent: however long the answer takes, the leader's count ends later.
     const sentAt = performance.now()
     const reply = await control.call('fleet', {
-      t: 'renew', instance: self(), viewSeen: views.number(), documentVersion, loads: opts.loads(), demand: opts.takeDemand()
+      t: 'renew', id: opts.instance.id, incarnation, leaving: isLeaving, instance: incarnation === 0 ? self() : undefined, viewSeen: views.number(), documentVersion, loads: opts.loads(), demand: opts.takeDemand()
     }, RENEW_TIMEOUT_MS)
     switch (reply.t) {
       case 'lease':
--- a/packages/router/src/addresses.ts
+++ b/packages/router/src/addresses.ts
@@ -41,7 +41,7 @@
 export function findHomeOwner (views: membership.Views, table: membership.EndpointTable, doc: contracts.Document, model: string, chatKey: string): string | undefined {
   const service = doc.models[model]?.service
   if (service === undefined) return undefined
-  const candidates = table.ready(service).filter(entry => entry.models.includes(model))
+  const candidates = table.ready(service, model)
   const [home] = routing.rank({ key: chatKey, candidates })
   const entry = home === undefined ? undefined : table.get(home)
   return entry === undefined ? undefined : views.ownerOf(entry)?.id
--- a/packages/router/src/attempts.ts
+++ b/packages/router/src/attempts.ts
@@ -6,7 +6,7 @@
 import * as links from '@kingcupdeck/links'
 
 /** What comes back from an owner; `linkLost` stands for the end of the link that the owner was reached by. */
-export type AttemptEvent = contracts.PeerEvent | { t: 'linkLost' }
+export type AttemptEvent = contracts.PeerEvent | { t: 'linkLost' } | { t: 'callerGone' }
 
 /** Where an owner sends the events of an attempt. */
 export interface Sink {
@@ -21,6 +21,8 @@
   readonly id: string
   /** @returns the next event, in order */
   next (): Promise<AttemptEvent>
+  /** Puts the news that the caller went away behind the events that came so far. */
+  interrupt (): void
   /** Stops listening. */
   end (): void
 }
@@ -94,7 +96,7 @@
           mailbox.put({ t: 'declined', attempt: msg.attempt, reason: 'not_owner', load: 0, retryAfterMs: 0 })
         }
       }
-      return { id: msg.attempt, next: mailbox.take, end }
+      return { id: msg.attempt, next: mailbox.take, interrupt: () => { mailbox.put({ t: 'callerGone' }) }, end }
     },
     take (event) {
       if ('attempt' in event && event.t !== 'dispatch') open.get(event.attempt)?.put(event)
--- a/packages/router/src/chatEntry.ts
+++ b/packages/router/src/chatEntry.ts
@@ -9,6 +9,7 @@
 
 /** After this many attempts a request ends in an error, whatever the retry budget says. */
 const MAX_ATTEMPTS = 5
+const UNAVAILABLE = 503
 /** The share of a chat that tells it from others when the caller names none. */
 const RETURNING_MESSAGES = 3
 
@@ -69,8 +70,8 @@
     rank,
     toBody: () => toEngineBody(chat, run.answer),
     patienceUntil: startedAt + patienceMs,
-    accepts: entry => entry.models.includes(chat.model),
-    toWork: importFrom => ({ kind: 'chat', model: chat.model, chat: chatKey, importFrom, resumeFrom: run.answer.due() }),
+    model: chat.model,
+    toWork: importFrom => ({ kind: 'chat', model: chat.model, chat: chatKey, importFrom, avoid: run.request.excluded.size > 0 ? [...run.request.excluded] : undefined, resumeFrom: run.answer.due() }),
     isRepeatable: true,
     isReturning: chat.messages.length >= RETURNING_MESSAGES,
     excluded: new Set(),
@@ -85,11 +86,12 @@
 function timeFirst (ctx: context.EntryContext, run: Run): answers.AnswerWriter {
   let lastAt: number | undefined
   const account = ctx.metrics.toAccountLabel(run.account.id)
+  const between = ctx.metrics.betweenTokens.labels({ priority: run.priority })
   return {
     write (data) {
       const now = performance.now()
       if (lastAt === undefined) ctx.metrics.firstToken.observe({ account, priority: run.priority }, (now - run.startedAt) / 1000)
-      else ctx.metrics.betweenTokens.observe({ priority: run.priority }, (now - lastAt) / 1000)
+      else between.observe((now - lastAt) / 1000)
       lastAt = now
       run.writer.write(data)
     },
@@ -118,8 +120,12 @@
   for (let attemptNo = 1; ; attemptNo++) {
     run.engine = placed.endpoint
     ctx.placer.countOwn(placed.endpoint, 1)
+    const { attempt } = placed
+    request.signal.addEventListener('abort', attempt.interrupt)
+    if (request.signal.aborted) attempt.interrupt()
     const end = await follow(ctx, run, placed).finally(() => {
-      placed.attempt.end()
+      request.signal.removeEventListener('abort', attempt.interrupt)
+      attempt.end()
       ctx.placer.countOwn(placed.endpoint, -1)
     })
     if (end.kind === 'whole') return
@@ -158,12 +164,11 @@
 async function follow (ctx: context.EntryContext, run: Run, placed: placing.Placed): Promise<FollowEnd> {
   const { answer, request } = run
   while (true) {
-    const event = await Promise.race([placed.attempt.next(), toAborted(request.signal)])
-    if (event === 'aborted') {
-      void ctx.attempts.cancel(placed.owner, placed.attempt.id)
-      return { kind: 'failed', failure: { kind: 'cancelled', ran: 'unknown' } }
-    }
+    const event = await placed.attempt.next()
     switch (event.t) {
+      case 'callerGone':
+        void ctx.attempts.cancel(placed.owner, placed.attempt.id)
+        return { kind: 'failed', failure: { kind: 'cancelled', ran: 'unknown' } }
       case 'chunk':
         run.isReached = true
         ctx.invariants.check('attemptMatch', event.attempt === placed.attempt.id, () => `${event.attempt} in ${placed.attempt.id}`)
@@ -197,7 +202,8 @@
     ctx.suspects.note(request.fingerprint, event.death)
     request.isSuspect = true
   }
-  return { kind: 'broke', why: event.detail, isFree: false, isLinkLost: false }
+  // An engine that says itself that it cannot take the request costs no retry.
+  return { kind: 'broke', why: event.detail, isFree: event.status === UNAVAILABLE, isLinkLost: false }
 }
 
 /** After a lost link, the owner may still have the attempt: the same attempt id takes it up where it was. */
@@ -217,17 +223,3 @@
   ctx.metrics.promptTokens.inc({ cached: 'no' }, Math.max(0, event.promptTokens - event.cachedTokens))
   run.request.trace.note('answered', `${event.count} events, ${event.cachedTokens} of ${event.promptTokens} prompt tokens from the cache`)
 }
-
-const aborted = new WeakMap<AbortSignal, Promise<'aborted'>>()
-
-function toAborted (signal: AbortSignal): Promise<'aborted'> {
-  let known = aborted.get(signal)
-  if (known === undefined) {
-    known = new Promise(resolve => {
-      if (signal.aborted) resolve('aborted')
-      signal.addEventListener('abort', () => { resolve('aborted') }, { once: true })
-    })
-    aborted.set(signal, known)
-  }
-  return known
-}
--- a/packages/router/src/execution.ts
+++ b/packages/router/src/execution.ts
@@ -24,7 +24,7 @@
   /** @returns why the endpoint takes no work now, or undefined if it does */
   findObstacle (): contracts.DeclineReason | undefined
   markGone (): void
-  spreadSuspects (): void
+  spreadSuspects (fingerprints: readonly string[]): void
 }
 
 /** How an attempt ended for its owner; all but `declined` has been told to the entry instance. */
@@ -33,6 +33,7 @@
 /** A stream that falls silent or is cut is taken up again this often on the same engine. */
 const MAX_RESUMES = 3
 const IMPORT_MS = 1500
+const SERVER_ERROR = 500
 const HEALTH_MS = 1000
 const DEFAULT_CALL_MS = 5000
 
@@ -71,6 +72,9 @@
         noteAttempt(opts, 'aborted')
         return { kind: 'ended' }
       case 'error':
+        // An engine that was started anew since its last announcement has lost its models: it must not go on refusing
+        // quickly and look idle by that.
+        if (end.status >= SERVER_ERROR) await judge(opts)
         session.emit({ t: 'lost', attempt: session.msg.attempt, detail: end.detail, status: end.status })
         noteAttempt(opts, 'error')
         return { kind: 'ended' }
@@ -83,8 +87,10 @@
         break
     }
     noteAttempt(opts, end.kind)
+    session.isBroken = true
     const verdict = await judge(opts)
     if (verdict !== 'alive') return endLost(opts, verdict, `stream ${end.kind}`)
+    session.isBroken = false
   }
   return endLost(opts, 'alive', `stream broke ${MAX_RESUMES + 1} times`)
 }
@@ -112,7 +118,9 @@
     }
     if (session.abort.signal.aborted) return { kind: 'ended' }
     if (end.kind === 'silent') endpoint.client.distrust()
+    session.isBroken = true
     const verdict = await judge(opts)
+    session.isBroken = false
     if (!work.idempotent || verdict !== 'alive' || tries > 0) return endLost(opts, verdict, end.kind === 'cut' ? end.detail : 'no answer in time')
   }
 }
@@ -166,14 +174,15 @@
   if (verdict === 'alive') return verdict
   opts.markGone()
   if (verdict !== 'died') return verdict
-  // Everything in flight is a suspect: the owner cannot tell which request it was, only that it was one of these.
-  const inFlight = [...endpoint.sessions].filter(session => session.reached)
+  // Everything that broke together is a suspect: the owner cannot tell which request it was, only that it was one of
+  // these. What was sent to a process that was started since has no part in the death.
+  const inFlight = [...endpoint.sessions].filter(session => session.isBroken)
   for (const session of inFlight) {
     suspects.note(session.msg.fingerprint, toDeath(endpoint))
     if (suspects.isQuarantined(session.msg.fingerprint)) log.event('requestQuarantined', { request: session.msg.request, endpoint: endpoint.id })
   }
   log.event('endpointDied', { endpoint: endpoint.id, inFlight: inFlight.length })
-  if (inFlight.length > 0) opts.spreadSuspects()
+  if (inFlight.length > 0) opts.spreadSuspects(inFlight.map(session => session.msg.fingerprint))
   return verdict
 }
 
--- a/packages/router/src/ownedEndpoint.ts
+++ b/packages/router/src/ownedEndpoint.ts
@@ -10,6 +10,8 @@
   /** The last announcement that came here; undefined once another instance owns the endpoint. */
   announcement: contracts.Announcement | undefined
   heardAt: number
+  /** The interval between announcements that it was asked for. */
+  intervalMs: number
   client: links.EndpointClient
   address: string
   /** Requests admitted and not ended; the exact count in flight of this owner. */
@@ -51,6 +53,7 @@
     id,
     announcement: undefined,
     heardAt: -Infinity,
+    intervalMs: contracts.ANNOUNCE_MS,
     client: links.createEndpointClient(`http://${address}`),
     address,
     sessions: new Set(),
@@ -109,6 +112,24 @@
   return endpoint.sessions.size + endpoint.foreign
 }
 
+/**
+ * Tells whether an endpoint has missed its announcements.
+ * @param endpoint the endpoint
+ * @returns whether it must be taken for gone
+ */
+export function isSilent (endpoint: OwnedEndpoint): boolean {
+  return performance.now() - endpoint.heardAt > contracts.ANNOUNCE_SILENT_INTERVALS * endpoint.intervalMs
+}
+
+/**
+ * Tells whether an endpoint takes work at all.
+ * @param endpoint the endpoint
+ * @returns whether it lately said that it is ready
+ */
+export function isReady (endpoint: OwnedEndpoint): boolean {
+  return endpoint.announcement?.state === 'ready' && !isSilent(endpoint)
+}
+
 /**
  * Notes that an endpoint came back, and holds one back that comes and goes.
  * @param endpoint the endpoint
--- a/packages/router/src/owner.ts
+++ b/packages/router/src/owner.ts
@@ -7,9 +7,11 @@
 import * as routing from '@kingcupdeck/routing'
 import * as telemetry from '@kingcupdeck/telemetry'
 import type * as attempts from './attempts.js'
+import * as endpointNews from './endpointNews.js'
 import * as execution from './execution.js'
 import * as memory from './expiringSet.js'
 import * as ownedEndpoint from './ownedEndpoint.js'
+import * as poolLoads from './poolLoads.js'
 import * as sessions from './session.js'
 
 /** What the owner role is built from. */
@@ -25,7 +27,7 @@
   /** Whether chats that run away from their cache take it along. */
   isImporting: boolean
   /** Tells all peers of suspects. */
-  spreadSuspects (): void
+  spreadSuspects (fingerprints: readonly string[]): void
 }
 
 /** The owner role of an instance. */
@@ -35,18 +37,22 @@
   dispatch (msg: contracts.Dispatch, sink: attempts.Sink): void
   /** Drops an attempt. @returns whether a byte of it may have reached an endpoint */
   cancel (attempt: string): { reached: boolean }
-  /** Takes an announcement of an endpoint that this instance owns. */
-  takeAnnouncement (announcement: contracts.Announcement, handedOver: number): void
+  /** Takes an announcement of an endpoint that this instance owns. @returns when the next one is wanted, ms */
+  takeAnnouncement (announcement: contracts.Announcement, handedOver: number): number
   /** Remembers where a chat ran. */
   notePlace (chat: string, home: string, endpoint: string): void
   /** @returns whether this instance owns an endpoint and nobody else can still act as its owner */
   owns (endpoint: membership.Owned): boolean
+  /** Forgets endpoints that are owned elsewhere or gone, once nothing of theirs runs here. */
+  forgetIdle (): void
   /** Notes that an endpoint went away or silent. */
   markGone (endpoint: ownedEndpoint.OwnedEndpoint): void
   /** Admits what can be admitted now. */
   pump (endpoint: ownedEndpoint.OwnedEndpoint): void
   /** Ends the wait of everything queued on an endpoint. */
   declineQueue (endpoint: ownedEndpoint.OwnedEndpoint, reason: contracts.DeclineReason): void
+  /** @returns the endpoints that announce themselves here, for operators */
+  toStatus (): contracts.OwnedStatus[]
   /** @returns what is in flight, per pool */
   loads (): contracts.PoolLoad[]
   /** @returns requests in flight or queued */
@@ -71,6 +77,8 @@
   const endedReached = memory.createExpiringSet(CANCELLED_MEMORY_MS)
   const places = routing.createSpillMemory()
   const isCapped = opts.policy === 'owner'
+  const loads = poolLoads.createPoolLoads({ endpoints, member, table, isCapped })
+  const news = endpointNews.createEndpointNews(opts)
 
   const ensure = (id: string, address: string): ownedEndpoint.OwnedEndpoint => {
     let endpoint = endpoints.get(id)
@@ -81,6 +89,8 @@
     return endpoint
   }
 
+  const countOwned = (): number => [...endpoints.values()].filter(item => item.announcement !== undefined).length
+
   const owns = (endpoint: membership.Owned): boolean => {
     const { views } = member
     return views.ownerOf(endpoint)?.id === member.self().id && views.isSettledFor(endpoint)
@@ -88,36 +98,17 @@
 
   /** @returns why an endpoint takes no work now, or undefined if it does */
   const findObstacle = (endpoint: ownedEndpoint.OwnedEndpoint, msg: contracts.Dispatch): contracts.DeclineReason | undefined => {
-    const { announcement } = endpoint
     // A request is void for an owner that lapsed since: its sender may have been told that it cannot run any more.
     if (!member.isServing() || member.self().incarnation !== msg.incarnation) return 'void'
     const entry = table.get(endpoint.id)
     if (entry === undefined || !owns(entry)) return 'not_owner'
-    const now = performance.now()
-    const isFresh = now - endpoint.heardAt < contracts.ANNOUNCE_SILENT_MS
-    if (announcement?.state !== 'ready' || !isFresh || now < endpoint.heldUntil) return 'unready'
+    if (!ownedEndpoint.isReady(endpoint) || performance.now() < endpoint.heldUntil) return 'unready'
     if (suspects.isQuarantined(msg.fingerprint)) return 'quarantined'
     return undefined
   }
 
   const isSuspectInTheWay = (endpoint: ownedEndpoint.OwnedEndpoint, msg: contracts.Dispatch): boolean => msg.suspect !== undefined && endpoint.suspect !== undefined
 
-  const toCapOf = (endpoint: ownedEndpoint.OwnedEndpoint): { cap: number, total: number, ageMs: number } => {
-    const announcement = endpoint.announcement as contracts.Announcement
-    if (!isCapped) return { cap: Infinity, total: 0, ageMs: 0 }
-    const others = member.othersLoad(announcement.service)
-    const spec = member.document()?.services[announcement.service]
-    const total = (others?.load ?? 0) + ownLoad(announcement.service)
-    const weightSum = (others?.weight ?? 0) + ownWeight(announcement.service)
-    const cap = routing.toCap({ factor: spec?.loadFactor ?? 1.25, total, weightSum, weight: announcement.weight, slots: announcement.slots })
-    return { cap, total, ageMs: others === undefined ? Infinity : performance.now() - others.heardAt }
-  }
-
-  const ownedOf = (service: string): ownedEndpoint.OwnedEndpoint[] => [...endpoints.values()].filter(item => (item.announcement?.service ?? table.get(item.id)?.service) === service)
-  const ownLoad = (service: string): number => ownedOf(service).reduce((sum, item) => sum + item.sessions.size, 0)
-  const ownWeight = (service: string): number => ownedOf(service).reduce((sum, item) => sum + (isReady(item) ? item.announcement?.weight ?? 0 : 0), 0)
-  const isReady = (item: ownedEndpoint.OwnedEndpoint): boolean => item.announcement?.state === 'ready' && performance.now() - item.heardAt < contracts.ANNOUNCE_SILENT_MS
-
   const decline = (session: sessions.Session, reason: contracts.DeclineReason, extra: { load?: number, retryAfterMs?: number, endpoint?: string } = {}): void => {
     clearTimeout(session.patienceTimer)
     session.state = 'ended'
@@ -127,7 +118,7 @@
     session.emit({ t: 'declined', attempt: session.msg.attempt, reason, load: extra.load ?? 0, retryAfterMs: extra.retryAfterMs ?? 0, endpoint: extra.endpoint })
   }
 
-  const admit = (endpoint: ownedEndpoint.OwnedEndpoint, session: sessions.Session, cap: { cap: number, total: number, ageMs: number }): void => {
+  const admit = (endpoint: ownedEndpoint.OwnedEndpoint, session: sessions.Session, cap: poolLoads.Cap): void => {
     const load = ownedEndpoint.toLoad(endpoint) + 1
     invariants.check('loadCap', load <= cap.cap, () => `${endpoint.id} at ${load}, cap ${cap.cap}, total ${cap.total}, heard ${Math.round(cap.ageMs)} ms ago`)
     clearTimeout(session.patienceTimer)
@@ -171,7 +162,7 @@
         declineQueue(endpoint, 'not_owner')
         return
       }
-      const cap = toCapOf(endpoint)
+      const cap = loads.toCap(endpoint)
       if (ownedEndpoint.toLoad(endpoint) + 1 > cap.cap) return
       const next = endpoint.queue.take(session => !isSuspectInTheWay(endpoint, session.msg))
       if (next === undefined) return
@@ -203,23 +194,8 @@
     pump(endpoint)
   }
 
-  /** Spreads what changed of an endpoint, and says so in the log. */
-  const noteEntry = (announcement: contracts.Announcement): void => {
-    const entry = toEntry(announcement)
-    const known = table.get(entry.id)
-    const isSame = known !== undefined && JSON.stringify({ ...known, seq: 0 }) === JSON.stringify({ ...entry, seq: 0 })
-    if (isSame || !opts.gossip.learn(entry)) return
-    if (known?.state !== entry.state) opts.log.event(entry.state === 'ready' ? 'endpointJoined' : 'endpointLeaving', { endpoint: entry.id, service: entry.service })
-  }
-
   const markGone = (endpoint: ownedEndpoint.OwnedEndpoint): void => {
-    const entry = table.get(endpoint.id)
-    endpoint.wasGone = true
-    endpoint.heardAt = -Infinity
-    if (entry === undefined || entry.state === 'gone') return
-    const seq = Math.max(entry.seq, endpoint.announcement?.boot === entry.boot ? endpoint.announcement.seq : 0)
-    opts.gossip.learn({ ...entry, seq, state: 'gone' })
-    opts.log.event('endpointGone', { endpoint: endpoint.id })
+    news.noteGone(endpoint)
     declineQueue(endpoint, 'unready')
   }
 
@@ -255,7 +231,7 @@
     }
     bySession.set(msg.attempt, session)
     watchEntry(endpoint, session)
-    const cap = toCapOf(endpoint)
+    const cap = loads.toCap(endpoint)
     const isFree = ownedEndpoint.toLoad(endpoint) + 1 <= cap.cap && endpoint.queue.size() === 0
     if (isFree) admit(endpoint, session, cap)
     else if (msg.waitMs > 0) enqueue(endpoint, session, cap.cap)
@@ -266,8 +242,9 @@
   const findPlace = (msg: contracts.Dispatch): string | undefined => {
     if (msg.work.kind !== 'chat' || msg.waitMs > 0 || !isCapped) return undefined
     const place = places.get(`${msg.work.chat}\n${msg.endpoint}`)
-    if (place === undefined || place === msg.endpoint || table.get(place)?.state !== 'ready') return undefined
-    return place
+    const entry = place === undefined ? undefined : table.get(place)
+    const isUsable = entry?.state === 'ready' && entry.models.includes(msg.work.model) && msg.work.avoid?.includes(entry.id) !== true
+    return isUsable && place !== msg.endpoint ? place : undefined
   }
 
   /** Ends an attempt whose entry instance went away and did not come back. */
@@ -308,16 +285,18 @@
     takeAnnouncement (announcement, handedOver) {
       const endpoint = ensure(announcement.endpoint, `${announcement.host}:${announcement.port}`)
       const known = endpoint.announcement
-      if (known !== undefined && (known.boot > announcement.boot || (known.boot === announcement.boot && known.seq >= announcement.seq))) return
+      if (known !== undefined && (known.boot > announcement.boot || (known.boot === announcement.boot && known.seq >= announcement.seq))) return endpoint.intervalMs
       const isBack = endpoint.wasGone && announcement.state === 'ready'
       ownedEndpoint.takeAnnouncement(endpoint, announcement, handedOver)
       if (isBack) {
         endpoint.wasGone = false
         if (ownedEndpoint.noteReturn(endpoint)) opts.log.event('endpointFlapping', { endpoint: endpoint.id, heldMs: Math.round(endpoint.heldUntil - performance.now()) })
       }
-      noteEntry(announcement)
+      news.noteAnnouncement(announcement)
       if (announcement.state === 'leaving') declineQueue(endpoint, 'unready')
       else pump(endpoint)
+      endpoint.intervalMs = Math.max(contracts.ANNOUNCE_MS, countOwned() * contracts.ANNOUNCE_BYTES / contracts.ANNOUNCE_BYTES_PER_SECOND * 1000)
+      return endpoint.intervalMs
     },
     notePlace (chat, home, endpoint) {
       if (home === endpoint) places.forget(`${chat}\n${home}`)
@@ -325,39 +304,19 @@
     },
     owns,
     pump,
-    markGone,
-    declineQueue,
-    loads () {
-      const list = new Map<string, contracts.PoolLoad>()
-      for (const item of endpoints.values()) {
-        const pool = item.announcement?.service ?? table.get(item.id)?.service
-        if (pool === undefined) continue
-        const sum = list.get(pool) ?? { pool, load: 0, endpoints: 0, weight: 0 }
-        sum.load += item.sessions.size
-        if (isReady(item)) {
-          sum.endpoints++
-          sum.weight += item.announcement?.weight ?? 0
-        }
-        list.set(pool, sum)
+    forgetIdle () {
+      for (const [id, endpoint] of endpoints) {
+        const isIdle = endpoint.sessions.size === 0 && endpoint.queue.size() === 0
+        const isElsewhere = endpoint.announcement === undefined || (endpoint.wasGone && table.get(id) === undefined)
+        if (!isIdle || !isElsewhere) continue
+        endpoint.client.close()
+        endpoints.delete(id)
       }
-      return [...list.values()]
     },
+    markGone,
+    declineQueue,
+    toStatus: loads.toStatus,
+    loads: loads.toPoolLoads,
     inFlight: () => bySession.size
   }
 }
-
-function toEntry (announcement: contracts.Announcement): contracts.EndpointEntry {
-  return {
-    id: announcement.endpoint,
-    service: announcement.service,
-    zone: announcement.zone,
-    address: `${announcement.host}:${announcement.port}`,
-    boot: announcement.boot,
-    seq: announcement.seq,
-    state: announcement.state,
-    slots: announcement.slots,
-    weight: announcement.weight,
-    models: announcement.carries.map(item => item.model),
-    checksFencing: announcement.checksFencing
-  }
-}
--- a/packages/router/src/ownerTasks.ts
+++ b/packages/router/src/ownerTasks.ts
@@ -4,7 +4,7 @@
 import * as links from '@kingcupdeck/links'
 import * as membership from '@kingcupdeck/membership'
 import * as telemetry from '@kingcupdeck/telemetry'
-import type * as ownedEndpoint from './ownedEndpoint.js'
+import * as ownedEndpoint from './ownedEndpoint.js'
 import type * as owners from './owner.js'
 
 /** What the tasks work with. */
@@ -19,6 +19,8 @@
 }
 
 const SWEEP_MS = 500
+/** Endpoints of a dead owner find the new one with their next announcement. */
+const UNHEARD_MS = 12_000
 const ORDER_CHECK_MS = 700
 const ORDER_AGAIN_MS = 4000
 const ORDER_TIMEOUT_MS = 1500
@@ -49,10 +51,11 @@
     return
   }
   for (const endpoint of opts.owner.endpoints.values()) {
-    const isSilent = endpoint.announcement !== undefined && now - endpoint.heardAt > contracts.ANNOUNCE_SILENT_MS
+    const isSilent = endpoint.announcement !== undefined && ownedEndpoint.isSilent(endpoint)
     if (isSilent && !endpoint.wasGone) opts.owner.markGone(endpoint)
     opts.owner.pump(endpoint)
   }
+  opts.owner.forgetIdle()
   for (const entry of opts.table.all()) {
     const isUnheard = entry.state !== 'gone' && opts.owner.owns(entry) && opts.owner.endpoints.get(entry.id)?.announcement === undefined
     if (!isUnheard) {
@@ -61,7 +64,7 @@
     }
     const since = heardOf.get(entry.id) ?? now
     heardOf.set(entry.id, since)
-    if (now - since < 2 * contracts.ANNOUNCE_SILENT_MS) continue
+    if (now - since < UNHEARD_MS) continue
     opts.log.event('endpointGone', { endpoint: entry.id })
     opts.gossip.learn({ ...entry, state: 'gone' })
   }
--- a/packages/router/src/placing.ts
+++ b/packages/router/src/placing.ts
@@ -21,8 +21,8 @@
   toBody (): Uint8Array
   /** Monotonic time at which the caller's patience ends. */
   patienceUntil: number
-  /** Whether an endpoint can serve it at all. */
-  accepts (entry: contracts.EndpointEntry): boolean
+  /** The model that an endpoint must carry, if it needs one. */
+  model: string | undefined
   /** @returns the work for an endpoint, with where the chat's cache lies */
   toWork (importFrom: string | undefined): contracts.Dispatch['work']
   /** Whether it may run twice. */
@@ -105,8 +105,9 @@
 
   const noteLoad = (endpoint: string, load: number): void => { reported.set(endpoint, { load, at: performance.now() }) }
 
-  const toCandidates = (request: PlacingRequest): contracts.EndpointEntry[] => {
-    const ready = table.ready(request.service).filter(request.accepts)
+  const toCandidates = (request: PlacingRequest): readonly contracts.EndpointEntry[] => {
+    const ready = table.ready(request.service, request.model)
+    if (request.excluded.size === 0) return ready
     const fresh = ready.filter(entry => !request.excluded.has(entry.id))
     return fresh.length > 0 ? fresh : ready
   }
@@ -157,9 +158,11 @@
     if (knownPlace !== undefined) return knownPlace
     if (endpoint !== ranked[0]) return ranked[0]
     // The home itself came later than the chat, or the engine before it in rank is leaving: the cache lies there.
-    const leaving = [...table.all()].filter(entry => entry.service === request.service && entry.state === 'leaving' && request.accepts({ ...entry, state: 'ready' }))
-    const [before] = routing.rank({ key: request.key, candidates: [...leaving, ...toCandidates(request)] })
-    if (before !== ranked[0]) return before
+    const leaving = table.leaving(request.service).filter(entry => request.model === undefined || entry.models.includes(request.model))
+    if (leaving.length > 0) {
+      const [before] = routing.rank({ key: request.key, candidates: [...leaving, ...toCandidates(request)] })
+      if (before !== ranked[0]) return before
+    }
     return isNewcomer(ranked[0]) ? ranked[1] : undefined
   }
 
--- a/packages/router/src/plainCall.ts
+++ b/packages/router/src/plainCall.ts
@@ -19,12 +19,17 @@
 export async function runPlainCall (lease: links.Lease, session: session.Session, timeoutMs: number): Promise<CallEnd> {
   const { msg } = session
   if (msg.work.kind !== 'plain') throw new Error('not a plain call')
-  const timeout = AbortSignal.timeout(timeoutMs)
+  const { signal } = session.abort
+  let isSilent = false
+  // Destroying the connection ends the call, and costs less than a signal of its own for each call.
+  const timer = setTimeout(() => {
+    isSilent = true
+    lease.destroy()
+  }, timeoutMs)
   const headers: Record<string, string> = { [contracts.HEADERS.attempt]: msg.attempt, [contracts.HEADERS.requestId]: msg.request }
   if (msg.work.idempotencyKey !== undefined) headers[contracts.HEADERS.idempotencyKey] = msg.work.idempotencyKey
   if (msg.work.contentType !== undefined) headers['content-type'] = msg.work.contentType
   try {
-    const signal = AbortSignal.any([timeout, session.abort.signal])
     const res = await lease.client.request({
       path: `/${msg.work.call}`,
       method: msg.work.method as 'POST',
@@ -42,7 +47,9 @@
     return { kind: 'answer', status: res.statusCode, contentType: String(res.headers['content-type'] ?? 'application/octet-stream'), body }
   } catch (err) {
     lease.destroy()
-    if (timeout.aborted) return { kind: 'silent' }
+    if (isSilent) return { kind: 'silent' }
     return { kind: 'cut', detail: err instanceof Error ? err.message : String(err) }
+  } finally {
+    clearTimeout(timer)
   }
 }
--- a/packages/router/src/plainEntry.ts
+++ b/packages/router/src/plainEntry.ts
@@ -60,7 +60,7 @@
     rank,
     toBody: () => body,
     patienceUntil: performance.now() + patienceMs,
-    accepts: () => true,
+    model: undefined,
     toWork: () => ({ kind: 'plain', call: plain.call, method: exchange.req.method ?? 'POST', idempotent: plain.isIdempotent, idempotencyKey, contentType }),
     isRepeatable: plain.isIdempotent,
     isReturning: false,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -58,8 +58,10 @@
 
 const DATA_MESSAGES = new Set(['dispatch', 'accepted', 'chunk', 'answer', 'done', 'declined', 'lost', 'cancel'])
 const LEDGER_MESSAGES = new Set(['ledgerBegin', 'ledgerFinish', 'ledgerAbort', 'ledger'])
+/** Labels must not grow with what a peer sends. */
+const MESSAGES = new Set([...DATA_MESSAGES, ...LEDGER_MESSAGES, 'ping', 'renew', 'lease', 'loads', 'pools', 'view', 'viewSeen', 'document', 'gossip', 'suspects', 'placed', 'handover'])
 const PEER_CALL_MS = 1500
-const SUSPECT_NEWS_MS = 5000
+const SUSPECT_NEWS_MS = 10_000
 const DRAIN_LOOK_MS = 100
 
 /**
@@ -95,9 +97,15 @@
   }
 
   const others = (): contracts.Instance[] => member.views.instances().filter(item => item.id !== opts.id)
-  const spreadSuspects = (): void => {
+  const spreadSuspects = (fingerprints: readonly string[]): void => {
+    const list = suspects.toNews(fingerprints)
+    for (const peer of others()) sendTo(peer, { t: 'suspects', list })
+  }
+  /** A peer that missed the news, or is new, hears all that is known from one or the other in time. */
+  const remindOfSuspects = (): void => {
     const list = suspects.toNews()
-    if (list.length > 0) for (const peer of others()) sendTo(peer, { t: 'suspects', list })
+    const peers = others()
+    if (list.length > 0 && peers.length > 0) sendTo(peers[Math.floor(random() * peers.length)], { t: 'suspects', list })
   }
 
   const ctx = {} as context.EntryContext
@@ -154,7 +162,7 @@
   } satisfies context.EntryContext)
 
   const stopTasks = ownerTasks.startOwnerTasks({ owner, member, table, gossip, log, invariants, sendTo })
-  const stopSuspects = links.runEvery(SUSPECT_NEWS_MS, spreadSuspects, () => {})
+  const stopSuspects = links.runEvery(SUSPECT_NEWS_MS, remindOfSuspects, () => {})
 
   const onEvent = (body: unknown, link: links.Link): void => {
     const msg = parseEvent(body)
@@ -237,10 +245,22 @@
 }
 
 function createByteCounter (metrics: telemetry.RouterMetrics): links.CountBytes {
-  return (direction, bytes, body) => {
-    const tag = (body as { t?: string } | null)?.t ?? ''
+  const counters = new Map<string, { inc (value: number): void }>()
+  const create = (direction: 'in' | 'out', tag: string): { inc (value: number): void } => {
     const group = DATA_MESSAGES.has(tag) ? 'data' : LEDGER_MESSAGES.has(tag) ? 'ledger' : 'control'
-    metrics.controlBytes.inc({ direction, class: group }, bytes)
+    return metrics.controlBytes.labels({ direction, class: group, message: tag })
+  }
+  // Hot path: one call for each frame.
+  return (direction, bytes, body) => {
+    const asked = (body as { t?: string } | null)?.t ?? 'ping'
+    const tag = MESSAGES.has(asked) ? asked : 'other'
+    const key = direction + tag
+    let counter = counters.get(key)
+    if (counter === undefined) {
+      counter = create(direction, tag)
+      counters.set(key, counter)
+    }
+    counter.inc(bytes)
   }
 }
 
--- a/packages/router/src/server.ts
+++ b/packages/router/src/server.ts
@@ -144,7 +144,7 @@
     leaseMsLeft: Math.round(Math.max(0, member.leaseLeftMs())),
     endpoints: [...opts.table.all()].filter(entry => entry.state === 'ready').length,
     invariants: opts.ctx.invariants.tallies(),
-    owned: [...opts.owner.endpoints.values()].filter(item => item.announcement !== undefined).map(item => ({ endpoint: item.id, inFlight: item.sessions.size, foreign: item.foreign, queued: item.queue.size() }))
+    owned: opts.owner.toStatus()
   })
 }
 
@@ -192,8 +192,8 @@
   }
   const place = { id: announcement.endpoint, zone: announcement.zone }
   const next = ctx.member.views.ownerOf(place)
-  if (next?.id === ctx.member.self().id) owner.takeAnnouncement(announcement, 0)
-  const reply: contracts.AnnouncementReply = { owner: next?.url ?? null, intervalMs: contracts.ANNOUNCE_MS }
+  const intervalMs = next?.id === ctx.member.self().id ? owner.takeAnnouncement(announcement, 0) : contracts.ANNOUNCE_MS
+  const reply: contracts.AnnouncementReply = { owner: next?.url ?? null, intervalMs: Math.round(intervalMs) }
   helpers.sendJson(exchange, 200, reply)
 }
 
--- a/packages/router/src/session.ts
+++ b/packages/router/src/session.ts
@@ -28,6 +28,8 @@
   drained (): Promise<void>
   /** Next chunk number that the owner expects from the engine. */
   nextChunk: number
+  /** Whether its connection broke and the owner is finding out whether the endpoint died. */
+  isBroken: boolean
   /** Whether the engine sent the finish of the answer. */
   isFinished: boolean
 }
@@ -50,6 +52,7 @@
     queuedAt: performance.now(),
     patienceTimer: undefined,
     isFinished: false,
+    isBroken: false,
     nextChunk: msg.work.kind === 'chat' ? msg.work.resumeFrom : 0,
     emit (event) {
       kept.push(event)
--- a/packages/routing/__tests__/decisions.test.ts
+++ b/packages/routing/__tests__/decisions.test.ts
@@ -31,6 +31,23 @@
   t.true(new Set(homes).size === 8)
 })
 
+// At 12,000 endpoints a hash of each for every request would take a good part of a core: large pools are ranked in groups.
+test('a large pool is ranked in two steps, evenly, and moves little', t => {
+  const large = Array.from({ length: 2000 }, (_, i) => ({ id: `engine-${i}`, zone: 'z', weight: 1 }))
+  const without = large.slice(1)
+  const keys = Array.from({ length: 4000 }, (_, i) => `chat-${i}`)
+  const counts = new Map<string, number>()
+  let moved = 0
+  for (const key of keys) {
+    const ranked = routing.rank({ key, candidates: large })
+    t.true(ranked.length > 6)
+    counts.set(ranked[0], (counts.get(ranked[0]) ?? 0) + 1)
+    if (routing.rank({ key, candidates: without })[0] !== ranked[0]) moved++
+  }
+  t.true(Math.max(...counts.values()) < 14, `one endpoint has ${Math.max(...counts.values())} of 4000 homes`)
+  t.true(moved < 20, `${moved} of 4000 homes moved when one endpoint of 2000 left`)
+})
+
 test('the queue serves by rank, then fairly by weight', t => {
   const queue = routing.createFairQueue<string>()
   for (let i = 0; i < 6; i++) queue.push({ item: `surge-${i}`, rank: 2, account: 'surge', weight: 1 })
--- a/packages/routing/src/patience.ts
+++ b/packages/routing/src/patience.ts
@@ -33,7 +33,19 @@
 
 const formats = new Map<string, Intl.DateTimeFormat>()
 
+const latest = new Map<string, { epochMinute: number, minuteOfDay: number }>()
+
+/** Asked for each request; worked out once a minute and time zone. */
 function toMinuteOfDay (timeZone: string, atMs: number): number {
+  const epochMinute = Math.floor(atMs / 60_000)
+  const known = latest.get(timeZone)
+  if (known?.epochMinute === epochMinute) return known.minuteOfDay
+  const minuteOfDay = formatMinuteOfDay(timeZone, atMs)
+  latest.set(timeZone, { epochMinute, minuteOfDay })
+  return minuteOfDay
+}
+
+function formatMinuteOfDay (timeZone: string, atMs: number): number {
   let format = formats.get(timeZone)
   if (format === undefined) {
     format = new Intl.DateTimeFormat('en-GB', { timeZone, hour: '2-digit', minute: '2-digit', hour12: false })
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -58,17 +58,54 @@
   return input.candidates.map(item => item.id)
 }
 
+/** Above this many endpoints they are ranked in two steps, or each request would pay for a hash of every endpoint. */
+const FLAT_UP_TO = 256
+const GROUPS = 64
+/** Groups whose endpoints are ranked: enough for the home, the spills and the tries behind them. */
+const GROUPS_RANKED = 2
+
 /**
- * Ranks endpoints for a key by weighted rendezvous hashing.
- * @param input the key and the endpoints
+ * Ranks endpoints for a key by weighted rendezvous hashing. Of a large pool only the ranks that matter are worked out: first
+ * the groups are ranked by their weight, then the endpoints of the best two.
+ * @param input the key and the endpoints; the same array is expected while the endpoints stay the same
  * @returns endpoint ids, the home first
  */
 export function rank (input: Pick<PlacementInput, 'key' | 'candidates'>): string[] {
-  const scored = input.candidates.map(item => ({ id: item.id, score: contracts.rendezvousScore(input.key, item.id, item.weight) }))
+  const { key, candidates } = input
+  if (candidates.length <= FLAT_UP_TO) return rankFlat(key, candidates)
+  const groups = toGroups(candidates)
+  const best = groups
+    .map(group => ({ group, score: contracts.rendezvousScore(key, group.id, group.weight) }))
+    .sort((a, b) => b.score - a.score)
+    .slice(0, GROUPS_RANKED)
+  return best.flatMap(item => rankFlat(key, item.group.candidates))
+}
+
+function rankFlat (key: string, candidates: readonly Candidate[]): string[] {
+  const scored = candidates.map(item => ({ id: item.id, score: contracts.rendezvousScore(key, item.id, item.weight) }))
   scored.sort((a, b) => b.score - a.score)
   return scored.map(item => item.id)
 }
 
+interface Group { id: string, weight: number, candidates: Candidate[] }
+
+const groupsOf = new WeakMap<readonly Candidate[], Group[]>()
+
+/** The group of an endpoint follows from its id alone, so that others coming and going do not move it. */
+function toGroups (candidates: readonly Candidate[]): Group[] {
+  const known = groupsOf.get(candidates)
+  if (known !== undefined) return known
+  const groups = Array.from({ length: GROUPS }, (_, i) => ({ id: `group-${i}`, weight: 0, candidates: [] as Candidate[] }))
+  for (const candidate of candidates) {
+    const group = groups[contracts.hash32(candidate.id, GROUPS) % GROUPS]
+    group.weight += candidate.weight
+    group.candidates.push(candidate)
+  }
+  const used = groups.filter(group => group.weight > 0)
+  groupsOf.set(candidates, used)
+  return used
+}
+
 /** Home first; then the next ranks, least loaded first as far as known; then the rest by rank. */
 function orderForOwner (input: PlacementInput): string[] {
   const ranked = rank(input)
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/suspects.ts
@@ -16,8 +16,8 @@
   isQuarantined (fingerprint: string): boolean
   /** @returns milliseconds until it may be tried again */
   leftMs (fingerprint: string): number
-  /** @returns all that is known, for peers */
-  toNews (): SuspectNews[]
+  /** @returns what is known, for peers: of some requests, or of the latest */
+  toNews (fingerprints?: readonly string[]): SuspectNews[]
   /** Takes what a peer knows. @returns whether anything was news */
   learn (news: readonly SuspectNews[]): boolean
 }
@@ -26,6 +26,7 @@
 export const QUARANTINE_DEATHS = 2
 const REMEMBER_MS = 10 * 60 * 1000
 const MAX_SUSPECTS = 10_000
+const MAX_NEWS = 30
 
 interface Suspect { boots: Set<string>, at: number }
 
@@ -63,7 +64,10 @@
       const suspect = find(fingerprint)
       return suspect === undefined ? 0 : REMEMBER_MS - (now() - suspect.at)
     },
-    toNews: () => [...known].map(([fingerprint, suspect]) => ({ fingerprint, boots: [...suspect.boots], ageMs: now() - suspect.at })),
+    toNews: (fingerprints = [...known.keys()].slice(-MAX_NEWS)) => fingerprints.flatMap(fingerprint => {
+      const suspect = find(fingerprint)
+      return suspect === undefined ? [] : [{ fingerprint, boots: [...suspect.boots], ageMs: Math.round(now() - suspect.at) }]
+    }),
     learn: news => news.map(item => item.boots.map(boot => note(item.fingerprint, boot, item.ageMs)).some(Boolean)).some(Boolean)
   }
 }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -17,7 +17,7 @@
   requests: prom.Counter<'account' | 'outcome'>
   attempts: prom.Counter<'outcome'>
   promptTokens: prom.Counter<'cached'>
-  controlBytes: prom.Counter<'direction' | 'class'>
+  controlBytes: prom.Counter<'direction' | 'class' | 'message'>
   imports: prom.Counter<'outcome'>
   toAccountLabel: (account: string) => string
 }
@@ -39,7 +39,7 @@
     requests: new prom.Counter({ name: 'kingcupdeck_requests_total', help: 'Requests by client account and outcome', labelNames: ['account', 'outcome'], registers }),
     attempts: new prom.Counter({ name: 'kingcupdeck_attempts_total', help: 'Attempts at endpoints by outcome', labelNames: ['outcome'], registers }),
     promptTokens: new prom.Counter({ name: 'kingcupdeck_prompt_tokens_total', help: 'Prompt tokens, found in an engine\'s cache or not', labelNames: ['cached'], registers }),
-    controlBytes: new prom.Counter({ name: 'kingcupdeck_link_bytes_total', help: 'Bytes on links between instances, by direction and class', labelNames: ['direction', 'class'], registers }),
+    controlBytes: new prom.Counter({ name: 'kingcupdeck_link_bytes_total', help: 'Bytes on links between instances, by direction, class and message', labelNames: ['direction', 'class', 'message'], registers }),
     imports: new prom.Counter({ name: 'kingcupdeck_kv_imports_total', help: 'KV cache imports ordered, by outcome', labelNames: ['outcome'], registers }),
     toAccountLabel: createBoundedLabels(MAX_ACCOUNT_LABELS)
   }
--- a/packages/trials/__tests__/ownership.test.ts
+++ b/packages/trials/__tests__/ownership.test.ts
@@ -103,3 +103,33 @@
   for (const reply of await replies) t.is(reply.status, 200, JSON.stringify(reply.body))
   t.true(fleet.lines.some(line => line.includes('"event":"linkSilent"')))
 })
+
+// An engine dies and is back at once without its models. Chats that last ran there are pointed to it, it refuses each at
+// once, and looks idle by that: before the guard such chats ended in an error after five tries at the same engine.
+test('chats leave an engine that lost its models', async t => {
+  const fleet = await small.startSmallFleet(t, { routers: 2, engines: 3 })
+  const turn = async (i: number): Promise<small.Reply> => await small.post(`${fleet.routers[i % 2].url}/v1/chat/completions`, 'clerks', chat(`opening ${i}`, 40), { 'x-chat-id': `chat-${i}` })
+  const first = await Promise.all(Array.from({ length: 40 }, async (_, i) => await turn(i)))
+  t.true(first.every(reply => reply.status === 200))
+  const dead = fleet.engines[1]
+  dead.kill()
+  const reborn = await fleet.addEngine('engine-2', Object.keys(fleet.document.zones)[1], dead.port)
+  reborn.refuseOrders()
+  const second = await Promise.all(Array.from({ length: 40 }, async (_, i) => await turn(i)))
+  t.deepEqual(second.filter(reply => reply.status !== 200).map(reply => reply.body), [])
+})
+
+// The control instances are gone for good and the lease runs out. The instance does not know whether somebody else owns its
+// endpoints by now: it must refuse, say that nothing ran, and send nothing.
+test('without a lease nothing is dispatched', async t => {
+  const fleet = await small.startSmallFleet(t, { routers: 1, engines: 1 })
+  const url = `${fleet.routers[0].url}/v1/chat/completions`
+  t.is((await small.post(url, 'clerks', chat('before'))).status, 200)
+  await fleet.controls[0].shutdown()
+  await small.until(() => fleet.routers[0].member.leaseLeftMs() < 0)
+  const runs = fleet.engines[0].runs.size
+  const reply = await small.post(url, 'clerks', chat('after'))
+  t.is(small.toError(reply).code, 'not_serving')
+  t.is(small.toError(reply).ran, 'no')
+  t.is(fleet.engines[0].runs.size, runs)
+})
--- a/packages/trials/src/callers.ts
+++ b/packages/trials/src/callers.ts
@@ -16,6 +16,8 @@
   notRun: string[]
   /** Requests by the kind of their refusal. */
   refusals: Map<string, number>
+  /** Refusals by client account. */
+  refusedOf: Map<string, number>
   /** First token, ms, by client account. */
   firstTokenMs: Map<string, number[]>
   /** Idempotency keys that got an answer, with the answer. */
@@ -24,7 +26,7 @@
 
 /** @returns a tally of nothing */
 export function createTally (): Tally {
-  return { answered: 0, refusedNotRun: 0, unknown: 0, wrongAnswers: 0, wrong: [], notRun: [], refusals: new Map(), firstTokenMs: new Map(), receipts: new Map() }
+  return { answered: 0, refusedNotRun: 0, unknown: 0, wrongAnswers: 0, wrong: [], notRun: [], refusals: new Map(), refusedOf: new Map(), firstTokenMs: new Map(), receipts: new Map() }
 }
 
 /** A caller's way to the fleet. */
@@ -124,6 +126,7 @@
       break
     case 'refused':
       tally.refusals.set(end.type, (tally.refusals.get(end.type) ?? 0) + 1)
+      tally.refusedOf.set(opts.account, (tally.refusedOf.get(opts.account) ?? 0) + 1)
       if (end.ran === 'no') {
         tally.refusedNotRun++
         tally.notRun.push(end.requestId)
--- a/packages/trials/src/fleet.ts
+++ b/packages/trials/src/fleet.ts
@@ -4,6 +4,7 @@
 import * as path from 'node:path'
 import * as undici from 'undici'
 import * as contracts from '@kingcupdeck/contracts'
+import * as localFleet from './localFleet.js'
 import * as processes from './processes.js'
 import * as relay from './relay.js'
 import * as engineModel from './standIn/engineModel.js'
@@ -23,8 +24,8 @@
   speed?: Partial<engineModel.EngineSpeed>
   snapshotEvery?: number
   ledgerGroups?: number
-  /** Seeds the stand-ins' choices of instances. */
-  seed?: number
+  /** How long a call of a plain service takes. */
+  callMs?: number
 }
 
 /** A running fleet. */
@@ -87,9 +88,13 @@
 export async function startFleet (opts: FleetOptions): Promise<Fleet> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcupdeck-'))
   const logFolder = path.join(folder, 'logs')
-  const document = readDeployment(opts)
+  const document = localFleet.readDeployment(opts.deployment)
+  if (opts.loadFactor !== undefined) document.services = withLoadFactor(document.services, opts.loadFactor)
   const documentFile = path.join(folder, 'document.json')
   fs.writeFileSync(documentFile, JSON.stringify(document))
+  // An account without a limit that matters, for measurements.
+  document.clientAccounts.latency = { ...document.clientAccounts[Object.keys(document.clientAccounts)[0]], tokens: [contracts.sha256('demo-latency')], requestsPerSecond: 1e6, burst: 1e6, services: Object.keys(document.services) }
+  fs.writeFileSync(documentFile, JSON.stringify(document))
   const zones = Object.keys(document.zones)
   const toZone = (i: number): string => zones[i % zones.length]
   const services = Object.entries(document.services)
@@ -157,7 +162,7 @@
   const engines = Array.from({ length: opts.engines }, (_, i) => startEndpoint(`engine-${i + 1}`, i, takePort(), {
     kind: 'engine', service: modelService, token: `demo-endpoint-${modelService}`, speed: { ...engineModel.USUAL_SPEED, ...opts.speed }, checksFencing, kvBytesPerToken: 131072, kvBytesPerSecond: 5e9, modelLoadMs: 300, carries: []
   }))
-  const plains = Array.from({ length: opts.plains }, (_, i) => startEndpoint(`${plainService}-${i + 1}`, i, takePort(), { kind: 'plain', service: plainService, token: `demo-endpoint-${plainService}`, callMs: 25 }))
+  const plains = Array.from({ length: opts.plains }, (_, i) => startEndpoint(`${plainService}-${i + 1}`, i, takePort(), { kind: 'plain', service: plainService, token: `demo-endpoint-${plainService}`, callMs: opts.callMs ?? 25 }))
 
   const fleet: Fleet = {
     document,
@@ -179,13 +184,14 @@
   return fleet
 }
 
-function readDeployment (opts: FleetOptions): contracts.Document {
-  const file = path.join(processes.ROOT, 'deployments', `${opts.deployment}.json`)
-  const checked = contracts.checkDocument(JSON.parse(fs.readFileSync(file, 'utf8')))
-  if (checked.kind === 'invalid') throw new Error(`${file}: ${JSON.stringify(checked.faults)}`)
-  if (opts.loadFactor === undefined) return checked.document
-  for (const spec of Object.values(checked.document.services)) if (spec.kind === 'model') spec.loadFactor = opts.loadFactor
-  return checked.document
+/**
+ * Sets the load factor of all model services.
+ * @param services the services of a document
+ * @param loadFactor the factor
+ * @returns the changed services
+ */
+export function withLoadFactor (services: contracts.Document['services'], loadFactor: number): contracts.Document['services'] {
+  return Object.fromEntries(Object.entries(services).map(([id, spec]) => [id, spec.kind === 'model' ? { ...spec, loadFactor } : spec]))
 }
 
 async function waitReady (fleet: Fleet, endpoints: number): Promise<void> {
--- a/packages/trials/src/invariantsSeen.ts
+++ b/packages/trials/src/invariantsSeen.ts
@@ -58,23 +58,34 @@
   const ended: Array<Record<string, Tally>> = []
   const versions = new Map<string, { version: number, serving: boolean }>()
 
+  const lookAtControl = async (node: fleets.ControlNode): Promise<void> => {
+    const health = await fleetTools.getJson(`${node.url}/health`).catch(() => undefined) as Health | undefined
+    if (health !== undefined) keep(node.id, health.invariants, 'voteSyncedBeforeSent')
+  }
+
+  /** @returns whether the process was started anew since the last look, by a count that only grows */
+  const keep = (id: string, tallies: Record<string, Tally>, growing: string): boolean => {
+    const before = latest.get(id)
+    const isNewStart = before !== undefined && before[growing].checked > tallies[growing].checked
+    if (isNewStart) ended.push(before)
+    latest.set(id, tallies)
+    return isNewStart
+  }
+
   const lookAt = async (node: fleets.RouterNode): Promise<void> => {
     const health = await fleetTools.getJson(`${node.url}/health`).catch(() => undefined) as Health | undefined
     if (health === undefined) {
       versions.delete(node.id)
       return
     }
-    const before = latest.get(node.id)
-    const isNewStart = before !== undefined && before.loadCap.checked > health.invariants.loadCap.checked
-    if (isNewStart) ended.push(before)
-    latest.set(node.id, health.invariants)
+    const isNewStart = keep(node.id, health.invariants, 'loadCap')
     const known = versions.get(node.id)
     if (health.serving) checks.check('versionNeverFallsWhileServing', isNewStart || known === undefined || health.documentVersion >= known.version, () => `${node.id} fell from ${known?.version ?? 0} to ${health.documentVersion}`)
     versions.set(node.id, { version: health.documentVersion, serving: health.serving })
   }
 
   return {
-    look: async () => { await Promise.all(fleet.routers.map(lookAt)) },
+    look: async () => { await Promise.all([...fleet.routers.map(lookAt), ...fleet.controls.map(lookAtControl)]) },
     finish () {
       for (const tallies of [...ended, ...latest.values()]) {
         for (const [name, tally] of Object.entries(tallies)) checks.add(name, tally)
--- /dev/null
+++ b/packages/trials/src/latency.ts
@@ -0,0 +1,111 @@
+/** What a router instance adds to a call, with and without the hop inside the fleet, and its processor time a request. */
+import * as undici from 'undici'
+import * as uuid from 'uuid'
+import * as contracts from '@kingcupdeck/contracts'
+import * as fleets from './fleet.js'
+import * as observers from './observers.js'
+
+/** Milliseconds, and processor time. */
+export interface LatencyFigures {
+  directP50: number
+  directP95: number
+  ownerAddsP50: number
+  ownerAddsP95: number
+  hopAddsP50: number
+  hopAddsP95: number
+  cpuMsPerRequest: number
+  cpuMicrosecondsPerStreamedToken: number
+}
+
+/**
+ * Measures over separate processes: two router instances in one zone, one runner.
+ * @param calls calls a measurement
+ * @returns the figures
+ */
+export async function measureLatency (calls: number): Promise<LatencyFigures> {
+  const fleet = await fleets.startFleet({ deployment: 'suwanrat', routers: 4, controls: 1, engines: 1, plains: 1, speed: { decodeMs: 1, decodeMsPerNeighbour: 0.01, slots: 64 }, callMs: 0 })
+  try {
+    const owner = await findOwner(fleet, fleet.plains[0].id)
+    const other = fleet.routers.find(node => node !== owner) as fleets.RouterNode
+    const direct = await time(calls, async () => { await callDirect(fleet) })
+    const atOwner = await time(calls, async () => { await callThrough(owner) })
+    const withHop = await time(calls, async () => { await callThrough(other) })
+    const quantile = observers.toQuantile
+    return {
+      directP50: quantile(direct, 0.5),
+      directP95: quantile(direct, 0.95),
+      ownerAddsP50: quantile(atOwner, 0.5) - quantile(direct, 0.5),
+      ownerAddsP95: quantile(atOwner, 0.95) - quantile(direct, 0.95),
+      hopAddsP50: quantile(withHop, 0.5) - quantile(direct, 0.5),
+      hopAddsP95: quantile(withHop, 0.95) - quantile(direct, 0.95),
+      cpuMsPerRequest: await measureCpu(fleet, async () => { await callThrough(owner) }, calls) * 1000 / calls,
+      cpuMicrosecondsPerStreamedToken: await measureTokens(fleet)
+    }
+  } finally {
+    await fleet.end()
+  }
+}
+
+async function findOwner (fleet: fleets.Fleet, endpoint: string): Promise<fleets.RouterNode> {
+  for (const node of fleet.routers) {
+    const health = await fleets.getJson(`${node.url}/health`) as unknown as { owned: Array<{ endpoint: string }> }
+    if (health.owned.some(item => item.endpoint === endpoint)) return node
+  }
+  throw new Error(`nobody owns ${endpoint}`)
+}
+
+async function time (calls: number, call: () => Promise<void>): Promise<number[]> {
+  for (let i = 0; i < 50; i++) await call()
+  const list: number[] = []
+  for (let i = 0; i < calls; i++) {
+    const startedAt = performance.now()
+    await call()
+    list.push(performance.now() - startedAt)
+  }
+  return list
+}
+
+const body = JSON.stringify({ frame: 12 })
+
+async function callDirect (fleet: fleets.Fleet): Promise<void> {
+  const res = await undici.request(`${fleet.plains[0].url}/repair-status`, { method: 'POST', headers: { 'content-type': 'application/json' }, body })
+  await res.body.text()
+}
+
+async function callThrough (node: fleets.RouterNode): Promise<void> {
+  const res = await undici.request(`${node.url}/v1/services/bookings/repair-status`, { method: 'POST', headers: { authorization: 'Bearer demo-latency', 'content-type': 'application/json', [contracts.HEADERS.idempotencyKey]: uuid.v7() }, body })
+  const text = await res.body.text()
+  if (res.statusCode !== 200) throw new Error(text)
+}
+
+async function readCpu (fleet: fleets.Fleet): Promise<number> {
+  const texts = await Promise.all(fleet.routers.map(async node => await undici.request(`${node.url}/metrics`).then(async res => await res.body.text())))
+  return texts.reduce((sum, text) => sum + Number(/^process_cpu_seconds_total ([\d.]+)/m.exec(text)?.[1] ?? 0), 0)
+}
+
+/** Processor seconds of all router instances for some work, less what they use idle in the same time. */
+async function measureCpu (fleet: fleets.Fleet, call: () => Promise<void>, calls: number): Promise<number> {
+  const start = await readCpu(fleet)
+  const startedAt = performance.now()
+  for (let i = 0; i < calls; i++) await call()
+  const busy = await readCpu(fleet) - start
+  const tookMs = performance.now() - startedAt
+  const idleStart = await readCpu(fleet)
+  await new Promise(resolve => setTimeout(resolve, tookMs))
+  return Math.max(0, busy - (await readCpu(fleet) - idleStart))
+}
+
+/** The slope between short and long answers, so that the cost of a request itself falls out. */
+async function measureTokens (fleet: fleets.Fleet): Promise<number> {
+  const ask = async (words: number): Promise<void> => {
+    const res = await undici.request(`${fleet.routers[0].url}/v1/chat/completions`, { method: 'POST', headers: { authorization: 'Bearer demo-latency' }, body: JSON.stringify({ model: 'frame-assistant', messages: [{ role: 'user', content: 'x' }], max_tokens: words, stream: true }) })
+    const text = await res.body.text()
+    if (!text.includes('[DONE]')) throw new Error(text.slice(-300))
+  }
+  const requests = 8
+  const [few, many] = [100, 1100]
+  await ask(few)
+  const short = await measureCpu(fleet, async () => { await ask(few) }, requests)
+  const long = await measureCpu(fleet, async () => { await ask(many) }, requests)
+  return (long - short) * 1e6 / (requests * (many - few))
+}
--- /dev/null
+++ b/packages/trials/src/localFleet.ts
@@ -0,0 +1,172 @@
+/** A whole fleet in one process over real sockets and files: the libraries that the daemons run, and the stand-ins. */
+import * as crypto from 'node:crypto'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as contracts from '@kingcupdeck/contracts'
+import * as control from '@kingcupdeck/control'
+import * as router from '@kingcupdeck/router'
+import * as routing from '@kingcupdeck/routing'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as processes from './processes.js'
+import * as relay from './relay.js'
+import * as engineModel from './standIn/engineModel.js'
+import * as engineServer from './standIn/engineServer.js'
+import * as plainServer from './standIn/plainServer.js'
+
+/** What a local fleet is made of. */
+export interface LocalFleetOptions {
+  deployment?: 'suwanrat' | 'vanua'
+  routers?: number
+  controls?: number
+  engines?: number
+  plains?: number
+  speed?: Partial<engineModel.EngineSpeed>
+  /** Changes the document before the fleet starts. */
+  edit?: (doc: contracts.Document) => void
+  /** Put a relay before each router's peer address. */
+  isRelayed?: boolean
+  checksFencing?: boolean
+  policy?: routing.Policy
+  isImporting?: boolean
+  /** Seeds the routers' own choices. */
+  random?: () => number
+  /** How long a call of a plain service takes. */
+  callMs?: number
+}
+
+/** A local fleet. */
+export interface LocalFleet {
+  readonly document: contracts.Document
+  readonly modelService: string
+  readonly plainService: string
+  readonly controls: control.Control[]
+  readonly routers: router.Router[]
+  readonly relays: relay.Relay[]
+  readonly engines: engineServer.Engine[]
+  readonly plains: plainServer.PlainServer[]
+  /** Log lines of all instances. */
+  readonly lines: string[]
+  /** Starts one more engine; on a port, where an earlier one is replaced. */
+  addEngine (id: string, zone?: string, port?: number): Promise<engineServer.Engine>
+  end (): Promise<void>
+}
+
+const SECRET = 'a-secret-of-the-small-fleet'
+const READY_MS = 20_000
+
+/**
+ * Starts a fleet and waits until it is ready.
+ * @param opts what it is made of
+ * @returns the fleet
+ */
+export async function startLocalFleet (opts: LocalFleetOptions = {}): Promise<LocalFleet> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcupdeck-local-'))
+  const lines: string[] = []
+  const toLog = (instance: string): telemetry.Log => telemetry.createLog({ instance, json: true, write: line => { lines.push(line) } })
+  const document = readDeployment(opts.deployment ?? 'suwanrat')
+  opts.edit?.(document)
+  const services = Object.entries(document.services)
+  const modelService = services.find(([, spec]) => spec.kind === 'model')?.[0] ?? ''
+  const plainService = services.find(([, spec]) => spec.kind === 'plain')?.[0] ?? ''
+  const zones = Object.keys(document.zones)
+  const toZone = (i: number): string => zones[i % zones.length]
+  const ports = await processes.findPorts(opts.controls ?? 1)
+  const controls = ports.map((port, i) => ({ id: `c${i + 1}`, address: `127.0.0.1:${port}` }))
+  const common = { secret: SECRET, ledgerGroups: 1, isFatal: true, controls }
+  const controlInstances = await Promise.all(controls.map(async item => await control.createControl({
+    ...common, id: item.id, peerListen: item.address, listen: '127.0.0.1:0', dataFolder: path.join(folder, item.id), document, log: toLog(item.id)
+  })))
+
+  const relays: relay.Relay[] = []
+  const routers: router.Router[] = []
+  for (let i = 0; i < (opts.routers ?? 2); i++) {
+    const [peerPort] = await processes.findPorts(1)
+    const between = opts.isRelayed === true ? await relay.startRelay('127.0.0.1', peerPort) : undefined
+    if (between !== undefined) relays.push(between)
+    routers.push(await router.createRouter({
+      ...common, id: `r${i + 1}`, zone: toZone(i), boot: crypto.randomUUID(), listen: '127.0.0.1:0', peerListen: `127.0.0.1:${peerPort}`, advertisePeer: between?.address, maxBodyBytes: 100_000, policy: opts.policy ?? 'owner', isImporting: opts.isImporting ?? true, random: opts.random, log: toLog(`r${i + 1}`)
+    }))
+  }
+
+  const urls = routers.map(item => item.url)
+  const engines: engineServer.Engine[] = []
+  const addEngine = async (id: string, zone = toZone(engines.length), port = 0): Promise<engineServer.Engine> => {
+    const engine: engineServer.Engine = await engineServer.startEngine({
+      endpoint: id, service: modelService, zone, token: `demo-endpoint-${modelService}`, routers: urls, port, speed: { ...engineModel.USUAL_SPEED, ...opts.speed }, checksFencing: opts.checksFencing ?? true, kvBytesPerToken: 131072, kvBytesPerSecond: 5e9, modelLoadMs: 20, carries: [], crash: () => { engine.kill() }
+    })
+    engines.push(engine)
+    return engine
+  }
+  for (let i = 0; i < (opts.engines ?? 2); i++) await addEngine(`engine-${i + 1}`)
+  const plains = await Promise.all(Array.from({ length: opts.plains ?? 0 }, async (_, i) => await plainServer.startPlainServer({ endpoint: `${plainService}-${i + 1}`, service: plainService, zone: toZone(i), token: `demo-endpoint-${plainService}`, routers: urls, port: 0, callMs: opts.callMs ?? 20 })))
+
+  const fleet: LocalFleet = {
+    document,
+    modelService,
+    plainService,
+    controls: controlInstances,
+    routers,
+    relays,
+    engines,
+    plains,
+    lines,
+    addEngine,
+    async end () {
+      for (const item of [...engines, ...plains]) item.kill()
+      for (const item of routers) await item.stop()
+      for (const item of controlInstances) await item.shutdown()
+      for (const item of relays) item.close()
+      fs.rmSync(folder, { recursive: true, force: true })
+    }
+  }
+  await until(async () => await isReady(fleet), READY_MS)
+  return fleet
+}
+
+/**
+ * Reads the document of a deployment.
+ * @param deployment whose
+ * @returns the document
+ */
+export function readDeployment (deployment: string): contracts.Document {
+  const file = path.join(processes.ROOT, 'deployments', `${deployment}.json`)
+  const checked = contracts.checkDocument(JSON.parse(fs.readFileSync(file, 'utf8')))
+  if (checked.kind === 'invalid') throw new Error(`${file}: ${JSON.stringify(checked.faults)}`)
+  return checked.document
+}
+
+async function isReady (fleet: LocalFleet): Promise<boolean> {
+  const wanted = fleet.engines.length + fleet.plains.length
+  const models = Object.keys(fleet.document.models).length
+  for (const item of fleet.routers) {
+    const health = await fetch(`${item.url}/health`).then(async res => await res.json() as { serving: boolean, endpoints: number })
+    if (!health.serving || health.endpoints < wanted) return false
+  }
+  for (const engine of fleet.engines) {
+    const stats = await fetch(`http://127.0.0.1:${engine.port}/stats`).then(async res => await res.json() as { carries: unknown[] })
+    if (stats.carries.length < models) return false
+  }
+  return true
+}
+
+/**
+ * Waits until something holds.
+ * @param holds asked again and again
+ * @param limitMs gives up after this long
+ */
+export async function until (holds: () => boolean | Promise<boolean>, limitMs = 20_000): Promise<void> {
+  const deadline = performance.now() + limitMs
+  while (!await holds()) {
+    if (performance.now() > deadline) throw new Error('waited in vain')
+    await pause(30)
+  }
+}
+
+/**
+ * Waits.
+ * @param ms how long
+ */
+export async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/packages/trials/src/observers.ts
+++ b/packages/trials/src/observers.ts
@@ -110,7 +110,7 @@
     const text = await undici.request(`${node.url}/metrics`, { signal: AbortSignal.timeout(2000) }).then(async res => await res.body.text()).catch(() => undefined)
     if (text === undefined) return
     total.instances++
-    for (const match of text.matchAll(/kingcupdeck_link_bytes_total\{direction="\w+",class="(\w+)"\} (\d+)/g)) {
+    for (const match of text.matchAll(/kingcupdeck_link_bytes_total\{direction="\w+",class="(\w+)",message="\w+"\} (\d+)/g)) {
       total[match[1] as 'control' | 'data' | 'ledger'] += Number(match[2])
     }
   }))
--- a/packages/trials/src/standIn/announcer.ts
+++ b/packages/trials/src/standIn/announcer.ts
@@ -30,6 +30,7 @@
   const loads: number[] = []
   let seq = 0
   let owner: string | undefined
+  let intervalMs = contracts.ANNOUNCE_MS
   let next = Math.floor(Math.random() * Math.max(1, opts.routers.length))
   const stopping = new AbortController()
 
@@ -60,6 +61,7 @@
         owner = undefined
         return
       }
+      intervalMs = reply.intervalMs
       if (reply.owner === null || reply.owner === url) return
       owner = reply.owner
     }
@@ -68,7 +70,7 @@
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       await announceNow()
-      await new Promise(resolve => setTimeout(resolve, owner === undefined ? contracts.ANNOUNCE_MS / 4 : contracts.ANNOUNCE_MS))
+      await new Promise(resolve => setTimeout(resolve, owner === undefined ? contracts.ANNOUNCE_MS / 4 : intervalMs))
     }
   }
   void run()
--- a/packages/trials/src/standIn/engineServer.ts
+++ b/packages/trials/src/standIn/engineServer.ts
@@ -47,6 +47,8 @@
   /** Requests that began after the engine said that it is leaving, with how long after, ms. */
   readonly lateStarts: number[]
   setFault (fault: Fault | undefined): void
+  /** From now on orders are refused, so that it keeps what it carries. */
+  refuseOrders (): void
   leave (): Promise<void>
   /** Ends at once, as a killed process does. */
   kill (): void
@@ -86,6 +88,7 @@
   let carries = opts.carries
   let fence = 0
   let nextFault: Fault | undefined
+  let isRefusing = false
   let leftAt: number | undefined
   let cacheSeq = 0
   let cacheEvents: contracts.Announcement['cacheEvents'] = []
@@ -220,8 +223,13 @@
       follower.destroy()
       return
     }
-    const claimed = running.fault === 'cross' && n === 2 ? 'another-attempt' : attempt
-    follower.write(`id: ${claimed}.${n}\ndata: ${running.events[n]}\n\n`)
+    if (running.fault === 'cross' && n === 2) {
+      // A word of somebody else's answer, under that one's attempt id.
+      const foreign = running.events[n].replace(/"content":"[^"]*"/, '"content":" foreign"')
+      follower.write(`id: another-attempt.${n}\ndata: ${foreign}\n\n`)
+      return
+    }
+    follower.write(`id: ${attempt}.${n}\ndata: ${running.events[n]}\n\n`)
     if (running.fault === 'duplicate') follower.write(`id: ${attempt}.${n}\ndata: ${running.events[n]}\n\n`)
   }
 
@@ -258,7 +266,7 @@
   const takeOrder = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
     const order = contracts.order.parse(await readJson(req))
     const isOld = order.fence < fence
-    const isObeyed = !(isOld && opts.checksFencing)
+    const isObeyed = !(isOld && opts.checksFencing) && !isRefusing
     orders.push({ fence: order.fence, isObeyed })
     if (!isObeyed) {
       sendJson(res, 409, { error: { message: `order ${order.fence} is older than ${fence}` } })
@@ -319,6 +327,7 @@
     orders,
     lateStarts,
     setFault: fault => { nextFault = fault },
+    refuseOrders: () => { isRefusing = true },
     leave,
     kill () {
       announcing.stop()
--- a/packages/trials/src/workload.ts
+++ b/packages/trials/src/workload.ts
@@ -1,6 +1,5 @@
 /** The days of the two users, small: chats that return after pauses, repeated questions, night tagging, charges with resends. */
 import * as callers from './callers.js'
-import * as fleets from './fleet.js'
 import * as randoms from './random.js'
 import * as answers from './standIn/answers.js'
 
@@ -23,6 +22,8 @@
   to?: number
   /** The chance that a caller asks the same question twice. */
   repeats?: number
+  /** Each turn opens a chat of its own, as a surge does. */
+  isOneOff?: boolean
 }
 
 /** Non-idempotent calls. */
@@ -73,6 +74,8 @@
 /** A running workload. */
 export interface Workload {
   readonly tally: callers.Tally
+  /** @returns requests sent so far */
+  sent (): number
   /** Stops new requests and waits for those under way. */
   finish (): Promise<void>
 }
@@ -88,14 +91,16 @@
  * @param seed the same seed gives the same choices
  * @returns the workload
  */
-export function startWorkload (fleet: fleets.Fleet, day: Day, seed: number): Workload {
+export function startWorkload (fleet: { routers: ReadonlyArray<{ url: string }> }, day: Day, seed: number): Workload {
   const tally = callers.createTally()
   const open = new Set<Promise<unknown>>()
   const startedAt = performance.now()
   const stops: Array<() => void> = []
   const seeds = fleet.routers.map(node => node.url)
 
+  let sent = 0
   const track = (work: Promise<unknown>): void => {
+    sent++
     open.add(work)
     void work.finally(() => open.delete(work))
   }
@@ -133,6 +138,7 @@
 
   return {
     tally,
+    sent: () => sent,
     async finish () {
       for (const stop of stops) stop()
       await Promise.all(open)
@@ -161,7 +167,7 @@
   if (end.kind === 'answered') {
     chat.messages = [...chat.messages, { role: 'assistant', content: end.text }, { role: 'user', content: randoms.createWords(random, stream.words.turn) }]
   }
-  if (chat.messages.length > MAX_MESSAGES) {
+  if (chat.messages.length > MAX_MESSAGES || stream.isOneOff === true) {
     chat.id = `${stream.account}-${opened++}`
     chat.messages = toOpening(stream, random)
   }
--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -68,13 +68,22 @@
   say(`tests  (${Math.round((Date.now() - startedAt) / 1000)} s)`)
 }
 
+/** The console is tested in a browser where one can be had; its tests say so where not. */
+function installBrowser () {
+  const isThere = () => run('sh', ['-c', 'command -v chromium']).status === 0
+  if (!isThere()) run('sh', ['-c', 'apt-get update && apt-get install -y --no-install-recommends chromium'])
+  say(isThere() ? 'ok  browser for the console tests' : 'skipped  console tests: no browser could be installed')
+}
+
 const isInstalled = step('npm ci', 'npm', ['ci', '--no-audit', '--no-fund']).isGood
 if (isInstalled && step('build (types)', 'npx', ['tsc', '-b']).isGood) {
   step('lint', 'npx', ['eslint', '.'])
   step('event catalogue', 'node', ['scripts/events.mjs', '--check'])
   step('command line help', 'npx', ['kingcupdeck', '--help'])
+  installBrowser()
   runTests()
   say(step('demo, short', 'node', ['packages/trials/dist/src/demo.js'], { DEMO_SECONDS: '12' }).lastLine)
+  say(step('soak, short', 'node', ['packages/trials/dist/src/soak.js', '--seed', '11', '--seconds', '20']).lastLine)
 }
 say(`${passed} passed, ${failed} failed`)
 process.exit(failed === 0 ? 0 : 1)
