fix(control): operators' connections are not taken for replication; fix(state): a replica that stood in vain goes on voting

The client that a control instance asks the leader with, for operators, said that it was a control instance; the receiving side put the connection into the book that its replicas use, and that client answers no calls. Each use of the operators' side cut one replica off. Ruled out: a blocked event loop of the trial (idle), a stalled disk (0.9 ms a sync, 8 ms at most), relays that stayed cut (connections were open and static), elections that collide (they did not even reach each other). Change: such a client comes as a tool. Beside it: a replica refused votes for a second after each of its own failed candidacies, which made elections collide more than need be; it has a timer of its own for that now. Parts of the entry and of the engine stand-in have files of their own.

--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -137,9 +137,10 @@
     replicas: [...groups.values()].map(item => item.status())
   })
 
-  // Operators may ask any control instance; this client finds the leader for them.
-  const client = membership.createControlClient({ who, secret: opts.secret, log, controls: opts.controls, onEvent: () => {} })
-  const operators = await operatorServer.startOperatorServer(opts.listen, { client, machine: fleetMachine, registry: metrics.registry, log, toHealth: () => ({ peerPort: server.port, invariants: invariants.tallies() }) })
+  // Operators may ask any control instance; this client finds the leader for them. It does not come as a control instance:
+  // the other side would take its connection for replication, and this client answers no calls.
+  const client = membership.createControlClient({ who: { role: 'tool', id: opts.id }, secret: opts.secret, log, controls: opts.controls, onEvent: () => {} })
+  const operators = await operatorServer.startOperatorServer(opts.listen, { client, machine: fleetMachine, registry: metrics.registry, log, toHealth: () => ({ peerPort: server.port, replicas: [...groups.values()].map(item => item.status()), invariants: invariants.tallies() }) })
 
   log.event('started', { role: 'control', url: operators.url, peerPort: server.port })
 
--- a/packages/router/src/chatEntry.ts
+++ b/packages/router/src/chatEntry.ts
@@ -2,6 +2,7 @@
 import * as contracts from '@kingcupdeck/contracts'
 import * as answers from './answer.js'
 import type * as auths from './auth.js'
+import * as chatRequest from './chatRequest.js'
 import type * as context from './entryContext.js'
 import * as helpers from './http.js'
 import * as ids from './ids.js'
@@ -10,8 +11,6 @@
 /** After this many attempts a request ends in an error, whatever the retry budget says. */
 const MAX_ATTEMPTS = 5
 const UNAVAILABLE = 503
-/** The share of a chat that tells it from others when the caller names none. */
-const RETURNING_MESSAGES = 3
 
 /**
  * Serves `POST /v1/chat/completions`.
@@ -21,7 +20,7 @@
  */
 export async function serveChat (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account): Promise<void> {
   const body = await helpers.readBody(exchange.req, ctx.maxBodyBytes)
-  const chat = parseChat(helpers.parseJson(body))
+  const chat = chatRequest.parseChat(helpers.parseJson(body))
   const doc = ctx.needDocument()
   const model = doc.models[chat.model]
   if (model === undefined || !account.spec.services.includes(model.service)) throw new contracts.FailureError({ kind: 'unknown_model', model: chat.model })
@@ -30,13 +29,6 @@
   await followToEnd(ctx, run)
 }
 
-function parseChat (input: unknown): contracts.ChatRequest {
-  const parsed = contracts.chatRequest.safeParse(input)
-  if (parsed.success) return parsed.data
-  const faults = parsed.error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`)
-  throw new contracts.FailureError({ kind: 'bad_request', detail: `The request is not a chat completion: ${faults.join('; ')}` })
-}
-
 interface Run {
   exchange: helpers.Exchange
   account: auths.Account
@@ -47,20 +39,19 @@
   request: placing.PlacingRequest
   /** Whether an endpoint may have begun it. */
   isReached: boolean
-  engine: string
+  /** The endpoint that serves it now, for the header of the answer. */
+  served: { engine: string }
 }
 
 function createRun (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account, chat: contracts.ChatRequest, service: string, body: Buffer): Run {
   const { priority, rank, patienceMs } = ctx.toUrgency(exchange, account)
   const startedAt = performance.now()
-  const gone = ctx.watchCaller(exchange)
-  const chatKey = toChatKey(exchange, account.id, chat)
-  const run: Run = { exchange, account, priority, startedAt, isReached: false, engine: '' } as Run
-  const headers = (): Record<string, string> => ({ [contracts.HEADERS.engine]: run.engine })
-  const isUsageWanted = chat.stream_options?.include_usage === true
-  run.writer = chat.stream === true ? answers.createStreamWriter(exchange, isUsageWanted, headers) : answers.createWholeWriter(exchange, headers)
-  run.answer = answers.createGrowingAnswer(timeFirst(ctx, run))
-  run.request = {
+  const chatKey = chatRequest.toChatKey(exchange, account.id, chat)
+  const served = { engine: '' }
+  const writer = timeTokens(ctx, account.id, priority, startedAt, createWriter(exchange, chat, served))
+  const answer = answers.createGrowingAnswer(writer)
+  const excluded = new Set<string>()
+  const request: placing.PlacingRequest = {
     requestId: exchange.requestId,
     service,
     key: chatKey,
@@ -68,57 +59,49 @@
     account: account.id,
     accountWeight: account.spec.weight,
     rank,
-    toBody: () => toEngineBody(chat, run.answer),
+    toBody: () => chatRequest.toEngineBody(chat, answer),
     patienceUntil: startedAt + patienceMs,
     model: chat.model,
-    toWork: importFrom => ({ kind: 'chat', model: chat.model, chat: chatKey, importFrom, avoid: run.request.excluded.size > 0 ? [...run.request.excluded] : undefined, resumeFrom: run.answer.due() }),
+    toWork: importFrom => ({ kind: 'chat', model: chat.model, chat: chatKey, importFrom, avoid: excluded.size > 0 ? [...excluded] : undefined, resumeFrom: answer.due() }),
     isRepeatable: true,
-    isReturning: chat.messages.length >= RETURNING_MESSAGES,
-    excluded: new Set(),
+    isReturning: chatRequest.isReturning(chat),
+    excluded,
     isSuspect: false,
     trace: ctx.traces.open(exchange.requestId),
-    signal: gone
+    signal: ctx.watchCaller(exchange)
   }
-  return run
+  return { exchange, account, priority, startedAt, answer, writer, request, isReached: false, served }
+}
+
+function createWriter (exchange: helpers.Exchange, chat: contracts.ChatRequest, served: { engine: string }): answers.AnswerWriter {
+  const headers = (): Record<string, string> => ({ [contracts.HEADERS.engine]: served.engine })
+  if (chat.stream !== true) return answers.createWholeWriter(exchange, headers)
+  return answers.createStreamWriter(exchange, chat.stream_options?.include_usage === true, headers)
 }
 
 /** Notes the first token and the time between tokens on their way to the caller. */
-function timeFirst (ctx: context.EntryContext, run: Run): answers.AnswerWriter {
+function timeTokens (ctx: context.EntryContext, accountId: string, priority: string, startedAt: number, writer: answers.AnswerWriter): answers.AnswerWriter {
   let lastAt: number | undefined
-  const account = ctx.metrics.toAccountLabel(run.account.id)
-  const between = ctx.metrics.betweenTokens.labels({ priority: run.priority })
+  const account = ctx.metrics.toAccountLabel(accountId)
+  const between = ctx.metrics.betweenTokens.labels({ priority })
   return {
     write (data) {
       const now = performance.now()
-      if (lastAt === undefined) ctx.metrics.firstToken.observe({ account, priority: run.priority }, (now - run.startedAt) / 1000)
+      if (lastAt === undefined) ctx.metrics.firstToken.observe({ account, priority }, (now - startedAt) / 1000)
       else between.observe((now - lastAt) / 1000)
       lastAt = now
-      run.writer.write(data)
+      writer.write(data)
     },
-    finish () { run.writer.finish() }
+    finish: writer.finish
   }
 }
 
-/** The request as an engine gets it: always a stream, and with the text so far where another engine began the answer. */
-function toEngineBody (chat: contracts.ChatRequest, answer: answers.GrowingAnswer): Uint8Array {
-  const due = answer.due()
-  const resume = due > 0 ? { kingcupdeck_resume: { offset: due, text: answer.text() } } : {}
-  return Buffer.from(JSON.stringify({ ...chat, stream: true, stream_options: { ...chat.stream_options, include_usage: true }, ...resume }))
-}
-
-function toChatKey (exchange: helpers.Exchange, account: string, chat: contracts.ChatRequest): string {
-  const named = helpers.toHeader(exchange.req, contracts.HEADERS.chat) ?? chat.prompt_cache_key ?? undefined
-  const firstUser = chat.messages.findIndex(message => message.role === 'user')
-  const opening = named ?? JSON.stringify(chat.messages.slice(0, firstUser + 1))
-  return contracts.sha256(`${account}\n${chat.model}\n${opening}`).slice(0, 24)
-}
-
 async function followToEnd (ctx: context.EntryContext, run: Run): Promise<void> {
   const { request } = run
   ctx.budget.earn()
   let placed = await placeOrThrow(ctx, run)
   for (let attemptNo = 1; ; attemptNo++) {
-    run.engine = placed.endpoint
+    run.served.engine = placed.endpoint
     ctx.placer.countOwn(placed.endpoint, 1)
     const { attempt } = placed
     request.signal.addEventListener('abort', attempt.interrupt)
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -17,14 +17,15 @@
   const { clock, random } = core.opts
   while (core.isRunning) {
     const patience = contracts.ELECTION_MIN_MS + random() * (contracts.ELECTION_MAX_MS - contracts.ELECTION_MIN_MS)
-    await clock.sleep(Math.max(10, core.lastHeardAt + patience - clock.now()))
+    await clock.sleep(Math.max(10, quietSince(core) + patience - clock.now()))
     if (!core.isRunning || core.role.kind === 'leader' || !core.isVoter()) {
-      if (core.role.kind === 'leader' || !core.isVoter()) core.lastHeardAt = clock.now()
+      if (core.role.kind === 'leader' || !core.isVoter()) core.waitsSince = clock.now()
       continue
     }
-    if (clock.now() - core.lastHeardAt < patience) continue
+    if (clock.now() - quietSince(core) < patience) continue
     await campaign(core, false, lead)
-    core.lastHeardAt = clock.now()
+    // Its own wait begins anew, but it goes on voting: a replica that stood in vain must not be deaf to the next one.
+    core.waitsSince = clock.now()
   }
 }
 
@@ -108,12 +109,17 @@
   const isFree = core.meta.term === msg.term && (core.meta.votedFor === null || core.meta.votedFor === candidate)
   if (!isFree || !isUpToDate) return refuse()
   core.meta = { ...core.meta, votedFor: candidate }
-  core.lastHeardAt = core.opts.clock.now()
+  core.waitsSince = core.opts.clock.now()
   await core.saveMeta()
   checkVoteSynced(core, msg.term, candidate)
   return { t: 'ballot', from: core.self(), term: msg.term, isGranted: true }
 }
 
+/** @returns since when nothing has spoken against standing for election */
+function quietSince (core: replicaCore.Core): number {
+  return Math.max(core.lastHeardAt, core.waitsSince)
+}
+
 function isLeaderAlive (core: replicaCore.Core): boolean {
   if (core.role.kind === 'leader') return core.opts.clock.now() < core.leaseEnd()
   return core.opts.clock.now() - core.lastHeardAt < contracts.ELECTION_MIN_MS
--- a/packages/state/src/founding.ts
+++ b/packages/state/src/founding.ts
@@ -91,7 +91,7 @@
   core.meta = { ...core.meta, founding }
   await core.saveMeta()
   core.role = { kind: 'follower' }
-  core.lastHeardAt = core.opts.clock.now()
+  core.waitsSince = core.opts.clock.now()
   core.opts.log.event('replicaFounded', { group: core.opts.group, replica: core.opts.name, voters: founding.length })
 }
 
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -116,7 +116,10 @@
     syncedMeta: undefined as entries.Meta | undefined,
     role: { kind: 'outside' } as Role,
     leader: null as string | null,
+    /** When a leader was last heard; votes are refused for a while after it. */
     lastHeardAt: clock.now(),
+    /** When this replica last had a reason to wait before it stands for election. */
+    waitsSince: clock.now(),
     isRunning: true,
     commit: 0,
     applied: 0,
@@ -159,7 +162,7 @@
       core.role = { kind: 'follower' }
       if (was.kind !== 'leader') return
       core.leader = null
-      core.lastHeardAt = clock.now()
+      core.waitsSince = clock.now()
       for (const waiter of was.lead.waiting.values()) waiter.reject(new ProposalError('unknown', null))
       for (const peer of was.lead.peers.values()) peer.wake()
       opts.log.event('leaderLost', { group: opts.group, replica: opts.name, term: was.lead.term, why })
--- a/packages/trials/src/standIn/engineServer.ts
+++ b/packages/trials/src/standIn/engineServer.ts
@@ -9,12 +9,10 @@
 import * as contracts from '@kingcupdeck/contracts'
 import * as announcer from './announcer.js'
 import * as answers from './answers.js'
+import * as attemptStream from './attemptStream.js'
 import * as engineModel from './engineModel.js'
 import * as prefixCache from './prefixCache.js'
 
-/** A fault that the next request meets. */
-export type Fault = 'stall' | 'gap' | 'cut' | 'cross' | 'duplicate' | 'error'
-
 /** What an engine stand-in is built from. */
 export interface EngineOptions {
   endpoint: string
@@ -46,7 +44,7 @@
   readonly orders: Array<{ fence: number, isObeyed: boolean }>
   /** Requests that began after the engine said that it is leaving, with how long after, ms. */
   readonly lateStarts: number[]
-  setFault (fault: Fault | undefined): void
+  setFault (fault: attemptStream.Fault | undefined): void
   /** From now on orders are refused, so that it keeps what it carries. */
   refuseOrders (): void
   leave (): Promise<void>
@@ -57,21 +55,13 @@
 /** A prompt with this word crashes the engine that runs it. */
 export const POISON = 'poison-pill'
 const STEP_MS = 4
-const DETACHED_MS = 3000
 const KEEP_DONE_MS = 5000
 const POISON_AFTER_WORDS = 2
 
-interface Running {
-  job: engineModel.Job
-  requestId: string
-  events: string[]
-  isDone: boolean
-  /** The connection that follows it. */
-  follower: http.ServerResponse | undefined
-  detachedAt: number | undefined
-  /** Duplicate or crossed events, on demand. */
-  fault: Fault | undefined
-}
+/** A chat completion, with the words that another engine produced already. */
+type EngineRequest = contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }
+
+interface Running { job: engineModel.Job, stream: attemptStream.AttemptStream }
 
 /**
  * Starts an engine.
@@ -87,7 +77,7 @@
   const lateStarts: number[] = []
   let carries = opts.carries
   let fence = 0
-  let nextFault: Fault | undefined
+  let nextFault: attemptStream.Fault | undefined
   let isRefusing = false
   let leftAt: number | undefined
   let cacheSeq = 0
@@ -117,7 +107,7 @@
       case 'POST /kv/import': await importCache(req, res); return
       case 'POST /orders': await takeOrder(req, res); return
       case 'POST /fault':
-        nextFault = (await readJson(req) as { fault?: Fault }).fault
+        nextFault = (await readJson(req) as { fault?: attemptStream.Fault }).fault
         sendJson(res, 200, {})
         return
       case 'POST /leave':
@@ -134,11 +124,11 @@
   const complete = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
     const attempt = String(req.headers[contracts.HEADERS.attempt] ?? '')
     const lastEvent = req.headers['last-event-id']
-    const body = await readJson(req) as contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }
+    const body = await readJson(req) as EngineRequest
     const from = lastEvent === undefined ? 0 : Number(/\.(-?\d+)$/.exec(String(lastEvent))?.[1] ?? -1) + 1
     const known = attempts.get(attempt)
     if (known !== undefined) {
-      follow(known, res, attempt, from)
+      known.stream.follow(res, from)
       return
     }
     const carried = carries.find(item => item.model === body.model)
@@ -152,40 +142,31 @@
       sendJson(res, 500, { error: { message: 'out of memory' } })
       return
     }
-    const running = begin(attempt, req, body, fault)
-    follow(running, res, attempt, Math.max(0, (body.kingcupdeck_resume?.offset ?? 0) - 1))
+    begin(attempt, req, body, fault).follow(res, Math.max(0, (body.kingcupdeck_resume?.offset ?? 0) - 1))
   }
 
-  const begin = (attempt: string, req: http.IncomingMessage, body: contracts.ChatRequest & { kingcupdeck_resume?: { offset: number } }, fault: Fault | undefined): Running => {
+  const begin = (attempt: string, req: http.IncomingMessage, body: EngineRequest, fault: attemptStream.Fault | undefined): attemptStream.AttemptStream => {
     const requestId = String(req.headers[contracts.HEADERS.requestId] ?? attempt)
     runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
     if (leftAt !== undefined) lateStarts.push(Date.now() - leftAt)
     const messages = body.messages as answers.Message[]
     const words = body.max_completion_tokens ?? body.max_tokens ?? answers.DEFAULT_ANSWER_TOKENS
     const isPoison = messages.some(message => String(message.content).includes(POISON))
-    const offset = Math.min(words, body.kingcupdeck_resume?.offset ?? 0)
-    const running: Running = { job: undefined as unknown as engineModel.Job, requestId, events: [], isDone: false, follower: undefined, detachedAt: undefined, fault }
+    const begun = Math.min(words, body.kingcupdeck_resume?.offset ?? 0)
     const chat = String(req.headers[contracts.HEADERS.chat] ?? '')
-    running.job = model.submit({
-      attempt,
-      requestId,
-      chat,
-      rank: Number(req.headers[contracts.HEADERS.priority] ?? 5),
-      messages,
-      words,
-      begun: offset,
-      onWord: (index, word) => {
-        if (isPoison && index >= POISON_AFTER_WORDS) {
-          opts.crash()
-          return
-        }
-        if (word === undefined) noteCache(chat)
-        emit(running, attempt, index, word, body.model)
+    const stream = attemptStream.createAttemptStream({ attempt, requestId, model: body.model, createdAt: boot, begun, fault })
+    const onWord = (index: number, word: string | undefined): void => {
+      if (isPoison && index >= POISON_AFTER_WORDS) opts.crash()
+      else if (word !== undefined) stream.emitWord(index, word)
+      else {
+        noteCache(chat)
+        stream.finish({ promptTokens: job.promptTokens, cachedTokens: job.cachedTokens, words })
+        setTimeout(() => attempts.delete(attempt), KEEP_DONE_MS).unref()
       }
-    })
-    for (let i = 0; i < offset; i++) running.events.push(JSON.stringify({ choices: [{ index: 0, delta: {}, finish_reason: null }] }))
-    attempts.set(attempt, running)
-    return running
+    }
+    const job: engineModel.Job = model.submit({ attempt, requestId, chat, rank: Number(req.headers[contracts.HEADERS.priority] ?? 5), messages, words, begun, onWord })
+    attempts.set(attempt, { job, stream })
+    return stream
   }
 
   const noteCache = (chat: string): void => {
@@ -194,64 +175,6 @@
     if (cacheSeq % 8 !== 0) cacheEvents = [...cacheEvents, { seq: cacheSeq, op: 'stored' as const, chat }].slice(-50)
   }
 
-  const emit = (running: Running, attempt: string, index: number, word: string | undefined, model: string): void => {
-    const base = { id: `chatcmpl-${running.requestId}`, object: 'chat.completion.chunk', created: Math.floor(boot / 1000), model }
-    const push = (chunk: unknown): void => {
-      running.events.push(JSON.stringify(chunk))
-      send(running, attempt, running.events.length - 1)
-    }
-    if (word !== undefined) {
-      const delta = { ...(index === 0 ? { role: 'assistant' } : {}), content: index === 0 ? word : ' ' + word }
-      push({ ...base, choices: [{ index: 0, delta, finish_reason: null }] })
-      return
-    }
-    const { job } = running
-    push({ ...base, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] })
-    push({ ...base, choices: [], usage: { prompt_tokens: job.promptTokens, completion_tokens: job.words.length, total_tokens: job.promptTokens + job.words.length, prompt_tokens_details: { cached_tokens: job.cachedTokens } } })
-    running.isDone = true
-    if (running.fault !== 'stall') running.follower?.end('data: [DONE]\n\n')
-    setTimeout(() => attempts.delete(attempt), KEEP_DONE_MS).unref()
-  }
-
-  const send = (running: Running, attempt: string, n: number): void => {
-    const { follower } = running
-    if (follower === undefined) return
-    if ((running.fault === 'stall' || running.fault === 'gap') && n >= 3) return
-    if (running.fault === 'cut' && n === 4) {
-      running.fault = undefined
-      running.follower = undefined
-      follower.destroy()
-      return
-    }
-    if (running.fault === 'cross' && n === 2) {
-      // A word of somebody else's answer, under that one's attempt id.
-      const foreign = running.events[n].replace(/"content":"[^"]*"/, '"content":" foreign"')
-      follower.write(`id: another-attempt.${n}\ndata: ${foreign}\n\n`)
-      return
-    }
-    follower.write(`id: ${attempt}.${n}\ndata: ${running.events[n]}\n\n`)
-    if (running.fault === 'duplicate') follower.write(`id: ${attempt}.${n}\ndata: ${running.events[n]}\n\n`)
-  }
-
-  /** Connects a caller to a request, from the event that it names on. */
-  const follow = (running: Running, res: http.ServerResponse, attempt: string, from: number): void => {
-    if (running.follower !== undefined) {
-      running.fault = undefined
-      running.follower.destroy()
-    }
-    running.follower = res
-    running.detachedAt = undefined
-    res.writeHead(200, { 'content-type': 'text/event-stream', [contracts.HEADERS.attempt]: attempt })
-    res.flushHeaders()
-    res.on('close', () => {
-      if (running.follower !== res) return
-      running.follower = undefined
-      running.detachedAt = performance.now()
-    })
-    for (let n = from; n < running.events.length; n++) send(running, attempt, n)
-    if (running.isDone) res.end('data: [DONE]\n\n')
-  }
-
   const importCache = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
     const { chat, from } = await readJson(req) as { chat: string, from: string }
     const reply = await undici.request(`http://${from}/kv?chat=${encodeURIComponent(chat)}`, { signal: AbortSignal.timeout(1000) })
@@ -296,10 +219,8 @@
   }, STEP_MS)
   const careTimer = setInterval(() => {
     for (const [attempt, running] of attempts) {
-      if (running.isDone) continue
-      if (running.fault !== 'stall' || running.events.length < 3) running.follower?.write(': wait\n\n')
-      const isForsaken = running.detachedAt !== undefined && performance.now() - running.detachedAt > DETACHED_MS
-      if (!isForsaken) continue
+      running.stream.keepAlive()
+      if (!running.stream.isForsaken()) continue
       model.cancel(running.job)
       attempts.delete(attempt)
     }
