refactor(router): one reading of a key's time, one key for a named chat

Ruled out: sharing the body readers of the router's and the operators' server (the packages do not depend on each other). Change: contracts.toKeyMs, chatRequest.toNamedChatKey, the comments. Behaviour as before. Conclusion: no change in behaviour.

--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -101,7 +101,7 @@
       case 'leave': return await leases.leave(call.instance, call.incarnation)
       case 'ledgerBegin': {
         const retentionMs = (fleetMachine.document()?.ledger.retentionHours ?? DEFAULT_RETENTION_HOURS) * 3_600_000
-        return await proposeLedger(replica, { t: 'begin', account: call.account, key: call.key, attempt: call.attempt, hash: call.hash, keyMs: toKeyMs(call.key), retentionMs })
+        return await proposeLedger(replica, { t: 'begin', account: call.account, key: call.key, attempt: call.attempt, hash: call.hash, keyMs: contracts.toKeyMs(call.key), retentionMs })
       }
       case 'ledgerFinish': return await proposeLedger(replica, { t: 'finish', account: call.account, key: call.key, attempt: call.attempt, answer: call.answer })
       case 'ledgerAbort': return await proposeLedger(replica, { t: 'abort', account: call.account, key: call.key, attempt: call.attempt })
@@ -162,9 +162,3 @@
 }
 
 const DEFAULT_RETENTION_HOURS = 24
-const TIME_HEX_DIGITS = 12
-
-/** The time that a UUIDv7 carries; the entry instance has checked that it is one. */
-function toKeyMs (key: string): number {
-  return parseInt(key.replaceAll('-', '').slice(0, TIME_HEX_DIGITS), 16)
-}
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -82,7 +82,7 @@
     if (reply.t === 'gossip' && isDigestTurn && !reply.isEqual) await compareBuckets(peer)
   }
 
-  /** The tables differ: each side gives the other what lies in the buckets that differ. */
+  /** The tables differ: asks the peer for what lies in the buckets that differ. */
   const compareBuckets = async (peer: contracts.Instance): Promise<void> => {
     allowance -= DIGESTS_BYTES
     const reply = await opts.call(peer, { t: 'gossip', digests: opts.table.digests(), entries: [] })
--- a/packages/router/src/chatRequest.ts
+++ b/packages/router/src/chatRequest.ts
@@ -5,6 +5,7 @@
 
 /** A chat with this many messages was here before: a question, its answer, and the next question. */
 const RETURNING_MESSAGES = 3
+const CHAT_KEY_CHARS = 24
 
 /**
  * Checks a request.
@@ -42,7 +43,18 @@
   const named = helpers.toHeader(exchange.req, contracts.HEADERS.chat) ?? chat.prompt_cache_key ?? undefined
   const firstUser = chat.messages.findIndex(message => message.role === 'user')
   const opening = named ?? JSON.stringify(chat.messages.slice(0, firstUser + 1))
-  return contracts.sha256(`${account}\n${chat.model}\n${opening}`).slice(0, 24)
+  return toNamedChatKey(account, chat.model, opening)
+}
+
+/**
+ * The key of a chat that is named, as the address lookup has it.
+ * @param account the client account
+ * @param model the model that the chat uses
+ * @param name the caller's id of the chat
+ * @returns a short digest
+ */
+export function toNamedChatKey (account: string, model: string, name: string): string {
+  return contracts.sha256(`${account}\n${model}\n${name}`).slice(0, CHAT_KEY_CHARS)
 }
 
 /**
--- a/packages/router/src/ids.ts
+++ b/packages/router/src/ids.ts
@@ -29,8 +29,6 @@
 /** What is wrong with an idempotency key, or the time it carries. */
 export type CheckedKey = { kind: 'usable', atMs: number } | { kind: 'unusable', detail: string }
 
-const TIME_HEX_DIGITS = 12
-
 /**
  * Checks an idempotency key: it must carry its time, so that a key too old to be remembered is told from a new one.
  * @param key the header's value
@@ -39,7 +37,7 @@
 export function checkKey (key: string): CheckedKey {
   if (!uuid.validate(key)) return { kind: 'unusable', detail: 'it is not a UUID' }
   if (uuid.version(key) !== 7) return { kind: 'unusable', detail: `it is a UUID of version ${uuid.version(key)}, not 7` }
-  return { kind: 'usable', atMs: parseInt(key.replaceAll('-', '').slice(0, TIME_HEX_DIGITS), 16) }
+  return { kind: 'usable', atMs: contracts.toKeyMs(key) }
 }
 
 /**
--- a/packages/router/src/server.ts
+++ b/packages/router/src/server.ts
@@ -8,6 +8,7 @@
 import * as addresses from './addresses.js'
 import type * as auths from './auth.js'
 import * as chatEntry from './chatEntry.js'
+import * as chatRequest from './chatRequest.js'
 import type * as context from './entryContext.js'
 import * as helpers from './http.js'
 import * as ids from './ids.js'
@@ -179,7 +180,7 @@
   const query = exchange.url.searchParams
   const model = query.get('model') ?? ''
   const chat = query.get('chat')
-  const chatKey = chat === null ? undefined : contracts.sha256(`${account.id}\n${model}\n${chat}`).slice(0, 24)
+  const chatKey = chat === null ? undefined : chatRequest.toNamedChatKey(account.id, model, chat)
   const home = chatKey === undefined ? undefined : addresses.findHomeOwner(ctx.member.views, table, ctx.needDocument(), model, chatKey)
   const list = addresses.toAddressList(ctx.member.views, { seed: chatKey ?? exchange.requestId, zone: query.get('zone') ?? undefined, home })
   helpers.sendJson(exchange, 200, list, { 'cache-control': `max-age=${list.maxAgeSeconds}` })
