--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -36,6 +36,14 @@
   instanceLeft: spec(1304, 'warn', 'an instance left the view', 'Expected at restarts and upgrades.'),
   documentInForce: spec(1305, 'info', 'a new version of the document is in force here'),
   documentAccepted: spec(1306, 'info', 'a new version of the document was accepted'),
+  recordChanged: spec(1307, 'info', 'an endpoint or entry instance announced a change'),
+  controlFound: spec(1308, 'info', 'a control instance tells this instance news'),
+  controlLost: spec(1309, 'warn', 'a control instance no longer tells this instance news; another one is asked', 'If no other follows (event 1308), check the links to the control instances.'),
+  documentAnswered: spec(1314, 'info', 'an operator was told what became of a document'),
+  documentRefused: spec(1310, 'warn', 'a document was refused', 'The answer to the operator names the field to correct.'),
+  documentUnreadable: spec(1311, 'error', 'a document that was accepted cannot be read here; the one before stays in force', 'Check that all instances run the same version.'),
+  replicaRestarted: spec(1312, 'warn', 'the replica of the document is started again after its disk failed', 'Check the disk: free space, and whether writes end.'),
+  settingsReloaded: spec(1313, 'info', 'the settings file was read again'),
   endpointJoined: spec(1401, 'info', 'an endpoint became ready'),
   endpointLeaving: spec(1402, 'info', 'an endpoint is leaving: it gets no new work'),
   endpointGone: spec(1403, 'warn', 'an endpoint went silent or away', 'If it does not come back, look at the endpoint.'),
@@ -47,6 +55,9 @@
   requestQuarantined: spec(1501, 'warn', 'a request was in flight at two deaths of endpoints and is held back', 'Use "kingcupdeck explain" with the request id and look at the request.'),
   streamSilent: spec(1502, 'warn', 'an engine fell silent mid-stream: the answer is resumed over a new connection', 'If it repeats for one endpoint, look at it.'),
   ledgerRetry: spec(1503, 'warn', 'the ledger did not confirm yet: trying on', 'If it goes on, see "status": a quorum of control instances must be up.'),
+  requestEnded: spec(1505, 'info', 'a forwarded request ended'),
+  requestRefused: spec(1506, 'info', 'a request was refused before it was forwarded'),
+  linesDropped: spec(1507, 'warn', 'log lines were left out to stay within bounds', 'Expected in bursts; the counters in the metrics are whole.'),
   requestFailed: spec(1504, 'info', 'a request ended in an error')
 } as const satisfies Record<string, EventSpec>
 
--- /dev/null
+++ b/packages/coordination/src/controlNode.ts
@@ -0,0 +1,132 @@
+/**
+ * A control instance: a replica of the document, the records of all endpoints and entry instances, and the links over which
+ * both reach the others.
+ */
+import * as contracts from '@kingcupdeck/contracts'
+import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentStores from './documentStore.js'
+
+/** What a control instance is built from. */
+export interface ControlNodeOptions {
+  /** IP number and port for the other instances; also the name of this one. */
+  inner: string
+  /** Inner addresses of the instances that found the group. */
+  founders: readonly string[]
+  /** Whether the group may be founded: only at the very first start of the whole fleet. */
+  mayFound: boolean
+  /** Inner addresses of control instances as the settings name them now. */
+  contacts: () => readonly string[]
+  /** How many disks may be lost at once. */
+  lostDisks: number
+  dataFolder: string
+  /** What all instances of the fleet must know. */
+  secret: string
+  log: telemetry.Log
+  invariants: telemetry.Invariants
+}
+
+/** A running control instance. */
+export interface ControlNode {
+  store: documentStores.DocumentStore
+  table: discovery.RecordTable
+  /** Takes an announcement; resolves when the change is on its way to all instances. */
+  announce: (record: discovery.Record) => Promise<void>
+  stop: () => Promise<void>
+}
+
+const DIAL_MS = 1000
+
+/**
+ * Starts a control instance.
+ * @param opts its addresses, disk and fleet
+ * @returns the instance, which may not be part of the group yet
+ */
+export async function startControlNode (opts: ControlNodeOptions): Promise<ControlNode> {
+  const { log } = opts
+  const table = discovery.createRecordTable()
+  let isStopping = false
+  let onDocument = (): void => {}
+
+  const handlers: links.LinkHandlers = {
+    onEvent (body) {
+      const event = discovery.discoveryEvent.safeParse(body)
+      if (event.success) publisher.onEvent(event.data)
+    },
+    async onCall (body, link) {
+      const call = (body as { t?: unknown })?.t
+      if (call === 'replica' || call === 'put' || call === 'read') return await store.onCall(documentStores.documentCall.parse(body))
+      return await publisher.onCall(discovery.discoveryCall.parse(body), link)
+    }
+  }
+  const linkSettings: links.LinkSettings = { who: { role: 'control', id: opts.inner }, secret: opts.secret, log, handlers }
+  const book = links.createPeerBook(linkSettings)
+  const failedAt = new Map<string, number>()
+
+  // Guards against a machine that is gone or cut off: connecting to it hangs, and every message to it would wait.
+  const reach = async (address: string): Promise<links.Link> => {
+    const known = book.peek(address)
+    if (known !== undefined) return known
+    if (performance.now() - (failedAt.get(address) ?? -Infinity) < contracts.HEARTBEAT_MS) throw new Error(`${address} could not be reached just now`)
+    try {
+      return await Promise.race([
+        book.get(address, address),
+        new Promise<never>((resolve, reject) => { setTimeout(() => { reject(new Error(`no connection to ${address} within ${DIAL_MS} ms`)) }, DIAL_MS) })
+      ])
+    } catch (err) {
+      failedAt.set(address, performance.now())
+      throw err
+    }
+  }
+
+  const store = await documentStores.startDocumentStore({
+    self: opts.inner,
+    founders: opts.founders,
+    mayFound: opts.mayFound,
+    contacts: opts.contacts,
+    lostDisks: opts.lostDisks,
+    dataFolder: opts.dataFolder,
+    reach,
+    onChange: () => { onDocument() },
+    log,
+    invariants: opts.invariants
+  })
+
+  const publisher = discovery.createPublisher({
+    self: opts.inner,
+    table,
+    others: () => store.others(),
+    reach,
+    document: () => {
+      const held = store.held()
+      return held === null ? null : { version: held.version, body: held.body }
+    },
+    isCurrent: () => !isStopping && store.isCurrent(),
+    log
+  })
+
+  onDocument = () => {
+    log.event('documentAccepted', { version: store.held()?.version })
+    publisher.publishDocument()
+  }
+
+  const server = await links.listen(opts.inner, linkSettings, link => {
+    if (link.peer.role === 'control') book.add(link)
+  })
+  const timer = setInterval(() => { publisher.tick() }, discovery.TICK_MS)
+  publisher.tick()
+
+  return {
+    store,
+    table,
+    announce: async record => { await publisher.announce(record) },
+    async stop () {
+      isStopping = true
+      clearInterval(timer)
+      await store.stop().catch(err => { log.event('uncaught', { step: 'stop', detail: String(err) }) })
+      book.close()
+      await server.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/documentStore.ts
@@ -0,0 +1,241 @@
+/**
+ * The replica of the document on one control instance, kept running through failures of its disk, with reads and writes
+ * that go to whichever replica leads.
+ */
+import * as crypto from 'node:crypto'
+import * as path from 'node:path'
+import * as timers from 'node:timers/promises'
+import * as z from 'zod'
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as state from '@kingcupdeck/state'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentMachines from './documentMachine.js'
+
+/** Calls between control instances about the document. */
+export const documentCall = z.discriminatedUnion('t', [
+  z.object({ t: z.literal('replica'), msg: z.unknown() }),
+  z.object({ t: z.literal('put'), command: documentMachines.putCommand }),
+  z.object({ t: z.literal('read'), version: z.number() })
+])
+/** Calls between control instances about the document. */
+export type DocumentCall = z.infer<typeof documentCall>
+
+const readReply = z.object({ held: documentMachines.putCommand.nullable(), isSame: z.boolean() })
+type ReadReply = z.infer<typeof readReply>
+
+/** What a store is built from. */
+export interface DocumentStoreOptions {
+  /** Inner address of this instance; its name in the group. */
+  self: string
+  /** Inner addresses of the instances that found the group. */
+  founders: readonly string[]
+  /** Whether the group may be founded: only at the very first start of the whole fleet. */
+  mayFound: boolean
+  /** Inner addresses of control instances as the settings name them now. */
+  contacts: () => readonly string[]
+  /** How many disks may be lost at once. */
+  lostDisks: number
+  dataFolder: string
+  /** @returns a link to another control instance */
+  reach: (address: string) => Promise<links.Link>
+  onChange: () => void
+  log: telemetry.Log
+  invariants: telemetry.Invariants
+}
+
+/** The document on one control instance. */
+export interface DocumentStore {
+  /** @returns the document as applied here, which may be behind */
+  held (): documentMachines.PutCommand | null
+  /**
+   * Stores a document, at whichever replica leads.
+   * @throws Error when the outcome is not known in time; the same document may be sent again
+   */
+  put (command: documentMachines.PutCommand, timeoutMs: number): Promise<documentMachines.PutResult>
+  /**
+   * Reads the document so that nothing acknowledged before the call is missing.
+   * @throws Error when that cannot be made sure in time
+   */
+  read (timeoutMs: number): Promise<documentMachines.PutCommand | null>
+  /** Answers a call of another control instance. */
+  onCall (call: DocumentCall): Promise<unknown>
+  /** @returns whether a quorum, or a leader with one, was heard lately */
+  isCurrent (): boolean
+  /** @returns inner addresses of the other members of the group */
+  others (): string[]
+  leader (): string | null
+  stop (): Promise<void>
+}
+
+const GROUP = 'document'
+/** Longer than a sync of a slow disk, shorter than an election. */
+const RPC_MS = 800
+/** A replica is current while its group was heard within this time: two heartbeats and a stall of the process. */
+const CURRENT_MS = 1500
+/** Pause before a replica whose disk failed is started again; a full disk stays full for seconds. */
+const RESTART_MS = 700
+const RETRY_MS = 60
+const SNAPSHOT_ENTRIES = 100
+
+/**
+ * Starts the replica and keeps it running.
+ * @param opts where it lives and how the others are reached
+ * @returns the store
+ */
+export async function startDocumentStore (opts: DocumentStoreOptions): Promise<DocumentStore> {
+  const stopped = new AbortController()
+  let replica: state.Replica | undefined
+  let machine = documentMachines.createDocumentMachine()
+  let lastVoters: string[] = []
+  let best: documentMachines.PutCommand | null = null
+
+  const onChange = (): void => {
+    const now = machine.held()
+    // A replica that starts again applies its log from the beginning; what was told before is not told again.
+    if (now === null || (best !== null && now.version <= best.version)) return
+    best = now
+    opts.onChange()
+  }
+
+  const transport: state.Transport = {
+    async call (name, msg) {
+      const link = await opts.reach(name)
+      return state.rpcReply.parse(await link.call({ t: 'replica', msg } satisfies DocumentCall, RPC_MS))
+    }
+  }
+
+  // Guards against a disk that is full or fails for some seconds: the replica cannot go on with what it has not written,
+  // but the process can, and reads through the other replicas do; it is built anew from what the disk holds.
+  const restart = async (): Promise<void> => {
+    const failed = replica
+    replica = undefined
+    await failed?.stop().catch(err => { opts.log.event('replicaRestarted', { step: 'stop', detail: String(err) }) })
+    while (!stopped.signal.aborted) {
+      await timers.setTimeout(RESTART_MS)
+      try {
+        replica = await create()
+        opts.log.event('replicaRestarted', { step: 'started' })
+        return
+      } catch (err) {
+        opts.log.event('replicaRestarted', { step: 'failed', detail: err instanceof Error ? err.message : String(err) })
+      }
+    }
+  }
+
+  const create = async (): Promise<state.Replica> => {
+    machine = documentMachines.createDocumentMachine(onChange)
+    return await state.createReplica({
+      group: GROUP,
+      name: opts.self,
+      names: opts.founders,
+      mayFound: opts.mayFound,
+      contacts: opts.contacts,
+      isOpen: true,
+      minVoters: Math.max(3, 2 * opts.lostDisks + 1),
+      storage: await state.createFileStorage(path.join(opts.dataFolder, GROUP)),
+      transport,
+      machine,
+      clock: state.systemClock,
+      random: Math.random,
+      createIncarnation: () => crypto.randomUUID().slice(0, 8),
+      log: opts.log,
+      invariants: opts.invariants,
+      snapshotEvery: SNAPSHOT_ENTRIES,
+      onFailed: () => { void restart() }
+    })
+  }
+
+  const leader = (): string | null => replica?.leaderName() ?? null
+
+  const putHere = async (command: documentMachines.PutCommand): Promise<documentMachines.PutResult> => {
+    if (replica === undefined) throw new Error('the replica is being restarted')
+    return await replica.propose(command) as documentMachines.PutResult
+  }
+
+  const readHere = async (timeoutMs: number): Promise<documentMachines.PutCommand | null> => {
+    if (replica === undefined) throw new Error('the replica is being restarted')
+    await replica.confirm(timeoutMs)
+    return machine.held()
+  }
+
+  /** Tries here or at the leader until it works or the time is over. */
+  const retry = async <T>(timeoutMs: number, here: (leftMs: number) => Promise<T>, there: (link: links.Link, leftMs: number) => Promise<T>): Promise<T> => {
+    const until = performance.now() + timeoutMs
+    let last: unknown = new Error('no leader is known')
+    while (true) {
+      const leftMs = until - performance.now()
+      if (leftMs <= RETRY_MS) throw last
+      const name = leader()
+      try {
+        if (name === opts.self) return await withTimeout(here(leftMs), leftMs)
+        if (name !== null) return await withTimeout(opts.reach(name).then(async link => await there(link, leftMs)), leftMs)
+      } catch (err) {
+        last = err
+      }
+      await timers.setTimeout(RETRY_MS)
+    }
+  }
+
+  replica = await create()
+
+  return {
+    held: () => best,
+    async put (command, timeoutMs) {
+      return await retry(timeoutMs, async () => await putHere(command), async (link, leftMs) => {
+        return documentMachines.putResult.parse(await link.call({ t: 'put', command } satisfies DocumentCall, leftMs))
+      })
+    },
+    async read (timeoutMs) {
+      return await retry(timeoutMs, readHere, async (link, leftMs) => {
+        const reply: ReadReply = readReply.parse(await link.call({ t: 'read', version: best?.version ?? 0 } satisfies DocumentCall, leftMs))
+        return reply.isSame ? best : reply.held
+      })
+    },
+    async onCall (call) {
+      switch (call.t) {
+        case 'replica':
+          if (replica === undefined) throw new Error('the replica is being restarted')
+          return await replica.handle(state.rpc.parse(call.msg))
+        case 'put': return await putHere(call.command)
+        case 'read': {
+          const held = await readHere(RPC_MS)
+          const isSame = held !== null && held.version === call.version
+          return { held: isSame ? null : held, isSame } satisfies ReadReply
+        }
+      }
+    },
+    isCurrent: () => replica !== undefined && performance.now() - replica.heardAt() < CURRENT_MS,
+    others () {
+      const voters = replica?.status().voters.map(id => id.split('#')[0]) ?? []
+      if (voters.length > 0) lastVoters = voters
+      const all = new Set([...lastVoters, ...opts.contacts()])
+      all.delete(opts.self)
+      return [...all]
+    },
+    leader,
+    async stop () {
+      stopped.abort()
+      await replica?.stop()
+    }
+  }
+}
+
+async function withTimeout<T> (work: Promise<T>, timeoutMs: number): Promise<T> {
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<never>((resolve, reject) => {
+    timer = setTimeout(() => { reject(new Error(`no outcome within ${Math.round(timeoutMs)} ms`)) }, timeoutMs)
+  })
+  return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
+}
+
+/**
+ * Makes the command that stores a text.
+ * @param version the operators' version
+ * @param text the document as they sent it
+ * @param deflated the same, deflated
+ * @returns the command
+ */
+export function toPutCommand (version: number, text: Uint8Array, deflated: Uint8Array): documentMachines.PutCommand {
+  return { version, digest: contracts.sha256(text), body: deflated }
+}
--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,4 @@
+/** Public face of coordination: the control instance of the forwarding fleet. */
+export * from './controlNode.js'
+export * from './documentMachine.js'
+export * from './documentStore.js'
--- /dev/null
+++ b/packages/discovery/src/publisher.ts
@@ -0,0 +1,183 @@
+/**
+ * The control instance's part: it takes announcements, tells the other control instances and its subscribers, and keeps no
+ * durable state: after a restart it learns everything again from the others and from the next announcements.
+ */
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as messages from './messages.js'
+import * as recordTables from './recordTable.js'
+import * as records from './records.js'
+
+/** What a publisher is built from. */
+export interface PublisherOptions {
+  /** Inner address of this control instance. */
+  self: string
+  table: recordTables.RecordTable
+  /** Inner addresses of the other control instances. */
+  others: () => readonly string[]
+  /** @returns a link to another control instance */
+  reach: (address: string) => Promise<links.Link>
+  /** The document held here. */
+  document: () => messages.VersionedDocument | null
+  /** Whether this instance heard from a quorum lately. */
+  isCurrent: () => boolean
+  log: telemetry.Log
+  now?: () => number
+}
+
+/** Takes announcements and spreads them. */
+export interface Publisher {
+  /**
+   * Takes an announcement.
+   * @param record what a process says of itself
+   * @returns once every reachable control instance has taken a change, or after {@link SPREAD_MS}
+   */
+  announce (record: records.Record): Promise<void>
+  /** Answers a call of another instance. */
+  onCall (call: messages.DiscoveryCall, link: links.Link): Promise<messages.DiscoveryReply>
+  /** Takes an event of another instance. */
+  onEvent (event: messages.DiscoveryEvent): void
+  /** Tells all subscribers of a new document. */
+  publishDocument (): void
+  /** One step of the periodic work. */
+  tick (): void
+}
+
+/**
+ * How long an acknowledgement waits until the other control instances confirm a change. An endpoint that was told "yes, you
+ * may leave" counts on getting no new work soon, so the news must be under way everywhere before it is told so.
+ */
+export const SPREAD_MS = 400
+/** Every so many ticks the whole table is compared with one other control instance: mends what lost links left out. */
+const COMPARE_TICKS = 3
+
+/**
+ * Creates a publisher.
+ * @param opts the table and the ways to the others
+ * @returns the publisher
+ */
+export function createPublisher (opts: PublisherOptions): Publisher {
+  const { table } = opts
+  const now = opts.now ?? (() => performance.now())
+  const subscribers = new Set<links.Link>()
+  let ownSigns = new Map<string, records.Sign>()
+  let passedSigns = new Map<string, records.Sign>()
+  let ticks = 0
+
+  const send = (link: links.Link, event: messages.DiscoveryEvent): void => { link.send(event) }
+
+  const tellSubscribers = (list: records.Record[]): void => {
+    for (const link of subscribers) send(link, { t: 'news', list })
+  }
+
+  const tellOthers = async (list: records.Record[]): Promise<void> => {
+    const calls = opts.others().map(async address => {
+      const link = await opts.reach(address)
+      await link.call({ t: 'records', list } satisfies messages.DiscoveryCall, SPREAD_MS)
+    })
+    // One that cannot be reached is told by the next comparison.
+    await Promise.race([Promise.allSettled(calls), new Promise(resolve => { setTimeout(resolve, SPREAD_MS) })])
+  }
+
+  /** @returns the records among them that were news */
+  const take = (list: readonly records.Record[]): records.Record[] => {
+    const at = now()
+    const changed = list.filter(item => {
+      const merged = table.merge(item, at)
+      if (merged === 'refreshed') passedSigns.set(item.id, [item.id, item.startedAt, item.seq])
+      if (merged === 'changed') logChange(item)
+      return merged === 'changed'
+    })
+    if (changed.length > 0) tellSubscribers(changed)
+    return changed
+  }
+
+  const logChange = (item: records.Record): void => {
+    opts.log.event('recordChanged', { kind: item.kind, id: item.id, state: item.state, startedAt: item.startedAt, seq: item.seq, zone: item.zone })
+  }
+
+  const compare = async (address: string): Promise<void> => {
+    const link = await opts.reach(address)
+    const reply = messages.discoveryReply.parse(await link.call({ t: 'compare', list: table.all() } satisfies messages.DiscoveryCall, 2 * messages.TICK_MS))
+    take(reply.list)
+  }
+
+  return {
+    async announce (record) {
+      const merged = table.merge(record, now())
+      switch (merged) {
+        case 'stale': return
+        case 'refreshed':
+          ownSigns.set(record.id, [record.id, record.startedAt, record.seq])
+          return
+        case 'changed':
+          logChange(record)
+          tellSubscribers([record])
+          await tellOthers([record])
+      }
+    },
+    async onCall (call, link) {
+      switch (call.t) {
+        case 'subscribe': {
+          subscribers.add(link)
+          void link.closed.then(() => { subscribers.delete(link) })
+          if (table.merge(call.self, now()) === 'changed') {
+            logChange(call.self)
+            tellSubscribers([call.self])
+            void tellOthers([call.self])
+          }
+          const held = opts.document()
+          return { list: table.all(), document: held !== null && held.version > call.version ? held : null }
+        }
+        case 'records':
+          take(call.list)
+          return { list: [], document: null }
+        case 'compare':
+          take(call.list)
+          return { list: table.all(), document: null }
+      }
+    },
+    onEvent (event) {
+      switch (event.t) {
+        case 'news': {
+          const changed = take(event.list)
+          if (changed.length > 0) void tellOthers(changed)
+          break
+        }
+        case 'signs':
+          for (const sign of event.signs) {
+            if (table.hear(sign, now())) passedSigns.set(sign[0], sign)
+          }
+          break
+        case 'tick':
+          // An entry instance announces itself.
+          for (const sign of event.signs) {
+            if (table.hear(sign, now())) ownSigns.set(sign[0], sign)
+          }
+          break
+        case 'document': break
+      }
+    },
+    publishDocument () {
+      const document = opts.document()
+      if (document === null) return
+      for (const link of subscribers) send(link, { t: 'document', document })
+    },
+    tick () {
+      ticks++
+      const own = [...ownSigns.values()]
+      const signs = [...own, ...passedSigns.values()]
+      ownSigns = new Map()
+      passedSigns = new Map()
+      const controls = [opts.self, ...opts.others()]
+      const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: opts.isCurrent(), version: opts.document()?.version ?? 0, signs, controls }
+      for (const link of subscribers) send(link, event)
+      if (own.length > 0) {
+        for (const address of opts.others()) opts.reach(address).then(link => { send(link, { t: 'signs', signs: own }) }, () => {})
+      }
+      const others = opts.others()
+      if (others.length > 0 && ticks % COMPARE_TICKS === 1) compare(others[Math.floor(Math.random() * others.length)]).catch(() => {})
+      if (ticks % 30 === 0) table.prune(now())
+    }
+  }
+}
--- /dev/null
+++ b/packages/discovery/src/recordTable.ts
@@ -0,0 +1,88 @@
+/** All records that a process knows, merged so that the order in which news arrives does not matter. */
+import * as records from './records.js'
+
+/** What a merge did: the record says something new, only that its process lives, or is older than what is known. */
+export type Merged = 'changed' | 'refreshed' | 'stale'
+
+/** A record with when its process was last heard of, on this process's steady clock. */
+export interface Known<T extends records.Record = records.Record> { record: T, heardAt: number }
+
+/** The records that a process knows. */
+export interface RecordTable {
+  /** Takes a record. */
+  merge (record: records.Record, now: number): Merged
+  /** Takes a sign of life. @returns whether it was news */
+  hear (sign: records.Sign, now: number): boolean
+  get (id: string): Known | undefined
+  endpoints (): Array<Known<records.EndpointRecord>>
+  entries (): Array<Known<records.EntryRecord>>
+  /** @returns every record, also of processes that are gone */
+  all (): records.Record[]
+  /** Forgets records that were not heard of for long. */
+  prune (now: number): void
+}
+
+/** Records of processes that are gone or silent are kept this long, so that late announcements are known to be late. */
+const KEEP_MS = 120_000
+
+/**
+ * Creates an empty table.
+ * @returns the table
+ */
+export function createRecordTable (): RecordTable {
+  const known = new Map<string, Known>()
+
+  const merge = (record: records.Record, now: number): Merged => {
+    const held = known.get(record.id)
+    if (held === undefined) {
+      known.set(record.id, { record, heardAt: now })
+      return 'changed'
+    }
+    if (records.compareAge(record, held.record) <= 0) return 'stale'
+    // A process that said that it leaves does not come back to work in the same incarnation; an announcement that says so
+    // was overtaken on its way.
+    const isSameStart = record.startedAt === held.record.startedAt
+    if (isSameStart && isLater(held.record.state, record.state)) return 'stale'
+    const isSame = isSameStart && isSameContent(record, held.record)
+    held.record = record
+    held.heardAt = now
+    return isSame ? 'refreshed' : 'changed'
+  }
+
+  return {
+    merge,
+    hear ([id, startedAt, seq], now) {
+      const held = known.get(id)
+      if (held === undefined || held.record.startedAt !== startedAt || seq <= held.record.seq) return false
+      held.record = { ...held.record, seq }
+      held.heardAt = now
+      return true
+    },
+    get: id => known.get(id),
+    endpoints: () => [...known.values()].filter((item): item is Known<records.EndpointRecord> => item.record.kind === 'endpoint'),
+    entries: () => [...known.values()].filter((item): item is Known<records.EntryRecord> => item.record.kind === 'entry'),
+    all: () => [...known.values()].map(item => item.record),
+    prune (now) {
+      for (const [id, item] of known) {
+        if (now - item.heardAt > KEEP_MS) known.delete(id)
+      }
+    }
+  }
+}
+
+const ORDER: { [state in records.RecordState]: number } = { starting: 0, ready: 1, leaving: 2, gone: 3 }
+
+function isLater (held: records.RecordState, said: records.RecordState): boolean {
+  return ORDER[held] > ORDER[said]
+}
+
+function isSameContent (left: records.Record, right: records.Record): boolean {
+  return toContent(left) === toContent(right)
+}
+
+function toContent (record: records.Record): string {
+  switch (record.kind) {
+    case 'endpoint': return [record.state, record.service, record.address, record.zone, record.slots, record.coldMs > 0].join(' ')
+    case 'entry': return [record.state, record.front, record.inner, record.zone, record.region].join(' ')
+  }
+}
--- /dev/null
+++ b/packages/discovery/src/subscriber.ts
@@ -0,0 +1,184 @@
+/**
+ * The entry instance's part: it keeps subscriptions to a few control instances, takes what they tell, and changes to others
+ * when one falls silent or has lost its quorum.
+ */
+import * as timers from 'node:timers/promises'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as messages from './messages.js'
+import * as recordTables from './recordTable.js'
+import * as records from './records.js'
+
+/** What a subscriber is built from. */
+export interface SubscriberOptions {
+  /** Inner addresses of control instances to begin with. */
+  seeds: () => readonly string[]
+  table: recordTables.RecordTable
+  /** @returns a new link to a control instance, which calls {@link Subscriber.onEvent} */
+  dial: (address: string) => Promise<links.Link>
+  /** What this instance says of itself. */
+  self: () => records.EntryRecord
+  /** Version of the document in force here. */
+  version: () => number
+  /** Takes a newer document. */
+  onDocument: (document: messages.VersionedDocument) => void
+  /** Told when records changed. */
+  onRecords: (list: readonly records.Record[]) => void
+  log: telemetry.Log
+  now?: () => number
+}
+
+/** Keeps subscriptions. */
+export interface Subscriber {
+  /** Takes an event of a control instance. */
+  onEvent (event: messages.DiscoveryEvent, link: links.Link): void
+  /** Announces a change of this instance to all control instances it is subscribed to. */
+  announce (): void
+  /** @returns whether a control instance that has a quorum was heard lately */
+  isCurrent (): boolean
+  /** @returns when a control instance that has a quorum was last heard */
+  currentAt (): number
+  /** @returns how many control instances tell this instance news */
+  subscriptions (): number
+  /** Ends all subscriptions. */
+  stop (): void
+}
+
+/**
+ * Control instances that an entry instance listens to at once. With five, two may be cut off from the others without
+ * falling silent to entry instances: three leave one that is not.
+ */
+const SUBSCRIPTIONS = 3
+/** A control instance that sends no tick for this long is given up. */
+const SILENT_MS = 2.3 * messages.TICK_MS
+/** A control instance without a quorum for this long is exchanged for another one, if there is one. */
+const NOT_CURRENT_MS = 1.5 * messages.TICK_MS
+/** How long an address that failed is left alone. */
+const AVOID_MS = 1500
+const LOOK_MS = 150
+const SUBSCRIBE_MS = 1500
+
+interface Subscription { address: string, link: links.Link | undefined, heardAt: number, currentAt: number, version: number }
+
+/**
+ * Starts keeping subscriptions.
+ * @param opts where control instances are and what to do with news
+ * @returns the subscriber
+ */
+export function startSubscriber (opts: SubscriberOptions): Subscriber {
+  const now = opts.now ?? (() => performance.now())
+  const open = new Set<Subscription>()
+  const avoidUntil = new Map<string, number>()
+  let controls: string[] = []
+  const stopped = new AbortController()
+  let currentAt = -Infinity
+
+  const takeRecords = (list: readonly records.Record[]): void => {
+    const at = now()
+    const changed = list.filter(item => opts.table.merge(item, at) === 'changed')
+    if (changed.length > 0) opts.onRecords(changed)
+  }
+
+  const takeDocument = (document: messages.VersionedDocument): void => {
+    if (document.version > opts.version()) opts.onDocument(document)
+  }
+
+  const find = (link: links.Link): Subscription | undefined => [...open].find(item => item.link === link)
+
+  const drop = (sub: Subscription, why: string): void => {
+    if (!open.delete(sub)) return
+    avoidUntil.set(sub.address, now() + AVOID_MS)
+    sub.link?.close()
+    opts.log.event('controlLost', { address: sub.address, why, subscriptions: open.size })
+  }
+
+  const subscribe = async (address: string): Promise<void> => {
+    const sub: Subscription = { address, link: undefined, heardAt: now(), currentAt: now(), version: 0 }
+    open.add(sub)
+    try {
+      const link = await opts.dial(address)
+      sub.link = link
+      const call: messages.DiscoveryCall = { t: 'subscribe', self: opts.self(), version: opts.version() }
+      const reply = messages.discoveryReply.parse(await link.call(call, SUBSCRIBE_MS))
+      if (!open.has(sub) || stopped.signal.aborted) {
+        link.close()
+        return
+      }
+      sub.heardAt = now()
+      opts.log.event('controlFound', { address, subscriptions: open.size })
+      takeRecords(reply.list)
+      if (reply.document !== null) takeDocument(reply.document)
+      void link.closed.then(why => { drop(sub, why) })
+    } catch (err) {
+      drop(sub, err instanceof Error ? err.message : String(err))
+    }
+  }
+
+  /** @returns addresses of control instances that are not subscribed to and may be tried, in random order */
+  const candidates = (): string[] => {
+    const used = new Set([...open].map(sub => sub.address))
+    const all = new Set([...controls, ...opts.seeds()])
+    return [...all].filter(address => !used.has(address) && (avoidUntil.get(address) ?? 0) <= now())
+      .map(address => ({ address, order: Math.random() }))
+      .sort((a, b) => a.order - b.order)
+      .map(item => item.address)
+  }
+
+  const look = (): void => {
+    for (const sub of open) {
+      if (now() - sub.heardAt > SILENT_MS) drop(sub, 'silent')
+    }
+    const free = candidates()
+    const stale = [...open].filter(sub => now() - sub.currentAt > NOT_CURRENT_MS)
+    // One that lost its quorum is better than none: it goes only when another one can be tried.
+    if (open.size >= SUBSCRIPTIONS && stale.length > 0 && free.length > 0) drop(stale[0], 'no quorum')
+    for (const address of free.slice(0, Math.max(0, SUBSCRIPTIONS - open.size))) void subscribe(address)
+  }
+
+  const run = async (): Promise<void> => {
+    let lastSignAt = now()
+    while (!stopped.signal.aborted) {
+      look()
+      if (now() - lastSignAt >= messages.TICK_MS) {
+        lastSignAt = now()
+        const self = opts.self()
+        const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: opts.version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
+        for (const sub of open) sub.link?.send(event)
+      }
+      await timers.setTimeout(LOOK_MS, undefined, { ref: false })
+    }
+  }
+
+  void run()
+  return {
+    onEvent (event, link) {
+      const sub = find(link)
+      if (sub === undefined) return
+      sub.heardAt = now()
+      switch (event.t) {
+        case 'news': takeRecords(event.list); break
+        case 'document': takeDocument(event.document); break
+        case 'tick':
+          if (event.isCurrent) currentAt = sub.currentAt = now()
+          controls = event.controls
+          for (const sign of event.signs) opts.table.hear(sign, now())
+          // Guards against a document that was pushed before this subscription or lost with a link: asks again.
+          if (event.version > opts.version() && event.version === sub.version) drop(sub, 'its document did not come')
+          sub.version = event.version
+          break
+        case 'signs': break
+      }
+    },
+    announce () {
+      const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
+      for (const sub of open) sub.link?.send(event)
+    },
+    isCurrent: () => now() - currentAt < SILENT_MS,
+    currentAt: () => currentAt,
+    subscriptions: () => open.size,
+    stop () {
+      stopped.abort()
+      for (const sub of open) sub.link?.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/attempt.ts
@@ -0,0 +1,193 @@
+/** One send of a request to one endpoint, and what is known of it: not sent, not run, maybe run, or answered. */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as endpointPools from './endpointPool.js'
+import * as headerNames from './headerNames.js'
+
+/** What is sent. */
+export interface Outgoing {
+  method: string
+  /** Path with query, as the client sent it. */
+  url: string
+  /** Names and values by turns. */
+  headers: string[]
+  body: Buffer
+  attemptId: string
+}
+
+/** What came of a send. */
+export type Sent =
+  /** No connection was made: nothing was sent. */
+  | { kind: 'unreachable', why: string }
+  /** The endpoint says that it did not run the request. */
+  | { kind: 'notRun', status: number }
+  /** No usable answer came; the endpoint may have run the request. */
+  | { kind: 'lost', why: string }
+  /** The endpoint answers; the body is still to come. */
+  | { kind: 'answer', res: http.IncomingMessage, abort: () => void }
+
+/** What a send needs. */
+export interface SendOptions {
+  endpoint: endpointPools.Endpoint
+  out: Outgoing
+  names: headerNames.HeaderNames
+  /** Ends the send, when the client has left or the time is over. */
+  signal: AbortSignal
+  /** How long to wait for the head of the answer, milliseconds. */
+  answerMs: number
+  /** Whether an idle connection will not do. */
+  isFresh: boolean
+  now: () => number
+}
+
+/** No connection within this time: the endpoint is down or cut off; longer than a round trip between availability zones. */
+const CONNECT_MS = 350
+
+/**
+ * Sends a request to an endpoint.
+ * @param opts endpoint, request and limits
+ * @returns what is known once the head of the answer is there, or none will come
+ */
+export async function sendAttempt (opts: SendOptions): Promise<Sent> {
+  const { endpoint, out, names } = opts
+  const { host, port } = splitAddress(endpoint.record.address)
+  return await new Promise<Sent>(resolve => {
+    let isConnected = false
+    let isSettled = false
+    const settle = (sent: Sent): void => {
+      if (isSettled) return
+      isSettled = true
+      clearTimeout(timer)
+      opts.signal.removeEventListener('abort', onAbort)
+      resolve(sent)
+    }
+    const fail = (why: string): void => {
+      settle(isConnected ? { kind: 'lost', why } : { kind: 'unreachable', why })
+      req.destroy()
+    }
+    const onAbort = (): void => { fail(String(opts.signal.reason)) }
+
+    const req = http.request({
+      host,
+      port,
+      agent: opts.isFresh ? false : endpoint.agent,
+      method: out.method,
+      path: out.url,
+      headers: out.headers,
+      setHost: false
+    })
+    req.on('socket', (socket: net.Socket) => {
+      socket.setNoDelay(true)
+      if (!socket.connecting) {
+        isConnected = true
+        return
+      }
+      const connectTimer = setTimeout(() => { fail(`no connection within ${CONNECT_MS} ms`) }, CONNECT_MS)
+      socket.once('connect', () => {
+        isConnected = true
+        clearTimeout(connectTimer)
+      })
+      socket.once('close', () => { clearTimeout(connectTimer) })
+    })
+    req.on('error', err => { fail(err.message) })
+    req.on('response', res => {
+      // Without a listener of its own, an answer that breaks off later would be an uncaught error.
+      res.on('error', () => {})
+      if (isSettled) {
+        req.destroy()
+        return
+      }
+      settle(judge(res, req, opts))
+      endpoint.reported = readLoad(res.headers[names.load], opts.now()) ?? endpoint.reported
+    })
+    const timer = setTimeout(() => { fail(`no answer within ${Math.round(opts.answerMs)} ms`) }, opts.answerMs)
+    opts.signal.addEventListener('abort', onAbort, { once: true })
+    if (opts.signal.aborted) {
+      onAbort()
+      return
+    }
+    req.end(out.body)
+  })
+}
+
+function judge (res: http.IncomingMessage, req: http.ClientRequest, opts: SendOptions): Sent {
+  const { names, out } = opts
+  const discard = (): void => {
+    res.resume()
+    req.destroy()
+  }
+  // Guards against an answer that belongs to an earlier request on this connection: it came late, where the next answer is
+  // expected. The endpoint echoes the attempt's id, which shows whose answer it is.
+  const echoed = res.headers[names.attemptId]
+  const status = res.statusCode ?? 0
+  const isNotRun = res.headers[names.notRun] !== undefined || status === 421
+  if (echoed !== undefined && echoed !== out.attemptId) {
+    discard()
+    return { kind: 'lost', why: 'the answer belongs to another request' }
+  }
+  if (isNotRun) {
+    // Its body is short; the connection serves on unless the endpoint closes it.
+    res.resume()
+    return { kind: 'notRun', status }
+  }
+  if (echoed === undefined) {
+    discard()
+    return { kind: 'lost', why: 'the answer does not say which request it belongs to' }
+  }
+  if (status < 200 || (status < 300 && res.headers[names.seal] === undefined)) {
+    discard()
+    return { kind: 'lost', why: 'a success without the endpoint\'s seal' }
+  }
+  if (res.headers['content-encoding'] !== undefined) {
+    discard()
+    return { kind: 'lost', why: 'the answer is encoded, which no client asked for' }
+  }
+  return { kind: 'answer', res, abort: () => { req.destroy() } }
+}
+
+/** What came of reading a body. */
+export type WholeBody = { kind: 'whole', body: Buffer } | { kind: 'broken', why: string }
+
+/**
+ * Reads a body to its end.
+ * @param res the answer
+ * @param signal ends the reading
+ * @param maxBytes the most that is held
+ * @returns the body, or why it is not whole
+ */
+export async function readWhole (res: http.IncomingMessage, signal: AbortSignal, maxBytes: number): Promise<WholeBody> {
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const settle = (outcome: WholeBody): void => {
+      signal.removeEventListener('abort', onAbort)
+      resolve(outcome)
+      if (outcome.kind === 'broken') res.destroy()
+    }
+    const onAbort = (): void => { settle({ kind: 'broken', why: String(signal.reason) }) }
+    res.on('data', (chunk: Buffer) => {
+      chunks.push(chunk)
+      bytes += chunk.length
+      if (bytes > maxBytes) settle({ kind: 'broken', why: `the answer is larger than ${maxBytes} bytes` })
+    })
+    res.on('end', () => {
+      settle(res.complete ? { kind: 'whole', body: Buffer.concat(chunks, bytes) } : { kind: 'broken', why: 'the answer ended early' })
+    })
+    res.on('error', err => { settle({ kind: 'broken', why: err.message }) })
+    res.on('close', () => { settle({ kind: 'broken', why: 'the connection closed' }) })
+    signal.addEventListener('abort', onAbort, { once: true })
+    if (signal.aborted) onAbort()
+  })
+}
+
+function splitAddress (address: string): { host: string, port: number } {
+  const at = address.lastIndexOf(':')
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
+}
+
+function readLoad (text: string | string[] | undefined, at: number): endpointPools.ReportedLoad | undefined {
+  if (typeof text !== 'string') return undefined
+  const [running, waiting, slots] = text.split(',').map(Number)
+  if (![running, waiting, slots].every(Number.isFinite)) return undefined
+  return { running, waiting, slots, at }
+}
--- /dev/null
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -0,0 +1,73 @@
+/**
+ * Which endpoint gets a request. A decision without input or output: it sees the loads and the request's prompt.
+ *
+ * Load pattern: many requests share the first parts of their prompts, and an endpoint that has read a part keeps it. So
+ * requests with the same shared parts go to the same endpoint, unless it carries much more than the others: then the next
+ * one in the order of that prompt takes them, so that a prompt that becomes popular spreads over a few endpoints and not
+ * over all.
+ */
+import * as contracts from '@kingcupdeck/contracts'
+
+/** An endpoint that may get the request. */
+export interface Candidate {
+  id: string
+  zone: string
+  /** Requests there, of all entry instances as far as known. */
+  load: number
+  slots: number
+  /** Whether it says that it is still slow after its start. */
+  isCold: boolean
+  /** Connections that this instance may still open there. */
+  room: number
+}
+
+/** What the choice depends on beside the candidates. */
+export interface ChoiceRequest {
+  /** What the request shares with others; absent where nothing is gained by returning to an endpoint. */
+  affinity: string | undefined
+  /** Availability zone of this instance. */
+  zone: string
+}
+
+/** An endpoint may carry this multiple of the mean load before requests go to the next one ... */
+const LOAD_FACTOR = 1.5
+/** ... and this many more, since a mean near zero says little. */
+const LOAD_ALLOWANCE = 2.5
+/** Loads that differ by less than this count as equal: they are old by the time they are read. */
+const LOAD_GRAIN = 1
+
+/**
+ * Chooses an endpoint.
+ * @param candidates endpoints of the service that may get work
+ * @param req what the request shares, and where it came in
+ * @param draw a number in [0, 1), to spread requests among equals
+ * @returns the id of the endpoint, or undefined if none has room
+ */
+export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): string | undefined {
+  const open = candidates.filter(item => item.room > 0)
+  if (open.length === 0) return undefined
+  const mean = candidates.reduce((sum, item) => sum + item.load, 0) / candidates.length
+  const bound = LOAD_FACTOR * mean + LOAD_ALLOWANCE
+  return req.affinity === undefined ? chooseNear(open, req.zone, bound, draw) : chooseHome(open, req.affinity, bound)
+}
+
+function chooseHome (open: readonly Candidate[], affinity: string, bound: number): string {
+  const ranked = open
+    .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id) }))
+    .sort((a, b) => b.score - a.score)
+  const fit = ranked.find(({ item }) => item.load + 1 <= bound)
+  return (fit?.item ?? leastLoaded(open)).id
+}
+
+/** The least loaded one, of the own availability zone unless others are clearly less loaded. */
+function chooseNear (open: readonly Candidate[], zone: string, bound: number, draw: number): string {
+  const near = open.filter(item => item.zone === zone && item.load + 1 <= Math.min(bound, item.slots) && !item.isCold)
+  const pool = near.length > 0 ? near : open
+  const least = leastLoaded(pool).load
+  const equals = pool.filter(item => item.load <= least + LOAD_GRAIN - 1e-9)
+  return equals[Math.floor(draw * equals.length)].id
+}
+
+function leastLoaded (pool: readonly Candidate[]): Candidate {
+  return pool.reduce((best, item) => item.load / item.slots < best.load / best.slots ? item : best)
+}
--- /dev/null
+++ b/packages/forwarding/src/endpointPool.ts
@@ -0,0 +1,165 @@
+/**
+ * The endpoints as this entry instance sees them: what their announcements say, what it has running on them, what they and
+ * the other entry instances report, and which of them failed lately.
+ */
+import * as http from 'node:http'
+import * as discovery from '@kingcupdeck/discovery'
+import * as telemetry from '@kingcupdeck/telemetry'
+
+/** What an endpoint said of its load on its latest answer. */
+export interface ReportedLoad { running: number, waiting: number, slots: number, at: number }
+
+/** An endpoint as this instance sees it. */
+export interface Endpoint {
+  readonly id: string
+  record: discovery.EndpointRecord
+  agent: http.Agent
+  /** Requests of this instance that run there. */
+  inFlight: number
+  reported: ReportedLoad | undefined
+  /** Requests of the other entry instances there, as they told last. */
+  foreign: number
+  /** Not used before this time, after it could not be reached. */
+  avoidUntil: number
+  /** Failures to reach it in a row. */
+  failures: number
+  /** The announcement after which it was found that another process has its address. */
+  misdirectedSeq: number | undefined
+  /** Smoothed share of requests that failed there, 0 to 1. */
+  failureShare: number
+}
+
+/** The endpoints of all services. */
+export interface EndpointPool {
+  /** Takes changed records. */
+  update (list: readonly discovery.Record[]): void
+  get (id: string): Endpoint | undefined
+  /** @returns the endpoints of a service that may get work now */
+  usable (service: string, now: number): Endpoint[]
+  /** @returns all endpoints */
+  all (): Endpoint[]
+  /** Notes that an endpoint could not be connected to. */
+  noteUnreachable (endpoint: Endpoint, now: number, why: string): void
+  /** Notes that an endpoint answered. */
+  noteReached (endpoint: Endpoint): void
+  /** Notes that another process answered at the endpoint's address. */
+  noteMisdirected (endpoint: Endpoint): void
+  /** Gives up all idle connections to an endpoint, after one of them was found silent or broken. */
+  dropIdle (endpoint: Endpoint): void
+}
+
+/** What a pool is built from. */
+export interface EndpointPoolOptions {
+  table: discovery.RecordTable
+  /** When a control instance with a quorum was last heard: silence counts only up to then. */
+  currentAt: () => number
+  /** An endpoint that was not heard of for this long gets no work, milliseconds. */
+  silentMs: number
+  log: telemetry.Log
+}
+
+/** First pause after an endpoint could not be reached; doubled with each further failure. */
+const AVOID_MS = 250
+const AVOID_MOST_MS = 2000
+/** An idle connection is closed after this time, before most endpoints do it themselves. */
+const IDLE_CONNECTION_MS = 4000
+const IDLE_CONNECTIONS = 32
+const KEEP_ALIVE_PROBE_MS = 1000
+
+/**
+ * Creates a pool.
+ * @param opts where records come from
+ * @returns the pool, empty until {@link EndpointPool.update}
+ */
+export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
+  const known = new Map<string, Endpoint>()
+
+  const createAgent = (): http.Agent => new http.Agent({
+    keepAlive: true,
+    keepAliveMsecs: KEEP_ALIVE_PROBE_MS,
+    maxFreeSockets: IDLE_CONNECTIONS,
+    scheduling: 'lifo',
+    timeout: IDLE_CONNECTION_MS
+  })
+
+  const take = (record: discovery.EndpointRecord): void => {
+    const held = known.get(record.id)
+    if (record.state === 'gone') {
+      held?.agent.destroy()
+      known.delete(record.id)
+      return
+    }
+    if (held !== undefined && held.record.startedAt === record.startedAt && held.record.address === record.address) {
+      held.record = record
+      return
+    }
+    held?.agent.destroy()
+    known.set(record.id, {
+      id: record.id,
+      record,
+      agent: createAgent(),
+      inFlight: 0,
+      reported: undefined,
+      foreign: 0,
+      avoidUntil: 0,
+      failures: 0,
+      misdirectedSeq: undefined,
+      failureShare: 0
+    })
+    // A process that was started later at the same address has taken the place of the one before, whose last announcement
+    // may still be under way.
+    for (const other of known.values()) {
+      if (other.id !== record.id && other.record.address === record.address && other.record.startedAt < record.startedAt) {
+        other.agent.destroy()
+        known.delete(other.id)
+      }
+    }
+  }
+
+  const isMisdirected = (endpoint: Endpoint): boolean => {
+    if (endpoint.misdirectedSeq === undefined) return false
+    return (opts.table.get(endpoint.id)?.record.seq ?? 0) <= endpoint.misdirectedSeq
+  }
+
+  const isSilent = (endpoint: Endpoint): boolean => {
+    const heardAt = opts.table.get(endpoint.id)?.heardAt ?? -Infinity
+    return opts.currentAt() - heardAt > opts.silentMs
+  }
+
+  return {
+    update (list) {
+      for (const record of list) {
+        if (record.kind === 'endpoint') take(record)
+      }
+    },
+    get: id => known.get(id),
+    usable (service, now) {
+      const ready = [...known.values()].filter(item => item.record.service === service && item.record.state === 'ready' && !isMisdirected(item))
+      const reachable = ready.filter(item => item.avoidUntil <= now && !isSilent(item))
+      if (reachable.length > 0) return reachable
+      // With nothing better, those whose pause is nearly over are tried: each may be back already.
+      return ready.filter(item => item.avoidUntil - now < AVOID_MS && !isSilent(item))
+    },
+    all: () => [...known.values()],
+    noteUnreachable (endpoint, now, why) {
+      endpoint.failures++
+      const pauseMs = Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (endpoint.failures - 1))
+      endpoint.avoidUntil = now + pauseMs
+      opts.log.event('endpointGone', { endpoint: endpoint.id, why, failures: endpoint.failures, pauseMs })
+    },
+    noteReached (endpoint) {
+      endpoint.failures = 0
+      endpoint.avoidUntil = 0
+    },
+    noteMisdirected (endpoint) {
+      endpoint.misdirectedSeq = opts.table.get(endpoint.id)?.record.seq ?? endpoint.record.seq
+      endpoint.agent.destroy()
+      opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address', seq: endpoint.misdirectedSeq })
+    },
+    dropIdle (endpoint) {
+      for (const sockets of Object.values(endpoint.agent.freeSockets)) {
+        for (const socket of [...(sockets ?? [])]) socket.destroy()
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/entryContext.ts
@@ -0,0 +1,27 @@
+/** What the tasks of all requests of an entry instance share. */
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as crashSuspects from './crashSuspects.js'
+import * as endpointPools from './endpointPool.js'
+import * as entryMetrics from './entryMetrics.js'
+import * as headerNames from './headerNames.js'
+import * as peerExchanges from './peerExchange.js'
+import * as retryWindows from './retryWindow.js'
+import * as routeTables from './routeTable.js'
+
+/** What the tasks of all requests of an entry instance share. */
+export interface EntryContext {
+  names: headerNames.HeaderNames
+  zone: string
+  pool: endpointPools.EndpointPool
+  suspects: crashSuspects.CrashSuspects
+  exchange: peerExchanges.PeerExchange
+  metrics: entryMetrics.EntryMetrics
+  log: telemetry.Log
+  /** @returns the document in force, or undefined before the first */
+  table: () => routeTables.CompiledTable | undefined
+  /** @returns the second sends that are left for a service */
+  retryWindow: (service: string) => retryWindows.RetryWindow
+  /** @returns how far this instance has come in stopping */
+  stage: () => 'serving' | 'leaving' | 'refusing'
+  now: () => number
+}
--- /dev/null
+++ b/packages/forwarding/src/entryInstance.ts
@@ -0,0 +1,244 @@
+/**
+ * An entry instance of the forwarding fleet: takes callers' requests, learns endpoints and documents from control instances,
+ * and tells the other entry instances what it has running.
+ */
+import * as timers from 'node:timers/promises'
+import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as crashSuspects from './crashSuspects.js'
+import * as endpointPools from './endpointPool.js'
+import * as entryContexts from './entryContext.js'
+import * as entryMetrics from './entryMetrics.js'
+import * as entryServers from './entryServer.js'
+import * as headerNames from './headerNames.js'
+import * as peerExchanges from './peerExchange.js'
+import * as retryWindows from './retryWindow.js'
+import * as routeTables from './routeTable.js'
+
+/** What an entry instance is built from. */
+export interface EntryInstanceOptions {
+  id: string
+  /** Start of this process, Unix milliseconds. */
+  startedAt: number
+  zone: string
+  region: string
+  /** IP number and port for callers. */
+  front: string
+  /** IP number and port for the other instances. */
+  inner: string
+  /** Inner addresses of control instances as the settings name them now. */
+  seeds: () => readonly string[]
+  /** What all instances of the fleet must know. */
+  secret: string
+  names: headerNames.HeaderNames
+  /** Reads a document as it travels. @throws Error when it cannot be read */
+  readDocument: (body: Uint8Array) => routeTables.RouteTable
+  retryBounds: retryWindows.RetryBounds
+  /** How often endpoints announce themselves, milliseconds. */
+  announceMs: number
+  /** How long a stop may take, milliseconds. */
+  graceMs: number
+  log: telemetry.Log
+}
+
+/** A running entry instance. */
+export interface EntryInstance {
+  metrics: entryMetrics.EntryMetrics
+  /** @returns whether callers may be sent here */
+  isReady: () => boolean
+  /** @returns addresses that callers of an availability zone may use, none if none is known */
+  addresses: (zone: string | undefined) => string[]
+  /** Serves what is open and what still comes, then ends. */
+  stop: () => Promise<void>
+}
+
+/** An endpoint is taken for dead after so many announcements that did not come, ... */
+const SILENT_ANNOUNCEMENTS = 4
+/** ... and this much more, for signs of life that travel over two control instances. */
+const SILENT_MARGIN_MS = 2000
+/** An entry instance that was not heard of for this long is not named to callers. */
+const ENTRY_SILENT_MS = 3500
+/** Callers of a zone are sent to its own instances if there are so many: one alone may fail. */
+const ZONE_ENOUGH = 2
+/** Share of the grace in which new requests are still served: callers keep addresses for a while. */
+const ACCEPT_SHARE = 0.6
+/** Before the grace ends, so much is left to end in order. */
+const END_MARGIN_MS = 400
+/** A stopping instance without callers ends after this time: they have all been told of others. */
+const QUIET_MS = 2500
+const LOOK_MS = 50
+const DIAL_MS = 1000
+
+/**
+ * Starts an entry instance.
+ * @param opts its addresses, fleet and names
+ * @returns the instance, which is ready once it has a document
+ */
+export async function startEntryInstance (opts: EntryInstanceOptions): Promise<EntryInstance> {
+  const { log } = opts
+  const now = (): number => performance.now()
+  const table = discovery.createRecordTable()
+  const suspects = crashSuspects.createCrashSuspects()
+  const metrics = entryMetrics.createEntryMetrics()
+  let document: routeTables.CompiledTable | undefined
+  let unreadable = 0
+  let stage: 'serving' | 'leaving' | 'refusing' = 'serving'
+  let seq = 0
+  const retryOf = new Map<string, retryWindows.RetryWindow>()
+
+  const self = (): discovery.EntryRecord => ({
+    kind: 'entry',
+    id: opts.id,
+    startedAt: opts.startedAt,
+    seq: ++seq,
+    zone: opts.zone,
+    region: opts.region,
+    front: opts.front,
+    inner: opts.inner,
+    state: stage !== 'serving' ? 'leaving' : document === undefined ? 'starting' : 'ready'
+  })
+
+  const handlers: links.LinkHandlers = {
+    onEvent (body, link) {
+      if ((body as { t?: unknown })?.t === 'peer') {
+        const news = peerExchanges.peerNews.safeParse(body)
+        if (news.success) exchange.onNews(news.data, link.peer.id)
+        return
+      }
+      const event = discovery.discoveryEvent.safeParse(body)
+      if (event.success) subscriber.onEvent(event.data, link)
+    },
+    async onCall () { throw new Error('entry instances answer no calls') }
+  }
+  const linkSettings: links.LinkSettings = { who: { role: 'router', id: opts.inner }, secret: opts.secret, log, handlers }
+  const book = links.createPeerBook(linkSettings)
+  const failedAt = new Map<string, number>()
+
+  const within = async <T>(work: Promise<T>, address: string): Promise<T> => {
+    let timer: NodeJS.Timeout | undefined
+    const late = new Promise<never>((resolve, reject) => { timer = setTimeout(() => { reject(new Error(`no connection to ${address} within ${DIAL_MS} ms`)) }, DIAL_MS) })
+    return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
+  }
+
+  const reachPeer = async (address: string): Promise<links.Link> => {
+    const known = book.peek(address)
+    if (known !== undefined) return known
+    if (now() - (failedAt.get(address) ?? -Infinity) < DIAL_MS) throw new Error(`${address} could not be reached just now`)
+    try {
+      return await within(book.get(address, address), address)
+    } catch (err) {
+      failedAt.set(address, now())
+      throw err
+    }
+  }
+
+  const takeDocument = (taken: discovery.VersionedDocument): void => {
+    try {
+      document = routeTables.compileTable(opts.readDocument(taken.body))
+      server.applyLimits(document.limits)
+      metrics.documentVersion.set(document.version)
+      log.event('documentInForce', { version: document.version, routes: [...document.routesOf.values()].reduce((sum, list) => sum + list.length, 0) })
+    } catch (err) {
+      unreadable = taken.version
+      log.event('documentUnreadable', { version: taken.version, detail: err instanceof Error ? err.message : String(err) })
+    }
+    if (seq > 0 && document !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
+  }
+
+  const announce = (): void => {
+    table.merge(self(), now())
+    subscriber.announce()
+  }
+
+  const pool = endpointPools.createEndpointPool({
+    table,
+    currentAt: () => subscriber.currentAt(),
+    silentMs: SILENT_ANNOUNCEMENTS * opts.announceMs + SILENT_MARGIN_MS,
+    log
+  })
+
+  const otherEntries = (): discovery.EntryRecord[] => table.entries()
+    .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
+    .map(item => item.record)
+
+  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: reachPeer, pool, suspects, log })
+
+  const ctx: entryContexts.EntryContext = {
+    names: opts.names,
+    zone: opts.zone,
+    pool,
+    suspects,
+    exchange,
+    metrics,
+    log,
+    table: () => document,
+    retryWindow (service) {
+      const known = retryOf.get(service)
+      if (known !== undefined) return known
+      const created = retryWindows.createRetryWindow(opts.retryBounds)
+      retryOf.set(service, created)
+      return created
+    },
+    stage: () => stage,
+    now
+  }
+
+  const innerServer = await links.listen(opts.inner, linkSettings, link => { book.add(link) })
+  const server = await entryServers.startEntryServer({ front: opts.front, ctx })
+  const subscriber = discovery.startSubscriber({
+    seeds: opts.seeds,
+    table,
+    dial: async address => await within(links.dial(address, linkSettings), address),
+    self,
+    version: () => Math.max(document?.version ?? 0, unreadable),
+    onDocument: takeDocument,
+    onRecords: list => { pool.update(list) },
+    log
+  })
+  const pruner = setInterval(() => {
+    table.prune(now())
+    metrics.subscriptions.set(subscriber.subscriptions())
+  }, 10_000)
+
+  return {
+    metrics,
+    isReady: () => stage === 'serving' && document !== undefined,
+    addresses (zone) {
+      const isSelfReady = stage === 'serving' && document !== undefined
+      const ready = table.entries()
+        .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isHeard(item.heardAt))
+        .map(item => item.record)
+      const near = ready.filter(item => item.zone === zone)
+      return (near.length >= ZONE_ENOUGH ? near : ready).map(item => item.front)
+    },
+    async stop () {
+      const beganAt = now()
+      stage = 'leaving'
+      log.event('stopping', { open: server.open(), connections: server.connections() })
+      announce()
+      const elapsed = (): number => now() - beganAt
+      let quietSince = beganAt
+      while (elapsed() < ACCEPT_SHARE * opts.graceMs) {
+        if (server.open() > 0) quietSince = now()
+        if (now() - quietSince > QUIET_MS) break
+        await timers.setTimeout(LOOK_MS)
+      }
+      stage = 'refusing'
+      server.stopListening()
+      while (server.open() > 0 && elapsed() < opts.graceMs - END_MARGIN_MS) await timers.setTimeout(LOOK_MS)
+      log.event('stopped', { ms: Math.round(elapsed()), open: server.open() })
+      clearInterval(pruner)
+      exchange.stop()
+      subscriber.stop()
+      book.close()
+      server.destroy()
+      await innerServer.close()
+    }
+  }
+
+  /** Silence counts only up to when a control instance with a quorum was last heard: without news nobody is known to be gone. */
+  function isHeard (heardAt: number): boolean {
+    return subscriber.currentAt() - heardAt < ENTRY_SILENT_MS
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/entryMetrics.ts
@@ -0,0 +1,46 @@
+/** The metrics of an entry instance of the forwarding fleet. */
+import * as prom from 'prom-client'
+import * as telemetry from '@kingcupdeck/telemetry'
+
+const SECONDS = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 4, 8, 15]
+const MAX_ACCOUNT_LABELS = 100
+const MAX_ROUTE_LABELS = 100
+
+/** The metrics of an entry instance. */
+export interface EntryMetrics {
+  registry: prom.Registry
+  /** From the request to the head of its answer. */
+  firstByte: prom.Histogram<'account' | 'route'>
+  /** From the request to its end. */
+  duration: prom.Histogram<'account' | 'route'>
+  requests: prom.Counter<'route' | 'outcome'>
+  attempts: prom.Counter<'service' | 'outcome'>
+  open: prom.Gauge
+  documentVersion: prom.Gauge
+  subscriptions: prom.Gauge
+  droppedLines: prom.Gauge
+  toAccountLabel: (account: string) => string
+  toRouteLabel: (route: string) => string
+}
+
+/**
+ * Creates the metrics.
+ * @returns the metrics and their registry
+ */
+export function createEntryMetrics (): EntryMetrics {
+  const registry = new prom.Registry()
+  const registers = [registry]
+  return {
+    registry,
+    firstByte: new prom.Histogram({ name: 'kingcupdeck_forward_first_byte_seconds', help: 'From the request to the head of its answer, per client account and route', labelNames: ['account', 'route'], buckets: SECONDS, registers }),
+    duration: new prom.Histogram({ name: 'kingcupdeck_forward_seconds', help: 'From the request to its end, per client account and route', labelNames: ['account', 'route'], buckets: SECONDS, registers }),
+    requests: new prom.Counter({ name: 'kingcupdeck_forward_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers }),
+    attempts: new prom.Counter({ name: 'kingcupdeck_forward_attempts_total', help: 'Sends to endpoints by service and outcome', labelNames: ['service', 'outcome'], registers }),
+    open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
+    documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
+    subscriptions: new prom.Gauge({ name: 'kingcupdeck_control_subscriptions', help: 'Control instances that tell this instance news', registers }),
+    droppedLines: new prom.Gauge({ name: 'kingcupdeck_log_lines_dropped', help: 'Log lines that were left out to stay within bounds', registers }),
+    toAccountLabel: telemetry.createBoundedLabels(MAX_ACCOUNT_LABELS),
+    toRouteLabel: telemetry.createBoundedLabels(MAX_ROUTE_LABELS)
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/forward.ts
@@ -0,0 +1,290 @@
+/**
+ * Sends a request to endpoints until one answers or nothing more may be tried, and passes the answer on. What may be tried
+ * again follows from what is known of each send: a request that may run only once is never sent again after an endpoint may
+ * have begun to run it, and "not run" is said only when no endpoint did.
+ */
+import * as http from 'node:http'
+import * as attempts from './attempt.js'
+import * as chooseEndpoints from './chooseEndpoint.js'
+import * as clientCalls from './clientCall.js'
+import * as crashSuspects from './crashSuspects.js'
+import * as endpointPools from './endpointPool.js'
+import * as forwardHeaders from './forwardHeaders.js'
+import * as admission from './admission.js'
+import * as relayStreams from './relayStream.js'
+import * as routeTables from './routeTable.js'
+
+/** A request that no endpoint ran may be offered to this many of them. */
+const MAX_OFFERS = 4
+/** With less time left than this, no endpoint can answer in time. */
+const MIN_LEFT_MS = 10
+/** An idempotent request that is not answered within this share of its time is tried elsewhere ... */
+const PATIENCE_SHARE = 0.4
+/** ... and one that is answered by a stream after this multiple of its target. */
+const STREAM_PATIENCE = 2
+/** When to come back if all endpoints are out of reach or full: spread, so that those who return do not return together. */
+const RETRY_AFTER_MS = 150
+/** When to come back if no endpoint is known, as after a start. */
+const RETRY_UNKNOWN_MS = 400
+/** A request that crashes endpoints is told to stay away this long. */
+const RETRY_QUARANTINED_MS = 30_000
+const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'])
+const MAX_WHOLE_BYTES = 8 * 1024 * 1024
+
+/** An endpoint's answer that is whole, held back while a better one is tried for. */
+interface HeldAnswer { res: http.IncomingMessage, body: Buffer }
+
+/**
+ * Serves one admitted request.
+ * @param call the request
+ * @returns the outcome, for the log
+ */
+export async function forward (call: clientCalls.ClientCall): Promise<string> {
+  const { ctx, route } = call
+  const fingerprint = crashSuspects.toFingerprint(call.account, call.req.method ?? '', call.req.url ?? '', call.body)
+  if (ctx.suspects.isQuarantined(fingerprint, ctx.now())) {
+    return refuse(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', retryAfterMs: RETRY_QUARANTINED_MS })
+  }
+  const tried = new Set<string>()
+  const isRepeatable = routeTables.isRepeatable(route)
+  let held: HeldAnswer | undefined
+  let offers = 0
+  let runs = 0
+  ctx.retryWindow(call.service).note(ctx.now())
+
+  while (true) {
+    const leftMs = call.endsAt - ctx.now()
+    if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return giveUp(call, held, 'the time is over')
+    const endpoint = pick(call, tried)
+    if (endpoint === undefined) return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
+    // The first offer is free; each further one is paid for, or an outage of some endpoints would overload the others.
+    if (offers > 0 && !ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return giveUp(call, held, 'the budget of retries is used up')
+    tried.add(endpoint.id)
+    const mayRunAgain = isRepeatable && runs + 1 < route.maxAttempts
+    const sentAt = ctx.now()
+    endpoint.inFlight++
+    try {
+      const sent = await attempts.sendAttempt({
+        endpoint,
+        out: toOutgoing(call, endpoint, leftMs, undefined),
+        names: ctx.names,
+        signal: call.stop.signal,
+        answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs,
+        isFresh: false,
+        now: ctx.now
+      })
+      const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt) }
+      switch (sent.kind) {
+        case 'unreachable':
+          note(`unreachable: ${sent.why}`)
+          if (call.stop.signal.aborted) return giveUp(call, held, 'the client left')
+          noteUnreachable(call, endpoint, sent.why)
+          break
+        case 'notRun':
+          offers++
+          note(`notRun ${sent.status}`)
+          ctx.pool.noteReached(endpoint)
+          if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
+          break
+        case 'lost':
+          offers++
+          runs++
+          note(`lost: ${sent.why}`)
+          call.mayHaveRun = true
+          noteLoss(call, endpoint, fingerprint)
+          if (!mayRunAgain) return giveUp(call, held, sent.why)
+          break
+        case 'answer': {
+          offers++
+          runs++
+          ctx.pool.noteReached(endpoint)
+          call.mayHaveRun = true
+          if (isEventStream(sent.res)) {
+            call.firstByteAt = ctx.now()
+            const relayed = await relayStreams.relayStream(call, {
+              sent,
+              resume: async lastId => {
+                noteLoss(call, endpoint, fingerprint)
+                return await resumeElsewhere(call, tried, lastId, runs++)
+              }
+            })
+            note(relayed.outcome)
+            if (relayed.kind === 'unstarted' && mayRunAgain) break
+            if (relayed.kind === 'unstarted') return giveUp(call, held, relayed.outcome)
+            return relayed.outcome
+          }
+          const whole = await attempts.readWhole(sent.res, call.stop.signal, MAX_WHOLE_BYTES)
+          if (whole.kind === 'broken') {
+            note(`lost: ${whole.why}`)
+            noteLoss(call, endpoint, fingerprint)
+            if (!mayRunAgain) return giveUp(call, held, whole.why)
+            break
+          }
+          const status = sent.res.statusCode ?? 0
+          note(String(status))
+          // An endpoint's own failure of a request that may run again is worth a second try elsewhere: it came early.
+          if (status >= 500 && status !== 504 && mayRunAgain) {
+            held = { res: sent.res, body: whole.body }
+            break
+          }
+          return deliver(call, { res: sent.res, body: whole.body })
+        }
+      }
+    } finally {
+      endpoint.inFlight--
+    }
+    if (offers >= MAX_OFFERS) return giveUp(call, held, 'no endpoint had room')
+  }
+}
+
+/** Tries another endpoint for the rest of a stream. */
+async function resumeElsewhere (call: clientCalls.ClientCall, tried: Set<string>, lastEventId: string | undefined, runs: number): Promise<relayStreams.Resumed> {
+  const { ctx, route } = call
+  let offers = 0
+  while (offers < MAX_OFFERS) {
+    const leftMs = call.endsAt - ctx.now()
+    if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
+    if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
+    const endpoint = pick(call, tried)
+    if (endpoint === undefined) return { kind: 'none', why: 'no further endpoint can be reached' }
+    if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
+    tried.add(endpoint.id)
+    offers++
+    const sentAt = ctx.now()
+    endpoint.inFlight++
+    const sent = await attempts.sendAttempt({
+      endpoint,
+      out: toOutgoing(call, endpoint, leftMs, lastEventId),
+      names: ctx.names,
+      signal: call.stop.signal,
+      answerMs: leftMs,
+      isFresh: false,
+      now: ctx.now
+    })
+    switch (sent.kind) {
+      case 'answer':
+        // Its place in the count is given back by the relay when the stream ends.
+        if (isEventStream(sent.res) && (sent.res.statusCode ?? 0) < 300) return { kind: 'stream', endpoint, sent }
+        noteAttempt(call, endpoint, `no stream ${sent.res.statusCode ?? 0}`, sentAt)
+        sent.abort()
+        break
+      case 'unreachable':
+        noteAttempt(call, endpoint, `unreachable: ${sent.why}`, sentAt)
+        noteUnreachable(call, endpoint, sent.why)
+        break
+      case 'notRun':
+        noteAttempt(call, endpoint, `notRun ${sent.status}`, sentAt)
+        if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
+        break
+      case 'lost':
+        noteAttempt(call, endpoint, `lost: ${sent.why}`, sentAt)
+        endpoint.inFlight--
+        return { kind: 'none', why: sent.why }
+    }
+    endpoint.inFlight--
+  }
+  return { kind: 'none', why: 'no endpoint had room' }
+}
+
+/** Chooses among the endpoints that were not tried yet. */
+function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): endpointPools.Endpoint | undefined {
+  const { ctx, route } = call
+  const now = ctx.now()
+  const usable = ctx.pool.usable(call.service, now).filter(item => !tried.has(item.id))
+  const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
+  const share = Math.max(2, Math.floor(maxConnections / ctx.exchange.instances()))
+  const candidates = usable.map((item): chooseEndpoints.Candidate => ({
+    id: item.id,
+    zone: item.record.zone,
+    load: item.inFlight + item.foreign,
+    slots: Math.max(1, item.record.slots),
+    isCold: item.record.coldMs > 0,
+    room: share - item.inFlight
+  }))
+  const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
+  const id = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
+  return id === undefined ? undefined : ctx.pool.get(id)
+}
+
+/** The parts of a prompt that it shares with others: all but the last one. */
+function toAffinity (parts: string | undefined): string | undefined {
+  if (parts === undefined) return undefined
+  const ids = parts.split(',').map(part => part.split(':')[0].trim())
+  return ids.length > 1 ? ids.slice(0, -1).join(',') : undefined
+}
+
+function toOutgoing (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, leftMs: number, lastEventId: string | undefined): attempts.Outgoing {
+  const { req, ctx } = call
+  // A method with a body needs a length even if the client sent none, or the HTTP library would send chunks.
+  const hasBody = call.body.length > 0 || !BODILESS.has(req.method ?? 'GET')
+  const add: forwardHeaders.RequestAdditions = { leftMs, endpointId: endpoint.id, account: call.account, bodyBytes: call.body.length, hasBody, lastEventId }
+  return {
+    method: req.method ?? 'GET',
+    url: req.url ?? '/',
+    headers: forwardHeaders.toRequestHeaders(req.rawHeaders, ctx.names, add),
+    body: call.body,
+    attemptId: call.attemptId
+  }
+}
+
+function toPatience (call: clientCalls.ClientCall, leftMs: number): number {
+  const patienceMs = call.route.kind === 'stream' ? STREAM_PATIENCE * call.route.targetMs : PATIENCE_SHARE * leftMs
+  return Math.min(leftMs, patienceMs)
+}
+
+function isEventStream (res: http.IncomingMessage): boolean {
+  return res.headers['content-type']?.startsWith('text/event-stream') === true
+}
+
+function noteAttempt (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, outcome: string, sentAt: number): void {
+  call.attempts.push({ endpoint: endpoint.id, outcome, ms: Math.round(call.ctx.now() - sentAt) })
+  call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
+}
+
+function noteUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, why: string): void {
+  const { ctx } = call
+  ctx.pool.noteUnreachable(endpoint, ctx.now(), why)
+  const news = ctx.suspects.noteDown(toIncarnation(endpoint), ctx.now())
+  if (news.length > 0) ctx.exchange.tellCrashes(news)
+}
+
+function noteLoss (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
+  if (call.stop.signal.aborted) return
+  // What broke one connection has likely broken the idle ones beside it.
+  call.ctx.pool.dropIdle(endpoint)
+  call.ctx.suspects.noteLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
+}
+
+function toIncarnation (endpoint: endpointPools.Endpoint): string {
+  return `${endpoint.id}@${endpoint.record.startedAt}`
+}
+
+/** Passes a whole answer on. */
+function deliver (call: clientCalls.ClientCall, answer: HeldAnswer): string {
+  const { res, ctx } = call
+  if (res.destroyed) return 'the client left'
+  call.firstByteAt ??= ctx.now()
+  const status = answer.res.statusCode ?? 502
+  const headers = forwardHeaders.toAnswerHeaders(answer.res.rawHeaders)
+  if (call.req.method !== 'HEAD' && status !== 204 && status !== 304) headers.push('Content-Length', String(answer.body.length))
+  if (ctx.stage() !== 'serving') headers.push('Connection', 'close')
+  res.writeHead(status, headers)
+  res.end(answer.body)
+  return String(status)
+}
+
+/** Ends a request for which nothing more can be tried. */
+function giveUp (call: clientCalls.ClientCall, held: HeldAnswer | undefined, why: string): string {
+  if (held !== undefined) return deliver(call, held)
+  if (call.res.destroyed) return 'the client left'
+  const isLate = call.endsAt - call.ctx.now() < MIN_LEFT_MS
+  if (call.mayHaveRun) return refuse(call, isLate ? { kind: 'timeout', why } : { kind: 'lost', why })
+  const isUnknown = call.ctx.pool.usable(call.service, call.ctx.now()).length === 0
+  const baseMs = isUnknown ? RETRY_UNKNOWN_MS : RETRY_AFTER_MS
+  return refuse(call, { kind: 'unavailable', why, retryAfterMs: baseMs * (0.5 + Math.random()) })
+}
+
+function refuse (call: clientCalls.ClientCall, refusal: clientCalls.Refusal): string {
+  clientCalls.refuse(call, refusal, call.ctx.names.attemptId)
+  return `${clientCalls.toStatus(refusal)} ${refusal.why}`
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,12 @@
+/** Public face of forwarding: the entry instance, its document, and the names that a deployment chooses. */
+export * from './admission.js'
+export * from './chooseEndpoint.js'
+export * from './clientCall.js'
+export * from './crashSuspects.js'
+export * from './entryInstance.js'
+export * from './entryMetrics.js'
+export * from './eventStream.js'
+export * from './forwardHeaders.js'
+export * from './headerNames.js'
+export * from './retryWindow.js'
+export * from './routeTable.js'
--- /dev/null
+++ b/packages/forwarding/src/peerExchange.ts
@@ -0,0 +1,102 @@
+/** What entry instances tell each other: how many requests each has at every endpoint, and which requests crash endpoints. */
+import * as timers from 'node:timers/promises'
+import * as z from 'zod'
+import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as crashSuspects from './crashSuspects.js'
+import * as endpointPools from './endpointPool.js'
+
+/** What an entry instance tells the others. */
+export const peerNews = z.object({
+  t: z.literal('peer'),
+  loads: z.array(z.tuple([z.string(), z.number()])),
+  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) }))
+})
+/** What an entry instance tells the others. */
+export type PeerNews = z.infer<typeof peerNews>
+
+/** What the exchange is built from. */
+export interface PeerExchangeOptions {
+  self: string
+  /** The other entry instances. */
+  others: () => discovery.EntryRecord[]
+  reach: (address: string) => Promise<links.Link>
+  pool: endpointPools.EndpointPool
+  suspects: crashSuspects.CrashSuspects
+  log: telemetry.Log
+}
+
+/** Exchanges loads. */
+export interface PeerExchange {
+  onNews (news: PeerNews, from: string): void
+  /** Tells all others at once of requests that crash endpoints. */
+  tellCrashes (crashes: crashSuspects.CrashNews[]): void
+  /** @returns how many entry instances there are, this one with them */
+  instances (): number
+  stop (): void
+}
+
+/** How often loads are told in a small fleet ... */
+const TELL_MS = 200
+/** ... and how much later for each further instance, so that the cost of an instance stays the same. */
+const TELL_PER_INSTANCE_MS = 15
+/** Loads of an instance that fell silent are forgotten after this time. */
+const FORGET_MS = 3000
+
+/**
+ * Starts the exchange.
+ * @param opts this instance and the ways to the others
+ * @returns the exchange
+ */
+export function startPeerExchange (opts: PeerExchangeOptions): PeerExchange {
+  const heard = new Map<string, { loads: Map<string, number>, at: number }>()
+  const stopped = new AbortController()
+
+  const addUp = (): void => {
+    const now = performance.now()
+    for (const endpoint of opts.pool.all()) endpoint.foreign = 0
+    for (const [peer, item] of heard) {
+      if (now - item.at > FORGET_MS) {
+        heard.delete(peer)
+        continue
+      }
+      for (const [id, load] of item.loads) {
+        const endpoint = opts.pool.get(id)
+        if (endpoint !== undefined) endpoint.foreign += load
+      }
+    }
+  }
+
+  const tell = (news: PeerNews): void => {
+    for (const other of opts.others()) opts.reach(other.inner).then(link => { link.send(news) }, () => {})
+  }
+
+  const run = async (): Promise<void> => {
+    let wasEmpty = false
+    while (!stopped.signal.aborted) {
+      await timers.setTimeout(TELL_MS + TELL_PER_INSTANCE_MS * heard.size, undefined, { ref: false })
+      addUp()
+      const loads = opts.pool.all().filter(item => item.inFlight > 0).map((item): [string, number] => [item.id, item.inFlight])
+      // An idle instance says so once and is then silent but for reminders: silence reads as no load.
+      if (loads.length === 0 && wasEmpty) continue
+      wasEmpty = loads.length === 0
+      tell({ t: 'peer', loads, crashes: [] })
+    }
+  }
+
+  void run()
+  return {
+    onNews (news, from) {
+      heard.set(from, { loads: new Map(news.loads), at: performance.now() })
+      opts.suspects.learn(news.crashes, performance.now())
+      addUp()
+    },
+    tellCrashes (crashes) {
+      const loads = opts.pool.all().filter(item => item.inFlight > 0).map((item): [string, number] => [item.id, item.inFlight])
+      tell({ t: 'peer', loads, crashes })
+    },
+    instances: () => opts.others().length + 1,
+    stop () { stopped.abort() }
+  }
+}
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -94,10 +94,18 @@
     await marker.write(content, 0, content.length, 0)
   }
 
+  // Guards against a good log that is taken for damaged: when the log is about to become shorter, the lower mark must be on
+  // the disk first. Otherwise a power loss may keep the shorter log and the older, higher mark, and every replica that
+  // lost power at that moment would give up its vote.
+  const lowerMark = async (end: number): Promise<void> => {
+    const content = toRecord(end)
+    await marker.write(content, 0, content.length, 0)
+    await marker.datasync()
+  }
+
   const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
     const records = kept.map(toRecord)
-    const lower = toRecord(0)
-    await marker.write(lower, 0, lower.length, 0)
+    await lowerMark(0)
     await replace('log', Buffer.concat(records))
     await log.close()
     log = await fs.open(file('log'), 'a+')
@@ -173,8 +181,7 @@
     truncateFrom: async index => {
       await inOrder(async () => {
         const kept = ends.filter(item => item.index < index)
-        const lower = toRecord(kept.at(-1)?.end ?? 0)
-        await marker.write(lower, 0, lower.length, 0)
+        await lowerMark(kept.at(-1)?.end ?? 0)
         await log.truncate(kept.at(-1)?.end ?? 0)
         await log.datasync()
         ends = kept
--- a/packages/state/src/founding.ts
+++ b/packages/state/src/founding.ts
@@ -44,13 +44,25 @@
   if (meta.founding !== null) core.role = { kind: 'follower' }
 }
 
+/** A voter that hears no leader for this long asks whether it was retired; longer than any election. */
+const ASK_AGAIN_MS = 3 * contracts.ELECTION_MAX_MS
+
 /**
- * Runs until this replica is part of the group: founds it, takes the founding over from a peer, or asks for admission.
+ * Makes this replica part of the group: founds it, takes the founding over from a peer, or asks for admission. In an open
+ * group it runs for good: a voter that was cut off long enough to be retired would otherwise wait for a leader that no
+ * longer knows it.
  * @param core the replica
  */
 export async function runJoining (core: replicaCore.Core): Promise<void> {
   let isAmnesiac = false
-  while (core.isRunning && !core.isVoter()) {
+  while (core.isRunning) {
+    if (core.isVoter()) {
+      if (core.opts.isOpen !== true) return
+      const isForgotten = core.role.kind !== 'leader' && core.opts.clock.now() - core.lastHeardAt > ASK_AGAIN_MS
+      if (isForgotten) await askForAdmission(core)
+      await core.opts.clock.sleep(contracts.HEARTBEAT_MS)
+      continue
+    }
     if (core.meta.founding === null && !isAmnesiac) isAmnesiac = await greetPeers(core)
     // A learner that already gets entries asks on, so that a new leader learns of it as well.
     if (core.meta.founding !== null || isAmnesiac) await askForAdmission(core)
@@ -60,7 +72,7 @@
 
 /** @returns whether the peers know a group that this replica is not part of */
 async function greetPeers (core: replicaCore.Core): Promise<boolean> {
-  const others = core.opts.names.filter(name => name !== core.opts.name)
+  const others = toContacts(core)
   const replies = await Promise.all(others.map(async name => await core.opts.transport.call(name, { t: 'hello', from: core.self() }).catch(() => undefined)))
   const known: entries.Member[] = [core.self()]
   for (const reply of replies) {
@@ -78,7 +90,7 @@
   }
   // Guards against founding a second group over a lost disk: only one replica founds, and only when every other one of
   // the settings says in person that it is new as well.
-  const isFounder = [...core.opts.names].sort()[0] === core.opts.name
+  const isFounder = core.opts.mayFound !== false && [...core.opts.names].sort()[0] === core.opts.name
   if (isFounder && known.length === core.opts.names.length && core.meta.founding === null) await adopt(core, known)
   return false
 }
@@ -95,11 +107,16 @@
   core.opts.log.event('replicaFounded', { group: core.opts.group, replica: core.opts.name, voters: founding.length })
 }
 
+/** Asks all at once: one that is gone must not hold up the others. */
 async function askForAdmission (core: replicaCore.Core): Promise<void> {
-  const others = core.opts.names.filter(name => name !== core.opts.name)
-  for (const name of others) {
-    await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined)
-  }
+  const asked = toContacts(core).map(async name => await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined))
+  await Promise.all(asked)
+}
+
+function toContacts (core: replicaCore.Core): string[] {
+  const names = new Set([...(core.opts.contacts?.() ?? core.opts.names), ...core.voters().map(who => who.name)])
+  names.delete(core.opts.name)
+  return [...names]
 }
 
 /**
--- a/packages/state/src/repair.ts
+++ b/packages/state/src/repair.ts
@@ -20,7 +20,7 @@
 export function onJoin (core: replicaCore.Core, from: entries.Member): entries.RpcReply {
   const id = entries.toMemberId(from)
   const isVoter = core.voters().some(who => entries.toMemberId(who) === id)
-  if (core.role.kind === 'leader' && !isVoter && core.opts.names.includes(from.name)) {
+  if (core.role.kind === 'leader' && !isVoter && (core.opts.isOpen === true || core.opts.names.includes(from.name))) {
     forgetEarlierIncarnations(core.role.lead, from)
     core.role.lead.learners.set(id, from)
     replication.feedPeers(core, core.role.lead)
@@ -63,6 +63,26 @@
   return (core.log.membership()?.index ?? 0) <= core.commit
 }
 
+/**
+ * A voter that stays silent for this long is taken for gone for good: longer than a restart, a freeze or a cut that heals
+ * by itself. A voter that returns later asks for admission like a new one.
+ */
+const RETIRE_SILENT_MS = 12_000
+/** The others must have answered within this time before a silent voter is retired. */
+const LIVE_MS = 1500
+
+/** Guards against quorums that grow out of reach as machines are replaced by new ones at other addresses. */
+function findSilent (core: replicaCore.Core, lead: replicaCore.Leadership): entries.Member | undefined {
+  const now = core.opts.clock.now()
+  const voters = core.voters()
+  if (now - lead.startedAt < RETIRE_SILENT_MS || voters.length <= (core.opts.minVoters ?? 3)) return undefined
+  const others = voters.filter(who => entries.toMemberId(who) !== core.selfId())
+  const silentMs = (who: entries.Member): number => now - (lead.peers.get(entries.toMemberId(who))?.ackedSentAt ?? -Infinity)
+  const silent = others.find(who => silentMs(who) > RETIRE_SILENT_MS)
+  if (silent === undefined || others.some(who => who !== silent && silentMs(who) > LIVE_MS)) return undefined
+  return silent
+}
+
 type Step =
   | { kind: 'admit', member: entries.Member, voters: entries.Member[] }
   | { kind: 'retire', member: entries.Member, voters: entries.Member[] }
@@ -71,6 +91,8 @@
   const voters = core.voters()
   const replaced = voters.find((who, i) => voters.findIndex((other, j) => j > i && other.name === who.name) >= 0)
   if (replaced !== undefined) return { kind: 'retire', member: replaced, voters: voters.filter(who => who !== replaced) }
+  const silent = core.opts.isOpen === true ? findSilent(core, lead) : undefined
+  if (silent !== undefined) return { kind: 'retire', member: silent, voters: voters.filter(who => who !== silent) }
   for (const [id, member] of lead.learners) {
     const progress = lead.peers.get(id)
     const isCaughtUp = progress !== undefined && progress.match >= lead.firstIndex && progress.match + CAUGHT_UP_ENTRIES >= core.commit
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -12,6 +12,9 @@
 /** How a replica stands, for operators. */
 export interface ReplicaStatus { group: string, name: string, role: string, term: number, commit: number, leader: string | null, voters: string[], learners: string[] }
 
+/** How often a waiting confirmation looks for the acknowledgements of its round. */
+const CONFIRM_LOOK_MS = 3
+
 /** One replica of a group. */
 export interface Replica {
   /** Answers another replica. */
@@ -22,9 +25,18 @@
    * @throws ProposalError
    */
   propose (command: unknown): Promise<unknown>
+  /**
+   * Confirms by a round to a quorum, begun after the call, that this replica still leads. What the machine holds then is
+   * no older than anything acknowledged before the call, whatever froze or jumped: no clock is trusted.
+   * @param timeoutMs how long to wait for the round
+   * @throws ProposalError when this replica does not lead or the round does not end in time
+   */
+  confirm (timeoutMs: number): Promise<void>
   /** @returns whether this replica leads, has applied all that was committed before, and its lease lasts */
   isReady (): boolean
   leaderName (): string | null
+  /** @returns when the group was last known to be alive here: a quorum heard as leader, or the leader heard as voter */
+  heardAt (): number
   status (): ReplicaStatus
   /** Hands leadership to the replica that is furthest, if this one leads, then ends all tasks. */
   stop (): Promise<void>
@@ -111,11 +123,23 @@
       }
     },
     async propose (command) {
-      if (!core.isReady()) throw new replicaCore.ProposalError('notLeader', core.role.kind === 'leader' ? null : core.leader)
+      if (!core.isRunning || !core.isReady()) throw new replicaCore.ProposalError('notLeader', core.role.kind === 'leader' ? null : core.leader)
       const atMs = Math.max(core.lastAtMs, opts.clock.wallNow())
       return await appendAsLeader({ kind: 'command', atMs, command })
     },
+    async confirm (timeoutMs) {
+      const since = opts.clock.now()
+      const { role } = core
+      if (role.kind !== 'leader') throw new replicaCore.ProposalError('notLeader', core.leader)
+      for (const peer of role.lead.peers.values()) peer.wake()
+      while (core.confirmedAt() < since || core.applied < role.lead.firstIndex) {
+        if (opts.clock.now() - since > timeoutMs) throw new replicaCore.ProposalError('unknown', null)
+        await opts.clock.sleep(CONFIRM_LOOK_MS)
+        if (!replication.isLeading(core, role.lead)) throw new replicaCore.ProposalError('notLeader', core.leader)
+      }
+    },
     isReady: core.isReady,
+    heardAt: () => core.role.kind === 'leader' ? core.confirmedAt() : core.isVoter() ? core.lastLeaderAt : -Infinity,
     leaderName: () => core.leader,
     status: () => ({
       group: opts.group,
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -31,8 +31,16 @@
   group: string
   /** Name of this replica. */
   name: string
-  /** Names of all replicas that the settings list, this one with them. */
+  /** Names of the replicas that found the group; in a closed group these are all replicas there will ever be. */
   names: readonly string[]
+  /** Whether this replica may take part in founding; false after a restart with an empty disk. Default: true. */
+  mayFound?: boolean
+  /** Names to greet and to ask for admission; the founders when absent. */
+  contacts?: () => readonly string[]
+  /** Whether replicas that are no founders may be admitted, and voters that stay silent retired. */
+  isOpen?: boolean
+  /** The fewest voters that retiring silent ones may leave. */
+  minVoters?: number
   storage: storage.Storage
   transport: Transport
   machine: Machine
@@ -47,6 +55,8 @@
   snapshotEvery?: number
   /** Told when this replica starts to lead (and is ready) or stops. */
   onLeadership?: (isLeader: boolean) => void
+  /** Told once when the disk failed and this replica can do nothing more. */
+  onFailed?: () => void
 }
 
 /** A proposal was not taken, or its outcome is not known. */
@@ -118,6 +128,8 @@
     leader: null as string | null,
     /** When a leader was last heard; votes are refused for a while after it. */
     lastHeardAt: clock.now(),
+    /** When entries or a heartbeat last came from a leader; never before the first. */
+    lastLeaderAt: -Infinity,
     /** When this replica last had a reason to wait before it stands for election. */
     waitsSince: clock.now(),
     isRunning: true,
@@ -216,14 +228,18 @@
 
     /** @returns until when no other replica can lead, by the acknowledgements of a quorum */
     leaseEnd (): number {
+      return core.confirmedAt() + contracts.ELECTION_MIN_MS * LEASE_SHARE
+    },
+
+    /** @returns when the latest append was sent that a quorum has acknowledged, as leader */
+    confirmedAt (): number {
       const { role } = core
       if (role.kind !== 'leader') return -Infinity
       const sent = core.voters().map(who => {
         const id = entries.toMemberId(who)
         return id === core.selfId() ? clock.now() : role.lead.peers.get(id)?.ackedSentAt ?? -Infinity
       })
-      const since = sent.sort((a, b) => b - a)[core.quorum() - 1] ?? -Infinity
-      return since + contracts.ELECTION_MIN_MS * LEASE_SHARE
+      return sent.sort((a, b) => b - a)[core.quorum() - 1] ?? -Infinity
     },
 
     /** Guards against an isolated leader that still believes: it may answer only while its lease lasts. */
@@ -254,7 +270,10 @@
 
     /** A disk that fails makes the replica useless: better no replica than one that forgets. */
     fail (err: unknown): void {
+      if (!core.isRunning) return
+      core.stepDown('the disk failed')
       core.isRunning = false
+      opts.onFailed?.()
       opts.log.event('uncaught', { group: opts.group, replica: opts.name, detail: err instanceof Error ? err.message : String(err) })
     }
   }
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -187,6 +187,7 @@
   if (core.role.kind !== 'follower') core.role = { kind: 'follower' }
   core.leader = msg.leader.name
   core.lastHeardAt = core.opts.clock.now()
+  core.lastLeaderAt = core.lastHeardAt
   if (core.meta.founding === null) {
     core.meta = { ...core.meta, founding: [] }
     await core.saveMeta()
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,3 +2,4 @@
 export * from './invariants.js'
 export * from './log.js'
 export * from './metrics.js'
+export * from './lineWriter.js'
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,5 +1,5 @@
 /** Numbered log events through consola: one line an event, as text or JSON, with secrets left out. */
-import * as consola from 'consola'
+import * as consola from 'consola/core'
 import * as contracts from '@kingcupdeck/contracts'
 
 /** The facts that go with an event. */
@@ -43,6 +43,8 @@
   const format = opts.json ? toJsonLine : toTextLine
   const out = consola.createConsola({
     level: LEVELS[opts.level ?? 'info'],
+    // Lines that resemble each other are different decisions: none is folded into another.
+    throttle: 0,
     reporters: [{ log: entry => { write(format(opts.instance, entry.date, entry.args[0] as Entry)) } }]
   })
   return {
