fix(forwarding): an endpoint that is gone keeps the answers it is sending

Ruled out: the endpoint (its run ends after ours), SIGHUP (settings only). Change: only idle connections are closed.

--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -85,7 +85,7 @@
   const take = (record: discovery.EndpointRecord): void => {
     const held = known.get(record.id)
     if (record.state === 'gone') {
-      held?.agent.destroy()
+      if (held !== undefined) retire(held)
       known.delete(record.id)
       return
     }
@@ -93,7 +93,7 @@
       held.record = record
       return
     }
-    held?.agent.destroy()
+    if (held !== undefined) retire(held)
     known.set(record.id, {
       id: record.id,
       record,
@@ -110,7 +110,7 @@
     // may still be under way.
     for (const other of known.values()) {
       if (other.id !== record.id && other.record.address === record.address && other.record.startedAt < record.startedAt) {
-        other.agent.destroy()
+        retire(other)
         known.delete(other.id)
       }
     }
@@ -153,13 +153,24 @@
     },
     noteMisdirected (endpoint) {
       endpoint.misdirectedSeq = opts.table.get(endpoint.id)?.record.seq ?? endpoint.record.seq
-      endpoint.agent.destroy()
+      retire(endpoint)
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address', seq: endpoint.misdirectedSeq })
     },
-    dropIdle (endpoint) {
-      for (const sockets of Object.values(endpoint.agent.freeSockets)) {
-        for (const socket of [...(sockets ?? [])]) socket.destroy()
-      }
-    }
+    dropIdle
+  }
+}
+
+function dropIdle (endpoint: Endpoint): void {
+  for (const sockets of Object.values(endpoint.agent.freeSockets)) {
+    for (const socket of [...(sockets ?? [])]) socket.destroy()
   }
 }
+
+/**
+ * Guards against answers that are cut by us: an endpoint that says that it is gone serves on what it has for a while, so
+ * only its idle connections are closed, and those in use when their answer has ended.
+ */
+function retire (endpoint: Endpoint): void {
+  endpoint.agent.maxFreeSockets = 0
+  dropIdle(endpoint)
+}
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -11,6 +11,8 @@
 export interface EntryServer {
   /** Takes up the limits of the document in force. */
   applyLimits (limits: routeTables.ClientLimits): void
+  /** IP number and port that it listens on. */
+  readonly address: string
   /** @returns requests that are not answered yet */
   open (): number
   /** @returns connections of callers */
@@ -151,6 +153,7 @@
   })
 
   return {
+    address: `${opts.front.slice(0, at)}:${(server.address() as net.AddressInfo).port}`,
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
