--- a/packages/coordination/src/controlNode.ts
+++ b/packages/coordination/src/controlNode.ts
@@ -7,6 +7,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentStores from './documentStore.js'
+import * as recordFiles from './recordFile.js'
 
 /** What a control instance is built from. */
 export interface ControlNodeOptions {
@@ -93,6 +94,9 @@
     invariants: opts.invariants
   })
 
+  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
+  for (const record of await recordFile.load()) table.merge(record, performance.now())
+
   const publisher = discovery.createPublisher({
     self: opts.inner,
     table,
@@ -103,6 +107,7 @@
       return held === null ? null : { version: held.version, body: held.body }
     },
     isCurrent: () => !isStopping && store.isCurrent(),
+    onChange: recordFile.save,
     log
   })
 
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -69,6 +69,11 @@
 }
 
 const GROUP = 'document'
+/**
+ * Faster than a fleet with thousands of leases: after all replicas were killed, the wait for the next leader is most of the
+ * time without a confirmed document. A slow disk's sync (150 ms) and a stall of a small processor fit into the shortest wait.
+ */
+const TIMING: state.ReplicaTiming = { heartbeatMs: 200, electionMinMs: 700, electionMaxMs: 1300 }
 /** Longer than a sync of a slow disk, shorter than an election. */
 const RPC_MS = 800
 /** A replica is current while its group was heard within this time: two heartbeats and a stall of the process. */
@@ -132,6 +137,7 @@
       mayFound: opts.mayFound,
       contacts: opts.contacts,
       isOpen: true,
+      timing: TIMING,
       minVoters: Math.max(3, 2 * opts.lostDisks + 1),
       storage: await state.createFileStorage(path.join(opts.dataFolder, GROUP)),
       transport,
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -21,6 +21,8 @@
   document: () => messages.VersionedDocument | null
   /** Whether this instance heard from a quorum lately. */
   isCurrent: () => boolean
+  /** Told when a record changed. */
+  onChange?: () => void
   log: telemetry.Log
   now?: () => number
 }
@@ -85,14 +87,15 @@
     const changed = list.filter(item => {
       const merged = table.merge(item, at)
       if (merged === 'refreshed') passedSigns.set(item.id, [item.id, item.startedAt, item.seq])
-      if (merged === 'changed') logChange(item)
+      if (merged === 'changed') noteChange(item)
       return merged === 'changed'
     })
     if (changed.length > 0) tellSubscribers(changed)
     return changed
   }
 
-  const logChange = (item: records.Record): void => {
+  const noteChange = (item: records.Record): void => {
+    opts.onChange?.()
     opts.log.event('recordChanged', { kind: item.kind, id: item.id, state: item.state, startedAt: item.startedAt, seq: item.seq, zone: item.zone })
   }
 
@@ -111,7 +114,7 @@
           ownSigns.set(record.id, [record.id, record.startedAt, record.seq])
           return
         case 'changed':
-          logChange(record)
+          noteChange(record)
           tellSubscribers([record])
           await tellOthers([record])
       }
@@ -122,7 +125,7 @@
           subscribers.add(link)
           void link.closed.then(() => { subscribers.delete(link) })
           if (table.merge(call.self, now()) === 'changed') {
-            logChange(call.self)
+            noteChange(call.self)
             tellSubscribers([call.self])
             void tellOthers([call.self])
           }
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -53,8 +53,10 @@
 const SILENT_MS = 2.3 * messages.TICK_MS
 /** A control instance without a quorum for this long is exchanged for another one, if there is one. */
 const NOT_CURRENT_MS = 1.5 * messages.TICK_MS
-/** How long an address that failed is left alone. */
-const AVOID_MS = 1500
+/** How long an address that failed is left alone: short at first, since a process that was killed is back soon, ... */
+const AVOID_MS = 200
+/** ... and doubled with each failure in a row up to this. */
+const AVOID_MOST_MS = 1600
 const LOOK_MS = 150
 const SUBSCRIBE_MS = 1500
 
@@ -69,6 +71,7 @@
   const now = opts.now ?? (() => performance.now())
   const open = new Set<Subscription>()
   const avoidUntil = new Map<string, number>()
+  const failures = new Map<string, number>()
   let controls: string[] = []
   const stopped = new AbortController()
   let currentAt = -Infinity
@@ -87,7 +90,9 @@
 
   const drop = (sub: Subscription, why: string): void => {
     if (!open.delete(sub)) return
-    avoidUntil.set(sub.address, now() + AVOID_MS)
+    const failed = (failures.get(sub.address) ?? 0) + 1
+    failures.set(sub.address, failed)
+    avoidUntil.set(sub.address, now() + Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (failed - 1)))
     sub.link?.close()
     opts.log.event('controlLost', { address: sub.address, why, subscriptions: open.size })
   }
@@ -159,7 +164,10 @@
         case 'news': takeRecords(event.list); break
         case 'document': takeDocument(event.document); break
         case 'tick':
-          if (event.isCurrent) currentAt = sub.currentAt = now()
+          if (event.isCurrent) {
+            currentAt = sub.currentAt = now()
+            failures.delete(sub.address)
+          }
           controls = event.controls
           for (const sign of event.signs) opts.table.hear(sign, now())
           // Guards against a document that was pushed before this subscription or lost with a link: asks again.
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -46,11 +46,13 @@
   meta: state.Meta | undefined
   entries: state.Entry[] = []
   snapshot: state.Snapshot | undefined
+  committed = 0
 
   wipe (): void {
     this.meta = undefined
     this.entries = []
     this.snapshot = undefined
+    this.committed = 0
   }
 }
 
@@ -171,13 +173,14 @@
       await turn
     }
     return {
-      load: async () => disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0 },
+      load: async () => disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0, committed: disk.committed },
       wipe: async () => { await write(() => { disk.wipe() }) },
       saveMeta: async meta => { await write(() => { disk.meta = meta }) },
       append: async list => {
         const copy = [...list]
         await write(() => { disk.entries.push(...copy) })
       },
+      noteCommit: index => { write(() => { disk.committed = index }).catch(() => {}) },
       truncateFrom: async index => { await write(() => { disk.entries = disk.entries.filter(item => item.index < index) }) },
       saveSnapshot: async (snapshot, keepFrom) => {
         await write(() => {
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -2,7 +2,6 @@
  * Elections: standing for leader after silence, with a pre-vote first, and voting. docs/STATE.md lists the rules with the
  * failure that each guards against.
  */
-import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 
@@ -16,7 +15,8 @@
 export async function runElections (core: replicaCore.Core, lead: () => Promise<void>): Promise<void> {
   const { clock, random } = core.opts
   while (core.isRunning) {
-    const patience = contracts.ELECTION_MIN_MS + random() * (contracts.ELECTION_MAX_MS - contracts.ELECTION_MIN_MS)
+    const { electionMinMs, electionMaxMs } = core.timing
+    const patience = electionMinMs + random() * (electionMaxMs - electionMinMs)
     await clock.sleep(Math.max(10, quietSince(core) + patience - clock.now()))
     if (!core.isRunning || core.role.kind === 'leader' || !core.isVoter()) {
       if (core.role.kind === 'leader' || !core.isVoter()) core.waitsSince = clock.now()
@@ -122,7 +122,7 @@
 
 function isLeaderAlive (core: replicaCore.Core): boolean {
   if (core.role.kind === 'leader') return core.opts.clock.now() < core.leaseEnd()
-  return core.opts.clock.now() - core.lastHeardAt < contracts.ELECTION_MIN_MS
+  return core.opts.clock.now() - core.lastHeardAt < core.timing.electionMinMs
 }
 
 /** Guards against a second vote after a crash: the vote leaves this process only when the disk has it. */
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -63,6 +63,8 @@
   let marker = await fs.open(file('synced'), 'a').then(async handle => { await handle.close(); return await fs.open(file('synced'), 'r+') })
   let ends: Array<{ index: number, end: number }> = []
   let queue: Promise<unknown> = Promise.resolve()
+  let committed = 0
+  let isNoting = false
 
   const inOrder = async <T>(work: () => Promise<T>): Promise<T> => {
     const turn = queue.then(work)
@@ -147,7 +149,8 @@
       const tornBytes = bytes.length - goodBytes
       if (tornBytes > 0) await log.truncate(goodBytes)
       ends = list.map((item, i) => ({ index: item.index, end: records.ends[i] }))
-      return { kind: 'found', meta: entries.meta.parse(rawMeta), snapshot, entries: list, tornBytes }
+      const committed = readRecords(await fs.readFile(file('committed')).catch(() => Buffer.alloc(0))).values[0]
+      return { kind: 'found', meta: entries.meta.parse(rawMeta), snapshot, entries: list, tornBytes, committed: typeof committed === 'number' ? committed : 0 }
     } catch (err) {
       return { kind: 'damaged', detail: err instanceof Error ? err.message : String(err) }
     }
@@ -159,7 +162,7 @@
       await inOrder(async () => {
         await log.close()
         await marker.close()
-        for (const name of ['log', 'meta', 'snapshot', 'synced']) await fs.rm(file(name), { force: true })
+        for (const name of ['log', 'meta', 'snapshot', 'synced', 'committed']) await fs.rm(file(name), { force: true })
         await syncFolder()
         log = await fs.open(file('log'), 'a+')
         marker = await fs.open(file('synced'), 'w+')
@@ -178,6 +181,17 @@
         await mark()
       })
     },
+    noteCommit (index) {
+      committed = index
+      if (isNoting) return
+      isNoting = true
+      // Written in the order of the log, so that it never speaks of an entry that is not there yet. A note that cannot be
+      // written is only an older note.
+      inOrder(async () => {
+        isNoting = false
+        await fs.writeFile(file('committed'), toRecord(committed))
+      }).catch(() => {})
+    },
     truncateFrom: async index => {
       await inOrder(async () => {
         const kept = ends.filter(item => item.index < index)
--- a/packages/state/src/founding.ts
+++ b/packages/state/src/founding.ts
@@ -2,7 +2,6 @@
  * How a replica becomes part of its group: by founding it together with all others, by coming back with its disk, or by
  * rejoining after its disk was lost.
  */
-import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 import * as replication from './replication.js'
@@ -17,7 +16,7 @@
   switch (found.kind) {
     case 'found':
       if (found.tornBytes > 0) log.event('logTornTail', { group, replica: name, bytes: found.tornBytes })
-      takeUp(core, found.meta, found.snapshot, found.entries)
+      takeUp(core, found.meta, found.snapshot, found.entries, found.committed)
       return
     case 'damaged':
       // Damage before the synced end is a lost disk: entries that this replica acknowledged are gone.
@@ -31,7 +30,7 @@
   await core.saveMeta()
 }
 
-function takeUp (core: replicaCore.Core, meta: entries.Meta, snapshot: entries.Snapshot | undefined, list: entries.Entry[]): void {
+function takeUp (core: replicaCore.Core, meta: entries.Meta, snapshot: entries.Snapshot | undefined, list: entries.Entry[], committed: number): void {
   core.meta = meta
   core.syncedMeta = meta
   if (snapshot !== undefined) {
@@ -41,11 +40,13 @@
   core.log.append(list.filter(item => item.index > core.log.base().index))
   core.queuedIndex = core.log.lastIndex()
   core.syncedIndex = core.log.lastIndex()
+  // What was committed before stays committed: it can be told at once, before there is a leader again.
+  core.advanceCommit(committed)
   if (meta.founding !== null) core.role = { kind: 'follower' }
 }
 
-/** A voter that hears no leader for this long asks whether it was retired; longer than any election. */
-const ASK_AGAIN_MS = 3 * contracts.ELECTION_MAX_MS
+/** A voter that hears no leader for so many of the longest election times asks whether it was retired. */
+const ASK_AGAIN_ELECTIONS = 3
 
 /**
  * Makes this replica part of the group: founds it, takes the founding over from a peer, or asks for admission. In an open
@@ -58,15 +59,15 @@
   while (core.isRunning) {
     if (core.isVoter()) {
       if (core.opts.isOpen !== true) return
-      const isForgotten = core.role.kind !== 'leader' && core.opts.clock.now() - core.lastHeardAt > ASK_AGAIN_MS
+      const isForgotten = core.role.kind !== 'leader' && core.opts.clock.now() - core.lastHeardAt > ASK_AGAIN_ELECTIONS * core.timing.electionMaxMs
       if (isForgotten) await askForAdmission(core)
-      await core.opts.clock.sleep(contracts.HEARTBEAT_MS)
+      await core.opts.clock.sleep(core.timing.heartbeatMs)
       continue
     }
     if (core.meta.founding === null && !isAmnesiac) isAmnesiac = await greetPeers(core)
     // A learner that already gets entries asks on, so that a new leader learns of it as well.
     if (core.meta.founding !== null || isAmnesiac) await askForAdmission(core)
-    if (!core.isVoter()) await core.opts.clock.sleep(contracts.HEARTBEAT_MS)
+    if (!core.isVoter()) await core.opts.clock.sleep(core.timing.heartbeatMs)
   }
 }
 
--- a/packages/state/src/repair.ts
+++ b/packages/state/src/repair.ts
@@ -3,7 +3,6 @@
  * is the member that it replaces removed, by a second one. So a repair that is called done has its redundancy back, and a
  * further loss right after it is survived.
  */
-import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 import * as replication from './replication.js'
@@ -45,7 +44,7 @@
  */
 export async function runRepairs (core: replicaCore.Core, lead: replicaCore.Leadership, commitVoters: (voters: entries.Member[]) => Promise<void>): Promise<void> {
   while (replication.isLeading(core, lead)) {
-    await core.opts.clock.sleep(contracts.HEARTBEAT_MS)
+    await core.opts.clock.sleep(core.timing.heartbeatMs)
     if (!core.isReady() || !isSettled(core)) continue
     const step = findStep(core, lead)
     if (step === undefined) continue
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -25,6 +25,18 @@
   call (name: string, msg: entries.Rpc): Promise<entries.RpcReply>
 }
 
+/** How fast a group notices that its leader is gone. All in milliseconds. */
+export interface ReplicaTiming {
+  /** How often a leader sends to a follower that has nothing new to get. */
+  heartbeatMs: number
+  /** Shortest silence of the leader after which a replica stands for election. */
+  electionMinMs: number
+  /** Longest such silence: the spread keeps replicas from standing at the same time. */
+  electionMaxMs: number
+}
+
+const DEFAULT_TIMING: ReplicaTiming = { heartbeatMs: contracts.HEARTBEAT_MS, electionMinMs: contracts.ELECTION_MIN_MS, electionMaxMs: contracts.ELECTION_MAX_MS }
+
 /** What a replica is built from. */
 export interface ReplicaOptions {
   /** Name of the group, for logs. */
@@ -39,6 +51,8 @@
   contacts?: () => readonly string[]
   /** Whether replicas that are no founders may be admitted, and voters that stay silent retired. */
   isOpen?: boolean
+  /** How fast failures are noticed; that of a fleet's control instances when absent. */
+  timing?: ReplicaTiming
   /** The fewest voters that retiring silent ones may leave. */
   minVoters?: number
   storage: storage.Storage
@@ -121,6 +135,7 @@
   const snapshotEvery = opts.snapshotEvery ?? SNAPSHOT_EVERY
   const core = {
     opts,
+    timing: opts.timing ?? DEFAULT_TIMING,
     log,
     meta: { incarnation: '', term: 0, votedFor: null, founding: null } as entries.Meta,
     syncedMeta: undefined as entries.Meta | undefined,
@@ -210,6 +225,8 @@
       if (to <= core.commit) return
       core.commit = to
       while (core.applied < core.commit) applyNext()
+      // Only what is synced here: after a restart the replica begins from this entry without asking anyone.
+      disk.noteCommit?.(Math.min(core.commit, core.syncedIndex))
       core.maybeSnapshot()
     },
 
@@ -228,7 +245,7 @@
 
     /** @returns until when no other replica can lead, by the acknowledgements of a quorum */
     leaseEnd (): number {
-      return core.confirmedAt() + contracts.ELECTION_MIN_MS * LEASE_SHARE
+      return core.confirmedAt() + core.timing.electionMinMs * LEASE_SHARE
     },
 
     /** @returns when the latest append was sent that a quorum has acknowledged, as leader */
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -1,5 +1,4 @@
 /** Leading and following: appending entries, sending snapshots, and keeping the lease. */
-import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 
@@ -67,7 +66,7 @@
     core.countAcks()
     const isBehind = progress.next <= core.log.lastIndex()
     if (isReached && isBehind) continue
-    await Promise.race([core.opts.clock.sleep(contracts.HEARTBEAT_MS), ...(isReached ? [woken] : [])])
+    await Promise.race([core.opts.clock.sleep(core.timing.heartbeatMs), ...(isReached ? [woken] : [])])
   }
 }
 
@@ -128,11 +127,11 @@
  */
 export async function watchLease (core: replicaCore.Core, lead: replicaCore.Leadership): Promise<void> {
   while (isLeading(core, lead)) {
-    await core.opts.clock.sleep(contracts.HEARTBEAT_MS / 2)
+    await core.opts.clock.sleep(core.timing.heartbeatMs / 2)
     if (!isLeading(core, lead)) return
-    const isOld = core.opts.clock.now() - lead.startedAt > contracts.ELECTION_MAX_MS
+    const isOld = core.opts.clock.now() - lead.startedAt > core.timing.electionMaxMs
     // Guards against a leader that a partition isolated silently: it stops believing by itself.
-    if (isOld && core.opts.clock.now() > core.leaseEnd() + contracts.ELECTION_MIN_MS) {
+    if (isOld && core.opts.clock.now() > core.leaseEnd() + core.timing.electionMinMs) {
       core.stepDown('no quorum answers')
       return
     }
--- a/packages/state/src/storage.ts
+++ b/packages/state/src/storage.ts
@@ -5,7 +5,7 @@
 export type Loaded =
   | { kind: 'empty' }
   | { kind: 'damaged', detail: string }
-  | { kind: 'found', meta: entries.Meta, snapshot: entries.Snapshot | undefined, entries: entries.Entry[], tornBytes: number }
+  | { kind: 'found', meta: entries.Meta, snapshot: entries.Snapshot | undefined, entries: entries.Entry[], tornBytes: number, /** An entry up to which all are known to be committed. */ committed: number }
 
 /** The disk of one replica. A promise that resolves means synced; one that rejects is fatal for the replica. */
 export interface Storage {
@@ -17,6 +17,8 @@
   saveMeta (meta: entries.Meta): Promise<void>
   /** Writes entries behind the last one. */
   append (list: readonly entries.Entry[]): Promise<void>
+  /** Notes, without syncing, up to where entries are committed; what a restart finds may be lower. */
+  noteCommit? (index: number): void
   /** Removes the entry with this index and all behind it. */
   truncateFrom (index: number): Promise<void>
   /** Writes a snapshot and removes the entries before `keepFrom`. */
