--- /dev/null
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -0,0 +1,90 @@
+/** Event streams: whole events only, resumed where allowed, cut where not, and ended when the client leaves. */
+import * as ava from 'ava'
+import * as http from 'node:http'
+import * as timers from 'node:timers/promises'
+import * as helper from './helpers/testEntry.js'
+
+const test = ava.default
+
+/** Sends events from the one behind the client's last, as `id: n`. */
+function sendEvents (req: http.IncomingMessage, res: http.ServerResponse, count: number, end: (res: http.ServerResponse) => void): void {
+  const from = Number(req.headers['last-event-id'] ?? 0)
+  helper.beginStream(req, res)
+  for (let i = from + 1; i <= from + count; i++) res.write(`id: ${i}\ndata: event ${i}\n\n`)
+  setTimeout(() => { end(res) }, 50)
+}
+
+function toEvents (from: number, to: number): string {
+  let text = ''
+  for (let i = from; i <= to; i++) text += `id: ${i}\ndata: event ${i}\n\n`
+  return text
+}
+
+// A report stops in the middle because its endpoint crashed within an event. The route allows to go on elsewhere: the client
+// sees one stream with every event once.
+test('a stream that breaks off goes on at another endpoint', async t => {
+  let calls = 0
+  const behave: helper.Behaviour = (req, res) => {
+    if (++calls > 1) {
+      sendEvents(req, res, 3, res => { res.end() })
+      return
+    }
+    sendEvents(req, res, 4, res => {
+      res.write('id: 5\ndata: eve')
+      setTimeout(() => { res.destroy() }, 20)
+    })
+  }
+  const endpoints = [await helper.startEndpoint('e1', behave), await helper.startEndpoint('e2', behave)]
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true })], endpoints)
+  const answer = await entry.ask({ method: 'POST', body: 'q' })
+  t.true(answer.isWhole)
+  t.is(answer.body, toEvents(1, 7))
+  entry.close()
+  endpoints.forEach(item => { item.close() })
+})
+
+// The same where the route does not allow it: the client must see that the stream is not complete, and no second endpoint
+// may run the request.
+test('a stream that may not be resumed ends with a broken connection', async t => {
+  const behave: helper.Behaviour = (req, res) => { sendEvents(req, res, 2, res => { res.destroy() }) }
+  const endpoints = [await helper.startEndpoint('e1', behave), await helper.startEndpoint('e2', behave)]
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream' })], endpoints)
+  const answer = await entry.ask({ method: 'POST', body: 'q' })
+  t.false(answer.isWhole)
+  t.is(answer.body, toEvents(1, 2))
+  t.is(endpoints[0].seen.length + endpoints[1].seen.length, 1)
+  entry.close()
+  endpoints.forEach(item => { item.close() })
+})
+
+// An endpoint goes silent in the middle of a stream while its connection stays open. Clients leave after two seconds.
+test('a stream that stalls is taken elsewhere', async t => {
+  let calls = 0
+  const behave: helper.Behaviour = (req, res) => {
+    if (++calls === 1) sendEvents(req, res, 2, () => {})
+    else sendEvents(req, res, 2, res => { res.end() })
+  }
+  const endpoints = [await helper.startEndpoint('e1', behave), await helper.startEndpoint('e2', behave)]
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, timeoutMs: 8000 })], endpoints)
+  const answer = await entry.ask({ method: 'POST', body: 'q', headers: { 'x-deadline-ms': '8000' } })
+  t.true(answer.isWhole)
+  t.is(answer.body, toEvents(1, 4))
+  entry.close()
+  endpoints.forEach(item => { item.close() })
+})
+
+// A client leaves. Its endpoint would go on to make tokens for nobody.
+test('a stream whose client left ends at the endpoint', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => { sendEvents(req, res, 2, () => {}) })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream' })], [endpoint])
+  const [host, port] = entry.address.split(':')
+  const req = http.get({ host, port, path: '/a/x', agent: false, headers: { host: 'test.example', 'x-attempt': 'leaver', 'x-deadline-ms': '5000' } })
+  req.on('error', () => {})
+  await timers.setTimeout(150)
+  t.is(endpoint.seen.length, 1)
+  req.destroy()
+  for (let i = 0; i < 100 && !endpoint.seen[0].isClosed(); i++) await timers.setTimeout(20)
+  t.true(endpoint.seen[0].isClosed())
+  entry.close()
+  endpoint.close()
+})
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -40,8 +40,11 @@
   now: () => number
 }
 
-/** No connection within this time: the endpoint is down or cut off; longer than a round trip between availability zones. */
-const CONNECT_MS = 350
+/**
+ * No connection within this time, in milliseconds: the endpoint is down or cut off; longer than a round trip between
+ * availability zones.
+ */
+export const CONNECT_MS = 350
 
 /**
  * Sends a request to an endpoint.
@@ -180,7 +183,12 @@
   })
 }
 
-function splitAddress (address: string): { host: string, port: number } {
+/**
+ * Splits `ip:port`.
+ * @param address IP number and port
+ * @returns both parts
+ */
+export function splitAddress (address: string): { host: string, port: number } {
   const at = address.lastIndexOf(':')
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -9,6 +9,7 @@
 import * as clientCalls from './clientCall.js'
 import * as crashSuspects from './crashSuspects.js'
 import * as endpointPools from './endpointPool.js'
+import * as endpointProbes from './endpointProbe.js'
 import * as forwardHeaders from './forwardHeaders.js'
 import * as admission from './admission.js'
 import * as relayStreams from './relayStream.js'
@@ -253,6 +254,11 @@
   // What broke one connection has likely broken the idle ones beside it.
   call.ctx.pool.dropIdle(endpoint)
   call.ctx.suspects.noteLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
+  // Whether the endpoint is down is asked now: after a crash the next request would be the one to find out, and a request
+  // that crashes endpoints would not be known for one before others had been sent to each of them.
+  void endpointProbes.isDown(endpoint).then(why => {
+    if (why !== undefined) noteUnreachable(call, endpoint, why)
+  })
 }
 
 function toIncarnation (endpoint: endpointPools.Endpoint): string {
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -6,6 +6,7 @@
 import * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
 import * as endpointPools from './endpointPool.js'
+import * as eventJoiners from './eventJoiner.js'
 import * as eventStreams from './eventStream.js'
 import * as forwardHeaders from './forwardHeaders.js'
 
@@ -59,12 +60,25 @@
     res.writeHead(first.statusCode ?? 200, headers)
   }
 
+  let isBackedUp = false
+  const joiner = eventJoiners.createEventJoiner({
+    write (bytes) { isBackedUp = !res.write(bytes) },
+    schedule (run, ms) {
+      const timer = setTimeout(run, ms)
+      return () => { clearTimeout(timer) }
+    }
+  })
+
   const pass = async (event: eventStreams.StreamEvent): Promise<void> => {
     // An endpoint that goes on too early would send events twice.
     if (resumedFrom !== undefined && event.id !== undefined && !isBehind(event.id, lastId)) return
     if (!isStarted) start()
     if (event.id !== undefined) lastId = event.id
-    if (!res.write(event.bytes) && !res.destroyed) await drained(res, call.stop.signal)
+    joiner.push(event.bytes)
+    if (isBackedUp && !res.destroyed) {
+      await drained(res, call.stop.signal)
+      isBackedUp = false
+    }
   }
 
   const runPart = async (part: http.IncomingMessage): Promise<PartEnd> => {
@@ -88,6 +102,7 @@
   try {
     while (true) {
       const end = await runPart(source.res)
+      joiner.flush()
       if (end.kind !== 'end') source.abort()
       switch (end.kind) {
         case 'end':
