fix(forwarding): an answer without a length that is reset is not whole

Cause: for a body that ends with its connection Node's client reports 'complete' also after a reset.

--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -137,6 +137,37 @@
   endpoint.close()
 })
 
+// An answer without a length ends with its connection, and the connection is reset half-way. The HTTP library calls that
+// the end of the body; the client would take half an answer for the whole.
+for (const kind of ['once', 'stream'] as const) {
+  test(`an answer without a length that is reset is not whole, ${kind}`, async t => {
+    const endpoint = await helper.startEndpoint('e1', (req, res) => {
+      const type = kind === 'stream' ? 'text/event-stream' : 'text/plain'
+      const text = `HTTP/1.1 200 OK\r\nX-Attempt: ${req.headers['x-attempt'] as string}\r\nX-Seal: s\r\nContent-Type: ${type}\r\n\r\nid: 1\ndata: half\n\n`
+      req.socket.write(text)
+      setTimeout(() => { req.socket.resetAndDestroy() }, 50)
+    })
+    const entry = await helper.startEntry([helper.toRoute({ kind })], [endpoint])
+    const answer = await entry.ask({ method: 'POST', body: 'pay' })
+    t.true(answer.status === 502 || !answer.isWhole)
+    entry.close()
+    endpoint.close()
+  })
+}
+
+// The same with an orderly end of the connection is a whole answer.
+test('an answer without a length that ends in order is whole', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => {
+    req.socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${req.headers['x-attempt'] as string}\r\nX-Seal: s\r\n\r\nwhole`)
+  })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once' })], [endpoint])
+  const answer = await entry.ask({ method: 'POST', body: 'pay' })
+  t.is(answer.status, 200)
+  t.is(answer.body, 'whole')
+  entry.close()
+  endpoint.close()
+})
+
 // The operator allows a second for a route. A client that would wait longer still gets its final answer then.
 test('a request is answered when its route\'s time is over', async t => {
   const endpoint = await helper.startEndpoint('e1', () => {})
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -24,7 +24,7 @@
   /** No usable answer came; the endpoint may have run the request. */
   | { kind: 'lost', why: string }
   /** The endpoint answers; the body is still to come. */
-  | { kind: 'answer', res: http.IncomingMessage, abort: () => void }
+  | { kind: 'answer', res: http.IncomingMessage, abort: () => void, /** Whether the connection failed, as with a reset. */ isBroken: () => boolean }
 
 /** What a send needs. */
 export interface SendOptions {
@@ -57,6 +57,7 @@
   return await new Promise<Sent>(resolve => {
     let isConnected = false
     let isSettled = false
+    let isBroken = false
     const settle = (sent: Sent): void => {
       if (isSettled) return
       isSettled = true
@@ -92,7 +93,10 @@
       })
       socket.once('close', () => { clearTimeout(connectTimer) })
     })
-    req.on('error', err => { fail(err.message) })
+    req.on('error', err => {
+      isBroken = true
+      fail(err.message)
+    })
     req.on('response', res => {
       // Without a listener of its own, an answer that breaks off later would be an uncaught error.
       res.on('error', () => {})
@@ -100,7 +104,7 @@
         req.destroy()
         return
       }
-      settle(judge(res, req, opts))
+      settle(judge(res, req, opts, () => isBroken))
       endpoint.reported = readLoad(res.headers[names.load], opts.now()) ?? endpoint.reported
     })
     const timer = setTimeout(() => { fail(`no answer within ${Math.round(opts.answerMs)} ms`) }, opts.answerMs)
@@ -113,7 +117,7 @@
   })
 }
 
-function judge (res: http.IncomingMessage, req: http.ClientRequest, opts: SendOptions): Sent {
+function judge (res: http.IncomingMessage, req: http.ClientRequest, opts: SendOptions, isBroken: () => boolean): Sent {
   const { names, out } = opts
   const discard = (): void => {
     res.resume()
@@ -145,20 +149,31 @@
     discard()
     return { kind: 'lost', why: 'the answer is encoded, which no client asked for' }
   }
-  return { kind: 'answer', res, abort: () => { req.destroy() } }
+  return { kind: 'answer', res, abort: () => { req.destroy() }, isBroken }
 }
 
 /** What came of reading a body. */
 export type WholeBody = { kind: 'whole', body: Buffer } | { kind: 'broken', why: string }
 
+/**
+ * Tells whether a body that ended came to its end. Guards against an answer without a length that is reset on its way: the
+ * HTTP library takes the end of the connection for the end of the body, also when it broke.
+ * @param answer the answer
+ * @returns whether nothing is missing
+ */
+export function isComplete (answer: Extract<Sent, { kind: 'answer' }>): boolean {
+  return answer.res.complete && !answer.isBroken()
+}
+
 /**
  * Reads a body to its end.
- * @param res the answer
+ * @param answer the answer
  * @param signal ends the reading
  * @param maxBytes the most that is held
  * @returns the body, or why it is not whole
  */
-export async function readWhole (res: http.IncomingMessage, signal: AbortSignal, maxBytes: number): Promise<WholeBody> {
+export async function readWhole (answer: Extract<Sent, { kind: 'answer' }>, signal: AbortSignal, maxBytes: number): Promise<WholeBody> {
+  const { res } = answer
   return await new Promise(resolve => {
     const chunks: Buffer[] = []
     let bytes = 0
@@ -174,7 +189,7 @@
       if (bytes > maxBytes) settle({ kind: 'broken', why: `the answer is larger than ${maxBytes} bytes` })
     })
     res.on('end', () => {
-      settle(res.complete ? { kind: 'whole', body: Buffer.concat(chunks, bytes) } : { kind: 'broken', why: 'the answer ended early' })
+      settle(isComplete(answer) ? { kind: 'whole', body: Buffer.concat(chunks, bytes) } : { kind: 'broken', why: 'the answer ended early' })
     })
     res.on('error', err => { settle({ kind: 'broken', why: err.message }) })
     res.on('close', () => { settle({ kind: 'broken', why: 'the connection closed' }) })
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -114,7 +114,7 @@
             if (relayed.kind === 'unstarted') return giveUp(call, held, relayed.outcome)
             return relayed.outcome
           }
-          const whole = await attempts.readWhole(sent.res, call.stop.signal, MAX_WHOLE_BYTES)
+          const whole = await attempts.readWhole(sent, call.stop.signal, MAX_WHOLE_BYTES)
           if (whole.kind === 'broken') {
             note(`lost: ${whole.why}`)
             noteLoss(call, endpoint, fingerprint)
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -81,7 +81,8 @@
     }
   }
 
-  const runPart = async (part: http.IncomingMessage): Promise<PartEnd> => {
+  const runPart = async (answer: OpenAnswer): Promise<PartEnd> => {
+    const part = answer.res
     const splitter = eventStreams.createEventSplitter()
     try {
       for await (const chunk of withStall(part, canResume ? STALL_MS : undefined)) {
@@ -92,7 +93,7 @@
       if (call.stop.signal.aborted) return { kind: 'stopped', why: String(call.stop.signal.reason) }
       return { kind: 'broken', why: err instanceof Error ? err.message : String(err) }
     }
-    if (!part.complete) return { kind: 'broken', why: 'the connection closed' }
+    if (!attempts.isComplete(answer)) return { kind: 'broken', why: 'the connection closed' }
     if (splitter.held() > 0) return { kind: 'broken', why: 'the stream ended within an event' }
     return { kind: 'end' }
   }
@@ -101,7 +102,7 @@
   call.stop.signal.addEventListener('abort', onStop)
   try {
     while (true) {
-      const end = await runPart(source.res)
+      const end = await runPart(source)
       joiner.flush()
       if (end.kind !== 'end') source.abort()
       switch (end.kind) {
