fix(discovery,forwarding): leaving endpoints stay left, stopping instances take only what ends in time

Signs are counted apart from records now, and changes are told again until confirmed. Instances that cannot be reached are not named to callers.

--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -64,6 +64,8 @@
   const subscribers = new Set<links.Link>()
   let ownSigns = new Map<string, records.Sign>()
   let passedSigns = new Map<string, records.Sign>()
+  /** Changes that another control instance has not confirmed yet, by its address. */
+  const unconfirmed = new Map<string, Map<string, records.Record>>()
   let ticks = 0
 
   const send = (link: links.Link, event: messages.DiscoveryEvent): void => { link.send(event) }
@@ -72,12 +74,26 @@
     for (const link of subscribers) send(link, { t: 'news', list })
   }
 
+  /** Tells one control instance what it has not confirmed yet. */
+  const tellOther = async (address: string): Promise<void> => {
+    const pending = unconfirmed.get(address)
+    if (pending === undefined || pending.size === 0) return
+    const list = [...pending.values()]
+    const link = await opts.reach(address)
+    await link.call({ t: 'records', list } satisfies messages.DiscoveryCall, SPREAD_MS)
+    for (const item of list) {
+      if (pending.get(item.id) === item) pending.delete(item.id)
+    }
+  }
+
   const tellOthers = async (list: records.Record[]): Promise<void> => {
     const calls = opts.others().map(async address => {
-      const link = await opts.reach(address)
-      await link.call({ t: 'records', list } satisfies messages.DiscoveryCall, SPREAD_MS)
+      const pending = unconfirmed.get(address) ?? new Map<string, records.Record>()
+      unconfirmed.set(address, pending)
+      for (const item of list) pending.set(item.id, item)
+      await tellOther(address)
     })
-    // One that cannot be reached is told by the next comparison.
+    // One that cannot be reached now is told with the next ticks.
     await Promise.race([Promise.allSettled(calls), new Promise(resolve => { setTimeout(resolve, SPREAD_MS) })])
   }
 
@@ -179,6 +195,10 @@
         for (const address of opts.others()) opts.reach(address).then(link => { send(link, { t: 'signs', signs: own }) }, () => {})
       }
       const others = opts.others()
+      for (const address of unconfirmed.keys()) {
+        if (!others.includes(address)) unconfirmed.delete(address)
+      }
+      for (const address of others) tellOther(address).catch(() => {})
       if (others.length > 0 && ticks % COMPARE_TICKS === 1) compare(others[Math.floor(Math.random() * others.length)]).catch(() => {})
       if (ticks % 30 === 0) table.prune(now())
     }
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -4,8 +4,14 @@
 /** What a merge did: the record says something new, only that its process lives, or is older than what is known. */
 export type Merged = 'changed' | 'refreshed' | 'stale'
 
-/** A record with when its process was last heard of, on this process's steady clock. */
-export interface Known<T extends records.Record = records.Record> { record: T, heardAt: number }
+/** A record with the last sign of life of its process. */
+export interface Known<T extends records.Record = records.Record> {
+  record: T
+  /** When the process was last heard of, on this process's steady clock. */
+  heardAt: number
+  /** Number of the latest announcement that was heard of, which may be newer than the one the record is from. */
+  heardSeq: number
+}
 
 /** The records that a process knows. */
 export interface RecordTable {
@@ -35,7 +41,7 @@
   const merge = (record: records.Record, now: number): Merged => {
     const held = known.get(record.id)
     if (held === undefined) {
-      known.set(record.id, { record, heardAt: now })
+      known.set(record.id, { record, heardAt: now, heardSeq: record.seq })
       return 'changed'
     }
     if (records.compareAge(record, held.record) <= 0) return 'stale'
@@ -46,6 +52,7 @@
     const isSame = isSameStart && isSameContent(record, held.record)
     held.record = record
     held.heardAt = now
+    held.heardSeq = isSameStart ? Math.max(held.heardSeq, record.seq) : record.seq
     return isSame ? 'refreshed' : 'changed'
   }
 
@@ -53,8 +60,10 @@
     merge,
     hear ([id, startedAt, seq], now) {
       const held = known.get(id)
-      if (held === undefined || held.record.startedAt !== startedAt || seq <= held.record.seq) return false
-      held.record = { ...held.record, seq }
+      if (held === undefined || held.record.startedAt !== startedAt || seq <= held.heardSeq) return false
+      // Guards against an endpoint that stays "ready" for good: a sign tells that an announcement was made, not what it said.
+      // Were the record taken for as new as the sign, the announcement that says "leaving" would be held to be an old one.
+      held.heardSeq = seq
       held.heardAt = now
       return true
     },
--- a/packages/forwarding/__tests__/callers.test.ts
+++ b/packages/forwarding/__tests__/callers.test.ts
@@ -89,11 +89,11 @@
 test('an instance that leaves serves on and closes its connections, then refuses as not run', async t => {
   const endpoint = await helper.startEndpoint('e1', helper.sound)
   const entry = await helper.startEntry([helper.toRoute()], [endpoint])
-  entry.setStage('leaving')
+  entry.stop(true)
   const served = await entry.ask({ headers: { connection: 'keep-alive' } })
   t.is(served.status, 200)
   t.is(served.headers.connection, 'close')
-  entry.setStage('refusing')
+  entry.stop(false)
   const refused = await entry.ask({ headers: { connection: 'keep-alive' } })
   t.is(refused.status, 503)
   t.is(refused.headers.connection, 'close')
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -114,7 +114,8 @@
   announce: (endpoint: TestEndpoint, change?: Partial<discovery.EndpointRecord>) => void
   /** Sends a request over a connection of its own. */
   ask: (opts?: { method?: string, path?: string, headers?: http.OutgoingHttpHeaders, body?: string }) => Promise<TestAnswer>
-  setStage: (stage: 'serving' | 'leaving' | 'refusing') => void
+  /** Tells the entry that it stops, and whether it still takes requests. */
+  stop: (mayTake: boolean) => void
   close: () => void
 }
 
@@ -131,7 +132,8 @@
   const suspects = crashSuspects.createCrashSuspects()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
   const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100 }], accounts: opts.accounts ?? null, limits })
-  let stage: 'serving' | 'leaving' | 'refusing' = 'serving'
+  let isStopping = false
+  let mayTake = true
   const windows = retryWindows.createRetryWindow({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 })
   const ctx: entryContexts.EntryContext = {
     names: NAMES,
@@ -143,7 +145,8 @@
     log,
     table: () => document,
     retryWindow: () => windows,
-    stage: () => stage,
+    isStopping: () => isStopping,
+    mayTake: () => mayTake,
     now
   }
   const server = await entryServers.startEntryServer({ front: '127.0.0.1:0', ctx })
@@ -176,7 +179,10 @@
         out.end(req.body)
       })
     },
-    setStage: value => { stage = value },
+    stop (takes) {
+      isStopping = true
+      mayTake = takes
+    },
     close () {
       server.stopListening()
       server.destroy()
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -118,7 +118,7 @@
 
   const isMisdirected = (endpoint: Endpoint): boolean => {
     if (endpoint.misdirectedSeq === undefined) return false
-    return (opts.table.get(endpoint.id)?.record.seq ?? 0) <= endpoint.misdirectedSeq
+    return (opts.table.get(endpoint.id)?.heardSeq ?? 0) <= endpoint.misdirectedSeq
   }
 
   const isSilent = (endpoint: Endpoint): boolean => {
@@ -152,7 +152,7 @@
       endpoint.avoidUntil = 0
     },
     noteMisdirected (endpoint) {
-      endpoint.misdirectedSeq = opts.table.get(endpoint.id)?.record.seq ?? endpoint.record.seq
+      endpoint.misdirectedSeq = opts.table.get(endpoint.id)?.heardSeq ?? endpoint.record.seq
       retire(endpoint)
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address', seq: endpoint.misdirectedSeq })
     },
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -21,7 +21,9 @@
   table: () => routeTables.CompiledTable | undefined
   /** @returns the second sends that are left for a service */
   retryWindow: (service: string) => retryWindows.RetryWindow
-  /** @returns how far this instance has come in stopping */
-  stage: () => 'serving' | 'leaving' | 'refusing'
+  /** @returns whether this instance was told to stop */
+  isStopping: () => boolean
+  /** @returns whether a request that may take so long is still taken */
+  mayTake: (waitMs: number) => boolean
   now: () => number
 }
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -15,6 +15,7 @@
 import * as peerExchanges from './peerExchange.js'
 import * as retryWindows from './retryWindow.js'
 import * as routeTables from './routeTable.js'
+import * as stopping from './stopping.js'
 
 /** What an entry instance is built from. */
 export interface EntryInstanceOptions {
@@ -61,10 +62,12 @@
 const ENTRY_SILENT_MS = 3500
 /** Callers of a zone are sent to its own instances if there are so many: one alone may fail. */
 const ZONE_ENOUGH = 2
-/** Share of the grace in which new requests are still served: callers keep addresses for a while. */
-const ACCEPT_SHARE = 0.6
-/** Before the grace ends, so much is left to end in order. */
-const END_MARGIN_MS = 400
+/** So long before the grace ends no further connection is taken: callers have asked for addresses again. */
+const ACCEPT_MARGIN_MS = 1200
+/** So long before the grace ends the process ends by itself. */
+const EXIT_MARGIN_MS = 400
+/** An entry instance that could not be reached within this time is not named to callers while others are. */
+const PEER_FAILED_MS = 1500
 /** A stopping instance without callers ends after this time: they have all been told of others. */
 const QUIET_MS = 2500
 const LOOK_MS = 50
@@ -83,7 +86,7 @@
   const metrics = entryMetrics.createEntryMetrics()
   let document: routeTables.CompiledTable | undefined
   let unreadable = 0
-  let stage: 'serving' | 'leaving' | 'refusing' = 'serving'
+  let stopBeganAt: number | undefined
   let seq = 0
   const retryOf = new Map<string, retryWindows.RetryWindow>()
 
@@ -96,7 +99,7 @@
     region: opts.region,
     front: opts.front,
     inner: opts.inner,
-    state: stage !== 'serving' ? 'leaving' : document === undefined ? 'starting' : 'ready'
+    state: stopBeganAt !== undefined ? 'leaving' : document === undefined ? 'starting' : 'ready'
   })
 
   const handlers: links.LinkHandlers = {
@@ -151,7 +154,7 @@
     subscriber.announce()
   }
 
-  const pool = endpointPools.createEndpointPool({
+  const endpoints = endpointPools.createEndpointPool({
     table,
     currentAt: () => subscriber.currentAt(),
     silentMs: SILENT_ANNOUNCEMENTS * opts.announceMs + SILENT_MARGIN_MS,
@@ -162,12 +165,12 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
     .map(item => item.record)
 
-  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: reachPeer, pool, suspects, log })
+  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: reachPeer, pool: endpoints, suspects, log })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
     zone: opts.zone,
-    pool,
+    pool: endpoints,
     suspects,
     exchange,
     metrics,
@@ -180,7 +183,8 @@
       retryOf.set(service, created)
       return created
     },
-    stage: () => stage,
+    isStopping: () => stopBeganAt !== undefined,
+    mayTake: waitMs => stopBeganAt === undefined || stopping.mayTake({ elapsedMs: now() - stopBeganAt, graceMs: opts.graceMs, waitMs }),
     now
   }
 
@@ -193,7 +197,7 @@
     self,
     version: () => Math.max(document?.version ?? 0, unreadable),
     onDocument: takeDocument,
-    onRecords: list => { pool.update(list) },
+    onRecords: list => { endpoints.update(list) },
     log
   })
   const pruner = setInterval(() => {
@@ -203,30 +207,31 @@
 
   return {
     metrics,
-    isReady: () => stage === 'serving' && document !== undefined,
+    isReady: () => stopBeganAt === undefined && document !== undefined,
     addresses (zone) {
-      const isSelfReady = stage === 'serving' && document !== undefined
+      const isSelfReady = stopBeganAt === undefined && document !== undefined
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isHeard(item.heardAt))
         .map(item => item.record)
-      const near = ready.filter(item => item.zone === zone)
-      return (near.length >= ZONE_ENOUGH ? near : ready).map(item => item.front)
+      const reachable = ready.filter(item => now() - (failedAt.get(item.inner) ?? -Infinity) > PEER_FAILED_MS)
+      const pool = reachable.length > 0 ? reachable : ready
+      const near = pool.filter(item => item.zone === zone)
+      return (near.length >= ZONE_ENOUGH ? near : pool).map(item => item.front)
     },
     async stop () {
       const beganAt = now()
-      stage = 'leaving'
+      stopBeganAt = beganAt
       log.event('stopping', { open: server.open(), connections: server.connections() })
       announce()
       const elapsed = (): number => now() - beganAt
       let quietSince = beganAt
-      while (elapsed() < ACCEPT_SHARE * opts.graceMs) {
+      while (elapsed() < opts.graceMs - ACCEPT_MARGIN_MS) {
         if (server.open() > 0) quietSince = now()
         if (now() - quietSince > QUIET_MS) break
         await timers.setTimeout(LOOK_MS)
       }
-      stage = 'refusing'
       server.stopListening()
-      while (server.open() > 0 && elapsed() < opts.graceMs - END_MARGIN_MS) await timers.setTimeout(LOOK_MS)
+      while (server.open() > 0 && elapsed() < opts.graceMs - EXIT_MARGIN_MS) await timers.setTimeout(LOOK_MS)
       log.event('stopped', { ms: Math.round(elapsed()), open: server.open() })
       clearInterval(pruner)
       exchange.stop()
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -75,21 +75,21 @@
       ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version })
     }
     res.on('error', () => {})
-    if (ctx.stage() !== 'serving') res.setHeader('Connection', 'close')
+    if (ctx.isStopping()) res.setHeader('Connection', 'close')
     const table = ctx.table()
     if (table === undefined) {
       refuse({ kind: 'unavailable', why: 'this instance has no document yet', retryAfterMs: RETRY_STARTING_MS })
       return
     }
-    if (ctx.stage() === 'refusing') {
-      refuse({ kind: 'unavailable', why: 'this instance is stopping', retryAfterMs: RETRY_LEAVING_MS })
-      return
-    }
     const seen = admission.admit({ method: req.method ?? '', url: req.url ?? '', host: req.headers.host, raw: req.rawHeaders }, table, ctx.names)
     if (seen.kind === 'refused') {
       refuse(seen.refusal)
       return
     }
+    if (!ctx.mayTake(Math.min(seen.route.timeoutMs, seen.clientMs ?? Infinity))) {
+      refuse({ kind: 'unavailable', why: 'this instance is stopping', retryAfterMs: RETRY_LEAVING_MS })
+      return
+    }
     const body = await readBody(req, table.limits.maxBodyBytes)
     switch (body.kind) {
       case 'tooLarge':
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -273,7 +273,7 @@
   const status = answer.res.statusCode ?? 502
   const headers = forwardHeaders.toAnswerHeaders(answer.res.rawHeaders)
   if (call.req.method !== 'HEAD' && status !== 204 && status !== 304) headers.push('Content-Length', String(answer.body.length))
-  if (ctx.stage() !== 'serving') headers.push('Connection', 'close')
+  if (ctx.isStopping()) headers.push('Connection', 'close')
   res.writeHead(status, headers)
   res.end(answer.body)
   return String(status)
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -56,7 +56,7 @@
   const start = (): void => {
     isStarted = true
     const headers = forwardHeaders.toAnswerHeaders(first.rawHeaders)
-    if (ctx.stage() !== 'serving') headers.push('Connection', 'close')
+    if (ctx.isStopping()) headers.push('Connection', 'close')
     res.writeHead(first.statusCode ?? 200, headers)
   }
 
