--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -71,12 +71,20 @@
   readonly nodes = new Map<string, Node>()
   /** Commands whose proposer was told that they are committed, in that order. */
   readonly acknowledged: string[] = []
+  /** Replicas whose disk takes no more bytes. */
+  readonly fullDisks = new Set<string>()
+  /** Replicas that said that their disk failed. */
+  readonly failed: string[] = []
   /** Terms with their leader; two for one term would be an error. */
   readonly leaders = new Map<number, string>()
   readonly broken: string[] = []
   private readonly random: () => number
 
-  constructor (readonly names: string[], seed: number, readonly snapshotEvery = 20) {
+  /**
+   * @param names the replicas that found the group
+   * @param isOpen whether others may join later, and silent ones are retired
+   */
+  constructor (readonly names: string[], seed: number, readonly snapshotEvery = 20, readonly isOpen = false) {
     const generator = xoroshiro.xoroshiro128plus(seed)
     this.random = () => uniform.uniformFloat64(generator)
     for (const name of names) this.nodes.set(name, { name, disk: new MemoryDisk(), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
@@ -84,7 +92,13 @@
 
   node (name: string): Node { return this.nodes.get(name) as Node }
 
-  async start (name: string): Promise<void> {
+  /** Adds a machine with an empty disk that is no founder. */
+  async add (name: string): Promise<void> {
+    this.nodes.set(name, { name, disk: new MemoryDisk(), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+    await this.start(name)
+  }
+
+  async start (name: string, mayFound = true): Promise<void> {
     const node = this.node(name)
     const process: Process = { isDead: false, replica: undefined, applied: [] }
     node.process = process
@@ -98,6 +112,8 @@
       group: 'test',
       name,
       names: this.names,
+      mayFound,
+      isOpen: this.isOpen,
       storage: this.toStorage(node, process),
       transport: { call: async (to, msg) => await this.call(name, process, to, msg) },
       machine: this.toMachine(process),
@@ -110,7 +126,8 @@
       createIncarnation: () => `${name}-${node.starts}`,
       log,
       invariants,
-      snapshotEvery: this.snapshotEvery
+      snapshotEvery: this.snapshotEvery,
+      onFailed: () => { this.failed.push(name) }
     })
     void starting.then(replica => { process.replica = replica })
   }
@@ -167,9 +184,10 @@
       const turn = queue.then(async () => {
         await new Promise<void>(resolve => { this.clock.schedule(1 + this.random() * 8, resolve) })
         if (process.isDead) await new Promise(() => {})
+        if (this.fullDisks.has(node.name)) throw new Error('no space left on device')
         apply()
       })
-      queue = turn
+      queue = turn.catch(() => {})
       await turn
     }
     return {
