--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -29,6 +29,9 @@
   zone: string
 }
 
+/** The endpoint that was chosen, and why: the first in the order of the prompt, a later one, one nearby, or the least loaded. */
+export interface Choice { id: string, why: 'home' | 'spill' | 'near' | 'least' }
+
 /** An endpoint may carry this multiple of the mean load before requests go to the next one ... */
 const LOAD_FACTOR = 1.5
 /** ... and this many more, since a mean near zero says little. */
@@ -41,9 +44,9 @@
  * @param candidates endpoints of the service that may get work
  * @param req what the request shares, and where it came in
  * @param draw a number in [0, 1), to spread requests among equals
- * @returns the id of the endpoint, or undefined if none has room
+ * @returns the endpoint, or undefined if none has room
  */
-export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): string | undefined {
+export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): Choice | undefined {
   const open = candidates.filter(item => item.room > 0)
   if (open.length === 0) return undefined
   const mean = candidates.reduce((sum, item) => sum + item.load, 0) / candidates.length
@@ -51,21 +54,22 @@
   return req.affinity === undefined ? chooseNear(open, req.zone, bound, draw) : chooseHome(open, req.affinity, bound)
 }
 
-function chooseHome (open: readonly Candidate[], affinity: string, bound: number): string {
+function chooseHome (open: readonly Candidate[], affinity: string, bound: number): Choice {
   const ranked = open
     .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id) }))
     .sort((a, b) => b.score - a.score)
-  const fit = ranked.find(({ item }) => item.load + 1 <= bound)
-  return (fit?.item ?? leastLoaded(open)).id
+  const fit = ranked.findIndex(({ item }) => item.load + 1 <= bound)
+  if (fit < 0) return { id: leastLoaded(open).id, why: 'least' }
+  return { id: ranked[fit].item.id, why: fit === 0 ? 'home' : 'spill' }
 }
 
 /** The least loaded one, of the own availability zone unless others are clearly less loaded. */
-function chooseNear (open: readonly Candidate[], zone: string, bound: number, draw: number): string {
+function chooseNear (open: readonly Candidate[], zone: string, bound: number, draw: number): Choice {
   const near = open.filter(item => item.zone === zone && item.load + 1 <= Math.min(bound, item.slots) && !item.isCold)
   const pool = near.length > 0 ? near : open
   const least = leastLoaded(pool).load
   const equals = pool.filter(item => item.load <= least + LOAD_GRAIN - 1e-9)
-  return equals[Math.floor(draw * equals.length)].id
+  return { id: equals[Math.floor(draw * equals.length)].id, why: near.length > 0 ? 'near' : 'least' }
 }
 
 function leastLoaded (pool: readonly Candidate[]): Candidate {
--- a/packages/forwarding/src/clientCall.ts
+++ b/packages/forwarding/src/clientCall.ts
@@ -4,7 +4,7 @@
 import * as routeTables from './routeTable.js'
 
 /** How a send to an endpoint went, for the log. */
-export interface AttemptRecord { endpoint: string, outcome: string, ms: number }
+export interface AttemptRecord { endpoint: string, /** Why this endpoint was chosen. */ why: string, outcome: string, ms: number }
 
 /** One request of a client. */
 export interface ClientCall {
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -230,6 +230,6 @@
     waitMs: Math.round(call.endsAt - call.startedAt),
     firstMs: call.firstByteAt === undefined ? undefined : Math.round(call.firstByteAt - call.startedAt),
     totalMs: Math.round(now - call.startedAt),
-    attempts: call.attempts.map(item => `${item.endpoint} ${item.outcome} ${item.ms}`).join('; ')
+    attempts: call.attempts.map(item => `${item.endpoint} (${item.why}) ${item.outcome} ${item.ms}`).join('; ')
   })
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -56,10 +56,11 @@
   while (true) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return giveUp(call, held, 'the time is over')
-    const endpoint = pick(call, tried)
-    if (endpoint === undefined) return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
+    const picked = pick(call, tried)
+    if (picked === undefined) return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
     // The first offer is free; each further one is paid for, or an outage of some endpoints would overload the others.
     if (offers > 0 && !ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return giveUp(call, held, 'the budget of retries is used up')
+    const { endpoint } = picked
     tried.add(endpoint.id)
     const mayRunAgain = isRepeatable && runs + 1 < route.maxAttempts
     const sentAt = ctx.now()
@@ -74,7 +75,7 @@
         isFresh: false,
         now: ctx.now
       })
-      const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt) }
+      const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt, picked.why) }
       switch (sent.kind) {
         case 'unreachable':
           note(`unreachable: ${sent.why}`)
@@ -146,9 +147,10 @@
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
     if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
-    const endpoint = pick(call, tried)
-    if (endpoint === undefined) return { kind: 'none', why: 'no further endpoint can be reached' }
+    const picked = pick(call, tried)
+    if (picked === undefined) return { kind: 'none', why: 'no further endpoint can be reached' }
     if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
+    const { endpoint } = picked
     tried.add(endpoint.id)
     offers++
     const sentAt = ctx.now()
@@ -187,8 +189,11 @@
   return { kind: 'none', why: 'no endpoint had room' }
 }
 
+/** An endpoint with the reason for its choice and its load out of that of all. */
+interface Picked { endpoint: endpointPools.Endpoint, why: string }
+
 /** Chooses among the endpoints that were not tried yet. */
-function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): endpointPools.Endpoint | undefined {
+function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
   const { ctx, route } = call
   const now = ctx.now()
   const usable = ctx.pool.usable(call.service, now).filter(item => !tried.has(item.id))
@@ -203,8 +208,11 @@
     room: share - item.inFlight
   }))
   const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
-  const id = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
-  return id === undefined ? undefined : ctx.pool.get(id)
+  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
+  const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
+  if (choice === undefined || endpoint === undefined) return undefined
+  const load = endpoint.inFlight + endpoint.foreign
+  return { endpoint, why: `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}` }
 }
 
 /** The parts of a prompt that it shares with others: all but the last one. */
@@ -237,8 +245,8 @@
   return res.headers['content-type']?.startsWith('text/event-stream') === true
 }
 
-function noteAttempt (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, outcome: string, sentAt: number): void {
-  call.attempts.push({ endpoint: endpoint.id, outcome, ms: Math.round(call.ctx.now() - sentAt) })
+function noteAttempt (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, outcome: string, sentAt: number, why = 'resume'): void {
+  call.attempts.push({ endpoint: endpoint.id, why, outcome, ms: Math.round(call.ctx.now() - sentAt) })
   call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
 }
 
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -124,7 +124,7 @@
           endpoint = resumed.endpoint
           source = resumed.sent
           resumedFrom = lastId ?? ''
-          call.attempts.push({ endpoint: endpoint.id, outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
+          call.attempts.push({ endpoint: endpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
         }
       }
     }
