feat(forwarding): prompts are copied from the endpoint that holds them

Ruled out: evictions (12 runners, 360 prompts of 3.6 M tokens at most in 10 M of memory). The endpoint that holds a prompt is named to the one that gets the request; tests in chooseEndpoint.test.ts.

--- a/packages/forwarding/__tests__/chooseEndpoint.test.ts
+++ b/packages/forwarding/__tests__/chooseEndpoint.test.ts
@@ -58,3 +58,21 @@
 test('no endpoint is chosen beyond its connections', t => {
   t.is(chooseEndpoints.chooseEndpoint([toCandidate('e', { room: 0 })], { affinity: undefined, zone: 'a' }, 0), undefined)
 })
+
+// A runner leaves, and the prompts that it holds are read again elsewhere: ten thousand tokens for each of its subjects,
+// although it can still be asked for them.
+test('what an endpoint that leaves holds is copied by those that take over', t => {
+  for (const item of SUBJECTS) {
+    const home = homeOf(EIGHT, item) as string
+    t.is(chooseEndpoints.chooseSource(EIGHT, item, home), undefined, 'nothing is copied while all is as it was')
+    const others = EIGHT.filter(other => other.id !== home)
+    t.is(chooseEndpoints.chooseSource(EIGHT, item, homeOf(others, item) as string), home)
+  }
+})
+
+test('a newcomer copies from the endpoint whose place it took', t => {
+  const joined = [...EIGHT, toCandidate('n1', { ageMs: 20_000 })]
+  const taken = SUBJECTS.filter(item => homeOf(joined, item) === 'n1')
+  t.true(taken.length > 0)
+  for (const item of taken) t.is(chooseEndpoints.chooseSource(joined, item, 'n1'), homeOf(EIGHT, item))
+})
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -24,6 +24,7 @@
   load: 'x-load',
   promptParts: 'x-parts',
   tokenCounts: 'x-tokens',
+  fetchFrom: 'x-fetch-from',
   lastEventId: 'last-event-id',
   reserved: ['x-reserved']
 }
@@ -131,7 +132,7 @@
   const pool = endpointPools.createEndpointPool({ table, currentAt: now, silentMs: 60_000, log })
   const suspects = crashSuspects.createCrashSuspects()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
-  const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100 }], accounts: opts.accounts ?? null, limits })
+  const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100, canFetch: true }], accounts: opts.accounts ?? null, limits })
   let isStopping = false
   let mayTake = true
   const windows = retryWindows.createRetryWindow({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 })
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -60,6 +60,30 @@
   return req.affinity === undefined ? chooseNear(open, req.zone, bound, draw) : chooseHome(open, req.affinity, bound)
 }
 
+/** An endpoint whose cache may hold what a request shares. */
+export interface Source { id: string, ageMs: number }
+
+/**
+ * Names the endpoint from whose cache the chosen one may copy the shared parts of a prompt.
+ *
+ * Load pattern: an endpoint leaves, joins, or is so popular that its requests go to the next one; each time prompts that some
+ * endpoint holds would be read again elsewhere, at 90 ms and more for ten thousand tokens. Copying them takes a few ms.
+ * @param sources all endpoints that can be reached, also those that leave, the chosen one with them
+ * @param affinity what the request shares
+ * @param chosen the endpoint that gets the request
+ * @returns the id of the most likely holder, or undefined where the chosen one is that itself
+ */
+export function chooseSource (sources: readonly Source[], affinity: string, chosen: string): string | undefined {
+  const ranked = sources
+    .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id, toWeight(item.ageMs)) }))
+    .sort((a, b) => b.score - a.score)
+  const [first, second] = ranked
+  if (first === undefined) return undefined
+  if (first.item.id !== chosen) return first.item.id
+  // A newcomer that is first in the order took the place of the second, which was first until it came.
+  return first.item.ageMs < NEWCOMER_MS ? second?.item.id : undefined
+}
+
 function chooseHome (open: readonly Candidate[], affinity: string, bound: number): Choice {
   const ranked = open
     .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id, toWeight(item.ageMs)) }))
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -36,6 +36,8 @@
   get (id: string): Endpoint | undefined
   /** @returns the endpoints of a service that may get work now */
   usable (service: string, now: number): Endpoint[]
+  /** @returns the endpoints of a service whose caches can be reached, also those that leave */
+  reachable (service: string, now: number): Endpoint[]
   /** @returns all endpoints */
   all (): Endpoint[]
   /** Notes that an endpoint could not be connected to. */
@@ -140,6 +142,7 @@
       // With nothing better, those whose pause is nearly over are tried: each may be back already.
       return ready.filter(item => item.avoidUntil - now < AVOID_MS && !isSilent(item))
     },
+    reachable: (service, now) => [...known.values()].filter(item => item.record.service === service && !isMisdirected(item) && item.avoidUntil <= now && !isSilent(item)),
     all: () => [...known.values()],
     noteUnreachable (endpoint, now, why) {
       endpoint.failures++
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -68,7 +68,7 @@
     try {
       const sent = await attempts.sendAttempt({
         endpoint,
-        out: toOutgoing(call, endpoint, leftMs, undefined),
+        out: toOutgoing(call, picked, leftMs, undefined),
         names: ctx.names,
         signal: call.stop.signal,
         answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs,
@@ -157,7 +157,7 @@
     endpoint.inFlight++
     const sent = await attempts.sendAttempt({
       endpoint,
-      out: toOutgoing(call, endpoint, leftMs, lastEventId),
+      out: toOutgoing(call, picked, leftMs, lastEventId),
       names: ctx.names,
       signal: call.stop.signal,
       answerMs: leftMs,
@@ -190,7 +190,7 @@
 }
 
 /** An endpoint with the reason for its choice and its load out of that of all. */
-interface Picked { endpoint: endpointPools.Endpoint, why: string }
+interface Picked { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose cache may hold the prompt. */ fetchFrom: string | undefined }
 
 /** Chooses among the endpoints that were not tried yet. */
 function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
@@ -206,15 +206,30 @@
     slots: Math.max(1, item.record.slots),
     isCold: item.record.coldMs > 0,
     room: share - item.inFlight,
-    // The clocks of two machines may differ by seconds, which moves a share of prompts by a few in a hundred at most.
-    ageMs: item.record.startedAt === 0 ? Infinity : Math.max(0, Date.now() - item.record.startedAt)
+    ageMs: toAge(item)
   }))
   const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
   const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
   if (choice === undefined || endpoint === undefined) return undefined
   const load = endpoint.inFlight + endpoint.foreign
-  return { endpoint, why: `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}` }
+  const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
+  const why = `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}${source === undefined ? '' : ` from ${source.id}`}`
+  return { endpoint, why, fetchFrom: source?.record.address }
+}
+
+function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
+  const { ctx } = call
+  const sources = ctx.pool.reachable(call.service, ctx.now())
+    .filter(item => item.id === chosen || !tried.has(item.id))
+    .map((item): chooseEndpoints.Source => ({ id: item.id, ageMs: toAge(item) }))
+  const id = chooseEndpoints.chooseSource(sources, affinity, chosen)
+  return id === undefined ? undefined : ctx.pool.get(id)
+}
+
+/** The clocks of two machines may differ by seconds, which moves a newcomer's share of prompts by a few in a hundred at most. */
+function toAge (endpoint: endpointPools.Endpoint): number {
+  return endpoint.record.startedAt === 0 ? Infinity : Math.max(0, Date.now() - endpoint.record.startedAt)
 }
 
 /** The parts of a prompt that it shares with others: all but the last one. */
@@ -224,11 +239,11 @@
   return ids.length > 1 ? ids.slice(0, -1).join(',') : undefined
 }
 
-function toOutgoing (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, leftMs: number, lastEventId: string | undefined): attempts.Outgoing {
+function toOutgoing (call: clientCalls.ClientCall, picked: Picked, leftMs: number, lastEventId: string | undefined): attempts.Outgoing {
   const { req, ctx } = call
   // A method with a body needs a length even if the client sent none, or the HTTP library would send chunks.
   const hasBody = call.body.length > 0 || !BODILESS.has(req.method ?? 'GET')
-  const add: forwardHeaders.RequestAdditions = { leftMs, endpointId: endpoint.id, account: call.account, bodyBytes: call.body.length, hasBody, lastEventId }
+  const add: forwardHeaders.RequestAdditions = { leftMs, endpointId: picked.endpoint.id, account: call.account, bodyBytes: call.body.length, hasBody, lastEventId, fetchFrom: picked.fetchFrom }
   return {
     method: req.method ?? 'GET',
     url: req.url ?? '/',
--- a/packages/forwarding/src/forwardHeaders.ts
+++ b/packages/forwarding/src/forwardHeaders.ts
@@ -26,6 +26,8 @@
   bodyBytes: number
   hasBody: boolean
   lastEventId: string | undefined
+  /** Address of an endpoint whose cache may hold the prompt. */
+  fetchFrom: string | undefined
 }
 
 /**
@@ -37,7 +39,7 @@
  */
 export function toRequestHeaders (raw: readonly string[], names: headerNames.HeaderNames, add: RequestAdditions): string[] {
   const dropped = namedByConnection(raw)
-  const replaced = new Set([names.deadlineMs, names.expectEndpoint, names.account, names.key, 'content-length', ...names.reserved])
+  const replaced = new Set([names.deadlineMs, names.expectEndpoint, names.account, names.key, names.fetchFrom, 'content-length', ...names.reserved])
   if (add.lastEventId !== undefined) replaced.add(names.lastEventId)
   const headers: string[] = []
   for (let i = 0; i < raw.length; i += 2) {
@@ -51,6 +53,7 @@
   headers.push(names.expectEndpoint, add.endpointId)
   if (add.account !== undefined) headers.push(names.account, add.account)
   if (add.lastEventId !== undefined) headers.push(names.lastEventId, add.lastEventId)
+  if (add.fetchFrom !== undefined) headers.push(names.fetchFrom, add.fetchFrom)
   if (add.hasBody) headers.push('Content-Length', String(add.bodyBytes))
   headers.push('Connection', 'keep-alive')
   return headers
--- a/packages/forwarding/src/headerNames.ts
+++ b/packages/forwarding/src/headerNames.ts
@@ -22,6 +22,8 @@
   promptParts: string
   /** Tokens of the prompt and the most that are made, separated by a comma. */
   tokenCounts: string
+  /** Address of an endpoint from whose cache the receiver may copy what it lacks of the prompt. */
+  fetchFrom: string
   /** The last event that the receiver has. */
   lastEventId: string
   /** Headers that only the fleet may set: a client's own are left out. */
--- a/packages/forwarding/src/routeTable.ts
+++ b/packages/forwarding/src/routeTable.ts
@@ -41,7 +41,9 @@
 export const service = z.object({
   name: z.string(),
   /** Connections that one endpoint takes from all callers together. */
-  maxConnections: z.number().positive()
+  maxConnections: z.number().positive(),
+  /** Whether an endpoint can copy what another one keeps of a prompt instead of reading it again. */
+  canFetch: z.boolean()
 })
 /** Endpoints that answer the same requests. */
 export type Service = z.infer<typeof service>
