--- a/packages/forwarding/src/clientCall.ts
+++ b/packages/forwarding/src/clientCall.ts
@@ -1,6 +1,7 @@
 /** One request of a client: what was decided when it came in, and how it is answered. */
 import * as http from 'node:http'
 import * as entryContexts from './entryContext.js'
+import * as retryAfters from './retryAfter.js'
 import * as routeTables from './routeTable.js'
 
 /** How a send to an endpoint went, for the log. */
@@ -32,7 +33,7 @@
 /** What the fleet itself answers. */
 export type Refusal =
   /** The request did not run and will not: come back after a while. */
-  | { kind: 'unavailable', why: string, retryAfterMs: number }
+  | { kind: 'unavailable', why: string, cause: retryAfters.RefusalCause }
   /** The request itself is at fault. */
   | { kind: 'rejected', status: 400 | 401 | 404 | 413 | 431, why: string }
   /** An endpoint may have run the request, but there is no answer. */
@@ -55,7 +56,7 @@
   }
   const body = Buffer.from(JSON.stringify({ error: { kind: refusal.kind, message: refusal.why } }))
   if (call.attemptId !== undefined) res.setHeader(attemptHeader, call.attemptId)
-  if (refusal.kind === 'unavailable') res.setHeader('Retry-After', (refusal.retryAfterMs / 1000).toFixed(3))
+  if (refusal.kind === 'unavailable') res.setHeader('Retry-After', (retryAfters.toRetryAfterMs(refusal.cause, Math.random()) / 1000).toFixed(3))
   if (!call.req.complete) res.setHeader('Connection', 'close')
   res.setHeader('Content-Type', 'application/json')
   res.setHeader('Content-Length', body.length)
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -71,7 +71,8 @@
 /** A stopping instance without callers ends after this time: they have all been told of others. */
 const QUIET_MS = 2500
 const LOOK_MS = 50
-const DIAL_MS = 1000
+/** A machine that has no power or is cut off does not answer; longer than several round trips between zones. */
+const DIAL_MS = 400
 
 /**
  * Starts an entry instance.
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -36,10 +36,6 @@
 const CHECK_MS = 500
 /** Added to the time an idle connection is kept: the client's clock runs from when it got the last byte. */
 const IDLE_MARGIN_MS = 1500
-/** When to come back to a fleet that has just started. */
-const RETRY_STARTING_MS = 500
-/** When to come back from an instance that stops: at once, since another one takes the request. */
-const RETRY_LEAVING_MS = 20
 
 /**
  * Starts the server.
@@ -78,7 +74,7 @@
     if (ctx.isStopping()) res.setHeader('Connection', 'close')
     const table = ctx.table()
     if (table === undefined) {
-      refuse({ kind: 'unavailable', why: 'this instance has no document yet', retryAfterMs: RETRY_STARTING_MS })
+      refuse({ kind: 'unavailable', why: 'this instance has no document yet', cause: { kind: 'starting', uptimeMs: ctx.now() } })
       return
     }
     const seen = admission.admit({ method: req.method ?? '', url: req.url ?? '', host: req.headers.host, raw: req.rawHeaders }, table, ctx.names)
@@ -87,7 +83,7 @@
       return
     }
     if (!ctx.mayTake(Math.min(seen.route.timeoutMs, seen.clientMs ?? Infinity))) {
-      refuse({ kind: 'unavailable', why: 'this instance is stopping', retryAfterMs: RETRY_LEAVING_MS })
+      refuse({ kind: 'unavailable', why: 'this instance is stopping', cause: { kind: 'stopping' } })
       return
     }
     const body = await readBody(req, table.limits.maxBodyBytes)
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -23,12 +23,6 @@
 const PATIENCE_SHARE = 0.4
 /** ... and one that is answered by a stream after this multiple of its target. */
 const STREAM_PATIENCE = 2
-/** When to come back if all endpoints are out of reach or full: spread, so that those who return do not return together. */
-const RETRY_AFTER_MS = 150
-/** When to come back if no endpoint is known, as after a start. */
-const RETRY_UNKNOWN_MS = 400
-/** A request that crashes endpoints is told to stay away this long. */
-const RETRY_QUARANTINED_MS = 30_000
 const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'])
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
@@ -44,7 +38,7 @@
   const { ctx, route } = call
   const fingerprint = crashSuspects.toFingerprint(call.account, call.req.method ?? '', call.req.url ?? '', call.body)
   if (ctx.suspects.isQuarantined(fingerprint, ctx.now())) {
-    return refuse(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', retryAfterMs: RETRY_QUARANTINED_MS })
+    return refuse(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', cause: { kind: 'quarantined' } })
   }
   const tried = new Set<string>()
   const isRepeatable = routeTables.isRepeatable(route)
@@ -310,9 +304,8 @@
   if (call.res.destroyed) return 'the client left'
   const isLate = call.endsAt - call.ctx.now() < MIN_LEFT_MS
   if (call.mayHaveRun) return refuse(call, isLate ? { kind: 'timeout', why } : { kind: 'lost', why })
-  const isUnknown = call.ctx.pool.usable(call.service, call.ctx.now()).length === 0
-  const baseMs = isUnknown ? RETRY_UNKNOWN_MS : RETRY_AFTER_MS
-  return refuse(call, { kind: 'unavailable', why, retryAfterMs: baseMs * (0.5 + Math.random()) })
+  const isUnreachable = call.ctx.pool.usable(call.service, call.ctx.now()).length === 0
+  return refuse(call, { kind: 'unavailable', why, cause: { kind: isUnreachable ? 'noEndpoint' : 'noRoom' } })
 }
 
 function refuse (call: clientCalls.ClientCall, refusal: clientCalls.Refusal): string {
