--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -55,9 +55,11 @@
 const NOT_CURRENT_MS = 1.5 * messages.TICK_MS
 /** How long an address that failed is left alone: short at first, since a process that was killed is back soon, ... */
 const AVOID_MS = 200
-/** ... and doubled with each failure in a row up to this. */
+/** ... and doubled with each failure in a row up to this, ... */
 const AVOID_MOST_MS = 1600
-const LOOK_MS = 150
+/** ... but for an instance without a document: it serves nobody until the first control instance is back. */
+const AVOID_ALONE_MS = 100
+const LOOK_MS = 100
 const SUBSCRIBE_MS = 1500
 
 interface Subscription { address: string, link: links.Link | undefined, heardAt: number, currentAt: number, version: number }
@@ -92,7 +94,8 @@
     if (!open.delete(sub)) return
     const failed = (failures.get(sub.address) ?? 0) + 1
     failures.set(sub.address, failed)
-    avoidUntil.set(sub.address, now() + Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (failed - 1)))
+    const mostMs = opts.version() === 0 ? AVOID_ALONE_MS : AVOID_MOST_MS
+    avoidUntil.set(sub.address, now() + Math.min(mostMs, AVOID_MS * 2 ** (failed - 1)))
     sub.link?.close()
     opts.log.event('controlLost', { address: sub.address, why, subscriptions: open.size })
   }
