--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -43,7 +43,7 @@
 export async function createControl (opts: ControlOptions): Promise<Control> {
   const { log } = opts
   const metrics = telemetry.createControlMetrics()
-  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, isFatal: opts.isFatal })
+  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, exportTallies: telemetry.exportTallies, isFatal: opts.isFatal })
   const groups = new Map<string, state.Replica>()
   const who = { role: 'control' as const, id: opts.id }
   const count: links.CountBytes = (direction, bytes) => { metrics.linkBytes.inc({ direction }, bytes) }
--- a/packages/coordination/src/controlNode.ts
+++ b/packages/coordination/src/controlNode.ts
@@ -130,6 +130,7 @@
       isStopping = true
       clearInterval(timer)
       await store.stop().catch(err => { log.event('uncaught', { step: 'stop', detail: String(err) }) })
+      await recordFile.close()
       book.close()
       await server.close()
     }
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -64,7 +64,8 @@
   isCurrent (): boolean
   /** @returns inner addresses of the other members of the group */
   others (): string[]
-  leader (): string | null
+  /** @returns whether this instance leads the group */
+  leads (): boolean
   stop (): Promise<void>
 }
 
@@ -227,7 +228,7 @@
       all.delete(opts.self)
       return [...all]
     },
-    leader,
+    leads: () => leader() === opts.self,
     async stop () {
       stopped.abort()
       await replica?.stop()
--- a/packages/coordination/src/recordFile.ts
+++ b/packages/coordination/src/recordFile.ts
@@ -15,6 +15,8 @@
   load: () => Promise<discovery.Record[]>
   /** Writes the records as they are then; calls that come while one is written are served together. */
   save: () => void
+  /** Takes no further calls and waits for the last write. */
+  close: () => Promise<void>
 }
 
 /**
@@ -27,10 +29,10 @@
 export function createRecordFile (folder: string, list: () => discovery.Record[], log: telemetry.Log): RecordFile {
   const file = path.join(folder, 'records')
   let isWaiting = false
-  let isWriting = false
+  let isClosed = false
+  let writing: Promise<void> | undefined
 
   const write = async (): Promise<void> => {
-    isWriting = true
     while (isWaiting) {
       isWaiting = false
       const text = JSON.stringify(list())
@@ -54,9 +56,15 @@
       return discovery.record.array().parse(JSON.parse(text))
     },
     save () {
+      if (isClosed) return
       isWaiting = true
-      if (isWriting) return
-      write().catch(err => { log.event('recordsNotKept', { detail: err instanceof Error ? err.message : String(err) }) }).finally(() => { isWriting = false })
+      writing ??= write()
+        .catch(err => { log.event('recordsNotKept', { detail: err instanceof Error ? err.message : String(err) }) })
+        .finally(() => { writing = undefined })
+    },
+    async close () {
+      isClosed = true
+      await writing
     }
   }
 }
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -41,6 +41,8 @@
   /** How long a stop may take, milliseconds. */
   graceMs: number
   log: telemetry.Log
+  /** Log lines that were left out so far. */
+  droppedLines: () => number
 }
 
 /** A running entry instance. */
@@ -84,7 +86,7 @@
   const now = (): number => performance.now()
   const table = discovery.createRecordTable()
   const suspects = crashSuspects.createCrashSuspects()
-  const metrics = entryMetrics.createEntryMetrics()
+  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines)
   let document: routeTables.CompiledTable | undefined
   let unreadable = 0
   let stopBeganAt: number | undefined
--- a/packages/forwarding/src/entryMetrics.ts
+++ b/packages/forwarding/src/entryMetrics.ts
@@ -25,9 +25,10 @@
 
 /**
  * Creates the metrics.
+ * @param droppedLines log lines that were left out so far
  * @returns the metrics and their registry
  */
-export function createEntryMetrics (): EntryMetrics {
+export function createEntryMetrics (droppedLines: () => number = () => 0): EntryMetrics {
   const registry = new prom.Registry()
   const registers = [registry]
   return {
@@ -39,7 +40,7 @@
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
     subscriptions: new prom.Gauge({ name: 'kingcupdeck_control_subscriptions', help: 'Control instances that tell this instance news', registers }),
-    droppedLines: new prom.Gauge({ name: 'kingcupdeck_log_lines_dropped', help: 'Log lines that were left out to stay within bounds', registers }),
+    droppedLines: new prom.Gauge({ name: 'kingcupdeck_log_lines_dropped', help: 'Log lines that were left out to stay within bounds', registers, collect () { this.set(droppedLines()) } }),
     toAccountLabel: telemetry.createBoundedLabels(MAX_ACCOUNT_LABELS),
     toRouteLabel: telemetry.createBoundedLabels(MAX_ROUTE_LABELS)
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -76,7 +76,7 @@
   const { log } = opts
   const random = opts.random ?? Math.random
   const metrics = telemetry.createRouterMetrics()
-  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, isFatal: opts.isFatal })
+  const invariants = telemetry.createInvariants({ log, registry: metrics.registry, exportTallies: telemetry.exportTallies, isFatal: opts.isFatal })
   const table = membership.createEndpointTable()
   const suspects = routing.createSuspects()
   const limits = routing.createAccountLimits()
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Public face of telemetry: log, metrics and invariants. */
+export * from './invariantMetrics.js'
 export * from './invariants.js'
+export * from './lineWriter.js'
 export * from './log.js'
 export * from './metrics.js'
-export * from './lineWriter.js'
--- a/packages/telemetry/src/invariants.ts
+++ b/packages/telemetry/src/invariants.ts
@@ -2,7 +2,7 @@
  * What must always hold, asserted inside the running program. A broken invariant is counted and logged in production and
  * ends the process in tests and trials, so that no broken run can pass unseen.
  */
-import * as prom from 'prom-client'
+import type * as prom from 'prom-client'
 import * as log from './log.js'
 
 /** The promises that the program checks while it runs. */
@@ -41,7 +41,14 @@
 }
 
 /** What invariants are built from. */
-export interface InvariantOptions { log: log.Log, registry?: prom.Registry, isFatal?: boolean }
+export interface InvariantOptions {
+  log: log.Log
+  /** Where the tallies are shown, with {@link exportTallies}. */
+  registry?: prom.Registry
+  /** Shows the tallies in the registry; absent in processes that load their metrics later. */
+  exportTallies?: (registry: prom.Registry, tallies: Record<Invariant, Tally>) => void
+  isFatal?: boolean
+}
 
 /**
  * Creates the invariants of one process.
@@ -50,7 +57,7 @@
  */
 export function createInvariants (opts: InvariantOptions): Invariants {
   const tallies = Object.fromEntries(INVARIANTS.map(name => [name, { checked: 0, broken: 0 }])) as Record<Invariant, Tally>
-  if (opts.registry !== undefined) exportTallies(opts.registry, tallies)
+  if (opts.registry !== undefined) opts.exportTallies?.(opts.registry, tallies)
   return {
     check (name, holds, detail) {
       tallies[name].checked++
@@ -63,15 +70,3 @@
     tallies: () => tallies
   }
 }
-
-function exportTallies (registry: prom.Registry, tallies: Record<Invariant, Tally>): void {
-  const create = (metric: string, help: string, pick: (tally: Tally) => number) => new prom.Gauge({
-    name: metric,
-    help,
-    labelNames: ['invariant'],
-    registers: [registry],
-    collect () { for (const name of INVARIANTS) this.set({ invariant: name }, pick(tallies[name])) }
-  })
-  create('kingcupdeck_invariant_checked', 'How often each invariant was checked', tally => tally.checked)
-  create('kingcupdeck_invariant_broken', 'How often each invariant did not hold: must stay 0', tally => tally.broken)
-}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -50,7 +50,10 @@
     target: 'node20',
     format: 'cjs',
     loader: { '.node': 'copy' },
-    alias: Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')])),
+    alias: {
+      '@kingcupdeck/coordination/metrics': path.join(root, 'packages/coordination/src/controlMetrics.ts'),
+      ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
+    },
     logLevel: 'warning'
   })
   fs.writeFileSync(path.join(root, `target/${name}.cjs`), toLoader(name))
