--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -155,6 +155,17 @@
   })
 }
 
+// The same where the last bytes and the reset arrive in one go: the event loop then reports an orderly end and no error.
+test('an answer without a length whose reset comes with its last bytes is not whole', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => {
+    req.socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${req.headers['x-attempt'] as string}\r\nX-Seal: s\r\nConnection: close\r\n\r\nhalf`, () => { req.socket.resetAndDestroy() })
+  })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once' })], [endpoint])
+  for (let i = 0; i < 20; i++) t.is((await entry.ask({ method: 'POST', body: 'pay' })).status, 502)
+  entry.close()
+  endpoint.close()
+})
+
 // The same with an orderly end of the connection is a whole answer.
 test('an answer without a length that ends in order is whole', async t => {
   const endpoint = await helper.startEndpoint('e1', (req, res) => {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -100,6 +100,7 @@
     req.on('response', res => {
       // Without a listener of its own, an answer that breaks off later would be an uncaught error.
       res.on('error', () => {})
+      if (isUnframed(res)) res.socket.prependListener('end', () => { isBroken ||= isReset(res.socket) })
       if (isSettled) {
         req.destroy()
         return
@@ -117,6 +118,20 @@
   })
 }
 
+/** @returns whether the body has no length and ends with the connection */
+function isUnframed (res: http.IncomingMessage): boolean {
+  return res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
+}
+
+/**
+ * Tells a reset from an orderly end. Guards against half an answer that passes for whole: where the last bytes and the reset
+ * arrive together, the event loop reports the end of the stream and no error. A socket that was reset has no peer any more;
+ * one whose peer closed it in order still has.
+ */
+function isReset (socket: net.Socket): boolean {
+  return socket.remoteAddress === undefined
+}
+
 function judge (res: http.IncomingMessage, req: http.ClientRequest, opts: SendOptions, isBroken: () => boolean): Sent {
   const { names, out } = opts
   const discard = (): void => {
