fix(discovery): a farewell counts whatever its number

Cause: an endpoint that says that it is gone without having said that it leaves gets its number from the instance that takes it; that one had heard 19 announcements, entry instances knew later ones from others and took the farewell for old. Ruled out: subscriptions (each entry instance had one in the majority), the spread between control instances (all logged the change within 0.1 s). Within one incarnation the later state wins now. Test: recordTable.test.ts, failed first.

--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -21,6 +21,16 @@
   t.is(table.get('e1')?.heardSeq, 11)
 })
 
+// A runner says that it is gone to an instance that heard nineteen of its announcements, while the entry instance knows the
+// twenty-fourth from another one. Its farewell, numbered twenty, was taken for old, and it got work for as long as it lived.
+test('a farewell counts although others heard later announcements', t => {
+  const table = discovery.createRecordTable()
+  table.merge(toRecord({ seq: 24 }), 0)
+  t.is(table.merge(toRecord({ seq: 20, state: 'gone' }), 1), 'changed')
+  t.is(table.get('e1')?.record.state, 'gone')
+  t.is(table.merge(toRecord({ seq: 25 }), 2), 'stale', 'a late announcement does not bring it back')
+})
+
 // A late announcement of a runner's earlier life, or of the time before it left, must not bring it back.
 test('an older announcement changes nothing', t => {
   const table = discovery.createRecordTable()
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -44,11 +44,14 @@
       known.set(record.id, { record, heardAt: now, heardSeq: record.seq })
       return 'changed'
     }
-    if (records.compareAge(record, held.record) <= 0) return 'stale'
-    // A process that said that it leaves does not come back to work in the same incarnation; an announcement that says so
-    // was overtaken on its way.
+    if (record.startedAt < held.record.startedAt) return 'stale'
     const isSameStart = record.startedAt === held.record.startedAt
+    // Guards against an endpoint that goes on getting work after it said that it is gone. In one incarnation a state never
+    // goes back, so the later state is the newer one whatever the numbers say: a farewell has no number of its own, and the
+    // instance that takes it may have heard fewer announcements than the others.
     if (isSameStart && isLater(held.record.state, record.state)) return 'stale'
+    const isFurther = isSameStart && isLater(record.state, held.record.state)
+    if (isSameStart && !isFurther && record.seq <= held.record.seq) return 'stale'
     const isSame = isSameStart && isSameContent(record, held.record)
     held.record = record
     held.heardAt = now
--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -53,13 +53,3 @@
 export const sign = z.tuple([z.string(), z.number(), z.number()])
 /** A sign of life: id, start and number of the announcement that was heard. */
 export type Sign = z.infer<typeof sign>
-
-/**
- * Tells which of two records of one id is the newer one.
- * @param left a record or sign
- * @param right another
- * @returns above 0 if the left one is newer, 0 if they are the same announcement
- */
-export function compareAge (left: { startedAt: number, seq: number }, right: { startedAt: number, seq: number }): number {
-  return left.startedAt - right.startedAt || left.seq - right.seq
-}
