--- a/packages/kingcupdeck/src/cli.ts
+++ b/packages/kingcupdeck/src/cli.ts
@@ -100,6 +100,17 @@
   handler: async args => { await withSettings(settings.operatorSettings, args, async target => await fleetCommands.explain(target, args.request, args.json)) }
 })
 
+const explainLogs = cmd.command({
+  name: 'explain-logs',
+  description: 'Finds the cause of a failed request of the forwarding fleet in the logs of its instances',
+  args: {
+    request: cmd.positional({ type: cmd.string, displayName: 'request id' }),
+    files: cmd.restPositionals({ type: cmd.string, displayName: 'log files' }),
+    json
+  },
+  handler: args => { process.exitCode = fleetCommands.explainLogs(args.request, args.files, args.json) }
+})
+
 const addresses = cmd.command({
   name: 'addresses',
   description: 'Shows which instances a caller should use, best first; the token is a client account\'s',
@@ -126,6 +137,7 @@
     config: cmd.subcommands({ name: 'config', description: 'Works with the configuration document', cmds: { validate, get, put, history } }),
     status,
     explain,
+    'explain-logs': explainLogs,
     addresses
   }
 })
--- a/packages/kingcupdeck/src/fleetCommands.ts
+++ b/packages/kingcupdeck/src/fleetCommands.ts
@@ -1,6 +1,8 @@
 /** `kingcupdeck status`, `explain` and `addresses`. */
+import * as fs from 'node:fs'
 import * as contracts from '@kingcupdeck/contracts'
 import * as exitCodes from './exitCodes.js'
+import * as logExplains from './logExplain.js'
 import * as operatorClient from './operatorClient.js'
 import * as output from './output.js'
 
@@ -44,6 +46,30 @@
   return exitCodes.ExitCode.done
 }
 
+/**
+ * `explain-logs`: why a request failed, from log files alone.
+ * @param request the request's id
+ * @param files logs of entry and control instances
+ * @param json print JSON
+ * @returns the exit code
+ */
+export function explainLogs (request: string, files: readonly string[], json: boolean): exitCodes.ExitCode {
+  let lines: logExplains.LogLine[]
+  try {
+    lines = files.flatMap(file => logExplains.readLines(fs.readFileSync(file, 'utf8')))
+  } catch (err) {
+    output.printNote(`${err instanceof Error ? err.message : String(err)}: name readable log files`)
+    return exitCodes.ExitCode.usage
+  }
+  const found = logExplains.explainRequest(lines, request)
+  if (json) output.print(JSON.stringify(found))
+  else {
+    output.print(found.cause)
+    for (const item of [...found.around, ...found.own].sort((a, b) => Date.parse(a.at) - Date.parse(b.at))) output.print(JSON.stringify(item))
+  }
+  return found.own.length === 0 ? exitCodes.ExitCode.failed : exitCodes.ExitCode.done
+}
+
 /**
  * `addresses`: which instances a caller should use.
  * @param target any router instance, with a client account's token
--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -79,7 +79,9 @@
 const isInstalled = step('npm ci', 'npm', ['ci', '--no-audit', '--no-fund']).isGood
 if (isInstalled && step('build (types)', 'npx', ['tsc', '-b']).isGood) {
   step('lint', 'npx', ['eslint', '.'])
+  step('platform names', 'node', ['scripts/names.mjs'])
   step('event catalogue', 'node', ['scripts/events.mjs', '--check'])
+  step('bundle for the platform', 'node', ['scripts/bundle.mjs'])
   step('command line help', 'npx', ['kingcupdeck', '--help'])
   installBrowser()
   runTests()
