--- a/packages/coordination/src/controlNode.ts
+++ b/packages/coordination/src/controlNode.ts
@@ -63,23 +63,7 @@
   }
   const linkSettings: links.LinkSettings = { who: { role: 'control', id: opts.inner }, secret: opts.secret, log, handlers }
   const book = links.createPeerBook(linkSettings)
-  const failedAt = new Map<string, number>()
-
-  // Guards against a machine that is gone or cut off: connecting to it hangs, and every message to it would wait.
-  const reach = async (address: string): Promise<links.Link> => {
-    const known = book.peek(address)
-    if (known !== undefined) return known
-    if (performance.now() - (failedAt.get(address) ?? -Infinity) < contracts.HEARTBEAT_MS) throw new Error(`${address} could not be reached just now`)
-    try {
-      return await Promise.race([
-        book.get(address, address),
-        new Promise<never>((resolve, reject) => { setTimeout(() => { reject(new Error(`no connection to ${address} within ${DIAL_MS} ms`)) }, DIAL_MS) })
-      ])
-    } catch (err) {
-      failedAt.set(address, performance.now())
-      throw err
-    }
-  }
+  const reach = links.createReach(book, { dialMs: DIAL_MS, pauseMs: contracts.HEARTBEAT_MS }).get
 
   const store = await documentStores.startDocumentStore({
     self: opts.inner,
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -70,6 +70,8 @@
 const EXIT_MARGIN_MS = 400
 /** An entry instance that could not be reached within this time is not named to callers while others are. */
 const PEER_FAILED_MS = 1500
+/** Loads are told five times a second; a peer that cannot be reached is tried again after this. */
+const PEER_PAUSE_MS = 1000
 /** A stopping instance without callers ends after this time: they have all been told of others. */
 const QUIET_MS = 2500
 const LOOK_MS = 50
@@ -119,25 +121,7 @@
   }
   const linkSettings: links.LinkSettings = { who: { role: 'router', id: opts.inner }, secret: opts.secret, log, handlers }
   const book = links.createPeerBook(linkSettings)
-  const failedAt = new Map<string, number>()
-
-  const within = async <T>(work: Promise<T>, address: string): Promise<T> => {
-    let timer: NodeJS.Timeout | undefined
-    const late = new Promise<never>((resolve, reject) => { timer = setTimeout(() => { reject(new Error(`no connection to ${address} within ${DIAL_MS} ms`)) }, DIAL_MS) })
-    return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
-  }
-
-  const reachPeer = async (address: string): Promise<links.Link> => {
-    const known = book.peek(address)
-    if (known !== undefined) return known
-    if (now() - (failedAt.get(address) ?? -Infinity) < DIAL_MS) throw new Error(`${address} could not be reached just now`)
-    try {
-      return await within(book.get(address, address), address)
-    } catch (err) {
-      failedAt.set(address, now())
-      throw err
-    }
-  }
+  const peers = links.createReach(book, { dialMs: DIAL_MS, pauseMs: PEER_PAUSE_MS })
 
   const takeDocument = (taken: discovery.VersionedDocument): void => {
     try {
@@ -168,7 +152,7 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
     .map(item => item.record)
 
-  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: reachPeer, pool: endpoints, suspects, log })
+  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: peers.get, pool: endpoints, suspects, log })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
@@ -196,7 +180,7 @@
   const subscriber = discovery.startSubscriber({
     seeds: opts.seeds,
     table,
-    dial: async address => await within(links.dial(address, linkSettings), address),
+    dial: async address => await links.withinTime(links.dial(address, linkSettings), address, DIAL_MS),
     self,
     version: () => Math.max(document?.version ?? 0, unreadable),
     onDocument: takeDocument,
@@ -216,7 +200,7 @@
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isHeard(item.heardAt))
         .map(item => item.record)
-      const reachable = ready.filter(item => now() - (failedAt.get(item.inner) ?? -Infinity) > PEER_FAILED_MS)
+      const reachable = ready.filter(item => now() - peers.failedAt(item.inner) > PEER_FAILED_MS)
       const pool = reachable.length > 0 ? reachable : ready
       const near = pool.filter(item => item.zone === zone)
       return (near.length >= ZONE_ENOUGH ? near : pool).map(item => item.front)
--- /dev/null
+++ b/packages/links/src/reach.ts
@@ -0,0 +1,60 @@
+/** Reaching a peer whose machine may be gone: waits only so long, and does not try again at once. */
+import * as links from './link.js'
+import type * as peerBooks from './peerBook.js'
+
+/** How long to wait, and how often to try. */
+export interface ReachOptions {
+  /** A machine without power or behind a partition does not answer: so long is waited for a connection, milliseconds. */
+  dialMs: number
+  /** After a failure nothing is tried for this long, so that messages to a lost peer fail at once, milliseconds. */
+  pauseMs: number
+}
+
+/** Reaches peers by address. */
+export interface Reach {
+  /** @returns an open link. @throws Error when there is none in time, or a try failed just now */
+  get: (address: string) => Promise<links.Link>
+  /** @returns when the peer could last not be reached, on the steady clock; -Infinity if never */
+  failedAt: (address: string) => number
+}
+
+/**
+ * Creates a way to reach peers.
+ * @param book the links of this process, with addresses as ids
+ * @param opts how long to wait
+ * @returns the way
+ */
+export function createReach (book: peerBooks.PeerBook, opts: ReachOptions): Reach {
+  const failures = new Map<string, number>()
+  const failedAt = (address: string): number => failures.get(address) ?? -Infinity
+  return {
+    failedAt,
+    async get (address) {
+      const known = book.peek(address)
+      if (known !== undefined) return known
+      if (performance.now() - failedAt(address) < opts.pauseMs) throw new Error(`${address} could not be reached just now`)
+      try {
+        return await withinTime(book.get(address, address), address, opts.dialMs)
+      } catch (err) {
+        failures.set(address, performance.now())
+        throw err
+      }
+    }
+  }
+}
+
+/**
+ * Waits for a connection, but not for ever.
+ * @param work the connection to come
+ * @param address where it goes, for the error
+ * @param ms how long to wait
+ * @returns what came
+ * @throws Error when nothing came in time
+ */
+export async function withinTime<T> (work: Promise<T>, address: string, ms: number): Promise<T> {
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<never>((resolve, reject) => {
+    timer = setTimeout(() => { reject(new Error(`no connection to ${address} within ${ms} ms`)) }, ms)
+  })
+  return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
+}
