--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -14,6 +14,7 @@
   stopping: spec(1002, 'info', 'graceful shutdown begins'),
   stopped: spec(1003, 'info', 'process ended in order'),
   settingsInvalid: spec(1004, 'error', 'settings are not usable', 'Correct the flags or environment variables that the message names.'),
+  startFailed: spec(1007, 'error', 'the process could not start', 'Check that its addresses are free and its folder can be written.'),
   uncaught: spec(1005, 'error', 'an error reached the last handler', 'Report it with the log lines around it.'),
   invariantBroken: spec(1006, 'error', 'an invariant of the program does not hold', 'Take the instance out of service and report it with its log.'),
   linkOpened: spec(1101, 'info', 'link to a peer opened'),
--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -87,6 +87,7 @@
   runTests()
   say(step('demo, short', 'node', ['packages/trials/dist/src/demo.js'], { DEMO_SECONDS: '12' }).lastLine)
   say(step('soak, short', 'node', ['packages/trials/dist/src/soak.js', '--seed', '11', '--seconds', '20']).lastLine)
+  say(step('soak of the platform\'s programs, short', 'node', ['platform/dist/soak/main.js', '--seed', '2', '--seconds', '12']).lastLine)
 }
 say(`${passed} passed, ${failed} failed`)
 process.exit(failed === 0 ? 0 : 1)
