--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -21,9 +21,7 @@
   key: 'x-key',
   seal: 'x-seal',
   notRun: 'x-not-run',
-  load: 'x-load',
   promptParts: 'x-parts',
-  tokenCounts: 'x-tokens',
   fetchFrom: 'x-fetch-from',
   lastEventId: 'last-event-id',
   reserved: ['x-reserved']
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -35,9 +35,6 @@
   signal: AbortSignal
   /** How long to wait for the head of the answer, milliseconds. */
   answerMs: number
-  /** Whether an idle connection will not do. */
-  isFresh: boolean
-  now: () => number
 }
 
 /**
@@ -52,7 +49,7 @@
  * @returns what is known once the head of the answer is there, or none will come
  */
 export async function sendAttempt (opts: SendOptions): Promise<Sent> {
-  const { endpoint, out, names } = opts
+  const { endpoint, out } = opts
   const { host, port } = splitAddress(endpoint.record.address)
   return await new Promise<Sent>(resolve => {
     let isConnected = false
@@ -74,7 +71,7 @@
     const req = http.request({
       host,
       port,
-      agent: opts.isFresh ? false : endpoint.agent,
+      agent: endpoint.agent,
       method: out.method,
       path: out.url,
       headers: out.headers,
@@ -106,7 +103,6 @@
         return
       }
       settle(judge(res, req, opts, () => isBroken))
-      endpoint.reported = readLoad(res.headers[names.load], opts.now()) ?? endpoint.reported
     })
     const timer = setTimeout(() => { fail(`no answer within ${Math.round(opts.answerMs)} ms`) }, opts.answerMs)
     opts.signal.addEventListener('abort', onAbort, { once: true })
@@ -222,10 +218,3 @@
   const at = address.lastIndexOf(':')
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
 }
-
-function readLoad (text: string | string[] | undefined, at: number): endpointPools.ReportedLoad | undefined {
-  if (typeof text !== 'string') return undefined
-  const [running, waiting, slots] = text.split(',').map(Number)
-  if (![running, waiting, slots].every(Number.isFinite)) return undefined
-  return { running, waiting, slots, at }
-}
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -1,14 +1,11 @@
 /**
- * The endpoints as this entry instance sees them: what their announcements say, what it has running on them, what they and
+ * The endpoints as this entry instance sees them: what their announcements say, what it has running on them, what
  * the other entry instances report, and which of them failed lately.
  */
 import * as http from 'node:http'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 
-/** What an endpoint said of its load on its latest answer. */
-export interface ReportedLoad { running: number, waiting: number, slots: number, at: number }
-
 /** An endpoint as this instance sees it. */
 export interface Endpoint {
   readonly id: string
@@ -16,7 +13,6 @@
   agent: http.Agent
   /** Requests of this instance that run there. */
   inFlight: number
-  reported: ReportedLoad | undefined
   /** Requests of the other entry instances there, as they told last. */
   foreign: number
   /** Not used before this time, after it could not be reached. */
@@ -25,8 +21,6 @@
   failures: number
   /** The announcement after which it was found that another process has its address. */
   misdirectedSeq: number | undefined
-  /** Smoothed share of requests that failed there, 0 to 1. */
-  failureShare: number
 }
 
 /** The endpoints of all services. */
@@ -101,12 +95,10 @@
       record,
       agent: createAgent(),
       inFlight: 0,
-      reported: undefined,
       foreign: 0,
       avoidUntil: 0,
       failures: 0,
-      misdirectedSeq: undefined,
-      failureShare: 0
+      misdirectedSeq: undefined
     })
     // A process that was started later at the same address has taken the place of the one before, whose last announcement
     // may still be under way.
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -65,9 +65,7 @@
         out: toOutgoing(call, picked, leftMs, undefined),
         names: ctx.names,
         signal: call.stop.signal,
-        answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs,
-        isFresh: false,
-        now: ctx.now
+        answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs
       })
       const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt, picked.why) }
       switch (sent.kind) {
@@ -154,9 +152,7 @@
       out: toOutgoing(call, picked, leftMs, lastEventId),
       names: ctx.names,
       signal: call.stop.signal,
-      answerMs: leftMs,
-      isFresh: false,
-      now: ctx.now
+      answerMs: leftMs
     })
     switch (sent.kind) {
       case 'answer':
--- a/packages/forwarding/src/headerNames.ts
+++ b/packages/forwarding/src/headerNames.ts
@@ -16,12 +16,8 @@
   seal: string
   /** Mark of the endpoint on an answer that says the request was not run. */
   notRun: string
-  /** Running and waiting requests and slots of an endpoint. */
-  load: string
   /** Parts of the prompt in order, `id:tokens` separated by commas. */
   promptParts: string
-  /** Tokens of the prompt and the most that are made, separated by a comma. */
-  tokenCounts: string
   /** Address of an endpoint from whose cache the receiver may copy what it lacks of the prompt. */
   fetchFrom: string
   /** The last event that the receiver has. */
