--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -5,13 +5,12 @@
  */
 import * as http from 'node:http'
 import * as attempts from './attempt.js'
-import * as chooseEndpoints from './chooseEndpoint.js'
 import * as clientCalls from './clientCall.js'
 import * as crashSuspects from './crashSuspects.js'
 import * as endpointPools from './endpointPool.js'
 import * as endpointProbes from './endpointProbe.js'
 import * as forwardHeaders from './forwardHeaders.js'
-import * as admission from './admission.js'
+import * as pickEndpoints from './pickEndpoint.js'
 import * as relayStreams from './relayStream.js'
 import * as routeTables from './routeTable.js'
 
@@ -50,7 +49,7 @@
   while (true) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return giveUp(call, held, 'the time is over')
-    const picked = pick(call, tried)
+    const picked = pickEndpoints.pick(call, tried)
     if (picked === undefined) return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
     // The first offer is free; each further one is paid for, or an outage of some endpoints would overload the others.
     if (offers > 0 && !ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return giveUp(call, held, 'the budget of retries is used up')
@@ -139,7 +138,7 @@
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
     if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
-    const picked = pick(call, tried)
+    const picked = pickEndpoints.pick(call, tried)
     if (picked === undefined) return { kind: 'none', why: 'no further endpoint can be reached' }
     if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
     const { endpoint } = picked
@@ -179,57 +178,7 @@
   return { kind: 'none', why: 'no endpoint had room' }
 }
 
-/** An endpoint with the reason for its choice and its load out of that of all. */
-interface Picked { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose cache may hold the prompt. */ fetchFrom: string | undefined }
-
-/** Chooses among the endpoints that were not tried yet. */
-function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
-  const { ctx, route } = call
-  const now = ctx.now()
-  const usable = ctx.pool.usable(call.service, now).filter(item => !tried.has(item.id))
-  const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
-  const share = Math.max(2, Math.floor(maxConnections / ctx.exchange.instances()))
-  const candidates = usable.map((item): chooseEndpoints.Candidate => ({
-    id: item.id,
-    zone: item.record.zone,
-    load: item.inFlight + item.foreign,
-    slots: Math.max(1, item.record.slots),
-    isCold: item.record.coldMs > 0,
-    room: share - item.inFlight,
-    ageMs: toAge(item)
-  }))
-  const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
-  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
-  const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
-  if (choice === undefined || endpoint === undefined) return undefined
-  const load = endpoint.inFlight + endpoint.foreign
-  const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
-  const why = `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}${source === undefined ? '' : ` from ${source.id}`}`
-  return { endpoint, why, fetchFrom: source?.record.address }
-}
-
-function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
-  const { ctx } = call
-  const sources = ctx.pool.reachable(call.service, ctx.now())
-    .filter(item => item.id === chosen || !tried.has(item.id))
-    .map((item): chooseEndpoints.Source => ({ id: item.id, ageMs: toAge(item) }))
-  const id = chooseEndpoints.chooseSource(sources, affinity, chosen)
-  return id === undefined ? undefined : ctx.pool.get(id)
-}
-
-/** The clocks of two machines may differ by seconds, which moves a newcomer's share of prompts by a few in a hundred at most. */
-function toAge (endpoint: endpointPools.Endpoint): number {
-  return endpoint.record.startedAt === 0 ? Infinity : Math.max(0, Date.now() - endpoint.record.startedAt)
-}
-
-/** The parts of a prompt that it shares with others: all but the last one. */
-function toAffinity (parts: string | undefined): string | undefined {
-  if (parts === undefined) return undefined
-  const ids = parts.split(',').map(part => part.split(':')[0].trim())
-  return ids.length > 1 ? ids.slice(0, -1).join(',') : undefined
-}
-
-function toOutgoing (call: clientCalls.ClientCall, picked: Picked, leftMs: number, lastEventId: string | undefined): attempts.Outgoing {
+function toOutgoing (call: clientCalls.ClientCall, picked: pickEndpoints.Picked, leftMs: number, lastEventId: string | undefined): attempts.Outgoing {
   const { req, ctx } = call
   // A method with a body needs a length even if the client sent none, or the HTTP library would send chunks.
   const hasBody = call.body.length > 0 || !BODILESS.has(req.method ?? 'GET')
--- /dev/null
+++ b/packages/forwarding/src/pickEndpoint.ts
@@ -0,0 +1,60 @@
+/** Hands the choice of an endpoint what it depends on: the endpoints as they are now, and what the request shares. */
+import * as admission from './admission.js'
+import * as chooseEndpoints from './chooseEndpoint.js'
+import type * as clientCalls from './clientCall.js'
+import type * as endpointPools from './endpointPool.js'
+
+/** An endpoint with the reason for its choice and its load out of that of all. */
+export interface Picked { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose cache may hold the prompt. */ fetchFrom: string | undefined }
+
+/**
+ * Chooses among the endpoints that were not tried yet.
+ * @param call the request
+ * @param tried ids of those that were
+ * @returns the endpoint, or undefined if none has room
+ */
+export function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
+  const { ctx, route } = call
+  const now = ctx.now()
+  const usable = ctx.pool.usable(call.service, now).filter(item => !tried.has(item.id))
+  const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
+  const share = Math.max(2, Math.floor(maxConnections / ctx.exchange.instances()))
+  const candidates = usable.map((item): chooseEndpoints.Candidate => ({
+    id: item.id,
+    zone: item.record.zone,
+    load: item.inFlight + item.foreign,
+    slots: Math.max(1, item.record.slots),
+    isCold: item.record.coldMs > 0,
+    room: share - item.inFlight,
+    ageMs: toAge(item)
+  }))
+  const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
+  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
+  const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
+  if (choice === undefined || endpoint === undefined) return undefined
+  const load = endpoint.inFlight + endpoint.foreign
+  const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
+  const why = `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}${source === undefined ? '' : ` from ${source.id}`}`
+  return { endpoint, why, fetchFrom: source?.record.address }
+}
+
+function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
+  const { ctx } = call
+  const sources = ctx.pool.reachable(call.service, ctx.now())
+    .filter(item => item.id === chosen || !tried.has(item.id))
+    .map((item): chooseEndpoints.Source => ({ id: item.id, ageMs: toAge(item) }))
+  const id = chooseEndpoints.chooseSource(sources, affinity, chosen)
+  return id === undefined ? undefined : ctx.pool.get(id)
+}
+
+/** The clocks of two machines may differ by seconds, which moves a newcomer's share of prompts by a few in a hundred at most. */
+function toAge (endpoint: endpointPools.Endpoint): number {
+  return endpoint.record.startedAt === 0 ? Infinity : Math.max(0, Date.now() - endpoint.record.startedAt)
+}
+
+/** The parts of a prompt that it shares with others: all but the last one. */
+function toAffinity (parts: string | undefined): string | undefined {
+  if (parts === undefined) return undefined
+  const ids = parts.split(',').map(part => part.split(':')[0].trim())
+  return ids.length > 1 ? ids.slice(0, -1).join(',') : undefined
+}
