--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -34,8 +34,6 @@
   onEvent (event: messages.DiscoveryEvent, link: links.Link): void
   /** Announces a change of this instance to all control instances it is subscribed to. */
   announce (): void
-  /** @returns whether a control instance that has a quorum was heard lately */
-  isCurrent (): boolean
   /** @returns when a control instance that has a quorum was last heard */
   currentAt (): number
   /** @returns how many control instances tell this instance news */
@@ -184,7 +182,6 @@
       const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
       for (const sub of open) sub.link?.send(event)
     },
-    isCurrent: () => now() - currentAt < SILENT_MS,
     currentAt: () => currentAt,
     subscriptions: () => open.size,
     stop () {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one endpoint, and what is known of it: not sent, not run, maybe run, or answered. */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import * as links from '@kingcupdeck/links'
 import * as endpointPools from './endpointPool.js'
 import * as headerNames from './headerNames.js'
 
@@ -50,7 +51,7 @@
  */
 export async function sendAttempt (opts: SendOptions): Promise<Sent> {
   const { endpoint, out } = opts
-  const { host, port } = splitAddress(endpoint.record.address)
+  const { host, port } = links.parseAddress(endpoint.record.address)
   return await new Promise<Sent>(resolve => {
     let isConnected = false
     let isSettled = false
@@ -208,13 +209,3 @@
     if (signal.aborted) onAbort()
   })
 }
-
-/**
- * Splits `ip:port`.
- * @param address IP number and port
- * @returns both parts
- */
-export function splitAddress (address: string): { host: string, port: number } {
-  const at = address.lastIndexOf(':')
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
-}
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -120,6 +120,8 @@
     return opts.currentAt() - heardAt > opts.silentMs
   }
 
+  const isReachable = (endpoint: Endpoint, now: number): boolean => endpoint.avoidUntil <= now && !isSilent(endpoint)
+
   return {
     update (list) {
       for (const record of list) {
@@ -129,12 +131,12 @@
     get: id => known.get(id),
     usable (service, now) {
       const ready = [...known.values()].filter(item => item.record.service === service && item.record.state === 'ready' && !isMisdirected(item))
-      const reachable = ready.filter(item => item.avoidUntil <= now && !isSilent(item))
+      const reachable = ready.filter(item => isReachable(item, now))
       if (reachable.length > 0) return reachable
       // With nothing better, those whose pause is nearly over are tried: each may be back already.
       return ready.filter(item => item.avoidUntil - now < AVOID_MS && !isSilent(item))
     },
-    reachable: (service, now) => [...known.values()].filter(item => item.record.service === service && !isMisdirected(item) && item.avoidUntil <= now && !isSilent(item)),
+    reachable: (service, now) => [...known.values()].filter(item => item.record.service === service && !isMisdirected(item) && isReachable(item, now)),
     all: () => [...known.values()],
     noteUnreachable (endpoint, now, why) {
       endpoint.failures++
--- a/packages/forwarding/src/endpointProbe.ts
+++ b/packages/forwarding/src/endpointProbe.ts
@@ -1,5 +1,6 @@
 /** Asks whether an endpoint is down by opening a connection to it, which costs the endpoint next to nothing. */
 import * as net from 'node:net'
+import * as links from '@kingcupdeck/links'
 import * as attempts from './attempt.js'
 import type * as endpointPools from './endpointPool.js'
 
@@ -21,7 +22,7 @@
 
 async function connect (address: string): Promise<string | undefined> {
   return await new Promise(resolve => {
-    const socket = net.connect(attempts.splitAddress(address))
+    const socket = net.connect(links.parseAddress(address))
     const settle = (why: string | undefined): void => {
       clearTimeout(timer)
       resolve(why)
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -152,7 +152,7 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
     .map(item => item.record)
 
-  const exchange = peerExchanges.startPeerExchange({ self: opts.inner, others: otherEntries, reach: peers.get, pool: endpoints, suspects, log })
+  const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -1,6 +1,7 @@
 /** The HTTP server of an entry instance towards callers: limits of what they send, one task for each request. */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import * as links from '@kingcupdeck/links'
 import * as admission from './admission.js'
 import * as clientCalls from './clientCall.js'
 import * as entryContexts from './entryContext.js'
@@ -142,14 +143,14 @@
   })
   server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { answerBroken(err, socket, ctx) })
   server.on('dropRequest', (req, socket) => { socket.destroy() })
-  const at = opts.front.lastIndexOf(':')
+  const { host, port } = links.parseAddress(opts.front)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    server.listen({ host: opts.front.slice(0, at), port: Number(opts.front.slice(at + 1)), backlog: 1024 }, resolve)
+    server.listen({ host, port, backlog: 1024 }, resolve)
   })
 
   return {
-    address: `${opts.front.slice(0, at)}:${(server.address() as net.AddressInfo).port}`,
+    address: `${host}:${(server.address() as net.AddressInfo).port}`,
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -3,7 +3,6 @@
 import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
-import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashSuspects from './crashSuspects.js'
 import * as endpointPools from './endpointPool.js'
 
@@ -18,13 +17,11 @@
 
 /** What the exchange is built from. */
 export interface PeerExchangeOptions {
-  self: string
   /** The other entry instances. */
   others: () => discovery.EntryRecord[]
   reach: (address: string) => Promise<links.Link>
   pool: endpointPools.EndpointPool
   suspects: crashSuspects.CrashSuspects
-  log: telemetry.Log
 }
 
 /** Exchanges loads. */
@@ -68,6 +65,8 @@
     }
   }
 
+  const toLoads = (): PeerNews['loads'] => opts.pool.all().filter(item => item.inFlight > 0).map(item => [item.id, item.inFlight])
+
   const tell = (news: PeerNews): void => {
     for (const other of opts.others()) opts.reach(other.inner).then(link => { link.send(news) }, () => {})
   }
@@ -77,7 +76,7 @@
     while (!stopped.signal.aborted) {
       await timers.setTimeout(TELL_MS + TELL_PER_INSTANCE_MS * heard.size, undefined, { ref: false })
       addUp()
-      const loads = opts.pool.all().filter(item => item.inFlight > 0).map((item): [string, number] => [item.id, item.inFlight])
+      const loads = toLoads()
       // An idle instance says so once and is then silent but for reminders: silence reads as no load.
       if (loads.length === 0 && wasEmpty) continue
       wasEmpty = loads.length === 0
@@ -93,8 +92,7 @@
       addUp()
     },
     tellCrashes (crashes) {
-      const loads = opts.pool.all().filter(item => item.inFlight > 0).map((item): [string, number] => [item.id, item.inFlight])
-      tell({ t: 'peer', loads, crashes })
+      tell({ t: 'peer', loads: toLoads(), crashes })
     },
     instances: () => opts.others().length + 1,
     stop () { stopped.abort() }
