test(discovery,coordination,platform): guards that no test would have missed

Each guard was switched off on a scratch copy. Survivors before: signs of a former life, news told until confirmed, tables compared, silent control left, control without quorum exchanged, version in ticks, older document, read confirmed, restart after a failed disk, digest of the record file, nothing written after the stop, address taken over, silent endpoint, silence without news, leaving only with a quorum, farewell while learning.

--- /dev/null
+++ b/packages/coordination/__tests__/recordFile.test.ts
@@ -0,0 +1,37 @@
+/** The file of records through power losses and stops. */
+import * as ava from 'ava'
+import * as fs from 'node:fs/promises'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import type * as discovery from '@kingcupdeck/discovery'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as recordFiles from '../src/recordFile.js'
+
+const test = ava.default
+const log = telemetry.createLog({ instance: 'test', level: 'silent' })
+const records: discovery.Record[] = [{ kind: 'endpoint', id: 'e1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 8, coldMs: 0 }]
+
+// A loss of power leaves some of the last writes and not others. An address out of a torn file could send requests to a
+// process of another service.
+test('a damaged file is left out', async t => {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const file = recordFiles.createRecordFile(folder, () => records, log)
+  file.save()
+  await file.close()
+  t.deepEqual(await recordFiles.createRecordFile(folder, () => [], log).load(), records)
+  const text = await fs.readFile(path.join(folder, 'records'), 'utf8')
+  await fs.writeFile(path.join(folder, 'records'), text.replace('10.0.0.1:80', '10.0.0.9:80'))
+  t.deepEqual(await recordFiles.createRecordFile(folder, () => [], log).load(), [])
+  await fs.rm(folder, { recursive: true })
+})
+
+// A stopped instance went on to write while the next one on its disk had begun.
+test('nothing is written after the stop', async t => {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const file = recordFiles.createRecordFile(folder, () => records, log)
+  await file.close()
+  file.save()
+  await new Promise(resolve => { setTimeout(resolve, 200) })
+  t.deepEqual(await fs.readdir(folder), [])
+  await fs.rm(folder, { recursive: true })
+})
--- /dev/null
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -0,0 +1,121 @@
+/** Control and entry instances of discovery alone, over loopback. */
+import * as timers from 'node:timers/promises'
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as discovery from '../../src/index.js'
+
+const log = telemetry.createLog({ instance: 'test', level: 'silent' })
+const SECRET = 'test-secret-of-16'
+const WAIT_MS = 10_000
+
+/** A control instance under test. */
+export interface TestControl {
+  address: string
+  /** Bytes that it sent. */
+  sent: () => number
+  /** Times that the document was asked for. */
+  fetches: () => number
+  /** Links of entry instances that are open. */
+  subscribers: () => number
+  put: (document: contracts.HeldText) => void
+  tick: () => void
+  close: () => Promise<void>
+}
+
+/** How a control instance under test behaves. */
+export interface ControlOptions {
+  /** Never answers when its document is asked for. */
+  isSilentOnFetch?: boolean
+  /** Announces new documents; by default it does. */
+  isAnnouncing?: boolean
+  /** Says that it heard from a quorum; by default it does. */
+  isCurrent?: boolean
+  /** Ticks by itself, four times as often as it should. */
+  isTicking?: boolean
+  /** The version it says it holds, whatever it holds. */
+  said?: number
+}
+
+/** Starts a control instance that hands out differences from the version before, and the whole to everyone else. */
+export async function startControl (opts: ControlOptions = {}): Promise<TestControl> {
+  const texts: contracts.HeldText[] = []
+  const open: links.Link[] = []
+  let bytes = 0
+  let fetches = 0
+  const since = (version: number): contracts.PackedText | null => {
+    const latest = texts.at(-1)
+    if (latest === undefined || (latest.version <= version && opts.said === undefined)) return null
+    const from = texts.find(item => item.version === version)
+    return from === undefined ? contracts.packWhole(latest) : contracts.packDifference(from, latest)
+  }
+  const publisher = discovery.createPublisher({
+    self: 'control',
+    table: discovery.createRecordTable(),
+    others: () => [],
+    reach: async () => { throw new Error('there are no others') },
+    version: () => opts.said ?? texts.at(-1)?.version ?? 0,
+    documentSince: since,
+    isCurrent: () => opts.isCurrent !== false,
+    log
+  })
+  const ticking = opts.isTicking === true ? setInterval(() => { publisher.tick() }, discovery.TICK_MS / 4) : undefined
+  const handlers: links.LinkHandlers = {
+    onEvent (body) { publisher.onEvent(discovery.discoveryEvent.parse(body)) },
+    async onCall (body, link) {
+      const call = discovery.discoveryCall.parse(body)
+      if (call.t === 'fetch') fetches++
+      if (call.t === 'fetch' && opts.isSilentOnFetch === true) return await new Promise(() => {})
+      return await publisher.onCall(call, link)
+    }
+  }
+  const cfg: links.LinkSettings = { who: { role: 'control', id: 'control' }, secret: SECRET, log, handlers, count: (direction, size) => { if (direction === 'out') bytes += size } }
+  const server = await links.listen('127.0.0.1:0', cfg, link => { open.push(link) })
+  return {
+    address: `127.0.0.1:${server.port}`,
+    sent: () => bytes,
+    fetches: () => fetches,
+    subscribers: () => open.filter(link => link.isOpen()).length,
+    put (document) {
+      texts.push(document)
+      if (opts.isAnnouncing !== false) publisher.publishDocument()
+    },
+    tick: publisher.tick,
+    async close () {
+      clearInterval(ticking)
+      for (const link of open) link.close()
+      await server.close()
+    }
+  }
+}
+
+/** An entry instance under test. */
+export interface TestEntry { documents: contracts.HeldText[], seeds: string[], subscriptions: () => number, stop: () => void }
+
+/** Starts an entry instance that subscribes. */
+export function startEntry (id: string, seeds: string[]): TestEntry {
+  const documents: contracts.HeldText[] = []
+  const handlers: links.LinkHandlers = {
+    onEvent (body, link) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) },
+    async onCall () { throw new Error('no calls') }
+  }
+  const subscriber = discovery.startSubscriber({
+    seeds: () => seeds,
+    table: discovery.createRecordTable(),
+    dial: async address => await links.dial(address, { who: { role: 'router', id }, secret: SECRET, log, handlers }),
+    self: () => ({ kind: 'entry', id, startedAt: 1, seq: 1, zone: 'z', region: 'r', front: '127.0.0.1:1', inner: '127.0.0.1:2', state: 'ready' }),
+    onDocument: document => { documents.push(document) },
+    onRecords: () => {},
+    log
+  })
+  return { documents, seeds, subscriptions: subscriber.subscriptions, stop: subscriber.stop }
+}
+
+/** Waits until something holds. */
+export async function until (what: string, holds: () => boolean): Promise<void> {
+  const end = performance.now() + WAIT_MS
+  while (!holds()) {
+    if (performance.now() > end) throw new Error(`waited in vain until ${what}`)
+    await timers.setTimeout(10)
+  }
+}
--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -41,6 +41,15 @@
   t.is(table.merge(toRecord({ startedAt: 6, seq: 1 }), 1), 'changed', 'but a later life begins anew')
 })
 
+// An endpoint crashes and starts again under its id. Signs of its former life, which are still under way, would make the new
+// one look alive for as long as they come.
+test('a sign of a former life is not one of the present', t => {
+  const table = discovery.createRecordTable()
+  table.merge(toRecord({ startedAt: 5, seq: 1 }), 0)
+  t.false(table.hear(['e1', 4, 90], 10))
+  t.is(table.get('e1')?.heardAt, 0)
+})
+
 test('the order in which news arrives does not matter', t => {
   const list = fc.array(fc.record({
     startedAt: fc.integer({ min: 1, max: 3 }),
--- /dev/null
+++ b/packages/discovery/__tests__/subscriptions.test.ts
@@ -0,0 +1,102 @@
+/** Which control instances an entry instance listens to, and how control instances make up for news that was lost. */
+import * as ava from 'ava'
+import * as timers from 'node:timers/promises'
+import type * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as discovery from '../src/index.js'
+import * as helper from './helpers/testControl.js'
+
+const test = ava.default
+const log = telemetry.createLog({ instance: 'test', level: 'silent' })
+
+function toRecord (change: Partial<discovery.EndpointRecord> = {}): discovery.EndpointRecord {
+  return { kind: 'endpoint', id: 'e1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 8, coldMs: 0, ...change }
+}
+
+/** Two publishers whose calls to each other pass while `isUp`. */
+function startPair (): { one: discovery.Publisher, two: discovery.Publisher, tableOf: { one: discovery.RecordTable, two: discovery.RecordTable }, state: { isUp: boolean } } {
+  const state = { isUp: true }
+  const tableOf = { one: discovery.createRecordTable(), two: discovery.createRecordTable() }
+  const create = (self: 'one' | 'two', other: 'one' | 'two'): discovery.Publisher => discovery.createPublisher({
+    self,
+    table: tableOf[self],
+    others: () => [other],
+    async reach () {
+      if (!state.isUp) throw new Error('cut')
+      const publisher = other === 'one' ? one : two
+      return {
+        call: async (body: unknown) => await publisher.onCall(discovery.discoveryCall.parse(body), undefined as unknown as links.Link),
+        send: (body: unknown) => { publisher.onEvent(discovery.discoveryEvent.parse(body)) }
+      } as unknown as links.Link
+    },
+    version: () => 0,
+    documentSince: () => null,
+    isCurrent: () => true,
+    log
+  })
+  const one = create('one', 'two')
+  const two = create('two', 'one')
+  return { one, two, tableOf, state }
+}
+
+// An endpoint says that it leaves while two control instances cannot reach each other. The instances that listen to the other
+// one would send it work for as long as it lives.
+test('a change that another control instance missed is told with the next ticks', async t => {
+  const { one, two, tableOf, state } = startPair()
+  await one.announce(toRecord())
+  t.is(tableOf.two.get('e1')?.record.state, 'ready')
+  state.isUp = false
+  await one.announce(toRecord({ seq: 2, state: 'leaving' }))
+  t.is(tableOf.two.get('e1')?.record.state, 'ready')
+  state.isUp = true
+  // The first tick compares tables as well; a later one only tells what was not confirmed.
+  state.isUp = false
+  one.tick()
+  await timers.setTimeout(20)
+  state.isUp = true
+  one.tick()
+  await timers.setTimeout(50)
+  t.is(tableOf.two.get('e1')?.record.state, 'leaving')
+  two.tick()
+})
+
+// A control instance starts empty beside another one that knows the endpoints; nothing changes, so nothing is told.
+test('tables are compared, so that a restarted control instance learns what it missed', async t => {
+  const { one, two, tableOf, state } = startPair()
+  state.isUp = false
+  await two.announce(toRecord())
+  state.isUp = true
+  one.tick()
+  await timers.setTimeout(50)
+  t.is(tableOf.one.get('e1')?.record.state, 'ready')
+})
+
+// A control instance freezes with its links open. An instance that goes on listening to it alone hears of no endpoint that
+// leaves and of no document.
+test('a control instance that falls silent is left for another', async t => {
+  const silent = await helper.startControl()
+  const entry = helper.startEntry('i1', [silent.address])
+  await helper.until('it listens', () => silent.subscribers() === 1)
+  await helper.until('it has left', () => silent.subscribers() === 0)
+  const sound = await helper.startControl({ isTicking: true })
+  entry.seeds.splice(0, 1, sound.address)
+  await helper.until('it listens to the other', () => sound.subscribers() === 1)
+  await timers.setTimeout(3000)
+  t.is(sound.subscribers(), 1)
+  entry.stop()
+  await Promise.all([silent.close(), sound.close()])
+})
+
+// Three control instances are on the small side of a partition. An instance that listens to just these has all links up and
+// hears nothing new.
+test('a control instance without a quorum is exchanged for one with', async t => {
+  const cut = await Promise.all([0, 1, 2].map(async () => await helper.startControl({ isTicking: true, isCurrent: false })))
+  const entry = helper.startEntry('i1', cut.map(item => item.address))
+  await helper.until('it listens to three', () => entry.subscriptions() === 3)
+  const sound = await helper.startControl({ isTicking: true })
+  entry.seeds.push(sound.address)
+  await helper.until('it listens to the one with a quorum', () => sound.subscribers() === 1)
+  t.true(cut.filter(item => item.subscribers() > 0).length < 3)
+  entry.stop()
+  await Promise.all([...cut, sound].map(async item => { await item.close() }))
+})
