--- a/packages/contracts/src/versionedText.ts
+++ b/packages/contracts/src/versionedText.ts
@@ -6,7 +6,7 @@
 import * as zlib from 'node:zlib'
 import * as z from 'zod'
 import * as binary from './binary.js'
-import * as hashing from './hashing.js'
+import * as digests from './digest.js'
 
 /** A text that a process holds. */
 export interface HeldText { version: number, /** SHA-256 of the text. */ digest: string, text: Buffer }
@@ -40,7 +40,7 @@
  * @returns both, with the digest
  */
 export function toHeldText (version: number, text: Uint8Array): HeldText {
-  return { version, digest: hashing.sha256(text), text: Buffer.from(text) }
+  return { version, digest: digests.sha256(text), text: Buffer.from(text) }
 }
 
 /**
@@ -75,7 +75,7 @@
   const bytes = zlib.inflateRawSync(packed.body)
   const text = packed.base === '' || held === null ? bytes : patch(cut(held.text), steps.parse(JSON.parse(bytes.toString('latin1'))))
   // Guards against a text that nobody sent: a wrong difference would make one that may still be readable.
-  if (hashing.sha256(text) !== packed.digest) throw new Error(`the text of version ${packed.version} does not have its digest`)
+  if (digests.sha256(text) !== packed.digest) throw new Error(`the text of version ${packed.version} does not have its digest`)
   return { version: packed.version, digest: packed.digest, text }
 }
 
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -4,8 +4,8 @@
  */
 import * as fs from 'node:fs/promises'
 import * as path from 'node:path'
+import * as zlib from 'node:zlib'
 import * as cbor from 'cbor-x'
-import * as crc from '@node-rs/crc32'
 import * as entries from './entries.js'
 import * as storage from './storage.js'
 
@@ -21,7 +21,7 @@
   const payload = codec.encode(value)
   const out = Buffer.allocUnsafe(HEADER_BYTES + payload.length)
   out.writeUInt32BE(payload.length, 0)
-  out.writeUInt32BE(crc.crc32(payload), 4)
+  out.writeUInt32BE(zlib.crc32(payload), 4)
   out.set(payload, HEADER_BYTES)
   return out
 }
@@ -43,7 +43,7 @@
     const end = at + HEADER_BYTES + length
     if (end > bytes.length) break
     const payload = bytes.subarray(at + HEADER_BYTES, end)
-    if (crc.crc32(payload) !== bytes.readUInt32BE(at + 4)) break
+    if (zlib.crc32(payload) !== bytes.readUInt32BE(at + 4)) break
     values.push(codec.decode(payload))
     at = end
     ends.push(end)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -50,6 +50,8 @@
     target: 'node20',
     format: 'cjs',
     loader: { '.node': 'copy' },
+    // Leaves out the search for native code of the CBOR library, which finds none beside a bundle.
+    define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
     alias: {
       '@kingcupdeck/coordination/metrics': path.join(root, 'packages/coordination/src/controlMetrics.ts'),
       ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
