feat(forwarding): endpoints that answer worse than the others of their service get no work for a while

Cause: nothing was learnt from failed answers: an endpoint that fails 45 in 100 while its announcements are good kept its share (or more, as its load is low). Entry instances count attempts and misses (failed, refused, later than the target), tell each other, and set aside what is clearly worse than the rest, a third at most, only while the others have places.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -4,6 +4,7 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashSuspects from '../../src/crashSuspects.js'
+import * as endpointOutcomes from '../../src/endpointOutcome.js'
 import * as endpointPools from '../../src/endpointPool.js'
 import * as entryContexts from '../../src/entryContext.js'
 import * as entryMetrics from '../../src/entryMetrics.js'
@@ -129,6 +130,7 @@
   const now = (): number => performance.now()
   const pool = endpointPools.createEndpointPool({ table, currentAt: now, silentMs: 60_000, log })
   const suspects = crashSuspects.createCrashSuspects()
+  const outcomes = endpointOutcomes.createEndpointOutcomes()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
   const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100, canFetch: true }], accounts: opts.accounts ?? null, limits })
   let isStopping = false
@@ -139,6 +141,7 @@
     zone: 'z1',
     pool,
     suspects,
+    outcomes,
     exchange: { onNews: () => {}, tellCrashes: () => {}, instances: () => 1, stop: () => {} },
     metrics: entryMetrics.createEntryMetrics(),
     log,
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -1,6 +1,7 @@
 /** What the tasks of all requests of an entry instance share. */
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashSuspects from './crashSuspects.js'
+import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
 import * as headerNames from './headerNames.js'
@@ -14,6 +15,7 @@
   zone: string
   pool: endpointPools.EndpointPool
   suspects: crashSuspects.CrashSuspects
+  outcomes: endpointOutcomes.EndpointOutcomes
   exchange: peerExchanges.PeerExchange
   metrics: entryMetrics.EntryMetrics
   log: telemetry.Log
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -8,6 +8,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashSuspects from './crashSuspects.js'
+import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
@@ -89,6 +90,9 @@
   const now = (): number => performance.now()
   const table = discovery.createRecordTable()
   const suspects = crashSuspects.createCrashSuspects()
+  const outcomes = endpointOutcomes.createEndpointOutcomes((endpoint, isAside, share) => {
+    log.event('endpointSetAside', { endpoint, isAside, missedShare: Number(share.toFixed(2)) })
+  })
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines)
   let document: routeTables.CompiledTable | undefined
   let stopBeganAt: number | undefined
@@ -151,13 +155,14 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
     .map(item => item.record)
 
-  const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects })
+  const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects, outcomes })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
     zone: opts.zone,
     pool: endpoints,
     suspects,
+    outcomes,
     exchange,
     metrics,
     log,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -22,6 +22,8 @@
 const PATIENCE_SHARE = 0.4
 /** ... and one that is answered by a stream after this multiple of its target. */
 const STREAM_PATIENCE = 2
+/** An endpoint that gave no answer for this multiple of the target is held to be silent, also where the client gave up. */
+const SILENCE_TARGETS = 2
 const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'])
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
@@ -77,12 +79,14 @@
           offers++
           note(`notRun ${sent.status}`)
           ctx.pool.noteReached(endpoint)
+          if (sent.status !== 421) noteOutcome(call, endpoint, true)
           if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
           break
         case 'lost':
           offers++
           runs++
           note(`lost: ${sent.why}`)
+          noteSilence(call, endpoint, sentAt)
           call.mayHaveRun = true
           noteLoss(call, endpoint, fingerprint)
           if (!mayRunAgain) return giveUp(call, held, sent.why)
@@ -92,11 +96,14 @@
           runs++
           ctx.pool.noteReached(endpoint)
           call.mayHaveRun = true
+          const isLate = route.targetMs > 0 && ctx.now() - sentAt > route.targetMs
           if (isEventStream(sent.res)) {
             call.firstByteAt = ctx.now()
+            noteOutcome(call, endpoint, isLate)
             const relayed = await relayStreams.relayStream(call, {
               sent,
               resume: async lastId => {
+                noteOutcome(call, endpoint, true)
                 noteLoss(call, endpoint, fingerprint)
                 return await resumeElsewhere(call, tried, lastId, runs++)
               }
@@ -109,12 +116,14 @@
           const whole = await attempts.readWhole(sent, call.stop.signal, MAX_WHOLE_BYTES)
           if (whole.kind === 'broken') {
             note(`lost: ${whole.why}`)
+            noteOutcome(call, endpoint, true)
             noteLoss(call, endpoint, fingerprint)
             if (!mayRunAgain) return giveUp(call, held, whole.why)
             break
           }
           const status = sent.res.statusCode ?? 0
           note(String(status))
+          noteOutcome(call, endpoint, isLate || status >= 500)
           // An endpoint's own failure of a request that may run again is worth a second try elsewhere: it came early.
           if (status >= 500 && status !== 504 && mayRunAgain) {
             held = { res: sent.res, body: whole.body }
@@ -206,6 +215,20 @@
   call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
 }
 
+/** Notes how an attempt went, for the choice of endpoints. */
+function noteOutcome (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, isMissed: boolean): void {
+  call.ctx.outcomes.note(endpoint.id, isMissed, call.ctx.now())
+}
+
+/**
+ * Notes an attempt without an answer. Where the client left early that says nothing of the endpoint; where it left after twice
+ * the target, it left because of it.
+ */
+function noteSilence (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, sentAt: number): void {
+  const isEarly = call.stop.signal.aborted && call.ctx.now() - sentAt < SILENCE_TARGETS * call.route.targetMs
+  if (!isEarly) noteOutcome(call, endpoint, true)
+}
+
 function noteUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, why: string): void {
   const { ctx } = call
   ctx.pool.noteUnreachable(endpoint, ctx.now(), why)
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -4,12 +4,14 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import * as crashSuspects from './crashSuspects.js'
+import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
 
 /** What an entry instance tells the others. */
 export const peerNews = z.object({
   t: z.literal('peer'),
   loads: z.array(z.tuple([z.string(), z.number()])),
+  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
   crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) }))
 })
 /** What an entry instance tells the others. */
@@ -22,6 +24,7 @@
   reach: (address: string) => Promise<links.Link>
   pool: endpointPools.EndpointPool
   suspects: crashSuspects.CrashSuspects
+  outcomes: endpointOutcomes.EndpointOutcomes
 }
 
 /** Exchanges loads. */
@@ -79,9 +82,10 @@
       addUp()
       const loads = toLoads()
       // An idle instance says so once and is then silent but for reminders: silence reads as no load.
-      if (loads.length === 0 && wasEmpty) continue
+      const outcomes = opts.outcomes.takeNews()
+      if (loads.length === 0 && outcomes.length === 0 && wasEmpty) continue
       wasEmpty = loads.length === 0
-      tell({ t: 'peer', loads, crashes: [] })
+      tell({ t: 'peer', loads, outcomes, crashes: [] })
     }
   }
 
@@ -90,10 +94,11 @@
     onNews (news, from) {
       heard.set(from, { loads: new Map(news.loads), at: performance.now() })
       opts.suspects.learn(news.crashes, performance.now())
+      opts.outcomes.learn(news.outcomes, performance.now())
       addUp()
     },
     tellCrashes (crashes) {
-      tell({ t: 'peer', loads: toLoads(), crashes })
+      tell({ t: 'peer', loads: toLoads(), outcomes: [], crashes })
     },
     instances: () => opts.others().length + 1,
     stop () { stopped.abort() }
--- a/packages/forwarding/src/pickEndpoint.ts
+++ b/packages/forwarding/src/pickEndpoint.ts
@@ -16,7 +16,7 @@
 export function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
   const { ctx, route } = call
   const now = ctx.now()
-  const usable = ctx.pool.usable(call.service, now).filter(item => !tried.has(item.id))
+  const usable = findUsable(call, now).filter(item => !tried.has(item.id))
   const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
   const share = Math.max(2, Math.floor(maxConnections / ctx.exchange.instances()))
   const candidates = usable.map((item): chooseEndpoints.Candidate => ({
@@ -38,6 +38,15 @@
   return { endpoint, why, fetchFrom: source?.record.address }
 }
 
+/** @returns the endpoints that may get work, without those that answer worse than the others */
+function findUsable (call: clientCalls.ClientCall, now: number): endpointPools.Endpoint[] {
+  const { ctx, service } = call
+  const usable = ctx.pool.usable(service, now)
+  const judged = usable.map(item => ({ id: item.id, load: item.inFlight + item.foreign, slots: Math.max(1, item.record.slots) }))
+  const worse = ctx.outcomes.findWorse(service, judged, now)
+  return worse.size === 0 ? usable : usable.filter(item => !worse.has(item.id))
+}
+
 function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
   const { ctx } = call
   const sources = ctx.pool.reachable(call.service, ctx.now())
