feat(forwarding): an endpoint that gives no answer in half the target is asked whether it is down

Now a connection is tried after half the target without an answer (at least 150 ms); an endpoint that takes none gets no work, and what may run again goes elsewhere at once. Both tests fail without it (the idempotent one waits 8 s).

--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -206,3 +206,39 @@
   entry.close()
   endpoints.forEach(item => { item.close() })
 })
+
+// A runner loses its power in the middle of the day, with connections open. A client that asks for its status waited for two
+// fifths of its time, 8 s here, before a sound endpoint was asked.
+test('an endpoint that is down and silent is left as soon as that is known', async t => {
+  const endpoints: helper.TestEndpoint[] = []
+  const silent: helper.Behaviour = () => { endpoints[0].refuse() }
+  endpoints.push(await helper.startEndpoint('e1', silent), await helper.startEndpoint('e2', helper.sound))
+  const entry = await helper.startEntry([helper.toRoute({ timeoutMs: 20_000 })], endpoints)
+  const beganAt = performance.now()
+  while (endpoints[0].seen.length === 0) t.is((await entry.ask({ headers: { 'x-deadline-ms': '20000' } })).status, 200)
+  t.true(performance.now() - beganAt < 6000)
+  entry.close()
+  endpoints.forEach(item => { item.close() })
+})
+
+// The same for a booking: it may not be sent again, but those that come after it are not to wait at the same endpoint.
+test('a request that may run once stays at a silent endpoint, others go elsewhere meanwhile', async t => {
+  const endpoints: helper.TestEndpoint[] = []
+  const silent: helper.Behaviour = () => { endpoints[0].refuse() }
+  endpoints.push(await helper.startEndpoint('e1', silent), await helper.startEndpoint('e2', helper.sound))
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', timeoutMs: 5000 })], endpoints)
+  const answers: Array<Promise<helper.TestAnswer>> = []
+  while (endpoints[0].seen.length === 0) {
+    answers.push(entry.ask({ method: 'POST', body: 'pay', headers: { 'x-deadline-ms': '5000' } }))
+    await new Promise(resolve => { setTimeout(resolve, 20) })
+  }
+  const end = performance.now() + 3000
+  while (performance.now() < end && !entry.lines.some(line => line.event === 'endpointGone')) await new Promise(resolve => { setTimeout(resolve, 20) })
+  t.true(entry.lines.some(line => line.event === 'endpointGone'), 'known while the first still waits')
+  t.is(endpoints[0].seen[0].isClosed(), false)
+  t.is((await entry.ask({ method: 'POST', body: 'pay' })).status, 200)
+  t.is(endpoints[0].seen.length + endpoints[1].seen.length, answers.length + 1)
+  entry.close()
+  endpoints.forEach(item => { item.close() })
+  await Promise.allSettled(answers)
+})
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -35,6 +35,8 @@
   /** Requests that came, newest last. */
   seen: Array<{ method: string, url: string, headers: http.IncomingHttpHeaders, body: string, isClosed: () => boolean }>
   connections: () => number
+  /** Takes no further connections; those that are open stay so. */
+  refuse: () => void
   close: () => void
 }
 
@@ -77,6 +79,7 @@
     address,
     seen,
     connections: () => sockets.size,
+    refuse () { server.close() },
     close () {
       server.close()
       for (const socket of sockets) socket.destroy()
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -13,6 +13,7 @@
 import * as pickEndpoints from './pickEndpoint.js'
 import * as relayStreams from './relayStream.js'
 import * as routeTables from './routeTable.js'
+import * as silentAttempts from './silentAttempt.js'
 
 /** A request that no endpoint ran may be offered to this many of them. */
 const MAX_OFFERS = 4
@@ -60,14 +61,21 @@
     const mayRunAgain = isRepeatable && runs + 1 < route.maxAttempts
     const sentAt = ctx.now()
     endpoint.inFlight++
+    const down = new AbortController()
+    const unwatch = silentAttempts.watchSilence(endpoint, silentAttempts.toSuspicionMs(route.targetMs), why => {
+      noteUnreachable(call, endpoint, why)
+      // What may run only once stays where it is: the endpoint may take no connections and still answer on this one.
+      if (mayRunAgain) down.abort(why)
+    })
     try {
       const sent = await attempts.sendAttempt({
         endpoint,
         out: toOutgoing(call, picked, leftMs, undefined),
         names: ctx.names,
-        signal: call.stop.signal,
+        signal: AbortSignal.any([call.stop.signal, down.signal]),
         answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs
       })
+      unwatch()
       const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt, picked.why) }
       switch (sent.kind) {
         case 'unreachable':
@@ -133,6 +141,7 @@
         }
       }
     } finally {
+      unwatch()
       endpoint.inFlight--
     }
     if (offers >= MAX_OFFERS) return giveUp(call, held, 'no endpoint had room')
