--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -61,3 +61,18 @@
   take({ id: 'old', startedAt: 10 })
   t.true(usable(0).includes('new'))
 })
+
+// Twelve requests wait at an endpoint that loses its power, and all of them find out at once. It is back in a second, but was
+// left alone for two by each instance, as after five failures in a row; the log had 102 lines about two endpoints.
+test('one failure that many requests notice counts once', t => {
+  const { pool, take, usable } = createPool()
+  take({ id: 'e1' })
+  take({ id: 'e2', address: '10.0.0.2:80' })
+  const endpoint = pool.get('e1') as endpointPools.Endpoint
+  for (let i = 0; i < 12; i++) pool.noteUnreachable(endpoint, 100 + i, 'no connection')
+  t.is(endpoint.failures, 1)
+  t.deepEqual(usable(200), ['e2'])
+  t.deepEqual(usable(400), ['e1', 'e2'])
+  pool.noteUnreachable(endpoint, 400, 'no connection')
+  t.is(endpoint.failures, 2)
+})
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -139,6 +139,8 @@
     reachable: (service, now) => [...known.values()].filter(item => item.record.service === service && !isMisdirected(item) && isReachable(item, now)),
     all: () => [...known.values()],
     noteUnreachable (endpoint, now, why) {
+      // Many attempts find out about one failure together; each further one would double the pause and add a line to the log.
+      if (endpoint.avoidUntil > now) return
       endpoint.failures++
       const pauseMs = Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (endpoint.failures - 1))
       endpoint.avoidUntil = now + pauseMs
