fix(forwarding,discovery): an outage of all control instances makes neither endpoints nor instances silent, nor are they forgotten

Found by reading: (1) an instance cut off from all control instances forgot every record after 120 s and then refused all; (2) when they are back after more than 6.8 s, all endpoints counted as silent until their next announcements, up to 1.2 s; (3) other instances counted as gone 3.5 s into an outage, so that each took the whole slack of the retry budget and all connections of an endpoint for itself; (4) tallies of outcomes and crashed endpoints were kept for good. Silence counts from when news is back; nothing is forgotten without news; tallies are forgotten after 30 s, endpoints with their records. Tests for each but (3).

--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -94,7 +94,7 @@
 }
 
 /** An entry instance under test. */
-export interface TestEntry { documents: contracts.HeldText[], seeds: string[], subscriptions: () => number, stop: () => void }
+export interface TestEntry { documents: contracts.HeldText[], seeds: string[], subscriptions: () => number, currentSince: () => number, stop: () => void }
 
 /** Starts an entry instance that subscribes. */
 export function startEntry (id: string, seeds: string[]): TestEntry {
@@ -112,7 +112,7 @@
     onRecords: () => {},
     log
   })
-  return { documents, seeds, subscriptions: subscriber.subscriptions, stop: subscriber.stop }
+  return { documents, seeds, subscriptions: subscriber.subscriptions, currentSince: subscriber.currentSince, stop: subscriber.stop }
 }
 
 /** Waits until something holds. */
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -35,6 +35,8 @@
   announce (): void
   /** @returns when a control instance that has a quorum was last heard */
   currentAt (): number
+  /** @returns since when such a control instance has been heard without a gap, or was until {@link Subscriber.currentAt} */
+  currentSince (): number
   /** @returns how many control instances tell this instance news */
   subscriptions (): number
   /** Ends all subscriptions. */
@@ -50,6 +52,8 @@
 const SILENT_MS = 2.3 * messages.TICK_MS
 /** A control instance without a quorum for this long is exchanged for another one, if there is one. */
 const NOT_CURRENT_MS = 1.5 * messages.TICK_MS
+/** Without a tick for this long there was a gap in the news. */
+const GAP_MS = SILENT_MS
 /** How long an address that failed is left alone: short at first, since a process that was killed is back soon, ... */
 const AVOID_MS = 200
 /** ... and doubled with each failure in a row up to this, ... */
@@ -78,6 +82,7 @@
   let controls: string[] = []
   const stopped = new AbortController()
   let currentAt = -Infinity
+  let currentSince = -Infinity
   let held: contracts.HeldText | null = null
   let isFetching = false
 
@@ -236,6 +241,7 @@
         case 'version': noteVersion(sub, event.version); break
         case 'tick':
           if (event.isCurrent) {
+            if (now() - currentAt > GAP_MS) currentSince = now()
             currentAt = sub.currentAt = now()
             failures.delete(sub.address)
           }
@@ -253,6 +259,7 @@
       for (const sub of open) sub.link?.send(event)
     },
     currentAt: () => currentAt,
+    currentSince: () => currentSince,
     subscriptions: () => open.size,
     stop () {
       stopped.abort()
--- a/packages/forwarding/__tests__/endpointOutcome.test.ts
+++ b/packages/forwarding/__tests__/endpointOutcome.test.ts
@@ -34,7 +34,7 @@
     if (now - toldAt < 200) continue
     toldAt = now
     for (const [i, from] of instances.entries()) {
-      const news = from.takeNews()
+      const news = from.takeNews(now)
       for (const [j, to] of instances.entries()) if (i !== j) to.learn(news, now)
     }
   }
@@ -91,3 +91,12 @@
   for (let i = 0; i < 12; i++) for (const { id } of endpoints) outcomes.note(id, id === 'e1' && i % 2 === 0, 0)
   t.deepEqual([...outcomes.findWorse('s', endpoints, 0)], ['e1'])
 })
+
+// Thousands of endpoints are replaced each day, each under a new id: what was seen of them must not be kept for good.
+test('endpoints that are gone are forgotten', t => {
+  const outcomes = endpointOutcomes.createEndpointOutcomes()
+  for (let i = 0; i < 1000; i++) outcomes.note(`e${i}`, true, i)
+  t.true(outcomes.size() >= 1000)
+  outcomes.takeNews(1_000_000)
+  t.is(outcomes.size(), 0)
+})
--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -7,13 +7,14 @@
 const test = ava.default
 const SILENT_MS = 5000
 
-interface TestPool { pool: endpointPools.EndpointPool, take: (change: Partial<discovery.EndpointRecord>, at?: number) => void, usable: (at: number) => string[], setCurrent: (at: number) => void }
+interface TestPool { pool: endpointPools.EndpointPool, take: (change: Partial<discovery.EndpointRecord>, at?: number) => void, usable: (at: number) => string[], setCurrent: (at: number, since?: number) => void, forget: (at: number) => void }
 
 function createPool (): TestPool {
   const table = discovery.createRecordTable()
   const log = telemetry.createLog({ instance: 'test', level: 'silent' })
   let currentAt = 0
-  const pool = endpointPools.createEndpointPool({ table, currentAt: () => currentAt, silentMs: SILENT_MS, log })
+  let currentSince = -Infinity
+  const pool = endpointPools.createEndpointPool({ table, currentAt: () => currentAt, currentSince: () => currentSince, silentMs: SILENT_MS, log })
   return {
     pool,
     take (change, at = 0) {
@@ -21,7 +22,14 @@
       if (table.merge(record, at) === 'changed') pool.update([record])
     },
     usable: at => pool.usable('s', at).map(item => item.id),
-    setCurrent: at => { currentAt = at }
+    setCurrent (at, since) {
+      currentAt = at
+      currentSince = since ?? currentSince
+    },
+    forget (at) {
+      table.prune(at)
+      pool.prune()
+    }
   }
 }
 
@@ -76,3 +84,28 @@
   pool.noteUnreachable(endpoint, 400, 'no connection')
   t.is(endpoint.failures, 2)
 })
+
+// All control instances are down for a minute and come back. Until each endpoint has announced itself again nothing is heard of
+// it, and the instance refused everything for a second although all endpoints were well.
+test('an outage of the control instances does not make endpoints silent', t => {
+  const { take, usable, setCurrent } = createPool()
+  take({ id: 'e1' })
+  setCurrent(1000, 0)
+  setCurrent(61_000, 61_000)
+  t.deepEqual(usable(61_000), ['e1'])
+  setCurrent(61_001 + SILENT_MS)
+  t.deepEqual(usable(61_001 + SILENT_MS), [], 'but it counts from then on')
+})
+
+// Endpoints crash and are replaced under new ids, thousands a day; none of them says farewell.
+test('endpoints that were not heard of for long are forgotten, those with work are not', t => {
+  const { pool, take, forget } = createPool()
+  take({ id: 'e1' })
+  take({ id: 'e2', address: '10.0.0.2:80' })
+  const busy = pool.get('e2') as endpointPools.Endpoint
+  busy.inFlight = 1
+  forget(1000)
+  t.is(pool.all().length, 2)
+  forget(200_000)
+  t.deepEqual(pool.all().map(item => item.id), ['e2'])
+})
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -131,7 +131,7 @@
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
   const now = (): number => performance.now()
-  const pool = endpointPools.createEndpointPool({ table, currentAt: now, silentMs: 60_000, log })
+  const pool = endpointPools.createEndpointPool({ table, currentAt: now, currentSince: () => -Infinity, silentMs: 60_000, log })
   const suspects = crashSuspects.createCrashSuspects()
   const outcomes = endpointOutcomes.createEndpointOutcomes()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
--- a/packages/forwarding/src/endpointOutcome.ts
+++ b/packages/forwarding/src/endpointOutcome.ts
@@ -27,7 +27,9 @@
   /** Takes what another instance tells. */
   learn (news: readonly OutcomeNews[], now: number): void
   /** @returns what was noted here since the last call */
-  takeNews (): OutcomeNews[]
+  takeNews (now: number): OutcomeNews[]
+  /** @returns how many endpoints are remembered, here or by what others told */
+  size (): number
   /** @returns those of a service's endpoints that should get no work now */
   findWorse (service: string, endpoints: readonly Judged[], now: number): ReadonlySet<string>
 }
@@ -36,6 +38,8 @@
 const HALF_LIFE_MS = 1500
 /** An endpoint that was set aside stays so for this long, and then has to be found worse again: a short fault is over. */
 const HOLD_MS = 4000
+/** What was seen longer ago than this counts for nothing and is forgotten: endpoints come and go under new ids. */
+const FORGET_MS = 20 * HALF_LIFE_MS
 /** An endpoint is worse if this share of its attempts missed ... */
 const WORSE_SHARE = 0.25
 /** ... and more than this many standard deviations over what the others' share lets expect ... */
@@ -70,13 +74,26 @@
     tallies.set(endpoint, tally)
   }
 
-  const isWorse = (tallies: Map<string, Tally>, id: string, endpoints: readonly Judged[], now: number): boolean => {
-    const tally = read(tallies, id, now)
-    if (toShare(tally) < WORSE_SHARE) return false
-    const others = endpoints.filter(item => item.id !== id).map(item => read(tallies, item.id, now))
-    const share = toShare({ attempts: sum(others.map(item => item.attempts)), missed: sum(others.map(item => item.missed)) })
-    const expected = tally.attempts * Math.max(LEAST_SHARE, share)
-    return tally.missed > expected + DEVIATIONS * Math.sqrt(expected) + MISSED_ON_TOP
+  /** @returns the endpoints whose attempts missed clearly more often than those at all others together */
+  const findOutliers = (tallies: Map<string, Tally>, endpoints: readonly Judged[], now: number): Set<string> => {
+    const tallyOf = new Map(endpoints.map(item => [item.id, read(tallies, item.id, now)]))
+    const attempts = sum([...tallyOf.values()].map(item => item.attempts))
+    const missed = sum([...tallyOf.values()].map(item => item.missed))
+    const outliers = new Set<string>()
+    for (const [id, tally] of tallyOf) {
+      if (toShare(tally) < WORSE_SHARE) continue
+      const share = toShare({ attempts: attempts - tally.attempts, missed: missed - tally.missed })
+      const expected = tally.attempts * Math.max(LEAST_SHARE, share)
+      if (tally.missed > expected + DEVIATIONS * Math.sqrt(expected) + MISSED_ON_TOP) outliers.add(id)
+    }
+    return outliers
+  }
+
+  const forget = (now: number): void => {
+    for (const tallies of [own, all]) {
+      for (const [id, tally] of tallies) if (now - tally.at > FORGET_MS) tallies.delete(id)
+    }
+    for (const [id, until] of heldUntil) if (now > until + FORGET_MS) heldUntil.delete(id)
   }
 
   const noteChanges = (service: string, next: Set<string>, now: number): void => {
@@ -105,15 +122,18 @@
     learn (list, now) {
       for (const [endpoint, attempts, missed] of list) add(all, endpoint, attempts, missed, now)
     },
-    takeNews () {
+    takeNews (now) {
+      forget(now)
       const list = [...news.values()]
       news.clear()
       return list
     },
+    size: () => Math.max(own.size, all.size),
     findWorse (service, endpoints, now) {
       // An endpoint may fail for the callers of one availability zone only, so what was seen here counts by itself as well.
+      const outliers = [findOutliers(all, endpoints, now), findOutliers(own, endpoints, now)]
       const worse = endpoints
-        .filter(item => now < (heldUntil.get(item.id) ?? 0) || isWorse(all, item.id, endpoints, now) || isWorse(own, item.id, endpoints, now))
+        .filter(item => now < (heldUntil.get(item.id) ?? 0) || outliers.some(set => set.has(item.id)))
         .sort((a, b) => toShare(read(all, b.id, now)) - toShare(read(all, a.id, now)))
         .slice(0, Math.floor(MOST_ASIDE * endpoints.length))
       const aside = new Set(worse.map(item => item.id))
@@ -135,7 +155,7 @@
 }
 
 function toShare (tally: { attempts: number, missed: number }): number {
-  return tally.attempts === 0 ? 0 : tally.missed / tally.attempts
+  return tally.attempts <= 0 ? 0 : tally.missed / tally.attempts
 }
 
 function sum (list: readonly number[]): number {
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -40,6 +40,8 @@
   noteReached (endpoint: Endpoint): void
   /** Notes that another process answered at the endpoint's address. */
   noteMisdirected (endpoint: Endpoint): void
+  /** Forgets endpoints that the table has forgotten and that have no work. */
+  prune (): void
   /** Gives up all idle connections to an endpoint, after one of them was found silent or broken. */
   dropIdle (endpoint: Endpoint): void
 }
@@ -49,6 +51,8 @@
   table: discovery.RecordTable
   /** When a control instance with a quorum was last heard: silence counts only up to then. */
   currentAt: () => number
+  /** Since when such a one has been heard without a gap. */
+  currentSince: () => number
   /** An endpoint that was not heard of for this long gets no work, milliseconds. */
   silentMs: number
   log: telemetry.Log
@@ -116,7 +120,9 @@
   }
 
   const isSilent = (endpoint: Endpoint): boolean => {
-    const heardAt = opts.table.get(endpoint.id)?.heardAt ?? -Infinity
+    // Guards against an instance that refuses everything when control instances are back after a while: it has heard of no
+    // endpoint for as long, and will only with their next announcements. Silence counts from when there is news again.
+    const heardAt = Math.max(opts.table.get(endpoint.id)?.heardAt ?? -Infinity, opts.currentSince())
     return opts.currentAt() - heardAt > opts.silentMs
   }
 
@@ -155,6 +161,13 @@
       retire(endpoint)
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address', seq: endpoint.misdirectedSeq })
     },
+    prune () {
+      for (const [id, endpoint] of known) {
+        if (opts.table.get(id) !== undefined || endpoint.inFlight > 0) continue
+        retire(endpoint)
+        known.delete(id)
+      }
+    },
     dropIdle
   }
 }
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -147,12 +147,13 @@
   const endpoints = endpointPools.createEndpointPool({
     table,
     currentAt: () => subscriber.currentAt(),
+    currentSince: () => subscriber.currentSince(),
     silentMs: SILENT_ANNOUNCEMENTS * opts.announceMs + SILENT_MARGIN_MS,
     log
   })
 
   const otherEntries = (): discovery.EntryRecord[] => table.entries()
-    .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && now() - item.heardAt < ENTRY_SILENT_MS)
+    .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && isHeard(item.heardAt))
     .map(item => item.record)
 
   const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects, outcomes })
@@ -191,7 +192,9 @@
     log
   })
   const pruner = setInterval(() => {
-    table.prune(now())
+    // Without news nobody is forgotten: an instance that is cut off from all control instances serves on.
+    table.prune(subscriber.currentAt())
+    endpoints.prune()
     metrics.subscriptions.set(subscriber.subscriptions())
   }, 10_000)
 
@@ -234,6 +237,6 @@
 
   /** Silence counts only up to when a control instance with a quorum was last heard: without news nobody is known to be gone. */
   function isHeard (heardAt: number): boolean {
-    return subscriber.currentAt() - heardAt < ENTRY_SILENT_MS
+    return subscriber.currentAt() - Math.max(heardAt, subscriber.currentSince()) < ENTRY_SILENT_MS
   }
 }
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -82,7 +82,7 @@
       addUp()
       const loads = toLoads()
       // An idle instance says so once and is then silent but for reminders: silence reads as no load.
-      const outcomes = opts.outcomes.takeNews()
+      const outcomes = opts.outcomes.takeNews(performance.now())
       if (loads.length === 0 && outcomes.length === 0 && wasEmpty) continue
       wasEmpty = loads.length === 0
       tell({ t: 'peer', loads, outcomes, crashes: [] })
