--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -73,17 +73,28 @@
   return startProcess(name, STAND_IN, [JSON.stringify(opts)], logFolder)
 }
 
+/** Ports below those that the system gives to outgoing connections, which could take one between its choice and its use. */
+const FIRST_PORT = 20_000
+const PORTS = 12_000
+
 /**
  * Finds free ports.
  * @param count how many
- * @returns ports that nothing listens on now
+ * @returns ports that nothing listens on now, and that no outgoing connection takes
  */
 export async function findPorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => await new Promise<net.Server>(resolve => {
+  const ports = new Set<number>()
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (!ports.has(port) && await isFree(port)) ports.add(port)
+  }
+  return [...ports]
+}
+
+async function isFree (port: number): Promise<boolean> {
+  return await new Promise(resolve => {
     const server = net.createServer()
-    server.listen(0, '127.0.0.1', () => { resolve(server) })
-  })))
-  const ports = servers.map(server => (server.address() as net.AddressInfo).port)
-  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
-  return ports
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
 }
