--- a/packages/coordination/src/documentMachine.ts
+++ b/packages/coordination/src/documentMachine.ts
@@ -26,13 +26,13 @@
 /**
  * Tells what becomes of a document that does not change what is held.
  * @param held the document that is held
- * @param packed the document that is put
+ * @param put version and digest of the document that is put
  * @returns the result, or undefined where the document is newer
  */
-export function judgeOld (held: contracts.HeldText | null, packed: contracts.PackedText): PutResult | undefined {
-  if (held === null || packed.version > held.version) return undefined
-  if (packed.version < held.version) return { kind: 'behind', version: held.version }
-  return { kind: packed.digest === held.digest ? 'held' : 'conflict', version: held.version }
+export function judgeOld (held: contracts.HeldText | null, put: { version: number, digest: string }): PutResult | undefined {
+  if (held === null || put.version > held.version) return undefined
+  if (put.version < held.version) return { kind: 'behind', version: held.version }
+  return { kind: put.digest === held.digest ? 'held' : 'conflict', version: held.version }
 }
 
 /**
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -179,15 +179,13 @@
    * Stores at this replica, which leads. Load pattern: operators change one entry several times a second just after they added
    * two thousand; whole, each change takes the leader's link of a few Mbit/s half a second for eight followers.
    */
-  const putHere = async (packed: contracts.PackedText): Promise<documentMachines.PutResult> => {
-    const document = contracts.unpackText(packed, null)
-    if (document === undefined) throw new Error('a document is put whole')
+  const putHere = async (document: contracts.HeldText): Promise<documentMachines.PutResult> => {
     const from = proposed ?? machine.held()
     if (from === null || document.version > from.version) proposed = document
-    if (from === null) return await propose(packed)
+    if (from === null) return await propose(contracts.packWhole(document))
     const result = await propose(contracts.packDifference(from, document))
     // What was proposed before it did not come to be held: another leader's change came between, or it was an older version.
-    return result.kind === 'needsWhole' ? await propose(packed) : result
+    return result.kind === 'needsWhole' ? await propose(contracts.packWhole(document)) : result
   }
 
   const readHere = async (timeoutMs: number): Promise<contracts.HeldText | null> => {
@@ -205,8 +203,8 @@
       if (leftMs <= RETRY_MS) throw last
       const name = leader()
       try {
-        if (name === opts.self) return await withTimeout(here(leftMs), leftMs)
-        if (name !== null) return await withTimeout(opts.reach(name).then(async link => await there(link, leftMs)), leftMs)
+        if (name === opts.self) return await links.withinTime(here(leftMs), leftMs, 'no outcome')
+        if (name !== null) return await links.withinTime(opts.reach(name).then(async link => await there(link, leftMs)), leftMs, 'no outcome')
       } catch (err) {
         last = err
       }
@@ -220,12 +218,12 @@
     held: () => best,
     since: history.since,
     async put (document, timeoutMs) {
-      const packed = contracts.packWhole(document)
       // What is applied is committed: an older document or a resend needs no leader.
-      const old = documentMachines.judgeOld(best, packed)
+      const old = documentMachines.judgeOld(best, document)
       if (old !== undefined) return old
-      return await retry(timeoutMs, async () => await putHere(packed), async (link, leftMs) => {
-        return documentMachines.putResult.parse(await link.call({ t: 'put', packed } satisfies DocumentCall, leftMs))
+      return await retry(timeoutMs, async () => await putHere(document), async (link, leftMs) => {
+        const call: DocumentCall = { t: 'put', packed: contracts.packWhole(document) }
+        return documentMachines.putResult.parse(await link.call(call, leftMs))
       })
     },
     async read (timeoutMs) {
@@ -240,7 +238,11 @@
         case 'replica':
           if (replica === undefined) throw new Error('the replica is being restarted')
           return await replica.handle(state.rpc.parse(call.msg))
-        case 'put': return await putHere(call.packed)
+        case 'put': {
+          const document = contracts.unpackText(call.packed, null)
+          if (document === undefined) throw new Error('a document is put whole')
+          return await putHere(document)
+        }
         case 'read': {
           const held = await readHere(RPC_MS)
           const isSame = held !== null && held.version === call.version
@@ -263,11 +265,3 @@
     }
   }
 }
-
-async function withTimeout<T> (work: Promise<T>, timeoutMs: number): Promise<T> {
-  let timer: NodeJS.Timeout | undefined
-  const late = new Promise<never>((resolve, reject) => {
-    timer = setTimeout(() => { reject(new Error(`no outcome within ${Math.round(timeoutMs)} ms`)) }, timeoutMs)
-  })
-  return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
-}
--- a/packages/coordination/src/recordFile.ts
+++ b/packages/coordination/src/recordFile.ts
@@ -7,8 +7,11 @@
 import * as path from 'node:path'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
+import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
 
+const NAME = 'records'
+
 /** Keeps records in a file. */
 export interface RecordFile {
   /** @returns what the file holds */
@@ -27,7 +30,6 @@
  * @returns the keeper
  */
 export function createRecordFile (folder: string, list: () => discovery.Record[], log: telemetry.Log): RecordFile {
-  const file = path.join(folder, 'records')
   let isWaiting = false
   let isClosed = false
   let writing: Promise<void> | undefined
@@ -36,22 +38,13 @@
     while (isWaiting) {
       isWaiting = false
       const text = JSON.stringify(list())
-      const handle = await fs.open(`${file}.new`, 'w')
-      try {
-        await handle.writeFile(`${contracts.sha256(text)}\n${text}`)
-        await handle.sync()
-      } finally {
-        await handle.close()
-      }
-      await fs.rename(`${file}.new`, file)
-      const directory = await fs.open(folder, 'r')
-      await directory.sync().finally(async () => { await directory.close() })
+      await state.replaceFile(folder, NAME, `${contracts.sha256(text)}\n${text}`)
     }
   }
 
   return {
     async load () {
-      const [digest, text] = (await fs.readFile(file, 'utf8').catch(() => '')).split('\n')
+      const [digest, text] = (await fs.readFile(path.join(folder, NAME), 'utf8').catch(() => '')).split('\n')
       if (text === undefined || contracts.sha256(text) !== digest) return []
       return discovery.record.array().parse(JSON.parse(text))
     },
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -62,7 +62,7 @@
 const AVOID_ALONE_MS = 100
 const LOOK_MS = 100
 const SUBSCRIBE_MS = 1500
-/** A whole document of a megabyte is a tenth of that packed, and takes half a second on a busy link of 4 Mbit/s. */
+/** A whole document of a megabyte is a tenth of that packed: 0.2 s on a link of 4 Mbit/s, the rest is for other traffic there. */
 const FETCH_MS = 1000
 /** How long the other subscriptions leave a new document to the main one: two heartbeats between control instances. */
 const SPARE_MS = 400
@@ -103,13 +103,19 @@
     opts.onDocument(document)
   }
 
+  /** Asks a control instance for the latest document and takes it. */
+  const ask = async (link: links.Link): Promise<void> => {
+    const call: messages.DiscoveryCall = { t: 'fetch', version: version() }
+    takeDocument(messages.discoveryReply.parse(await link.call(call, FETCH_MS)).document)
+  }
+
   /** Fetches the latest document from one control instance at a time, until none is known to hold a newer one. */
   const fetchDocument = async (): Promise<void> => {
     if (isFetching) return
     isFetching = true
     try {
       if (held === null && controls.length > SUBSCRIPTIONS) await fetchAnywhere()
-      for (let sub = newest(); sub !== undefined; sub = newest()) await fetchFrom(sub)
+      for (let sub = newest(); sub?.link !== undefined; sub = newest()) await fetchFrom(sub, sub.link)
     } finally {
       isFetching = false
     }
@@ -127,18 +133,17 @@
     const address = controls[Math.floor(Math.random() * controls.length)]
     try {
       const link = await opts.dial(address)
-      const reply = await link.call({ t: 'fetch', version: 0 } satisfies messages.DiscoveryCall, FETCH_MS).finally(() => { link.close() })
-      takeDocument(messages.discoveryReply.parse(reply).document)
+      await ask(link).finally(() => { link.close() })
     } catch (err) {
       // One of the subscriptions is asked next.
       opts.log.event('controlLost', { address, why: `its document could not be fetched: ${err instanceof Error ? err.message : String(err)}`, subscriptions: open.size })
     }
   }
 
-  const fetchFrom = async (sub: Subscription): Promise<void> => {
+  const fetchFrom = async (sub: Subscription, link: links.Link): Promise<void> => {
     const before = version()
     try {
-      takeDocument(messages.discoveryReply.parse(await sub.link?.call({ t: 'fetch', version: before } satisfies messages.DiscoveryCall, FETCH_MS)).document)
+      await ask(link)
       // Guards against asking without end where the document that was announced is not handed out.
       if (version() === before) drop(sub, 'its document did not come')
     } catch (err) {
--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -7,6 +7,14 @@
 const reset: helper.Behaviour = (req, res) => { res.destroy() }
 const full: helper.Behaviour = (req, res) => { res.writeHead(503, { 'x-not-run': '1', 'content-length': 0 }).end() }
 
+/** Two endpoints: one goes silent with its first request and takes no further connections, the other one is sound. */
+async function startSilentAndSound (): Promise<helper.TestEndpoint[]> {
+  const endpoints: helper.TestEndpoint[] = []
+  const silent: helper.Behaviour = () => { endpoints[0].refuse() }
+  endpoints.push(await helper.startEndpoint('e1', silent), await helper.startEndpoint('e2', helper.sound))
+  return endpoints
+}
+
 // A booking is charged twice. The endpoint charges, its connection breaks before the answer, and the entry instance sends the
 // same booking to a second endpoint.
 test('a request that may run once is not sent again after a reset', async t => {
@@ -210,9 +218,7 @@
 // A runner loses its power in the middle of the day, with connections open. A client that asks for its status waited for two
 // fifths of its time, 8 s here, before a sound endpoint was asked.
 test('an endpoint that is down and silent is left as soon as that is known', async t => {
-  const endpoints: helper.TestEndpoint[] = []
-  const silent: helper.Behaviour = () => { endpoints[0].refuse() }
-  endpoints.push(await helper.startEndpoint('e1', silent), await helper.startEndpoint('e2', helper.sound))
+  const endpoints = await startSilentAndSound()
   const entry = await helper.startEntry([helper.toRoute({ timeoutMs: 20_000 })], endpoints)
   const beganAt = performance.now()
   while (endpoints[0].seen.length === 0) t.is((await entry.ask({ headers: { 'x-deadline-ms': '20000' } })).status, 200)
@@ -223,9 +229,7 @@
 
 // The same for a booking: it may not be sent again, but those that come after it are not to wait at the same endpoint.
 test('a request that may run once stays at a silent endpoint, others go elsewhere meanwhile', async t => {
-  const endpoints: helper.TestEndpoint[] = []
-  const silent: helper.Behaviour = () => { endpoints[0].refuse() }
-  endpoints.push(await helper.startEndpoint('e1', silent), await helper.startEndpoint('e2', helper.sound))
+  const endpoints = await startSilentAndSound()
   const entry = await helper.startEntry([helper.toRoute({ kind: 'once', timeoutMs: 5000 })], endpoints)
   const answers: Array<Promise<helper.TestAnswer>> = []
   while (endpoints[0].seen.length === 0) {
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -7,6 +7,7 @@
  * over all.
  */
 import * as contracts from '@kingcupdeck/contracts'
+import * as numbers from './numbers.js'
 
 /** An endpoint that may get the request. */
 export interface Candidate {
@@ -57,7 +58,7 @@
 export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): Choice | undefined {
   const open = candidates.filter(item => item.room > 0)
   if (open.length === 0) return undefined
-  const mean = candidates.reduce((sum, item) => sum + item.load, 0) / candidates.length
+  const mean = numbers.sum(candidates.map(item => item.load)) / candidates.length
   const bound = LOAD_FACTOR * mean + LOAD_ALLOWANCE
   return req.affinity === undefined ? chooseSpread(open, req.zone, draw) : chooseHome(open, req.affinity, bound)
 }
@@ -104,7 +105,7 @@
  * never old and grows where an endpoint is slow.
  */
 function chooseSpread (open: readonly Candidate[], zone: string, draw: number): Choice {
-  const busy = sum(open.map(item => item.load)) / sum(open.map(item => item.slots))
+  const busy = numbers.sum(open.map(item => item.load)) / numbers.sum(open.map(item => item.slots))
   const warm = open.filter(item => !item.isCold)
   const near = busy < QUIET_SHARE ? warm.filter(item => item.zone === zone) : []
   const pool = [near, warm, open].find(list => list.length > 0) ?? open
@@ -113,10 +114,6 @@
   return { id: equals[Math.floor(draw * equals.length)].id, why: near.length > 0 ? 'near' : 'least' }
 }
 
-function sum (list: readonly number[]): number {
-  return list.reduce((total, item) => total + item, 0)
-}
-
 /**
  * Load pattern: endpoints are replaced one after the other, or crash and come back empty. Were a newcomer given its whole
  * share at once, so many prompts that others hold would be read again in the seconds in which the others also take over what
--- a/packages/forwarding/src/endpointOutcome.ts
+++ b/packages/forwarding/src/endpointOutcome.ts
@@ -8,6 +8,7 @@
  * Of three endpoints with 42 requests a second, one failing 45 in 100 for 6 s: 49.5 failed without this, 34.7 with it, of which
  * 25 fail everywhere (mean of 12 replays).
  */
+import * as numbers from './numbers.js'
 
 /** How attempts at one endpoint went since an instance told last: its id, all attempts, those that missed. */
 export type OutcomeNews = [endpoint: string, attempts: number, missed: number]
@@ -77,8 +78,8 @@
   /** @returns the endpoints whose attempts missed clearly more often than those at all others together */
   const findOutliers = (tallies: Map<string, Tally>, endpoints: readonly Judged[], now: number): Set<string> => {
     const tallyOf = new Map(endpoints.map(item => [item.id, read(tallies, item.id, now)]))
-    const attempts = sum([...tallyOf.values()].map(item => item.attempts))
-    const missed = sum([...tallyOf.values()].map(item => item.missed))
+    const attempts = numbers.sum([...tallyOf.values()].map(item => item.attempts))
+    const missed = numbers.sum([...tallyOf.values()].map(item => item.missed))
     const outliers = new Set<string>()
     for (const [id, tally] of tallyOf) {
       if (toShare(tally) < WORSE_SHARE) continue
@@ -139,7 +140,7 @@
       const aside = new Set(worse.map(item => item.id))
       const left = endpoints.filter(item => !aside.has(item.id))
       // Set aside they would leave too few places for the load: a worse endpoint is better than a full one.
-      if (sum(endpoints.map(item => item.load)) > FULL_SHARE * sum(left.map(item => item.slots))) aside.clear()
+      if (numbers.sum(endpoints.map(item => item.load)) > FULL_SHARE * numbers.sum(left.map(item => item.slots))) aside.clear()
       noteChanges(service, aside, now)
       return aside
     }
@@ -157,7 +158,3 @@
 function toShare (tally: { attempts: number, missed: number }): number {
   return tally.attempts <= 0 ? 0 : tally.missed / tally.attempts
 }
-
-function sum (list: readonly number[]): number {
-  return list.reduce((total, item) => total + item, 0)
-}
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -185,7 +185,7 @@
   const subscriber = discovery.startSubscriber({
     seeds: opts.seeds,
     table,
-    dial: async address => await links.withinTime(links.dial(address, linkSettings), address, DIAL_MS),
+    dial: async address => await links.withinTime(links.dial(address, linkSettings), DIAL_MS, `no connection to ${address}`),
     self,
     onDocument: takeDocument,
     onRecords: list => { endpoints.update(list) },
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -74,8 +74,7 @@
         names: ctx.names,
         signal: AbortSignal.any([call.stop.signal, down.signal]),
         answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs
-      })
-      unwatch()
+      }).finally(unwatch)
       const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt, picked.why) }
       switch (sent.kind) {
         case 'unreachable':
@@ -141,7 +140,6 @@
         }
       }
     } finally {
-      unwatch()
       endpoint.inFlight--
     }
     if (offers >= MAX_OFFERS) return giveUp(call, held, 'no endpoint had room')
--- a/packages/forwarding/src/pickEndpoint.ts
+++ b/packages/forwarding/src/pickEndpoint.ts
@@ -3,6 +3,7 @@
 import * as chooseEndpoints from './chooseEndpoint.js'
 import type * as clientCalls from './clientCall.js'
 import type * as endpointPools from './endpointPool.js'
+import * as numbers from './numbers.js'
 
 /** An endpoint with the reason for its choice and its load out of that of all. */
 export interface Picked { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose cache may hold the prompt. */ fetchFrom: string | undefined }
@@ -16,10 +17,9 @@
 export function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
   const { ctx, route } = call
   const now = ctx.now()
-  const usable = findUsable(call, now).filter(item => !tried.has(item.id))
   const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
   const share = Math.max(2, Math.floor(maxConnections / ctx.exchange.instances()))
-  const candidates = usable.map((item): chooseEndpoints.Candidate => ({
+  const usable = ctx.pool.usable(call.service, now).map((item): chooseEndpoints.Candidate => ({
     id: item.id,
     zone: item.record.zone,
     load: item.inFlight + item.foreign,
@@ -29,25 +29,17 @@
     room: share - item.inFlight,
     ageMs: toAge(item)
   }))
+  const worse = ctx.outcomes.findWorse(call.service, usable, now)
+  const candidates = usable.filter(item => !worse.has(item.id) && !tried.has(item.id))
   const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
   const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
   if (choice === undefined || endpoint === undefined) return undefined
-  const load = endpoint.inFlight + endpoint.foreign
   const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
-  const why = `${choice.why} ${load}/${candidates.reduce((sum, item) => sum + item.load, 0)}${source === undefined ? '' : ` from ${source.id}`}`
+  const why = `${choice.why} ${endpoint.inFlight + endpoint.foreign}/${numbers.sum(candidates.map(item => item.load))}${source === undefined ? '' : ` from ${source.id}`}`
   return { endpoint, why, fetchFrom: source?.record.address }
 }
 
-/** @returns the endpoints that may get work, without those that answer worse than the others */
-function findUsable (call: clientCalls.ClientCall, now: number): endpointPools.Endpoint[] {
-  const { ctx, service } = call
-  const usable = ctx.pool.usable(service, now)
-  const judged = usable.map(item => ({ id: item.id, load: item.inFlight + item.foreign, slots: Math.max(1, item.record.slots) }))
-  const worse = ctx.outcomes.findWorse(service, judged, now)
-  return worse.size === 0 ? usable : usable.filter(item => !worse.has(item.id))
-}
-
 function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
   const { ctx } = call
   const sources = ctx.pool.reachable(call.service, ctx.now())
--- a/packages/forwarding/src/retryWindow.ts
+++ b/packages/forwarding/src/retryWindow.ts
@@ -3,6 +3,7 @@
  * window, or an outage of some endpoints becomes an overload of the rest; each instance keeps to its share of that without
  * asking anyone.
  */
+import * as numbers from './numbers.js'
 
 /** Bounds of the whole fleet. */
 export interface RetryBounds {
@@ -46,7 +47,6 @@
     }
     if (steps > 0) slot = current
   }
-  const sum = (list: number[]): number => list.reduce((total, count) => total + count, 0)
 
   return {
     note (now) {
@@ -55,8 +55,8 @@
     },
     spend (now, instances) {
       turn(now)
-      const allowed = CAUTION * (bounds.ratio * sum(requests) + bounds.slack / Math.max(1, instances))
-      if (sum(sends) + 1 > allowed) return false
+      const allowed = CAUTION * (bounds.ratio * numbers.sum(requests) + bounds.slack / Math.max(1, instances))
+      if (numbers.sum(sends) + 1 > allowed) return false
       sends[slot % SLOTS]++
       return true
     }
--- a/packages/links/src/reach.ts
+++ b/packages/links/src/reach.ts
@@ -34,7 +34,7 @@
       if (known !== undefined) return known
       if (performance.now() - failedAt(address) < opts.pauseMs) throw new Error(`${address} could not be reached just now`)
       try {
-        return await withinTime(book.get(address, address), address, opts.dialMs)
+        return await withinTime(book.get(address, address), opts.dialMs, `no connection to ${address}`)
       } catch (err) {
         failures.set(address, performance.now())
         throw err
@@ -44,17 +44,17 @@
 }
 
 /**
- * Waits for a connection, but not for ever.
- * @param work the connection to come
- * @param address where it goes, for the error
+ * Waits for something, but not for ever.
+ * @param work what is to come
  * @param ms how long to wait
+ * @param missing what there is when nothing came, for the error
  * @returns what came
  * @throws Error when nothing came in time
  */
-export async function withinTime<T> (work: Promise<T>, address: string, ms: number): Promise<T> {
+export async function withinTime<T> (work: Promise<T>, ms: number, missing: string): Promise<T> {
   let timer: NodeJS.Timeout | undefined
   const late = new Promise<never>((resolve, reject) => {
-    timer = setTimeout(() => { reject(new Error(`no connection to ${address} within ${ms} ms`)) }, ms)
+    timer = setTimeout(() => { reject(new Error(`${missing} within ${Math.round(ms)} ms`)) }, ms)
   })
   return await Promise.race([work, late]).finally(() => { clearTimeout(timer) })
 }
--- a/packages/router/src/ownedEndpoint.ts
+++ b/packages/router/src/ownedEndpoint.ts
@@ -71,6 +71,17 @@
   }
 }
 
+/**
+ * Tells whether an announcement is an earlier one, or the same once more.
+ * @param endpoint the endpoint
+ * @param announcement what it says of itself
+ * @returns whether it says nothing new
+ */
+export function isOld (endpoint: OwnedEndpoint, announcement: contracts.Announcement): boolean {
+  const known = endpoint.announcement
+  return known !== undefined && (known.boot > announcement.boot || (known.boot === announcement.boot && known.seq >= announcement.seq))
+}
+
 /**
  * Takes an announcement into the owner's books.
  * @param endpoint the endpoint
--- a/packages/router/src/owner.ts
+++ b/packages/router/src/owner.ts
@@ -266,8 +266,7 @@
     },
     takeAnnouncement (announcement, handedOver) {
       const endpoint = ensure(announcement.endpoint, `${announcement.host}:${announcement.port}`)
-      const known = endpoint.announcement
-      if (known !== undefined && (known.boot > announcement.boot || (known.boot === announcement.boot && known.seq >= announcement.seq))) return endpoint.intervalMs
+      if (ownedEndpoint.isOld(endpoint, announcement)) return endpoint.intervalMs
       const isBack = endpoint.wasGone && announcement.state === 'ready'
       ownedEndpoint.takeAnnouncement(endpoint, announcement, handedOver)
       if (isBack) {
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -7,6 +7,7 @@
 import * as zlib from 'node:zlib'
 import * as cbor from 'cbor-x'
 import * as entries from './entries.js'
+import * as replaceFiles from './replaceFile.js'
 import * as storage from './storage.js'
 
 const HEADER_BYTES = 8
@@ -73,20 +74,6 @@
     return await turn
   }
 
-  const syncFolder = async (): Promise<void> => {
-    const handle = await fs.open(folder, 'r')
-    await handle.sync().finally(async () => { await handle.close() })
-  }
-
-  const replace = async (name: string, content: Buffer): Promise<void> => {
-    const beside = await fs.open(file(name + '.new'), 'w')
-    await beside.writeFile(content)
-    await beside.sync()
-    await beside.close()
-    await fs.rename(file(name + '.new'), file(name))
-    await syncFolder()
-  }
-
   const end = (): number => ends.at(-1)?.end ?? 0
 
   // Guards against taking damage for a torn tail. The mark is written after the sync it speaks of and is not synced
@@ -109,7 +96,7 @@
   const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
     const records = [...kept.map(toRecord), toRecord(committed)]
     await lowerMark(0)
-    await replace('log', Buffer.concat(records))
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat(records))
     await log.close()
     log = await fs.open(file('log'), 'a+')
     let at = 0
@@ -170,7 +157,7 @@
         await log.close()
         await marker.close()
         for (const name of ['log', 'meta', 'snapshot', 'synced', 'committed']) await fs.rm(file(name), { force: true })
-        await syncFolder()
+        await replaceFiles.syncFolder(folder)
         log = await fs.open(file('log'), 'a+')
         marker = await fs.open(file('synced'), 'w+')
         ends = []
@@ -178,7 +165,7 @@
         committed = 0
       })
     },
-    saveMeta: async meta => { await inOrder(async () => { await replace('meta', toRecord(meta)) }) },
+    saveMeta: async meta => { await inOrder(async () => { await replaceFiles.replaceFile(folder, 'meta', toRecord(meta)) }) },
     append: async list => {
       const records = list.map(toRecord)
       const indexes = list.map(item => item.index)
@@ -216,7 +203,7 @@
     },
     saveSnapshot: async (snapshot, keepFrom) => {
       await inOrder(async () => {
-        await replace('snapshot', toRecord(snapshot))
+        await replaceFiles.replaceFile(folder, 'snapshot', toRecord(snapshot))
         const list = await readLog()
         await rewriteLog(list.filter(item => item.index >= keepFrom))
       })
