--- a/packages/forwarding/__tests__/helpers/random.ts
+++ b/packages/forwarding/__tests__/helpers/random.ts
@@ -1,10 +1,9 @@
 /** Numbers that look random and are the same each time. */
+import * as uniform from 'pure-rand/distribution/uniformFloat64'
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 
 /** @returns a source of numbers in [0, 1) */
 export function createRandom (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 2 ** 32
-  }
+  const generator = xoroshiro.xoroshiro128plus(seed)
+  return () => uniform.uniformFloat64(generator)
 }
