perf(contracts,coordination,discovery): a control instance that starts hands out the document sooner

Cause: after a kill of all processes control instances took 1.1 s to start; of 0.40 s of profiled processor time 0.10 s went into applying 80 differences of the document, a third of it cutting each text by a regular expression. Entry instances looked for them every 100 to 200 ms. Ruled out: loading (code cache is taken), the disk. Change: the text that was put together last keeps its pieces, pieces are cut without a regular expression, the log is cut short every 30 changes, an instance without a document looks every 40 ms. Profiled processor time of a restart with 80 to 85 versions: 396 ms -> 250 ms (pieces) -> 174 ms (with the shorter log).

--- a/packages/contracts/__tests__/versionedText.test.ts
+++ b/packages/contracts/__tests__/versionedText.test.ts
@@ -32,6 +32,21 @@
   }), { seed: 20261203 })
 })
 
+// A replica that starts applies the differences of its log one after the other. Where a list grows or shrinks at its end, what
+// was the last piece of a text stands before others in the next one, or the other way round.
+test('differences that are applied in a row give each text as it was', t => {
+  const lists = fc.array(fc.array(fc.nat(12)).map(list => toText(list, list.length % 2 === 0 ? '},{' : '')), { maxLength: 12 })
+  fc.assert(fc.property(lists, texts => {
+    const held = texts.map((text, i) => contracts.toHeldText(i + 1, text))
+    const packed = held.map((item, i) => i === 0 ? contracts.packWhole(item) : contracts.packDifference(held[i - 1], item))
+    let last: contracts.HeldText | null = null
+    for (const [i, item] of packed.entries()) {
+      last = contracts.unpackText(item, last) ?? null
+      t.deepEqual(last, held[i])
+    }
+  }), { seed: 20261203 })
+})
+
 test('a difference from a text that is not held gives nothing', t => {
   const from = contracts.toHeldText(1, toText([1, 2]))
   const other = contracts.toHeldText(1, toText([1, 3]))
--- a/packages/contracts/src/versionedText.ts
+++ b/packages/contracts/src/versionedText.ts
@@ -27,7 +27,7 @@
 /** Texts resemble themselves so much that a higher level saves a hundredth of the bytes for twice the time. */
 const DEFLATE_LEVEL = 3
 /** Entries of lists in JSON end so; a text without them is one piece, and its difference is the whole. */
-const ENTRY_END = /(?<=\},)/
+const ENTRY_END = '},'
 
 const steps = z.array(z.union([z.string(), z.tuple([z.int().nonnegative(), z.int().positive()])]))
 /** How to make a text: new bytes, or a run of pieces of the older one (the first piece, and how many). */
@@ -79,9 +79,30 @@
   return { version: packed.version, digest: packed.digest, text }
 }
 
+/**
+ * The text that was cut or put together last. Load pattern: a replica that starts applies many differences in a row, each to the
+ * text that the one before made.
+ */
+let latest: { text: Buffer, pieces: string[] } | undefined
+
 /** Bytes are handled as Latin-1, which keeps each of them as one character. */
 function cut (text: Buffer): string[] {
-  return text.toString('latin1').split(ENTRY_END)
+  if (latest?.text === text) return latest.pieces
+  const pieces = cutString(text.toString('latin1'))
+  latest = { text, pieces }
+  return pieces
+}
+
+/** Cuts behind each end of an entry; nothing comes of an empty text but one empty piece. */
+function cutString (text: string): string[] {
+  const pieces: string[] = []
+  let from = 0
+  for (let end = text.indexOf(ENTRY_END); end >= 0 && end + ENTRY_END.length < text.length; end = text.indexOf(ENTRY_END, from)) {
+    pieces.push(text.slice(from, end + ENTRY_END.length))
+    from = end + ENTRY_END.length
+  }
+  pieces.push(text.slice(from))
+  return pieces
 }
 
 function diff (from: readonly string[], to: readonly string[]): Steps {
@@ -102,6 +123,9 @@
 }
 
 function patch (from: readonly string[], list: Steps): Buffer {
-  const pieces = list.map(step => typeof step === 'string' ? step : from.slice(step[0], step[0] + step[1]).join(''))
-  return Buffer.from(pieces.join(''), 'latin1')
+  const pieces = list.flatMap(step => typeof step === 'string' ? cutString(step) : from.slice(step[0], step[0] + step[1]))
+  const text = Buffer.from(pieces.join(''), 'latin1')
+  // The last piece of the older text ends no entry: where it stands before others, the text would be cut otherwise.
+  if (pieces.slice(0, -1).every(piece => piece.endsWith(ENTRY_END))) latest = { text, pieces }
+  return text
 }
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -85,7 +85,8 @@
 /** Pause before a replica whose disk failed is started again; a full disk stays full for seconds. */
 const RESTART_MS = 700
 const RETRY_MS = 60
-const SNAPSHOT_ENTRIES = 100
+/** A replica that starts applies up to so many differences before it can hand out the document. */
+const SNAPSHOT_ENTRIES = 30
 
 /**
  * Starts the replica and keeps it running.
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -59,8 +59,10 @@
 /** ... and doubled with each failure in a row up to this, ... */
 const AVOID_MOST_MS = 1600
 /** ... but for an instance without a document: it serves nobody until the first control instance is back. */
-const AVOID_ALONE_MS = 100
+const AVOID_ALONE_MS = 40
 const LOOK_MS = 100
+/** How often an instance without a document looks for a control instance. */
+const LOOK_ALONE_MS = 40
 const SUBSCRIBE_MS = 1500
 /** A whole document of a megabyte is a tenth of that packed: 0.2 s on a link of 4 Mbit/s, the rest is for other traffic there. */
 const FETCH_MS = 1000
@@ -231,7 +233,7 @@
         const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
         for (const sub of open) sub.link?.send(event)
       }
-      await timers.setTimeout(LOOK_MS, undefined, { ref: false })
+      await timers.setTimeout(held === null ? LOOK_ALONE_MS : LOOK_MS, undefined, { ref: false })
     }
   }
 
