feat(forwarding): requests wait a moment for the first document

Hypothesis: after a loss of power entry instances listen 1 s before there is a document; refused then, callers came back after 1.9 s and more, always late.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -9,6 +9,7 @@
 import * as entryContexts from '../../src/entryContext.js'
 import * as entryMetrics from '../../src/entryMetrics.js'
 import * as entryServers from '../../src/entryServer.js'
+import * as firstDocuments from '../../src/firstDocument.js'
 import type * as headerNames from '../../src/headerNames.js'
 import * as retryWindows from '../../src/retryWindow.js'
 import * as routeTables from '../../src/routeTable.js'
@@ -116,7 +117,9 @@
   lines: Array<{ event: string } & { [field: string]: unknown }>
   announce: (endpoint: TestEndpoint, change?: Partial<discovery.EndpointRecord>) => void
   /** Sends a request over a connection of its own. */
-  ask: (opts?: { method?: string, path?: string, headers?: http.OutgoingHttpHeaders, body?: string }) => Promise<TestAnswer>
+  ask: (opts?: { method?: string, path?: string, headers?: http.OutgoingHttpHeaders, body?: string, /** Gives up after this time. */ leaveAfterMs?: number }) => Promise<TestAnswer>
+  /** Hands the entry its document, where it began without one. */
+  arrive: () => void
   /** Tells the entry that it stops, and whether it still takes requests. */
   stop: (mayTake: boolean) => void
   close: () => void
@@ -126,7 +129,7 @@
 export interface TestAnswer { status: number, headers: http.IncomingHttpHeaders, body: string, /** Whether the body came to its end. */ isWhole: boolean }
 
 /** Starts an entry server. */
-export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccount[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits> } = {}): Promise<TestEntry> {
+export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccount[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Whether the entry has no document until {@link TestEntry.arrive}. */ isLate?: boolean } = {}): Promise<TestEntry> {
   const lines: TestEntry['lines'] = []
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
@@ -138,6 +141,8 @@
   const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100, canFetch: true }], accounts: opts.accounts ?? null, limits })
   let isStopping = false
   let mayTake = true
+  let hasDocument = opts.isLate !== true
+  const firstDocument = firstDocuments.createFirstDocument()
   const windows = retryWindows.createRetryWindow({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 })
   const ctx: entryContexts.EntryContext = {
     names: NAMES,
@@ -148,7 +153,8 @@
     exchange: { onNews: () => {}, tellCrashes: () => {}, instances: () => 1, stop: () => {} },
     metrics: entryMetrics.createEntryMetrics(),
     log,
-    table: () => document,
+    table: () => hasDocument ? document : undefined,
+    firstDocument,
     retryWindow: () => windows,
     isStopping: () => isStopping,
     mayTake: () => mayTake,
@@ -182,8 +188,13 @@
         })
         out.on('error', reject)
         out.end(req.body)
+        if (req.leaveAfterMs !== undefined) setTimeout(() => { out.destroy(new Error('the client left')) }, req.leaveAfterMs)
       })
     },
+    arrive () {
+      hasDocument = true
+      firstDocument.arrive()
+    },
     stop (takes) {
       isStopping = true
       mayTake = takes
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -43,8 +43,18 @@
   const key = findHeader(head.raw, names.key)
   const account = key === undefined ? undefined : table.accountOf.get(key)
   if (table.hasAccounts && !route.isKeyless && account === undefined) return reject(401, `send a valid key in ${names.key}`)
-  const clientMs = Number(findHeader(head.raw, names.deadlineMs))
-  return { kind: 'admitted', route, account, attemptId, clientMs: Number.isFinite(clientMs) && clientMs > 0 ? clientMs : undefined }
+  return { kind: 'admitted', route, account, attemptId, clientMs: toClientMs(head.raw, names) }
+}
+
+/**
+ * Reads how long a client waits.
+ * @param raw names and values by turns
+ * @param names names of headers
+ * @returns milliseconds, or undefined if it does not say
+ */
+export function toClientMs (raw: readonly string[], names: headerNames.HeaderNames): number | undefined {
+  const ms = Number(findHeader(raw, names.deadlineMs))
+  return Number.isFinite(ms) && ms > 0 ? ms : undefined
 }
 
 /**
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -4,6 +4,7 @@
 import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
+import * as firstDocuments from './firstDocument.js'
 import * as headerNames from './headerNames.js'
 import * as peerExchanges from './peerExchange.js'
 import * as retryWindows from './retryWindow.js'
@@ -21,6 +22,8 @@
   log: telemetry.Log
   /** @returns the document in force, or undefined before the first */
   table: () => routeTables.CompiledTable | undefined
+  /** Holds requests until there is a document. */
+  firstDocument: firstDocuments.FirstDocument
   /** @returns the second sends that are left for a service */
   retryWindow: (service: string) => retryWindows.RetryWindow
   /** @returns whether this instance was told to stop */
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -6,6 +6,7 @@
 import * as admission from './admission.js'
 import * as clientCalls from './clientCall.js'
 import * as entryContexts from './entryContext.js'
+import * as firstDocuments from './firstDocument.js'
 import * as forwards from './forward.js'
 import * as routeTables from './routeTable.js'
 
@@ -76,7 +77,8 @@
     }
     res.on('error', () => {})
     if (ctx.isStopping()) res.setHeader('Connection', 'close')
-    const table = ctx.table()
+    const table = ctx.table() ?? await waitForTable(req, res)
+    if (res.destroyed) return
     if (table === undefined) {
       refuse({ kind: 'unavailable', why: 'this instance has no document yet', cause: { kind: 'starting', uptimeMs: ctx.now() } })
       return
@@ -110,6 +112,13 @@
     }
   }
 
+  const waitForTable = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<routeTables.CompiledTable | undefined> => {
+    const clientMs = admission.toClientMs(req.rawHeaders, ctx.names)
+    const holdMs = firstDocuments.toHoldMs(clientMs, ctx.firstDocument.held())
+    if (holdMs > 0) await ctx.firstDocument.wait(holdMs, run => res.once('close', run))
+    return ctx.table()
+  }
+
   const run = async (req: http.IncomingMessage, res: http.ServerResponse, startedAt: number, table: routeTables.CompiledTable, seen: Extract<admission.Admission, { kind: 'admitted' }>, body: Buffer): Promise<void> => {
     const { route, account } = seen
     const waitMs = Math.min(route.timeoutMs, seen.clientMs ?? Infinity)
--- a/packages/forwarding/src/retryAfter.ts
+++ b/packages/forwarding/src/retryAfter.ts
@@ -15,21 +15,22 @@
   | { kind: 'noEndpoint' }
   /** The endpoints that can be reached have no room. */
   | { kind: 'noRoom' }
+  /** The endpoints that can be reached begin answers so late, milliseconds. */
+  | { kind: 'busy', delayMs: number }
   /** The request crashed the endpoints that ran it. */
   | { kind: 'quarantined' }
 
-/**
- * A fleet that lost power has documents at its entry instances so long after these started: 1.3 to 1.8 s measured at twelve. Most
- * callers come back only once, so this is for the slowest.
- */
-const STARTING_MS = 1900
 /** The least that a starting instance asks for. */
 const STARTING_LEAST_MS = 400
+/** The most that a starting instance asks for: callers with seconds to go come back once more before they give up. */
+const STARTING_MOST_MS = 3000
 const STOPPING_MS = 20
 /** Endpoints that crashed are mostly replaced or found again after a second. */
 const NO_ENDPOINT_MS = 700
 /** A place becomes free as soon as one of many running requests ends. */
 const NO_ROOM_MS = 150
+/** A queue of endpoints that have too much to do shrinks slowly: a caller comes back after this multiple of its length. */
+const BUSY_DELAYS = 2
 const QUARANTINED_MS = 30_000
 /** The latest come this share of the time after the first. */
 const SPREAD = 0.5
@@ -46,10 +47,12 @@
 
 function toExpectedMs (cause: RefusalCause): number {
   switch (cause.kind) {
-    case 'starting': return Math.max(STARTING_LEAST_MS, STARTING_MS - cause.uptimeMs)
+    // An outage that has lasted long is likely to last as long again.
+    case 'starting': return Math.min(STARTING_MOST_MS, Math.max(STARTING_LEAST_MS, cause.uptimeMs))
     case 'stopping': return STOPPING_MS
     case 'noEndpoint': return NO_ENDPOINT_MS
     case 'noRoom': return NO_ROOM_MS
+    case 'busy': return BUSY_DELAYS * cause.delayMs
     case 'quarantined': return QUARANTINED_MS
   }
 }
