feat(forwarding): a request goes to no endpoint where it would begin late, and keeps its place in a queue

All was sent (none refused), and what waited twice its target was sent elsewhere, where its prompt was read once more: 200 a second at the peak. Change: each instance meters how long its requests wait at each endpoint (those that wait, the latest that were answered, and how many wait at the pace of answers) and tells the others; a request goes to the first two homes of its prompt that would begin it within 0.7 of the target, or is refused at once with a time to come back. A stream that waits long is taken elsewhere only if a later one overtook it, or nothing is answered at all and another endpoint is free.

--- a/packages/forwarding/__tests__/chooseEndpoint.test.ts
+++ b/packages/forwarding/__tests__/chooseEndpoint.test.ts
@@ -5,14 +5,18 @@
 const test = ava.default
 
 function toCandidate (id: string, change: Partial<chooseEndpoints.Candidate> = {}): chooseEndpoints.Candidate {
-  return { id, zone: 'a', load: 0, own: 0, slots: 128, isCold: false, room: 100, ageMs: Infinity, ...change }
+  return { id, zone: 'a', load: 0, own: 0, slots: 128, isCold: false, delayMs: 0, room: 100, ageMs: Infinity, ...change }
 }
 
 const EIGHT = Array.from({ length: 8 }, (_, i) => toCandidate(`e${i}`))
 const SUBJECTS = Array.from({ length: 400 }, (_, i) => `shared,subject${i}`)
 
+function idOf (choice: chooseEndpoints.Choice): string | undefined {
+  return choice.kind === 'chosen' ? choice.id : undefined
+}
+
 function homeOf (candidates: chooseEndpoints.Candidate[], affinity: string): string | undefined {
-  return chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: 'a' }, 0)?.id
+  return idOf(chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: 'a', delayLimitMs: 560 }, 0))
 }
 
 test('requests with the same shared parts go to one endpoint, those of many subjects to all', t => {
@@ -50,13 +54,13 @@
 
 test('a call of a plain service stays in its availability zone while there is room', t => {
   const candidates = [toCandidate('near', { slots: 6, load: 1 }), toCandidate('far', { zone: 'b', slots: 6 })]
-  t.is(chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone: 'a' }, 0.5)?.id, 'near')
+  t.is(idOf(chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone: 'a', delayLimitMs: 560 }, 0.5)), 'near')
   candidates[0].load = 6
-  t.is(chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone: 'a' }, 0.5)?.id, 'far')
+  t.is(idOf(chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone: 'a', delayLimitMs: 560 }, 0.5)), 'far')
 })
 
 test('no endpoint is chosen beyond its connections', t => {
-  t.is(chooseEndpoints.chooseEndpoint([toCandidate('e', { room: 0 })], { affinity: undefined, zone: 'a' }, 0), undefined)
+  t.is(chooseEndpoints.chooseEndpoint([toCandidate('e', { room: 0 })], { affinity: undefined, zone: 'a', delayLimitMs: 560 }, 0).kind, 'none')
 })
 
 // A runner leaves, and the prompts that it holds are read again elsewhere: ten thousand tokens for each of its subjects,
--- a/packages/forwarding/__tests__/spread.test.ts
+++ b/packages/forwarding/__tests__/spread.test.ts
@@ -56,6 +56,7 @@
       own: own[instance][i],
       slots: load.slots,
       isCold: false,
+      delayMs: 0,
       room: 100,
       ageMs: Infinity
     }))
@@ -71,7 +72,10 @@
   return result
 }
 
-const byOwn: Choose = (candidates, zone, draw) => chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone }, draw)?.id as string
+const byOwn: Choose = (candidates, zone, draw) => {
+  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity: undefined, zone, delayLimitMs: Infinity }, draw)
+  return choice.kind === 'chosen' ? choice.id : ''
+}
 
 /** The rule before: the least loaded by what all instances told last, of the own zone while that seems to have room. */
 const byTold: Choose = (candidates, zone, draw) => {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -36,6 +36,8 @@
   signal: AbortSignal
   /** How long to wait for the head of the answer, milliseconds. */
   answerMs: number
+  /** Asked when that time is over: whether to wait on for a while. */
+  mayWait?: () => boolean
 }
 
 /**
@@ -44,6 +46,9 @@
  */
 export const CONNECT_MS = 350
 
+/** How often an attempt that is over its time asks whether it may wait on. */
+const WAIT_ON_MS = 200
+
 /**
  * Sends a request to an endpoint.
  * @param opts endpoint, request and limits
@@ -68,6 +73,11 @@
       req.destroy()
     }
     const onAbort = (): void => { fail(String(opts.signal.reason)) }
+    const startedAt = performance.now()
+    function onTime (): void {
+      if (opts.mayWait?.() === true) timer = setTimeout(onTime, WAIT_ON_MS)
+      else fail(`no answer within ${Math.round(performance.now() - startedAt)} ms`)
+    }
 
     const req = http.request({
       host,
@@ -105,7 +115,7 @@
       }
       settle(judge(res, req, opts, () => isBroken))
     })
-    const timer = setTimeout(() => { fail(`no answer within ${Math.round(opts.answerMs)} ms`) }, opts.answerMs)
+    let timer = setTimeout(onTime, opts.answerMs)
     opts.signal.addEventListener('abort', onAbort, { once: true })
     if (opts.signal.aborted) {
       onAbort()
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -5,6 +5,10 @@
  * requests with the same shared parts go to the same endpoint, unless it carries much more than the others: then the next
  * one in the order of that prompt takes them, so that a prompt that becomes popular spreads over a few endpoints and not
  * over all.
+ *
+ * Load pattern: more requests than the endpoints can begin in time. Whatever is sent waits behind all that was sent before, so
+ * that all answers come late, and a request that is sent elsewhere in haste has its prompt read twice. So a request goes to no
+ * endpoint where it would begin late; if that is so of the first few in its order, it is refused while there is time to return.
  */
 import * as contracts from '@kingcupdeck/contracts'
 import * as numbers from './numbers.js'
@@ -20,6 +24,8 @@
   slots: number
   /** Whether it says that it is still slow after its start. */
   isCold: boolean
+  /** How long a request is likely to wait there until its answer begins, milliseconds; 0 where nothing is known. */
+  delayMs: number
   /** Connections that this instance may still open there. */
   room: number
   /** How long it has been running, milliseconds; Infinity if not known. */
@@ -32,15 +38,25 @@
   affinity: string | undefined
   /** Availability zone of this instance. */
   zone: string
+  /** Where it would wait longer than this it is not sent, milliseconds. */
+  delayLimitMs: number
 }
 
-/** The endpoint that was chosen, and why: the first in the order of the prompt, a later one, one nearby, or the least loaded. */
-export interface Choice { id: string, why: 'home' | 'spill' | 'near' | 'least' }
+/** What came of the choice. */
+export type Choice =
+  /** The endpoint, and why: the first in the order of the prompt, a later one, one nearby, or the least loaded. */
+  | { kind: 'chosen', id: string, why: 'home' | 'spill' | 'near' | 'least' }
+  /** At all that come into question the request would wait too long, for this time at least. */
+  | { kind: 'busy', delayMs: number }
+  /** No endpoint has room. */
+  | { kind: 'none' }
 
 /** An endpoint may carry this multiple of the mean load before requests go to the next one ... */
 const LOAD_FACTOR = 1.5
 /** ... and this many more, since a mean near zero says little. */
 const LOAD_ALLOWANCE = 2.5
+/** So many endpoints in the order of a prompt may be asked to take it: at each further one it would be read anew. */
+const HOMES = 2
 /** A new endpoint begins with this share of the prompts that are its in the long run ... */
 const NEWCOMER_SHARE = 0.1
 /** ... and has all of them after this time. */
@@ -53,14 +69,14 @@
  * @param candidates endpoints of the service that may get work
  * @param req what the request shares, and where it came in
  * @param draw a number in [0, 1), to spread requests among equals
- * @returns the endpoint, or undefined if none has room
+ * @returns the endpoint, or why there is none
  */
-export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): Choice | undefined {
+export function chooseEndpoint (candidates: readonly Candidate[], req: ChoiceRequest, draw: number): Choice {
   const open = candidates.filter(item => item.room > 0)
-  if (open.length === 0) return undefined
+  if (open.length === 0) return { kind: 'none' }
   const mean = numbers.sum(candidates.map(item => item.load)) / candidates.length
   const bound = LOAD_FACTOR * mean + LOAD_ALLOWANCE
-  return req.affinity === undefined ? chooseSpread(open, req.zone, draw) : chooseHome(open, req.affinity, bound)
+  return req.affinity === undefined ? chooseSpread(open, req.zone, draw) : chooseHome(open, req.affinity, bound, req.delayLimitMs)
 }
 
 /** An endpoint whose cache may hold what a request shares. */
@@ -87,13 +103,16 @@
   return first.item.ageMs < NEWCOMER_MS ? second?.item.id : undefined
 }
 
-function chooseHome (open: readonly Candidate[], affinity: string, bound: number): Choice {
+function chooseHome (open: readonly Candidate[], affinity: string, bound: number, delayLimitMs: number): Choice {
   const ranked = open
     .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id, toWeight(item.ageMs)) }))
     .sort((a, b) => b.score - a.score)
-  const fit = ranked.findIndex(({ item }) => item.load + 1 <= bound)
-  if (fit < 0) return { id: leastLoaded(open).id, why: 'least' }
-  return { id: ranked[fit].item.id, why: fit === 0 ? 'home' : 'spill' }
+    .map(({ item }) => item)
+  const fitting = ranked.filter(item => item.load + 1 <= bound)
+  const homes = fitting.length > 0 ? fitting.slice(0, HOMES) : [leastLoaded(open)]
+  const chosen = homes.find(item => item.delayMs <= delayLimitMs)
+  if (chosen === undefined) return { kind: 'busy', delayMs: Math.min(...homes.map(item => item.delayMs)) }
+  return { kind: 'chosen', id: chosen.id, why: fitting.length === 0 ? 'least' : chosen === ranked[0] ? 'home' : 'spill' }
 }
 
 /**
@@ -111,7 +130,7 @@
   const pool = [near, warm, open].find(list => list.length > 0) ?? open
   const least = Math.min(...pool.map(item => item.own / item.slots))
   const equals = pool.filter(item => item.own / item.slots <= least)
-  return { id: equals[Math.floor(draw * equals.length)].id, why: near.length > 0 ? 'near' : 'least' }
+  return { kind: 'chosen', id: equals[Math.floor(draw * equals.length)].id, why: near.length > 0 ? 'near' : 'least' }
 }
 
 /**
--- /dev/null
+++ b/packages/forwarding/src/endpointDelay.ts
@@ -0,0 +1,112 @@
+/**
+ * How long a request waits at an endpoint until its answer begins, as this instance sees it. A decision without input or output.
+ *
+ * Load pattern: endpoints are lost or callers double, and those that are left read prompts one after the other. Places there
+ * still look free, since a request takes one only when its answer begins; what shows the queue is how long requests have been
+ * waiting for that. An endpoint answers them nearly in the order in which they came. How long those have waited that are next
+ * shows a queue only when it is there; how many wait, at the pace at which answers begin, shows it while it grows.
+ */
+
+import * as numbers from './numbers.js'
+
+/** A request that waits for its answer to begin. */
+export interface Wait { readonly sentAt: number }
+
+/** How long requests wait at one endpoint. */
+export interface DelayMeter {
+  /** Notes a request that was sent. */
+  begin (now: number): Wait
+  /** Notes that the answer to a request began. */
+  answered (wait: Wait, now: number): void
+  /** Notes that a request waits no longer, without an answer. */
+  left (wait: Wait): void
+  /** @returns how long the next request is likely to wait, milliseconds, or undefined if nothing was seen lately */
+  expectedMs (now: number): number | undefined
+  /** @returns what is known of a request that waits long: overtaken by a later one, still queued, or nothing is answered at all */
+  judge (wait: Wait): 'overtaken' | 'queued' | 'silent'
+}
+
+/** Waits that ended longer ago say nothing of now. */
+const MEMORY_MS = 700
+/** Weight of the latest time between two answers in the pace. */
+const PACE_WEIGHT = 0.15
+/** Of so many waits the median counts: one of them may be long for a lost packet alone. */
+const WAITS = 3
+/** A request is sent only where it is likely to wait no longer than this share of its target: the rest is for the way. */
+const DELAY_SHARE = 0.7
+/** So many requests must be waiting before the time they have waited counts, for the same reason. */
+const WAITING = 2
+
+/**
+ * Tells how long a request may wait at an endpoint.
+ * @param targetMs within this time its answer should begin, 0 if that is not known
+ * @returns milliseconds
+ */
+export function toDelayLimitMs (targetMs: number): number {
+  return targetMs > 0 ? DELAY_SHARE * targetMs : Infinity
+}
+
+/**
+ * Creates a meter.
+ * @returns the meter, without anything seen
+ */
+export function createDelayMeter (): DelayMeter {
+  const waiting = new Set<Wait>()
+  let ended: Array<{ at: number, ms: number }> = []
+  /** When the latest of those requests was sent that were answered. */
+  let answeredSentAt = -Infinity
+  let answeredAt = -Infinity
+  /** Milliseconds between two answers while requests wait; undefined until that was seen. */
+  let paceMs: number | undefined
+
+  const notePace = (wait: Wait, now: number): void => {
+    const sinceMs = now - Math.max(answeredAt, wait.sentAt)
+    paceMs = paceMs === undefined ? sinceMs : paceMs + PACE_WEIGHT * (sinceMs - paceMs)
+  }
+
+  /** @returns how long all but the first of those have waited that nothing has overtaken */
+  const toQueuedMs = (now: number): number | undefined => {
+    let count = 0
+    for (const wait of waiting) {
+      if (wait.sentAt <= answeredSentAt) continue
+      count++
+      if (count === WAITING) return now - wait.sentAt
+    }
+    return undefined
+  }
+
+  const toEndedMs = (now: number): number | undefined => {
+    ended = ended.filter(item => now - item.at < MEMORY_MS)
+    if (ended.length === 0) return undefined
+    // A queue that nothing is added to has become shorter since.
+    const times = ended.map(item => Math.max(0, item.ms - (now - item.at)))
+    return ended.length < WAITS ? Math.min(...times) : numbers.median(times)
+  }
+
+  return {
+    begin (now) {
+      const wait = { sentAt: now }
+      waiting.add(wait)
+      return wait
+    },
+    answered (wait, now) {
+      waiting.delete(wait)
+      notePace(wait, now)
+      answeredAt = now
+      answeredSentAt = Math.max(answeredSentAt, wait.sentAt)
+      ended = [...ended.slice(1 - WAITS), { at: now, ms: now - wait.sentAt }]
+    },
+    left (wait) { waiting.delete(wait) },
+    expectedMs (now) {
+      const queuedMs = toQueuedMs(now)
+      const endedMs = toEndedMs(now)
+      const countedMs = waiting.size < WAITING || paceMs === undefined ? undefined : waiting.size * paceMs
+      const seen = [queuedMs, endedMs, countedMs].filter(item => item !== undefined)
+      return seen.length === 0 ? undefined : Math.max(...seen)
+    },
+    judge (wait) {
+      if (answeredSentAt > wait.sentAt) return 'overtaken'
+      return answeredAt > wait.sentAt ? 'queued' : 'silent'
+    }
+  }
+}
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as endpointDelays from './endpointDelay.js'
 
 /** An endpoint as this instance sees it. */
 export interface Endpoint {
@@ -15,6 +16,10 @@
   inFlight: number
   /** Requests of the other entry instances there, as they told last. */
   foreign: number
+  /** How long requests of this instance wait there until their answers begin. */
+  delay: endpointDelays.DelayMeter
+  /** The same as the other entry instances see it, milliseconds; undefined where none said so lately. */
+  foreignDelayMs: number | undefined
   /** Not used before this time, after it could not be reached. */
   avoidUntil: number
   /** Failures to reach it in a row. */
@@ -100,6 +105,8 @@
       agent: createAgent(),
       inFlight: 0,
       foreign: 0,
+      delay: endpointDelays.createDelayMeter(),
+      foreignDelayMs: undefined,
       avoidUntil: 0,
       failures: 0,
       misdirectedSeq: undefined
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -7,6 +7,7 @@
 import * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
 import * as crashSuspects from './crashSuspects.js'
+import * as endpointDelays from './endpointDelay.js'
 import * as endpointPools from './endpointPool.js'
 import * as endpointProbes from './endpointProbe.js'
 import * as forwardHeaders from './forwardHeaders.js'
@@ -52,8 +53,9 @@
   while (true) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return giveUp(call, held, 'the time is over')
-    const picked = pickEndpoints.pick(call, tried)
-    if (picked === undefined) return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
+    const picked = pickEndpoints.pick(call, tried, toDelayLimitMs(route))
+    if (picked.kind === 'busy') return giveUp(call, held, `the endpoints begin ${Math.round(picked.delayMs)} ms late`, picked.delayMs)
+    if (picked.kind === 'none') return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
     // The first offer is free; each further one is paid for, or an outage of some endpoints would overload the others.
     if (offers > 0 && !ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return giveUp(call, held, 'the budget of retries is used up')
     const { endpoint } = picked
@@ -61,6 +63,7 @@
     const mayRunAgain = isRepeatable && runs + 1 < route.maxAttempts
     const sentAt = ctx.now()
     endpoint.inFlight++
+    const wait = endpoint.delay.begin(sentAt)
     const down = new AbortController()
     const unwatch = silentAttempts.watchSilence(endpoint, silentAttempts.toSuspicionMs(route.targetMs), why => {
       noteUnreachable(call, endpoint, why)
@@ -73,8 +76,11 @@
         out: toOutgoing(call, picked, leftMs, undefined),
         names: ctx.names,
         signal: AbortSignal.any([call.stop.signal, down.signal]),
-        answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs
+        answerMs: mayRunAgain ? toPatience(call, leftMs) : leftMs,
+        mayWait: () => ctx.now() < call.endsAt && isQueued(call, tried, endpoint, wait)
       }).finally(unwatch)
+      if (sent.kind === 'answer') endpoint.delay.answered(wait, ctx.now())
+      else endpoint.delay.left(wait)
       const note = (outcome: string): void => { noteAttempt(call, endpoint, outcome, sentAt, picked.why) }
       switch (sent.kind) {
         case 'unreachable':
@@ -154,8 +160,8 @@
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
     if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
-    const picked = pickEndpoints.pick(call, tried)
-    if (picked === undefined) return { kind: 'none', why: 'no further endpoint can be reached' }
+    const picked = pickEndpoints.pick(call, tried, Infinity)
+    if (picked.kind !== 'picked') return { kind: 'none', why: 'no further endpoint can be reached' }
     if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
     const { endpoint } = picked
     tried.add(endpoint.id)
@@ -213,6 +219,26 @@
   return Math.min(leftMs, patienceMs)
 }
 
+function toDelayLimitMs (route: routeTables.Route): number {
+  return route.hasPrompt ? endpointDelays.toDelayLimitMs(route.targetMs) : Infinity
+}
+
+/**
+ * Tells whether a request that waits long keeps its place in an endpoint's queue.
+ *
+ * Load pattern: endpoints have more prompts to read than they can begin in time. A request that is taken from one queue to the
+ * end of another one has its prompt read twice, so that all queues grow, and more requests are taken from one to the next.
+ */
+function isQueued (call: clientCalls.ClientCall, tried: ReadonlySet<string>, endpoint: endpointPools.Endpoint, wait: endpointDelays.Wait): boolean {
+  if (!call.route.hasPrompt) return false
+  const known = endpoint.delay.judge(wait)
+  switch (known) {
+    case 'overtaken': return false
+    case 'queued': return true
+    case 'silent': return pickEndpoints.pick(call, tried, toDelayLimitMs(call.route)).kind !== 'picked'
+  }
+}
+
 function isEventStream (res: http.IncomingMessage): boolean {
   return res.headers['content-type']?.startsWith('text/event-stream') === true
 }
@@ -274,11 +300,12 @@
 }
 
 /** Ends a request for which nothing more can be tried. */
-function giveUp (call: clientCalls.ClientCall, held: HeldAnswer | undefined, why: string): string {
+function giveUp (call: clientCalls.ClientCall, held: HeldAnswer | undefined, why: string, delayMs?: number): string {
   if (held !== undefined) return deliver(call, held)
   if (call.res.destroyed) return 'the client left'
   const isLate = call.endsAt - call.ctx.now() < MIN_LEFT_MS
   if (call.mayHaveRun) return refuse(call, isLate ? { kind: 'timeout', why } : { kind: 'lost', why })
+  if (delayMs !== undefined) return refuse(call, { kind: 'unavailable', why, cause: { kind: 'busy', delayMs } })
   const isUnreachable = call.ctx.pool.usable(call.service, call.ctx.now()).length === 0
   return refuse(call, { kind: 'unavailable', why, cause: { kind: isUnreachable ? 'noEndpoint' : 'noRoom' } })
 }
--- a/packages/forwarding/src/numbers.ts
+++ b/packages/forwarding/src/numbers.ts
@@ -8,3 +8,12 @@
 export function sum (list: readonly number[]): number {
   return list.reduce((total, item) => total + item, 0)
 }
+
+/**
+ * Finds the middle one.
+ * @param list numbers
+ * @returns the upper median, or undefined for none
+ */
+export function median (list: readonly number[]): number | undefined {
+  return [...list].sort((a, b) => a - b)[Math.floor(list.length / 2)]
+}
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -6,11 +6,13 @@
 import * as crashSuspects from './crashSuspects.js'
 import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
+import * as numbers from './numbers.js'
 
 /** What an entry instance tells the others. */
 export const peerNews = z.object({
   t: z.literal('peer'),
-  loads: z.array(z.tuple([z.string(), z.number()])),
+  /** Endpoint, requests there, and how long they wait there until their answers begin, milliseconds, or null if that is not known. */
+  loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
   crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) }))
 })
@@ -50,25 +52,35 @@
  * @returns the exchange
  */
 export function startPeerExchange (opts: PeerExchangeOptions): PeerExchange {
-  const heard = new Map<string, { loads: Map<string, number>, at: number }>()
+  const heard = new Map<string, { loads: PeerNews['loads'], at: number }>()
   const stopped = new AbortController()
 
   const addUp = (): void => {
     const now = performance.now()
+    const delays = new Map<string, number[]>()
     for (const endpoint of opts.pool.all()) endpoint.foreign = 0
     for (const [peer, item] of heard) {
       if (now - item.at > FORGET_MS) {
         heard.delete(peer)
         continue
       }
-      for (const [id, load] of item.loads) {
+      for (const [id, load, delayMs] of item.loads) {
         const endpoint = opts.pool.get(id)
-        if (endpoint !== undefined) endpoint.foreign += load
+        if (endpoint === undefined) continue
+        endpoint.foreign += load
+        if (delayMs !== null) delays.set(id, [...delays.get(id) ?? [], delayMs])
       }
     }
+    for (const endpoint of opts.pool.all()) endpoint.foreignDelayMs = numbers.median(delays.get(endpoint.id) ?? [])
   }
 
-  const toLoads = (): PeerNews['loads'] => opts.pool.all().filter(item => item.inFlight > 0).map(item => [item.id, item.inFlight])
+  const toLoads = (): PeerNews['loads'] => {
+    const now = performance.now()
+    return opts.pool.all().filter(item => item.inFlight > 0).map(item => {
+      const delayMs = item.delay.expectedMs(now)
+      return [item.id, item.inFlight, delayMs === undefined ? null : Math.round(delayMs)]
+    })
+  }
 
   const tell = (news: PeerNews): void => {
     const encoded = links.encodeEvent(news)
@@ -92,7 +104,7 @@
   void run()
   return {
     onNews (news, from) {
-      heard.set(from, { loads: new Map(news.loads), at: performance.now() })
+      heard.set(from, { loads: news.loads, at: performance.now() })
       opts.suspects.learn(news.crashes, performance.now())
       opts.outcomes.learn(news.outcomes, performance.now())
       addUp()
--- a/packages/forwarding/src/pickEndpoint.ts
+++ b/packages/forwarding/src/pickEndpoint.ts
@@ -5,6 +5,13 @@
 import type * as endpointPools from './endpointPool.js'
 import * as numbers from './numbers.js'
 
+/** What came of the choice. */
+export type Pick =
+  | ({ kind: 'picked' } & Picked)
+  /** The request would wait too long wherever it may go, for this time at least. */
+  | { kind: 'busy', delayMs: number }
+  | { kind: 'none' }
+
 /** An endpoint with the reason for its choice and its load out of that of all. */
 export interface Picked { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose cache may hold the prompt. */ fetchFrom: string | undefined }
 
@@ -12,9 +19,10 @@
  * Chooses among the endpoints that were not tried yet.
  * @param call the request
  * @param tried ids of those that were
- * @returns the endpoint, or undefined if none has room
+ * @param delayLimitMs where the request would wait longer than this it is not sent, milliseconds
+ * @returns the endpoint, or why there is none
  */
-export function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>): Picked | undefined {
+export function pick (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number): Pick {
   const { ctx, route } = call
   const now = ctx.now()
   const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
@@ -26,18 +34,20 @@
     own: item.inFlight,
     slots: Math.max(1, item.record.slots),
     isCold: item.record.coldMs > 0,
+    delayMs: item.delay.expectedMs(now) ?? item.foreignDelayMs ?? 0,
     room: share - item.inFlight,
     ageMs: toAge(item)
   }))
   const worse = ctx.outcomes.findWorse(call.service, usable, now)
   const candidates = usable.filter(item => !worse.has(item.id) && !tried.has(item.id))
   const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
-  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone }, Math.random())
-  const endpoint = choice === undefined ? undefined : ctx.pool.get(choice.id)
-  if (choice === undefined || endpoint === undefined) return undefined
+  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs }, Math.random())
+  if (choice.kind !== 'chosen') return choice
+  const endpoint = ctx.pool.get(choice.id)
+  if (endpoint === undefined) return { kind: 'none' }
   const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
   const why = `${choice.why} ${endpoint.inFlight + endpoint.foreign}/${numbers.sum(candidates.map(item => item.load))}${source === undefined ? '' : ` from ${source.id}`}`
-  return { endpoint, why, fetchFrom: source?.record.address }
+  return { kind: 'picked', endpoint, why, fetchFrom: source?.record.address }
 }
 
 function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
