feat(forwarding): queues by urgency, and a return after five times the wait

Hypotheses: a refused caller that comes back after twice the wait meets the same overload; the more urgent (client account, then route) should join longer queues than the others, so that they are refused last.

--- a/packages/forwarding/__tests__/helpers/engineModel.ts
+++ b/packages/forwarding/__tests__/helpers/engineModel.ts
@@ -36,6 +36,8 @@
 const STEP_MS = 3.4
 const STEP_PER_REQUEST_MS = 0.07
 const TELL_MS = 320
+/** Copying a prompt from another engine takes this share of the time of reading it. */
+const COPY_SHARE = 0.2
 /** A client without a first event leaves after this time. */
 const CLIENT_PATIENCE_MS = 3200
 const LATE_CREDIT = 0.31
@@ -112,8 +114,9 @@
       const { kind, prompt } = work.req
       if (work.toRead < 0) {
         const isCached = engine.cache.has(prompt)
-        if (!isCached && seen.has(prompt)) served.readAgain += kind.sharedTokens
-        work.toRead = kind.ownTokens + (isCached ? 0 : kind.sharedTokens)
+        const isElsewhere = engines.some(other => !other.isLost && other.cache.has(prompt))
+        if (!isCached && !isElsewhere && seen.has(prompt)) served.readAgain += kind.sharedTokens
+        work.toRead = kind.ownTokens + (isCached ? 0 : kind.sharedTokens * (isElsewhere ? COPY_SHARE : 1))
         engine.cache.add(prompt)
         seen.add(prompt)
       }
--- a/packages/forwarding/src/clientCall.ts
+++ b/packages/forwarding/src/clientCall.ts
@@ -16,6 +16,8 @@
   table: routeTables.CompiledTable
   service: string
   account: string | undefined
+  /** Rank of the client account, null where it has none. */
+  accountRank: number | null
   attemptId: string
   body: Buffer
   /** When the head of the request was here. */
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -130,6 +130,7 @@
       table,
       service: routeTables.pickService(route, Math.random()),
       account: account?.name,
+      accountRank: account?.rank ?? null,
       attemptId: seen.attemptId,
       body,
       startedAt,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -15,6 +15,7 @@
 import * as relayStreams from './relayStream.js'
 import * as routeTables from './routeTable.js'
 import * as silentAttempts from './silentAttempt.js'
+import * as urgencies from './urgency.js'
 
 /** A request that no endpoint ran may be offered to this many of them. */
 const MAX_OFFERS = 4
@@ -53,7 +54,7 @@
   while (true) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < MIN_LEFT_MS) return giveUp(call, held, 'the time is over')
-    const picked = pickEndpoints.pick(call, tried, toDelayLimitMs(route))
+    const picked = pickEndpoints.pick(call, tried, toDelayLimitMs(call))
     if (picked.kind === 'busy') return giveUp(call, held, `the endpoints begin ${Math.round(picked.delayMs)} ms late`, picked.delayMs)
     if (picked.kind === 'none') return giveUp(call, held, tried.size === 0 ? 'no endpoint of the service is known' : 'no further endpoint can be reached')
     // The first offer is free; each further one is paid for, or an outage of some endpoints would overload the others.
@@ -219,8 +220,10 @@
   return Math.min(leftMs, patienceMs)
 }
 
-function toDelayLimitMs (route: routeTables.Route): number {
-  return route.hasPrompt ? endpointDelays.toDelayLimitMs(route.targetMs) : Infinity
+function toDelayLimitMs (call: clientCalls.ClientCall): number {
+  const { route, table } = call
+  if (!route.hasPrompt) return Infinity
+  return urgencies.toQueueShare(table.ranks, call.accountRank, route.rank) * endpointDelays.toDelayLimitMs(route.targetMs)
 }
 
 /**
@@ -235,7 +238,7 @@
   switch (known) {
     case 'overtaken': return false
     case 'queued': return true
-    case 'silent': return pickEndpoints.pick(call, tried, toDelayLimitMs(call.route)).kind !== 'picked'
+    case 'silent': return pickEndpoints.pick(call, tried, toDelayLimitMs(call)).kind !== 'picked'
   }
 }
 
--- a/packages/forwarding/src/retryAfter.ts
+++ b/packages/forwarding/src/retryAfter.ts
@@ -30,7 +30,7 @@
 /** A place becomes free as soon as one of many running requests ends. */
 const NO_ROOM_MS = 150
 /** A queue of endpoints that have too much to do shrinks slowly: a caller comes back after this multiple of its length. */
-const BUSY_DELAYS = 2
+const BUSY_DELAYS = 5
 const QUARANTINED_MS = 30_000
 /** The latest come this share of the time after the first. */
 const SPREAD = 0.5
--- a/packages/forwarding/src/routeTable.ts
+++ b/packages/forwarding/src/routeTable.ts
@@ -1,5 +1,6 @@
 /** The operators' document of the forwarding fleet: which requests go where, who may send them, and within which limits. */
 import * as z from 'zod'
+import * as urgencies from './urgency.js'
 
 /**
  * What may be repeated: `idempotent` requests; `once` requests run at most once for each attempt of a client; `stream` answers
@@ -83,6 +84,8 @@
   /** Whether requests need keys at all. */
   hasAccounts: boolean
   accountOf: ReadonlyMap<string, ClientAccount>
+  /** The ranks that occur among client accounts and among routes whose requests carry prompts. */
+  ranks: urgencies.Ranks
   /** Routes of a host, longest prefix first. */
   routesOf: ReadonlyMap<string, readonly Route[]>
 }
@@ -138,6 +141,10 @@
     services: new Map(table.services.map(item => [item.name, item])),
     hasAccounts: table.accounts !== null,
     accountOf,
+    ranks: {
+      accounts: urgencies.toOrder((table.accounts ?? []).map(item => item.rank)),
+      routes: urgencies.toOrder(table.routes.filter(item => item.hasPrompt).map(item => item.rank))
+    },
     routesOf
   }
 }
