feat(discovery,coordination,platform): a control instance that starts hands out the last document before the rest is loaded

Cause: after a kill of all processes entry instances listen 0.8 s before the first control instance does; most of that instance's start (1.0 to 1.4 s on 0.135 of a core) is loading and evaluating code, 14 of 44 ms profiled for schemas alone. Ruled out: builtin modules (8 ms), V8 flags (start of a bare process 30 to 33 ms with any of them), applying the log (mended before). Change: a first stage on built-in modules alone reads the last document and records from a file and hands them out on the port beside the one for links, to whoever proves the fleet secret; then it closes and the rest is loaded. Entry instances without a document ask for it. It may be behind what was acknowledged last; the subscription brings that as before. The bundle takes V8's flags from deploy/system.toml: with others compiled code is refused without a word.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -54,6 +54,8 @@
   orderSent: spec(1406, 'info', 'an engine was ordered to carry other models'),
   orderRefused: spec(1407, 'warn', 'an engine refused an order', 'It saw a newer one; if it repeats, two fleets command the same engine.'),
   endpointSetAside: spec(1409, 'warn', 'an endpoint answers worse than the others of its service: it gets less work, or its share again', 'Look at the endpoint: its announcements say that it is well.'),
+  handoutTaken: spec(1316, 'info', 'the document and records that a starting control instance hands out were taken'),
+  handoutRefused: spec(1317, 'warn', 'what a starting control instance hands out could not be taken', 'Expected while machines are down; otherwise check that all instances have the same fleet secret.'),
   announcementRefused: spec(1408, 'warn', 'an announcement was refused', 'Check the endpoint token and the service name at the endpoint.'),
   requestQuarantined: spec(1501, 'warn', 'a request was in flight at two deaths of endpoints and is held back', 'Use "kingcupdeck explain" with the request id and look at the request.'),
   streamSilent: spec(1502, 'warn', 'an engine fell silent mid-stream: the answer is resumed over a new connection', 'If it repeats for one endpoint, look at it.'),
--- a/packages/coordination/src/controlNode.ts
+++ b/packages/coordination/src/controlNode.ts
@@ -7,6 +7,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentStores from './documentStore.js'
+import * as handoutFiles from './handoutFile.js'
 import * as recordFiles from './recordFile.js'
 
 /** What a control instance is built from. */
@@ -89,13 +90,19 @@
     version: () => store.held()?.version ?? 0,
     documentSince: store.since,
     isCurrent: () => !isStopping && store.isCurrent(),
-    onChange: recordFile.save,
+    onChange () {
+      recordFile.save()
+      handoutFile.save()
+    },
     log
   })
 
+  const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.held() === null ? undefined : publisher.whole(), log)
+
   onDocument = () => {
     log.event('documentAccepted', { version: store.held()?.version })
     publisher.publishDocument()
+    handoutFile.save()
   }
 
   const server = await links.listen(opts.inner, linkSettings, link => {
@@ -113,6 +120,7 @@
       clearInterval(timer)
       await store.stop().catch(err => { log.event('uncaught', { step: 'stop', detail: String(err) }) })
       await recordFile.close()
+      await handoutFile.close()
       book.close()
       await server.close()
     }
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -97,7 +97,7 @@
 export interface TestEntry { documents: contracts.HeldText[], seeds: string[], subscriptions: () => number, currentSince: () => number, stop: () => void }
 
 /** Starts an entry instance that subscribes; with a clock that stands still no control instance falls silent. */
-export function startEntry (id: string, seeds: string[], now?: () => number): TestEntry {
+export function startEntry (id: string, seeds: string[], now?: () => number, handout?: (address: string) => Promise<Uint8Array>): TestEntry {
   const documents: contracts.HeldText[] = []
   const handlers: links.LinkHandlers = {
     onEvent (body, link) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) },
@@ -111,7 +111,8 @@
     onDocument: document => { documents.push(document) },
     onRecords: () => {},
     log,
-    now
+    now,
+    handout
   })
   return { documents, seeds, subscriptions: subscriber.subscriptions, currentSince: subscriber.currentSince, stop: subscriber.stop }
 }
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -78,3 +78,22 @@
 export function unpackRecords (bytes: Uint8Array): records.Record[] {
   return z.array(records.record).parse(codec.decode(zlib.inflateRawSync(bytes)))
 }
+
+/**
+ * Encodes an answer, to be handed out later.
+ * @param reply the answer
+ * @returns its bytes
+ */
+export function encodeReply (reply: DiscoveryReply): Uint8Array {
+  return codec.encode(reply)
+}
+
+/**
+ * Reads what {@link encodeReply} gave.
+ * @param bytes its bytes
+ * @returns the answer
+ * @throws Error when they are damaged
+ */
+export function decodeReply (bytes: Uint8Array): DiscoveryReply {
+  return discoveryReply.parse(codec.decode(bytes))
+}
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -45,6 +45,8 @@
   onEvent (event: messages.DiscoveryEvent): void
   /** Tells all subscribers that there is a new document; each fetches it from one control instance. */
   publishDocument (): void
+  /** @returns what an instance that knows nothing is answered */
+  whole (): messages.DiscoveryReply
   /** One step of the periodic work. */
   tick (): void
 }
@@ -225,6 +227,7 @@
     publishDocument () {
       sendAll({ t: 'version', version: opts.version() })
     },
+    whole: () => reply(true, opts.documentSince(0)),
     tick () {
       ticks++
       const own = [...ownSigns.values()]
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -17,6 +17,8 @@
   table: recordTables.RecordTable
   /** @returns a new link to a control instance, which calls {@link Subscriber.onEvent} */
   dial: (address: string) => Promise<links.Link>
+  /** Asks a control instance that is still starting for what it hands out; absent where none does so. */
+  handout?: (address: string) => Promise<Uint8Array>
   /** What this instance says of itself. */
   self: () => records.EntryRecord
   /** Takes a newer document. */
@@ -58,10 +60,10 @@
 const AVOID_MS = 200
 /** ... and doubled with each failure in a row up to this, ... */
 const AVOID_MOST_MS = 1600
-/** ... but for an instance without a document: it serves nobody until the first control instance is back. */
+/** ... but for an instance that has not heard of any yet: it serves nobody, or with what may be old, until one is back. */
 const AVOID_ALONE_MS = 40
 const LOOK_MS = 100
-/** How often an instance without a document looks for a control instance. */
+/** How often an instance that has not heard of any looks for a control instance. */
 const LOOK_ALONE_MS = 40
 const SUBSCRIBE_MS = 1500
 /** A whole document of a megabyte is a tenth of that packed: 0.2 s on a link of 4 Mbit/s, the rest is for other traffic there. */
@@ -87,6 +89,9 @@
   let currentSince = -Infinity
   let held: contracts.HeldText | null = null
   let isFetching = false
+  const asked = new Set<string>()
+
+  const isAlone = (): boolean => currentAt === -Infinity
 
   const version = (): number => held?.version ?? 0
 
@@ -172,7 +177,7 @@
     if (!open.delete(sub)) return
     const failed = (failures.get(sub.address) ?? 0) + 1
     failures.set(sub.address, failed)
-    const mostMs = held === null ? AVOID_ALONE_MS : AVOID_MOST_MS
+    const mostMs = isAlone() ? AVOID_ALONE_MS : AVOID_MOST_MS
     avoidUntil.set(sub.address, now() + Math.min(mostMs, AVOID_MS * 2 ** (failed - 1)))
     sub.link?.close()
     opts.log.event('controlLost', { address: sub.address, why, subscriptions: open.size })
@@ -223,17 +228,37 @@
     for (const address of free.slice(0, Math.max(0, SUBSCRIPTIONS - open.size))) void subscribe(address)
   }
 
+  /** Asks all control instances that the settings name for what they hand out while they start. */
+  const askHandouts = (): void => {
+    for (const address of opts.seeds()) {
+      if (opts.handout === undefined || asked.has(address)) continue
+      asked.add(address)
+      opts.handout(address).then(bytes => {
+        if (held !== null) return
+        const reply = messages.decodeReply(bytes)
+        opts.log.event('handoutTaken', { address, version: reply.version })
+        if (reply.records !== null) takeRecords(messages.unpackRecords(reply.records))
+        if (controls.length === 0) controls = reply.controls
+        takeDocument(reply.document)
+      }).catch((err: NodeJS.ErrnoException) => {
+        // Nothing listens there now, which is the usual case: links are tried beside this.
+        if (err.code === undefined) opts.log.event('handoutRefused', { address, detail: err.message })
+      }).finally(() => { asked.delete(address) })
+    }
+  }
+
   const run = async (): Promise<void> => {
     let lastSignAt = now()
     while (!stopped.signal.aborted) {
       look()
+      if (held === null) askHandouts()
       if (now() - lastSignAt >= messages.TICK_MS) {
         lastSignAt = now()
         const self = opts.self()
         const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
         for (const sub of open) sub.link?.send(event)
       }
-      await timers.setTimeout(held === null ? LOOK_ALONE_MS : LOOK_MS, undefined, { ref: false })
+      await timers.setTimeout(isAlone() ? LOOK_ALONE_MS : LOOK_MS, undefined, { ref: false })
     }
   }
 
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -35,6 +35,8 @@
   seeds: () => readonly string[]
   /** What all instances of the fleet must know. */
   secret: string
+  /** Whether control instances hand out what they hold before they have started. */
+  takesHandouts: boolean
   names: headerNames.HeaderNames
   /** Reads a document as the operators sent it. @throws Error when it cannot be read */
   readDocument: (text: Buffer) => routeTables.RouteTable
@@ -190,6 +192,7 @@
     seeds: opts.seeds,
     table,
     dial: async address => await links.withinTime(links.dial(address, linkSettings), DIAL_MS, `no connection to ${address}`),
+    handout: opts.takesHandouts ? async address => await discovery.fetchHandout(discovery.toHandoutAddress(address), opts.secret) : undefined,
     self,
     onDocument: takeDocument,
     onRecords: list => { endpoints.update(list) },
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -27,6 +27,17 @@
 `
 }
 
+/**
+ * The flags that the deployment starts a program with. Compiled code is only taken by a process with the same ones: with others
+ * it compiles everything again at each start, and nothing tells so.
+ */
+function toFlags (name) {
+  const deployment = fs.readFileSync(path.join(root, 'deploy', 'system.toml'), 'utf8')
+  const run = new RegExp(`^run = "node (.*)target/${name}\\.cjs"$`, 'm').exec(deployment)
+  if (run === null) throw new Error(`deploy/system.toml does not start target/${name}.cjs with node: correct its run line`)
+  return run[1].split(' ').filter(flag => flag !== '')
+}
+
 /** Runs a program until it has found that there are no settings; what serves requests is compiled when it is first used. */
 function toWarmUp (name) {
   return `
@@ -34,32 +45,49 @@
 const fs = require('node:fs')
 process.exit = () => {}
 process.on('unhandledRejection', () => {})
-const { script } = require(path.resolve('target/${name}.cjs'))
+const { script } = require(path.resolve('target/${toLoaderName(name)}'))
 setImmediate(() => { fs.writeFileSync('target/${name}.cache', script.createCachedData()); process.reallyExit(0) })
 `
 }
 
+/** The program that the platform starts as a control instance: the first stage, and behind it the rest. */
+const STAGED = `
+const path = require('node:path')
+const { runFirstStage } = require('./control.first.cjs')
+runFirstStage(process.env.KINGCUPDECK_CONFIG ?? '/etc/kingcupdeck/local.conf', () => { require(path.join(__dirname, 'control.rest.cjs')) })
+`
+
+/** A control instance's program begins with its first stage, an entry instance's at once. */
+function toLoaderName (name) {
+  return name === 'control' ? 'control.rest.cjs' : `${name}.cjs`
+}
+
+/** How each file is bundled. */
+const BUNDLE = { absWorkingDir: root, bundle: true, minify: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'warning' }
+
+await esbuild.build({
+  ...BUNDLE,
+  entryPoints: ['platform/src/firstStage.ts'],
+  outfile: 'target/control.first.cjs',
+  alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') }
+})
+fs.writeFileSync(path.join(root, 'target', 'control.cjs'), STAGED)
+
 for (const name of PROGRAMS) {
   await esbuild.build({
-    absWorkingDir: root,
+    ...BUNDLE,
     entryPoints: [`platform/src/${name}.ts`],
     outfile: `target/${name}.main.cjs`,
-    bundle: true,
-    minify: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
     loader: { '.node': 'copy' },
     // Leaves out the search for native code of the CBOR library, which finds none beside a bundle.
     define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
     alias: {
       '@kingcupdeck/coordination/metrics': path.join(root, 'packages/coordination/src/controlMetrics.ts'),
       ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
-    },
-    logLevel: 'warning'
+    }
   })
-  fs.writeFileSync(path.join(root, `target/${name}.cjs`), toLoader(name))
+  fs.writeFileSync(path.join(root, 'target', toLoaderName(name)), toLoader(name))
   const env = { ...process.env, KINGCUPDECK_CONFIG: '/nonexistent' }
-  const made = childProcess.spawnSync('node', ['--max-old-space-size=200', '-e', toWarmUp(name)], { cwd: root, env, encoding: 'utf8' })
+  const made = childProcess.spawnSync('node', [...toFlags(name), '-e', toWarmUp(name)], { cwd: root, env, encoding: 'utf8' })
   if (!fs.existsSync(path.join(root, `target/${name}.cache`))) process.stderr.write(`no code cache for ${name}; it compiles at its start: ${made.stderr}\n`)
 }
