refactor(forwarding): an attempt is a few short functions over one typed outcome; figures leave the comments

forward.ts: the loop of 100 lines and the second one in it become tryOne, runAttempt, send, passStream, passWhole, each with one job; what attempts teach, what a client is answered, what an endpoint is sent and the rest of a stream have files of their own.

--- a/packages/contracts/src/digest.ts
+++ b/packages/contracts/src/digest.ts
@@ -1,6 +1,6 @@
 /**
  * Digests of texts and secrets. They stand apart from other hashes, whose library is native code that a control instance does not
- * need: without any native code its start took 917 ms instead of 1,081 on 0.135 of a core (one run each).
+ * need, and that it would load at each start.
  */
 import * as crypto from 'node:crypto'
 
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -125,8 +125,8 @@
 
   /**
    * Has changes told, those that end work at once and others together. Load pattern: after a loss of power 65 entry instances
-   * announce themselves within a second. Told one by one to 22 subscribers these are 1,430 events of a control instance that has
-   * a seventh of a processor; gathered, 22 for each 40 ms (counted in a test).
+   * announce themselves within a second. Told one by one to all subscribers these are more events than a control instance with
+   * a small share of a processor can write; gathered, they are one event for each of them.
    * @returns once every reachable control instance has taken them, or after {@link SPREAD_MS}
    */
   const queueNews = async (list: readonly records.Record[], isForOthers: boolean): Promise<void> => {
--- /dev/null
+++ b/packages/forwarding/src/attemptNotes.ts
@@ -0,0 +1,59 @@
+/** What an attempt teaches: the log of its request, the endpoint's record, and what crashed or fell silent. */
+import * as clientCalls from './clientCall.js'
+import * as endpointPools from './endpointPool.js'
+import * as endpointProbes from './endpointProbe.js'
+
+/** An endpoint that gave no answer for this multiple of the target is held to be silent, also where the client gave up. */
+const SILENCE_TARGETS = 2
+
+/**
+ * Notes how an attempt ended, for the log and the metrics.
+ * @param call the request
+ * @param endpoint where it was sent
+ * @param outcome how it ended
+ * @param sentAt when it was sent
+ * @param why why this endpoint was chosen
+ */
+export function noteAttempt (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, outcome: string, sentAt: number, why = 'resume'): void {
+  call.attempts.push({ endpoint: endpoint.id, why, outcome, ms: Math.round(call.ctx.now() - sentAt) })
+  call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
+}
+
+/** Notes how an attempt went, for the choice of endpoints. */
+export function noteOutcome (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, isMissed: boolean): void {
+  call.ctx.outcomes.note(endpoint.id, isMissed, call.ctx.now())
+}
+
+/**
+ * Notes an attempt without an answer. Where the client left early that says nothing of the endpoint; where it left after twice
+ * the target, it left because of it.
+ */
+export function noteSilence (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, sentAt: number): void {
+  const isEarly = call.stop.signal.aborted && call.ctx.now() - sentAt < SILENCE_TARGETS * call.route.targetMs
+  if (!isEarly) noteOutcome(call, endpoint, true)
+}
+
+/** Notes that an endpoint could not be reached, and which requests it took down with it. */
+export function noteUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, why: string): void {
+  const { ctx } = call
+  ctx.pool.noteUnreachable(endpoint, ctx.now(), why)
+  const news = ctx.suspects.noteDown(toIncarnation(endpoint), ctx.now())
+  if (news.length > 0) ctx.exchange.tellCrashes(news)
+}
+
+/** Notes that an answer was lost. */
+export function noteLoss (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
+  if (call.stop.signal.aborted) return
+  // What broke one connection has likely broken the idle ones beside it.
+  call.ctx.pool.dropIdle(endpoint)
+  call.ctx.suspects.noteLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
+  // Whether the endpoint is down is asked now: after a crash the next request would be the one to find out, and a request
+  // that crashes endpoints would not be known for one before others had been sent to each of them.
+  void endpointProbes.isDown(endpoint).then(why => {
+    if (why !== undefined) noteUnreachable(call, endpoint, why)
+  })
+}
+
+function toIncarnation (endpoint: endpointPools.Endpoint): string {
+  return `${endpoint.id}@${endpoint.record.startedAt}`
+}
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -120,8 +120,7 @@
  *
  * Load pattern: 64 instances send 300 short requests a second to five endpoints with six places each. What they tell each other
  * is older than a request lasts; were the least loaded one by that chosen, all of them would choose the same one until the next
- * news: in a replay 28 in 100 requests were refused or late, against none by what each instance has under way itself, which is
- * never old and grows where an endpoint is slow.
+ * news. What each instance has under way itself is never old, and grows where an endpoint is slow.
  */
 function chooseSpread (open: readonly Candidate[], zone: string, draw: number): Choice {
   const busy = numbers.sum(open.map(item => item.load)) / numbers.sum(open.map(item => item.slots))
--- a/packages/forwarding/src/endpointOutcome.ts
+++ b/packages/forwarding/src/endpointOutcome.ts
@@ -5,8 +5,6 @@
  * Load pattern: one of a few endpoints fails or delays four of ten requests, or is silent on open connections, while its
  * announcements and health check are good. Its load is low since it answers quickly or not at all, so it would get as much
  * work as the sound ones. What fails everywhere, as under too much load, is no reason: only the difference to the others counts.
- * Of three endpoints with 42 requests a second, one failing 45 in 100 for 6 s: 53.8 failed without this, 37.5 with it, of which
- * 25.8 fail everywhere (mean of 12 replays).
  */
 import * as numbers from './numbers.js'
 
--- /dev/null
+++ b/packages/forwarding/src/resumeElsewhere.ts
@@ -0,0 +1,67 @@
+/** The rest of a stream that broke off, from another endpoint. */
+import * as attempts from './attempt.js'
+import * as answerClients from './answerClient.js'
+import * as attemptNotes from './attemptNotes.js'
+import * as clientCalls from './clientCall.js'
+import * as outgoings from './outgoing.js'
+import * as pickEndpoints from './pickEndpoint.js'
+import * as relayStreams from './relayStream.js'
+
+/** The rest may be asked for at this many endpoints. */
+const MAX_OFFERS = 4
+
+/**
+ * Asks other endpoints for the rest of a stream. A client that has a part of its answer waits for the rest however long the queue
+ * is.
+ * @param call the request
+ * @param tried ids of endpoints that were tried; those that are tried now are added
+ * @param lastEventId the last event that the client has
+ * @param runs how many endpoints have run the request
+ * @returns the rest, or why there is none
+ */
+export async function resumeElsewhere (call: clientCalls.ClientCall, tried: Set<string>, lastEventId: string | undefined, runs: number): Promise<relayStreams.Resumed> {
+  const { ctx, route } = call
+  let offers = 0
+  while (offers < MAX_OFFERS) {
+    const leftMs = call.endsAt - ctx.now()
+    if (call.stop.signal.aborted || leftMs < answerClients.MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
+    if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
+    const picked = pickEndpoints.pick(call, tried, Infinity)
+    if (picked.kind !== 'picked') return { kind: 'none', why: 'no further endpoint can be reached' }
+    if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
+    const { endpoint } = picked
+    tried.add(endpoint.id)
+    offers++
+    const sentAt = ctx.now()
+    endpoint.inFlight++
+    const sent = await attempts.sendAttempt({
+      endpoint,
+      out: outgoings.toOutgoing(call, picked, leftMs, lastEventId),
+      names: ctx.names,
+      signal: call.stop.signal,
+      answerMs: leftMs
+    })
+    switch (sent.kind) {
+      case 'answer':
+        // Its place in the count is given back by the relay when the stream ends.
+        if (outgoings.isEventStream(sent.res) && (sent.res.statusCode ?? 0) < 300) return { kind: 'stream', endpoint, sent }
+        attemptNotes.noteAttempt(call, endpoint, `no stream ${sent.res.statusCode ?? 0}`, sentAt)
+        sent.abort()
+        break
+      case 'unreachable':
+        attemptNotes.noteAttempt(call, endpoint, `unreachable: ${sent.why}`, sentAt)
+        attemptNotes.noteUnreachable(call, endpoint, sent.why)
+        break
+      case 'notRun':
+        attemptNotes.noteAttempt(call, endpoint, `notRun ${sent.status}`, sentAt)
+        if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
+        break
+      case 'lost':
+        attemptNotes.noteAttempt(call, endpoint, `lost: ${sent.why}`, sentAt)
+        endpoint.inFlight--
+        return { kind: 'none', why: sent.why }
+    }
+    endpoint.inFlight--
+  }
+  return { kind: 'none', why: 'no endpoint had room' }
+}
--- a/packages/links/src/linkWatch.ts
+++ b/packages/links/src/linkWatch.ts
@@ -1,6 +1,6 @@
 /**
  * Looks after all links of a process in turns, with one timer. With a timer for each link, a process with 128 ends of links
- * woke up 192 times a second and spent 0.019 of a core on nothing else; so it is 10 times and 0.007 (`process.cpuUsage` over 10 s).
+ * woke up as often as it had links, and for nothing else.
  */
 
 /** One look at one link. */
