--- a/packages/forwarding/__tests__/chooseEndpoint.test.ts
+++ b/packages/forwarding/__tests__/chooseEndpoint.test.ts
@@ -80,3 +80,14 @@
   t.true(taken.length > 0)
   for (const item of taken) t.is(chooseEndpoints.chooseSource(joined, item, 'n1'), homeOf(EIGHT, item))
 })
+
+// An endpoint reads many prompts, and a request would begin there a second late. Sent there it is late for sure; sent to any
+// other one its prompt would be read at all of them.
+test('a request passes over a home with a long queue, and is refused where the next one has one as well', t => {
+  const [item] = SUBJECTS
+  const home = homeOf(EIGHT, item) as string
+  const second = homeOf(EIGHT.filter(other => other.id !== home), item) as string
+  const withDelay = (delays: Record<string, number>): chooseEndpoints.Candidate[] => EIGHT.map(other => ({ ...other, delayMs: delays[other.id] ?? 0 }))
+  t.is(homeOf(withDelay({ [home]: 1000 }), item), second)
+  t.deepEqual(chooseEndpoints.chooseEndpoint(withDelay({ [home]: 1000, [second]: 700 }), { affinity: item, zone: 'a', delayLimitMs: 560 }, 0), { kind: 'busy', delayMs: 700 })
+})
--- a/packages/forwarding/src/endpointDelay.ts
+++ b/packages/forwarding/src/endpointDelay.ts
@@ -28,6 +28,8 @@
 
 /** Waits that ended longer ago say nothing of now. */
 const MEMORY_MS = 700
+/** The pace of answers says nothing of now when the last of them began longer ago. */
+const PACE_MEMORY_MS = 5000
 /** Weight of the latest time between two answers in the pace. */
 const PACE_WEIGHT = 0.15
 /** Of so many waits the median counts: one of them may be long for a lost packet alone. */
@@ -100,7 +102,8 @@
     expectedMs (now) {
       const queuedMs = toQueuedMs(now)
       const endedMs = toEndedMs(now)
-      const countedMs = waiting.size < WAITING || paceMs === undefined ? undefined : waiting.size * paceMs
+      const isPaceKnown = paceMs !== undefined && now - answeredAt < PACE_MEMORY_MS
+      const countedMs = waiting.size >= WAITING && isPaceKnown ? waiting.size * (paceMs as number) : undefined
       const seen = [queuedMs, endedMs, countedMs].filter(item => item !== undefined)
       return seen.length === 0 ? undefined : Math.max(...seen)
     },
