--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -21,9 +21,9 @@
   return `127.0.0.1:${port - 1}`
 }
 
-async function serve (t: ava.ExecutionContext, inner: string, body: Buffer): Promise<discovery.HandoutServer> {
+async function serve (t: ava.ExecutionContext, inner: string, body: Buffer, mostBytes = Infinity): Promise<discovery.HandoutServer> {
   return await new Promise((resolve, reject) => {
-    const server = discovery.startHandout({ address: discovery.toHandoutAddress(inner), secret: SECRET, body }, () => { resolve(server) }, reject)
+    const server = discovery.startHandout({ address: discovery.toHandoutAddress(inner), secret: SECRET, body, mostBytes }, () => { resolve(server) }, reject)
     t.teardown(() => { server.close() })
   })
 }
@@ -43,6 +43,16 @@
   await helper.until('nobody is served', () => !server.state().isBusy)
 })
 
+// A large fleet loses its power. Were all instances handed a large document, a link of a few Mbit/s would be full of them for
+// seconds, in which the control instances could not even find each other.
+test('no more is handed out than the link takes meanwhile', async t => {
+  const inner = await findInner()
+  await serve(t, inner, crypto.randomBytes(1000), 3500)
+  const asked = Array.from({ length: 8 }, async () => await discovery.fetchHandout(discovery.toHandoutAddress(inner), SECRET))
+  const ends = await Promise.allSettled(asked)
+  t.is(ends.filter(item => item.status === 'fulfilled').length, 3)
+})
+
 // A stranger listens at the address of an instance that is down. An entry instance that took its document would send requests
 // wherever the stranger likes.
 test('what a stranger hands out is not taken', async t => {
--- a/packages/discovery/src/handout.ts
+++ b/packages/discovery/src/handout.ts
@@ -64,6 +64,8 @@
   /** What all instances of the fleet must know. */
   secret: string
   body: Buffer
+  /** The most that is sent, bytes: what is left is turned away, as it would only fill the link that everybody needs next. */
+  mostBytes: number
 }
 
 /** Hands out. */
@@ -84,6 +86,7 @@
 export function startHandout (opts: HandoutOptions, onListening: () => void, onError: (err: Error) => void): HandoutServer {
   const sockets = new Set<net.Socket>()
   let lastAt = performance.now()
+  let sentBytes = 0
   const server = net.createServer(socket => {
     sockets.add(socket)
     lastAt = performance.now()
@@ -98,7 +101,8 @@
       seen = Buffer.concat([seen, chunk])
       if (seen.length < PROOF_BYTES) return
       socket.removeAllListeners('data')
-      if (!isSame(seen, prove(opts.secret, 'takes', nonce, Buffer.alloc(0)))) {
+      sentBytes += opts.body.length
+      if (sentBytes > opts.mostBytes || !isSame(seen, prove(opts.secret, 'takes', nonce, Buffer.alloc(0)))) {
         socket.destroy()
         return
       }
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -63,6 +63,7 @@
 /** ... but for an instance that has not heard of any yet: it serves nobody, or with what may be old, until one is back. */
 const AVOID_ALONE_MS = 40
 const LOOK_MS = 100
+const HANDOUTS_AT_ONCE = 2
 /** How often an instance that has not heard of any looks for a control instance. */
 const LOOK_ALONE_MS = 40
 const SUBSCRIBE_MS = 1500
@@ -211,10 +212,7 @@
   const candidates = (): string[] => {
     const used = new Set([...open].map(sub => sub.address))
     const all = new Set([...controls, ...opts.seeds()])
-    return [...all].filter(address => !used.has(address) && (avoidUntil.get(address) ?? 0) <= now())
-      .map(address => ({ address, order: Math.random() }))
-      .sort((a, b) => a.order - b.order)
-      .map(item => item.address)
+    return toRandomOrder([...all].filter(address => !used.has(address) && (avoidUntil.get(address) ?? 0) <= now()))
   }
 
   const look = (): void => {
@@ -228,10 +226,14 @@
     for (const address of free.slice(0, Math.max(0, SUBSCRIPTIONS - open.size))) void subscribe(address)
   }
 
-  /** Asks all control instances that the settings name for what they hand out while they start. */
+  /**
+   * Asks control instances that the settings name for what they hand out while they start, two at a time: one of them may be down
+   * and silent, but each further answer would only fill its sender's link.
+   */
   const askHandouts = (): void => {
-    for (const address of opts.seeds()) {
-      if (opts.handout === undefined || asked.has(address)) continue
+    for (const address of toRandomOrder(opts.seeds())) {
+      if (opts.handout === undefined || asked.size >= HANDOUTS_AT_ONCE) return
+      if (asked.has(address)) continue
       asked.add(address)
       opts.handout(address).then(bytes => {
         if (held !== null) return
@@ -299,3 +301,9 @@
     }
   }
 }
+
+function toRandomOrder (addresses: readonly string[]): string[] {
+  return addresses.map(address => ({ address, order: Math.random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(item => item.address)
+}
