--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -86,7 +86,7 @@
  * Names the endpoint from whose cache the chosen one may copy the shared parts of a prompt.
  *
  * Load pattern: an endpoint leaves, joins, or is so popular that its requests go to the next one; each time prompts that some
- * endpoint holds would be read again elsewhere, at 90 ms and more for ten thousand tokens. Copying them takes a few ms.
+ * endpoint holds would be read again elsewhere, and all that wait there would wait for it. Copying them takes a fraction of that.
  * @param sources all endpoints that can be reached, also those that leave, the chosen one with them
  * @param affinity what the request shares
  * @param chosen the endpoint that gets the request
