--- a/packages/coordination/src/recordFile.ts
+++ b/packages/coordination/src/recordFile.ts
@@ -7,19 +7,15 @@
 import * as path from 'node:path'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
-import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as keptFiles from './keptFile.js'
 
 const NAME = 'records'
 
 /** Keeps records in a file. */
-export interface RecordFile {
+export interface RecordFile extends keptFiles.KeptFile {
   /** @returns what the file holds */
   load: () => Promise<discovery.Record[]>
-  /** Writes the records as they are then; calls that come while one is written are served together. */
-  save: () => void
-  /** Takes no further calls and waits for the last write. */
-  close: () => Promise<void>
 }
 
 /**
@@ -30,34 +26,16 @@
  * @returns the keeper
  */
 export function createRecordFile (folder: string, list: () => discovery.Record[], log: telemetry.Log): RecordFile {
-  let isWaiting = false
-  let isClosed = false
-  let writing: Promise<void> | undefined
-
-  const write = async (): Promise<void> => {
-    while (isWaiting) {
-      isWaiting = false
-      const text = JSON.stringify(list())
-      await state.replaceFile(folder, NAME, `${contracts.sha256(text)}\n${text}`)
-    }
+  const content = (): string => {
+    const text = JSON.stringify(list())
+    return `${contracts.sha256(text)}\n${text}`
   }
-
   return {
+    ...keptFiles.createKeptFile({ folder, name: NAME, gatherMs: 0, content, log }),
     async load () {
       const [digest, text] = (await fs.readFile(path.join(folder, NAME), 'utf8').catch(() => '')).split('\n')
       if (text === undefined || contracts.sha256(text) !== digest) return []
       return discovery.record.array().parse(JSON.parse(text))
-    },
-    save () {
-      if (isClosed) return
-      isWaiting = true
-      writing ??= write()
-        .catch(err => { log.event('recordsNotKept', { detail: err instanceof Error ? err.message : String(err) }) })
-        .finally(() => { writing = undefined })
-    },
-    async close () {
-      isClosed = true
-      await writing
     }
   }
 }
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -6,6 +6,7 @@
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as handoutAskers from './handoutAsker.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
@@ -63,7 +64,6 @@
 /** ... but for an instance that has not heard of any yet: it serves nobody, or with what may be old, until one is back. */
 const AVOID_ALONE_MS = 40
 const LOOK_MS = 100
-const HANDOUTS_AT_ONCE = 2
 /** How often an instance that has not heard of any looks for a control instance. */
 const LOOK_ALONE_MS = 40
 const SUBSCRIBE_MS = 1500
@@ -90,7 +90,6 @@
   let currentSince = -Infinity
   let held: contracts.HeldText | null = null
   let isFetching = false
-  const asked = new Set<string>()
 
   const isAlone = (): boolean => currentAt === -Infinity
 
@@ -212,7 +211,7 @@
   const candidates = (): string[] => {
     const used = new Set([...open].map(sub => sub.address))
     const all = new Set([...controls, ...opts.seeds()])
-    return toRandomOrder([...all].filter(address => !used.has(address) && (avoidUntil.get(address) ?? 0) <= now()))
+    return handoutAskers.toRandomOrder([...all].filter(address => !used.has(address) && (avoidUntil.get(address) ?? 0) <= now()))
   }
 
   const look = (): void => {
@@ -226,28 +225,20 @@
     for (const address of free.slice(0, Math.max(0, SUBSCRIPTIONS - open.size))) void subscribe(address)
   }
 
-  /**
-   * Asks control instances that the settings name for what they hand out while they start, two at a time: one of them may be down
-   * and silent, but each further answer would only fill its sender's link.
-   */
-  const askHandouts = (): void => {
-    for (const address of toRandomOrder(opts.seeds())) {
-      if (opts.handout === undefined || asked.size >= HANDOUTS_AT_ONCE) return
-      if (asked.has(address)) continue
-      asked.add(address)
-      opts.handout(address).then(bytes => {
+  const askHandouts = opts.handout === undefined
+    ? () => {}
+    : handoutAskers.createHandoutAsker({
+      seeds: opts.seeds,
+      fetch: opts.handout,
+      onReply (reply, address) {
         if (held !== null) return
-        const reply = messages.decodeReply(bytes)
         opts.log.event('handoutTaken', { address, version: reply.version })
         if (reply.records !== null) takeRecords(messages.unpackRecords(reply.records))
         if (controls.length === 0) controls = reply.controls
         takeDocument(reply.document)
-      }).catch((err: NodeJS.ErrnoException) => {
-        // Nothing listens there now, which is the usual case: links are tried beside this.
-        if (err.code === undefined) opts.log.event('handoutRefused', { address, detail: err.message })
-      }).finally(() => { asked.delete(address) })
-    }
-  }
+      },
+      log: opts.log
+    })
 
   const run = async (): Promise<void> => {
     let lastSignAt = now()
@@ -301,9 +292,3 @@
     }
   }
 }
-
-function toRandomOrder (addresses: readonly string[]): string[] {
-  return addresses.map(address => ({ address, order: Math.random() }))
-    .sort((a, b) => a.order - b.order)
-    .map(item => item.address)
-}
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -93,21 +93,23 @@
  * @returns the id of the most likely holder, or undefined where the chosen one is that itself
  */
 export function chooseSource (sources: readonly Source[], affinity: string, chosen: string): string | undefined {
-  const ranked = sources
-    .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id, toWeight(item.ageMs)) }))
-    .sort((a, b) => b.score - a.score)
-  const [first, second] = ranked
+  const [first, second] = rank(sources, affinity)
   if (first === undefined) return undefined
-  if (first.item.id !== chosen) return first.item.id
+  if (first.id !== chosen) return first.id
   // A newcomer that is first in the order took the place of the second, which was first until it came.
-  return first.item.ageMs < NEWCOMER_MS ? second?.item.id : undefined
+  return first.ageMs < NEWCOMER_MS ? second?.id : undefined
 }
 
-function chooseHome (open: readonly Candidate[], affinity: string, bound: number, delayLimitMs: number): Choice {
-  const ranked = open
+/** @returns the endpoints in the order of a prompt, its home first */
+function rank<T extends Source> (endpoints: readonly T[], affinity: string): T[] {
+  return endpoints
     .map(item => ({ item, score: contracts.rendezvousScore(affinity, item.id, toWeight(item.ageMs)) }))
     .sort((a, b) => b.score - a.score)
     .map(({ item }) => item)
+}
+
+function chooseHome (open: readonly Candidate[], affinity: string, bound: number, delayLimitMs: number): Choice {
+  const ranked = rank(open, affinity)
   const fitting = ranked.filter(item => item.load + 1 <= bound)
   const homes = fitting.length > 0 ? fitting.slice(0, HOMES) : [leastLoaded(open)]
   const chosen = homes.find(item => item.delayMs <= delayLimitMs)
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -18,8 +18,6 @@
 import * as silentAttempts from './silentAttempt.js'
 import * as urgencies from './urgency.js'
 
-/** A request that no endpoint ran may be offered to this many of them. */
-const MAX_OFFERS = 4
 /** An idempotent request that is not answered within this share of its time is tried elsewhere ... */
 const PATIENCE_SHARE = 0.4
 /** ... and one that is answered by a stream after this multiple of its target. */
@@ -78,7 +76,7 @@
       case 'ended': return next.outcome
       case 'giveUp': return answerClients.giveUp(call, course.held, next.why, next.delayMs)
       case 'another':
-        if (course.offers >= MAX_OFFERS) return answerClients.giveUp(call, course.held, 'no endpoint had room')
+        if (course.offers >= pickEndpoints.MAX_OFFERS) return answerClients.giveUp(call, course.held, 'no endpoint had room')
     }
   }
 }
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -68,7 +68,10 @@
         const endpoint = opts.pool.get(id)
         if (endpoint === undefined) continue
         endpoint.foreign += load
-        if (delayMs !== null) delays.set(id, [...delays.get(id) ?? [], delayMs])
+        if (delayMs === null) continue
+        const known = delays.get(id)
+        if (known === undefined) delays.set(id, [delayMs])
+        else known.push(delayMs)
       }
     }
     for (const endpoint of opts.pool.all()) endpoint.foreignDelayMs = numbers.median(delays.get(endpoint.id) ?? [])
--- a/packages/forwarding/src/pickEndpoint.ts
+++ b/packages/forwarding/src/pickEndpoint.ts
@@ -5,6 +5,9 @@
 import type * as endpointPools from './endpointPool.js'
 import * as numbers from './numbers.js'
 
+/** A request that no endpoint ran, or the rest of a stream, may be offered to this many of them. */
+export const MAX_OFFERS = 4
+
 /** What came of the choice. */
 export type Pick =
   | ({ kind: 'picked' } & Picked)
--- a/packages/forwarding/src/resumeElsewhere.ts
+++ b/packages/forwarding/src/resumeElsewhere.ts
@@ -7,9 +7,6 @@
 import * as pickEndpoints from './pickEndpoint.js'
 import * as relayStreams from './relayStream.js'
 
-/** The rest may be asked for at this many endpoints. */
-const MAX_OFFERS = 4
-
 /**
  * Asks other endpoints for the rest of a stream. A client that has a part of its answer waits for the rest however long the queue
  * is.
@@ -22,7 +19,7 @@
 export async function resumeElsewhere (call: clientCalls.ClientCall, tried: Set<string>, lastEventId: string | undefined, runs: number): Promise<relayStreams.Resumed> {
   const { ctx, route } = call
   let offers = 0
-  while (offers < MAX_OFFERS) {
+  while (offers < pickEndpoints.MAX_OFFERS) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < answerClients.MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
     if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
