--- a/packages/forwarding/__tests__/streams.test.ts
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -133,3 +133,25 @@
     endpoint.close()
   })
 }
+
+// Guards against a stream that is run by one endpoint after the other because each of them answers its resumption with a failure.
+test('a stream that is resumed runs on no more endpoints than its route allows', async t => {
+  let runs = 0
+  const behave: helper.Behaviour = (req, res) => {
+    if (++runs === 1) {
+      sendEvents(req, res, 2, res => { res.destroy() })
+      return
+    }
+    res.writeHead(500, { 'x-attempt': req.headers['x-attempt'] as string, 'x-seal': 's', 'content-length': 0 }).end()
+  }
+  const endpoints = await Promise.all(['e1', 'e2', 'e3', 'e4', 'e5'].map(async id => await helper.startEndpoint(id, behave)))
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, maxAttempts: 2, ...PATIENT })], endpoints)
+  t.teardown(() => {
+    entry.close()
+    endpoints.forEach(item => { item.close() })
+  })
+  const answer = await entry.ask({ method: 'POST', body: 'q', headers: PATIENT_CLIENT })
+  t.false(answer.isWhole)
+  t.is(answer.body, toEvents(1, 2))
+  t.is(runs, 2)
+})
