fix(forwarding): an endpoint that fails a resumption counts as one that ran the request

Cause: the loop that resumes a stream was given the number of runs as a plain number. It left the loop for an endpoint that lost the connection, but went on after one that answered with a failure, without counting that it had run. So each endpoint in turn could run the request, up to four. The class: two loops with a count each, of which one forgot a case. Change: a request's course (endpoints tried, offers, runs) is one object that both loops share, noteRun is the only place that counts, and both ask mayRun before each send. What ran counts whatever it answered.

--- /dev/null
+++ b/packages/forwarding/src/course.ts
@@ -0,0 +1,48 @@
+/** A request on its way from endpoint to endpoint: where it was sent, and how many endpoints may have run it. */
+import type * as answerClients from './answerClient.js'
+import type * as clientCalls from './clientCall.js'
+import * as routeTables from './routeTable.js'
+
+/** A request on its way from endpoint to endpoint. */
+export interface Course {
+  /** What makes it the same request when it is sent again. */
+  readonly fingerprint: string
+  /** Ids of the endpoints that were tried. */
+  readonly tried: Set<string>
+  /** Endpoints that read the request, whether they ran it or not. */
+  offers: number
+  /** Endpoints that may have run it, whatever they answered. */
+  runs: number
+  /** A failure that an endpoint answered, held back while a better answer is tried for. */
+  held: answerClients.HeldAnswer | undefined
+}
+
+/**
+ * Creates the course of a request that was sent nowhere yet.
+ * @param fingerprint what makes it the same request when it is sent again
+ * @returns the course
+ */
+export function createCourse (fingerprint: string): Course {
+  return { fingerprint, tried: new Set(), offers: 0, runs: 0, held: undefined }
+}
+
+/**
+ * Tells whether one more endpoint may run a request.
+ * @param route its route
+ * @param runs how many endpoints may have run it
+ * @returns whether the route allows it
+ */
+export function mayRun (route: routeTables.Route, runs: number): boolean {
+  return runs === 0 || (runs < route.maxAttempts && routeTables.isRepeatable(route))
+}
+
+/**
+ * Notes that an endpoint may have run a request. From here on nobody may be told that it did not run.
+ * @param call the request
+ * @param course its course
+ */
+export function noteRun (call: clientCalls.ClientCall, course: Course): void {
+  course.offers++
+  course.runs++
+  call.mayHaveRun = true
+}
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -7,6 +7,7 @@
 import * as attempts from './attempt.js'
 import * as attemptNotes from './attemptNotes.js'
 import * as clientCalls from './clientCall.js'
+import * as courses from './course.js'
 import * as crashSuspects from './crashSuspects.js'
 import * as endpointDelays from './endpointDelay.js'
 import * as endpointPools from './endpointPool.js'
@@ -14,7 +15,6 @@
 import * as pickEndpoints from './pickEndpoint.js'
 import * as relayStreams from './relayStream.js'
 import * as resumes from './resumeElsewhere.js'
-import * as routeTables from './routeTable.js'
 import * as silentAttempts from './silentAttempt.js'
 import * as urgencies from './urgency.js'
 
@@ -24,19 +24,6 @@
 const STREAM_PATIENCE = 2
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
-/** A request on its way from endpoint to endpoint. */
-interface Course {
-  fingerprint: string
-  /** Ids of the endpoints that were tried. */
-  tried: Set<string>
-  /** Endpoints that read the request, whether they ran it or not. */
-  offers: number
-  /** Endpoints that may have run it. */
-  runs: number
-  /** A failure that an endpoint answered, held back while a better answer is tried for. */
-  held: answerClients.HeldAnswer | undefined
-}
-
 /** What follows an attempt. */
 type Next =
   /** Another endpoint may be tried. */
@@ -49,7 +36,7 @@
 /** One attempt at an endpoint. */
 interface Attempt {
   call: clientCalls.ClientCall
-  course: Course
+  course: courses.Course
   picked: pickEndpoints.Picked
   sentAt: number
   leftMs: number
@@ -69,7 +56,7 @@
     return answerClients.refuse(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', cause: { kind: 'quarantined' } })
   }
   ctx.retryWindow(call.service).note(ctx.now())
-  const course: Course = { fingerprint, tried: new Set(), offers: 0, runs: 0, held: undefined }
+  const course = courses.createCourse(fingerprint)
   while (true) {
     const next = await tryOne(call, course)
     switch (next.kind) {
@@ -82,8 +69,9 @@
 }
 
 /** Chooses an endpoint and sends the request there. */
-async function tryOne (call: clientCalls.ClientCall, course: Course): Promise<Next> {
+async function tryOne (call: clientCalls.ClientCall, course: courses.Course): Promise<Next> {
   const { ctx, route } = call
+  if (!courses.mayRun(route, course.runs)) return { kind: 'giveUp', why: 'no further attempt is allowed' }
   const leftMs = call.endsAt - ctx.now()
   if (call.stop.signal.aborted || leftMs < answerClients.MIN_LEFT_MS) return { kind: 'giveUp', why: 'the time is over' }
   const picked = pickEndpoints.pick(call, course.tried, toDelayLimitMs(call))
@@ -95,7 +83,7 @@
   course.tried.add(endpoint.id)
   endpoint.inFlight++
   try {
-    return await runAttempt({ call, course, picked, leftMs, sentAt: ctx.now(), mayRunAgain: routeTables.isRepeatable(route) && course.runs + 1 < route.maxAttempts })
+    return await runAttempt({ call, course, picked, leftMs, sentAt: ctx.now(), mayRunAgain: courses.mayRun(route, course.runs + 1) })
   } finally {
     endpoint.inFlight--
   }
@@ -119,13 +107,13 @@
       else attemptNotes.noteOutcome(call, endpoint, true)
       return { kind: 'another' }
     case 'lost':
-      noteRun(attempt)
+      courses.noteRun(call, course)
       note(attempt, `lost: ${sent.why}`)
       attemptNotes.noteSilence(call, endpoint, attempt.sentAt)
       attemptNotes.noteLoss(call, endpoint, course.fingerprint)
       return afterLoss(attempt, sent.why)
     case 'answer':
-      noteRun(attempt)
+      courses.noteRun(call, course)
       ctx.pool.noteReached(endpoint)
       return outgoings.isEventStream(sent.res) ? await passStream(attempt, sent) : await passWhole(attempt, sent)
   }
@@ -166,7 +154,7 @@
     resume: async lastId => {
       attemptNotes.noteOutcome(call, endpoint, true)
       attemptNotes.noteLoss(call, endpoint, course.fingerprint)
-      return await resumes.resumeElsewhere(call, course.tried, lastId, course.runs++)
+      return await resumes.resumeElsewhere(call, course, lastId)
     }
   })
   note(attempt, relayed.outcome)
@@ -203,13 +191,6 @@
   attemptNotes.noteAttempt(attempt.call, attempt.picked.endpoint, outcome, attempt.sentAt, attempt.picked.why)
 }
 
-/** From here on nobody may be told that the request did not run. */
-function noteRun (attempt: Attempt): void {
-  attempt.course.offers++
-  attempt.course.runs++
-  attempt.call.mayHaveRun = true
-}
-
 function isLate (attempt: Attempt): boolean {
   const { call: { ctx, route }, sentAt } = attempt
   return route.targetMs > 0 && ctx.now() - sentAt > route.targetMs
--- a/packages/forwarding/src/resumeElsewhere.ts
+++ b/packages/forwarding/src/resumeElsewhere.ts
@@ -3,6 +3,7 @@
 import * as answerClients from './answerClient.js'
 import * as attemptNotes from './attemptNotes.js'
 import * as clientCalls from './clientCall.js'
+import * as courses from './course.js'
 import * as outgoings from './outgoing.js'
 import * as pickEndpoints from './pickEndpoint.js'
 import * as relayStreams from './relayStream.js'
@@ -11,23 +12,22 @@
  * Asks other endpoints for the rest of a stream. A client that has a part of its answer waits for the rest however long the queue
  * is.
  * @param call the request
- * @param tried ids of endpoints that were tried; those that are tried now are added
+ * @param course the endpoints that were tried and that may have run it; those that are asked now are added
  * @param lastEventId the last event that the client has
- * @param runs how many endpoints have run the request
  * @returns the rest, or why there is none
  */
-export async function resumeElsewhere (call: clientCalls.ClientCall, tried: Set<string>, lastEventId: string | undefined, runs: number): Promise<relayStreams.Resumed> {
+export async function resumeElsewhere (call: clientCalls.ClientCall, course: courses.Course, lastEventId: string | undefined): Promise<relayStreams.Resumed> {
   const { ctx, route } = call
   let offers = 0
   while (offers < pickEndpoints.MAX_OFFERS) {
     const leftMs = call.endsAt - ctx.now()
     if (call.stop.signal.aborted || leftMs < answerClients.MIN_LEFT_MS) return { kind: 'none', why: 'the time is over' }
-    if (runs >= route.maxAttempts) return { kind: 'none', why: 'no further attempt is allowed' }
-    const picked = pickEndpoints.pick(call, tried, Infinity)
+    if (!courses.mayRun(route, course.runs)) return { kind: 'none', why: 'no further attempt is allowed' }
+    const picked = pickEndpoints.pick(call, course.tried, Infinity)
     if (picked.kind !== 'picked') return { kind: 'none', why: 'no further endpoint can be reached' }
     if (!ctx.retryWindow(call.service).spend(ctx.now(), ctx.exchange.instances())) return { kind: 'none', why: 'the budget of retries is used up' }
     const { endpoint } = picked
-    tried.add(endpoint.id)
+    course.tried.add(endpoint.id)
     offers++
     const sentAt = ctx.now()
     endpoint.inFlight++
@@ -40,6 +40,7 @@
     })
     switch (sent.kind) {
       case 'answer':
+        courses.noteRun(call, course)
         // Its place in the count is given back by the relay when the stream ends.
         if (outgoings.isEventStream(sent.res) && (sent.res.statusCode ?? 0) < 300) return { kind: 'stream', endpoint, sent }
         attemptNotes.noteAttempt(call, endpoint, `no stream ${sent.res.statusCode ?? 0}`, sentAt)
@@ -54,6 +55,7 @@
         if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
         break
       case 'lost':
+        courses.noteRun(call, course)
         attemptNotes.noteAttempt(call, endpoint, `lost: ${sent.why}`, sentAt)
         endpoint.inFlight--
         return { kind: 'none', why: sent.why }
