fix(forwarding): what a resumption shows counts against the endpoint where it ran

What callers saw: a request that crashes the endpoints that run it went on to further ones, since each crash after a resumption was noted against the first endpoint again and three were never reached; an endpoint that failed or lost resumptions, or refused them, got as much work as the sound ones. Evidence: by reading; two tests failed before (the request was answered 200 by a fourth endpoint instead of 503; no outcome was noted for the endpoint that answered 500). Change: noteSent notes what a send has shown, in one place for both loops; a relay says which endpoint broke off.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -112,6 +112,7 @@
   address: string
   pool: endpointPools.EndpointPool
   suspects: crashSuspects.CrashSuspects
+  outcomes: endpointOutcomes.EndpointOutcomes
   server: entryServers.EntryServer
   /** Lines of the log as events with their fields. */
   lines: Array<{ event: string } & { [field: string]: unknown }>
@@ -174,6 +175,7 @@
     address: server.address,
     pool,
     suspects,
+    outcomes,
     server,
     lines,
     announce,
--- a/packages/forwarding/__tests__/streams.test.ts
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -155,3 +155,44 @@
   t.is(answer.body, toEvents(1, 2))
   t.is(runs, 2)
 })
+
+// Guards against a request that crashes one endpoint after the other: each crash counts against the endpoint where the rest of the
+// stream ran, and not against the first one again.
+test('a stream that crashes the endpoints on which it is resumed is held back', async t => {
+  const endpoints: helper.TestEndpoint[] = []
+  const crashing = (place: number): helper.Behaviour => (req, res) => {
+    sendEvents(req, res, 1, () => { endpoints[place].close() })
+  }
+  for (let i = 0; i < 5; i++) endpoints.push(await helper.startEndpoint(`e${i}`, crashing(i)))
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, maxAttempts: 3, ...PATIENT })], endpoints)
+  t.teardown(() => {
+    entry.close()
+    endpoints.forEach(item => { item.close() })
+  })
+  t.false((await entry.ask({ method: 'POST', body: 'q', headers: PATIENT_CLIENT })).isWhole)
+  await timers.setTimeout(200)
+  t.is((await entry.ask({ method: 'POST', body: 'q', headers: PATIENT_CLIENT })).status, 503)
+  t.is(endpoints.filter(item => item.seen.length > 0).length, 3)
+})
+
+// Guards against an endpoint that fails every resumption and gets as much work as the sound ones.
+test('a failed resumption counts against its endpoint', async t => {
+  const breaking: helper.Behaviour = (req, res) => { sendEvents(req, res, 1, res => { res.destroy() }) }
+  const failing: helper.Behaviour = (req, res) => {
+    res.writeHead(500, { 'x-attempt': req.headers['x-attempt'] as string, 'x-seal': 's', 'content-length': 0 }).end()
+  }
+  const first = await helper.startEndpoint('e1', breaking)
+  const second = await helper.startEndpoint('e2', failing)
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, maxAttempts: 2, ...PATIENT })], [first])
+  t.teardown(() => {
+    entry.close()
+    first.close()
+    second.close()
+  })
+  const answer = entry.ask({ method: 'POST', body: 'q', headers: PATIENT_CLIENT })
+  for (let i = 0; i < 250 && first.seen.length === 0; i++) await timers.setTimeout(2)
+  entry.announce(second)
+  t.false((await answer).isWhole)
+  t.is(second.seen.length, 1)
+  t.deepEqual(entry.outcomes.takeNews(performance.now()).find(item => item[0] === 'e2'), ['e2', 1, 1])
+})
--- a/packages/forwarding/src/attemptNotes.ts
+++ b/packages/forwarding/src/attemptNotes.ts
@@ -1,5 +1,7 @@
 /** What an attempt teaches: the log of its request, the endpoint's record, and what crashed or fell silent. */
+import type * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
+import * as courses from './course.js'
 import * as endpointPools from './endpointPool.js'
 import * as endpointProbes from './endpointProbe.js'
 
@@ -19,6 +21,38 @@
   call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
 }
 
+/**
+ * Notes what a send has shown before any body was read: whether the endpoint is there, whether it may have run the request, and
+ * whether it is down.
+ * @param call the request
+ * @param course its course
+ * @param endpoint where it was sent
+ * @param sent what came of it
+ * @param sentAt when it was sent
+ */
+export function noteSent (call: clientCalls.ClientCall, course: courses.Course, endpoint: endpointPools.Endpoint, sent: attempts.Sent, sentAt: number): void {
+  const { ctx } = call
+  switch (sent.kind) {
+    case 'unreachable':
+      if (!call.stop.signal.aborted) noteUnreachable(call, endpoint, sent.why)
+      break
+    case 'notRun':
+      course.offers++
+      ctx.pool.noteReached(endpoint)
+      if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
+      else noteOutcome(call, endpoint, true)
+      break
+    case 'lost':
+      courses.noteRun(call, course)
+      noteSilence(call, endpoint, sentAt)
+      noteLoss(call, endpoint, course.fingerprint)
+      break
+    case 'answer':
+      courses.noteRun(call, course)
+      ctx.pool.noteReached(endpoint)
+  }
+}
+
 /** Notes how an attempt went, for the choice of endpoints. */
 export function noteOutcome (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, isMissed: boolean): void {
   call.ctx.outcomes.note(endpoint.id, isMissed, call.ctx.now())
@@ -28,7 +62,7 @@
  * Notes an attempt without an answer. Where the client left early that says nothing of the endpoint; where it left after twice
  * the target, it left because of it.
  */
-export function noteSilence (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, sentAt: number): void {
+function noteSilence (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, sentAt: number): void {
   const isEarly = call.stop.signal.aborted && call.ctx.now() - sentAt < SILENCE_TARGETS * call.route.targetMs
   if (!isEarly) noteOutcome(call, endpoint, true)
 }
@@ -41,8 +75,14 @@
   if (news.length > 0) ctx.exchange.tellCrashes(news)
 }
 
+/** Notes that an answer broke off midway. */
+export function noteBreak (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
+  noteOutcome(call, endpoint, true)
+  noteLoss(call, endpoint, fingerprint)
+}
+
 /** Notes that an answer was lost. */
-export function noteLoss (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
+function noteLoss (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
   if (call.stop.signal.aborted) return
   // What broke one connection has likely broken the idle ones beside it.
   call.ctx.pool.dropIdle(endpoint)
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -91,30 +91,19 @@
 
 async function runAttempt (attempt: Attempt): Promise<Next> {
   const { call, course, picked: { endpoint } } = attempt
-  const { ctx } = call
   const sent = await send(attempt)
+  attemptNotes.noteSent(call, course, endpoint, sent, attempt.sentAt)
   switch (sent.kind) {
     case 'unreachable':
       note(attempt, `unreachable: ${sent.why}`)
-      if (call.stop.signal.aborted) return { kind: 'giveUp', why: 'the client left' }
-      attemptNotes.noteUnreachable(call, endpoint, sent.why)
-      return { kind: 'another' }
+      return call.stop.signal.aborted ? { kind: 'giveUp', why: 'the client left' } : { kind: 'another' }
     case 'notRun':
-      course.offers++
       note(attempt, `notRun ${sent.status}`)
-      ctx.pool.noteReached(endpoint)
-      if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
-      else attemptNotes.noteOutcome(call, endpoint, true)
       return { kind: 'another' }
     case 'lost':
-      courses.noteRun(call, course)
       note(attempt, `lost: ${sent.why}`)
-      attemptNotes.noteSilence(call, endpoint, attempt.sentAt)
-      attemptNotes.noteLoss(call, endpoint, course.fingerprint)
       return afterLoss(attempt, sent.why)
     case 'answer':
-      courses.noteRun(call, course)
-      ctx.pool.noteReached(endpoint)
       return outgoings.isEventStream(sent.res) ? await passStream(attempt, sent) : await passWhole(attempt, sent)
   }
 }
@@ -151,9 +140,9 @@
   attemptNotes.noteOutcome(call, endpoint, isLate(attempt))
   const relayed = await relayStreams.relayStream(call, {
     sent,
-    resume: async lastId => {
-      attemptNotes.noteOutcome(call, endpoint, true)
-      attemptNotes.noteLoss(call, endpoint, course.fingerprint)
+    endpoint,
+    resume: async (lastId, broken) => {
+      attemptNotes.noteBreak(call, broken, course.fingerprint)
       return await resumes.resumeElsewhere(call, course, lastId)
     }
   })
@@ -167,8 +156,7 @@
   const whole = await attempts.readWhole(sent, call.stop.signal, MAX_WHOLE_BYTES)
   if (whole.kind === 'broken') {
     note(attempt, `lost: ${whole.why}`)
-    attemptNotes.noteOutcome(call, endpoint, true)
-    attemptNotes.noteLoss(call, endpoint, course.fingerprint)
+    attemptNotes.noteBreak(call, endpoint, course.fingerprint)
     return afterLoss(attempt, whole.why)
   }
   const status = sent.res.statusCode ?? 0
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -22,8 +22,10 @@
 /** What a relay needs beside the request. */
 export interface RelayOptions {
   sent: OpenAnswer
-  /** Asks another endpoint for what follows an event. */
-  resume: (lastEventId: string | undefined) => Promise<Resumed>
+  /** The endpoint that gives this answer. */
+  endpoint: endpointPools.Endpoint
+  /** Asks another endpoint for what follows an event, after one broke off. */
+  resume: (lastEventId: string | undefined, broken: endpointPools.Endpoint) => Promise<Resumed>
 }
 
 /** How a relay ended: with its end passed on, broken off, or before anything was passed on. */
@@ -51,7 +53,7 @@
   let isStarted = false
   let lastId: string | undefined
   let source = opts.sent
-  let endpoint: endpointPools.Endpoint | undefined
+  let restEndpoint: endpointPools.Endpoint | undefined
   let resumedFrom: string | undefined
 
   const start = (): void => {
@@ -116,21 +118,21 @@
           return { kind: 'broken', outcome: `stopped: ${end.why}` }
         case 'broken': {
           if (!isStarted && resumedFrom === undefined) return { kind: 'unstarted', outcome: `lost: ${end.why}` }
-          const resumed: Resumed = canResume ? await opts.resume(lastId) : { kind: 'none', why: 'the route does not allow to resume' }
+          const resumed: Resumed = canResume ? await opts.resume(lastId, restEndpoint ?? opts.endpoint) : { kind: 'none', why: 'the route does not allow to resume' }
           if (resumed.kind === 'none') {
             breakOffs.breakOff(res)
             return { kind: 'broken', outcome: `broken: ${end.why}; ${resumed.why}` }
           }
-          if (endpoint !== undefined) endpoint.inFlight--
-          endpoint = resumed.endpoint
+          if (restEndpoint !== undefined) restEndpoint.inFlight--
+          restEndpoint = resumed.endpoint
           source = resumed.sent
           resumedFrom = lastId ?? ''
-          call.attempts.push({ endpoint: endpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
+          call.attempts.push({ endpoint: restEndpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
         }
       }
     }
   } finally {
-    if (endpoint !== undefined) endpoint.inFlight--
+    if (restEndpoint !== undefined) restEndpoint.inFlight--
     call.stop.signal.removeEventListener('abort', onStop)
   }
 }
--- a/packages/forwarding/src/resumeElsewhere.ts
+++ b/packages/forwarding/src/resumeElsewhere.ts
@@ -38,24 +38,24 @@
       signal: call.stop.signal,
       answerMs: leftMs
     })
+    attemptNotes.noteSent(call, course, endpoint, sent, sentAt)
     switch (sent.kind) {
-      case 'answer':
-        courses.noteRun(call, course)
+      case 'answer': {
+        const status = sent.res.statusCode ?? 0
         // Its place in the count is given back by the relay when the stream ends.
-        if (outgoings.isEventStream(sent.res) && (sent.res.statusCode ?? 0) < 300) return { kind: 'stream', endpoint, sent }
-        attemptNotes.noteAttempt(call, endpoint, `no stream ${sent.res.statusCode ?? 0}`, sentAt)
+        if (outgoings.isEventStream(sent.res) && status < 300) return { kind: 'stream', endpoint, sent }
+        attemptNotes.noteAttempt(call, endpoint, `no stream ${status}`, sentAt)
+        attemptNotes.noteOutcome(call, endpoint, true)
         sent.abort()
         break
+      }
       case 'unreachable':
         attemptNotes.noteAttempt(call, endpoint, `unreachable: ${sent.why}`, sentAt)
-        attemptNotes.noteUnreachable(call, endpoint, sent.why)
         break
       case 'notRun':
         attemptNotes.noteAttempt(call, endpoint, `notRun ${sent.status}`, sentAt)
-        if (sent.status === 421) ctx.pool.noteMisdirected(endpoint)
         break
       case 'lost':
-        courses.noteRun(call, course)
         attemptNotes.noteAttempt(call, endpoint, `lost: ${sent.why}`, sentAt)
         endpoint.inFlight--
         return { kind: 'none', why: sent.why }
