--- /dev/null
+++ b/packages/forwarding/__tests__/documentNews.test.ts
@@ -0,0 +1,60 @@
+/** What an entry instance does while others hold a newer document than it does. */
+import * as ava from 'ava'
+import * as timers from 'node:timers/promises'
+import * as helper from './helpers/testFleet.js'
+
+const test = ava.default
+
+/** Paths of the first document; the second one adds the other. */
+const OLD = ['/a/']
+const NEW = ['/a/', '/b/']
+
+/** There are no endpoints: a request on a known path is refused for a while, one on a path that no document knows for good. */
+async function hasNew (instance: helper.TestInstance): Promise<boolean> {
+  return (await instance.ask('/b/x')).status === 503 && (await instance.ask('/c/x')).status === 404
+}
+
+// Guards against a route that was confirmed to the operator and is refused as unknown by an instance that waits for its document.
+test('a path that a newer document may hold is not refused for good', async t => {
+  const control = await helper.startControl()
+  control.put(helper.toDocument(1, OLD))
+  const instance = await helper.startInstance('i1', [control.inner])
+  t.teardown(async () => { await Promise.all([instance.stop(), control.close()]) })
+  t.is((await instance.ask('/b/x')).status, 404)
+  control.withhold()
+  control.put(helper.toDocument(2, NEW))
+  await timers.setTimeout(200)
+  const answer = await instance.ask('/b/x')
+  t.is(answer.status, 503)
+  t.true(Number(answer.retryAfter) > 0)
+})
+
+// Guards against an instance that stays behind for as long as the control instances that it listens to hand nothing out.
+test('a document that no control instance hands out comes from another entry instance', async t => {
+  const group: helper.ControlGroup = new Set()
+  const sound = await helper.startControl(group)
+  const mute = await helper.startControl(group)
+  for (const control of [sound, mute]) control.put(helper.toDocument(1, OLD))
+  const first = await helper.startInstance('i1', [sound.inner])
+  const second = await helper.startInstance('i2', [mute.inner])
+  t.teardown(async () => { await Promise.all([first.stop(), second.stop(), sound.close(), mute.close()]) })
+  mute.withhold()
+  for (const control of [sound, mute]) control.put(helper.toDocument(2, NEW))
+  await helper.until('the second has it', async () => await hasNew(second))
+  t.pass()
+})
+
+// Guards against an instance that takes its document for the newest because all control instances that it listens to are behind.
+test('an instance learns of a newer document from the other entry instances', async t => {
+  const group: helper.ControlGroup = new Set()
+  const sound = await helper.startControl(group)
+  const behind = await helper.startControl(group)
+  for (const control of [sound, behind]) control.put(helper.toDocument(1, OLD))
+  const first = await helper.startInstance('i1', [sound.inner])
+  const second = await helper.startInstance('i2', [behind.inner])
+  t.teardown(async () => { await Promise.all([first.stop(), second.stop(), sound.close(), behind.close()]) })
+  await timers.setTimeout(500)
+  sound.put(helper.toDocument(2, NEW))
+  await helper.until('the second has it', async () => await hasNew(second))
+  t.pass()
+})
