fix(discovery,forwarding): entry instances hand documents on, and nobody sends more at a time than its link carries

Cause: a document with 1,680 new routes was handed out by nine control instances alone, each on 4.2 Mbit/s to seven or more instances at once. None had it within the second after which a fetch is given up; it then began anew at the next control instance, so that most of what was sent was sent in vain, and the control instance that was given up was left as well. Each control instance also worked out the difference anew for its readers, on 0.135 of a core. The class: a resource that all ask for at once, with time-outs shorter than the queue and retries that lengthen it. The same cause for an instance whose three control instances are all behind, mute or cut off: it had no other way to a document, nor to the news of one. Change: sendBudget bounds what is handed out at a time, and says 'busy' to the others; documentFetcher asks control instances and other entry instances by turns, and another one beside it after 0.3 s; entry instances answer such calls and tell each other which version they hold; a difference is handed on as it came.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -44,6 +44,7 @@
   documentRefused: spec(1310, 'warn', 'a document was refused', 'The answer to the operator names the field to correct.'),
   documentUnreadable: spec(1311, 'error', 'a document that was accepted cannot be read here; the one before stays in force', 'Check that all instances run the same version.'),
   replicaRestarted: spec(1312, 'warn', 'the replica of the document is started again after its disk failed', 'Check the disk: free space, and whether writes end.'),
+  documentNotFetched: spec(1318, 'info', 'an instance did not hand out the document; another one is asked', 'Expected while instances restart or are cut off; if documentInForce (K1305) does not follow, check the links to the control instances.'),
   recordsNotKept: spec(1315, 'warn', 'the records of endpoints could not be written to the disk', 'Check the disk; a restart then learns them from the next announcements.'),
   settingsReloaded: spec(1313, 'info', 'the settings file was read again'),
   endpointJoined: spec(1401, 'info', 'an endpoint became ready'),
--- a/packages/coordination/src/controlNode.ts
+++ b/packages/coordination/src/controlNode.ts
@@ -25,6 +25,8 @@
   dataFolder: string
   /** What all instances of the fleet must know. */
   secret: string
+  /** What this machine's link carries, bytes a millisecond; absent where that is not known. */
+  linkBytesPerMs?: number
   log: telemetry.Log
   invariants: telemetry.Invariants
 }
@@ -89,6 +91,7 @@
     reach,
     version: () => store.held()?.version ?? 0,
     documentSince: store.since,
+    budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     isCurrent: () => !isStopping && store.isCurrent(),
     onChange () {
       recordFile.save()
--- a/packages/coordination/src/documentMachine.ts
+++ b/packages/coordination/src/documentMachine.ts
@@ -37,10 +37,10 @@
 
 /**
  * Creates the machine.
- * @param onChange told when another document is held
+ * @param onChange told when another document is held, and how it came, unless it was restored
  * @returns the machine, empty
  */
-export function createDocumentMachine (onChange: () => void = () => {}): DocumentMachine {
+export function createDocumentMachine (onChange: (packed?: contracts.PackedText) => void = () => {}): DocumentMachine {
   let held: contracts.HeldText | null = null
 
   const put = (packed: contracts.PackedText): PutResult => {
@@ -49,7 +49,7 @@
     const text = contracts.unpackText(packed, held)
     if (text === undefined) return { kind: 'needsWhole', version: held?.version ?? 0 }
     held = text
-    onChange()
+    onChange(packed)
     return { kind: 'stored', version: text.version }
   }
 
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -7,10 +7,10 @@
 import * as timers from 'node:timers/promises'
 import * as z from 'zod'
 import * as contracts from '@kingcupdeck/contracts'
+import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as documentHistories from './documentHistory.js'
 import * as documentMachines from './documentMachine.js'
 
 /** Calls between control instances about the document. */
@@ -98,18 +98,18 @@
   let replica: state.Replica | undefined
   let machine = documentMachines.createDocumentMachine()
   let lastVoters: string[] = []
-  const history = documentHistories.createDocumentHistory()
+  const history = discovery.createDocumentHistory()
   let best: contracts.HeldText | null = null
   /** The document that was proposed here last: the next one follows it in the log, so it goes in as the difference from it. */
   let proposed: contracts.HeldText | null = null
   let isTelling = false
 
-  const onChange = (): void => {
+  const onChange = (packed?: contracts.PackedText): void => {
     const now = machine.held()
     // A replica that starts again applies its log from the beginning; what was told before is not told again.
     if (now === null || (best !== null && now.version <= best.version)) return
     best = now
-    history.add(now)
+    history.add(now, packed)
     if (isTelling) return
     isTelling = true
     // A replica that starts applies its whole log in one go: only the last document of that is told, or every entry instance
--- a/packages/discovery/__tests__/documents.test.ts
+++ b/packages/discovery/__tests__/documents.test.ts
@@ -108,3 +108,17 @@
   entry.stop()
   await Promise.all([sound.close(), wrong.close()])
 })
+
+// Guards against control instances that are left, one after the other, because their links are busy with a large document.
+test('an instance asks again where a document is withheld for a busy link', async t => {
+  const document = toDocument(1, 8000)
+  const bytes = contracts.packWhole(document).body.length
+  const control = await helper.startControl({ bytesPerMs: bytes / 300, isTicking: true })
+  control.put(document)
+  const entries = Array.from({ length: 5 }, (_, i) => helper.startEntry(`e${i}`, [control.address]))
+  await helper.until('all have it', () => entries.every(item => item.documents.at(-1)?.version === 1))
+  t.true(control.fetches() > entries.length)
+  t.is(control.subscribers(), entries.length)
+  for (const entry of entries) entry.stop()
+  await control.close()
+})
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -37,6 +37,8 @@
   others?: string[]
   /** The version it says it holds, whatever it holds. */
   said?: number
+  /** What its link carries, bytes a millisecond; by default all that is asked for. */
+  bytesPerMs?: number
 }
 
 /** Starts a control instance that hands out differences from the version before, and the whole to everyone else. */
@@ -60,6 +62,7 @@
     reach: async () => { throw new Error('there are no others') },
     version: () => opts.said ?? texts.at(-1)?.version ?? 0,
     documentSince: since,
+    budget: discovery.createSendBudget(opts.bytesPerMs ?? Infinity),
     isCurrent: () => opts.isCurrent !== false,
     log
   })
--- /dev/null
+++ b/packages/discovery/src/documentFetcher.ts
@@ -0,0 +1,184 @@
+/**
+ * How an entry instance comes by the latest document: from the control instances that it listens to, and from other entry
+ * instances, to which it hands on what it holds.
+ *
+ * Load pattern: a document has grown by two thousand routes, and 65 instances want it from nine control instances on links of a few
+ * Mbit/s, some of which restart, are cut off or stand still. Control instances alone take seconds; every instance that has it
+ * halves what is left.
+ */
+import * as timers from 'node:timers/promises'
+import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentHistories from './documentHistory.js'
+import * as messages from './messages.js'
+import type * as sendBudgets from './sendBudget.js'
+
+/** An instance that may be asked for the document. */
+export interface DocumentSource {
+  address: string
+  /** The version that it said it holds. */
+  version: number
+  link: () => Promise<links.Link>
+  /** Whether the link is opened for this and closed after it. */
+  isForThis?: boolean
+  /** Told when it did not hand out what it said it holds. */
+  onFailure: (why: string) => void
+}
+
+/** What a fetcher is built from. */
+export interface DocumentFetcherOptions {
+  /** Control instances that this instance listens to, the one to be asked first before others. */
+  controls: () => DocumentSource[]
+  /** Inner addresses of the other entry instances, in random order. */
+  peers: () => readonly string[]
+  /** @returns a link to another entry instance */
+  reachPeer: (address: string) => Promise<links.Link>
+  /** Takes a newer document, with the time since it was first heard of, milliseconds. */
+  onDocument: (document: contracts.HeldText, waitedMs: number) => void
+  /** How much of its link this instance may fill with documents for others. */
+  budget: sendBudgets.SendBudget
+  signal: AbortSignal
+  log: telemetry.Log
+  now: () => number
+}
+
+/** Holds the latest document that this instance came by. */
+export interface DocumentFetcher {
+  /** @returns the version that is held, 0 without one */
+  version (): number
+  /** @returns the newest version that any instance said it holds */
+  newest (): number
+  /** Takes a document that came with another answer. */
+  take (packed: contracts.PackedText | null): void
+  /** Asks for the document over a link. @returns the answer, whose document was taken */
+  ask (link: links.Link): Promise<messages.DiscoveryReply>
+  /** Notes the version that another entry instance holds. */
+  notePeer (address: string, version: number): void
+  /** Fetches the document after a while, if a newer one is known then. */
+  fetchAfter (ms: number): void
+  /** Answers another instance that holds a version. */
+  answer (version: number): messages.DiscoveryReply
+}
+
+/** A whole document of a megabyte is a tenth of that packed: 0.2 s on a link of 4 Mbit/s, the rest is for other traffic there. */
+const FETCH_MS = 1000
+/** An instance that has not answered for this long is asked no further; another one is asked beside it. */
+const HEDGE_MS = 300
+/** Pause before the next instance is asked, after one that had nothing to give. */
+const TURN_MS = 60
+
+/**
+ * Creates a fetcher.
+ * @param opts whom to ask, and who takes the document
+ * @returns the fetcher, without a document
+ */
+export function createDocumentFetcher (opts: DocumentFetcherOptions): DocumentFetcher {
+  const history = documentHistories.createDocumentHistory()
+  const peerVersions = new Map<string, number>()
+  /** Addresses that were asked and have not answered yet. */
+  const asked = new Set<string>()
+  let held: contracts.HeldText | null = null
+  let isFetching = false
+  let timer: NodeJS.Timeout | undefined
+  let heardOfNewerAt: number | undefined
+
+  const version = (): number => held?.version ?? 0
+
+  const toPeer = (address: string): DocumentSource => ({
+    address,
+    version: peerVersions.get(address) ?? 0,
+    link: async () => await opts.reachPeer(address),
+    onFailure (why) {
+      peerVersions.delete(address)
+      opts.log.event('documentNotFetched', { address, why })
+    }
+  })
+
+  const peers = (): DocumentSource[] => opts.peers().map(toPeer)
+
+  const newest = (): number => Math.max(0, ...[...opts.controls(), ...peers()].map(item => item.version))
+
+  const take = (packed: contracts.PackedText | null): void => {
+    if (packed === null || packed.version <= version()) return
+    const document = contracts.unpackText(packed, held)
+    // The difference from a document that was replaced here while the answer was under way; the whole is fetched next.
+    if (document === undefined) return
+    held = document
+    history.add(document, packed)
+    const waitedMs = heardOfNewerAt === undefined ? 0 : opts.now() - heardOfNewerAt
+    heardOfNewerAt = undefined
+    opts.onDocument(document, waitedMs)
+  }
+
+  const ask = async (link: links.Link): Promise<messages.DiscoveryReply> => {
+    const call: messages.DiscoveryCall = { t: 'fetch', version: version() }
+    const reply = messages.discoveryReply.parse(await link.call(call, FETCH_MS))
+    take(reply.document)
+    return reply
+  }
+
+  const fetchFrom = async (source: DocumentSource): Promise<void> => {
+    const before = version()
+    asked.add(source.address)
+    try {
+      const link = await source.link()
+      const reply = await ask(link).finally(() => { if (source.isForThis === true) link.close() })
+      // Guards against asking without end where the document that was announced is not handed out.
+      if (source.version > before && version() === before && reply.isBusy !== true) source.onFailure('its document did not come')
+    } catch (err) {
+      source.onFailure(`its document could not be fetched: ${err instanceof Error ? err.message : String(err)}`)
+    } finally {
+      asked.delete(source.address)
+    }
+  }
+
+  /** Control instances and other entry instances by turns, those that hold a newer document before the others. */
+  const pickSource = (turn: number): DocumentSource | undefined => {
+    const isFree = (item: DocumentSource): boolean => !asked.has(item.address)
+    const isAhead = (item: DocumentSource): boolean => isFree(item) && item.version > version()
+    const controls = opts.controls()
+    const others = peers()
+    const control = controls.find(isAhead)
+    const peer = others.find(isAhead) ?? others.find(isFree)
+    return turn % 2 === 0 ? control ?? peer : peer ?? control
+  }
+
+  const fetch = async (): Promise<void> => {
+    if (isFetching) return
+    isFetching = true
+    try {
+      for (let turn = 0; !opts.signal.aborted && newest() > version(); turn++) {
+        heardOfNewerAt ??= opts.now()
+        const source = pickSource(turn)
+        if (source !== undefined) await Promise.race([fetchFrom(source), timers.setTimeout(HEDGE_MS, undefined, { ref: false })])
+        if (newest() > version()) await timers.setTimeout(TURN_MS, undefined, { ref: false })
+      }
+    } finally {
+      isFetching = false
+    }
+  }
+
+  return {
+    version,
+    newest,
+    take,
+    ask,
+    notePeer (address, said) {
+      peerVersions.set(address, said)
+    },
+    fetchAfter (ms) {
+      if (newest() <= version()) return
+      heardOfNewerAt ??= opts.now()
+      if (ms === 0) {
+        void fetch()
+        return
+      }
+      timer ??= setTimeout(() => {
+        timer = undefined
+        void fetch()
+      }, ms).unref()
+    },
+    answer: since => ({ records: null, controls: [], version: version(), ...messages.handOut(history.since(since), opts.budget, opts.now()) })
+  }
+}
--- a/packages/coordination/src/documentHistory.ts
+++ b/packages/discovery/src/documentHistory.ts
@@ -3,8 +3,12 @@
 
 /** The latest documents. */
 export interface DocumentHistory {
-  /** Takes the document that is held from now on. */
-  add (held: contracts.HeldText): void
+  /**
+   * Takes the document that is held from now on.
+   * @param held the document
+   * @param packed how it came here, if it came packed: what it is the difference from is not worked out again for others
+   */
+  add (held: contracts.HeldText, packed?: contracts.PackedText): void
   /**
    * Packs the latest document for a reader.
    * @param version what the reader holds, 0 for nothing
@@ -26,10 +30,12 @@
   const packedSince = new Map<number, contracts.PackedText>()
 
   return {
-    add (held) {
+    add (held, packed) {
+      packedSince.clear()
+      const from = packed === undefined || packed.base === '' ? undefined : texts.find(item => item.digest === packed.base)
+      if (from !== undefined && packed !== undefined) packedSince.set(from.version, packed)
       texts.push(held)
       if (texts.length > KEPT) texts.shift()
-      packedSince.clear()
     },
     since (version) {
       const latest = texts.at(-1)
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod'
 import * as contracts from '@kingcupdeck/contracts'
 import * as records from './records.js'
+import type * as sendBudgets from './sendBudget.js'
 
 /** Calls to a control instance. */
 export const discoveryCall = z.discriminatedUnion('t', [
@@ -13,7 +14,7 @@
   z.object({ t: z.literal('records'), list: z.array(records.record) }),
   /** Another control instance compares what it knows. */
   z.object({ t: z.literal('compare'), records: contracts.bytes }),
-  /** An entry instance that holds a version of the document asks for the latest. */
+  /** An instance that holds a version of the document asks for the latest. */
   z.object({ t: z.literal('fetch'), version: z.number() })
 ])
 /** Calls to a control instance. */
@@ -28,7 +29,9 @@
   /** Version of the document that it holds, 0 without one. */
   version: z.number(),
   /** The document, where the caller holds an older one and it was fetched or is small. */
-  document: contracts.packedText.nullable()
+  document: contracts.packedText.nullable(),
+  /** Whether the document is withheld for now, since the sender's link is busy with others who asked for it. */
+  isBusy: z.boolean().optional()
 })
 /** What a control instance answers: records, and the document where the caller holds an older one. */
 export type DiscoveryReply = z.infer<typeof discoveryReply>
@@ -97,3 +100,15 @@
 export function decodeReply (bytes: Uint8Array): DiscoveryReply {
   return discoveryReply.parse(codec.decode(bytes))
 }
+
+/**
+ * Hands a document out if the link has room for it.
+ * @param document the document, or null where the caller holds the latest
+ * @param budget the room
+ * @param now the time on the steady clock
+ * @returns the part of an answer that is about the document
+ */
+export function handOut (document: contracts.PackedText | null, budget: sendBudgets.SendBudget, now: number): Pick<DiscoveryReply, 'document' | 'isBusy'> {
+  if (document === null || budget.take(document.body.length, now)) return { document, isBusy: false }
+  return { document: null, isBusy: true }
+}
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -9,6 +9,7 @@
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
+import * as sendBudgets from './sendBudget.js'
 
 /** What a publisher is built from. */
 export interface PublisherOptions {
@@ -23,6 +24,8 @@
   version: () => number
   /** @returns the document held here, packed for a reader who holds a version of it, or null if that is the latest */
   documentSince: (version: number) => contracts.PackedText | null
+  /** How much of its link this instance may fill with documents; absent where that is not known. */
+  budget?: sendBudgets.SendBudget
   /** Whether this instance heard from a quorum lately. */
   isCurrent: () => boolean
   /** Told when a record changed. */
@@ -73,6 +76,7 @@
  */
 export function createPublisher (opts: PublisherOptions): Publisher {
   const { table } = opts
+  const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
   const now = opts.now ?? (() => performance.now())
   const subscribers = new Set<links.Link>()
   let ownSigns = new Map<string, records.Sign>()
@@ -202,7 +206,7 @@
           void queueNews(take(messages.unpackRecords(call.records)), false)
           return reply(true, null)
         case 'fetch':
-          return reply(false, opts.documentSince(call.version))
+          return { ...reply(false, null), ...messages.handOut(opts.documentSince(call.version), budget, now()) }
       }
     },
     onEvent (event) {
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -6,10 +6,12 @@
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentFetchers from './documentFetcher.js'
 import * as handoutAskers from './handoutAsker.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
+import * as sendBudgets from './sendBudget.js'
 
 /** What a subscriber is built from. */
 export interface SubscriberOptions {
@@ -22,8 +24,14 @@
   handout?: (address: string) => Promise<Uint8Array>
   /** What this instance says of itself. */
   self: () => records.EntryRecord
-  /** Takes a newer document. */
-  onDocument: (document: contracts.HeldText) => void
+  /** Takes a newer document, with the time since it was first heard of, milliseconds. */
+  onDocument: (document: contracts.HeldText, waitedMs: number) => void
+  /** Inner addresses of the other entry instances, in random order; absent where there are none. */
+  peers?: () => readonly string[]
+  /** @returns a link to another entry instance */
+  reachPeer?: (address: string) => Promise<links.Link>
+  /** How much of its link this instance may fill with documents for others; absent where that is not known. */
+  budget?: sendBudgets.SendBudget
   /** Told when records changed. */
   onRecords: (list: readonly records.Record[]) => void
   log: telemetry.Log
@@ -34,6 +42,12 @@
 export interface Subscriber {
   /** Takes an event of a control instance. */
   onEvent (event: messages.DiscoveryEvent, link: links.Link): void
+  /** Answers a call of another entry instance. */
+  onCall (call: messages.DiscoveryCall): messages.DiscoveryReply
+  /** Notes the version of the document that another entry instance holds. */
+  notePeer (address: string, version: number): void
+  /** @returns the version of the document that is held here, 0 without one */
+  version (): number
   /** Announces a change of this instance to all control instances it is subscribed to. */
   announce (): void
   /** @returns when a control instance that has a quorum was last heard */
@@ -67,10 +81,8 @@
 /** How often an instance that has not heard of any looks for a control instance. */
 const LOOK_ALONE_MS = 40
 const SUBSCRIBE_MS = 1500
-/** A whole document of a megabyte is a tenth of that packed: 0.2 s on a link of 4 Mbit/s, the rest is for other traffic there. */
-const FETCH_MS = 1000
-/** How long the other subscriptions leave a new document to the main one: two heartbeats between control instances. */
-const SPARE_MS = 400
+/** How long the other subscriptions leave a new document to the main one: half a heartbeat between control instances. */
+const SPARE_MS = 100
 
 interface Subscription { address: string, link: links.Link | undefined, heardAt: number, currentAt: number, version: number }
 
@@ -88,76 +100,15 @@
   const stopped = new AbortController()
   let currentAt = -Infinity
   let currentSince = -Infinity
-  let held: contracts.HeldText | null = null
-  let isFetching = false
 
   const isAlone = (): boolean => currentAt === -Infinity
 
-  const version = (): number => held?.version ?? 0
-
   const takeRecords = (list: readonly records.Record[]): void => {
     const at = now()
     const changed = list.filter(item => opts.table.merge(item, at) === 'changed')
     if (changed.length > 0) opts.onRecords(changed)
   }
 
-  const takeDocument = (packed: contracts.PackedText | null): void => {
-    if (packed === null || packed.version <= version()) return
-    const document = contracts.unpackText(packed, held)
-    // The difference from a document that was replaced here while the answer was under way; the whole is fetched next.
-    if (document === undefined) return
-    held = document
-    opts.onDocument(document)
-  }
-
-  /** Asks a control instance for the latest document and takes it. */
-  const ask = async (link: links.Link): Promise<void> => {
-    const call: messages.DiscoveryCall = { t: 'fetch', version: version() }
-    takeDocument(messages.discoveryReply.parse(await link.call(call, FETCH_MS)).document)
-  }
-
-  /** Fetches the latest document from one control instance at a time, until none is known to hold a newer one. */
-  const fetchDocument = async (): Promise<void> => {
-    if (isFetching) return
-    isFetching = true
-    try {
-      if (held === null && controls.length > SUBSCRIPTIONS) await fetchAnywhere()
-      for (let sub = newest(); sub?.link !== undefined; sub = newest()) await fetchFrom(sub, sub.link)
-    } finally {
-      isFetching = false
-    }
-  }
-
-  /** @returns the subscription whose control instance holds a newer document, the main one before others */
-  const newest = (): Subscription | undefined => [...open].find(sub => sub.link !== undefined && sub.version > version())
-
-  /**
-   * Fetches the first document from any control instance. Load pattern: after a loss of power all instances know just the control
-   * instances that the settings name, three of nine here, and 65 whole documents of 37 KB keep their links of 4 Mbit/s busy for
-   * 1.6 s while the other six are idle.
-   */
-  const fetchAnywhere = async (): Promise<void> => {
-    const address = controls[Math.floor(Math.random() * controls.length)]
-    try {
-      const link = await opts.dial(address)
-      await ask(link).finally(() => { link.close() })
-    } catch (err) {
-      // One of the subscriptions is asked next.
-      opts.log.event('controlLost', { address, why: `its document could not be fetched: ${err instanceof Error ? err.message : String(err)}`, subscriptions: open.size })
-    }
-  }
-
-  const fetchFrom = async (sub: Subscription, link: links.Link): Promise<void> => {
-    const before = version()
-    try {
-      await ask(link)
-      // Guards against asking without end where the document that was announced is not handed out.
-      if (version() === before) drop(sub, 'its document did not come')
-    } catch (err) {
-      drop(sub, `its document could not be fetched: ${err instanceof Error ? err.message : String(err)}`)
-    }
-  }
-
   /**
    * Takes the news that a control instance holds a version. Load pattern: each document is announced by three control
    * instances, and the first one to know it, the leader, is subscribed to by a third of all instances. So only those whose
@@ -165,12 +116,43 @@
    */
   const noteVersion = (sub: Subscription, said: number): void => {
     sub.version = Math.max(sub.version, said)
-    if (sub.version <= version()) return
+    if (sub.version <= documents.version()) return
     const isMain = [...open][0] === sub
-    if (isMain || held === null) void fetchDocument()
-    else setTimeout(() => { void fetchDocument() }, SPARE_MS).unref()
+    documents.fetchAfter(isMain || documents.version() === 0 ? 0 : SPARE_MS)
   }
 
+  /**
+   * Any control instance, for the first document. Load pattern: after a loss of power all instances know just the control instances
+   * that the settings name, a third of them, whose links carry 65 whole documents while those of the others are idle.
+   */
+  const toFirstSource = (): documentFetchers.DocumentSource[] => {
+    if (documents.version() > 0 || controls.length <= SUBSCRIPTIONS) return []
+    const address = controls[Math.floor(Math.random() * controls.length)]
+    return [{
+      address,
+      version: Math.max(0, ...[...open].map(sub => sub.version)),
+      link: async () => await opts.dial(address),
+      isForThis: true,
+      onFailure (why) { opts.log.event('documentNotFetched', { address, why }) }
+    }]
+  }
+
+  const toSource = (sub: Subscription): documentFetchers.DocumentSource[] => {
+    const { address, version, link } = sub
+    return link === undefined ? [] : [{ address, version, link: async () => link, onFailure: why => { drop(sub, why) } }]
+  }
+
+  const documents = documentFetchers.createDocumentFetcher({
+    controls: () => [...toFirstSource(), ...[...open].flatMap(toSource)],
+    peers: opts.peers ?? (() => []),
+    reachPeer: opts.reachPeer ?? (async address => { throw new Error(`${address} is not reached from here`) }),
+    onDocument: opts.onDocument,
+    budget: opts.budget ?? sendBudgets.createSendBudget(Infinity),
+    signal: stopped.signal,
+    log: opts.log,
+    now
+  })
+
   const find = (link: links.Link): Subscription | undefined => [...open].find(item => item.link === link)
 
   const drop = (sub: Subscription, why: string): void => {
@@ -189,7 +171,7 @@
     try {
       const link = await opts.dial(address)
       sub.link = link
-      const call: messages.DiscoveryCall = { t: 'subscribe', self: opts.self(), version: version() }
+      const call: messages.DiscoveryCall = { t: 'subscribe', self: opts.self(), version: documents.version() }
       const reply = messages.discoveryReply.parse(await link.call(call, SUBSCRIBE_MS))
       if (!open.has(sub) || stopped.signal.aborted) {
         link.close()
@@ -199,7 +181,7 @@
       opts.log.event('controlFound', { address, subscriptions: open.size })
       if (reply.records !== null) takeRecords(messages.unpackRecords(reply.records))
       controls = reply.controls
-      takeDocument(reply.document)
+      documents.take(reply.document)
       noteVersion(sub, reply.version)
       void link.closed.then(why => { drop(sub, why) })
     } catch (err) {
@@ -231,11 +213,11 @@
       seeds: opts.seeds,
       fetch: opts.handout,
       onReply (reply, address) {
-        if (held !== null) return
+        if (documents.version() > 0) return
         opts.log.event('handoutTaken', { address, version: reply.version })
         if (reply.records !== null) takeRecords(messages.unpackRecords(reply.records))
         if (controls.length === 0) controls = reply.controls
-        takeDocument(reply.document)
+        documents.take(reply.document)
       },
       log: opts.log
     })
@@ -244,11 +226,11 @@
     let lastSignAt = now()
     while (!stopped.signal.aborted) {
       look()
-      if (held === null) askHandouts()
+      if (documents.version() === 0) askHandouts()
       if (now() - lastSignAt >= messages.TICK_MS) {
         lastSignAt = now()
         const self = opts.self()
-        const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
+        const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: documents.version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
         for (const sub of open) sub.link?.send(event)
       }
       await timers.setTimeout(isAlone() ? LOOK_ALONE_MS : LOOK_MS, undefined, { ref: false })
@@ -279,6 +261,15 @@
         case 'signs': break
       }
     },
+    onCall (call) {
+      if (call.t !== 'fetch') throw new Error(`an entry instance answers no call "${call.t}"`)
+      return documents.answer(call.version)
+    },
+    notePeer (address, version) {
+      documents.notePeer(address, version)
+      if (version > documents.version()) documents.fetchAfter(SPARE_MS)
+    },
+    version: documents.version,
     announce () {
       const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
       for (const sub of open) sub.link?.send(event)
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -48,6 +48,8 @@
   log: telemetry.Log
   /** Log lines that were left out so far. */
   droppedLines: () => number
+  /** What this machine's link carries, bytes a millisecond; absent where that is not known. */
+  linkBytesPerMs?: number
 }
 
 /** A running entry instance. */
@@ -125,19 +127,19 @@
       const event = discovery.discoveryEvent.safeParse(body)
       if (event.success) subscriber.onEvent(event.data, link)
     },
-    async onCall () { throw new Error('entry instances answer no calls') }
+    async onCall (body) { return subscriber.onCall(discovery.discoveryCall.parse(body)) }
   }
   const linkSettings: links.LinkSettings = { who: { role: 'router', id: opts.inner }, secret: opts.secret, log, handlers }
   const book = links.createPeerBook(linkSettings)
   const peers = links.createReach(book, { dialMs: DIAL_MS, pauseMs: PEER_PAUSE_MS })
 
-  const takeDocument = (taken: contracts.HeldText): void => {
+  const takeDocument = (taken: contracts.HeldText, waitedMs: number): void => {
     try {
       document = routeTables.compileTable(opts.readDocument(taken.text))
       server.applyLimits(document.limits)
       metrics.documentVersion.set(document.version)
       firstDocument.arrive()
-      log.event('documentInForce', { version: document.version, routes: [...document.routesOf.values()].reduce((sum, list) => sum + list.length, 0) })
+      log.event('documentInForce', { version: document.version, waitedMs: Math.round(waitedMs), routes: [...document.routesOf.values()].reduce((sum, list) => sum + list.length, 0) })
     } catch (err) {
       log.event('documentUnreadable', { version: taken.version, detail: err instanceof Error ? err.message : String(err) })
     }
@@ -161,7 +163,7 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && isHeard(item.heardAt))
     .map(item => item.record)
 
-  const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects, outcomes })
+  const exchange = peerExchanges.startPeerExchange({ others: otherEntries, reach: peers.get, pool: endpoints, suspects, outcomes, version: () => subscriber.version(), onVersion: (address, version) => { subscriber.notePeer(address, version) } })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
@@ -196,6 +198,9 @@
     self,
     onDocument: takeDocument,
     onRecords: list => { endpoints.update(list) },
+    peers: () => discovery.toRandomOrder(otherEntries().map(item => item.inner)),
+    reachPeer: peers.get,
+    budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     log
   })
   const pruner = setInterval(() => {
--- a/packages/forwarding/src/peerExchange.ts
+++ b/packages/forwarding/src/peerExchange.ts
@@ -1,4 +1,7 @@
-/** What entry instances tell each other: how many requests each has at every endpoint, and which requests crash endpoints. */
+/**
+ * What entry instances tell each other: how many requests each has at every endpoint, which requests crash endpoints, and which
+ * document it holds.
+ */
 import * as timers from 'node:timers/promises'
 import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
@@ -14,7 +17,9 @@
   /** Endpoint, requests there, and how long they wait there until their answers begin, milliseconds, or null if that is not known. */
   loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) }))
+  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })),
+  /** Version of the document that the sender holds. */
+  document: z.number().default(0)
 })
 /** What an entry instance tells the others. */
 export type PeerNews = z.infer<typeof peerNews>
@@ -27,6 +32,10 @@
   pool: endpointPools.EndpointPool
   suspects: crashSuspects.CrashSuspects
   outcomes: endpointOutcomes.EndpointOutcomes
+  /** @returns the version of the document that is held here */
+  version: () => number
+  /** Told which version another instance holds. */
+  onVersion: (address: string, version: number) => void
 }
 
 /** Exchanges loads. */
@@ -92,15 +101,18 @@
 
   const run = async (): Promise<void> => {
     let wasEmpty = false
+    let toldVersion = 0
     while (!stopped.signal.aborted) {
       await timers.setTimeout(TELL_MS + TELL_PER_INSTANCE_MS * heard.size, undefined, { ref: false })
       addUp()
       const loads = toLoads()
-      // An idle instance says so once and is then silent but for reminders: silence reads as no load.
+      // An idle instance says so once and is then silent but for a new document: silence reads as no load.
       const outcomes = opts.outcomes.takeNews(performance.now())
-      if (loads.length === 0 && outcomes.length === 0 && wasEmpty) continue
+      const version = opts.version()
+      if (loads.length === 0 && outcomes.length === 0 && wasEmpty && version === toldVersion) continue
       wasEmpty = loads.length === 0
-      tell({ t: 'peer', loads, outcomes, crashes: [] })
+      toldVersion = version
+      tell({ t: 'peer', loads, outcomes, crashes: [], document: version })
     }
   }
 
@@ -110,10 +122,11 @@
       heard.set(from, { loads: news.loads, at: performance.now() })
       opts.suspects.learn(news.crashes, performance.now())
       opts.outcomes.learn(news.outcomes, performance.now())
+      opts.onVersion(from, news.document)
       addUp()
     },
     tellCrashes (crashes) {
-      tell({ t: 'peer', loads: toLoads(), outcomes: [], crashes })
+      tell({ t: 'peer', loads: toLoads(), outcomes: [], crashes, document: opts.version() })
     },
     instances: () => opts.others().length + 1,
     stop () { stopped.abort() }
