fix(forwarding): a path or key is refused as unknown only by the latest document

A client does not try again after 404, so a request that any other instance would have served was lost for good. Cause: an instance answers from the document it holds, whatever it knows of a newer one. 404 and 401 are statements about the newest document, which an instance that is behind, or has no contact with a quorum, cannot make. The class: a negative answer from a stale copy. Looked for elsewhere: a read of the document is confirmed by a quorum already; an announcement that an endpoint is gone is answered by a control instance that has just started with 503. Change: where the document in force is not known to be the latest (a newer version was heard of from a control instance or another entry instance, or no control instance with a quorum was heard for 2.3 s), a request whose path or key is not known waits up to 0.4 s for the next document, as requests do that come before the first, and is then refused with 503 and a Retry-After of 0.3 s and more. requestRefused tells the newest version that the instance had heard of.

--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -48,6 +48,10 @@
   notePeer (address: string, version: number): void
   /** @returns the version of the document that is held here, 0 without one */
   version (): number
+  /** @returns the newest version that any instance said it holds */
+  newest (): number
+  /** @returns whether the document that is held here is known to be the latest: what it lacks is not to be had anywhere */
+  isLatest (): boolean
   /** Announces a change of this instance to all control instances it is subscribed to. */
   announce (): void
   /** @returns when a control instance that has a quorum was last heard */
@@ -270,6 +274,8 @@
       if (version > documents.version()) documents.fetchAfter(SPARE_MS)
     },
     version: documents.version,
+    newest: documents.newest,
+    isLatest: () => documents.version() > 0 && documents.newest() <= documents.version() && now() - currentAt <= GAP_MS,
     announce () {
       const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
       for (const sub of open) sub.link?.send(event)
--- a/packages/forwarding/__tests__/documentNews.test.ts
+++ b/packages/forwarding/__tests__/documentNews.test.ts
@@ -5,6 +5,9 @@
 
 const test = ava.default
 
+/** Longer than a control instance may be silent. */
+const SILENT_MS = 3000
+
 /** Paths of the first document; the second one adds the other. */
 const OLD = ['/a/']
 const NEW = ['/a/', '/b/']
@@ -29,6 +32,17 @@
   t.true(Number(answer.retryAfter) > 0)
 })
 
+// Guards against the same at an instance that is cut off from all control instances and has heard of no newer document.
+test('an instance without news refuses no path for good', async t => {
+  const control = await helper.startControl()
+  control.put(helper.toDocument(1, OLD))
+  const instance = await helper.startInstance('i1', [control.inner])
+  t.teardown(async () => { await instance.stop() })
+  await control.close()
+  await timers.setTimeout(SILENT_MS)
+  t.is((await instance.ask('/b/x')).status, 503)
+})
+
 // Guards against an instance that stays behind for as long as the control instances that it listens to hand nothing out.
 test('a document that no control instance hands out comes from another entry instance', async t => {
   const group: helper.ControlGroup = new Set()
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -9,7 +9,7 @@
 import * as entryContexts from '../../src/entryContext.js'
 import * as entryMetrics from '../../src/entryMetrics.js'
 import * as entryServers from '../../src/entryServer.js'
-import * as firstDocuments from '../../src/firstDocument.js'
+import * as nextDocuments from '../../src/nextDocument.js'
 import type * as headerNames from '../../src/headerNames.js'
 import * as retryWindows from '../../src/retryWindow.js'
 import * as routeTables from '../../src/routeTable.js'
@@ -143,7 +143,7 @@
   let isStopping = false
   let mayTake = true
   let hasDocument = opts.isLate !== true
-  const firstDocument = firstDocuments.createFirstDocument()
+  const nextDocument = nextDocuments.createNextDocument()
   const windows = retryWindows.createRetryWindow({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 })
   const ctx: entryContexts.EntryContext = {
     names: NAMES,
@@ -155,7 +155,9 @@
     metrics: entryMetrics.createEntryMetrics(),
     log,
     table: () => hasDocument ? document : undefined,
-    firstDocument,
+    nextDocument,
+    isLatestDocument: () => true,
+    newestDocument: () => 1,
     retryWindow: () => windows,
     isStopping: () => isStopping,
     mayTake: () => mayTake,
@@ -195,7 +197,7 @@
     },
     arrive () {
       hasDocument = true
-      firstDocument.arrive()
+      nextDocument.arrive()
     },
     stop (takes) {
       isStopping = true
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -17,6 +17,15 @@
   | { kind: 'admitted', route: routeTables.Route, account: routeTables.ClientAccount | undefined, attemptId: string, clientMs: number | undefined }
   | { kind: 'refused', refusal: clientCalls.Refusal }
 
+/**
+ * Tells whether a refusal says that something is not in the document: a newer one may hold it.
+ * @param refusal the refusal
+ * @returns whether it holds for this document only
+ */
+export function isByDocument (refusal: clientCalls.Refusal): boolean {
+  return refusal.kind === 'rejected' && (refusal.status === 401 || refusal.status === 404)
+}
+
 const ID = /^[\x21-\x7e]{1,200}$/
 
 /**
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -4,8 +4,8 @@
 import * as endpointOutcomes from './endpointOutcome.js'
 import * as endpointPools from './endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
-import * as firstDocuments from './firstDocument.js'
 import * as headerNames from './headerNames.js'
+import * as nextDocuments from './nextDocument.js'
 import * as peerExchanges from './peerExchange.js'
 import * as retryWindows from './retryWindow.js'
 import * as routeTables from './routeTable.js'
@@ -22,8 +22,12 @@
   log: telemetry.Log
   /** @returns the document in force, or undefined before the first */
   table: () => routeTables.CompiledTable | undefined
-  /** Holds requests until there is a document. */
-  firstDocument: firstDocuments.FirstDocument
+  /** @returns whether the document in force is known to be the latest */
+  isLatestDocument: () => boolean
+  /** @returns the newest version of the document that any instance said it holds */
+  newestDocument: () => number
+  /** Holds requests until the next document comes. */
+  nextDocument: nextDocuments.NextDocument
   /** @returns the second sends that are left for a service */
   retryWindow: (service: string) => retryWindows.RetryWindow
   /** @returns whether this instance was told to stop */
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -13,8 +13,8 @@
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
 import * as entryServers from './entryServer.js'
-import * as firstDocuments from './firstDocument.js'
 import * as headerNames from './headerNames.js'
+import * as nextDocuments from './nextDocument.js'
 import * as peerExchanges from './peerExchange.js'
 import * as retryWindows from './retryWindow.js'
 import * as routeTables from './routeTable.js'
@@ -99,7 +99,7 @@
     log.event('endpointSetAside', { endpoint, isAside, missedShare: Number(share.toFixed(2)) })
   })
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines)
-  const firstDocument = firstDocuments.createFirstDocument()
+  const nextDocument = nextDocuments.createNextDocument()
   let document: routeTables.CompiledTable | undefined
   let stopBeganAt: number | undefined
   let seq = 0
@@ -138,7 +138,7 @@
       document = routeTables.compileTable(opts.readDocument(taken.text))
       server.applyLimits(document.limits)
       metrics.documentVersion.set(document.version)
-      firstDocument.arrive()
+      nextDocument.arrive()
       log.event('documentInForce', { version: document.version, waitedMs: Math.round(waitedMs), routes: [...document.routesOf.values()].reduce((sum, list) => sum + list.length, 0) })
     } catch (err) {
       log.event('documentUnreadable', { version: taken.version, detail: err instanceof Error ? err.message : String(err) })
@@ -175,7 +175,9 @@
     metrics,
     log,
     table: () => document,
-    firstDocument,
+    isLatestDocument: () => subscriber.isLatest(),
+    newestDocument: () => subscriber.newest(),
+    nextDocument,
     retryWindow (service) {
       const known = retryOf.get(service)
       if (known !== undefined) return known
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -6,7 +6,7 @@
 import * as admission from './admission.js'
 import * as clientCalls from './clientCall.js'
 import * as entryContexts from './entryContext.js'
-import * as firstDocuments from './firstDocument.js'
+import * as nextDocuments from './nextDocument.js'
 import * as forwards from './forward.js'
 import * as routeTables from './routeTable.js'
 
@@ -33,6 +33,9 @@
   ctx: entryContexts.EntryContext
 }
 
+/** The document that a request was looked at with, if there is one, and what came of it. */
+type Admitted = { table: undefined, seen?: undefined } | { table: routeTables.CompiledTable, seen: admission.Admission }
+
 /** Headers beyond this are refused by the parser itself; the document's limit, which is lower, is checked after it. */
 const PARSER_HEADER_BYTES = 64 * 1024
 /** How often the parser looks for clients that take too long. */
@@ -73,17 +76,16 @@
     const refuse = (refusal: clientCalls.Refusal): void => {
       clientCalls.refuse({ req, res, attemptId }, refusal, ctx.names.attemptId)
       ctx.metrics.requests.inc({ route: 'none', outcome: String(clientCalls.toStatus(refusal)) })
-      ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version })
+      ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version, newest: ctx.newestDocument() })
     }
     res.on('error', () => {})
     if (ctx.isStopping()) res.setHeader('Connection', 'close')
-    const table = ctx.table() ?? await waitForTable(req, res)
+    const { table, seen } = await admit(req, res)
     if (res.destroyed) return
     if (table === undefined) {
       refuse({ kind: 'unavailable', why: 'this instance has no document yet', cause: { kind: 'starting', uptimeMs: ctx.now() } })
       return
     }
-    const seen = admission.admit({ method: req.method ?? '', url: req.url ?? '', host: req.headers.host, raw: req.rawHeaders }, table, ctx.names)
     if (seen.kind === 'refused') {
       refuse(seen.refusal)
       return
@@ -112,10 +114,32 @@
     }
   }
 
-  const waitForTable = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<routeTables.CompiledTable | undefined> => {
+  /**
+   * Looks at the head of a request by the document in force. Guards against a request that is refused for good by an instance that
+   * is behind, as after a partition: a path or a key that is not known counts as unknown only where the document is the latest.
+   */
+  const admit = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<Admitted> => {
+    const table = ctx.table() ?? await waitForTable(req, res, false)
+    if (table === undefined) return { table }
+    const seen = look(req, table)
+    if (!isDoubtful(seen)) return { table, seen }
+    const next = await waitForTable(req, res, true) ?? table
+    const seenNext = look(req, next)
+    if (!isDoubtful(seenNext)) return { table: next, seen: seenNext }
+    const why = `version ${next.version} does not know this path or key, and ${ctx.newestDocument()} may be newer`
+    return { table: next, seen: { kind: 'refused', refusal: { kind: 'unavailable', why, cause: { kind: 'outdated' } } } }
+  }
+
+  const look = (req: http.IncomingMessage, table: routeTables.CompiledTable): admission.Admission => {
+    return admission.admit({ method: req.method ?? '', url: req.url ?? '', host: req.headers.host, raw: req.rawHeaders }, table, ctx.names)
+  }
+
+  const isDoubtful = (seen: admission.Admission): boolean => seen.kind === 'refused' && admission.isByDocument(seen.refusal) && !ctx.isLatestDocument()
+
+  const waitForTable = async (req: http.IncomingMessage, res: http.ServerResponse, isForNewer: boolean): Promise<routeTables.CompiledTable | undefined> => {
     const clientMs = admission.toClientMs(req.rawHeaders, ctx.names)
-    const holdMs = firstDocuments.toHoldMs(clientMs, ctx.firstDocument.held())
-    if (holdMs > 0) await ctx.firstDocument.wait(holdMs, run => res.once('close', run))
+    const holdMs = nextDocuments.toHoldMs(clientMs, ctx.nextDocument.held(), isForNewer)
+    if (holdMs > 0) await ctx.nextDocument.wait(holdMs, run => res.once('close', run))
     return ctx.table()
   }
 
--- a/packages/forwarding/src/firstDocument.ts
+++ b/packages/forwarding/src/nextDocument.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that come before this instance has its first document.
+ * Requests that wait for a document: for the first one, or for a newer one that may know their path or key.
  *
  * Load pattern: the whole fleet is killed or loses its power. Entry instances listen again some hundred milliseconds before the
  * first control instance can hand out the document, and callers come all that time. Refused, each of them uses up its one return
@@ -10,33 +10,36 @@
 const HOLD_SHARE = 0.25
 /** Longer than a control instance takes to start on a small share of a processor. */
 const HOLD_MOST_MS = 1500
+/** Longer than a newer document takes from another instance: an instance that has one serves all others meanwhile. */
+const HOLD_NEWER_MOST_MS = 400
 /** A caller that names no deadline waits at least so long. */
 const UNNAMED_DEADLINE_MS = 2000
 /** What an instance holds is bounded: beyond it requests are refused at once. */
 const HOLD_REQUESTS = 512
 
 /**
- * Tells how long a request may be held until there is a document.
+ * Tells how long a request may be held until there is a document, or a newer one.
  * @param clientMs how long its caller waits, milliseconds, if it says so
  * @param held requests that are held already
+ * @param isForNewer whether this instance has a document
  * @returns milliseconds, 0 where it is refused at once
  */
-export function toHoldMs (clientMs: number | undefined, held: number): number {
+export function toHoldMs (clientMs: number | undefined, held: number, isForNewer = false): number {
   if (held >= HOLD_REQUESTS) return 0
-  return Math.min(HOLD_MOST_MS, HOLD_SHARE * (clientMs ?? UNNAMED_DEADLINE_MS))
+  return Math.min(isForNewer ? HOLD_NEWER_MOST_MS : HOLD_MOST_MS, HOLD_SHARE * (clientMs ?? UNNAMED_DEADLINE_MS))
 }
 
-/** Requests that wait for the first document. */
-export interface FirstDocument {
+/** Requests that wait for the next document. */
+export interface NextDocument {
   /**
-   * Waits until there is a document, the time is over or the caller has left.
+   * Waits until a document comes, the time is over or the caller has left.
    * @param ms how long at most
    * @param onLeave has a function called when the caller leaves
    */
   wait (ms: number, onLeave: (run: () => void) => void): Promise<void>
   /** @returns requests that wait now */
   held (): number
-  /** There is a document now. */
+  /** A document has come. */
   arrive (): void
 }
 
@@ -44,7 +47,7 @@
  * Creates the waiting room.
  * @returns the room, empty
  */
-export function createFirstDocument (): FirstDocument {
+export function createNextDocument (): NextDocument {
   const waiting = new Set<() => void>()
   return {
     async wait (ms, onLeave) {
--- a/packages/forwarding/src/retryAfter.ts
+++ b/packages/forwarding/src/retryAfter.ts
@@ -9,6 +9,8 @@
 export type RefusalCause =
   /** This instance has just started and has no document yet. */
   | { kind: 'starting', /** Since the process started, milliseconds. */ uptimeMs: number }
+  /** Another document may know the request's path or key: this instance waits for it. */
+  | { kind: 'outdated' }
   /** This instance stops: another one takes the request at once. */
   | { kind: 'stopping' }
   /** No endpoint of the service can be reached now. */
@@ -25,6 +27,8 @@
 /** The most that a starting instance asks for: callers with seconds to go come back once more before they give up. */
 const STARTING_MOST_MS = 3000
 const STOPPING_MS = 20
+/** Longer than a document takes to all instances; another instance may have it already. */
+const OUTDATED_MS = 300
 /** Endpoints that crashed are mostly replaced or found again after a second. */
 const NO_ENDPOINT_MS = 700
 /** A place becomes free as soon as one of many running requests ends. */
@@ -50,6 +54,7 @@
     // An outage that has lasted long is likely to last as long again.
     case 'starting': return Math.min(STARTING_MOST_MS, Math.max(STARTING_LEAST_MS, cause.uptimeMs))
     case 'stopping': return STOPPING_MS
+    case 'outdated': return OUTDATED_MS
     case 'noEndpoint': return NO_ENDPOINT_MS
     case 'noRoom': return NO_ROOM_MS
     case 'busy': return BUSY_DELAYS * cause.delayMs
