fix(discovery): a control instance whose tick is late is not taken for one without a quorum

Each exchange sends all records again and breaks off a document that is under way, when control instances have most to do. Cause: a subscription counted as without a quorum when no tick that claims one had come for 1.5 s, also where the next tick was only half a second late on 0.135 of a core. The class: lateness taken for a statement. Change: a control instance is exchanged when its last tick says that it has no quorum, and that has lasted 1.5 s; one that says nothing is left as silent after 2.3 s, as before. Before: the test saw one of three subscriptions exchanged. After: none; 27 tests of discovery.

--- a/packages/discovery/__tests__/subscriptions.test.ts
+++ b/packages/discovery/__tests__/subscriptions.test.ts
@@ -148,3 +148,21 @@
   entry.stop()
   await control.close()
 })
+
+// Guards against subscriptions that are exchanged one after the other, each with all records, where control instances are only busy.
+test('a control instance whose tick is late is not left', async t => {
+  const controls = await Promise.all([0, 1, 2, 3].map(async () => await helper.startControl()))
+  let clock = 0
+  const entry = helper.startEntry('i1', controls.map(item => item.address), () => clock)
+  t.teardown(async () => {
+    entry.stop()
+    await Promise.all(controls.map(async item => { await item.close() }))
+  })
+  await helper.until('it listens to three', () => controls.filter(item => item.subscribers() === 1).length === 3)
+  for (const control of controls) control.tick()
+  await timers.setTimeout(200)
+  const before = controls.map(item => item.subscribers())
+  clock += 1.9 * discovery.TICK_MS
+  await timers.setTimeout(600)
+  t.deepEqual(controls.map(item => item.subscribers()), before)
+})
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -88,7 +88,15 @@
 /** How long the other subscriptions leave a new document to the main one: half a heartbeat between control instances. */
 const SPARE_MS = 100
 
-interface Subscription { address: string, link: links.Link | undefined, heardAt: number, currentAt: number, version: number }
+interface Subscription {
+  address: string
+  link: links.Link | undefined
+  heardAt: number
+  /** Whether the control instance had a quorum at its last tick, and when it last had one. */
+  isCurrent: boolean
+  currentAt: number
+  version: number
+}
 
 /**
  * Starts keeping subscriptions.
@@ -170,7 +178,7 @@
   }
 
   const subscribe = async (address: string): Promise<void> => {
-    const sub: Subscription = { address, link: undefined, heardAt: now(), currentAt: now(), version: 0 }
+    const sub: Subscription = { address, link: undefined, heardAt: now(), isCurrent: true, currentAt: now(), version: 0 }
     open.add(sub)
     try {
       const link = await opts.dial(address)
@@ -205,7 +213,7 @@
       if (now() - sub.heardAt > SILENT_MS) drop(sub, 'silent')
     }
     const free = candidates()
-    const stale = [...open].filter(sub => now() - sub.currentAt > NOT_CURRENT_MS)
+    const stale = [...open].filter(sub => !sub.isCurrent && now() - sub.currentAt > NOT_CURRENT_MS)
     // One that lost its quorum is better than none: it goes only when another one can be tried.
     if (open.size >= SUBSCRIPTIONS && stale.length > 0 && free.length > 0) drop(stale[0], 'no quorum')
     for (const address of free.slice(0, Math.max(0, SUBSCRIPTIONS - open.size))) void subscribe(address)
@@ -251,6 +259,7 @@
         case 'news': takeRecords(event.list); break
         case 'version': noteVersion(sub, event.version); break
         case 'tick':
+          sub.isCurrent = event.isCurrent
           if (event.isCurrent) {
             if (now() - currentAt > GAP_MS) currentSince = now()
             currentAt = sub.currentAt = now()
