--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -126,7 +126,9 @@
     const next = await waitForTable(req, res, true) ?? table
     const seenNext = look(req, next)
     if (!isDoubtful(seenNext)) return { table: next, seen: seenNext }
-    const why = `version ${next.version} does not know this path or key, and ${ctx.newestDocument()} may be newer`
+    const newest = ctx.newestDocument()
+    const doubt = newest > next.version ? `version ${newest} is not here yet` : 'no control instance with a quorum was heard lately'
+    const why = `version ${next.version} does not know this path or key, and ${doubt}`
     return { table: next, seen: { kind: 'refused', refusal: { kind: 'unavailable', why, cause: { kind: 'outdated' } } } }
   }
 
