test(forwarding): a request on a path that the next document holds waits for it

Guards the wait of the doubtful refusal, which no test needed. It first failed by its stand-in, which lost the call instead of holding it: an instance with one control instance and no other to ask waits for the whole second of a lost call.

--- a/packages/forwarding/__tests__/documentNews.test.ts
+++ b/packages/forwarding/__tests__/documentNews.test.ts
@@ -1,6 +1,7 @@
 /** What an entry instance does while others hold a newer document than it does. */
 import * as ava from 'ava'
 import * as timers from 'node:timers/promises'
+import * as testEntries from './helpers/testEntry.js'
 import * as helper from './helpers/testFleet.js'
 
 const test = ava.default
@@ -32,6 +33,27 @@
   t.true(Number(answer.retryAfter) > 0)
 })
 
+// Guards against a client that is sent away for a document that is a moment away.
+test('a request on a path that the next document holds waits for it', async t => {
+  const control = await helper.startControl()
+  const endpoint = await testEntries.startEndpoint('e1', testEntries.sound)
+  control.put(helper.toDocument(1, OLD))
+  const instance = await helper.startInstance('i1', [control.inner])
+  t.teardown(async () => {
+    await Promise.all([instance.stop(), control.close()])
+    endpoint.close()
+  })
+  await control.announce(endpoint)
+  await helper.until('the endpoint is known', async () => (await instance.ask('/a/x')).status === 200)
+  control.withhold()
+  control.put(helper.toDocument(2, NEW))
+  await timers.setTimeout(100)
+  const answer = instance.ask('/b/x')
+  await timers.setTimeout(50)
+  control.release()
+  t.is((await answer).status, 200)
+})
+
 // Guards against the same at an instance that is cut off from all control instances and has heard of no newer document.
 test('an instance without news refuses no path for good', async t => {
   const control = await helper.startControl()
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -20,8 +20,12 @@
   inner: string
   /** Holds and announces a document. */
   put: (document: contracts.HeldText) => void
-  /** From now on the document is asked for in vain. */
+  /** From now on the document is asked for in vain, until {@link TestControl.release}. */
   withhold: () => void
+  /** Answers those who asked meanwhile. */
+  release: () => void
+  /** Takes an endpoint's announcement. */
+  announce: (endpoint: helper.TestEndpoint) => Promise<void>
   /** Ends all its links and takes no more. */
   close: () => Promise<void>
 }
@@ -34,6 +38,7 @@
   const inner = await freeAddress()
   let held: contracts.HeldText | undefined
   let isWithholding = false
+  const waiting: Array<() => void> = []
   const publisher = discovery.createPublisher({
     self: inner,
     table: discovery.createRecordTable(),
@@ -57,7 +62,7 @@
     async onCall (body, link) {
       const call = discovery.discoveryCall.parse(body)
       if (call.t === 'subscribe') spread([call.self])
-      if (call.t === 'fetch' && isWithholding) return await new Promise(() => {})
+      if (call.t === 'fetch' && isWithholding) await new Promise<void>(resolve => { waiting.push(resolve) })
       const reply = await publisher.onCall(call, link)
       return isWithholding ? { ...reply, document: null } : reply
     }
@@ -71,6 +76,11 @@
       publisher.publishDocument()
     },
     withhold () { isWithholding = true },
+    release () {
+      isWithholding = false
+      for (const answer of waiting.splice(0)) answer()
+    },
+    announce: async ({ id, address }) => { await publisher.announce({ kind: 'endpoint', id, startedAt: 1, seq: 1, zone: 'z', state: 'ready', service: 'svc', address, slots: 8, coldMs: 0 }) },
     async close () {
       clearInterval(timer)
       await server.close()
