test(forwarding,discovery): guards of the fetcher that no test needed

Sharpened: the document from another entry instance is shown by an answer of the endpoint (before, an instance that lost sight of the others passed), a busy control instance is not left (subscriptions are counted), one that hands nothing out is not asked without end (bound from the pauses of 0.2, 0.4, 0.8 s).

--- a/packages/discovery/__tests__/documents.test.ts
+++ b/packages/discovery/__tests__/documents.test.ts
@@ -95,7 +95,7 @@
 // A control instance that is behind, or wrong about what it holds, hands out an older document. An instance that went back
 // would refuse routes that the operators were told are in force.
 test('an older document is not taken', async t => {
-  const sound = await helper.startControl()
+  const sound = await helper.startControl({ isTicking: true })
   const wrong = await helper.startControl({ said: 9 })
   const entry = helper.startEntry('e1', [sound.address])
   sound.put(toDocument(5))
@@ -103,8 +103,10 @@
   wrong.put(toDocument(3))
   entry.seeds.push(wrong.address)
   await helper.until('the other one is asked', () => wrong.fetches() > 0)
-  await timers.setTimeout(100)
+  await timers.setTimeout(1500)
   t.deepEqual(entry.documents.map(item => item.version), [5])
+  // It is left for 0.2, 0.4 and 0.8 s.
+  t.true(wrong.fetches() <= 6, `asked without end: ${wrong.fetches()} times`)
   entry.stop()
   await Promise.all([sound.close(), wrong.close()])
 })
@@ -118,7 +120,7 @@
   const entries = Array.from({ length: 5 }, (_, i) => helper.startEntry(`e${i}`, [control.address]))
   await helper.until('all have it', () => entries.every(item => item.documents.at(-1)?.version === 1))
   t.true(control.fetches() > entries.length)
-  t.is(control.subscribers(), entries.length)
+  t.is(control.subscriptions(), entries.length, 'and leaves nobody')
   for (const entry of entries) entry.stop()
   await control.close()
 })
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -16,6 +16,8 @@
   sent: () => number
   /** Times that the document was asked for. */
   fetches: () => number
+  /** Times that somebody subscribed. */
+  subscriptions: () => number
   /** Links of entry instances that are open. */
   subscribers: () => number
   put: (document: contracts.HeldText) => void
@@ -47,6 +49,7 @@
   const open: links.Link[] = []
   let bytes = 0
   let fetches = 0
+  let subscriptions = 0
   let listening: links.LinkServer | undefined
   const port = (): number => listening?.port ?? 0
   const since = (version: number): contracts.PackedText | null => {
@@ -72,6 +75,7 @@
     async onCall (body, link) {
       const call = discovery.discoveryCall.parse(body)
       if (call.t === 'fetch') fetches++
+      if (call.t === 'subscribe') subscriptions++
       if (call.t === 'fetch' && opts.isSilentOnFetch === true) return await new Promise(() => {})
       return await publisher.onCall(call, link)
     }
@@ -82,6 +86,7 @@
     address: `127.0.0.1:${server.port}`,
     sent: () => bytes,
     fetches: () => fetches,
+    subscriptions: () => subscriptions,
     subscribers: () => open.filter(link => link.isOpen()).length,
     put (document) {
       texts.push(document)
--- a/packages/forwarding/__tests__/documentNews.test.ts
+++ b/packages/forwarding/__tests__/documentNews.test.ts
@@ -13,11 +13,6 @@
 const OLD = ['/a/']
 const NEW = ['/a/', '/b/']
 
-/** There are no endpoints: a request on a known path is refused for a while, one on a path that no document knows for good. */
-async function hasNew (instance: helper.TestInstance): Promise<boolean> {
-  return (await instance.ask('/b/x')).status === 503 && (await instance.ask('/c/x')).status === 404
-}
-
 // Guards against a route that was confirmed to the operator and is refused as unknown by an instance that waits for its document.
 test('a path that a newer document may hold is not refused for good', async t => {
   const control = await helper.startControl()
@@ -73,10 +68,15 @@
   for (const control of [sound, mute]) control.put(helper.toDocument(1, OLD))
   const first = await helper.startInstance('i1', [sound.inner])
   const second = await helper.startInstance('i2', [mute.inner])
-  t.teardown(async () => { await Promise.all([first.stop(), second.stop(), sound.close(), mute.close()]) })
+  const endpoint = await testEntries.startEndpoint('e1', testEntries.sound)
+  t.teardown(async () => {
+    await Promise.all([first.stop(), second.stop(), sound.close(), mute.close()])
+    endpoint.close()
+  })
+  await mute.announce(endpoint)
   mute.withhold()
   for (const control of [sound, mute]) control.put(helper.toDocument(2, NEW))
-  await helper.until('the second has it', async () => await hasNew(second))
+  await helper.until('the second has it', async () => (await second.ask('/b/x')).status === 200)
   t.pass()
 })
 
@@ -88,9 +88,13 @@
   for (const control of [sound, behind]) control.put(helper.toDocument(1, OLD))
   const first = await helper.startInstance('i1', [sound.inner])
   const second = await helper.startInstance('i2', [behind.inner])
-  t.teardown(async () => { await Promise.all([first.stop(), second.stop(), sound.close(), behind.close()]) })
-  await timers.setTimeout(500)
+  const endpoint = await testEntries.startEndpoint('e1', testEntries.sound)
+  t.teardown(async () => {
+    await Promise.all([first.stop(), second.stop(), sound.close(), behind.close()])
+    endpoint.close()
+  })
+  await behind.announce(endpoint)
   sound.put(helper.toDocument(2, NEW))
-  await helper.until('the second has it', async () => await hasNew(second))
+  await helper.until('the second has it', async () => (await second.ask('/b/x')).status === 200)
   t.pass()
 })
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -58,6 +58,7 @@
       const event = discovery.discoveryEvent.parse(body)
       publisher.onEvent(event)
       if (event.t === 'news') spread(event.list)
+      if (event.t === 'tick') for (const other of group) other.onEvent({ t: 'signs', signs: event.signs })
     },
     async onCall (body, link) {
       const call = discovery.discoveryCall.parse(body)
