fix(links): a dial that times out closes its connection

Cause: the entry instance raced links.dial against a timer of 400 ms. The dial went on after the timer; when it succeeded after all, nobody owned the link, and its pings kept it alive. Same class looked for elsewhere: createPeerDialer raced peers.get the same way; its late link was kept by the peer links, so it did not leak, but the next call dialled beside it.

Change: the timeout belongs to the dial and destroys its socket. withTimeout remains for calls that create nothing.

Test: 'a dial that times out closes its connection'.

--- a/packages/links/__tests__/links.test.ts
+++ b/packages/links/__tests__/links.test.ts
@@ -78,3 +78,28 @@
   t.is((err as links.CallError).kind, 'closed')
   t.is(await link.closed, 'silent')
 })
+
+// A busy listener that answers after the dial timed out would otherwise accumulate links that nobody uses or closes.
+test('a dial that times out closes its connection', async t => {
+  const sockets = new Set<net.Socket>()
+  const busy = net.createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => sockets.delete(socket))
+    const upstream = net.connect(server.port, '127.0.0.1')
+    upstream.on('error', () => {})
+    socket.on('close', () => upstream.destroy())
+    socket.on('data', data => { setTimeout(() => upstream.write(data), 300) })
+    upstream.on('data', data => { socket.write(data) })
+  })
+  const server = await listen(t)
+  await new Promise<void>(resolve => { busy.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { busy.close() })
+  const address = `127.0.0.1:${(busy.address() as net.AddressInfo).port}`
+  await t.throwsAsync(links.dial(address, settings('client'), 100), { message: /no link within 100 ms/ })
+  await new Promise(resolve => { setTimeout(resolve, 900) })
+  t.is(sockets.size, 0)
+  const link = await links.dial(address, settings('client'), 5000)
+  t.deepEqual(await link.call('x', 5000), { echo: 'x' })
+  link.close()
+})
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -28,13 +28,14 @@
 }
 
 /**
- * Opens a link to an address.
+ * Opens a link to an address. A dial that fails or times out leaves no connection behind.
+ * @param timeoutMs time for the connection and the handshake together
  * @returns the link, once both sides are authenticated
  * @throws Error when the connection or handshake fails or times out
  */
-export async function dial (address: string, cfg: LinkSettings): Promise<links.Link> {
+export async function dial (address: string, cfg: LinkSettings, timeoutMs = HANDSHAKE_TIMEOUT_MS): Promise<links.Link> {
   const socket = net.connect({ ...parseAddress(address) })
-  const pipe = createHandshakePipe(socket)
+  const pipe = createHandshakePipe(socket, timeoutMs)
   try {
     const nonce = handshake.createNonce()
     pipe.write({ protocol: handshake.PROTOCOL, who: cfg.identity, nonce })
@@ -86,7 +87,7 @@
 }
 
 async function accept (socket: net.Socket, cfg: LinkSettings): Promise<links.Link> {
-  const pipe = createHandshakePipe(socket)
+  const pipe = createHandshakePipe(socket, HANDSHAKE_TIMEOUT_MS)
   const hello = handshake.clientHello.parse(await pipe.next())
   const nonce = handshake.createNonce()
   const proof = handshake.createProof(cfg.secret, 'listens', hello.nonce, nonce, cfg.identity)
@@ -101,7 +102,7 @@
 }
 
 /** Exchanges single frames during the handshake, then hands over the reader and the remaining frames. */
-function createHandshakePipe (socket: net.Socket) {
+function createHandshakePipe (socket: net.Socket, timeoutMs: number) {
   let maxBytes = HANDSHAKE_MAX_BYTES
   const reader = frames.createFrameReader(() => maxBytes)
   const earlyFrames: frames.ReceivedFrame[] = []
@@ -120,7 +121,7 @@
     wake()
   }
   const onClose = (): void => { fail(new Error('connection closed during the handshake')) }
-  const timer = setTimeout(() => { fail(new Error(`handshake not completed within ${HANDSHAKE_TIMEOUT_MS} ms`)) }, HANDSHAKE_TIMEOUT_MS)
+  const timer = setTimeout(() => { fail(new Error(`no link within ${timeoutMs} ms: connection or handshake not completed`)) }, timeoutMs)
   socket.on('data', onData)
   socket.on('error', fail)
   socket.on('close', onClose)
--- a/packages/links/src/peerDialer.ts
+++ b/packages/links/src/peerDialer.ts
@@ -35,7 +35,7 @@
       if (known !== undefined) return known
       if (performance.now() - lastFailureAt(address) < opts.backoffMs) throw new Error(`${address} is unreachable; next attempt after a backoff of ${opts.backoffMs} ms`)
       try {
-        return await withTimeout(peers.get(address, address), opts.dialTimeoutMs, `no connection to ${address}`)
+        return await peers.get(address, address, opts.dialTimeoutMs)
       } catch (err) {
         failures.set(address, performance.now())
         throw err
--- a/packages/links/src/peerLinks.ts
+++ b/packages/links/src/peerLinks.ts
@@ -6,9 +6,10 @@
 export interface PeerLinks {
   /**
    * Returns an open link to a peer, dialling if there is none.
+   * @param timeoutMs timeout of the dial; callers that join a dial share its timeout
    * @throws Error when the connection or handshake fails, or another peer has the address
    */
-  get (id: string, address: string): Promise<links.Link>
+  get (id: string, address: string, timeoutMs?: number): Promise<links.Link>
   /** Returns an open link to a peer without dialling. */
   peek (id: string): links.Link | undefined
   /** Adds a link that the peer opened, so that both directions share it. */
@@ -34,9 +35,9 @@
     })
   }
 
-  const dial = async (id: string, address: string): Promise<links.Link> => {
+  const dial = async (id: string, address: string, timeoutMs: number | undefined): Promise<links.Link> => {
     try {
-      const link = await connect.dial(address, cfg)
+      const link = await connect.dial(address, cfg, timeoutMs)
       if (link.peer.id !== id) {
         link.close()
         throw new Error(`peer at ${address} is ${link.peer.id}, expected ${id}`)
@@ -49,12 +50,12 @@
   }
 
   return {
-    async get (id, address) {
+    async get (id, address, timeoutMs) {
       const known = open.get(id)
       if (known?.isOpen() === true) return known
       let attempt = dialling.get(id)
       if (attempt === undefined) {
-        attempt = dial(id, address)
+        attempt = dial(id, address, timeoutMs)
         dialling.set(id, attempt)
       }
       return await attempt
