fix(discovery): a fleet of hundreds joins its control instances

Callers saw: no request served at 191 entry and 9 control instances; no leader was elected.

Change: an instance asks one seed, a second one when that takes over 700 ms; back-off grows and has jitter also before the first contact. After it, subscriptions go to three control instances in rendezvous order of all of them, one move at a time. Liveness is published as changes (records that became late, or are no longer late). Changes are packed. A subscriber of an earlier version still gets every heartbeat. 421 is forgotten by the time of the next sign of life, since heartbeats no longer carry their number to entry instances.

--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -105,16 +105,17 @@
 export interface TestEntry { documents: contracts.VersionedText[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
-export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: (address: string) => Promise<Uint8Array>): TestEntry {
+export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: (address: string) => Promise<Uint8Array>, dialTimeoutMs?: number): TestEntry {
   const documents: contracts.VersionedText[] = []
   const handlers: links.LinkHandlers = {
     onEvent (body, link) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) },
     async onCall () { throw new Error('unexpected call to an entry instance') }
   }
   const subscriber = discovery.startSubscriber({
+    id,
     seeds: () => seeds,
     table: discovery.createRecordTable(),
-    dial: async address => await links.dial(address, { identity: { role: 'router', id }, secret: SECRET, log, handlers }),
+    dial: async address => await links.dial(address, { identity: { role: 'router', id }, secret: SECRET, log, handlers }, dialTimeoutMs),
     self: () => ({ kind: 'entry', id, startedAt: 1, seq: 1, zone: 'z', region: 'r', front: '127.0.0.1:1', inner: '127.0.0.1:2', state: 'ready' }),
     onDocument: document => { documents.push(document) },
     onRecords: () => {},
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -2,6 +2,7 @@
 export * from './documentHistory.js'
 export * from './handout.js'
 export { toShuffled } from './handoutPoller.js'
+export * from './liveness.js'
 export * from './messages.js'
 export * from './publisher.js'
 export * from './records.js'
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -8,8 +8,15 @@
 
 /** Calls to a control instance; `fetch` is also answered by entry instances. */
 export const discoveryCall = z.discriminatedUnion('t', [
-  /** Subscribes an entry instance to all changes; `version` is the version of its document. */
-  z.object({ t: z.literal('subscribe'), self: records.record, version: z.number() }),
+  z.object({
+    /** Subscribes an entry instance to all changes. */
+    t: z.literal('subscribe'),
+    self: records.record,
+    /** Version of the caller's document. */
+    version: z.number(),
+    /** Whether the caller accepts packed changes, and changes of liveness instead of every heartbeat. */
+    isCompact: z.boolean().default(false)
+  }),
   /** Changed records, to be acknowledged. */
   z.object({ t: z.literal('records'), list: z.array(records.record) }),
   /** All records of another control instance, for anti-entropy. */
@@ -18,7 +25,7 @@
   z.object({ t: z.literal('fetch'), version: z.number() })
 ])
 /** Calls to a control instance; `fetch` is also answered by entry instances. */
-export type DiscoveryCall = z.infer<typeof discoveryCall>
+export type DiscoveryCall = z.input<typeof discoveryCall>
 
 /** Reply to a {@link DiscoveryCall}. */
 export const discoveryReply = z.object({
@@ -26,6 +33,8 @@
   records: contracts.bytes.nullable(),
   /** Addresses of all control instances. */
   controls: z.array(z.string()),
+  /** Ids of records without a recent heartbeat, in the reply to a compact subscription. */
+  late: z.array(z.string()).optional(),
   /** Version of the sender's document, 0 without one. */
   version: z.number(),
   /** The document, if the caller's is older and it was fetched or is small enough to be included. */
@@ -40,6 +49,8 @@
 export const discoveryEvent = z.discriminatedUnion('t', [
   /** Records that changed. */
   z.object({ t: z.literal('news'), list: z.array(records.record) }),
+  /** Records that changed, packed. */
+  z.object({ t: z.literal('packedNews'), records: contracts.bytes }),
   /** A newer document can be fetched from the sender. */
   z.object({ t: z.literal('version'), version: z.number() }),
   z.object({
@@ -48,7 +59,10 @@
     isCurrent: z.boolean(),
     /** Version of the sender's document. */
     version: z.number(),
+    /** Heartbeats; to a compact subscription only those of records that are no longer late. */
     signs: z.array(records.heartbeat),
+    /** Ids of records that have become late since the last tick, to a compact subscription. */
+    late: z.array(z.string()).optional(),
     /** Addresses of the control instances. */
     controls: z.array(z.string())
   }),
@@ -60,6 +74,11 @@
 
 /** Interval at which control instances forward heartbeats and entry instances send their own. */
 export const TICK_INTERVAL_MS = 1000
+/**
+ * A record is late if its control instance received no heartbeat for this long. Must exceed the interval of heartbeats plus the tick
+ * at which another control instance forwards them.
+ */
+export const LATE_AFTER_MS = 2500
 
 const codec = new cbor.Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
 
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -6,6 +6,7 @@
 import type * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
@@ -60,6 +61,10 @@
 export const REPLICATION_TIMEOUT_MS = 400
 /** How long non-urgent changes are batched: a small part of the time for which callers cache addresses. */
 const BATCH_DELAY_MS = 40
+/** Added to the delay for each subscriber, so that the number of events per second that a control instance sends stays bounded. */
+const BATCH_DELAY_PER_SUBSCRIBER_MS = 2
+/** Number of changes from which on they are packed. */
+const MIN_PACKED_RECORDS = 3
 /**
  * Documents up to this size are included in the reply to a subscription. Larger ones are fetched separately, so that they are not
  * sent once per subscription.
@@ -74,7 +79,13 @@
   const { table } = opts
   const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
   const now = opts.now ?? (() => performance.now())
+  /** Subscribers that expect every heartbeat. */
   const subscribers = new Set<links.Link>()
+  /** Subscribers that accept packed changes and changes of liveness. */
+  const compactSubscribers = new Set<links.Link>()
+  const liveness = livenesses.createLivenessTracker(table)
+  /** All records as packed since the last flush; changes since then are in the next batch for the subscribers. */
+  let packedRecords: Uint8Array | undefined
   let ownHeartbeats = new Map<string, records.Heartbeat>()
   let forwardedHeartbeats = new Map<string, records.Heartbeat>()
   /** Changes that another control instance has not acknowledged yet, by its address and the id of the record. */
@@ -85,9 +96,21 @@
   let pendingFlush: Promise<void> | undefined
   let ticks = 0
 
-  const sendAll = (event: messages.DiscoveryEvent): void => {
+  const sendAll = (event: messages.DiscoveryEvent, targets: ReadonlySet<links.Link> = subscribers): void => {
+    if (targets.size === 0) return
     const encoded = links.encodeEvent(event)
-    for (const link of subscribers) link.sendEncoded(encoded)
+    for (const link of targets) link.sendEncoded(encoded)
+  }
+
+  const sendChanges = (list: records.Record[]): void => {
+    packedRecords = undefined
+    if (list.length < MIN_PACKED_RECORDS) {
+      sendAll({ t: 'news', list })
+      sendAll({ t: 'news', list }, compactSubscribers)
+      return
+    }
+    sendAll({ t: 'news', list })
+    sendAll({ t: 'packedNews', records: messages.packRecords(list) }, compactSubscribers)
   }
 
   /** Sends unacknowledged changes to another control instance. */
@@ -119,7 +142,7 @@
     const forPeers = [...peerBatch.values()]
     subscriberBatch.clear()
     peerBatch.clear()
-    if (forSubscribers.length > 0) sendAll({ t: 'news', list: forSubscribers })
+    if (forSubscribers.length > 0) sendChanges(forSubscribers)
     if (forPeers.length > 0) await replicate(forPeers)
   }
 
@@ -138,15 +161,20 @@
       await flush()
       return
     }
-    pendingFlush ??= timers.setTimeout(BATCH_DELAY_MS).then(flush)
+    pendingFlush ??= timers.setTimeout(BATCH_DELAY_MS + BATCH_DELAY_PER_SUBSCRIBER_MS * compactSubscribers.size).then(flush)
     await pendingFlush
   }
 
-  /** Merges records. @returns those that changed */
-  const mergeAll = (list: readonly records.Record[]): records.Record[] => {
+  /**
+   * Merges records.
+   * @param isHeard whether they were announced just now
+   * @returns those that changed
+   */
+  const mergeAll = (list: readonly records.Record[], isHeard: boolean): records.Record[] => {
     const mergedAt = now()
     const changed = list.filter(item => {
       const result = table.merge(item, mergedAt)
+      if (result !== 'stale' && isHeard) liveness.noteHeard(item.id, mergedAt)
       if (result === 'refreshed') forwardedHeartbeats.set(item.id, [item.id, item.startedAt, item.seq])
       if (result === 'changed') reportChange(item)
       return result === 'changed'
@@ -162,16 +190,28 @@
   const compare = async (address: string): Promise<void> => {
     const link = await opts.getPeerLink(address)
     const reply = messages.discoveryReply.parse(await link.call({ t: 'compare', records: messages.packRecords(table.all()) } satisfies messages.DiscoveryCall, 2 * messages.TICK_INTERVAL_MS))
-    if (reply.records !== null) await queueChanges(mergeAll(messages.unpackRecords(reply.records)), false)
+    if (reply.records !== null) await queueChanges(mergeAll(messages.unpackRecords(reply.records), false), false)
+  }
+
+  const packTable = (): Uint8Array => {
+    packedRecords ??= messages.packRecords(table.all())
+    return packedRecords
+  }
+
+  const applyHeartbeat = (heartbeat: records.Heartbeat): boolean => {
+    const isNewer = table.applyHeartbeat(heartbeat, now())
+    if (isNewer) liveness.noteHeard(heartbeat[0], now())
+    return isNewer
   }
 
   const toReply = (hasRecords: boolean, document: contracts.PackedText | null): messages.DiscoveryReply => {
-    return { records: hasRecords ? messages.packRecords(table.all()) : null, controls: [opts.self, ...opts.peerAddresses()], version: opts.version(), document }
+    return { records: hasRecords ? packTable() : null, controls: [opts.self, ...opts.peerAddresses()], version: opts.version(), document }
   }
 
   return {
     async announce (record) {
       const result = table.merge(record, now())
+      if (result !== 'stale') liveness.noteHeard(record.id, now())
       switch (result) {
         case 'stale': return
         case 'refreshed':
@@ -185,20 +225,22 @@
     async onCall (call, link) {
       switch (call.t) {
         case 'subscribe': {
-          subscribers.add(link)
-          void link.closed.then(() => { subscribers.delete(link) })
+          const group = call.isCompact === true ? compactSubscribers : subscribers
+          group.add(link)
+          void link.closed.then(() => { group.delete(link) })
+          liveness.noteHeard(call.self.id, now())
           if (table.merge(call.self, now()) === 'changed') {
             reportChange(call.self)
             void queueChanges([call.self], true)
           }
           const document = opts.packDocumentSince(call.version)
-          return toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null)
+          return { ...toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null), late: liveness.late() }
         }
         case 'records':
-          void queueChanges(mergeAll(call.list), false)
+          void queueChanges(mergeAll(call.list, true), false)
           return toReply(false, null)
         case 'compare':
-          void queueChanges(mergeAll(messages.unpackRecords(call.records)), false)
+          void queueChanges(mergeAll(messages.unpackRecords(call.records), false), false)
           return toReply(true, null)
         case 'fetch':
           return { ...toReply(false, null), ...messages.toDocumentReply(opts.packDocumentSince(call.version), budget, now()) }
@@ -206,35 +248,42 @@
     },
     onEvent (event) {
       switch (event.t) {
+        case 'packedNews':
+          void queueChanges(mergeAll(messages.unpackRecords(event.records), true), true)
+          break
         case 'news':
-          void queueChanges(mergeAll(event.list), true)
+          void queueChanges(mergeAll(event.list, true), true)
           break
         case 'signs':
           for (const heartbeat of event.signs) {
-            if (table.applyHeartbeat(heartbeat, now())) forwardedHeartbeats.set(heartbeat[0], heartbeat)
+            if (applyHeartbeat(heartbeat)) forwardedHeartbeats.set(heartbeat[0], heartbeat)
           }
           break
         case 'tick':
           // The heartbeat of a subscribed entry instance.
           for (const heartbeat of event.signs) {
-            if (table.applyHeartbeat(heartbeat, now())) ownHeartbeats.set(heartbeat[0], heartbeat)
+            if (applyHeartbeat(heartbeat)) ownHeartbeats.set(heartbeat[0], heartbeat)
           }
           break
         case 'version': break
       }
     },
     publishDocument () {
-      sendAll({ t: 'version', version: opts.version() })
+      const event: messages.DiscoveryEvent = { t: 'version', version: opts.version() }
+      sendAll(event)
+      sendAll(event, compactSubscribers)
     },
-    toFullReply: () => toReply(true, opts.packDocumentSince(0)),
+    toFullReply: () => ({ ...toReply(false, opts.packDocumentSince(0)), records: messages.packRecords(table.all()) }),
     tick () {
       ticks++
       const own = [...ownHeartbeats.values()]
       const signs = [...own, ...forwardedHeartbeats.values()]
       ownHeartbeats = new Map()
       forwardedHeartbeats = new Map()
-      const controls = [opts.self, ...opts.peerAddresses()]
-      sendAll({ t: 'tick', isCurrent: opts.isCurrent(), version: opts.version(), signs, controls })
+      const tick = { t: 'tick' as const, isCurrent: opts.isCurrent(), version: opts.version(), controls: [opts.self, ...opts.peerAddresses()] }
+      const { late, revived } = liveness.takeChanges(now())
+      sendAll({ ...tick, signs })
+      sendAll({ ...tick, signs: revived, late }, compactSubscribers)
       if (own.length > 0) {
         const encoded = links.encodeEvent({ t: 'signs', signs: own } satisfies messages.DiscoveryEvent)
         for (const address of opts.peerAddresses()) opts.getPeerLink(address).then(link => { link.sendEncoded(encoded) }, () => {})
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -18,6 +18,8 @@
   merge (record: records.Record, now: number): MergeResult
   /** Applies a heartbeat. @returns whether it was newer than the last one */
   applyHeartbeat (heartbeat: records.Heartbeat, now: number): boolean
+  /** Notes that the process of a record was heard at a time, without the number of its announcement. */
+  noteSeen (id: string, at: number): void
   get (id: string): KnownRecord | undefined
   endpoints (): Array<KnownRecord<records.EndpointRecord>>
   entries (): Array<KnownRecord<records.EntryRecord>>
@@ -65,6 +67,10 @@
       known.lastSeenAt = now
       return true
     },
+    noteSeen (id, at) {
+      const known = knownById.get(id)
+      if (known !== undefined && at > known.lastSeenAt) known.lastSeenAt = at
+    },
     get: id => knownById.get(id),
     endpoints: () => [...knownById.values()].filter((item): item is KnownRecord<records.EndpointRecord> => item.record.kind === 'endpoint'),
     entries: () => [...knownById.values()].filter((item): item is KnownRecord<records.EntryRecord> => item.record.kind === 'entry'),
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -8,6 +8,7 @@
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentFetchers from './documentFetcher.js'
 import * as handoutPollers from './handoutPoller.js'
+import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
@@ -15,6 +16,8 @@
 
 /** Options of {@link startSubscriber}. */
 export interface SubscriberOptions {
+  /** Id of this instance. */
+  id: string
   /** Inner addresses of control instances, from the current settings. */
   seeds: () => readonly string[]
   table: recordTables.RecordTable
@@ -68,10 +71,14 @@
 }
 
 /**
- * Maximum number of subscriptions. Of five control instances, two may be partitioned from the others and still reachable for
- * entry instances: three subscriptions then include one with a quorum.
+ * Number of subscriptions. Of five control instances, two may be partitioned from the others and still reachable for entry
+ * instances: three subscriptions then include one with a quorum.
  */
-const MAX_SUBSCRIPTIONS = 3
+const SUBSCRIPTIONS = 3
+/** Further subscriptions that may be open for a moment, while others are being established or replaced. */
+const SPARE_SUBSCRIPTIONS = 2
+/** A subscription that is not established after this long is no longer waited for: another one is opened beside it. */
+const HEDGE_AFTER_MS = 700
 /** A control instance without a tick for this long is unresponsive, and its subscription is closed. */
 const TICK_TIMEOUT_MS = 2.3 * messages.TICK_INTERVAL_MS
 /** A control instance without a quorum for this long is replaced by another one, if available. */
@@ -81,8 +88,10 @@
 /** Back-off after the first failure of an address; doubles with each consecutive failure. */
 const MIN_BACKOFF_MS = 200
 const MAX_BACKOFF_MS = 1600
-/** Longest back-off before the first contact with a quorum: until then the instance cannot serve, or only from a stale state. */
-const MAX_BACKOFF_BEFORE_CONTACT_MS = 40
+/** Random share of a back-off, so that instances that failed together do not return together. */
+const BACKOFF_JITTER = 0.5
+/** Mean time between moves of a subscription to a preferred control instance. */
+const MOVE_INTERVAL_MS = 2000
 const POLL_INTERVAL_MS = 100
 const POLL_INTERVAL_BEFORE_CONTACT_MS = 40
 const SUBSCRIBE_TIMEOUT_MS = 1500
@@ -91,7 +100,12 @@
 
 interface Subscription {
   address: string
+  startedAt: number
   link: links.Link | undefined
+  /** Whether the control instance has accepted it. */
+  isEstablished: boolean
+  /** Records that it reports as live; undefined if it sends every heartbeat instead. */
+  live: livenesses.LiveRecords | undefined
   /** Time of the last event. */
   lastSeenAt: number
   /** Whether the control instance had a quorum at its last tick. */
@@ -111,6 +125,7 @@
   const stopped = new AbortController()
   let lastQuorumAt = -Infinity
   let quorumSince = -Infinity
+  let nextMoveAt = 0
 
   const isBeforeContact = (): boolean => lastQuorumAt === -Infinity
 
@@ -136,7 +151,7 @@
    * restart of the fleet their links would limit the transfer.
    */
   const toInitialSources = (): documentFetchers.DocumentSource[] => {
-    if (documents.version() > 0 || controls.length <= MAX_SUBSCRIPTIONS) return []
+    if (documents.version() > 0 || controls.length <= SUBSCRIPTIONS) return []
     const address = controls[Math.floor(Math.random() * controls.length)]
     return [{
       address,
@@ -165,32 +180,47 @@
 
   const find = (link: links.Link): Subscription | undefined => [...open].find(item => item.link === link)
 
+  const close = (sub: Subscription, reason: string): boolean => {
+    if (!open.delete(sub)) return false
+    sub.link?.close()
+    opts.log.event('controlLost', { address: sub.address, why: reason, subscriptions: open.size })
+    return true
+  }
+
+  /** Closes a subscription that failed, and backs off from its control instance. */
   const drop = (sub: Subscription, reason: string): void => {
-    if (!open.delete(sub)) return
+    if (!close(sub, reason)) return
     const failureCount = (failures.get(sub.address) ?? 0) + 1
     failures.set(sub.address, failureCount)
-    const maxBackoffMs = isBeforeContact() ? MAX_BACKOFF_BEFORE_CONTACT_MS : MAX_BACKOFF_MS
-    backoffUntil.set(sub.address, now() + Math.min(maxBackoffMs, MIN_BACKOFF_MS * 2 ** (failureCount - 1)))
-    sub.link?.close()
-    opts.log.event('controlLost', { address: sub.address, why: reason, subscriptions: open.size })
+    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failureCount - 1))
+    backoffUntil.set(sub.address, now() + backoffMs * (1 - BACKOFF_JITTER * Math.random()))
   }
 
   const subscribe = async (address: string): Promise<void> => {
-    const sub: Subscription = { address, link: undefined, lastSeenAt: now(), isCurrent: true, lastQuorumAt: now(), version: 0 }
+    const sub: Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), isCurrent: true, lastQuorumAt: now(), version: 0 }
     open.add(sub)
     try {
       const link = await opts.dial(address)
+      if (!open.has(sub) || stopped.signal.aborted) {
+        link.close()
+        return
+      }
       sub.link = link
-      const call: messages.DiscoveryCall = { t: 'subscribe', self: opts.self(), version: documents.version() }
+      const call: messages.DiscoveryCall = { t: 'subscribe', self: opts.self(), version: documents.version(), isCompact: true }
       const reply = messages.discoveryReply.parse(await link.call(call, SUBSCRIBE_TIMEOUT_MS))
       if (!open.has(sub) || stopped.signal.aborted) {
         link.close()
         return
       }
       sub.lastSeenAt = now()
+      sub.isEstablished = true
       opts.log.event('controlFound', { address, subscriptions: open.size })
-      if (reply.records !== null) mergeRecords(messages.unpackRecords(reply.records))
-      controls = reply.controls
+      if (reply.records !== null) {
+        const list = messages.unpackRecords(reply.records)
+        mergeRecords(list)
+        if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, reply.late)
+      }
+      if (controls.length === 0) controls = reply.controls
       documents.accept(reply.document)
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
@@ -199,22 +229,65 @@
     }
   }
 
-  /** Returns the control instances that can be subscribed to, in random order: neither subscribed nor in back-off. */
+  /** Returns the control instances in the order in which this instance prefers them, which spreads all instances evenly. */
+  const toPreferred = (addresses: Iterable<string>): string[] => {
+    return [...addresses]
+      .map(address => ({ address, score: contracts.rendezvousScore(opts.id, address) }))
+      .sort((a, b) => b.score - a.score)
+      .map(item => item.address)
+  }
+
+  /** Returns the control instances that can be subscribed to now, most preferred first. The members change over time, as do the seeds. */
   const candidateAddresses = (): string[] => {
     const subscribed = new Set([...open].map(sub => sub.address))
     const all = new Set([...controls, ...opts.seeds()])
-    return handoutPollers.toShuffled([...all].filter(address => !subscribed.has(address) && (backoffUntil.get(address) ?? 0) <= now()))
+    const available = [...all].filter(address => !subscribed.has(address) && (backoffUntil.get(address) ?? 0) <= now())
+    // Before the first contact only the seeds are known, which all instances would prefer in the same few orders.
+    return isBeforeContact() ? handoutPollers.toShuffled(available) : toPreferred(available)
+  }
+
+  /** Returns how many subscriptions are wanted besides those that take too long. */
+  const wantedSubscriptions = (): number => {
+    if (!isBeforeContact()) return SUBSCRIPTIONS
+    // At the start of a fleet all instances know the same few seeds: each asks one, and another one only if that does not help.
+    const isOverdue = (sub: Subscription): boolean => now() - sub.startedAt > HEDGE_AFTER_MS
+    return Math.min(SUBSCRIPTIONS, 1 + [...open].filter(item => item.isEstablished && isOverdue(item)).length)
+  }
+
+  /** Closes the least useful of the surplus subscriptions. */
+  const trim = (): void => {
+    const established = [...open].filter(sub => sub.isEstablished)
+    if (established.length <= SUBSCRIPTIONS) return
+    const withQuorum = established.filter(sub => sub.isCurrent)
+    const preferred = toPreferred(withQuorum.map(sub => sub.address))
+    const surplus = established.find(sub => !sub.isCurrent) ?? withQuorum.find(sub => sub.address === preferred.at(-1))
+    if (surplus !== undefined) close(surplus, 'replaced')
+  }
+
+  /** Opens a subscription to a preferred control instance; {@link trim} then closes the least preferred one. */
+  const maybeMove = (candidates: readonly string[]): void => {
+    if (now() < nextMoveAt || open.size !== SUBSCRIPTIONS || candidates.length === 0) return
+    if ([...open].some(sub => !sub.isEstablished || !sub.isCurrent)) return
+    nextMoveAt = now() + MOVE_INTERVAL_MS * (0.5 + Math.random())
+    const subscribed = [...open].map(sub => sub.address)
+    const [best] = candidates
+    if (toPreferred([...subscribed, best]).at(-1) !== best) void subscribe(best)
   }
 
   const updateSubscriptions = (): void => {
     for (const sub of open) {
       if (now() - sub.lastSeenAt > TICK_TIMEOUT_MS) drop(sub, 'silent')
     }
+    trim()
     const candidates = candidateAddresses()
     const withoutQuorum = [...open].filter(sub => !sub.isCurrent && now() - sub.lastQuorumAt > QUORUM_TIMEOUT_MS)
-    // A subscription without a quorum is dropped only if it can be replaced.
-    if (open.size >= MAX_SUBSCRIPTIONS && withoutQuorum.length > 0 && candidates.length > 0) drop(withoutQuorum[0], 'no quorum')
-    for (const address of candidates.slice(0, Math.max(0, MAX_SUBSCRIPTIONS - open.size))) void subscribe(address)
+    // A subscription without a quorum is dropped only if it can be replaced; while the fleet starts, no control instance has one.
+    const replacements = isBeforeContact() ? candidates.filter(address => !failures.has(address)) : candidates
+    if (open.size >= SUBSCRIPTIONS && withoutQuorum.length > 0 && replacements.length > 0) drop(withoutQuorum[0], 'no quorum')
+    const slow = [...open].filter(sub => !sub.isEstablished && now() - sub.startedAt > HEDGE_AFTER_MS)
+    const missing = wantedSubscriptions() - (open.size - Math.min(SPARE_SUBSCRIPTIONS, slow.length))
+    for (const address of candidates.slice(0, Math.max(0, missing))) void subscribe(address)
+    if (missing <= 0) maybeMove(candidates)
   }
 
   const fetchHandouts = opts.fetchHandout === undefined
@@ -254,7 +327,16 @@
       if (sub === undefined) return
       sub.lastSeenAt = now()
       switch (event.t) {
-        case 'news': mergeRecords(event.list); break
+        case 'news':
+          mergeRecords(event.list)
+          sub.live?.addRecords(event.list)
+          break
+        case 'packedNews': {
+          const list = messages.unpackRecords(event.records)
+          mergeRecords(list)
+          sub.live?.addRecords(list)
+          break
+        }
         case 'version': noteVersion(sub, event.version); break
         case 'tick':
           sub.isCurrent = event.isCurrent
@@ -263,8 +345,11 @@
             lastQuorumAt = sub.lastQuorumAt = now()
             failures.delete(sub.address)
           }
-          controls = event.controls
+          // A control instance without a quorum may know former members only.
+          if (event.isCurrent || controls.length === 0) controls = event.controls
           for (const heartbeat of event.signs) opts.table.applyHeartbeat(heartbeat, now())
+          sub.live?.applyChanges({ late: event.late ?? [], revived: event.signs })
+          sub.live?.refresh(opts.table, now())
           // Covers versions that were announced before this subscription, or while no link was open to fetch them.
           noteVersion(sub, event.version)
           break
--- a/packages/forwarding/src/attemptRecorder.ts
+++ b/packages/forwarding/src/attemptRecorder.ts
@@ -27,7 +27,7 @@
     case 'notRun':
       state.sends++
       ctx.pool.markReachable(endpoint)
-      if (result.status === 421) ctx.pool.markMisdirected(endpoint)
+      if (result.status === 421) ctx.pool.markMisdirected(endpoint, ctx.now())
       else recordOutcome(call, endpoint, true)
       break
     case 'lost':
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -24,8 +24,8 @@
   backoffUntil: number
   /** Consecutive connection failures. */
   failures: number
-  /** Sequence number of the last announcement before another process was found at its address. */
-  misdirectedSeq: number | undefined
+  /** When another process was found at its address. */
+  misdirectedAt: number | undefined
 }
 
 /** The endpoints of all services. */
@@ -43,7 +43,7 @@
   /** Records a response; ends the backoff period. */
   markReachable (endpoint: Endpoint): void
   /** Records that another process answered at the address of the endpoint; it is not used until its next announcement. */
-  markMisdirected (endpoint: Endpoint): void
+  markMisdirected (endpoint: Endpoint, now: number): void
   /** Removes endpoints that are no longer in the record table and have no requests in flight. */
   prune (): void
   /** Closes all idle connections to an endpoint, after one of its connections failed. */
@@ -104,7 +104,7 @@
       peerQueueDelayMs: undefined,
       backoffUntil: 0,
       failures: 0,
-      misdirectedSeq: undefined
+      misdirectedAt: undefined
     })
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
     for (const other of endpointById.values()) {
@@ -116,8 +116,8 @@
   }
 
   const isMisdirected = (endpoint: Endpoint): boolean => {
-    if (endpoint.misdirectedSeq === undefined) return false
-    return (opts.table.get(endpoint.id)?.lastSeenSeq ?? 0) <= endpoint.misdirectedSeq
+    if (endpoint.misdirectedAt === undefined) return false
+    return (opts.table.get(endpoint.id)?.lastSeenAt ?? -Infinity) <= endpoint.misdirectedAt
   }
 
   const isUnresponsive = (endpoint: Endpoint): boolean => {
@@ -157,10 +157,10 @@
       endpoint.failures = 0
       endpoint.backoffUntil = 0
     },
-    markMisdirected (endpoint) {
-      endpoint.misdirectedSeq = opts.table.get(endpoint.id)?.lastSeenSeq ?? endpoint.record.seq
+    markMisdirected (endpoint, now) {
+      endpoint.misdirectedAt = now
       release(endpoint)
-      opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address', seq: endpoint.misdirectedSeq })
+      opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address' })
     },
     prune () {
       for (const [id, endpoint] of endpointById) {
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -65,10 +65,10 @@
 
 /** Missed announcements after which an endpoint is considered unresponsive. */
 const MISSED_ANNOUNCEMENTS = 4
-/** Added to that time, for announcements that are relayed by two control instances. */
-const ANNOUNCEMENT_MARGIN_MS = 2000
-/** An entry instance without an announcement for this time is not returned to clients. */
-const ENTRY_UNRESPONSIVE_MS = 3500
+/** Added to that time: announcements are relayed by two control instances, and reported as late or not once a tick. */
+const ANNOUNCEMENT_MARGIN_MS = 3000
+/** An entry instance that a control instance reports as late at more than one tick is not returned to clients. */
+const ENTRY_UNRESPONSIVE_MS = discovery.LATE_AFTER_MS + 1.5 * discovery.TICK_INTERVAL_MS
 /** Minimum number of instances in a zone for its clients to get only their addresses. */
 const MIN_ZONE_INSTANCES = 2
 /** Time before the end of the grace period at which the instance stops listening. */
@@ -84,8 +84,10 @@
 const DRAIN_POLL_MS = 50
 /** Interval of the removal of expired records. */
 const PRUNE_INTERVAL_MS = 10_000
-/** Connect timeout for links to other instances. */
-const CONNECT_TIMEOUT_MS = 400
+/** Timeout of a dial to another entry instance. */
+const PEER_DIAL_TIMEOUT_MS = 1000
+/** Timeout of a dial to a control instance, which may be busy with the whole fleet at its start. */
+const CONTROL_DIAL_TIMEOUT_MS = 2000
 
 /** Starts an entry instance. */
 export async function startEntryInstance (opts: EntryInstanceOptions): Promise<EntryInstance> {
@@ -129,7 +131,7 @@
   }
   const linkSettings: links.LinkSettings = { identity: { role: 'router', id: opts.inner }, secret: opts.secret, log, handlers }
   const peerLinks = links.createPeerLinks(linkSettings)
-  const dialer = links.createPeerDialer(peerLinks, { dialTimeoutMs: CONNECT_TIMEOUT_MS, backoffMs: PEER_BACKOFF_MS })
+  const dialer = links.createPeerDialer(peerLinks, { dialTimeoutMs: PEER_DIAL_TIMEOUT_MS, backoffMs: PEER_BACKOFF_MS })
 
   const applyDocument = (received: contracts.VersionedText, waitedMs: number): void => {
     try {
@@ -191,9 +193,10 @@
   const innerServer = await links.listen(opts.inner, linkSettings, link => { peerLinks.add(link) })
   const server = await entryServers.startEntryServer({ front: opts.front, ctx })
   const subscriber = discovery.startSubscriber({
+    id: opts.id,
     seeds: opts.seeds,
     table,
-    dial: async address => await links.withTimeout(links.dial(address, linkSettings), CONNECT_TIMEOUT_MS, `no connection to ${address}`),
+    dial: async address => await links.dial(address, linkSettings, CONTROL_DIAL_TIMEOUT_MS),
     fetchHandout: opts.usesHandouts ? async address => await discovery.fetchHandout(discovery.toHandoutAddress(address), opts.secret) : undefined,
     self,
     onDocument: applyDocument,
