feat(forwarding): gossip through one relay per availability zone in fleets of over 32 instances

Cause: each instance sent its loads to each other one. To bound the messages, the interval grew by 15 ms an instance: 3.05 s at 191, longer than the 3 s after which a report is discarded, so that known loads were seconds old and dropped to zero in between. 191 instances opened 36,000 links at the start, and each received update added up the loads of all instances again.

Change: the instances of a zone send to one of them, which exchanges sums with those of the other zones and returns the fleet's sum to its members, every 300 ms. All order the members of a zone alike and send to a preceding one only, so views that differ form no cycle. A relay that is silent for 2.5 s is passed over. Crash reports go on at once. Loads are added up at most every 50 ms. Fleets of up to 32 instances send to all directly, as before.

Tests: loadGossip.test.ts (100 and 200 instances: loads known everywhere, each outcome merged once, messages per instance, loss of a relay, crash reports, no cycle under any suspicions).

--- /dev/null
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -0,0 +1,157 @@
+/** Gossip of large fleets: every instance knows the load of the fleet, at a cost that does not grow with it. */
+import * as timers from 'node:timers/promises'
+import * as ava from 'ava'
+import * as fc from 'fast-check'
+import type * as discovery from '@kingcupdeck/discovery'
+import type * as links from '@kingcupdeck/links'
+import * as crashQuarantines from '../src/crashQuarantine.js'
+import type * as endpointPools from '../src/endpointPool.js'
+import * as loadGossips from '../src/loadGossip.js'
+import * as loadSums from '../src/loadSums.js'
+import * as outlierDetectors from '../src/outlierDetector.js'
+import * as relayChoices from '../src/relayChoice.js'
+
+const test = ava.default
+const ZONES = 5
+const ENDPOINTS = 20
+/** Several intervals of each of the three hops. */
+const SETTLE_MS = 3500
+
+interface Instance {
+  inner: string
+  endpoints: Array<{ id: string, inFlight: number, peerInFlight: number, peerQueueDelayMs: number | undefined }>
+  quarantine: crashQuarantines.CrashQuarantine
+  outliers: outlierDetectors.OutlierDetector
+  merged: () => number
+  gossip: loadGossips.Gossip
+  sentCount: number
+  isUp: boolean
+}
+
+/** Starts the gossip of a fleet whose links are function calls. */
+function startFleet (t: ava.ExecutionContext, count: number): Instance[] {
+  const instances = new Map<string, Instance>()
+  const records = Array.from({ length: count }, (_, i): discovery.EntryRecord => ({ kind: 'entry', id: `i${i}`, startedAt: 1, seq: 1, zone: `z${i % ZONES}`, region: 'r', front: `f${i}`, inner: `n${i}`, state: 'ready' }))
+  for (const record of records) {
+    const endpoints = Array.from({ length: ENDPOINTS }, (_, k) => ({ id: `e${k}`, inFlight: 0, peerInFlight: 0, peerQueueDelayMs: undefined, queueDelay: { estimateMs: () => undefined } }))
+    const quarantine = crashQuarantines.createCrashQuarantine()
+    const outliers = outlierDetectors.createOutlierDetector()
+    let merged = 0
+    const connect = async (address: string): Promise<links.Link> => {
+      const target = instances.get(address)
+      if (target === undefined || !target.isUp || !instance.isUp) throw new Error('unreachable')
+      return {
+        sendEncoded (event: links.EncodedEvent) {
+          instance.sentCount++
+          target.gossip.onUpdate(loadGossips.gossipUpdate.parse(event.body), record.inner)
+        }
+      } as unknown as links.Link
+    }
+    const gossip = loadGossips.startGossip({
+      self: record,
+      peers: () => records.filter(item => item !== record && instances.get(item.inner)?.isUp !== false),
+      connect,
+      lastFailureAt: () => -Infinity,
+      pool: { all: () => endpoints, get: (id: string) => endpoints.find(item => item.id === id) } as unknown as endpointPools.EndpointPool,
+      quarantine,
+      outliers: { ...outliers, merge (list, now) { for (const [, attempts] of list) merged += attempts; outliers.merge(list, now) } },
+      documentVersion: () => 1,
+      onDocumentVersion: () => {}
+    })
+    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, gossip, sentCount: 0, isUp: true }
+    instances.set(record.inner, instance)
+  }
+  t.teardown(() => { for (const instance of instances.values()) instance.gossip.stop() })
+  return [...instances.values()]
+}
+
+function toKnownLoads (instance: Instance): number[] {
+  return instance.endpoints.map(item => item.inFlight + item.peerInFlight)
+}
+
+function toActualLoads (fleet: Instance[]): number[] {
+  return fleet[0].endpoints.map((_, k) => fleet.filter(item => item.isUp).reduce((sum, item) => sum + item.endpoints[k].inFlight, 0))
+}
+
+function setLoads (fleet: Instance[]): void {
+  fleet.forEach((instance, i) => {
+    instance.endpoints[i % ENDPOINTS].inFlight = 1
+    instance.endpoints[(i * 7 + 3) % ENDPOINTS].inFlight += 2
+  })
+}
+
+test('every instance of a large fleet knows the load of each endpoint', async t => {
+  const fleet = startFleet(t, 100)
+  await timers.setTimeout(SETTLE_MS)
+  setLoads(fleet)
+  await timers.setTimeout(SETTLE_MS)
+  for (const instance of fleet) t.deepEqual(toKnownLoads(instance), toActualLoads(fleet))
+})
+
+// Updates from each instance to each other grew with the square of the fleet, so their interval had to grow with it.
+test('the messages of an instance do not grow with the fleet', async t => {
+  const counts = await Promise.all([100, 200].map(async count => {
+    const fleet = startFleet(t, count)
+    await timers.setTimeout(SETTLE_MS)
+    setLoads(fleet)
+    for (const instance of fleet) instance.sentCount = 0
+    await timers.setTimeout(SETTLE_MS)
+    return fleet.reduce((sum, item) => sum + item.sentCount, 0) / count
+  }))
+  t.true(counts[1] <= 1.15 * counts[0], `messages of an instance: ${counts.join(', ')}`)
+  const mostPerSecond = 10
+  t.true(counts[1] <= mostPerSecond * SETTLE_MS / 1000, `messages of an instance: ${counts.join(', ')}`)
+})
+
+// A relay that stops without notice must not leave its zone without loads, nor count them twice.
+test('the loads of a zone are known again after its relay is lost', async t => {
+  const fleet = startFleet(t, 60)
+  await timers.setTimeout(SETTLE_MS)
+  setLoads(fleet)
+  await timers.setTimeout(SETTLE_MS)
+  const mostSent = [...fleet].sort((a, b) => b.sentCount - a.sentCount)
+  mostSent[0].isUp = false
+  await timers.setTimeout(2 * SETTLE_MS)
+  for (const instance of fleet.filter(item => item.isUp)) t.deepEqual(toKnownLoads(instance), toActualLoads(fleet))
+})
+
+test('each outcome is merged once by every other instance', async t => {
+  const fleet = startFleet(t, 60)
+  await timers.setTimeout(SETTLE_MS)
+  for (const instance of fleet) instance.outliers.record('e1', true, performance.now())
+  await timers.setTimeout(SETTLE_MS)
+  for (const instance of fleet) t.is(instance.merged(), fleet.length - 1)
+})
+
+// A request that crashes endpoints is repeated at any instance within a second.
+test('crash reports reach all instances at once', async t => {
+  const fleet = startFleet(t, 100)
+  await timers.setTimeout(SETTLE_MS)
+  fleet[42].gossip.sendCrashReports([{ fingerprint: 'x', crashed: ['e1', 'e2', 'e3'] }])
+  await timers.setTimeout(50)
+  t.is(fleet.filter(item => item !== fleet[42] && !item.quarantine.isQuarantined('x', performance.now())).length, 0)
+})
+
+// A cycle of relays would add the same loads again in each round.
+test('relays form no cycle, whichever instances suspect each other', t => {
+  const members = Array.from({ length: 12 }, (_, i) => ({ inner: `n${i}`, zone: `z${i % 2}` }))
+  fc.assert(fc.property(fc.array(fc.tuple(fc.nat(11), fc.nat(11)), { maxLength: 60 }), pairs => {
+    const suspected = new Set(pairs.map(([a, b]) => `n${a} n${b}`))
+    const parent = new Map(members.map(self => [self.inner, relayChoices.chooseRelays(self, members.filter(item => item !== self), inner => suspected.has(`${self.inner} ${inner}`)).own]))
+    for (const { inner } of members) {
+      let hops = 0
+      for (let at: string | undefined = inner; at !== undefined; at = parent.get(at)) {
+        if (hops++ > members.length) return false
+      }
+    }
+    return true
+  }), { seed: 20261203 })
+  t.pass()
+})
+
+test('relayed outcomes that an instance sent itself are left out', t => {
+  const echoes = loadSums.createEchoFilter()
+  echoes.noteSent([['a', 2, 1]])
+  t.deepEqual(echoes.filter([['a', 5, 2], ['b', 1, 0]]), [['a', 3, 1], ['b', 1, 0]])
+  t.deepEqual(echoes.filter([['a', 5, 2]]), [['a', 5, 2]])
+})
--- a/packages/forwarding/src/crashQuarantine.ts
+++ b/packages/forwarding/src/crashQuarantine.ts
@@ -13,8 +13,8 @@
   recordLoss (fingerprint: string, endpoint: string, now: number): void
   /** Confirms that an endpoint is down. @returns the new crashes, to be sent to the other instances */
   confirmDown (endpoint: string, now: number): CrashReport[]
-  /** Merges the reports of another instance. */
-  merge (reports: readonly CrashReport[], now: number): void
+  /** Merges the reports of another instance. @returns those that were not known */
+  merge (reports: readonly CrashReport[], now: number): CrashReport[]
   /** Returns whether the request must not be sent to any endpoint. */
   isQuarantined (fingerprint: string, now: number): boolean
 }
@@ -51,9 +51,9 @@
       return confirmed.filter(item => add(item.fingerprint, endpoint, now)).map(item => ({ fingerprint: item.fingerprint, crashed: [endpoint] }))
     },
     merge (reports, now) {
-      for (const item of reports) {
-        for (const endpoint of item.crashed) add(item.fingerprint, endpoint, now)
-      }
+      return reports
+        .map(({ fingerprint, crashed }) => ({ fingerprint, crashed: crashed.filter(endpoint => add(fingerprint, endpoint, now)) }))
+        .filter(item => item.crashed.length > 0)
     },
     isQuarantined (fingerprint, now) {
       const item = suspects.get(fingerprint)
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -163,7 +163,17 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && isResponsive(item.lastSeenAt))
     .map(item => item.record)
 
-  const gossip = loadGossips.startGossip({ peers: otherEntries, connect: dialer.get, pool: endpoints, quarantine, outliers, documentVersion: () => subscriber.version(), onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) } })
+  const gossip = loadGossips.startGossip({
+    self: { inner: opts.inner, zone: opts.zone },
+    peers: otherEntries,
+    connect: dialer.get,
+    lastFailureAt: dialer.lastFailureAt,
+    pool: endpoints,
+    quarantine,
+    outliers,
+    documentVersion: () => subscriber.version(),
+    onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) }
+  })
 
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
--- a/packages/forwarding/src/loadGossip.ts
+++ b/packages/forwarding/src/loadGossip.ts
@@ -1,15 +1,16 @@
 /**
  * Gossip between entry instances: requests in flight at each endpoint, attempt outcomes, crash reports and the version of the
- * configuration document.
+ * configuration document. Small fleets send updates to all instances, large ones through relays; see relayChoice.ts.
  */
 import * as timers from 'node:timers/promises'
 import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
-import * as crashQuarantines from './crashQuarantine.js'
-import * as endpointPools from './endpointPool.js'
-import * as numbers from './numbers.js'
-import * as outlierDetectors from './outlierDetector.js'
+import type * as crashQuarantines from './crashQuarantine.js'
+import type * as endpointPools from './endpointPool.js'
+import * as loadSums from './loadSums.js'
+import type * as outlierDetectors from './outlierDetector.js'
+import * as relayChoices from './relayChoice.js'
 
 /** Gossip update of an entry instance. */
 export const gossipUpdate = z.object({
@@ -19,16 +20,26 @@
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
   crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })),
   /** Document version of the sender. */
-  document: z.number().default(0)
+  document: z.number().default(0),
+  /**
+   * What the update covers: the sender alone, the sender and the instances that it relays for, a whole zone, or the whole fleet. Only
+   * `instance` is used in small fleets.
+   */
+  scope: z.enum(['instance', 'members', 'zone', 'fleet']).default('instance'),
+  /** Inner addresses of other instances that have the document. */
+  holders: z.array(z.string()).default([])
 })
 /** Gossip update of an entry instance. */
 export type GossipUpdate = z.infer<typeof gossipUpdate>
 
 /** Options of {@link startGossip}. */
 export interface GossipOptions {
+  self: relayChoices.RelayCandidate
   /** Returns the other entry instances. */
   peers: () => discovery.EntryRecord[]
   connect: (address: string) => Promise<links.Link>
+  /** Returns the time of the latest failed dial of an instance, -Infinity if there was none. */
+  lastFailureAt: (address: string) => number
   pool: endpointPools.EndpointPool
   quarantine: crashQuarantines.CrashQuarantine
   outliers: outlierDetectors.OutlierDetector
@@ -40,7 +51,7 @@
 
 export interface Gossip {
   onUpdate (update: GossipUpdate, from: string): void
-  /** Sends crash reports to all other instances immediately. */
+  /** Sends crash reports towards all other instances immediately. */
   sendCrashReports (crashes: crashQuarantines.CrashReport[]): void
   /** Number of entry instances, including this one. */
   instanceCount (): number
@@ -51,78 +62,224 @@
 const GOSSIP_INTERVAL_MS = 200
 /** Added to the interval for each known instance, so that the number of messages per instance stays bounded. */
 const GOSSIP_INTERVAL_PER_INSTANCE_MS = 15
-/** The last update of an unresponsive instance is discarded after this time. */
-const UPDATE_TTL_MS = 3000
+/** Interval between updates through relays. */
+const RELAY_INTERVAL_MS = 300
+/** Interval between updates through relays of an instance without load. */
+const IDLE_RELAY_INTERVAL_MS = 900
+/** Random share of the intervals through relays, so that the members of a zone do not send at the same time. */
+const RELAY_JITTER = 0.2
+/** A relay without an update for this time is replaced. */
+const RELAY_TIMEOUT_MS = 2500
+/** Time for which a relay that was replaced, or an instance that could not be dialled, is not used. */
+const SUSPECT_MS = 5000
+/** Interval at which received loads are added up. */
+const SUM_INTERVAL_MS = 50
+/** Number of instances with the current document that a relay names. */
+const MAX_HOLDERS = 4
 
+type Content = Pick<GossipUpdate, 'loads' | 'outcomes'>
+
+/** Starts the gossip. */
 export function startGossip (opts: GossipOptions): Gossip {
-  const updates = new Map<string, { loads: GossipUpdate['loads'], at: number }>()
+  const { self } = opts
+  const now = (): number => performance.now()
   const aborter = new AbortController()
+  /** Loads of instances that send to this one: all others in a small fleet, otherwise those that it relays for. */
+  let memberReports = loadSums.createLoadReports()
+  /** Loads of the other zones. */
+  const zoneReports = loadSums.createLoadReports()
+  /** Loads of the whole fleet, from the relay. */
+  const fleetReports = loadSums.createLoadReports()
+  const echoes = loadSums.createEchoFilter()
+  const holders = new Map<string, number>()
+  const suspects = new Map<string, number>()
+  let relays: relayChoices.RelayChoice = { own: undefined, others: [] }
+  let isDirect = true
+  let relaySince = -Infinity
+  let relayHeardAt = -Infinity
+  /** Outcomes received since the last update, by where they are still to be sent. */
+  let outcomesForMembers: outlierDetectors.OutcomeDelta[] = []
+  let outcomesForRelays: outlierDetectors.OutcomeDelta[] = []
+  /** Own loads as sent to the relay last, which its sums include. */
+  let lastSentLoads: loadSums.EndpointLoad[] = []
+  let summedAt = -Infinity
+  let sumTimer: NodeJS.Timeout | undefined
 
-  const applyUpdates = (): void => {
-    const now = performance.now()
-    const delays = new Map<string, number[]>()
-    for (const endpoint of opts.pool.all()) endpoint.peerInFlight = 0
-    for (const [peer, item] of updates) {
-      if (now - item.at > UPDATE_TTL_MS) {
-        updates.delete(peer)
-        continue
-      }
-      for (const [id, load, delayMs] of item.loads) {
-        const endpoint = opts.pool.get(id)
-        if (endpoint === undefined) continue
-        endpoint.peerInFlight += load
-        if (delayMs === null) continue
-        const known = delays.get(id)
-        if (known === undefined) delays.set(id, [delayMs])
-        else known.push(delayMs)
-      }
+  const toOwnLoads = (): loadSums.EndpointLoad[] => opts.pool.all().filter(item => item.inFlight > 0).map(item => {
+    const delayMs = item.queueDelay.estimateMs(now())
+    return [item.id, item.inFlight, delayMs === undefined ? null : Math.round(delayMs)]
+  })
+
+  /** Returns the loads of all other instances. */
+  const toPeerLoads = (): loadSums.EndpointLoad[] => {
+    const at = now()
+    if (isDirect || relays.own === undefined) return loadSums.sumLoads([memberReports.sum(at), zoneReports.sum(at)])
+    return loadSums.subtractLoads(fleetReports.sum(at), lastSentLoads)
+  }
+
+  const applyLoads = (): void => {
+    summedAt = now()
+    const loads = new Map(toPeerLoads().map(item => [item[0], item]))
+    for (const endpoint of opts.pool.all()) {
+      const [, inFlight, delayMs] = loads.get(endpoint.id) ?? [endpoint.id, 0, null]
+      endpoint.peerInFlight = inFlight
+      endpoint.peerQueueDelayMs = delayMs ?? undefined
     }
-    for (const endpoint of opts.pool.all()) endpoint.peerQueueDelayMs = numbers.median(delays.get(endpoint.id) ?? [])
   }
 
-  const toLoads = (): GossipUpdate['loads'] => {
-    const now = performance.now()
-    return opts.pool.all().filter(item => item.inFlight > 0).map(item => {
-      const delayMs = item.queueDelay.estimateMs(now)
-      return [item.id, item.inFlight, delayMs === undefined ? null : Math.round(delayMs)]
-    })
+  /** Adds up loads after a moment, so that updates in quick succession are added up once. */
+  const scheduleApply = (): void => {
+    if (now() - summedAt >= SUM_INTERVAL_MS) {
+      applyLoads()
+      return
+    }
+    sumTimer ??= setTimeout(() => {
+      sumTimer = undefined
+      applyLoads()
+    }, SUM_INTERVAL_MS).unref()
+  }
+
+  const sendTo = (addresses: readonly string[], update: Omit<GossipUpdate, 't' | 'document'>): void => {
+    if (addresses.length === 0) return
+    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), ...update } satisfies GossipUpdate)
+    for (const address of addresses) opts.connect(address).then(link => { link.sendEncoded(encoded) }, () => {})
+  }
+
+  const isSuspect = (address: string): boolean => {
+    return now() - (suspects.get(address) ?? -Infinity) < SUSPECT_MS || now() - opts.lastFailureAt(address) < SUSPECT_MS
+  }
+
+  const updateRelays = (): void => {
+    const previous = relays.own
+    if (previous !== undefined && now() - Math.max(relaySince, relayHeardAt) > RELAY_TIMEOUT_MS) suspects.set(previous, now())
+    relays = relayChoices.chooseRelays(self, opts.peers(), isSuspect)
+    if (relays.own === previous) return
+    relaySince = now()
+    relayHeardAt = -Infinity
+    echoes.clear()
+    for (const [address, at] of suspects) if (now() - at > SUSPECT_MS) suspects.delete(address)
   }
 
-  const send = (update: GossipUpdate): void => {
-    const encoded = links.encodeEvent(update)
-    for (const peer of opts.peers()) opts.connect(peer.inner).then(link => { link.sendEncoded(encoded) }, () => {})
+  const toHolders = (): string[] => {
+    const version = opts.documentVersion()
+    return discovery.toShuffled([...holders].filter(([, held]) => held >= version).map(([address]) => address)).slice(0, MAX_HOLDERS)
+  }
+
+  /** Sends one round of updates through relays. @returns whether there was nothing to report */
+  const relay = (own: Content): boolean => {
+    const members = memberReports.senders(now())
+    for (const address of holders.keys()) if (!members.includes(address)) holders.delete(address)
+    const ownLoads = loadSums.sumLoads([own.loads, memberReports.sum(now())])
+    const zoneOutcomes = loadSums.sumOutcomes([own.outcomes, outcomesForRelays])
+    const memberOutcomes = loadSums.sumOutcomes([own.outcomes, outcomesForMembers])
+    const update = { loads: ownLoads, outcomes: zoneOutcomes, crashes: [], holders: toHolders() }
+    if (relays.own !== undefined) {
+      echoes.noteSent(zoneOutcomes)
+      sendTo([relays.own], { ...update, scope: 'members' })
+    } else {
+      sendTo(relays.others, { ...update, scope: 'zone' })
+    }
+    const fleetLoads = relays.own === undefined ? loadSums.sumLoads([ownLoads, zoneReports.sum(now())]) : fleetReports.sum(now())
+    sendTo(members, { loads: fleetLoads, outcomes: memberOutcomes, crashes: [], holders: update.holders, scope: 'fleet' })
+    lastSentLoads = own.loads
+    outcomesForMembers = []
+    outcomesForRelays = []
+    return ownLoads.length === 0 && fleetLoads.length === 0 && memberOutcomes.length === 0
   }
 
   const run = async (): Promise<void> => {
     let wasIdle = false
     let sentVersion = 0
+    let intervalMs = GOSSIP_INTERVAL_MS
     while (!aborter.signal.aborted) {
-      await timers.setTimeout(GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * updates.size, undefined, { ref: false })
-      applyUpdates()
-      const loads = toLoads()
-      // An idle instance sends one empty update, and then only new document versions; an expired update counts as no load.
-      const outcomes = opts.outliers.takeDeltas(performance.now())
+      await timers.setTimeout(intervalMs, undefined, { ref: false })
+      const peers = opts.peers()
+      const wasDirect = isDirect
+      isDirect = peers.length < relayChoices.MAX_DIRECT_INSTANCES
+      // Reports of the other mode cover other sets of instances.
+      if (isDirect !== wasDirect) memberReports = loadSums.createLoadReports()
+      applyLoads()
+      const loads = toOwnLoads()
+      const outcomes = opts.outliers.takeDeltas(now())
       const version = opts.documentVersion()
-      if (loads.length === 0 && outcomes.length === 0 && wasIdle && version === sentVersion) continue
-      wasIdle = loads.length === 0
+      const isIdle = loads.length === 0 && outcomes.length === 0
+      if (!isDirect) {
+        updateRelays()
+        const isQuiet = relay({ loads, outcomes }) && version === sentVersion
+        intervalMs = (isQuiet ? IDLE_RELAY_INTERVAL_MS : RELAY_INTERVAL_MS) * (1 - RELAY_JITTER * Math.random())
+      } else if (!isIdle || !wasIdle || version !== sentVersion) {
+        // An idle instance sends one empty update, and then only new document versions; an expired update counts as no load.
+        sendTo(peers.map(item => item.inner), { loads, outcomes, crashes: [], scope: 'instance', holders: [] })
+      }
+      if (isDirect) intervalMs = GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * memberReports.senders(now()).length
+      wasIdle = isIdle
       sentVersion = version
-      send({ t: 'peer', loads, outcomes, crashes: [], document: version })
     }
   }
 
+  /** Sends received content on: towards the relay or the other zones if it comes from below, and always to the members. */
+  const receive = (update: GossipUpdate, from: string): void => {
+    switch (update.scope) {
+      case 'instance':
+        // In a large fleet, only an instance that still considers it small sends to all: its load is counted through its relay.
+        if (isDirect) memberReports.set(from, update.loads, now())
+        opts.outliers.merge(update.outcomes, now())
+        break
+      case 'members':
+        memberReports.set(from, update.loads, now())
+        opts.outliers.merge(update.outcomes, now())
+        if (isDirect) break
+        holders.set(from, update.document)
+        outcomesForRelays = loadSums.sumOutcomes([outcomesForRelays, update.outcomes])
+        outcomesForMembers = loadSums.sumOutcomes([outcomesForMembers, update.outcomes])
+        break
+      case 'zone':
+        zoneReports.set(from, update.loads, now())
+        // An instance that has a relay receives the outcomes through it.
+        if (relays.own !== undefined) break
+        opts.outliers.merge(update.outcomes, now())
+        outcomesForMembers = loadSums.sumOutcomes([outcomesForMembers, update.outcomes])
+        break
+      case 'fleet': {
+        if (from !== relays.own) break
+        relayHeardAt = now()
+        fleetReports.set(from, update.loads, now())
+        const outcomes = echoes.filter(update.outcomes)
+        opts.outliers.merge(outcomes, now())
+        outcomesForMembers = loadSums.sumOutcomes([outcomesForMembers, outcomes])
+      }
+    }
+  }
+
+  /** Sends crash reports on to the neighbours that have not seen them, at once: the request may be repeated at any instance. */
+  const forwardCrashes = (crashes: crashQuarantines.CrashReport[], from: string | undefined): void => {
+    const neighbours = [...memberReports.senders(now()), ...(relays.own === undefined ? relays.others : [relays.own])]
+    sendTo(neighbours.filter(address => address !== from), { loads: [], outcomes: [], crashes, scope: 'instance', holders: [] })
+  }
+
   void run()
   return {
     onUpdate (update, from) {
-      updates.set(from, { loads: update.loads, at: performance.now() })
-      opts.quarantine.merge(update.crashes, performance.now())
-      opts.outliers.merge(update.outcomes, performance.now())
+      const newCrashes = opts.quarantine.merge(update.crashes, now())
+      if (!isDirect && newCrashes.length > 0) forwardCrashes(newCrashes, from)
       opts.onDocumentVersion(from, update.document)
-      applyUpdates()
+      for (const address of update.holders) opts.onDocumentVersion(address, update.document)
+      // Crash reports that are sent on at once carry no loads.
+      if (update.crashes.length > 0 && !isDirect) return
+      receive(update, from)
+      scheduleApply()
     },
     sendCrashReports (crashes) {
-      send({ t: 'peer', loads: toLoads(), outcomes: [], crashes, document: opts.documentVersion() })
+      if (!isDirect) {
+        forwardCrashes(crashes, undefined)
+        return
+      }
+      sendTo(opts.peers().map(item => item.inner), { loads: toOwnLoads(), outcomes: [], crashes, scope: 'instance', holders: [] })
     },
     instanceCount: () => opts.peers().length + 1,
-    stop () { aborter.abort() }
+    stop () {
+      aborter.abort()
+      clearTimeout(sumTimer)
+    }
   }
 }
