--- a/packages/discovery/__tests__/fleetStart.test.ts
+++ b/packages/discovery/__tests__/fleetStart.test.ts
@@ -97,7 +97,7 @@
   return bytes
 }
 
-function createPublisher (now: () => number): discovery.Publisher {
+function createPublisher (now: () => number, bytesPerMs = Infinity): discovery.Publisher {
   return discovery.createPublisher({
     self: 'c',
     table: discovery.createRecordTable(),
@@ -106,6 +106,7 @@
     version: () => 0,
     packDocumentSince: () => null,
     isCurrent: () => true,
+    budget: discovery.createSendBudget(bytesPerMs),
     log,
     now
   })
@@ -159,3 +160,25 @@
   live.refresh(table, 30_000)
   t.is(table.get('a')?.lastSeenAt, 30_000 - discovery.LATE_AFTER_MS)
 })
+
+// The records of 200 instances, sent to all of them at once, kept a link of 6 Mbit/s busy for longer than an election timeout.
+test('the records that a control instance sends at a time are bounded by its link', async t => {
+  const bytesPerMs = 10
+  let clock = 0
+  let packedBytes = 0
+  const publisher = createPublisher(() => clock, bytesPerMs)
+  publisher.onEvent({ t: 'news', list: Array.from({ length: 200 }, (_, i) => toEntry(`i${i}`)) })
+  let answered = 0
+  const joins = Array.from({ length: 20 }, async (_, i) => {
+    const reply = await publisher.onCall({ t: 'subscribe', self: toEntry(`i${i}`), version: 0, isCompact: true }, { sendEncoded: () => {}, closed: new Promise(() => {}) } as unknown as links.Link)
+    packedBytes = reply.records?.length ?? 0
+    answered++
+  })
+  await timers.setTimeout(100)
+  const maxQueuedMs = 150
+  t.true(answered > 0 && (answered - 1) * packedBytes <= maxQueuedMs * bytesPerMs, `${answered} replies of ${packedBytes} bytes`)
+  const timer = setInterval(() => { clock += 100 }, 1)
+  await Promise.all(joins)
+  clearInterval(timer)
+  t.is(answered, 20)
+})
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -121,7 +121,7 @@
     wake()
   }
   const onClose = (): void => { fail(new Error('connection closed during the handshake')) }
-  const timer = setTimeout(() => { fail(new Error(`no link within ${timeoutMs} ms: connection or handshake not completed`)) }, timeoutMs)
+  const timer = setTimeout(() => { fail(new Error(`no link within ${timeoutMs} ms: ${socket.connecting ? 'not connected' : 'handshake not completed'}`)) }, timeoutMs)
   socket.on('data', onData)
   socket.on('error', fail)
   socket.on('close', onClose)
