--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -37,6 +37,10 @@
   table: discovery.RecordTable
   /** Accepts an announcement. See {@link discovery.Publisher.announce}. */
   announce: (record: discovery.Record) => Promise<void>
+  /** Returns the number of subscribed entry instances. */
+  subscriberCount: () => number
+  /** Returns the number of records without a recent heartbeat. */
+  lateCount: () => number
   stop: () => Promise<void>
 }
 
@@ -114,6 +118,8 @@
     store,
     table,
     announce: async record => { await publisher.announce(record) },
+    subscriberCount: publisher.subscriberCount,
+    lateCount: publisher.lateCount,
     async stop () {
       isStopping = true
       clearInterval(timer)
--- a/packages/coordination/src/controlMetrics.ts
+++ b/packages/coordination/src/controlMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of a control instance of the forwarding fleet. */
 import * as prom from 'prom-client'
+import * as links from '@kingcupdeck/links'
 import type * as controlInstances from './controlInstance.js'
 
 const BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
@@ -25,6 +26,10 @@
   gauge('kingcupdeck_control_current', 'Whether a quorum of control instances was heard lately', () => instance.store.isCurrent() ? 1 : 0)
   gauge('kingcupdeck_control_leads', 'Whether this instance leads the group of the document', () => instance.store.isLeader() ? 1 : 0)
   gauge('kingcupdeck_records', 'Endpoints and entry instances that are known and not gone', () => instance.table.all().filter(item => item.state !== 'gone').length)
+  gauge('kingcupdeck_links_open', 'Open links to other instances', links.openLinkCount)
+  gauge('kingcupdeck_sockets_open', 'Open TCP connections of this process, of all kinds', links.openSocketCount)
+  gauge('kingcupdeck_subscribers', 'Entry instances that are subscribed here', instance.subscriberCount)
+  gauge('kingcupdeck_records_late', 'Records without a recent heartbeat', instance.lateCount)
   gauge('kingcupdeck_log_lines_dropped', 'Log lines that were left out to stay within bounds', droppedLines)
   return {
     registry,
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -50,6 +50,10 @@
   publishDocument (): void
   /** Returns the reply to a caller without records or document: all records and the full document. */
   toFullReply (): messages.DiscoveryReply
+  /** Returns the number of subscribed entry instances. */
+  subscriberCount (): number
+  /** Returns the number of records without a recent heartbeat. */
+  lateCount (): number
   /** Runs the periodic work; to be called every {@link messages.TICK_INTERVAL_MS}. */
   tick (): void
 }
@@ -293,6 +297,8 @@
       sendAll(event, compactSubscribers)
     },
     toFullReply: () => ({ ...toReply(false, opts.packDocumentSince(0)), records: messages.packRecords(table.all()) }),
+    subscriberCount: () => subscribers.size + compactSubscribers.size,
+    lateCount: () => liveness.late().length,
     tick () {
       ticks++
       const own = [...ownHeartbeats.values()]
--- a/packages/forwarding/src/entryMetrics.ts
+++ b/packages/forwarding/src/entryMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of an entry instance. */
 import * as prom from 'prom-client'
+import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 
 const DURATION_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 4, 8, 15]
@@ -26,6 +27,11 @@
 export function createEntryMetrics (droppedLines: () => number = () => 0): EntryMetrics {
   const registry = new prom.Registry()
   const registers = [registry]
+  const gauge = (name: string, help: string, read: () => number): void => {
+    const created = new prom.Gauge({ name, help, registers, collect () { created.set(read()) } })
+  }
+  gauge('kingcupdeck_links_open', 'Open links to other instances', links.openLinkCount)
+  gauge('kingcupdeck_sockets_open', 'Open TCP connections of this process, of all kinds', links.openSocketCount)
   return {
     registry,
     firstByte: new prom.Histogram({ name: 'kingcupdeck_forward_first_byte_seconds', help: 'From the request to the head of its answer, per client account and route', labelNames: ['account', 'route'], buckets: DURATION_BUCKETS_S, registers }),
--- a/packages/links/src/linkMonitor.ts
+++ b/packages/links/src/linkMonitor.ts
@@ -29,6 +29,16 @@
   }
 }
 
+/** Returns the number of open links of this process. */
+export function openLinkCount (): number {
+  return checks.size
+}
+
+/** Returns the number of open TCP connections of this process, including those that are not links. */
+export function openSocketCount (): number {
+  return process.getActiveResourcesInfo().filter(kind => kind === 'TCPSocketWrap').length
+}
+
 function checkAll (): void {
   const now = performance.now()
   const wasSuspended = now - lastCheckAt > 3 * CHECK_INTERVAL_MS
