fix(platform): a bundle never runs with the code cache of another one

Cause: the code cache kept its name from build to build. V8 compares only the length of the source; the control bundle had the length of the one before, so its functions were compiled from the wrong places. The builder itself ran with the old cache and wrote it again. Change: the name of the cache contains a digest of its bundle; caches of earlier bundles are removed.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,28 +5,13 @@
 import * as path from 'node:path'
 import * as url from 'node:url'
 import * as esbuild from 'esbuild'
+import * as codeCaches from './codeCache.mjs'
 
 const PROGRAMS = ['entry', 'control']
 const root = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)))
+const target = path.join(root, 'target')
 const packages = fs.readdirSync(path.join(root, 'packages'))
 
-/** Source of the loader that runs a bundle with its code cache. */
-function createLoader (name) {
-  return `
-const fs = require('node:fs')
-const path = require('node:path')
-const vm = require('node:vm')
-const file = path.join(__dirname, '${name}.main.cjs')
-const source = '(function (exports, require, module, __filename, __dirname) {' + fs.readFileSync(file, 'utf8') + '\\n})'
-let cachedData
-try { cachedData = fs.readFileSync(path.join(__dirname, '${name}.cache')) } catch {}
-const script = new vm.Script(source, { filename: file, cachedData })
-const loaded = { exports: {} }
-script.runInThisContext().call(loaded.exports, loaded.exports, require, loaded, file, __dirname)
-module.exports = { script }
-`
-}
-
 /**
  * Returns the Node.js flags that the deployment starts a program with. V8 silently rejects a code cache that was created with
  * other flags and compiles everything again at each start.
@@ -38,18 +23,6 @@
   return run[1].split(' ').filter(flag => flag !== '')
 }
 
-/** Source of the program that creates the code cache: runs a bundle until it exits for lack of settings, so that its startup code is compiled. */
-function createCacheBuilder (name) {
-  return `
-const path = require('node:path')
-const fs = require('node:fs')
-process.exit = () => {}
-process.on('unhandledRejection', () => {})
-const { script } = require(path.resolve('target/${toLoaderFile(name)}'))
-setImmediate(() => { fs.writeFileSync('target/${name}.cache', script.createCachedData()); process.reallyExit(0) })
-`
-}
-
 /** Source of the control instance's entry file: runs the first stage, which then loads the main bundle. */
 const CONTROL_ENTRY = `
 const path = require('node:path')
@@ -71,7 +44,7 @@
   outfile: 'target/control.first.cjs',
   alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') }
 })
-fs.writeFileSync(path.join(root, 'target', 'control.cjs'), CONTROL_ENTRY)
+fs.writeFileSync(path.join(target, 'control.cjs'), CONTROL_ENTRY)
 
 for (const name of PROGRAMS) {
   await esbuild.build({
@@ -86,8 +59,9 @@
       ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
     }
   })
-  fs.writeFileSync(path.join(root, 'target', toLoaderFile(name)), createLoader(name))
+  codeCaches.removeCaches(target, name)
+  fs.writeFileSync(path.join(target, toLoaderFile(name)), codeCaches.createLoader(target, name))
   const env = { ...process.env, KINGCUPDECK_CONFIG: '/nonexistent' }
-  const res = childProcess.spawnSync('node', [...readNodeFlags(name), '-e', createCacheBuilder(name)], { cwd: root, env, encoding: 'utf8' })
-  if (!fs.existsSync(path.join(root, `target/${name}.cache`))) process.stderr.write(`could not create the code cache for ${name}; the program compiles its code at each start: ${res.stderr}\n`)
+  const res = childProcess.spawnSync('node', [...readNodeFlags(name), '-e', codeCaches.createCacheBuilder(target, name, toLoaderFile(name))], { cwd: root, env, encoding: 'utf8' })
+  if (!fs.existsSync(path.join(target, codeCaches.toCacheFile(target, name)))) process.stderr.write(`could not create the code cache for ${name}; the program compiles its code at each start: ${res.stderr}\n`)
 }
