--- a/packages/forwarding/__tests__/helpers/engineModel.ts
+++ b/packages/forwarding/__tests__/helpers/engineModel.ts
@@ -3,6 +3,7 @@
  * chunk of the queued prompts in order of arrival; a shared prompt prefix is processed once and then cached.
  */
 import * as chooseEndpoints from '../../src/chooseEndpoint.js'
+import * as numbers from '../../src/numbers.js'
 import * as queueDelays from '../../src/queueDelay.js'
 import * as retryAfters from '../../src/retryAfter.js'
 import * as helper from './random.js'
@@ -21,6 +22,25 @@
   movesSlowRequests: boolean
 }
 
+/** Sizes of the fleet, and how its entry instances learn each other's loads. */
+export interface Fleet {
+  engines: number
+  instances: number
+  slots: number
+  /** Interval of the reports of an instance, milliseconds. */
+  gossipIntervalMs: number
+  /** Time until the report of an instance is known to the others, milliseconds. */
+  gossipDelayMs: number
+  /** Whether instances report at different times. */
+  isStaggered: boolean
+  /** A report is discarded after this time, milliseconds. */
+  reportTtlMs: number
+  /** Whether reports contain the queue delays of the engines. */
+  reportsDelays: boolean
+}
+
+interface Report { at: number, instance: number, loads: number[], delays: Array<number | undefined> }
+
 /** Result of a simulation. */
 export interface SimulationResult { requests: number, inTime: number, late: number, refused: number, failed: number, reprocessedTokens: number, credit: number, maxCredit: number, firstMs: number[] }
 
@@ -28,27 +48,63 @@
 interface Work { req: Req, engine: number, sentAt: number, pending: queueDelays.PendingRequest, unprocessed: number, remaining: number, isAnswered: boolean, isOver: boolean }
 interface Engine { queue: Work[], running: Work[], cache: Set<string>, busyUntil: number, isLost: boolean }
 
-const ENGINES = 8
-const INSTANCES = 8
-const SLOTS = 128
+const SMALL_FLEET: Fleet = { engines: 8, instances: 8, slots: 128, gossipIntervalMs: 320, gossipDelayMs: 0, isStaggered: false, reportTtlMs: Infinity, reportsDelays: false }
 const CHUNK_TOKENS = 1100
 const PROMPT_TOKENS_PER_MS = 112
 const STEP_MS = 3.4
 const STEP_PER_REQUEST_MS = 0.07
-const GOSSIP_INTERVAL_MS = 320
 /** Time to import a prompt from another engine, as a share of the time to process it. */
 const COPY_SHARE = 0.2
 /** A client without a first event disconnects after this time. */
 const CLIENT_TIMEOUT_MS = 3200
 const LATE_CREDIT = 0.31
 
+/** Tracks the loads of all instances as the others know them. */
+function createKnownLoads (fleet: Fleet) {
+  const reported = Array.from({ length: fleet.engines }, () => new Array<number>(fleet.instances).fill(0))
+  const sums = new Array<number>(fleet.engines).fill(0)
+  const reportedAt = new Array<number>(fleet.instances).fill(-Infinity)
+  const inTransit: Report[] = []
+  /** Reported queue delays of each engine, by instance. */
+  const delays = Array.from({ length: fleet.engines }, () => new Map<number, number>())
+  const apply = (instance: number, loads: readonly number[], reportedDelays: ReadonlyArray<number | undefined>): void => {
+    for (let i = 0; i < fleet.engines; i++) {
+      sums[i] += loads[i] - reported[i][instance]
+      reported[i][instance] = loads[i]
+      const delayMs = reportedDelays[i]
+      if (delayMs === undefined) delays[i].delete(instance)
+      else delays[i].set(instance, delayMs)
+    }
+  }
+  const none = new Array<number>(fleet.engines).fill(0)
+  return {
+    peerLoad: (engine: number, instance: number): number => sums[engine] - reported[engine][instance],
+    peerDelayMs: (engine: number): number | undefined => numbers.median([...delays[engine].values()]),
+    update (own: readonly number[][], toDelayMs: (engine: number, instance: number) => number | undefined, now: number): void {
+      for (let k = 0; k < fleet.instances; k++) {
+        const offsetMs = fleet.isStaggered ? Math.floor(k * fleet.gossipIntervalMs / fleet.instances) : 0
+        if ((now + offsetMs) % fleet.gossipIntervalMs === 0) {
+          const loads = own.map(item => item[k])
+          inTransit.push({ at: now + fleet.gossipDelayMs, instance: k, loads, delays: loads.map((load, i) => fleet.reportsDelays && load > 0 ? toDelayMs(i, k) : undefined) })
+        }
+        if (now - reportedAt[k] > fleet.reportTtlMs) apply(k, none, [])
+      }
+      while (inTransit.length > 0 && inTransit[0].at <= now) {
+        const report = inTransit.shift() as Report
+        apply(report.instance, report.loads, report.delays)
+        reportedAt[report.instance] = now
+      }
+    }
+  }
+}
+
 /** Simulates a load. */
-export function simulate (load: Load, policy: Policy, seed: number): SimulationResult {
+export function simulate (load: Load, policy: Policy, seed: number, fleet = SMALL_FLEET): SimulationResult {
   const random = helper.createRandom(seed)
-  const engines: Engine[] = Array.from({ length: ENGINES }, () => ({ queue: [], running: [], cache: new Set(), busyUntil: 0, isLost: false }))
-  const estimators = engines.map(() => Array.from({ length: INSTANCES }, () => queueDelays.createQueueDelayEstimator()))
-  const own = engines.map(() => new Array<number>(INSTANCES).fill(0))
-  let gossiped = own.map(item => [...item])
+  const engines: Engine[] = Array.from({ length: fleet.engines }, () => ({ queue: [], running: [], cache: new Set(), busyUntil: 0, isLost: false }))
+  const estimators = engines.map(() => Array.from({ length: fleet.instances }, () => queueDelays.createQueueDelayEstimator()))
+  const own = engines.map(() => new Array<number>(fleet.instances).fill(0))
+  const known = createKnownLoads(fleet)
   const retrying: Array<{ at: number, req: Req }> = []
   const waiting = new Set<Work>()
   const seen = new Set<string>()
@@ -64,8 +120,8 @@
   const send = (req: Req, tried: number, now: number): void => {
     const candidates = engines.map((engine, i): chooseEndpoints.Candidate => {
       const ownLoad = own[i][req.instance]
-      const peerLoad = gossiped[i].reduce((sum, load, k) => k === req.instance ? sum : sum + load, 0)
-      return { id: String(i), zone: 'z', load: ownLoad + peerLoad, ownInFlight: ownLoad, slots: SLOTS, isCold: false, delayMs: estimators[i][req.instance].estimateMs(now) ?? 0, freeConnections: 100, ageMs: Infinity }
+      const peerLoad = known.peerLoad(i, req.instance)
+      return { id: String(i), zone: 'z', load: ownLoad + peerLoad, ownInFlight: ownLoad, slots: fleet.slots, isCold: false, delayMs: estimators[i][req.instance].estimateMs(now) ?? known.peerDelayMs(i) ?? 0, freeConnections: 100, ageMs: Infinity }
     }).filter((item, i) => !engines[i].isLost && i !== tried)
     const delayLimitMs = policy.rejectsLateRequests ? queueDelays.toDelayLimitMs(req.kind.targetMs) : Infinity
     const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity: req.prompt, zone: 'z', delayLimitMs }, random())
@@ -103,7 +159,7 @@
     engine.running = engine.running.filter(work => !work.isOver)
     if (engine.queue.length + engine.running.length === 0) return
     let chunk = CHUNK_TOKENS
-    while (chunk > 0 && engine.queue.length > 0 && engine.running.length < SLOTS) {
+    while (chunk > 0 && engine.queue.length > 0 && engine.running.length < fleet.slots) {
       const work = engine.queue[0]
       const { kind, prompt } = work.req
       if (work.unprocessed < 0) {
@@ -145,12 +201,12 @@
       engine.isLost = load.isLost(i, second)
       if (!engine.isLost && engine.busyUntil <= now) step(engine, now)
     }
-    if (now % GOSSIP_INTERVAL_MS === 0) gossiped = own.map(item => [...item])
+    known.update(own, (engine, instance) => estimators[engine][instance].estimateMs(now), now)
     for (const kind of load.kinds) {
       if (random() >= kind.perSecond * load.factor(second) / 1000) continue
       result.requests++
       result.maxCredit += kind.worth
-      send({ kind, prompt: `${kind.name},${Math.floor(kind.subjects * random())}`, instance: Math.floor(INSTANCES * random()), arrivedAt: now, retries: 0, attempts: 0 }, -1, now)
+      send({ kind, prompt: `${kind.name},${Math.floor(kind.subjects * random())}`, instance: Math.floor(fleet.instances * random()), arrivedAt: now, retries: 0, attempts: 0 }, -1, now)
     }
     for (const item of retrying.filter(entry => entry.at <= now)) {
       retrying.splice(retrying.indexOf(item), 1)
--- a/packages/forwarding/__tests__/overload.test.ts
+++ b/packages/forwarding/__tests__/overload.test.ts
@@ -43,3 +43,29 @@
 test('no request is rejected at normal load', t => {
   for (const seed of SEEDS) t.is(engineModels.simulate({ ...LONG_BURST, seconds: 8, factor: () => 1, isLost: () => false }, CURRENT, seed).refused, 0)
 })
+
+const LARGE_FLEET: Pick<engineModels.Fleet, 'engines' | 'instances' | 'slots'> = { engines: 69, instances: 191, slots: 12 }
+/** Each instance reports to all others; the interval grows with their number. */
+const DIRECT: engineModels.Fleet = { ...LARGE_FLEET, gossipIntervalMs: 3050, gossipDelayMs: 5, isStaggered: true, reportTtlMs: 3000, reportsDelays: true }
+/** Reports through relays: two further intervals on the way. */
+const RELAYED: engineModels.Fleet = { ...LARGE_FLEET, gossipIntervalMs: 300, gossipDelayMs: 600, isStaggered: true, reportTtlMs: 3000, reportsDelays: true }
+/** A third of the engines is lost in a burst, and a few prompts are asked for much more often than the others. */
+const LARGE_BURST: engineModels.Load = {
+  kinds: [
+    { name: 'draft', perSecond: 108, sharedTokens: 10_500, ownTokens: 1300, outTokens: 380, subjects: 523, targetMs: 519, worth: 4.9 },
+    { name: 'note', perSecond: 93, sharedTokens: 700, ownTokens: 130, outTokens: 290, subjects: 301, targetMs: 508, worth: 1.6 },
+    { name: 'hot', perSecond: 60, sharedTokens: 2000, ownTokens: 360, outTokens: 23, subjects: 2, targetMs: 1010, worth: 0.26 },
+    { name: 'tag', perSecond: 168, sharedTokens: 2000, ownTokens: 360, outTokens: 23, subjects: 738, targetMs: 1010, worth: 0.26 }
+  ],
+  seconds: 14,
+  factor: second => second > 4 && second < 9 ? 1.7 : 1,
+  isLost: (engine, second) => engine % 3 === 0 && second > 5 && second < 10
+}
+
+// At 191 instances each one knows the others' loads only from gossip; loads that are older than a request lasts place it at random.
+test('a large fleet with relayed loads serves a burst better than with reports from each to each', t => {
+  const toCredit = (fleet: engineModels.Fleet): number => share(SEEDS.map(seed => engineModels.simulate(LARGE_BURST, CURRENT, seed, fleet)), item => item.credit, item => item.maxCredit)
+  const [direct, relayed] = [toCredit(DIRECT), toCredit(RELAYED)]
+  t.log(`credit ${direct.toFixed(3)} direct, ${relayed.toFixed(3)} relayed`)
+  t.true(relayed > direct)
+})
