refactor(discovery): choice of control instances and the queue for room on a link are modules of their own

The choice (how many subscriptions, which one is surplus, which one would be better) is now pure functions in subscriptionChoice.ts; waiting for room moved to sendBudget.ts.

--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -76,8 +76,6 @@
 const MAX_INLINE_BYTES = 12 * 1024
 /** Ticks between anti-entropy exchanges of the full table with a random control instance. */
 const COMPARE_INTERVAL_TICKS = 3
-/** Interval at which a subscription that waits for room on the link is checked. */
-const ROOM_POLL_MS = 10
 const PRUNE_INTERVAL_TICKS = 30
 
 /** Creates a publisher. */
@@ -101,22 +99,7 @@
   const peerBatch = new Map<string, records.Record>()
   let pendingFlush: Promise<void> | undefined
   let ticks = 0
-  /** The subscription that waits last for room on the link. */
-  let lastWaiting: Promise<void> = Promise.resolve()
-
-  /**
-   * Waits until all records can be sent without delaying other messages for long, such as those of the replicated log, while many
-   * instances subscribe at the same time.
-   */
-  const waitForRoom = async (link: links.Link): Promise<void> => {
-    const isClosed = { value: false }
-    void link.closed.then(() => { isClosed.value = true })
-    lastWaiting = lastWaiting.then(async () => {
-      while (!isClosed.value && !budget.tryReserve(packTable().length, now())) await timers.setTimeout(ROOM_POLL_MS)
-    })
-    await lastWaiting
-    if (isClosed.value) throw new Error('subscription rejected: its link was closed')
-  }
+  const waitForRoom = sendBudgets.createSendQueue(budget, now)
 
   const sendAll = (event: messages.DiscoveryEvent, targets: ReadonlySet<links.Link> = subscribers): void => {
     if (targets.size === 0) return
@@ -247,7 +230,10 @@
     async onCall (call, link) {
       switch (call.t) {
         case 'subscribe': {
-          await waitForRoom(link)
+          let isClosed = false
+          void link.closed.then(() => { isClosed = true })
+          // Many instances may subscribe at the same time; messages such as those of the replicated log must not wait behind them.
+          await waitForRoom(() => packTable().length, () => !isClosed)
           const group = call.isCompact === true ? compactSubscribers : subscribers
           group.add(link)
           void link.closed.then(() => { group.delete(link) })
--- a/packages/discovery/src/sendBudget.ts
+++ b/packages/discovery/src/sendBudget.ts
@@ -2,6 +2,7 @@
  * Limits how many bytes of documents an instance sends at a time. Many simultaneous full documents would saturate a slow link
  * until the receivers time out and retry; sending to a few at a time lets the first receivers serve the others.
  */
+import * as timers from 'node:timers/promises'
 
 /** A budget of bytes on one link. */
 export interface SendBudget {
@@ -31,3 +32,21 @@
     }
   }
 }
+
+/** Interval at which a message that waits for room on the link is checked. */
+const ROOM_POLL_MS = 10
+
+/**
+ * Creates a queue of messages that wait for room on the link, in order.
+ * @param now returns milliseconds
+ * @returns a function that resolves when a message may be sent, or when it is no longer wanted
+ */
+export function createSendQueue (budget: SendBudget, now: () => number): (toBytes: () => number, isWanted: () => boolean) => Promise<void> {
+  let last: Promise<void> = Promise.resolve()
+  return async (toBytes, isWanted) => {
+    last = last.then(async () => {
+      while (isWanted() && !budget.tryReserve(toBytes(), now())) await timers.setTimeout(ROOM_POLL_MS)
+    })
+    await last
+  }
+}
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -13,6 +13,7 @@
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
 import * as sendBudgets from './sendBudget.js'
+import * as subscriptionChoices from './subscriptionChoice.js'
 
 /** Options of {@link startSubscriber}. */
 export interface SubscriberOptions {
@@ -70,15 +71,6 @@
   stop (): void
 }
 
-/**
- * Number of subscriptions. Of five control instances, two may be partitioned from the others and still reachable for entry
- * instances: three subscriptions then include one with a quorum.
- */
-const SUBSCRIPTIONS = 3
-/** Further subscriptions that may be open for a moment, while others are being established or replaced. */
-const SPARE_SUBSCRIPTIONS = 2
-/** A subscription that is not established after this long is no longer waited for: another one is opened beside it. */
-const HEDGE_AFTER_MS = 700
 /** A control instance without a tick for this long is unresponsive, and its subscription is closed. */
 const TICK_TIMEOUT_MS = 2.3 * messages.TICK_INTERVAL_MS
 /** A control instance without a quorum for this long is replaced by another one, if available. */
@@ -98,18 +90,12 @@
 /** How long a new version that is not reported by the primary subscription waits for it: half a heartbeat of control instances. */
 const SECONDARY_FETCH_DELAY_MS = 100
 
-interface Subscription {
-  address: string
-  startedAt: number
+interface Subscription extends subscriptionChoices.SubscriptionState {
   link: links.Link | undefined
-  /** Whether the control instance has accepted it. */
-  isEstablished: boolean
   /** Records that it reports as live; undefined if it sends every heartbeat instead. */
   live: livenesses.LiveRecords | undefined
   /** Time of the last event. */
   lastSeenAt: number
-  /** Whether the control instance had a quorum at its last tick. */
-  isCurrent: boolean
   /** Time of the last tick with a quorum. */
   lastQuorumAt: number
   version: number
@@ -151,7 +137,7 @@
    * restart of the fleet their links would limit the transfer.
    */
   const toInitialSources = (): documentFetchers.DocumentSource[] => {
-    if (documents.version() > 0 || controls.length <= SUBSCRIPTIONS) return []
+    if (documents.version() > 0 || controls.length <= subscriptionChoices.SUBSCRIPTIONS) return []
     const address = controls[Math.floor(Math.random() * controls.length)]
     return [{
       address,
@@ -229,65 +215,32 @@
     }
   }
 
-  /** Returns the control instances in the order in which this instance prefers them, which spreads all instances evenly. */
-  const toPreferred = (addresses: Iterable<string>): string[] => {
-    return [...addresses]
-      .map(address => ({ address, score: contracts.rendezvousScore(opts.id, address) }))
-      .sort((a, b) => b.score - a.score)
-      .map(item => item.address)
-  }
-
   /** Returns the control instances that can be subscribed to now, most preferred first. The members change over time, as do the seeds. */
   const candidateAddresses = (): string[] => {
     const subscribed = new Set([...open].map(sub => sub.address))
     const all = new Set([...controls, ...opts.seeds()])
     const available = [...all].filter(address => !subscribed.has(address) && (backoffUntil.get(address) ?? 0) <= now())
     // Before the first contact only the seeds are known, which all instances would prefer in the same few orders.
-    return isBeforeContact() ? handoutPollers.toShuffled(available) : toPreferred(available)
-  }
-
-  /** Returns how many subscriptions are wanted besides those that take too long. */
-  const wantedSubscriptions = (): number => {
-    if (!isBeforeContact()) return SUBSCRIPTIONS
-    // At the start of a fleet all instances know the same few seeds: each asks one, and another one only if that does not help.
-    const isOverdue = (sub: Subscription): boolean => now() - sub.startedAt > HEDGE_AFTER_MS
-    return Math.min(SUBSCRIPTIONS, 1 + [...open].filter(item => item.isEstablished && isOverdue(item)).length)
-  }
-
-  /** Closes the least useful of the surplus subscriptions. */
-  const trim = (): void => {
-    const established = [...open].filter(sub => sub.isEstablished)
-    if (established.length <= SUBSCRIPTIONS) return
-    const withQuorum = established.filter(sub => sub.isCurrent)
-    const preferred = toPreferred(withQuorum.map(sub => sub.address))
-    const surplus = established.find(sub => !sub.isCurrent) ?? withQuorum.find(sub => sub.address === preferred.at(-1))
-    if (surplus !== undefined) close(surplus, 'replaced')
-  }
-
-  /** Opens a subscription to a preferred control instance; {@link trim} then closes the least preferred one. */
-  const maybeMove = (candidates: readonly string[]): void => {
-    if (now() < nextMoveAt || open.size !== SUBSCRIPTIONS || candidates.length === 0) return
-    if ([...open].some(sub => !sub.isEstablished || !sub.isCurrent)) return
-    nextMoveAt = now() + MOVE_INTERVAL_MS * (0.5 + Math.random())
-    const subscribed = [...open].map(sub => sub.address)
-    const [best] = candidates
-    if (toPreferred([...subscribed, best]).at(-1) !== best) void subscribe(best)
+    return isBeforeContact() ? handoutPollers.toShuffled(available) : subscriptionChoices.toPreferred(opts.id, available)
   }
 
   const updateSubscriptions = (): void => {
     for (const sub of open) {
       if (now() - sub.lastSeenAt > TICK_TIMEOUT_MS) drop(sub, 'silent')
     }
-    trim()
+    const surplus = subscriptionChoices.findSurplus(opts.id, [...open])
+    if (surplus !== undefined) close(surplus, 'replaced')
     const candidates = candidateAddresses()
     const withoutQuorum = [...open].filter(sub => !sub.isCurrent && now() - sub.lastQuorumAt > QUORUM_TIMEOUT_MS)
     // A subscription without a quorum is dropped only if it can be replaced; while the fleet starts, no control instance has one.
     const replacements = isBeforeContact() ? candidates.filter(address => !failures.has(address)) : candidates
-    if (open.size >= SUBSCRIPTIONS && withoutQuorum.length > 0 && replacements.length > 0) drop(withoutQuorum[0], 'no quorum')
-    const slow = [...open].filter(sub => !sub.isEstablished && now() - sub.startedAt > HEDGE_AFTER_MS)
-    const missing = wantedSubscriptions() - (open.size - Math.min(SPARE_SUBSCRIPTIONS, slow.length))
-    for (const address of candidates.slice(0, Math.max(0, missing))) void subscribe(address)
-    if (missing <= 0) maybeMove(candidates)
+    if (open.size >= subscriptionChoices.SUBSCRIPTIONS && withoutQuorum.length > 0 && replacements.length > 0) drop(withoutQuorum[0], 'no quorum')
+    const missing = subscriptionChoices.countMissing([...open], isBeforeContact(), now())
+    for (const address of candidates.slice(0, missing)) void subscribe(address)
+    // The surplus that follows is the least preferred subscription.
+    if (missing > 0 || candidates.length === 0 || now() < nextMoveAt || !subscriptionChoices.isImprovement(opts.id, [...open], candidates[0])) return
+    nextMoveAt = now() + MOVE_INTERVAL_MS * (0.5 + Math.random())
+    void subscribe(candidates[0])
   }
 
   const fetchHandouts = opts.fetchHandout === undefined
