feat(telemetry): what control instances report and what a 404 rests on

The hypotheses on a stale 404 could not be told apart by logs. Control instances now log each change of what their ticks report (current or not, document version, committed index, the leader's, end of the log; K1320). Entry instances log when and from whom they learnt of a newer version (K1319), from whom they took a document (from of K1305), and, with each refusal that rests on the document, the subscriptions with version, currency and age (sources of K1506).

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -45,6 +45,8 @@
   documentUnreadable: spec(1311, 'error', 'accepted configuration document cannot be parsed here; the previous version stays in effect', 'Check that all instances run the same version.'),
   replicaRestarted: spec(1312, 'warn', 'replica of the configuration document is being restarted after a disk failure', 'Check the disk: free space, and whether writes complete.'),
   documentNotFetched: spec(1318, 'info', 'fetching the configuration document from an instance failed; trying another one', 'Expected while instances restart or are unreachable. If documentInForce (K1305) does not follow, check the links to the control instances.'),
+  documentReported: spec(1319, 'info', 'newer version of the configuration document became known'),
+  documentCurrency: spec(1320, 'info', 'what this control instance reports to entry instances changed: its document version, and whether it is current'),
   recordsNotKept: spec(1315, 'warn', 'endpoint records could not be written to disk', 'Check the disk. Without the file, a restarted instance learns the records from the next announcements.'),
   settingsReloaded: spec(1313, 'info', 'settings file reloaded'),
   endpointJoined: spec(1401, 'info', 'endpoint became ready'),
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -84,15 +84,33 @@
   const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
   for (const record of await recordFile.load()) table.merge(record, performance.now())
 
+  const version = (): number => store.latest()?.version ?? 0
+  let lastReport = ''
+
+  /** Logs what the ticks of this instance report when it changed since the last one. */
+  const logReport = (isCurrent: boolean): void => {
+    const report = `${isCurrent} ${version()}`
+    if (report === lastReport) return
+    lastReport = report
+    const status = store.status()
+    log.event('documentCurrency', { isCurrent, version: version(), role: status?.role, term: status?.term, leader: status?.leader, commit: status?.commit, leaderCommit: status?.leaderCommit, lastIndex: status?.lastIndex })
+  }
+
+  const isCurrent = (): boolean => {
+    const result = !isStopping && store.isCurrent()
+    logReport(result)
+    return result
+  }
+
   const publisher = discovery.createPublisher({
     self: opts.inner,
     table,
     peerAddresses: () => store.peerAddresses(),
     getPeerLink,
-    version: () => store.latest()?.version ?? 0,
+    version,
     packDocumentSince: store.packSince,
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
-    isCurrent: () => !isStopping && store.isCurrent(),
+    isCurrent,
     onChange () {
       recordFile.save()
       handoutFile.save()
@@ -103,7 +121,7 @@
   const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.latest() === null ? undefined : publisher.toFullReply(), log)
 
   onDocumentChange = () => {
-    log.event('documentAccepted', { version: store.latest()?.version })
+    log.event('documentAccepted', { version: version() })
     publisher.publishDocument()
     handoutFile.save()
   }
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -68,6 +68,8 @@
   isCurrent (): boolean
   /** Returns the inner addresses of the other members of the group. */
   peerAddresses (): string[]
+  /** Returns the status of the replica, undefined while it is restarting. */
+  status (): state.ReplicaStatus | undefined
   /** Returns whether this instance is the leader. */
   isLeader (): boolean
   stop (): Promise<void>
@@ -250,6 +252,7 @@
       all.delete(opts.self)
       return [...all]
     },
+    status: () => replica?.status(),
     isLeader: () => leaderName() === opts.self,
     async stop () {
       stopped.abort()
--- a/packages/discovery/src/documentFetcher.ts
+++ b/packages/discovery/src/documentFetcher.ts
@@ -33,8 +33,9 @@
   /**
    * Called with each newer document.
    * @param waitedMs time since a newer version first became known
+   * @param from the instance that sent it
    */
-  onDocument: (document: contracts.VersionedText, waitedMs: number) => void
+  onDocument: (document: contracts.VersionedText, waitedMs: number, from: string) => void
   /** Limits the documents that are sent to other instances. */
   budget: sendBudgets.SendBudget
   signal: AbortSignal
@@ -48,10 +49,13 @@
   version (): number
   /** Returns the newest version that any instance reported. */
   newestVersion (): number
-  /** Applies a document that was received in any reply; ignores it unless it is newer. */
-  accept (packed: contracts.PackedText | null): void
-  /** Fetches the document over a link and applies it. */
-  fetchOver (link: links.Link): Promise<messages.DiscoveryReply>
+  /**
+   * Applies a document that was received in any reply; ignores it unless it is newer.
+   * @param from the instance that sent it
+   */
+  accept (packed: contracts.PackedText | null, from: string): void
+  /** Logs a version that is newer than all reported before. */
+  noteReport (from: string, version: number): void
   /** Records the version that another entry instance reported. */
   notePeerVersion (address: string, version: number): void
   /** Starts fetching after a delay, if a newer version is known. */
@@ -77,6 +81,7 @@
   let isFetching = false
   let timer: NodeJS.Timeout | undefined
   let newerKnownAt: number | undefined
+  let newestReported = 0
 
   const version = (): number => latest?.version ?? 0
 
@@ -94,7 +99,13 @@
 
   const newestVersion = (): number => Math.max(0, ...[...opts.controls(), ...peerSources()].map(item => item.version))
 
-  const accept = (packed: contracts.PackedText | null): void => {
+  const noteReport = (from: string, reportedVersion: number): void => {
+    if (reportedVersion <= Math.max(newestReported, version())) return
+    newestReported = reportedVersion
+    opts.log.event('documentReported', { version: reportedVersion, from, held: version() })
+  }
+
+  const accept = (packed: contracts.PackedText | null, from: string): void => {
     if (packed === null || packed.version <= version()) return
     const document = contracts.unpackText(packed, latest)
     // A delta from a version that was replaced while the reply was in flight; the next fetch sends the current version.
@@ -103,13 +114,13 @@
     history.add(document, packed)
     const waitedMs = newerKnownAt === undefined ? 0 : opts.now() - newerKnownAt
     newerKnownAt = undefined
-    opts.onDocument(document, waitedMs)
+    opts.onDocument(document, waitedMs, from)
   }
 
-  const fetchOver = async (link: links.Link): Promise<messages.DiscoveryReply> => {
+  const fetchOver = async (link: links.Link, address: string): Promise<messages.DiscoveryReply> => {
     const call: messages.DiscoveryCall = { t: 'fetch', version: version() }
     const reply = messages.discoveryReply.parse(await link.call(call, FETCH_TIMEOUT_MS))
-    accept(reply.document)
+    accept(reply.document, address)
     return reply
   }
 
@@ -118,7 +129,7 @@
     pendingAddresses.add(source.address)
     try {
       const link = await source.getLink()
-      const reply = await fetchOver(link).finally(() => { if (source.isLinkTemporary === true) link.close() })
+      const reply = await fetchOver(link, source.address).finally(() => { if (source.isLinkTemporary === true) link.close() })
       // Reports the failure, so that a source that never sends its reported version is not retried indefinitely.
       if (source.version > versionBefore && version() === versionBefore && reply.isBusy !== true) source.onFailure(`version ${source.version} was reported but not sent`)
     } catch (err) {
@@ -158,8 +169,9 @@
     version,
     newestVersion,
     accept,
-    fetchOver,
+    noteReport,
     notePeerVersion (address, reportedVersion) {
+      noteReport(address, reportedVersion)
       peerVersions.set(address, reportedVersion)
     },
     scheduleFetch (delayMs) {
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -31,8 +31,9 @@
   /**
    * Called with each newer document.
    * @param waitedMs time since a newer version first became known
+   * @param from the instance that sent it
    */
-  onDocument: (document: contracts.VersionedText, waitedMs: number) => void
+  onDocument: (document: contracts.VersionedText, waitedMs: number, from: string) => void
   /** Inner addresses of the other entry instances, in random order; none by default. */
   peerAddresses?: () => readonly string[]
   /** Returns a link to another entry instance. */
@@ -59,6 +60,8 @@
   newestVersion (): number
   /** Returns whether the local document is known to be the latest: a quorum is in contact, and no instance reported a newer one. */
   isDocumentLatest (): boolean
+  /** Describes the subscriptions that {@link Subscriber.isDocumentLatest} depends on, for the log. */
+  describeSubscriptions (): string
   /** Announces a change of this instance to all subscribed control instances. */
   announce (): void
   /** Returns the time of the last tick of a control instance with a quorum, -Infinity before the first. */
@@ -126,6 +129,7 @@
    * subscription, so that the leader, which reports a new version first, does not receive fetches of all its subscribers at once.
    */
   const noteVersion = (sub: Subscription, reportedVersion: number): void => {
+    documents.noteReport(sub.address, reportedVersion)
     sub.version = Math.max(sub.version, reportedVersion)
     if (sub.version <= documents.version()) return
     const isPrimary = [...open][0] === sub
@@ -207,7 +211,7 @@
         if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, reply.late)
       }
       if (controls.length === 0) controls = reply.controls
-      documents.accept(reply.document)
+      documents.accept(reply.document, address)
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
     } catch (err) {
@@ -253,7 +257,7 @@
         opts.log.event('handoutTaken', { address, version: reply.version })
         if (reply.records !== null) mergeRecords(messages.unpackRecords(reply.records))
         if (controls.length === 0) controls = reply.controls
-        documents.accept(reply.document)
+        documents.accept(reply.document, address)
       },
       log: opts.log
     })
@@ -320,6 +324,10 @@
     version: documents.version,
     newestVersion: documents.newestVersion,
     isDocumentLatest: () => documents.version() > 0 && documents.newestVersion() <= documents.version() && now() - lastQuorumAt <= MAX_TICK_GAP_MS,
+    describeSubscriptions () {
+      const describe = (sub: Subscription): string => `${sub.address} version ${sub.version}, ${sub.isCurrent ? '' : 'not '}current, quorum ${Math.round(now() - sub.lastQuorumAt)} ms ago`
+      return [...open].filter(sub => sub.isEstablished).map(describe).join('; ')
+    },
     announce () {
       const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
       for (const sub of open) sub.link?.send(event)
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -155,6 +155,7 @@
     documentWaiters: waiters,
     isLatestDocument: () => true,
     newestDocument: () => 1,
+    describeDocumentSources: () => '',
     retryBudget: () => budget,
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -26,6 +26,8 @@
   isLatestDocument: () => boolean
   /** Returns the newest document version that any instance announced. */
   newestDocument: () => number
+  /** Describes what {@link EntryContext.isLatestDocument} depends on, for the log. */
+  describeDocumentSources: () => string
   /** Requests that wait for the next document. */
   documentWaiters: documentWaiters.DocumentWaiters
   /** Returns the retry budget of a service. */
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -133,13 +133,13 @@
   const peerLinks = links.createPeerLinks(linkSettings)
   const dialer = links.createPeerDialer(peerLinks, { dialTimeoutMs: PEER_DIAL_TIMEOUT_MS, backoffMs: PEER_BACKOFF_MS })
 
-  const applyDocument = (received: contracts.VersionedText, waitedMs: number): void => {
+  const applyDocument = (received: contracts.VersionedText, waitedMs: number, from: string): void => {
     try {
       document = routeTables.compileTable(opts.readDocument(received.text))
       server.applyLimits(document.limits)
       metrics.documentVersion.set(document.version)
       waiters.releaseAll()
-      log.event('documentInForce', { version: document.version, waitedMs: Math.round(waitedMs), routes: [...document.routesByHost.values()].reduce((sum, list) => sum + list.length, 0) })
+      log.event('documentInForce', { version: document.version, from, waitedMs: Math.round(waitedMs), routes: [...document.routesByHost.values()].reduce((sum, list) => sum + list.length, 0) })
     } catch (err) {
       log.event('documentUnreadable', { version: received.version, detail: err instanceof Error ? err.message : String(err) })
     }
@@ -187,6 +187,7 @@
     table: () => document,
     isLatestDocument: () => subscriber.isDocumentLatest(),
     newestDocument: () => subscriber.newestVersion(),
+    describeDocumentSources: () => subscriber.describeSubscriptions(),
     documentWaiters: waiters,
     retryBudget (service) {
       const known = budgetByService.get(service)
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -72,7 +72,7 @@
     const refuse = (refusal: clientCalls.Refusal): void => {
       clientCalls.writeRefusal({ req, res, attemptId }, refusal, ctx.names.attemptId)
       ctx.metrics.requests.inc({ route: 'none', outcome: String(clientCalls.toStatus(refusal)) })
-      ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version, newest: ctx.newestDocument() })
+      ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version, newest: ctx.newestDocument(), sources: restsOnDocument(refusal) ? ctx.describeDocumentSources() : undefined })
     }
     res.on('error', () => {})
     if (ctx.isDraining()) res.setHeader('Connection', 'close')
@@ -244,6 +244,11 @@
   socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
 }
 
+/** Returns whether a refusal could be different with a newer document. */
+function restsOnDocument (refusal: clientCalls.Refusal): boolean {
+  return admission.dependsOnDocument(refusal) || (refusal.kind === 'unavailable' && refusal.cause.kind === 'outdated')
+}
+
 function toClientErrorStatus (code: string | undefined): number {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW': return 431
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -11,7 +11,21 @@
 import * as replication from './replication.js'
 
 /** Status of a replica, for operators. */
-export interface ReplicaStatus { group: string, name: string, role: string, term: number, commit: number, leader: string | null, voters: string[], learners: string[] }
+export interface ReplicaStatus {
+  group: string
+  name: string
+  role: string
+  term: number
+  /** Latest committed and applied entry. */
+  commit: number
+  /** Latest commit index received from a leader. */
+  leaderCommit: number
+  /** Latest entry of the log. */
+  lastIndex: number
+  leader: string | null
+  voters: string[]
+  learners: string[]
+}
 
 /** Interval at which a pending confirmation checks for acknowledgements. */
 const CONFIRM_POLL_MS = 3
@@ -142,6 +156,8 @@
       role: core.role.kind === 'follower' && !core.isVoter() ? 'learner' : core.role.kind,
       term: core.meta.term,
       commit: core.commitIndex,
+      leaderCommit: core.leaderCommitIndex,
+      lastIndex: core.log.lastIndex(),
       leader: core.leader,
       voters: core.voters().map(entries.toMemberId),
       learners: core.role.kind === 'leader' ? [...core.role.leadership.learners.keys()] : []
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -68,6 +68,8 @@
     electionTimerStartedAt: clock.now(),
     isRunning: true,
     commitIndex: 0,
+    /** Latest commit index received from a leader. */
+    leaderCommitIndex: 0,
     appliedIndex: 0,
     /** Timestamp of the latest applied command; command timestamps never decrease. */
     lastAtMs: 0,
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -136,6 +136,7 @@
 export async function onAppend (core: replicaCore.Core, msg: Append): Promise<entries.RpcReply> {
   const reply = (isOk: boolean, match: number, tryNext: number): entries.RpcReply => ({ t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match, tryNext })
   if (!await follow(core, msg)) return reply(false, 0, 0)
+  core.leaderCommitIndex = msg.commit
   const { log } = core
   const base = log.base()
   if (msg.prevIndex > log.lastIndex()) return reply(false, 0, log.lastIndex() + 1)
