test(state): two failing tests of replicas that claim to be current with an old state

Seen by callers: 404 on a route 9 s after its document was confirmed. Control instances tell entry instances that they are current when their replica heard its leader within 1.5 s. Both tests fail on the current code, on virtual time: a follower whose disk stalls claims so 0.5 s and more after a command that it lacks was acknowledged, and after a loss of power all five replicas do, 1.9 s after it. The cluster under test gets disks that stall, a timeout of calls, and a check of such claims.

--- /dev/null
+++ b/packages/state/__tests__/currency.test.ts
@@ -0,0 +1,55 @@
+/** Whether a replica that claims to be current has applied everything that was acknowledged before. */
+import * as ava from 'ava'
+import * as virtual from './helpers/virtualCluster.js'
+
+const test = ava.default
+
+async function startGroup (names: string[], seed: number): Promise<virtual.VirtualCluster> {
+  const cluster = new virtual.VirtualCluster(names, seed)
+  for (const name of names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  return cluster
+}
+
+function leaderName (cluster: virtual.VirtualCluster): string {
+  const leader = cluster.leader()
+  if (leader === undefined) throw new Error('the group has no leader')
+  return leader.name
+}
+
+/** Advances the time in small steps, and checks the claims of all replicas after each. */
+async function advanceAndCheck (cluster: virtual.VirtualCluster, ms: number): Promise<void> {
+  for (let at = 0; at < ms; at += 5) {
+    await cluster.clock.advance(5)
+    cluster.checkCurrency()
+  }
+}
+
+// Guards against a stale document that passes for the latest because its replica hears the leader.
+test('a follower whose disk stalls does not claim to be current', async t => {
+  const cluster = await startGroup(['a', 'b', 'c'], 4)
+  const follower = cluster.names.filter(name => name !== leaderName(cluster))[0]
+  cluster.stalledDisks.add(follower)
+  cluster.propose('changed')
+  await advanceAndCheck(cluster, 4000)
+  t.deepEqual(cluster.acknowledged, ['changed'])
+  t.deepEqual(cluster.violations, [])
+  cluster.stalledDisks.delete(follower)
+  await cluster.clock.advance(2000)
+  t.true((cluster.node(follower).process.replica?.lastContactAt() ?? 0) > cluster.clock.now() - 500, 'it is current again')
+})
+
+// Guards against claims of a new leader, and of its followers, that do not know yet what is committed.
+test('after a loss of power no replica claims to be current before the first commit', async t => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const cluster = await startGroup(['a', 'b', 'c', 'd', 'e'], seed)
+    cluster.propose('changed')
+    while (cluster.acknowledged.length === 0) await cluster.clock.advance(1)
+    for (const name of cluster.names) cluster.crash(name)
+    await cluster.clock.advance(600)
+    for (const name of cluster.names) await cluster.start(name)
+    await advanceAndCheck(cluster, 5000)
+    t.deepEqual(cluster.violations, [], `seed ${seed}`)
+    for (const name of cluster.names) t.true(cluster.applied(name).includes('changed'))
+  }
+})
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -7,6 +7,8 @@
 import * as uniform from 'pure-rand/distribution/uniformFloat64'
 import * as state from '../../src/index.js'
 
+const CALL_TIMEOUT_MS = 300
+
 interface Timer { at: number, order: number, run: () => void }
 
 /** Virtual clock that advances from timer to timer. */
@@ -71,6 +73,10 @@
   readonly nodes = new Map<string, Node>()
   /** Commands acknowledged to their proposer, in order. */
   readonly acknowledged: string[] = []
+  /** Times at which commands were acknowledged. */
+  private readonly acknowledgedAt = new Map<string, number>()
+  /** Replicas whose disk completes no writes. */
+  readonly stalledDisks = new Set<string>()
   /** Replicas whose disk is full. */
   readonly fullDisks = new Set<string>()
   /** Replicas that reported a storage failure. */
@@ -164,7 +170,25 @@
 
   propose (command: string): void {
     const replica = this.leader()?.process.replica
-    replica?.propose(command).then(() => { this.acknowledged.push(command) }, () => {})
+    replica?.propose(command).then(() => {
+      this.acknowledged.push(command)
+      this.acknowledgedAt.set(command, this.clock.now())
+    }, () => {})
+  }
+
+  /** Records a violation for each replica that claims to be current as of a time and lacks a command acknowledged before it. */
+  checkCurrency (): void {
+    const maxDelayMs = 2.5 * this.network.delayMs
+    for (const node of this.nodes.values()) {
+      const currentAt = node.process.replica?.lastContactAt() ?? -Infinity
+      if (currentAt === -Infinity) continue
+      const applied = new Set(node.process.applied)
+      for (const [command, at] of this.acknowledgedAt) {
+        if (at >= currentAt - maxDelayMs || applied.has(command)) continue
+        const isKnown = this.violations.some(text => text.startsWith(`${node.name} is not current`))
+        if (!isKnown) this.violations.push(`${node.name} is not current: it claims to be at ${Math.round(currentAt)} ms and lacks ${command}, acknowledged at ${Math.round(at)} ms`)
+      }
+    }
   }
 
   applied (name: string): string[] { return this.node(name).process.applied }
@@ -184,6 +208,7 @@
     const write = async (apply: () => void): Promise<void> => {
       const turn = queue.then(async () => {
         await new Promise<void>(resolve => { this.clock.schedule(1 + this.random() * 8, resolve) })
+        while (this.stalledDisks.has(node.name) && !process.isDead) await new Promise<void>(resolve => { this.clock.schedule(10, resolve) })
         if (process.isDead) await new Promise(() => {})
         if (this.fullDisks.has(node.name)) throw new Error('no space left on device')
         apply()
@@ -214,11 +239,13 @@
   private async call (from: string, caller: Process, to: string, msg: state.Rpc): Promise<state.RpcReply> {
     return await new Promise((resolve, reject) => {
       const isLost = (): boolean => this.random() < this.network.loss || this.network.isolated.has(from) || this.network.isolated.has(to) || this.network.brokenLinks.has([from, to].sort().join(' '))
-      const failCall = (): void => { this.clock.schedule(300, () => { if (!caller.isDead) reject(new Error('no reply')) }) }
+      const failCall = (): void => { this.clock.schedule(CALL_TIMEOUT_MS, () => { if (!caller.isDead) reject(new Error('no reply')) }) }
       if (isLost()) {
         failCall()
         return
       }
+      // A handler that waits for a stalled disk does not keep its caller waiting.
+      this.clock.schedule(CALL_TIMEOUT_MS, () => { if (!caller.isDead) reject(new Error('no reply')) })
       const copy = structuredClone(msg)
       this.clock.schedule(this.randomDelayMs(), () => {
         const target = this.node(to).process
