fix(state): a replica is current only if it has applied what its leader's quorum committed

Callers saw 404 on a route 9.35 s after its document was confirmed: an entry instance answers so if a control instance with contact to its leader reports no newer version. Cause: contact was taken for currency. A follower that hears its leader may not have applied, or not know, what is committed: its disk stalls, entries are under way, the leader has committed nothing in its term yet, or the leader has itself lost its quorum.

Why it works: an append carries how long ago a quorum acknowledged the leader. A follower is current as of that time only if it has applied the leader's commit index and that entry is of the leader's term; a leader only once it has committed in its term. Whatever was acknowledged before that time is then applied (up to the delay of the message). Appends of earlier versions have no age and count as 0, as before. Announcements of endpoints and the subscriptions rest on the same claim, so they are mended with it.

--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -64,7 +64,7 @@
   read (timeoutMs: number): Promise<contracts.VersionedText | null>
   /** Answers a call of another control instance. */
   onCall (call: DocumentCall): Promise<unknown>
-  /** Returns whether this replica was in contact with a quorum, or with a leader that has one, recently. */
+  /** Returns whether this replica had applied everything that was committed a short time ago, {@link CURRENT_TIMEOUT_MS}. */
   isCurrent (): boolean
   /** Returns the inner addresses of the other members of the group. */
   peerAddresses (): string[]
@@ -80,8 +80,8 @@
 const TIMING: state.ReplicaTiming = { heartbeatMs: 200, electionMinMs: 700, electionMaxMs: 1300 }
 /** Longer than the sync of a slow disk, shorter than an election. */
 const RPC_TIMEOUT_MS = 800
-/** A replica is current for this long after the last contact with its group: several heartbeats and a stall of the process. */
-const CURRENT_TIMEOUT_MS = 1500
+/** A replica is current for this long after it had applied everything: several heartbeats and a stall of the process. */
+export const CURRENT_TIMEOUT_MS = 1500
 /** Pause before a replica is restarted after a disk failure. */
 const RESTART_PAUSE_MS = 700
 const RETRY_PAUSE_MS = 60
@@ -244,7 +244,7 @@
         }
       }
     },
-    isCurrent: () => replica !== undefined && performance.now() - replica.lastContactAt() < CURRENT_TIMEOUT_MS,
+    isCurrent: () => replica !== undefined && performance.now() - replica.lastCurrentAt() < CURRENT_TIMEOUT_MS,
     peerAddresses () {
       const voters = replica?.status().voters.map(id => id.split('#')[0]) ?? []
       if (voters.length > 0) lastVoters = voters
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -55,7 +55,7 @@
   z.object({ t: z.literal('version'), version: z.number() }),
   z.object({
     t: z.literal('tick'),
-    /** Whether the sender was in contact with a quorum of control instances recently. */
+    /** Whether the sender had applied everything that was committed a short time ago. */
     isCurrent: z.boolean(),
     /** Version of the sender's document. */
     version: z.number(),
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -27,7 +27,7 @@
   packDocumentSince: (version: number) => contracts.PackedText | null
   /** Limits the documents that are sent; unlimited by default. */
   budget?: sendBudgets.SendBudget
-  /** Returns whether this instance was in contact with a quorum recently. */
+  /** Returns whether this instance had applied everything that was committed a short time ago. */
   isCurrent: () => boolean
   /** Called when a record changed. */
   onChange?: () => void
--- a/packages/state/__tests__/currency.test.ts
+++ b/packages/state/__tests__/currency.test.ts
@@ -36,7 +36,7 @@
   t.deepEqual(cluster.violations, [])
   cluster.stalledDisks.delete(follower)
   await cluster.clock.advance(2000)
-  t.true((cluster.node(follower).process.replica?.lastContactAt() ?? 0) > cluster.clock.now() - 500, 'it is current again')
+  t.true((cluster.node(follower).process.replica?.lastCurrentAt() ?? 0) > cluster.clock.now() - 500, 'it is current again')
 })
 
 // Guards against claims of a new leader, and of its followers, that do not know yet what is committed.
@@ -53,3 +53,19 @@
     for (const name of cluster.names) t.true(cluster.applied(name).includes('changed'))
   }
 })
+
+// Guards against a follower that rests on a leader which was replaced on the other side of a partition.
+test('a follower of a leader without a quorum does not claim to be current', async t => {
+  const cluster = await startGroup(['a', 'b', 'c', 'd', 'e'], 6)
+  const leader = leaderName(cluster)
+  const [follower, ...others] = cluster.names.filter(name => name !== leader)
+  for (const cutOff of [leader, follower]) {
+    for (const other of others) cluster.network.brokenLinks.add([cutOff, other].sort().join(' '))
+  }
+  for (let i = 0; i < 40; i++) {
+    if (others.includes(cluster.leader()?.name ?? '')) cluster.propose(`cmd-${i}`)
+    await advanceAndCheck(cluster, 100)
+  }
+  t.true(cluster.acknowledged.length > 10)
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -180,7 +180,7 @@
   checkCurrency (): void {
     const maxDelayMs = 2.5 * this.network.delayMs
     for (const node of this.nodes.values()) {
-      const currentAt = node.process.replica?.lastContactAt() ?? -Infinity
+      const currentAt = node.process.replica?.lastCurrentAt() ?? -Infinity
       if (currentAt === -Infinity) continue
       const applied = new Set(node.process.applied)
       for (const [command, at] of this.acknowledgedAt) {
--- a/packages/state/__tests__/replicaSchedules.test.ts
+++ b/packages/state/__tests__/replicaSchedules.test.ts
@@ -7,14 +7,18 @@
 const test = ava.default
 const RUNS = 40
 
-type Fault = { at: number, kind: 'crash' | 'isolate' | 'wipe' | 'noise', target: number, durationMs: number }
+type Fault = { at: number, kind: 'crash' | 'isolate' | 'wipe' | 'noise' | 'stall', target: number, durationMs: number }
 
-const faults = fc.array(fc.record({
-  at: fc.integer({ min: 3000, max: 40_000 }),
-  kind: fc.constantFrom('crash' as const, 'isolate' as const, 'wipe' as const, 'noise' as const),
-  target: fc.integer({ min: 0, max: 4 }),
-  durationMs: fc.integer({ min: 200, max: 9000 })
-}), { minLength: 3, maxLength: 14 })
+function toPlans (kinds: ReadonlyArray<Fault['kind']>): fc.Arbitrary<Fault[]> {
+  return fc.array(fc.record({
+    at: fc.integer({ min: 3000, max: 40_000 }),
+    kind: fc.constantFrom(...kinds),
+    target: fc.integer({ min: 0, max: 4 }),
+    durationMs: fc.integer({ min: 200, max: 9000 })
+  }), { minLength: 3, maxLength: 14 })
+}
+
+const faults = toPlans(['crash', 'isolate', 'wipe', 'noise'])
 
 /** Runs a fault plan, with faults on at most a minority of the replicas at a time. */
 async function runPlan (size: number, seed: number, plan: Fault[]): Promise<virtual.VirtualCluster> {
@@ -29,6 +33,7 @@
   for (let at = 0, n = 0; at < 55_000; at += 100) {
     await cluster.clock.advance(100)
     cluster.checkLeaders()
+    cluster.checkCurrency()
     if (at % 300 === 0) cluster.propose(`cmd-${n++}`)
     for (const [name, item] of activeFaults) {
       if (item.at > at) continue
@@ -62,6 +67,9 @@
     case 'isolate':
       cluster.network.isolated.add(name)
       return async () => { cluster.network.isolated.delete(name) }
+    case 'stall':
+      cluster.stalledDisks.add(name)
+      return async () => { cluster.stalledDisks.delete(name) }
     case 'noise':
       cluster.network.loss = 0.15
       cluster.network.delayMs = 25
@@ -91,6 +99,13 @@
   })
 }
 
+// Guards against a stale document that passes for the latest, after any of these faults.
+test('no replica claims to be current with an old state while disks stall and replicas crash', async t => {
+  await fc.assert(fc.asyncProperty(toPlans(['crash', 'isolate', 'stall', 'noise']), fc.integer({ min: 1, max: 1e6 }), async (plan, seed) => {
+    checkHistory(t, await runPlan(5, seed, plan))
+  }), { seed: 20261204, numRuns: RUNS, endOnFailure: true })
+})
+
 // Guards against electing a leader that lacks entries which the lost disk had acknowledged.
 test('a replica that lost its disk does not vote', async t => {
   const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 11)
--- a/packages/state/src/entries.ts
+++ b/packages/state/src/entries.ts
@@ -51,7 +51,17 @@
   z.object({ t: z.literal('join'), from: member }),
   z.object({ t: z.literal('preVote'), ...ballot }),
   z.object({ t: z.literal('vote'), ...ballot }),
-  z.object({ t: z.literal('append'), term: z.int(), leader: member, prevIndex: z.int(), prevTerm: z.int(), entries: z.array(entry), commit: z.int() }),
+  z.object({
+    t: z.literal('append'),
+    term: z.int(),
+    leader: member,
+    prevIndex: z.int(),
+    prevTerm: z.int(),
+    entries: z.array(entry),
+    commit: z.int(),
+    /** Time since the leader sent the latest append that a quorum has acknowledged, milliseconds; absent from earlier versions. */
+    quorumAgeMs: z.number().optional()
+  }),
   z.object({ t: z.literal('snapshot'), term: z.int(), leader: member, lastIndex: z.int(), lastTerm: z.int(), lastAtMs: z.number(), voters: z.array(member), offset: z.int(), total: z.int(), data: contracts.bytes }),
   z.object({ t: z.literal('takeOver'), term: z.int(), leader: member })
 ])
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -48,8 +48,8 @@
   /** @returns whether this replica is the leader, has applied all entries of earlier terms, and its lease is valid */
   isReady (): boolean
   leaderName (): string | null
-  /** @returns monotonic time of the last contact: as leader with a quorum, as voter with the leader; otherwise -Infinity */
-  lastContactAt (): number
+  /** @returns the latest monotonic time as of which this voter is known to have applied all committed entries; -Infinity if there is none */
+  lastCurrentAt (): number
   status (): ReplicaStatus
   /** Transfers leadership to the most up-to-date voter, if this replica is the leader, then stops. */
   stop (): Promise<void>
@@ -148,7 +148,7 @@
       }
     },
     isReady: core.isReady,
-    lastContactAt: () => core.role.kind === 'leader' ? core.lastQuorumContactAt() : core.isVoter() ? core.lastLeaderContactAt : -Infinity,
+    lastCurrentAt: core.lastCurrentAt,
     leaderName: () => core.leader,
     status: () => ({
       group: opts.group,
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -62,8 +62,8 @@
     leader: null as string | null,
     /** Last contact from a leader, or the start of the replica; votes are rejected for a while afterwards. */
     lastContactOrStartAt: clock.now(),
-    /** Last contact from a leader; -Infinity before the first. */
-    lastLeaderContactAt: -Infinity,
+    /** As follower, the latest time as of which all committed entries are known to be applied. */
+    currentAsFollowerAt: -Infinity,
     /** Last reset of the election timer for reasons other than contact from a leader. */
     electionTimerStartedAt: clock.now(),
     isRunning: true,
@@ -183,9 +183,21 @@
 
     /** Guards against stale reads from an isolated leader: it may reply only while its lease is valid. */
     isReady (): boolean {
-      const { role } = core
-      if (role.kind !== 'leader') return false
-      return core.appliedIndex >= role.leadership.termStartIndex && clock.now() < core.leaseEnd()
+      return core.hasCommittedInTerm() && clock.now() < core.leaseEnd()
+    },
+
+    /** Returns whether this replica is the leader and has applied all entries of earlier terms; until then it does not know which of them are committed. */
+    hasCommittedInTerm (): boolean {
+      return core.role.kind === 'leader' && core.appliedIndex >= core.role.leadership.termStartIndex
+    },
+
+    /**
+     * Returns the latest time as of which this replica is known to have applied all committed entries, milliseconds; -Infinity if
+     * there is none. A follower's is too late by the delay of the leader's message.
+     */
+    lastCurrentAt (): number {
+      if (!core.isVoter()) return -Infinity
+      return core.hasCommittedInTerm() ? core.lastQuorumContactAt() : core.currentAsFollowerAt
     },
 
     /** Takes a snapshot when enough entries were applied since the last one. */
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -4,6 +4,8 @@
 
 const MAX_ENTRIES = 256
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024
+/** Sent as the age of the contact with a quorum if there was none. */
+const MAX_QUORUM_AGE_MS = 3_600_000
 
 type Append = Extract<entries.Rpc, { t: 'append' }>
 type SnapshotChunk = Extract<entries.Rpc, { t: 'snapshot' }>
@@ -63,7 +65,7 @@
   if (prevTerm === undefined) return await sendSnapshot(core, leadership, progress)
   const batch = core.log.from(progress.nextIndex, MAX_ENTRIES)
   const sentAt = core.opts.clock.now()
-  const reply = await core.opts.transport.call(progress.member.name, { t: 'append', term: leadership.term, leader: core.self(), prevIndex, prevTerm, entries: batch, commit: core.commitIndex })
+  const reply = await core.opts.transport.call(progress.member.name, { t: 'append', term: leadership.term, leader: core.self(), prevIndex, prevTerm, entries: batch, commit: core.commitIndex, quorumAgeMs: Math.min(sentAt - core.lastQuorumContactAt(), MAX_QUORUM_AGE_MS) })
   if (!await acceptReply(core, leadership, progress, reply, sentAt)) return false
   if (reply.t !== 'append') return false
   if (!reply.isOk) {
@@ -135,6 +137,7 @@
  */
 export async function onAppend (core: replicaCore.Core, msg: Append): Promise<entries.RpcReply> {
   const reply = (isOk: boolean, match: number, tryNext: number): entries.RpcReply => ({ t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match, tryNext })
+  const receivedAt = core.opts.clock.now()
   if (!await follow(core, msg)) return reply(false, 0, 0)
   core.leaderCommitIndex = msg.commit
   const { log } = core
@@ -157,6 +160,10 @@
   const matchIndex = msg.prevIndex + msg.entries.length
   await core.persist()
   if (core.meta.term === msg.term) core.advanceCommit(Math.min(msg.commit, matchIndex))
+  // Only an entry of its own term tells a leader, and its followers, what is committed.
+  if (core.commitIndex >= msg.commit && log.termAt(msg.commit) === msg.term) {
+    core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - (msg.quorumAgeMs ?? 0))
+  }
   return reply(true, matchIndex, matchIndex + 1)
 }
 
@@ -168,7 +175,6 @@
   if (core.role.kind !== 'follower') core.role = { kind: 'follower' }
   core.leader = msg.leader.name
   core.lastContactOrStartAt = core.opts.clock.now()
-  core.lastLeaderContactAt = core.lastContactOrStartAt
   if (core.meta.founding === null) {
     core.meta = { ...core.meta, founding: [] }
     await core.saveMeta()
