fix(discovery): a newer document version stays known after its reporter is gone

Callers saw 404 from an instance whose document was older than a confirmed one. Cause: the newest known version was the maximum over the subscriptions open at that moment and over the entry instances heard lately. A subscription whose document is not delivered within a second, or that is silent, reset or replaced, is closed, and what it had reported was forgotten; the next tick of a control instance that is behind then made the old document the latest.

Why it works: a reported version is committed, so the newest one ever heard of is a lower bound that holds. Fetching goes on as before by what can be fetched now. If nobody can send that version, an unknown path gets 503 with a time to come back instead of a 404 that may be wrong.

--- a/packages/discovery/__tests__/documentFetcher.test.ts
+++ b/packages/discovery/__tests__/documentFetcher.test.ts
@@ -56,6 +56,30 @@
   await Promise.all(controls.map(async item => { await item.close() }))
 })
 
+// Guards against an old document that passes for the latest once nobody who reported the newer one is subscribed.
+test('a newer version stays known after the control instance that reported it is gone', async t => {
+  const ahead = await helper.startControl({ isTicking: true, isUnresponsiveToFetch: true })
+  const outdated = await helper.startControl({ isTicking: true })
+  for (const control of [ahead, outdated]) control.put(toDocument(1))
+  const entry = helper.startEntry('e1', [ahead.address, outdated.address])
+  t.teardown(async () => {
+    entry.stop()
+    await outdated.close()
+  })
+  await helper.until('both are subscribed and the document is the latest', () => entry.subscriptionCount() === 2 && entry.isDocumentLatest())
+  // Too large for the reply to a subscription.
+  const newer = toDocument(2, 8000)
+  ahead.put(newer)
+  await helper.until('the newer version is known', () => !entry.isDocumentLatest())
+  await ahead.close()
+  await helper.until('only the other control instance is subscribed', () => entry.subscriptionCount() === 1)
+  await timers.setTimeout(1000)
+  t.false(entry.isDocumentLatest())
+  outdated.put(newer)
+  await helper.until('the newer document is the latest', () => entry.isDocumentLatest())
+  t.is(entry.documents.at(-1)?.version, 2)
+})
+
 // A control instance may freeze after it announced a document.
 test('a document is fetched from another control instance if one does not answer', async t => {
   const unresponsive = await helper.startControl({ isUnresponsiveToFetch: true })
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -102,7 +102,7 @@
 }
 
 /** An entry instance under test. */
-export interface TestEntry { documents: contracts.VersionedText[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, stop: () => void }
+export interface TestEntry { documents: contracts.VersionedText[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, isDocumentLatest: () => boolean, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
 export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: (address: string) => Promise<Uint8Array>, dialTimeoutMs?: number): TestEntry {
@@ -123,7 +123,7 @@
     now,
     fetchHandout
   })
-  return { documents, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, stop: subscriber.stop }
+  return { documents, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, isDocumentLatest: subscriber.isDocumentLatest, stop: subscriber.stop }
 }
 
 /** Waits until a condition holds. */
--- a/packages/discovery/src/documentFetcher.ts
+++ b/packages/discovery/src/documentFetcher.ts
@@ -47,14 +47,14 @@
 export interface DocumentFetcher {
   /** Returns the version of the cached document, 0 without one. */
   version (): number
-  /** Returns the newest version that any instance reported. */
+  /** Returns the newest version that any instance ever reported: it stays known when that instance is no longer reachable. */
   newestVersion (): number
   /**
    * Applies a document that was received in any reply; ignores it unless it is newer.
    * @param from the instance that sent it
    */
   accept (packed: contracts.PackedText | null, from: string): void
-  /** Logs a version that is newer than all reported before. */
+  /** Records a version that an instance reported. */
   noteReport (from: string, version: number): void
   /** Records the version that another entry instance reported. */
   notePeerVersion (address: string, version: number): void
@@ -81,7 +81,7 @@
   let isFetching = false
   let timer: NodeJS.Timeout | undefined
   let newerKnownAt: number | undefined
-  let newestReported = 0
+  let newestVersion = 0
 
   const version = (): number => latest?.version ?? 0
 
@@ -97,12 +97,13 @@
 
   const peerSources = (): DocumentSource[] => opts.peerAddresses().map(toPeerSource)
 
-  const newestVersion = (): number => Math.max(0, ...[...opts.controls(), ...peerSources()].map(item => item.version))
+  /** Returns the newest version that can be fetched now. */
+  const newestAvailable = (): number => Math.max(0, ...[...opts.controls(), ...peerSources()].map(item => item.version))
 
   const noteReport = (from: string, reportedVersion: number): void => {
-    if (reportedVersion <= Math.max(newestReported, version())) return
-    newestReported = reportedVersion
-    opts.log.event('documentReported', { version: reportedVersion, from, held: version() })
+    if (reportedVersion <= newestVersion) return
+    newestVersion = reportedVersion
+    if (reportedVersion > version()) opts.log.event('documentReported', { version: reportedVersion, from, held: version() })
   }
 
   const accept = (packed: contracts.PackedText | null, from: string): void => {
@@ -120,6 +121,7 @@
   const fetchOver = async (link: links.Link, address: string): Promise<messages.DiscoveryReply> => {
     const call: messages.DiscoveryCall = { t: 'fetch', version: version() }
     const reply = messages.discoveryReply.parse(await link.call(call, FETCH_TIMEOUT_MS))
+    noteReport(address, reply.version)
     accept(reply.document, address)
     return reply
   }
@@ -154,11 +156,11 @@
     if (isFetching) return
     isFetching = true
     try {
-      for (let attempt = 0; !opts.signal.aborted && newestVersion() > version(); attempt++) {
+      for (let attempt = 0; !opts.signal.aborted && newestAvailable() > version(); attempt++) {
         newerKnownAt ??= opts.now()
         const source = pickSource(attempt)
         if (source !== undefined) await Promise.race([fetchFrom(source), timers.setTimeout(HEDGE_DELAY_MS, undefined, { ref: false })])
-        if (newestVersion() > version()) await timers.setTimeout(RETRY_PAUSE_MS, undefined, { ref: false })
+        if (newestAvailable() > version()) await timers.setTimeout(RETRY_PAUSE_MS, undefined, { ref: false })
       }
     } finally {
       isFetching = false
@@ -167,7 +169,7 @@
 
   return {
     version,
-    newestVersion,
+    newestVersion: () => Math.max(newestVersion, version()),
     accept,
     noteReport,
     notePeerVersion (address, reportedVersion) {
@@ -175,7 +177,7 @@
       peerVersions.set(address, reportedVersion)
     },
     scheduleFetch (delayMs) {
-      if (newestVersion() <= version()) return
+      if (newestAvailable() <= version()) return
       newerKnownAt ??= opts.now()
       if (delayMs === 0) {
         void fetchUntilCurrent()
