fix(discovery): an unknown path or key is rejected for good only if a control instance confirms the document

Callers saw 404 on a route of a confirmed document. On a link with a queue of seconds (records for the whole fleet after a loss of power, 4.2 Mbit/s) a tick may have been sent before the change, and the announcement of the newer version waits in the same queue.

Change: before a 401 or 404 the instance asks a current control instance (fetch, which brings a newer document with it) and counts the reply from when it asked. Without a confirmation callers get 503 with a time to come back.

--- a/packages/discovery/__tests__/documentFetcher.test.ts
+++ b/packages/discovery/__tests__/documentFetcher.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava'
 import * as timers from 'node:timers/promises'
 import * as contracts from '@kingcupdeck/contracts'
+import * as slowRelays from './helpers/slowRelay.js'
 import * as helper from './helpers/testControl.js'
 
 const test = ava.default
@@ -66,17 +67,44 @@
     entry.stop()
     await outdated.close()
   })
-  await helper.until('both are subscribed and the document is the latest', () => entry.subscriptionCount() === 2 && entry.isDocumentLatest())
+  await helper.until('both are subscribed and the document is the latest', async () => entry.subscriptionCount() === 2 && await entry.confirmDocument())
   // Too large for the reply to a subscription.
   const newer = toDocument(2, 8000)
   ahead.put(newer)
-  await helper.until('the newer version is known', () => !entry.isDocumentLatest())
+  await helper.until('the newer version is known', async () => !await entry.confirmDocument())
   await ahead.close()
   await helper.until('only the other control instance is subscribed', () => entry.subscriptionCount() === 1)
   await timers.setTimeout(1000)
-  t.false(entry.isDocumentLatest())
+  t.false(await entry.confirmDocument())
   outdated.put(newer)
-  await helper.until('the newer document is the latest', () => entry.isDocumentLatest())
+  await helper.until('the newer document is the latest', async () => await entry.confirmDocument())
+  t.is(entry.documents.at(-1)?.version, 2)
+})
+
+// Guards against late ticks that pass for fresh ones while the announcement of a newer document is queued behind them.
+test('late ticks do not make an old document the latest', async t => {
+  const control: helper.TestControl = await helper.startControl({ isTicking: true, advertisedAddress: () => relay.address })
+  const relay = await slowRelays.startRelay(() => control.address)
+  control.put(toDocument(1, 20))
+  const entry = helper.startEntry('e1', [relay.address])
+  t.teardown(async () => {
+    entry.stop()
+    relay.close()
+    await control.close()
+  })
+  await helper.until('the document is the latest', async () => await entry.confirmDocument())
+  // The queue grows slowly, so that there is always a tick within the timeout of an unresponsive control instance.
+  for (let delayMs = 0; delayMs <= 2000; delayMs += 100) {
+    relay.setDelayMs(delayMs)
+    await timers.setTimeout(150)
+  }
+  t.is(entry.subscriptionCount(), 1)
+  control.put(toDocument(2, 20))
+  await timers.setTimeout(1000)
+  t.is(entry.documents.at(-1)?.version, 1, 'the announcement is still queued')
+  t.false(await entry.confirmDocument())
+  relay.setDelayMs(0)
+  await helper.until('the newer document is the latest', async () => await entry.confirmDocument())
   t.is(entry.documents.at(-1)?.version, 2)
 })
 
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -35,6 +35,8 @@
   isCurrent?: boolean
   /** Ticks periodically, at four times the normal rate. */
   isTicking?: boolean
+  /** Returns the address under which entry instances reach it; its own by default. */
+  advertisedAddress?: () => string
   /** Addresses of the other control instances. */
   peerAddresses?: string[]
   /** Version to report, regardless of the document. */
@@ -59,7 +61,7 @@
     return base === undefined ? contracts.packFull(latest) : contracts.packDelta(base, latest)
   }
   const publisher = discovery.createPublisher({
-    get self () { return `127.0.0.1:${port()}` },
+    get self () { return opts.advertisedAddress?.() ?? `127.0.0.1:${port()}` },
     table: discovery.createRecordTable(),
     peerAddresses: () => opts.peerAddresses ?? [],
     getPeerLink: async () => { throw new Error('there are no other control instances') },
@@ -102,7 +104,7 @@
 }
 
 /** An entry instance under test. */
-export interface TestEntry { documents: contracts.VersionedText[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, isDocumentLatest: () => boolean, stop: () => void }
+export interface TestEntry { documents: contracts.VersionedText[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, confirmDocument: () => Promise<boolean>, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
 export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: (address: string) => Promise<Uint8Array>, dialTimeoutMs?: number): TestEntry {
@@ -123,13 +125,13 @@
     now,
     fetchHandout
   })
-  return { documents, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, isDocumentLatest: subscriber.isDocumentLatest, stop: subscriber.stop }
+  return { documents, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
 }
 
 /** Waits until a condition holds. */
-export async function until (description: string, isTrue: () => boolean): Promise<void> {
+export async function until (description: string, isTrue: () => boolean | Promise<boolean>): Promise<void> {
   const deadline = performance.now() + WAIT_MS
-  while (!isTrue()) {
+  while (!await isTrue()) {
     if (performance.now() > deadline) throw new Error(`timed out after ${WAIT_MS} ms waiting until ${description}`)
     await timers.setTimeout(10)
   }
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -39,6 +39,8 @@
   version: z.number(),
   /** The document, if the caller's is older and it was fetched or is small enough to be included. */
   document: contracts.packedText.nullable(),
+  /** Whether the sender, a control instance, had applied everything that was committed a short time ago; absent from earlier versions. */
+  isCurrent: z.boolean().optional(),
   /** Whether the document is withheld because the sender's link is busy. */
   isBusy: z.boolean().optional()
 })
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -252,7 +252,7 @@
           void queueChanges(mergeAll(messages.unpackRecords(call.records), false), false)
           return toReply(true, null)
         case 'fetch':
-          return { ...toReply(false, null), ...messages.toDocumentReply(opts.packDocumentSince(call.version), budget, now()) }
+          return { ...toReply(false, null), isCurrent: opts.isCurrent(), ...messages.toDocumentReply(opts.packDocumentSince(call.version), budget, now()) }
       }
     },
     onEvent (event) {
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -6,6 +6,7 @@
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as livenesses from './liveness.js'
@@ -58,9 +59,9 @@
   version (): number
   /** Returns the newest version that any instance reported. */
   newestVersion (): number
-  /** Returns whether the local document is known to be the latest: a quorum is in contact, and no instance reported a newer one. */
-  isDocumentLatest (): boolean
-  /** Describes the subscriptions that {@link Subscriber.isDocumentLatest} depends on, for the log. */
+  /** Resolves to whether the local document is the latest: no instance reported a newer one, and a control instance that was asked just now confirmed it. */
+  confirmDocument (): Promise<boolean>
+  /** Describes the subscriptions that {@link Subscriber.confirmDocument} depends on, for the log. */
   describeSubscriptions (): string
   /** Announces a change of this instance to all subscribed control instances. */
   announce (): void
@@ -92,6 +93,7 @@
 const SUBSCRIBE_TIMEOUT_MS = 1500
 /** How long a new version that is not reported by the primary subscription waits for it: half a heartbeat of control instances. */
 const SECONDARY_FETCH_DELAY_MS = 100
+const CHECK_TIMEOUT_MS = 500
 
 interface Subscription extends subscriptionChoices.SubscriptionState {
   link: links.Link | undefined
@@ -168,6 +170,21 @@
     now
   })
 
+  const toCheckSource = (sub: Subscription): documentChecks.CheckSource[] => {
+    const { address, link } = sub
+    if (link === undefined || !sub.isEstablished || !sub.isCurrent) return []
+    const ask = async (): Promise<boolean> => (await documents.fetchOver(link, address, CHECK_TIMEOUT_MS)).isCurrent ?? sub.isCurrent
+    return [{ address, ask }]
+  }
+
+  const checkDocument = documentChecks.createDocumentCheck({
+    sources: () => [...open].flatMap(toCheckSource),
+    onFailure (address, reason) { opts.log.event('documentNotFetched', { address, why: reason }) },
+    now
+  })
+
+  const isNewestHeld = (): boolean => documents.version() > 0 && documents.newestVersion() <= documents.version()
+
   const find = (link: links.Link): Subscription | undefined => [...open].find(item => item.link === link)
 
   const close = (sub: Subscription, reason: string): boolean => {
@@ -323,7 +340,7 @@
     },
     version: documents.version,
     newestVersion: documents.newestVersion,
-    isDocumentLatest: () => documents.version() > 0 && documents.newestVersion() <= documents.version() && now() - lastQuorumAt <= MAX_TICK_GAP_MS,
+    confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
     describeSubscriptions () {
       const describe = (sub: Subscription): string => `${sub.address} version ${sub.version}, ${sub.isCurrent ? '' : 'not '}current, quorum ${Math.round(now() - sub.lastQuorumAt)} ms ago`
       return [...open].filter(sub => sub.isEstablished).map(describe).join('; ')
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -153,7 +153,7 @@
     log,
     table: () => hasDocument ? document : undefined,
     documentWaiters: waiters,
-    isLatestDocument: () => true,
+    confirmDocument: async () => true,
     newestDocument: () => 1,
     describeDocumentSources: () => '',
     retryBudget: () => budget,
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -22,11 +22,11 @@
   log: telemetry.Log
   /** Returns the configuration document in force, or undefined before the first. */
   table: () => routeTables.CompiledTable | undefined
-  /** Returns whether the document in force is known to be the latest. */
-  isLatestDocument: () => boolean
+  /** Resolves to whether the document in force is the latest, as confirmed by a control instance just now. */
+  confirmDocument: () => Promise<boolean>
   /** Returns the newest document version that any instance announced. */
   newestDocument: () => number
-  /** Describes what {@link EntryContext.isLatestDocument} depends on, for the log. */
+  /** Describes what {@link EntryContext.confirmDocument} depends on, for the log. */
   describeDocumentSources: () => string
   /** Requests that wait for the next document. */
   documentWaiters: documentWaiters.DocumentWaiters
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -185,7 +185,7 @@
     metrics,
     log,
     table: () => document,
-    isLatestDocument: () => subscriber.isDocumentLatest(),
+    confirmDocument: async () => await subscriber.confirmDocument(),
     newestDocument: () => subscriber.newestVersion(),
     describeDocumentSources: () => subscriber.describeSubscriptions(),
     documentWaiters: waiters,
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -117,13 +117,13 @@
   const admit = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<Admitted> => {
     const table = ctx.table() ?? await waitForTable(req, res, false)
     if (table === undefined) return { table }
-    const result = check(req, table)
-    if (!isUncertain(result)) return { table, result }
+    const admitted = await checkFinally(req, table)
+    if (admitted !== undefined) return admitted
     const next = await waitForTable(req, res, true) ?? table
-    const nextResult = check(req, next)
-    if (!isUncertain(nextResult)) return { table: next, result: nextResult }
+    const admittedByNext = next === table ? undefined : await checkFinally(req, next)
+    if (admittedByNext !== undefined) return admittedByNext
     const newest = ctx.newestDocument()
-    const cause = newest > next.version ? `version ${newest} is not available yet` : 'no control instance with a quorum is reachable'
+    const cause = newest > next.version ? `version ${newest} is not available yet` : 'no control instance confirmed that it is the latest'
     const why = `document version ${next.version} does not contain this route or key, and ${cause}`
     return { table: next, result: { kind: 'refused', refusal: { kind: 'unavailable', why, cause: { kind: 'outdated' } } } }
   }
@@ -132,7 +132,18 @@
     return admission.admit({ method: req.method ?? '', url: req.url ?? '', host: req.headers.host, rawHeaders: req.rawHeaders }, table, ctx.names)
   }
 
-  const isUncertain = (result: admission.Admission): boolean => result.kind === 'refused' && admission.dependsOnDocument(result.refusal) && !ctx.isLatestDocument()
+  /** Returns the result of the check, or undefined if a newer document could change it. */
+  const checkFinally = async (req: http.IncomingMessage, table: routeTables.CompiledTable): Promise<Admitted | undefined> => {
+    const result = check(req, table)
+    if (!couldChange(result)) return { table, result }
+    const isLatest = await ctx.confirmDocument()
+    // The confirmation may have brought a newer document.
+    const current = ctx.table() ?? table
+    const currentResult = current === table ? result : check(req, current)
+    return isLatest || !couldChange(currentResult) ? { table: current, result: currentResult } : undefined
+  }
+
+  const couldChange = (result: admission.Admission): boolean => result.kind === 'refused' && admission.dependsOnDocument(result.refusal)
 
   const waitForTable = async (req: http.IncomingMessage, res: http.ServerResponse, isForNewer: boolean): Promise<routeTables.CompiledTable | undefined> => {
     const clientDeadlineMs = admission.toClientDeadlineMs(req.rawHeaders, ctx.names)
