fix(forwarding): a document that cannot be read here does not decide what is unknown

Callers would see 404 on a route of the latest document from an instance that cannot parse that document (for one, an older version of the program during an upgrade): the instance held it, so its subscriber was up to date, and the one in force was older. The test failed before (404 for 503). A 401 or 404 now needs the document in force to be the confirmed one.

--- a/packages/forwarding/__tests__/documentUpdates.test.ts
+++ b/packages/forwarding/__tests__/documentUpdates.test.ts
@@ -1,6 +1,7 @@
 /** Entry instances while a newer configuration document is not available to them. */
 import * as ava from 'ava'
 import * as timers from 'node:timers/promises'
+import * as contracts from '@kingcupdeck/contracts'
 import * as testEntries from './helpers/testEntry.js'
 import * as helper from './helpers/testFleet.js'
 
@@ -98,3 +99,15 @@
   await helper.until('the second has it', async () => (await second.send('/b/x')).status === 200)
   t.pass()
 })
+
+// Guards against a permanent rejection by the old document while the newer one, which this version cannot read, has the path.
+test('an instance that cannot read the latest document rejects no path permanently', async t => {
+  const control = await helper.startControl()
+  control.put(helper.toDocument(1, OLD))
+  const instance = await helper.startInstance('i1', [control.inner])
+  t.teardown(async () => { await Promise.all([instance.stop(), control.close()]) })
+  t.is((await instance.send('/b/x')).status, 404)
+  control.put(contracts.toVersionedText(2, Buffer.from('not a document')))
+  await timers.setTimeout(1000)
+  t.is((await instance.send('/b/x')).status, 503)
+})
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -185,7 +185,8 @@
     metrics,
     log,
     table: () => document,
-    confirmDocument: async () => await subscriber.confirmDocument(),
+    // A document that cannot be read here is the subscriber's latest, but not in force.
+    confirmDocument: async () => await subscriber.confirmDocument() && document?.version === subscriber.version(),
     newestDocument: () => subscriber.newestVersion(),
     describeDocumentSources: () => subscriber.describeSubscriptions(),
     documentWaiters: waiters,
