--- a/packages/kingcupdeck/src/logExplanation.ts
+++ b/packages/kingcupdeck/src/logExplanation.ts
@@ -54,7 +54,10 @@
 
 function toCause (last: LogLine, around: readonly LogLine[]): string {
   const location = `at ${last.instance}, document version ${toText(last.document) || 'none'}`
-  if (last.event === 'requestRefused') return `refused with ${toText(last.status)} before any endpoint was tried: ${toText(last.why)} (${location})`
+  if (last.event === 'requestRefused') {
+    const sources = toText(last.sources) === '' ? '' : `; document ${toText(last.document)}, newest known ${toText(last.newest)}, subscriptions: ${toText(last.sources)}`
+    return `refused with ${toText(last.status)} before any endpoint was tried: ${toText(last.why)}${sources} (${location})`
+  }
   const outcome = toText(last.outcome)
   const tried = toText(last.attempts) === '' ? 'no endpoint was tried' : `tried: ${toText(last.attempts)}`
   const downEndpoints = around.filter(item => item.event === 'endpointGone').map(item => `${toText(item.endpoint)} (${toText(item.why)})`)
@@ -63,7 +66,7 @@
 }
 
 function isInstanceEvent (item: LogLine, instance: string): boolean {
-  return item.instance === instance && ['controlLost', 'controlFound', 'documentInForce', 'stopping', 'started', 'linesDropped', 'uncaught'].includes(item.event)
+  return item.instance === instance && ['controlLost', 'controlFound', 'documentInForce', 'documentReported', 'documentNotFetched', 'stopping', 'started', 'linesDropped', 'uncaught'].includes(item.event)
 }
 
 function byTime (left: LogLine, right: LogLine): number {
