--- a/packages/contracts/src/versionedText.ts
+++ b/packages/contracts/src/versionedText.ts
@@ -23,6 +23,7 @@
 /** A text encoded in full or as a delta. */
 export type PackedText = z.infer<typeof packedText>
 
+/** Texts resemble themselves so much that a higher level saves a hundredth of the bytes for twice the time. */
 const DEFLATE_LEVEL = 3
 /** Ends an entry of a JSON list of objects. Texts are split after it; a text without it is a single piece. */
 const ENTRY_END = '},'
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -76,13 +76,16 @@
 }
 
 const GROUP = 'document'
-/** The shortest election timeout must exceed the sync of a slow disk plus a stall of the process. */
+/**
+ * Short, since after a kill of all replicas most of the time without a confirmed document is the wait for a leader. The shortest
+ * election timeout must exceed the sync of a slow disk (150 ms) plus a stall of the process.
+ */
 const TIMING: state.ReplicaTiming = { heartbeatMs: 200, electionMinMs: 700, electionMaxMs: 1300 }
 /** Longer than the sync of a slow disk, shorter than an election. */
 const RPC_TIMEOUT_MS = 800
 /** A replica is current for this long after it had applied everything: several heartbeats and a stall of the process. */
 export const CURRENT_TIMEOUT_MS = 1500
-/** Pause before a replica is restarted after a disk failure. */
+/** Pause before a replica is restarted after a disk failure; a full disk stays full for seconds. */
 const RESTART_PAUSE_MS = 700
 const RETRY_PAUSE_MS = 60
 /** Log entries between snapshots. A starting replica applies up to this many before its document is available. */
--- a/packages/discovery/src/documentFetcher.ts
+++ b/packages/discovery/src/documentFetcher.ts
@@ -70,7 +70,10 @@
   toReply (version: number): messages.DiscoveryReply
 }
 
-/** Must exceed the time that a full document takes on a link of a few Mbit/s. */
+/**
+ * Must exceed the time that a full document takes on a link of a few Mbit/s: a megabyte is a tenth of that packed, 0.2 s at
+ * 4 Mbit/s. The rest is for other traffic on the link.
+ */
 const FETCH_TIMEOUT_MS = 1000
 /** Another instance is tried concurrently when one has not answered within this time. */
 const HEDGE_DELAY_MS = 300
--- a/packages/discovery/src/documentHistory.ts
+++ b/packages/discovery/src/documentHistory.ts
@@ -16,7 +16,7 @@
   packSince (version: number): contracts.PackedText | null
 }
 
-/** Readers of older versions receive the full document. */
+/** Readers of older versions receive the full document. The retained versions of the largest document planned for take 8 MB. */
 const MAX_VERSIONS = 8
 
 /** Creates an empty history. */
--- a/packages/discovery/src/handoutPoller.ts
+++ b/packages/discovery/src/handoutPoller.ts
@@ -12,7 +12,7 @@
   log: telemetry.Log
 }
 
-/** Two, so that one unresponsive control instance does not block the other. */
+/** Two, so that one unresponsive control instance does not block the other; each further reply would only fill the link of its sender. */
 const MAX_CONCURRENT_FETCHES = 2
 
 /**
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -70,8 +70,8 @@
 /** Number of changes from which on they are packed. */
 const MIN_PACKED_RECORDS = 3
 /**
- * Documents up to this size are included in the reply to a subscription. Larger ones are fetched separately, so that they are not
- * sent once per subscription.
+ * Documents up to this size are included in the reply to a subscription: after a loss of power, entry instances serve nobody before
+ * they have one. Larger ones are fetched separately, so that they are not sent once per subscription.
  */
 const MAX_INLINE_BYTES = 12 * 1024
 /** Ticks between anti-entropy exchanges of the full table with a random control instance. */
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -81,7 +81,10 @@
 const QUORUM_TIMEOUT_MS = 1.5 * messages.TICK_INTERVAL_MS
 /** Ticks further apart than this were interrupted: changes may have been missed. */
 const MAX_TICK_GAP_MS = TICK_TIMEOUT_MS
-/** Back-off after the first failure of an address; doubles with each consecutive failure. */
+/**
+ * Back-off after the first failure of an address; doubles with each consecutive failure. Short at first, since a process that was
+ * killed is back soon.
+ */
 const MIN_BACKOFF_MS = 200
 const MAX_BACKOFF_MS = 1600
 /** Random share of a back-off, so that instances that failed together do not return together. */
@@ -89,6 +92,7 @@
 /** Mean time between moves of a subscription to a preferred control instance. */
 const MOVE_INTERVAL_MS = 2000
 const POLL_INTERVAL_MS = 100
+/** Shorter, since an instance without contact serves nobody, or by a document that may be outdated. */
 const POLL_INTERVAL_BEFORE_CONTACT_MS = 40
 const SUBSCRIBE_TIMEOUT_MS = 1500
 /** How long a new version that is not reported by the primary subscription waits for it: half a heartbeat of control instances. */
--- a/packages/forwarding/src/attemptWatchdog.ts
+++ b/packages/forwarding/src/attemptWatchdog.ts
@@ -5,7 +5,7 @@
 import type * as endpointPools from './endpointPool.js'
 import * as endpointProbes from './endpointProbe.js'
 
-/** Share of the target latency of the route after which the endpoint is probed. */
+/** Share of the target latency of the route after which the endpoint is probed: nearly all other responses have arrived by then. */
 const PROBE_DELAY_SHARE = 0.5
 /** Lower bound; a single retransmission may take this long. */
 const MIN_PROBE_DELAY_MS = 150
--- a/packages/forwarding/src/chooseEndpoint.ts
+++ b/packages/forwarding/src/chooseEndpoint.ts
@@ -54,7 +54,10 @@
 const INITIAL_WEIGHT = 0.1
 /** Time until a new endpoint has its final weight. */
 const WARM_UP_MS = 120_000
-/** Utilization below which endpoints of the same availability zone are preferred. */
+/**
+ * Utilization below which endpoints of the same availability zone are preferred. Up to it, a zone may have twice its share of the
+ * requests without a wait.
+ */
 const ZONE_AFFINITY_UTILIZATION = 0.35
 
 /**
--- a/packages/forwarding/src/documentWaiters.ts
+++ b/packages/forwarding/src/documentWaiters.ts
@@ -5,11 +5,13 @@
 
 /** Maximum wait as a share of the client deadline; leaves time to serve the request or to retry. */
 const WAIT_SHARE = 0.25
+/** Longer than a control instance takes to start on a small share of a processor. */
 const MAX_WAIT_MS = 1500
+/** Longer than a newer document takes from another instance. */
 const MAX_WAIT_FOR_NEWER_MS = 400
 /** Deadline that is assumed for a request without one. */
 const DEFAULT_DEADLINE_MS = 2000
-/** Requests beyond this limit are rejected without waiting. */
+/** Bounds what an instance holds: requests beyond this limit are rejected without waiting. */
 const MAX_WAITING_REQUESTS = 512
 
 /**
--- a/packages/forwarding/src/draining.ts
+++ b/packages/forwarding/src/draining.ts
@@ -13,7 +13,7 @@
   waitMs: number
 }
 
-/** Share of the grace period in which every request is accepted. */
+/** Share of the grace period in which every request is accepted; the rest is longer than nearly all streams last. */
 const ACCEPT_ALL_SHARE = 0.36
 /** Time before the end of the grace period at which the last response must be complete. */
 export const DRAIN_END_MARGIN_MS = 500
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -69,9 +69,9 @@
 const ANNOUNCEMENT_MARGIN_MS = 3000
 /** An entry instance that a control instance reports as late at more than one tick is not returned to clients. */
 const ENTRY_UNRESPONSIVE_MS = discovery.LATE_AFTER_MS + 1.5 * discovery.TICK_INTERVAL_MS
-/** Minimum number of instances in a zone for its clients to get only their addresses. */
+/** Minimum number of instances in a zone for its clients to get only their addresses: a single one may fail. */
 const MIN_ZONE_INSTANCES = 2
-/** Time before the end of the grace period at which the instance stops listening. */
+/** Time before the end of the grace period at which the instance stops listening. Clients have asked for addresses again by then. */
 const STOP_LISTENING_MARGIN_MS = 1200
 /** Time before the end of the grace period at which open requests are aborted. */
 const EXIT_MARGIN_MS = 400
@@ -79,7 +79,7 @@
 const PEER_FAILURE_MS = 1500
 /** Backoff after a failed connection to another entry instance. */
 const PEER_BACKOFF_MS = 1000
-/** A draining instance without open requests for this time stops early. */
+/** A draining instance without open requests for this time stops early: its clients have been directed to other instances. */
 const DRAIN_IDLE_MS = 2500
 const DRAIN_POLL_MS = 50
 /** Interval of the removal of expired records. */
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -36,7 +36,7 @@
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
 
-/** Header limit of the HTTP parser; the limit of the document is checked after parsing. */
+/** Header limit of the HTTP parser; the limit of the document, which is lower, is checked after parsing. */
 const PARSER_HEADER_BYTES = 64 * 1024
 /** Interval of the checks for clients that exceed a timeout. */
 const CHECK_MS = 500
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -72,7 +72,7 @@
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
   if (selected.kind === 'none') return { kind: 'fail', why: state.tried.size === 0 ? 'the service has no known endpoint' : 'no further endpoint is available' }
-  // Every send after the first one is charged to the retry budget.
+  // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'fail', why: 'the retry budget is exhausted' }
   const { endpoint } = selected
   state.tried.add(endpoint.id)
@@ -158,7 +158,7 @@
   record(attempt, String(status))
   attemptRecorders.recordOutcome(call, endpoint, isLate(attempt) || status >= 500)
   const response = { res: result.res, body: buffered.body }
-  // A server error is retried at another endpoint and kept as the fallback response.
+  // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
   if (status >= 500 && status !== 504 && attempt.mayRunAgain) {
     state.fallback = response
     return { kind: 'retry' }
--- a/packages/forwarding/src/outlierDetector.ts
+++ b/packages/forwarding/src/outlierDetector.ts
@@ -29,11 +29,11 @@
   findOutliers (service: string, endpoints: readonly OutlierCandidate[], now: number): ReadonlySet<string>
 }
 
-/** Half-life of the attempt statistics. */
+/** Half-life of the attempt statistics: long enough for twenty attempts at a small endpoint, short compared to an outage. */
 const HALF_LIFE_MS = 1500
-/** Minimum duration of an ejection. */
+/** Minimum duration of an ejection. Then the endpoint has to be found worse again, since a short fault is over. */
 const EJECTION_MS = 4000
-/** Statistics that are older than this are deleted. */
+/** Statistics that are older than this are deleted, because endpoints come and go under new ids. */
 const RETENTION_MS = 20 * HALF_LIFE_MS
 /** Minimum share of missed attempts of an outlier. */
 const MIN_MISSED_SHARE = 0.25
@@ -41,9 +41,9 @@
 const MIN_DEVIATIONS = 2.5
 /** Additional missed attempts that are required, because the deviation of few attempts is unreliable. */
 const MIN_EXCESS_MISSED = 2
-/** Lower bound of the expected share of missed attempts. */
+/** Lower bound of the expected share of missed attempts. With none missed anywhere, the first few would make an outlier. */
 const MIN_EXPECTED_SHARE = 0.05
-/** Maximum share of the endpoints of a service that may be ejected. */
+/** Maximum share of the endpoints of a service that may be ejected: the remaining ones must carry the load. */
 const MAX_EJECTED_SHARE = 1 / 3
 /** No endpoint is ejected if the remaining ones would exceed this share of their slots. */
 const MAX_UTILIZATION = 0.7
--- a/packages/forwarding/src/queueDelay.ts
+++ b/packages/forwarding/src/queueDelay.ts
@@ -29,11 +29,11 @@
 const INTERVAL_MAX_AGE_MS = 5000
 /** Weight of the latest response interval in the moving average. */
 const INTERVAL_WEIGHT = 0.15
-/** Number of completed waits whose median is used, so that a single outlier is ignored. */
+/** Number of completed waits whose median is used, since a lost packet alone makes a single one long. */
 const WAIT_SAMPLES = 3
 /** Maximum queue delay as a share of the target latency; the rest is left for the network. */
 const MAX_DELAY_SHARE = 0.7
-/** Minimum number of pending requests for their waiting time to be used. */
+/** Minimum number of pending requests for their waiting time to be used, since a lost packet may delay a single one. */
 const MIN_PENDING = 2
 
 /**
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -34,7 +34,10 @@
 /** How the part of a stream from one endpoint ended. */
 type PartEnd = { kind: 'end' } | { kind: 'broken', why: string } | { kind: 'stopped', why: string }
 
-/** A resumable stream without an event for this time is resumed at another endpoint. */
+/**
+ * A resumable stream without an event for this time is resumed at another endpoint: several times the longest pause of a healthy one,
+ * and half of what clients wait before they leave.
+ */
 const STALL_TIMEOUT_MS = 1000
 
 /** Passes a stream on to its end. */
--- a/packages/forwarding/src/retryAfter.ts
+++ b/packages/forwarding/src/retryAfter.ts
@@ -20,12 +20,16 @@
   | { kind: 'quarantined' }
 
 const MIN_STARTING_MS = 400
+/** Clients with seconds to their deadline return once more within this time. */
 const MAX_STARTING_MS = 3000
 const STOPPING_MS = 20
+/** Longer than a document takes to reach all instances; another instance may have it already. */
 const OUTDATED_MS = 300
+/** Endpoints that crashed are mostly replaced or reachable again after a second. */
 const NO_ENDPOINT_MS = 700
+/** A connection becomes free as soon as one of many running requests ends. */
 const NO_ROOM_MS = 150
-/** Multiple of the queue delay after which the client of a rejected request retries. */
+/** Multiple of the queue delay after which the client of a rejected request retries: queues of overloaded endpoints shrink slowly. */
 const BUSY_DELAY_FACTOR = 5
 const QUARANTINED_MS = 30_000
 /** Maximum jitter, as a share of the delay. */
--- a/packages/router/src/placement.ts
+++ b/packages/router/src/placement.ts
@@ -92,7 +92,7 @@
 
 type RoundResult = PlacementResult | { kind: 'none', retryAfterMs: number }
 
-/** Endpoints tried per pass before the request is queued. */
+/** Endpoints tried per pass before the request is queued: asking more owners costs more than a short wait in a queue. */
 const MAX_TRIES = 6
 const INITIAL_BACKOFF_MS = 60
 const MAX_BACKOFF_MS = 500
