--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -105,7 +105,9 @@
   live: livenesses.LiveRecords | undefined
   /** Time of the last event. */
   lastSeenAt: number
-  /** Time of the last tick with a quorum. */
+  /** Time of the last tick, undefined before the first. */
+  lastTickAt: number | undefined
+  /** Time of the last tick with a quorum, at first that of the subscription. */
   lastQuorumAt: number
   version: number
 }
@@ -213,7 +215,7 @@
   }
 
   const subscribe = async (address: string): Promise<void> => {
-    const sub: Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), isCurrent: true, lastQuorumAt: now(), version: 0 }
+    const sub: Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), lastTickAt: undefined, isCurrent: true, lastQuorumAt: now(), version: 0 }
     open.add(sub)
     try {
       const link = await opts.dial(address)
@@ -322,6 +324,7 @@
         }
         case 'version': noteVersion(sub, event.version); break
         case 'tick':
+          sub.lastTickAt = now()
           sub.isCurrent = event.isCurrent
           if (event.isCurrent) {
             if (now() - lastQuorumAt > MAX_TICK_GAP_MS) quorumSince = now()
@@ -351,7 +354,8 @@
     newestVersion: documents.newestVersion,
     confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
     describeSubscriptions () {
-      const describe = (sub: Subscription): string => `${sub.address} version ${sub.version}, ${sub.isCurrent ? '' : 'not '}current, quorum ${Math.round(now() - sub.lastQuorumAt)} ms ago`
+      const describeTick = (sub: Subscription): string => sub.lastTickAt === undefined ? 'no tick yet' : `${sub.isCurrent ? '' : 'not '}current ${Math.round(now() - sub.lastTickAt)} ms ago`
+      const describe = (sub: Subscription): string => `${sub.address} version ${sub.version}, ${describeTick(sub)}`
       return [...open].filter(sub => sub.isEstablished).map(describe).join('; ')
     },
     announce () {
