--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -3,78 +3,18 @@
  * those that are unresponsive or have lost their quorum.
  */
 import * as timers from 'node:timers/promises'
-import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
-import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
-import * as recordTables from './recordTable.js'
 import * as records from './records.js'
 import * as sendBudgets from './sendBudget.js'
+import type * as subscriberOptions from './subscriberOptions.js'
+import * as subscriptions from './subscription.js'
 import * as subscriptionChoices from './subscriptionChoice.js'
 
-/** Options of {@link startSubscriber}. */
-export interface SubscriberOptions {
-  /** Id of this instance. */
-  id: string
-  /** Inner addresses of control instances, from the current settings. */
-  seeds: () => readonly string[]
-  table: recordTables.RecordTable
-  /** Opens a link to a control instance, whose events go to {@link Subscriber.onEvent}. */
-  dial: (address: string) => Promise<links.Link>
-  /** Fetches the handout of a control instance that is still starting; absent if handouts are not used. */
-  fetchHandout?: (address: string) => Promise<Uint8Array>
-  /** Returns the record that this instance announces. */
-  self: () => records.EntryRecord
-  /**
-   * Called with each newer document.
-   * @param waitedMs time since a newer version first became known
-   * @param from the instance that sent it
-   */
-  onDocument: (document: contracts.VersionedText, waitedMs: number, from: string) => void
-  /** Inner addresses of the other entry instances, in random order; none by default. */
-  peerAddresses?: () => readonly string[]
-  /** Returns a link to another entry instance. */
-  getPeerLink?: (address: string) => Promise<links.Link>
-  /** Limits the documents that are sent to other instances; unlimited by default. */
-  budget?: sendBudgets.SendBudget
-  /** Called with records that changed. */
-  onRecords: (list: readonly records.Record[]) => void
-  log: telemetry.Log
-  now?: () => number
-}
-
-/** Maintains subscriptions. */
-export interface Subscriber {
-  /** Handles an event of a control instance. */
-  onEvent (event: messages.DiscoveryEvent, link: links.Link): void
-  /** Answers a call of another entry instance. */
-  onCall (call: messages.DiscoveryCall): messages.DiscoveryReply
-  /** Records the version of the document that another entry instance reported. */
-  notePeerVersion (address: string, version: number): void
-  /** Returns the version of the local document, 0 without one. */
-  version (): number
-  /** Returns the newest version that any instance reported. */
-  newestVersion (): number
-  /** Resolves to whether the local document is the latest: no instance reported a newer one, and a control instance that was asked just now confirmed it. */
-  confirmDocument (): Promise<boolean>
-  /** Describes the subscriptions that {@link Subscriber.confirmDocument} depends on, for the log. */
-  describeSubscriptions (): string
-  /** Announces a change of this instance to all subscribed control instances. */
-  announce (): void
-  /** Returns the time of the last tick of a control instance with a quorum, -Infinity before the first. */
-  lastQuorumAt (): number
-  /** Returns the start of the uninterrupted period of such ticks that includes {@link Subscriber.lastQuorumAt}. */
-  quorumSince (): number
-  /** Returns the number of subscriptions. */
-  subscriptionCount (): number
-  /** Closes all subscriptions. */
-  stop (): void
-}
-
 /** A control instance without a tick for this long is unresponsive, and its subscription is closed. */
 const TICK_TIMEOUT_MS = 2.3 * messages.TICK_INTERVAL_MS
 /** A control instance without a quorum for this long is replaced by another one, if available. */
@@ -99,23 +39,10 @@
 const SECONDARY_FETCH_DELAY_MS = 100
 const CHECK_TIMEOUT_MS = 500
 
-interface Subscription extends subscriptionChoices.SubscriptionState {
-  link: links.Link | undefined
-  /** Records that it reports as live; undefined if it sends every heartbeat instead. */
-  live: livenesses.LiveRecords | undefined
-  /** Time of the last event. */
-  lastSeenAt: number
-  /** Time of the last tick, undefined before the first. */
-  lastTickAt: number | undefined
-  /** Time of the last tick with a quorum, at first that of the subscription. */
-  lastQuorumAt: number
-  version: number
-}
-
 /** Starts subscribing to control instances. */
-export function startSubscriber (opts: SubscriberOptions): Subscriber {
+export function startSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
   const now = opts.now ?? (() => performance.now())
-  const open = new Set<Subscription>()
+  const open = new Set<subscriptions.Subscription>()
   const backoffUntil = new Map<string, number>()
   const failures = new Map<string, number>()
   let controls: string[] = []
@@ -136,7 +63,7 @@
    * Records the version that a control instance reported. Fetches at once only if the instance is the primary (oldest)
    * subscription, so that the leader, which reports a new version first, does not receive fetches of all its subscribers at once.
    */
-  const noteVersion = (sub: Subscription, reportedVersion: number): void => {
+  const noteVersion = (sub: subscriptions.Subscription, reportedVersion: number): void => {
     documents.noteReport(sub.address, reportedVersion)
     sub.version = Math.max(sub.version, reportedVersion)
     if (sub.version <= documents.version()) return
@@ -160,7 +87,7 @@
     }]
   }
 
-  const toSources = (sub: Subscription): documentFetchers.DocumentSource[] => {
+  const toSources = (sub: subscriptions.Subscription): documentFetchers.DocumentSource[] => {
     const { address, version, link } = sub
     return link === undefined ? [] : [{ address, version, getLink: async () => link, onFailure: reason => { drop(sub, reason) } }]
   }
@@ -176,7 +103,7 @@
     now
   })
 
-  const toCheckSource = (sub: Subscription): documentChecks.CheckSource[] => {
+  const toCheckSource = (sub: subscriptions.Subscription): documentChecks.CheckSource[] => {
     const { address, link } = sub
     if (link === undefined || !sub.isEstablished || !sub.isCurrent) return []
     const ask = async (): Promise<boolean> => {
@@ -196,9 +123,9 @@
 
   const isNewestHeld = (): boolean => documents.version() > 0 && documents.newestVersion() <= documents.version()
 
-  const find = (link: links.Link): Subscription | undefined => [...open].find(item => item.link === link)
+  const find = (link: links.Link): subscriptions.Subscription | undefined => [...open].find(item => item.link === link)
 
-  const close = (sub: Subscription, reason: string): boolean => {
+  const close = (sub: subscriptions.Subscription, reason: string): boolean => {
     if (!open.delete(sub)) return false
     sub.link?.close()
     opts.log.event('controlLost', { address: sub.address, why: reason, subscriptions: open.size })
@@ -206,7 +133,7 @@
   }
 
   /** Closes a subscription that failed, and backs off from its control instance. */
-  const drop = (sub: Subscription, reason: string): void => {
+  const drop = (sub: subscriptions.Subscription, reason: string): void => {
     if (!close(sub, reason)) return
     const failureCount = (failures.get(sub.address) ?? 0) + 1
     failures.set(sub.address, failureCount)
@@ -215,7 +142,7 @@
   }
 
   const subscribe = async (address: string): Promise<void> => {
-    const sub: Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), lastTickAt: undefined, isCurrent: true, lastQuorumAt: now(), version: 0 }
+    const sub: subscriptions.Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), lastTickAt: undefined, isCurrent: true, lastQuorumAt: now(), version: 0 }
     open.add(sub)
     try {
       const link = await opts.dial(address)
@@ -353,11 +280,7 @@
     version: documents.version,
     newestVersion: documents.newestVersion,
     confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
-    describeSubscriptions () {
-      const describeTick = (sub: Subscription): string => sub.lastTickAt === undefined ? 'no tick yet' : `${sub.isCurrent ? '' : 'not '}current ${Math.round(now() - sub.lastTickAt)} ms ago`
-      const describe = (sub: Subscription): string => `${sub.address} version ${sub.version}, ${describeTick(sub)}`
-      return [...open].filter(sub => sub.isEstablished).map(describe).join('; ')
-    },
+    describeSubscriptions: () => [...open].filter(sub => sub.isEstablished).map(sub => subscriptions.describeSubscription(sub, now())).join('; '),
     announce () {
       const event: messages.DiscoveryEvent = { t: 'news', list: [opts.self()] }
       for (const sub of open) sub.link?.send(event)
