--- a/packages/discovery/__tests__/documentFetcher.test.ts
+++ b/packages/discovery/__tests__/documentFetcher.test.ts
@@ -81,6 +81,34 @@
   t.is(entry.documents.at(-1)?.version, 2)
 })
 
+// Guards against a rejection by the document that the question itself has just shown to be old.
+test('a confirmation that reveals a newer document confirms nothing', async t => {
+  const control = await helper.startControl({ isAnnouncing: false })
+  control.put(toDocument(1, 20))
+  const entry = helper.startEntry('e1', [control.address], () => 0)
+  t.teardown(async () => {
+    entry.stop()
+    await control.close()
+  })
+  await helper.until('the document arrived', () => entry.documents.length === 1)
+  control.put(toDocument(2, 20))
+  t.false(await entry.confirmDocument())
+  await helper.until('the newer document arrived', () => entry.documents.at(-1)?.version === 2)
+})
+
+// Guards against trust in a control instance that has not ticked yet.
+test('a control instance without a quorum confirms nothing before its first tick', async t => {
+  const control = await helper.startControl({ isCurrent: false })
+  control.put(toDocument(1, 20))
+  const entry = helper.startEntry('e1', [control.address])
+  t.teardown(async () => {
+    entry.stop()
+    await control.close()
+  })
+  await helper.until('the document arrived', () => entry.documents.length === 1)
+  t.false(await entry.confirmDocument())
+})
+
 // Guards against late ticks that pass for fresh ones while the announcement of a newer document is queued behind them.
 test('late ticks do not make an old document the latest', async t => {
   const control: helper.TestControl = await helper.startControl({ isTicking: true, advertisedAddress: () => relay.address })
--- a/packages/state/__tests__/currency.test.ts
+++ b/packages/state/__tests__/currency.test.ts
@@ -1,5 +1,6 @@
 /** Whether a replica that claims to be current has applied everything that was acknowledged before. */
 import * as ava from 'ava'
+import type * as state from '../src/index.js'
 import * as virtual from './helpers/virtualCluster.js'
 
 const test = ava.default
@@ -69,3 +70,26 @@
   t.true(cluster.acknowledged.length > 10)
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against a follower that has the entries up to the commit index in its log, but does not know yet that they are the leader's.
+test('a follower is not current before the entries up to the commit index are confirmed', async t => {
+  const cluster = await startGroup(['a', 'b', 'c'], 2)
+  const leader = leaderName(cluster)
+  const follower = cluster.node(cluster.names.filter(name => name !== leader)[0])
+  const { replica } = follower.process
+  const last = follower.disk.entries.at(-1)
+  if (replica === undefined || last === undefined) return t.fail('no follower')
+  for (const name of cluster.names) if (name !== follower.name) cluster.crash(name)
+  const append = (change: Partial<Extract<state.Rpc, { t: 'append' }>>): state.Rpc => {
+    return { t: 'append', term: last.term, leader: { name: leader, incarnation: `${leader}-1` }, prevIndex: last.index, prevTerm: last.term, entries: [], commit: last.index, quorumAgeMs: 0, ...change }
+  }
+  void replica.handle(append({ entries: [{ index: last.index + 1, term: last.term, body: { kind: 'noop' } }] }))
+  await cluster.clock.advance(500)
+  const before = replica.lastCurrentAt()
+  void replica.handle(append({ commit: last.index + 1 }))
+  await cluster.clock.advance(50)
+  t.is(replica.lastCurrentAt(), before)
+  void replica.handle(append({ prevIndex: last.index + 1, commit: last.index + 1 }))
+  await cluster.clock.advance(50)
+  t.true(replica.lastCurrentAt() > before)
+})
