feat(coordination,discovery,forwarding): evacuation of availability zones

Cause: orders to evacuate a zone were answered 404; nothing stored, told or obeyed them.

Change: the replicated state machine holds the evacuated zones beside the document. A change is compare-and-set on a revision, read linearizably first, so a delayed repeat whose sender has given up cannot revert a later order; it is acknowledged once a quorum has committed it. Control instances send it to subscribers at once, with each tick, with subscriptions and in the handout; entry instances tell each other with their loads. Endpoints of an evacuated zone are not usable for sends, retries and resumed streams; streams that run end in peace, and their caches remain sources for imports. The addresses for clients stay as they are: the order is about endpoints, and entry instances of the zone remain the nearest for its clients.

--- a/packages/coordination/__tests__/controlInstance.test.ts
+++ b/packages/coordination/__tests__/controlInstance.test.ts
@@ -6,7 +6,7 @@
 import * as path from 'node:path'
 import * as timers from 'node:timers/promises'
 import * as contracts from '@kingcupdeck/contracts'
-import type * as discovery from '@kingcupdeck/discovery'
+import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coordination from '../src/index.js'
 
@@ -117,3 +117,21 @@
   for (const item of instances) t.is(item.control.table.get('e1')?.record.state, 'leaving')
   await stopAll(instances)
 })
+
+// After a loss of power, entry instances take the evacuated zones from control instances that restart.
+test('acknowledged evacuations survive a restart of all instances, and are handed out before there is a leader', async t => {
+  const instances = await startFleet(3)
+  await until('all are current', () => instances.every(item => item.control.store.isCurrent()))
+  await instances[0].control.store.put(toDocument(7, 'seven'), 5000)
+  await instances[1].control.store.evacuate({ zone: 'z1', isEvacuated: true }, () => true, 5000)
+  await until('all have it', () => instances.every(item => item.control.store.evacuations().revision === 1))
+  await timers.setTimeout(500)
+  await stopAll(instances, false)
+  const founders = instances.map(item => item.inner)
+  const handout = discovery.readHandout(instances[2].folder)
+  t.deepEqual(handout === undefined ? undefined : discovery.decodeReply(handout).evacuations, { revision: 1, zones: ['z1'] })
+  const alone = await start(instances[1].inner, founders, instances[1].folder, false)
+  t.deepEqual(alone.control.store.evacuations(), { revision: 1, zones: ['z1'] })
+  await stopAll([alone], false)
+  for (const item of instances) await fs.rm(item.folder, { recursive: true, force: true })
+})
--- a/packages/coordination/__tests__/documentStore.test.ts
+++ b/packages/coordination/__tests__/documentStore.test.ts
@@ -46,6 +46,7 @@
       dataFolder: folderOf(name),
       getPeerLink: getPeerLink(name),
       onChange: () => {},
+      onEvacuations: () => {},
       log,
       invariants: telemetry.createInvariants({ log, isFatal: true })
     }))
@@ -147,3 +148,43 @@
   t.is((await get(group, others[0]).read(3000))?.version, 2)
   await group.close()
 })
+
+test('an evacuation is committed before it is acknowledged, and does not change the document', async t => {
+  const group = await startGroup(['a', 'b', 'c'])
+  await group.leader()
+  await putUntilStored(get(group, 'a'), toDocument(1))
+  t.deepEqual(await get(group, 'b').evacuate({ zone: 'z1', isEvacuated: true }, () => true, WAIT_MS), { revision: 1, zones: ['z1'] })
+  t.deepEqual(await get(group, 'c').evacuate({ zone: 'z1', isEvacuated: true }, () => true, WAIT_MS), { revision: 1, zones: ['z1'] }, 'a repeated order')
+  t.deepEqual(await get(group, 'a').evacuate({ zone: 'z2', isEvacuated: true }, () => true, WAIT_MS), { revision: 2, zones: ['z1', 'z2'] })
+  t.deepEqual(await get(group, 'c').evacuate({ zone: 'z1', isEvacuated: false }, () => true, WAIT_MS), { revision: 3, zones: ['z2'] })
+  t.is((await get(group, 'b').read(WAIT_MS))?.version, 1)
+  await group.close()
+})
+
+test('an evacuation is not acknowledged without a quorum', async t => {
+  const group = await startGroup(['a', 'b', 'c'])
+  const leader = await group.leader()
+  group.partition(leader)
+  await t.throwsAsync(get(group, leader).evacuate({ zone: 'z1', isEvacuated: true }, () => true, 400))
+  await group.close()
+})
+
+// A delayed order that its sender has repeated elsewhere must not undo an order that followed.
+test('an order whose sender has given up does not revert a later one', async t => {
+  const group = await startGroup(['a', 'b', 'c'])
+  await group.leader()
+  await get(group, 'a').evacuate({ zone: 'z1', isEvacuated: true }, () => true, WAIT_MS)
+  await get(group, 'a').evacuate({ zone: 'z1', isEvacuated: false }, () => true, WAIT_MS)
+  await t.throwsAsync(get(group, 'b').evacuate({ zone: 'z1', isEvacuated: true }, () => false, WAIT_MS))
+  t.deepEqual(get(group, 'a').evacuations().zones, [])
+  await group.close()
+})
+
+test('concurrent orders for different zones are all stored', async t => {
+  const group = await startGroup(['a', 'b', 'c'])
+  await group.leader()
+  const zones = ['z1', 'z2', 'z3', 'z4']
+  await Promise.all(zones.map(async (zone, i) => await get(group, ['a', 'b', 'c'][i % 3]).evacuate({ zone, isEvacuated: true }, () => true, WAIT_MS)))
+  t.deepEqual(await get(group, 'a').evacuate({ zone: 'z1', isEvacuated: true }, () => true, WAIT_MS), { revision: 4, zones })
+  await group.close()
+})
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -52,6 +52,7 @@
   const table = discovery.createRecordTable()
   let isStopping = false
   let onDocumentChange = (): void => {}
+  let onEvacuations = (): void => {}
 
   const handlers: links.LinkHandlers = {
     onEvent (body) {
@@ -59,8 +60,8 @@
       if (event.success) publisher.onEvent(event.data)
     },
     async onCall (body, link) {
-      const tag = (body as { t?: unknown })?.t
-      if (tag === 'replica' || tag === 'put' || tag === 'read') return await store.onCall(documentStores.documentCall.parse(body))
+      const call = documentStores.documentCall.safeParse(body)
+      if (call.success) return await store.onCall(call.data)
       return await publisher.onCall(discovery.discoveryCall.parse(body), link)
     }
   }
@@ -77,6 +78,7 @@
     dataFolder: opts.dataFolder,
     getPeerLink,
     onChange: () => { onDocumentChange() },
+    onEvacuations: () => { onEvacuations() },
     log,
     invariants: opts.invariants
   })
@@ -109,6 +111,7 @@
     getPeerLink,
     version,
     packDocumentSince: store.packSince,
+    evacuations: store.evacuations,
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     isCurrent,
     onChange () {
@@ -126,6 +129,13 @@
     handoutFile.save()
   }
 
+  onEvacuations = () => {
+    const { revision, zones } = store.evacuations()
+    log.event('evacuationsAccepted', { revision, zones: zones.join(' ') })
+    publisher.publishEvacuations()
+    handoutFile.save()
+  }
+
   const server = await links.listen(opts.inner, linkCfg, link => {
     if (link.peer.role === 'control') peerLinks.add(link)
   })
--- a/packages/coordination/src/controlMetrics.ts
+++ b/packages/coordination/src/controlMetrics.ts
@@ -23,6 +23,7 @@
     const created = new prom.Gauge({ name, help, registers, collect () { created.set(read()) } })
   }
   gauge('kingcupdeck_document_version', 'Version of the document held here', () => instance.store.latest()?.version ?? 0)
+  gauge('kingcupdeck_evacuated_zones', 'Evacuated availability zones held here', () => instance.store.evacuations().zones.length)
   gauge('kingcupdeck_control_current', 'Whether this instance had applied all committed entries a short time ago', () => instance.store.isCurrent() ? 1 : 0)
   gauge('kingcupdeck_control_leads', 'Whether this instance leads the group of the document', () => instance.store.isLeader() ? 1 : 0)
   gauge('kingcupdeck_records', 'Endpoints and entry instances that are known and not gone', () => instance.table.all().filter(item => item.state !== 'gone').length)
--- a/packages/coordination/src/documentMachine.ts
+++ b/packages/coordination/src/documentMachine.ts
@@ -1,10 +1,12 @@
 /**
- * The replicated state machine of the forwarding fleet: the latest configuration document, byte for byte. The highest version
- * wins. There is no compare-and-set: puts of the same or an older version change nothing.
+ * The replicated state machine of the forwarding fleet: the latest configuration document, byte for byte, and the evacuated
+ * availability zones. The highest version of the document wins: puts of the same or an older version change nothing. Evacuations
+ * have no versions of their own, so they are compare-and-set: a delayed order must not revert a later one.
  */
 import * as cbor from 'cbor-x'
 import * as z from 'zod'
 import * as contracts from '@kingcupdeck/contracts'
+import * as discovery from '@kingcupdeck/discovery'
 import * as state from '@kingcupdeck/state'
 
 /**
@@ -16,10 +18,31 @@
 /** Result of a put. */
 export type PutResult = z.infer<typeof putResult>
 
+/** Command that changes the evacuation of a zone. */
+const evacuationCommand = z.object({
+  t: z.literal('evacuation'),
+  zone: z.string(),
+  isEvacuated: z.boolean(),
+  /** Revision that the command is based on. */
+  revision: z.number()
+})
+/** Command that changes the evacuation of a zone. */
+export type EvacuationCommand = z.infer<typeof evacuationCommand>
+
+/** Result of an evacuation command: applied, or based on an outdated revision. The evacuations are those after the command. */
+export const evacuationResult = z.object({ kind: z.enum(['changed', 'outdated']), evacuations: discovery.evacuations })
+/** Result of an evacuation command. */
+export type EvacuationResult = z.infer<typeof evacuationResult>
+
+/** Snapshot with evacuations. Before the first one, a snapshot is the packed document alone, as in earlier releases. */
+interface SavedState { document: contracts.PackedText | null, evacuations: discovery.Evacuations }
+
 /** The state machine, with read access to its state. */
 export interface DocumentMachine extends state.StateMachine {
   /** Returns the latest document, null before the first. */
   latest (): contracts.VersionedText | null
+  /** Returns the evacuated zones. */
+  evacuations (): discovery.Evacuations
 }
 
 const codec = new cbor.Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
@@ -37,9 +60,11 @@
 /**
  * Creates an empty state machine.
  * @param onChange called when the document changes, with its packed form unless it was restored from a snapshot
+ * @param onEvacuations called when the evacuated zones change
  */
-export function createDocumentMachine (onChange: (packed?: contracts.PackedText) => void = () => {}): DocumentMachine {
+export function createDocumentMachine (onChange: (packed?: contracts.PackedText) => void = () => {}, onEvacuations: () => void = () => {}): DocumentMachine {
   let latest: contracts.VersionedText | null = null
+  let evacuations = discovery.NO_EVACUATIONS
 
   const put = (packed: contracts.PackedText): PutResult => {
     const staleResult = resolveStalePut(latest, packed)
@@ -51,14 +76,31 @@
     return { kind: 'stored', version: document.version }
   }
 
+  const evacuate = ({ zone, isEvacuated, revision }: EvacuationCommand): EvacuationResult => {
+    if (revision !== evacuations.revision) return { kind: 'outdated', evacuations }
+    evacuations = discovery.changeEvacuation(evacuations, zone, isEvacuated)
+    onEvacuations()
+    return { kind: 'changed', evacuations }
+  }
+
   return {
-    apply: command => put(command as contracts.PackedText),
-    save: () => codec.encode(latest === null ? null : contracts.packFull(latest)),
+    apply (command) {
+      const evacuation = evacuationCommand.safeParse(command)
+      return evacuation.success ? evacuate(evacuation.data) : put(command as contracts.PackedText)
+    },
+    save () {
+      const document = latest === null ? null : contracts.packFull(latest)
+      return codec.encode(evacuations.revision === 0 ? document : { document, evacuations } satisfies SavedState)
+    },
     restore (bytes) {
-      const saved = codec.decode(bytes) as contracts.PackedText | null
-      latest = saved === null ? null : contracts.unpackText(saved, null) ?? null
+      const decoded = codec.decode(bytes) as contracts.PackedText | SavedState | null
+      const saved = decoded !== null && 'evacuations' in decoded ? decoded : { document: decoded, evacuations: discovery.NO_EVACUATIONS }
+      latest = saved.document === null ? null : contracts.unpackText(saved.document, null) ?? null
+      evacuations = saved.evacuations
       onChange()
+      onEvacuations()
     },
-    latest: () => latest
+    latest: () => latest,
+    evacuations: () => evacuations
   }
 }
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -13,13 +13,15 @@
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentMachines from './documentMachine.js'
 
-/** Calls between control instances about the document. */
+/** Calls between control instances about the document and the evacuations. */
 export const documentCall = z.discriminatedUnion('t', [
   z.object({ t: z.literal('replica'), msg: z.unknown() }),
   z.object({ t: z.literal('put'), packed: contracts.packedText }),
-  z.object({ t: z.literal('read'), version: z.number() })
+  z.object({ t: z.literal('read'), version: z.number() }),
+  z.object({ t: z.literal('readEvacuations') }),
+  z.object({ t: z.literal('evacuate'), zone: z.string(), isEvacuated: z.boolean(), revision: z.number() })
 ])
-/** Calls between control instances about the document. */
+/** Calls between control instances about the document and the evacuations. */
 export type DocumentCall = z.infer<typeof documentCall>
 
 const readReply = z.object({ packed: contracts.packedText.nullable(), isSame: z.boolean() })
@@ -42,6 +44,8 @@
   getPeerLink: (address: string) => Promise<links.Link>
   /** Called when the local document changed. */
   onChange: () => void
+  /** Called when the evacuated zones changed. */
+  onEvacuations: () => void
   log: telemetry.Log
   invariants: telemetry.Invariants
 }
@@ -62,6 +66,14 @@
    * @throws Error when no leader with a quorum confirmed it within the timeout
    */
   read (timeoutMs: number): Promise<contracts.VersionedText | null>
+  /** Returns the evacuated zones as applied locally, which may be stale. */
+  evacuations (): discovery.Evacuations
+  /**
+   * Starts or ends the evacuation of a zone. Resolves once the zone is in the requested state, as committed.
+   * @param isWanted returns whether the order is still wanted; an order that its sender gave up must not revert a later one
+   * @throws Error when the outcome is unknown after the timeout; the order may be repeated
+   */
+  evacuate (order: EvacuationOrder, isWanted: () => boolean, timeoutMs: number): Promise<discovery.Evacuations>
   /** Answers a call of another control instance. */
   onCall (call: DocumentCall): Promise<unknown>
   /** Returns whether this replica had applied everything that was committed a short time ago. */
@@ -75,6 +87,9 @@
   stop (): Promise<void>
 }
 
+/** Order to start or end the evacuation of a zone. */
+export interface EvacuationOrder { zone: string, isEvacuated: boolean }
+
 const GROUP = 'document'
 /**
  * Short, since after a kill of all replicas most of the time without a confirmed document is the wait for a leader. The shortest
@@ -103,6 +118,8 @@
   /** The document proposed last by this leader, base of the next delta because it precedes it in the log. */
   let lastProposed: contracts.VersionedText | null = null
   let isNotificationPending = false
+  /** The newest evacuations applied by any incarnation of the replica in this process. */
+  let latestEvacuations = discovery.NO_EVACUATIONS
 
   const onChange = (packed?: contracts.PackedText): void => {
     const applied = machine.latest()
@@ -119,6 +136,13 @@
     })
   }
 
+  const onEvacuations = (): void => {
+    const applied = machine.evacuations()
+    if (applied.revision <= latestEvacuations.revision) return
+    latestEvacuations = applied
+    opts.onEvacuations()
+  }
+
   const transport: state.Transport = {
     async call (name, msg) {
       const link = await opts.getPeerLink(name)
@@ -145,7 +169,7 @@
   }
 
   const create = async (): Promise<state.Replica> => {
-    machine = documentMachines.createDocumentMachine(onChange)
+    machine = documentMachines.createDocumentMachine(onChange, onEvacuations)
     return await state.createReplica({
       group: GROUP,
       name: opts.self,
@@ -170,9 +194,13 @@
 
   const leaderName = (): string | null => replica?.leaderName() ?? null
 
-  const propose = async (packed: contracts.PackedText): Promise<documentMachines.PutResult> => {
+  const requireReplica = (): state.Replica => {
     if (replica === undefined) throw new Error('replica of the document is restarting after a disk failure; try again')
-    return await replica.propose(packed) as documentMachines.PutResult
+    return replica
+  }
+
+  const propose = async (packed: contracts.PackedText): Promise<documentMachines.PutResult> => {
+    return await requireReplica().propose(packed) as documentMachines.PutResult
   }
 
   /** Proposes a document at this replica, the leader; as a delta if possible, since full documents would saturate slow links. */
@@ -186,11 +214,19 @@
   }
 
   const readLocally = async (timeoutMs: number): Promise<contracts.VersionedText | null> => {
-    if (replica === undefined) throw new Error('replica of the document is restarting after a disk failure; try again')
-    await replica.confirmLeadership(timeoutMs)
+    await requireReplica().confirmLeadership(timeoutMs)
     return machine.latest()
   }
 
+  const readEvacuationsLocally = async (timeoutMs: number): Promise<discovery.Evacuations> => {
+    await requireReplica().confirmLeadership(timeoutMs)
+    return machine.evacuations()
+  }
+
+  const evacuateLocally = async (command: documentMachines.EvacuationCommand): Promise<documentMachines.EvacuationResult> => {
+    return await requireReplica().propose(command) as documentMachines.EvacuationResult
+  }
+
   /** Runs an operation at the leader, local or remote; retries until it succeeds or the timeout expires. */
   const retry = async <T>(timeoutMs: number, locally: (leftMs: number) => Promise<T>, remotely: (link: links.Link, leftMs: number) => Promise<T>): Promise<T> => {
     const deadline = performance.now() + timeoutMs
@@ -209,6 +245,12 @@
     }
   }
 
+  const readEvacuations = async (timeoutMs: number): Promise<discovery.Evacuations> => {
+    return await retry(timeoutMs, readEvacuationsLocally, async (link, leftMs) => {
+      return discovery.evacuations.parse(await link.call({ t: 'readEvacuations' } satisfies DocumentCall, leftMs))
+    })
+  }
+
   replica = await create()
 
   return {
@@ -230,11 +272,26 @@
         return reply.packed === null ? null : contracts.unpackText(reply.packed, null) ?? null
       })
     },
+    evacuations: () => latestEvacuations,
+    async evacuate ({ zone, isEvacuated }, isWanted, timeoutMs) {
+      const deadline = performance.now() + timeoutMs
+      while (true) {
+        const held = await readEvacuations(deadline - performance.now())
+        if (held.zones.includes(zone) === isEvacuated) return held
+        if (!isWanted()) throw new Error(`the sender of the order to ${isEvacuated ? 'evacuate' : 'restore'} zone "${zone}" has given it up: send it again`)
+        const command: documentMachines.EvacuationCommand = { t: 'evacuation', zone, isEvacuated, revision: held.revision }
+        const result = await retry(deadline - performance.now(), async () => await evacuateLocally(command), async (link, leftMs) => {
+          const call: DocumentCall = { t: 'evacuate', zone, isEvacuated, revision: held.revision }
+          return documentMachines.evacuationResult.parse(await link.call(call, leftMs))
+        })
+        // The revision may be outdated by an earlier attempt of this order, whose reply was lost.
+        if (result.evacuations.zones.includes(zone) === isEvacuated) return result.evacuations
+      }
+    },
     async onCall (call) {
       switch (call.t) {
         case 'replica':
-          if (replica === undefined) throw new Error('replica of the document is restarting after a disk failure; try again')
-          return await replica.handle(state.rpc.parse(call.msg))
+          return await requireReplica().handle(state.rpc.parse(call.msg))
         case 'put': {
           const document = contracts.unpackText(call.packed, null)
           if (document === undefined) throw new Error(`put of version ${call.packed.version} rejected: it must be a full document, not a delta`)
@@ -245,6 +302,8 @@
           const isSame = document !== null && document.version === call.version
           return { packed: isSame || document === null ? null : contracts.packFull(document), isSame } satisfies ReadReply
         }
+        case 'readEvacuations': return await readEvacuationsLocally(RPC_TIMEOUT_MS)
+        case 'evacuate': return await evacuateLocally({ ...call, t: 'evacuation' })
       }
     },
     isCurrent: () => replica !== undefined && performance.now() - replica.lastCurrentAt() < CURRENT_TIMEOUT_MS,
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of discovery: records of endpoints and entry instances, and the subscriptions that distribute them. */
 export * from './documentHistory.js'
+export * from './evacuations.js'
 export * from './handout.js'
 export { toShuffled } from './handoutPoller.js'
 export * from './liveness.js'
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -3,6 +3,7 @@
 import * as cbor from 'cbor-x'
 import * as z from 'zod'
 import * as contracts from '@kingcupdeck/contracts'
+import * as evacuations from './evacuations.js'
 import * as records from './records.js'
 import type * as sendBudgets from './sendBudget.js'
 
@@ -42,7 +43,9 @@
   /** Whether the sender, a control instance, had applied everything that was committed a short time ago; absent from earlier versions. */
   isCurrent: z.boolean().optional(),
   /** Whether the document is withheld because the sender's link is busy. */
-  isBusy: z.boolean().optional()
+  isBusy: z.boolean().optional(),
+  /** Absent before the first evacuation. */
+  evacuations: evacuations.evacuations.optional()
 })
 /** Reply to a {@link DiscoveryCall}. */
 export type DiscoveryReply = z.infer<typeof discoveryReply>
@@ -55,6 +58,8 @@
   z.object({ t: z.literal('packedNews'), records: contracts.bytes }),
   /** A newer document can be fetched from the sender. */
   z.object({ t: z.literal('version'), version: z.number() }),
+  /** The evacuated zones changed. */
+  z.object({ t: z.literal('evacuations'), evacuations: evacuations.evacuations }),
   z.object({
     t: z.literal('tick'),
     /** Whether the sender had applied everything that was committed a short time ago. */
@@ -66,7 +71,9 @@
     /** Ids of records that have become late since the last tick, to a compact subscription. */
     late: z.array(z.string()).optional(),
     /** Addresses of the control instances. */
-    controls: z.array(z.string())
+    controls: z.array(z.string()),
+    /** Absent before the first evacuation. */
+    evacuations: evacuations.evacuations.optional()
   }),
   /** Heartbeats that a control instance forwards to the others. */
   z.object({ t: z.literal('signs'), signs: z.array(records.heartbeat) })
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -7,6 +7,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as livenesses from './liveness.js'
+import * as evacuations from './evacuations.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
@@ -25,6 +26,8 @@
   version: () => number
   /** Packs the local document for a reader of a version of it; null if the reader has the latest. */
   packDocumentSince: (version: number) => contracts.PackedText | null
+  /** Returns the evacuated zones as known locally; none by default. */
+  evacuations?: () => evacuations.Evacuations
   /** Limits the documents that are sent; unlimited by default. */
   budget?: sendBudgets.SendBudget
   /** Returns whether this instance had applied everything that was committed a short time ago. */
@@ -48,6 +51,8 @@
   onEvent (event: messages.DiscoveryEvent): void
   /** Notifies all subscribers of a new document; each of them fetches it from one control instance. */
   publishDocument (): void
+  /** Sends the evacuated zones to all subscribers. */
+  publishEvacuations (): void
   /** Returns the reply to a caller without records or document: all records and the full document. */
   toFullReply (): messages.DiscoveryReply
   /** Returns the number of subscribed entry instances. */
@@ -83,6 +88,7 @@
   const { table } = opts
   const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
   const now = opts.now ?? (() => performance.now())
+  const toEvacuations = opts.evacuations ?? (() => evacuations.NO_EVACUATIONS)
   /** Subscribers that expect every heartbeat. */
   const subscribers = new Set<links.Link>()
   /** Subscribers that accept packed changes and changes of liveness. */
@@ -210,7 +216,7 @@
   }
 
   const toReply = (hasRecords: boolean, document: contracts.PackedText | null): messages.DiscoveryReply => {
-    return { records: hasRecords ? packTable() : null, controls: [opts.self, ...opts.peerAddresses()], version: opts.version(), document }
+    return { records: hasRecords ? packTable() : null, controls: [opts.self, ...opts.peerAddresses()], version: opts.version(), document, evacuations: evacuations.toEvacuationField(toEvacuations()) }
   }
 
   return {
@@ -274,7 +280,9 @@
             if (applyHeartbeat(heartbeat)) ownHeartbeats.set(heartbeat[0], heartbeat)
           }
           break
-        case 'version': break
+        case 'version':
+        case 'evacuations':
+          break
       }
     },
     publishDocument () {
@@ -282,6 +290,11 @@
       sendAll(event)
       sendAll(event, compactSubscribers)
     },
+    publishEvacuations () {
+      const event: messages.DiscoveryEvent = { t: 'evacuations', evacuations: toEvacuations() }
+      sendAll(event)
+      sendAll(event, compactSubscribers)
+    },
     toFullReply: () => ({ ...toReply(false, opts.packDocumentSince(0)), records: messages.packRecords(table.all()) }),
     subscriberCount: () => subscribers.size + compactSubscribers.size,
     lateCount: () => liveness.late().length,
@@ -291,7 +304,7 @@
       const signs = [...own, ...forwardedHeartbeats.values()]
       ownHeartbeats = new Map()
       forwardedHeartbeats = new Map()
-      const tick = { t: 'tick' as const, isCurrent: opts.isCurrent(), version: opts.version(), controls: [opts.self, ...opts.peerAddresses()] }
+      const tick = { t: 'tick' as const, isCurrent: opts.isCurrent(), version: opts.version(), controls: [opts.self, ...opts.peerAddresses()], evacuations: evacuations.toEvacuationField(toEvacuations()) }
       const { late, revived } = liveness.takeChanges(now())
       sendAll({ ...tick, signs })
       sendAll({ ...tick, signs: revived, late }, compactSubscribers)
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -6,6 +6,7 @@
 import * as links from '@kingcupdeck/links'
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
+import type * as evacuations from './evacuations.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
@@ -59,6 +60,10 @@
     if (changed.length > 0) opts.onRecords(changed)
   }
 
+  const noteEvacuations = (received: evacuations.Evacuations | undefined, from: string): void => {
+    if (received !== undefined) opts.onEvacuations?.(received, from)
+  }
+
   /**
    * Records the version that a control instance reported. Fetches at once only if the instance is the primary (oldest)
    * subscription, so that the leader, which reports a new version first, does not receive fetches of all its subscribers at once.
@@ -166,6 +171,7 @@
         if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, reply.late)
       }
       if (controls.length === 0) controls = reply.controls
+      noteEvacuations(reply.evacuations, address)
       documents.accept(reply.document, address)
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
@@ -212,6 +218,7 @@
         opts.log.event('handoutTaken', { address, version: reply.version })
         if (reply.records !== null) mergeRecords(messages.unpackRecords(reply.records))
         if (controls.length === 0) controls = reply.controls
+        noteEvacuations(reply.evacuations, address)
         documents.accept(reply.document, address)
       },
       log: opts.log
@@ -250,6 +257,7 @@
           break
         }
         case 'version': noteVersion(sub, event.version); break
+        case 'evacuations': noteEvacuations(event.evacuations, sub.address); break
         case 'tick':
           sub.lastTickAt = now()
           sub.isCurrent = event.isCurrent
@@ -260,6 +268,7 @@
           }
           // A control instance without a quorum may know former members only.
           if (event.isCurrent || controls.length === 0) controls = event.controls
+          noteEvacuations(event.evacuations, sub.address)
           for (const heartbeat of event.signs) opts.table.applyHeartbeat(heartbeat, now())
           sub.live?.applyChanges({ late: event.late ?? [], revived: event.signs })
           sub.live?.refresh(opts.table, now())
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -2,6 +2,7 @@
 import type * as contracts from '@kingcupdeck/contracts'
 import type * as links from '@kingcupdeck/links'
 import type * as telemetry from '@kingcupdeck/telemetry'
+import type * as evacuations from './evacuations.js'
 import type * as messages from './messages.js'
 import type * as recordTables from './recordTable.js'
 import type * as records from './records.js'
@@ -26,6 +27,8 @@
    * @param from the instance that sent it
    */
   onDocument: (document: contracts.VersionedText, waitedMs: number, from: string) => void
+  /** Called with the evacuated zones whenever an instance reports them, also repeatedly and with older ones. */
+  onEvacuations?: (received: evacuations.Evacuations, from: string) => void
   /** Inner addresses of the other entry instances, in random order; none by default. */
   peerAddresses?: () => readonly string[]
   /** Returns a link to another entry instance. */
--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -7,16 +7,18 @@
 const test = ava.default
 const UNRESPONSIVE_MS = 5000
 
-interface TestPool { pool: endpointPools.EndpointPool, announce: (change: Partial<discovery.EndpointRecord>, at?: number) => void, usable: (at: number) => string[], setQuorum: (at: number, since?: number) => void, prune: (at: number) => void }
+interface TestPool { pool: endpointPools.EndpointPool, announce: (change: Partial<discovery.EndpointRecord>, at?: number) => void, usable: (at: number) => string[], setQuorum: (at: number, since?: number) => void, prune: (at: number) => void, evacuated: Set<string> }
 
 function createPool (): TestPool {
   const table = discovery.createRecordTable()
   const log = telemetry.createLog({ instance: 'test', level: 'silent' })
   let lastQuorumAt = 0
   let quorumSince = -Infinity
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => lastQuorumAt, quorumSince: () => quorumSince, unresponsiveMs: UNRESPONSIVE_MS, log })
+  const evacuated = new Set<string>()
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => lastQuorumAt, quorumSince: () => quorumSince, isEvacuated: zone => evacuated.has(zone), unresponsiveMs: UNRESPONSIVE_MS, log })
   return {
     pool,
+    evacuated,
     announce (change, at = 0) {
       const record: discovery.EndpointRecord = { kind: 'endpoint', id: 'e1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 8, coldMs: 0, ...change }
       if (table.merge(record, at) === 'changed') pool.update([record])
@@ -105,3 +107,17 @@
   prune(200_000)
   t.deepEqual(pool.all().map(item => item.id), ['e2'])
 })
+
+// New sends, retries and resumed streams all choose among the usable endpoints.
+test('endpoints of an evacuated zone are not used, and remain sources of cached prompts', t => {
+  const { pool, announce, usable, evacuated } = createPool()
+  announce({ id: 'e1' })
+  announce({ id: 'e2', address: '10.0.0.2:80', zone: 'y' })
+  evacuated.add('z')
+  t.deepEqual(usable(1), ['e2'])
+  t.deepEqual(pool.reachable('s', 1).map(item => item.id), ['e1', 'e2'])
+  evacuated.add('y')
+  t.deepEqual(usable(1), [])
+  evacuated.clear()
+  t.deepEqual(usable(1), ['e1', 'e2'])
+})
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -2,7 +2,7 @@
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as fc from 'fast-check'
-import type * as discovery from '@kingcupdeck/discovery'
+import * as discovery from '@kingcupdeck/discovery'
 import type * as links from '@kingcupdeck/links'
 import * as crashQuarantines from '../src/crashQuarantine.js'
 import type * as endpointPools from '../src/endpointPool.js'
@@ -23,6 +23,7 @@
   quarantine: crashQuarantines.CrashQuarantine
   outliers: outlierDetectors.OutlierDetector
   merged: () => number
+  evacuations: discovery.Evacuations
   gossip: loadGossips.Gossip
   sentCount: number
   isUp: boolean
@@ -56,9 +57,11 @@
       quarantine,
       outliers: { ...outliers, merge (list, now) { for (const [, attempts] of list) merged += attempts; outliers.merge(list, now) } },
       documentVersion: () => 1,
+      evacuations: () => instance.evacuations,
+      onEvacuations (received) { if (received.revision > instance.evacuations.revision) instance.evacuations = received },
       onDocumentVersion: () => {}
     })
-    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, gossip, sentCount: 0, isUp: true }
+    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, evacuations: discovery.NO_EVACUATIONS, gossip, sentCount: 0, isUp: true }
     instances.set(record.inner, instance)
   }
   t.teardown(() => { for (const instance of instances.values()) instance.gossip.stop() })
@@ -155,3 +158,12 @@
   t.deepEqual(echoes.filter([['a', 5, 2], ['b', 1, 0]]), [['a', 3, 1], ['b', 1, 0]])
   t.deepEqual(echoes.filter([['a', 5, 2]]), [['a', 5, 2]])
 })
+
+// The subscriptions of an instance may all be behind; it still learns from the others which zones are evacuated.
+test('an evacuation that one instance knows reaches a large fleet without load', async t => {
+  const fleet = startFleet(t, 60)
+  await timers.setTimeout(SETTLE_MS)
+  fleet[7].evacuations = { revision: 3, zones: ['z1'] }
+  await timers.setTimeout(SETTLE_MS)
+  for (const instance of fleet) t.deepEqual(instance.evacuations, { revision: 3, zones: ['z1'] })
+})
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -57,6 +57,8 @@
   lastQuorumAt: () => number
   /** Start of the uninterrupted period of such messages. */
   quorumSince: () => number
+  /** Returns whether a zone is evacuated; none by default. */
+  isEvacuated?: (zone: string) => boolean
   /** An endpoint without an announcement for this time is unresponsive and not used, in milliseconds. */
   unresponsiveMs: number
   log: telemetry.Log
@@ -73,6 +75,7 @@
 /** Creates an empty pool. */
 export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
   const endpointById = new Map<string, Endpoint>()
+  const isEvacuated = opts.isEvacuated ?? (() => false)
 
   const createAgent = (): http.Agent => new http.Agent({
     keepAlive: true,
@@ -137,7 +140,7 @@
     },
     get: id => endpointById.get(id),
     usable (service, now) {
-      const ready = [...endpointById.values()].filter(item => item.record.service === service && item.record.state === 'ready' && !isMisdirected(item))
+      const ready = [...endpointById.values()].filter(item => item.record.service === service && item.record.state === 'ready' && !isEvacuated(item.record.zone) && !isMisdirected(item))
       const reachable = ready.filter(item => isReachable(item, now))
       if (reachable.length > 0) return reachable
       // If no endpoint is reachable, those whose backoff is nearly over are used.
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -101,6 +101,7 @@
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines)
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
+  let evacuations = discovery.NO_EVACUATIONS
   let drainStartedAt: number | undefined
   let seq = 0
   const budgetByService = new Map<string, retryBudgets.RetryBudget>()
@@ -146,6 +147,13 @@
     if (seq > 0 && document !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
   }
 
+  const applyEvacuations = (received: discovery.Evacuations, from: string): void => {
+    if (received.revision <= evacuations.revision) return
+    evacuations = received
+    metrics.evacuatedZones.set(evacuations.zones.length)
+    log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuations.zones.join(' '), from })
+  }
+
   const announce = (): void => {
     table.merge(self(), now())
     subscriber.announce()
@@ -155,6 +163,7 @@
     table,
     lastQuorumAt: () => subscriber.lastQuorumAt(),
     quorumSince: () => subscriber.quorumSince(),
+    isEvacuated: zone => evacuations.zones.includes(zone),
     unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
     log
   })
@@ -172,6 +181,8 @@
     quarantine,
     outliers,
     documentVersion: () => subscriber.version(),
+    evacuations: () => evacuations,
+    onEvacuations: applyEvacuations,
     onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) }
   })
 
@@ -212,6 +223,7 @@
     fetchHandout: opts.usesHandouts ? async address => await discovery.fetchHandout(discovery.toHandoutAddress(address), opts.secret) : undefined,
     self,
     onDocument: applyDocument,
+    onEvacuations: applyEvacuations,
     onRecords: list => { endpoints.update(list) },
     peerAddresses: () => discovery.toShuffled(otherEntries().map(item => item.inner)),
     getPeerLink: dialer.get,
--- a/packages/forwarding/src/entryMetrics.ts
+++ b/packages/forwarding/src/entryMetrics.ts
@@ -17,6 +17,7 @@
   attempts: prom.Counter<'service' | 'outcome'>
   open: prom.Gauge
   documentVersion: prom.Gauge
+  evacuatedZones: prom.Gauge
   subscriptions: prom.Gauge
   droppedLines: prom.Gauge
   toAccountLabel: (account: string) => string
@@ -40,6 +41,7 @@
     attempts: new prom.Counter({ name: 'kingcupdeck_forward_attempts_total', help: 'Sends to endpoints by service and outcome', labelNames: ['service', 'outcome'], registers }),
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
+    evacuatedZones: new prom.Gauge({ name: 'kingcupdeck_evacuated_zones', help: 'Evacuated availability zones in force here', registers }),
     subscriptions: new prom.Gauge({ name: 'kingcupdeck_control_subscriptions', help: 'Control instances that tell this instance news', registers }),
     droppedLines: new prom.Gauge({ name: 'kingcupdeck_log_lines_dropped', help: 'Log lines that were left out to stay within bounds', registers, collect () { this.set(droppedLines()) } }),
     toAccountLabel: telemetry.createBoundedLabels(MAX_ACCOUNT_LABELS),
--- a/packages/forwarding/src/loadGossip.ts
+++ b/packages/forwarding/src/loadGossip.ts
@@ -27,7 +27,9 @@
    */
   scope: z.enum(['instance', 'members', 'zone', 'fleet']).default('instance'),
   /** Inner addresses of other instances that have the document. */
-  holders: z.array(z.string()).default([])
+  holders: z.array(z.string()).default([]),
+  /** Evacuated zones as known to the sender; absent before the first evacuation. */
+  evacuations: discovery.evacuations.optional()
 })
 /** Gossip update of an entry instance. */
 export type GossipUpdate = z.infer<typeof gossipUpdate>
@@ -45,6 +47,10 @@
   outliers: outlierDetectors.OutlierDetector
   /** Returns the document version of this instance. */
   documentVersion: () => number
+  /** Returns the evacuated zones as known to this instance. */
+  evacuations: () => discovery.Evacuations
+  /** Called with the evacuated zones that another instance knows. */
+  onEvacuations: (received: discovery.Evacuations, from: string) => void
   /** Called with the document version of another instance. */
   onDocumentVersion: (address: string, version: number) => void
 }
@@ -143,9 +149,9 @@
     }, SUM_INTERVAL_MS).unref()
   }
 
-  const sendTo = (addresses: readonly string[], update: Omit<GossipUpdate, 't' | 'document'>): void => {
+  const sendTo = (addresses: readonly string[], update: Omit<GossipUpdate, 't' | 'document' | 'evacuations'>): void => {
     if (addresses.length === 0) return
-    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), ...update } satisfies GossipUpdate)
+    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), evacuations: discovery.toEvacuationField(opts.evacuations()), ...update } satisfies GossipUpdate)
     for (const address of addresses) opts.connect(address).then(link => { link.sendEncoded(encoded) }, () => {})
   }
 
@@ -198,6 +204,7 @@
   const run = async (): Promise<void> => {
     let wasIdle = false
     let sentVersion = 0
+    let sentRevision = 0
     let intervalMs = GOSSIP_INTERVAL_MS
     while (!aborter.signal.aborted) {
       await timers.setTimeout(intervalMs, undefined, { ref: false })
@@ -211,18 +218,21 @@
       const loads = toOwnLoads()
       const outcomes = opts.outliers.takeDeltas(now())
       const version = opts.documentVersion()
+      const { revision } = opts.evacuations()
+      const hasNews = version !== sentVersion || revision !== sentRevision
       const isIdle = loads.length === 0 && outcomes.length === 0
       if (!isDirect) {
         updateRelays(peers)
-        const isQuiet = relay({ loads, outcomes }) && version === sentVersion
+        const isQuiet = relay({ loads, outcomes }) && !hasNews
         intervalMs = (isQuiet ? IDLE_RELAY_INTERVAL_MS : RELAY_INTERVAL_MS) * (1 - RELAY_JITTER * Math.random())
-      } else if (!isIdle || !wasIdle || version !== sentVersion) {
-        // An idle instance sends one empty update, and then only new document versions; an expired update counts as no load.
+      } else if (!isIdle || !wasIdle || hasNews) {
+        // An idle instance sends one empty update, and then only new document versions and evacuations; an expired update counts as no load.
         sendTo(peers.map(item => item.inner), { loads, outcomes, crashes: [], scope: 'instance', holders: [] })
       }
       if (isDirect) intervalMs = GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * memberReports.senders(now()).length
       wasIdle = isIdle
       sentVersion = version
+      sentRevision = revision
     }
   }
 
@@ -271,6 +281,7 @@
     onUpdate (update, from) {
       const newCrashes = opts.quarantine.merge(update.crashes, now())
       if (!isDirect && newCrashes.length > 0) forwardCrashes(newCrashes, from)
+      if (update.evacuations !== undefined) opts.onEvacuations(update.evacuations, from)
       opts.onDocumentVersion(from, update.document)
       for (const address of update.holders) opts.onDocumentVersion(address, update.document)
       // Crash reports that are sent on at once carry no loads.
