feat(forwarding): a limit of the whole fleet on requests to endpoints that warm up

Change: for each cold endpoint up to four instances are designated by rendezvous hashing; each may use an equal share of half of the limit, so that two parts of the fleet with different views keep it together. The others use warm endpoints. An endpoint counts as cold by its announcements, for its warm-up time after a failed connection, and after the evacuation of its zone has ended. A second warm-up of a running endpoint is published.

--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -89,8 +89,10 @@
   return STATE_ORDER[left] > STATE_ORDER[right]
 }
 
-function isSameContent (left: records.Record, right: records.Record): boolean {
-  return toContent(left) === toContent(right)
+function isSameContent (record: records.Record, known: records.Record): boolean {
+  // The remaining warm-up time decreases by itself; an increase means that the endpoint has become cold again.
+  const isColdAgain = record.kind === 'endpoint' && known.kind === 'endpoint' && record.coldMs > known.coldMs
+  return !isColdAgain && toContent(record) === toContent(known)
 }
 
 function toContent (record: records.Record): string {
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as coldLimiters from '../../src/coldLimiter.js'
 import * as crashQuarantines from '../../src/crashQuarantine.js'
 import * as documentWaiters from '../../src/documentWaiters.js'
 import * as endpointPools from '../../src/endpointPool.js'
@@ -127,7 +128,7 @@
 /** A response as received by the client. */
 export interface TestResponse { status: number, headers: http.IncomingHttpHeaders, body: string, /** Whether the body is complete. */ isComplete: boolean }
 
-export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccount[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
+export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccount[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
   const lines: TestEntry['lines'] = []
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
@@ -136,7 +137,7 @@
   const quarantine = crashQuarantines.createCrashQuarantine()
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
-  const document = routeTables.compileTable({ version: 1, routes, services: [{ name: 'svc', maxConnections: 100, canFetch: true }], accounts: opts.accounts ?? null, limits })
+  const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts ?? null, limits })
   let isDraining = false
   let isAccepting = true
   let hasDocument = opts.startsWithoutDocument !== true
@@ -157,6 +158,8 @@
     newestDocument: () => 1,
     describeDocumentSources: () => '',
     retryBudget: () => budget,
+    coldLimiter: coldLimiters.createColdLimiter({ self: 'self', instanceIds: () => opts.instanceIds ?? ['self'] }),
+    coldBound: { excess: 1.5, slack: 5 },
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
     now
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -90,7 +90,7 @@
 /** Returns a document with one route for each path prefix. */
 export function toDocument (version: number, prefixes: string[]): contracts.VersionedText {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000 }
-  const table: routeTables.RouteTable = { version, routes: prefixes.map(pathPrefix => helper.toRoute({ name: pathPrefix, pathPrefix })), services: [{ name: 'svc', maxConnections: 100, canFetch: false }], accounts: null, limits }
+  const table: routeTables.RouteTable = { version, routes: prefixes.map(pathPrefix => helper.toRoute({ name: pathPrefix, pathPrefix })), services: [{ name: 'svc', maxConnections: 100, canFetch: false, coldPerSecond: 0, coldStartMs: 0 }], accounts: null, limits }
   return contracts.toVersionedText(version, Buffer.from(JSON.stringify(table)))
 }
 
--- a/packages/forwarding/src/attemptRecorder.ts
+++ b/packages/forwarding/src/attemptRecorder.ts
@@ -26,7 +26,7 @@
       break
     case 'notRun':
       state.sends++
-      ctx.pool.markReachable(endpoint)
+      ctx.pool.markReachable(endpoint, ctx.now())
       if (result.status === 421) ctx.pool.markMisdirected(endpoint, ctx.now())
       else recordOutcome(call, endpoint, true)
       break
@@ -37,7 +37,7 @@
       break
     case 'response':
       requestStates.recordRun(call, state)
-      ctx.pool.markReachable(endpoint)
+      ctx.pool.markReachable(endpoint, ctx.now())
   }
 }
 
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -26,6 +26,10 @@
   failures: number
   /** When another process was found at its address. */
   misdirectedAt: number | undefined
+  /** End of the warm-up that it announced, 0 if it is warm. */
+  coldUntil: number
+  /** When it was last found or ordered to be in a state that may end in a warm-up, -Infinity if never. */
+  suspectedColdAt: number
 }
 
 /** The endpoints of all services. */
@@ -41,7 +45,9 @@
   /** Records a connection failure; the endpoint is not used during a backoff period. */
   markUnreachable (endpoint: Endpoint, now: number, why: string): void
   /** Records a response; ends the backoff period. */
-  markReachable (endpoint: Endpoint): void
+  markReachable (endpoint: Endpoint, now: number): void
+  /** Records that the endpoints of a zone may have become cold, which their announcements will confirm later or not. */
+  suspectCold (zone: string, now: number): void
   /** Records that another process answered at the address of the endpoint; it is not used until its next announcement. */
   markMisdirected (endpoint: Endpoint, now: number): void
   /** Removes endpoints that are no longer in the record table and have no requests in flight. */
@@ -62,6 +68,8 @@
   /** An endpoint without an announcement for this time is unresponsive and not used, in milliseconds. */
   unresponsiveMs: number
   log: telemetry.Log
+  /** Returns milliseconds on the monotonic clock. */
+  now?: () => number
 }
 
 /** Initial backoff after a connection failure, doubled with each further failure. */
@@ -72,10 +80,21 @@
 const MAX_IDLE_CONNECTIONS = 32
 const KEEP_ALIVE_DELAY_MS = 1000
 
+/**
+ * Returns whether an endpoint warms up, or may do so before its announcement arrives.
+ * @param coldStartMs warm-up time after a start, in milliseconds
+ */
+export function mayBeCold (endpoint: Endpoint, coldStartMs: number, now: number): boolean {
+  return endpoint.coldUntil > now || now - endpoint.suspectedColdAt < coldStartMs
+}
+
 /** Creates an empty pool. */
 export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
   const endpointById = new Map<string, Endpoint>()
   const isEvacuated = opts.isEvacuated ?? (() => false)
+  const now = opts.now ?? (() => performance.now())
+
+  const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
   const createAgent = (): http.Agent => new http.Agent({
     keepAlive: true,
@@ -94,6 +113,7 @@
     }
     if (known !== undefined && known.record.startedAt === record.startedAt && known.record.address === record.address) {
       known.record = record
+      known.coldUntil = toColdUntil(record)
       return
     }
     if (known !== undefined) release(known)
@@ -107,7 +127,9 @@
       peerQueueDelayMs: undefined,
       backoffUntil: 0,
       failures: 0,
-      misdirectedAt: undefined
+      misdirectedAt: undefined,
+      coldUntil: toColdUntil(record),
+      suspectedColdAt: -Infinity
     })
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
     for (const other of endpointById.values()) {
@@ -154,12 +176,20 @@
       endpoint.failures++
       const backoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (endpoint.failures - 1))
       endpoint.backoffUntil = now + backoffMs
+      endpoint.suspectedColdAt = now
       opts.log.event('endpointGone', { endpoint: endpoint.id, why, failures: endpoint.failures, pauseMs: backoffMs })
     },
-    markReachable (endpoint) {
+    markReachable (endpoint, now) {
+      // It may have restarted, and its announcement may not have arrived yet.
+      if (endpoint.failures > 0) endpoint.suspectedColdAt = now
       endpoint.failures = 0
       endpoint.backoffUntil = 0
     },
+    suspectCold (zone, now) {
+      for (const endpoint of endpointById.values()) {
+        if (endpoint.record.zone === zone) endpoint.suspectedColdAt = now
+      }
+    },
     markMisdirected (endpoint, now) {
       endpoint.misdirectedAt = now
       release(endpoint)
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -1,5 +1,6 @@
 /** State that all requests of an entry instance share. */
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as coldLimiters from './coldLimiter.js'
 import * as crashQuarantines from './crashQuarantine.js'
 import * as documentWaiters from './documentWaiters.js'
 import * as endpointPools from './endpointPool.js'
@@ -32,6 +33,8 @@
   documentWaiters: documentWaiters.DocumentWaiters
   /** Returns the retry budget of a service. */
   retryBudget: (service: string) => retryBudgets.RetryBudget
+  coldLimiter: coldLimiters.ColdLimiter
+  coldBound: coldLimiters.ColdBound
   /** Returns whether this instance is draining. */
   isDraining: () => boolean
   /** Returns whether a request with this maximum duration is accepted. */
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -7,6 +7,7 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as coldLimiters from './coldLimiter.js'
 import * as crashQuarantines from './crashQuarantine.js'
 import * as documentWaiters from './documentWaiters.js'
 import * as draining from './draining.js'
@@ -41,6 +42,8 @@
   /** Parses a configuration document. @throws Error if it is invalid */
   readDocument: (text: Buffer) => routeTables.RouteTable
   retryBudget: retryBudgets.RetryBudgetOptions
+  /** Limit of the requests to endpoints that are warming up; the rate that their service declares by default. */
+  coldBound?: coldLimiters.ColdBound
   /** Interval of endpoint announcements, in milliseconds. */
   announceIntervalMs: number
   /** Grace period of a stop, in milliseconds. */
@@ -149,7 +152,9 @@
 
   const applyEvacuations = (received: discovery.Evacuations, from: string): void => {
     if (received.revision <= evacuations.revision) return
+    const restored = evacuations.zones.filter(zone => !received.zones.includes(zone))
     evacuations = received
+    for (const zone of restored) endpoints.suspectCold(zone, now())
     metrics.evacuatedZones.set(evacuations.zones.length)
     log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuations.zones.join(' '), from })
   }
@@ -208,6 +213,8 @@
       budgetByService.set(service, created)
       return created
     },
+    coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: () => table.entries().filter(item => item.record.state !== 'gone').map(item => item.record.id) }),
+    coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
     isDraining: () => drainStartedAt !== undefined,
     isAccepted: waitMs => drainStartedAt === undefined || draining.isAccepted({ elapsedMs: now() - drainStartedAt, graceMs: opts.graceMs, waitMs }),
     now
--- a/packages/forwarding/src/routeTable.ts
+++ b/packages/forwarding/src/routeTable.ts
@@ -44,10 +44,16 @@
   /** Maximum connections to one endpoint from all entry instances together. */
   maxConnections: z.number().positive(),
   /** Whether endpoints can import KV cache entries from each other. */
-  canFetch: z.boolean()
+  canFetch: z.boolean(),
+  /** Requests per second that an endpoint tolerates while it warms up, 0 without a limit. */
+  coldPerSecond: z.number().nonnegative().default(0),
+  /** Warm-up time of an endpoint after its start, in milliseconds. */
+  coldStartMs: z.number().nonnegative().default(0)
 })
 /** A group of equivalent endpoints. */
 export type Service = z.infer<typeof service>
+/** A group of equivalent endpoints, before defaults are applied. */
+export type ServiceInput = z.input<typeof service>
 
 /** A client account and its API keys. */
 export const clientAccount = z.object({ name: z.string(), keys: z.array(z.string()), rank: z.number().nullable() })
--- a/packages/forwarding/src/selectEndpoint.ts
+++ b/packages/forwarding/src/selectEndpoint.ts
@@ -2,7 +2,8 @@
 import * as admission from './admission.js'
 import * as chooseEndpoints from './chooseEndpoint.js'
 import type * as clientCalls from './clientCall.js'
-import type * as endpointPools from './endpointPool.js'
+import * as coldLimiters from './coldLimiter.js'
+import * as endpointPools from './endpointPool.js'
 import * as numbers from './numbers.js'
 
 /** Maximum number of endpoints that a request is sent to while none of them runs it. */
@@ -25,7 +26,8 @@
 export function selectEndpoint (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number): Selection {
   const { ctx, route } = call
   const now = ctx.now()
-  const maxConnections = call.table.services.get(call.service)?.maxConnections ?? Infinity
+  const service = call.table.services.get(call.service)
+  const maxConnections = service?.maxConnections ?? Infinity
   const connectionLimit = Math.max(2, Math.floor(maxConnections / ctx.gossip.instanceCount()))
   const usable = ctx.pool.usable(call.service, now).map((item): chooseEndpoints.Candidate => ({
     id: item.id,
@@ -33,19 +35,25 @@
     load: item.inFlight + item.peerInFlight,
     ownInFlight: item.inFlight,
     slots: Math.max(1, item.record.slots),
-    isCold: item.record.coldMs > 0,
+    isCold: item.coldUntil > now,
     delayMs: item.queueDelay.estimateMs(now) ?? item.peerQueueDelayMs ?? 0,
     freeConnections: connectionLimit - item.inFlight,
     ageMs: toAgeMs(item)
   }))
   const outliers = ctx.outliers.findOutliers(call.service, usable, now)
-  const candidates = usable.filter(item => !outliers.has(item.id) && !tried.has(item.id))
+  const maxColdPerSecond = coldLimiters.toMaxPerSecond(service?.coldPerSecond ?? 0, ctx.coldBound)
+  const isLimited = (id: string): boolean => {
+    const endpoint = maxColdPerSecond < Infinity ? ctx.pool.get(id) : undefined
+    return endpoint !== undefined && endpointPools.mayBeCold(endpoint, service?.coldStartMs ?? 0, now)
+  }
+  const candidates = usable.filter(item => !outliers.has(item.id) && !tried.has(item.id) && (!isLimited(item.id) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now)))
   const affinity = route.hasPrompt ? toAffinity(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs }, Math.random())
   if (choice.kind !== 'chosen') return choice
   const endpoint = ctx.pool.get(choice.id)
   if (endpoint === undefined) return { kind: 'none' }
-  const source = affinity === undefined || call.table.services.get(call.service)?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
+  if (isLimited(endpoint.id)) ctx.coldLimiter.recordSend(endpoint.id, now)
+  const source = affinity === undefined || service?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
   const why = `${choice.why} ${endpoint.inFlight + endpoint.peerInFlight}/${numbers.sum(candidates.map(item => item.load))}${source === undefined ? '' : ` from ${source.id}`}`
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address }
 }
