feat(forwarding): requests stay in the regions that their route and client account allow

Cause: allowedRegions of the document was ignored, and the addresses for clients could name instances of other regions while the client's own had some (HOME).

Change: endpoints and cache sources of other regions are not chosen; both restrictions bind, and an empty intersection is rejected with 403 at once, once the document is confirmed as the latest. Addresses: same zone, then same region, then all.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -103,6 +103,7 @@
     maxAttempts: 2,
     isKeyless: false,
     hasPrompt: false,
+    regions: null,
     ...change
   }
 }
@@ -128,7 +129,7 @@
 /** A response as received by the client. */
 export interface TestResponse { status: number, headers: http.IncomingHttpHeaders, body: string, /** Whether the body is complete. */ isComplete: boolean }
 
-export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccount[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
+export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccountInput[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, regionByZone?: { [zone: string]: string }, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
   const lines: TestEntry['lines'] = []
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
@@ -137,7 +138,7 @@
   const quarantine = crashQuarantines.createCrashQuarantine()
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
-  const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts ?? null, limits })
+  const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts?.map(item => routeTables.clientAccount.parse(item)) ?? null, limits })
   let isDraining = false
   let isAccepting = true
   let hasDocument = opts.startsWithoutDocument !== true
@@ -146,6 +147,7 @@
   const ctx: entryContexts.EntryContext = {
     names: NAMES,
     zone: 'z1',
+    regionOf: zone => opts.regionByZone?.[zone],
     pool,
     quarantine,
     outliers,
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -108,6 +108,7 @@
     startedAt: 1,
     zone: 'z',
     region: 'r',
+    regionOf: () => 'r',
     front,
     inner: await freeAddress(),
     seeds: () => seeds,
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -17,16 +17,16 @@
   | { kind: 'admitted', route: routeTables.Route, account: routeTables.ClientAccount | undefined, attemptId: string, clientDeadlineMs: number | undefined }
   | { kind: 'refused', refusal: clientCalls.Refusal }
 
-/** Returns whether a newer document could admit the request: its route or API key was not found. */
+/** Returns whether a newer document could admit the request: its route or API key was not found, or may not run in any region. */
 export function dependsOnDocument (refusal: clientCalls.Refusal): boolean {
-  return refusal.kind === 'rejected' && (refusal.status === 401 || refusal.status === 404)
+  return refusal.kind === 'rejected' && (refusal.status === 401 || refusal.status === 403 || refusal.status === 404)
 }
 
 const ATTEMPT_ID = /^[\x21-\x7e]{1,200}$/
 
 /** Checks a request against the document in force. */
 export function admit (head: RequestHead, table: routeTables.CompiledTable, names: headerNames.HeaderNames): Admission {
-  const reject = (status: 400 | 401 | 404 | 413 | 431, why: string): Admission => ({ kind: 'refused', refusal: { kind: 'rejected', status, why } })
+  const reject = (status: 400 | 401 | 403 | 404 | 413 | 431, why: string): Admission => ({ kind: 'refused', refusal: { kind: 'rejected', status, why } })
   const headerBytes = head.rawHeaders.reduce((sum, text) => sum + text.length + 2, head.method.length + head.url.length)
   if (headerBytes > table.limits.maxHeaderBytes) return reject(431, `the headers have ${headerBytes} bytes, the limit is ${table.limits.maxHeaderBytes}: send fewer or shorter ones`)
   // Repeated headers could be interpreted differently by the endpoint (request smuggling).
@@ -42,6 +42,7 @@
   const key = findHeader(head.rawHeaders, names.key)
   const account = key === undefined ? undefined : table.accountByKey.get(key)
   if (table.hasAccounts && !route.isKeyless && account === undefined) return reject(401, `send a valid API key in ${names.key}`)
+  if (routeTables.toAllowedRegions(route, account)?.length === 0) return reject(403, 'the route and the client account allow no common region: correct the regions of one of them')
   return { kind: 'admitted', route, account, attemptId, clientDeadlineMs: toClientDeadlineMs(head.rawHeaders, names) }
 }
 
--- a/packages/forwarding/src/clientCall.ts
+++ b/packages/forwarding/src/clientCall.ts
@@ -18,6 +18,8 @@
   account: string | undefined
   /** Rank of the client account, null without one. */
   accountRank: number | null
+  /** Regions whose endpoints may run it, undefined without a restriction. */
+  allowedRegions: readonly string[] | undefined
   attemptId: string
   body: Buffer
   /** When the request headers were received. */
@@ -37,7 +39,7 @@
   /** The request did not run; the client may retry it later. */
   | { kind: 'unavailable', why: string, cause: retryAfters.RefusalCause }
   /** The request is invalid. */
-  | { kind: 'rejected', status: 400 | 401 | 404 | 413 | 431, why: string }
+  | { kind: 'rejected', status: 400 | 401 | 403 | 404 | 413 | 431, why: string }
   /** An endpoint may have run the request, but its response was lost. */
   | { kind: 'lost', why: string }
   /** The deadline is over; an endpoint may have run the request. */
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/entryContext.ts
@@ -15,6 +15,8 @@
 export interface EntryContext {
   names: headerNames.HeaderNames
   zone: string
+  /** Returns the region of an availability zone, undefined if it is unknown. */
+  regionOf: (zone: string) => string | undefined
   pool: endpointPools.EndpointPool
   quarantine: crashQuarantines.CrashQuarantine
   outliers: outlierDetectors.OutlierDetector
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -28,6 +28,8 @@
   startedAt: number
   zone: string
   region: string
+  /** Returns the region of an availability zone, undefined if it is unknown. */
+  regionOf: (zone: string) => string | undefined
   /** IP address and port for clients. */
   front: string
   /** IP address and port for the other instances. */
@@ -60,8 +62,8 @@
   metrics: entryMetrics.EntryMetrics
   /** Returns whether clients may be directed to this instance. */
   isReady: () => boolean
-  /** Returns the addresses for clients of an availability zone. */
-  addresses: (zone: string | undefined) => string[]
+  /** Returns the addresses for clients of an availability zone and region. */
+  addresses: (zone: string | undefined, region: string | undefined) => string[]
   /** Drains the instance: completes open requests within the grace period, then closes all connections. */
   stop: () => Promise<void>
 }
@@ -194,6 +196,7 @@
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
     zone: opts.zone,
+    regionOf: opts.regionOf,
     pool: endpoints,
     quarantine,
     outliers,
@@ -247,7 +250,7 @@
   return {
     metrics,
     isReady: () => drainStartedAt === undefined && document !== undefined,
-    addresses (zone) {
+    addresses (zone, region) {
       const isSelfReady = drainStartedAt === undefined && document !== undefined
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isResponsive(item.lastSeenAt))
@@ -255,7 +258,10 @@
       const reachable = ready.filter(item => now() - dialer.lastFailureAt(item.inner) > PEER_FAILURE_MS)
       const candidates = reachable.length > 0 ? reachable : ready
       const sameZone = candidates.filter(item => item.zone === zone)
-      return (sameZone.length >= MIN_ZONE_INSTANCES ? sameZone : candidates).map(item => item.front)
+      // Other regions are a last resort: requests may be bound to the client's.
+      const sameRegion = candidates.filter(item => item.region === region)
+      const nearest = [sameZone.length >= MIN_ZONE_INSTANCES ? sameZone : [], sameRegion].find(list => list.length > 0) ?? candidates
+      return nearest.map(item => item.front)
     },
     async stop () {
       const startedAt = now()
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/entryServer.ts
@@ -164,6 +164,7 @@
       service: routeTables.pickService(route, Math.random()),
       account: account?.name,
       accountRank: account?.rank ?? null,
+      allowedRegions: routeTables.toAllowedRegions(route, account),
       attemptId: result.attemptId,
       body,
       startedAt,
--- a/packages/forwarding/src/routeTable.ts
+++ b/packages/forwarding/src/routeTable.ts
@@ -33,10 +33,14 @@
   /** Whether requests are accepted without an API key. */
   isKeyless: z.boolean(),
   /** Whether requests contain prompts and benefit from endpoint affinity. */
-  hasPrompt: z.boolean()
+  hasPrompt: z.boolean(),
+  /** Regions whose endpoints may run the requests; null without a restriction. */
+  regions: z.array(z.string()).nullable().default(null)
 })
 /** Settings for the requests of one host under one path prefix. */
 export type Route = z.infer<typeof route>
+/** A route before defaults are applied. */
+export type RouteInput = z.input<typeof route>
 
 /** A group of equivalent endpoints. */
 export const service = z.object({
@@ -56,9 +60,11 @@
 export type ServiceInput = z.input<typeof service>
 
 /** A client account and its API keys. */
-export const clientAccount = z.object({ name: z.string(), keys: z.array(z.string()), rank: z.number().nullable() })
+export const clientAccount = z.object({ name: z.string(), keys: z.array(z.string()), rank: z.number().nullable(), /** Regions whose endpoints may run its requests; null without a restriction. */ regions: z.array(z.string()).nullable().default(null) })
 /** A client account and its API keys. */
 export type ClientAccount = z.infer<typeof clientAccount>
+/** A client account before defaults are applied. */
+export type ClientAccountInput = z.input<typeof clientAccount>
 
 /** Limits of client requests and connections. */
 export const clientLimits = z.object({
@@ -177,6 +183,16 @@
   return item.split[item.split.length - 1].service
 }
 
+/**
+ * Returns the regions whose endpoints may run a request: those that both its route and its client account allow.
+ * @returns undefined without a restriction
+ */
+export function toAllowedRegions (item: Route, account: ClientAccount | undefined): readonly string[] | undefined {
+  const accountRegions = account?.regions ?? null
+  if (item.regions === null) return accountRegions ?? undefined
+  return accountRegions === null ? item.regions : item.regions.filter(region => accountRegions.includes(region))
+}
+
 /** Returns whether the requests of a route may run more than once. */
 export function isRepeatable (item: Route): boolean {
   switch (item.kind) {
--- a/packages/forwarding/src/selectEndpoint.ts
+++ b/packages/forwarding/src/selectEndpoint.ts
@@ -29,7 +29,7 @@
   const service = call.table.services.get(call.service)
   const maxConnections = service?.maxConnections ?? Infinity
   const connectionLimit = Math.max(2, Math.floor(maxConnections / ctx.gossip.instanceCount()))
-  const usable = ctx.pool.usable(call.service, now).map((item): chooseEndpoints.Candidate => ({
+  const usable = ctx.pool.usable(call.service, now).filter(item => isAllowed(call, item)).map((item): chooseEndpoints.Candidate => ({
     id: item.id,
     zone: item.record.zone,
     load: item.inFlight + item.peerInFlight,
@@ -61,12 +61,19 @@
 function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: string, chosen: string): endpointPools.Endpoint | undefined {
   const { ctx } = call
   const sources = ctx.pool.reachable(call.service, ctx.now())
-    .filter(item => item.id === chosen || !tried.has(item.id))
+    .filter(item => isAllowed(call, item) && (item.id === chosen || !tried.has(item.id)))
     .map((item): chooseEndpoints.CacheSource => ({ id: item.id, ageMs: toAgeMs(item) }))
   const id = chooseEndpoints.chooseCacheSource(sources, affinity, chosen)
   return id === undefined ? undefined : ctx.pool.get(id)
 }
 
+/** Returns whether the region of an endpoint may run a request. */
+function isAllowed (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint): boolean {
+  if (call.allowedRegions === undefined) return true
+  const region = call.ctx.regionOf(endpoint.record.zone)
+  return region !== undefined && call.allowedRegions.includes(region)
+}
+
 /** Clock skew between machines of some seconds is small compared with the warm-up time. */
 function toAgeMs (endpoint: endpointPools.Endpoint): number {
   return endpoint.record.startedAt === 0 ? Infinity : Math.max(0, Date.now() - endpoint.record.startedAt)
