feat(forwarding): an unreachable availability zone is avoided as a whole

Change: two silent endpoints of a zone without a response of another one in between make it suspect. It is not chosen for requests or cache imports while another zone responds, nor are its entry instances named to clients; three random endpoints are probed each 0.3 s until one accepts or refuses a connection. If the first probes fail too, requests without a response there are sent elsewhere at once, as far as they may run again.

--- a/packages/discovery/src/handoutPoller.ts
+++ b/packages/discovery/src/handoutPoller.ts
@@ -45,8 +45,8 @@
 }
 
 /** Returns the addresses in random order, so that instances that start together do not all contact the same one. */
-export function toShuffled (addresses: readonly string[]): string[] {
-  return addresses.map(address => ({ address, order: Math.random() }))
+export function toShuffled<T> (list: readonly T[]): T[] {
+  return list.map(item => ({ item, order: Math.random() }))
     .sort((a, b) => a.order - b.order)
-    .map(item => item.address)
+    .map(({ item }) => item)
 }
--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -6,6 +6,7 @@
 
 const test = ava.default
 const UNRESPONSIVE_MS = 5000
+const SILENT = { why: 'no connection', isSilent: true }
 
 interface TestPool { pool: endpointPools.EndpointPool, announce: (change: Partial<discovery.EndpointRecord>, at?: number) => void, usable: (at: number) => string[], setQuorum: (at: number, since?: number) => void, prune: (at: number) => void, evacuated: Set<string> }
 
@@ -76,11 +77,11 @@
   announce({ id: 'e1' })
   announce({ id: 'e2', address: '10.0.0.2:80' })
   const endpoint = pool.get('e1') as endpointPools.Endpoint
-  for (let i = 0; i < 12; i++) pool.markUnreachable(endpoint, 100 + i, 'no connection')
+  for (let i = 0; i < 12; i++) pool.markUnreachable(endpoint, 100 + i, SILENT)
   t.is(endpoint.failures, 1)
   t.deepEqual(usable(200), ['e2'])
   t.deepEqual(usable(400), ['e1', 'e2'])
-  pool.markUnreachable(endpoint, 400, 'no connection')
+  pool.markUnreachable(endpoint, 400, SILENT)
   t.is(endpoint.failures, 2)
 })
 
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -19,7 +19,7 @@
 /** Result of an attempt. */
 export type AttemptResult =
   /** The connection failed; nothing was sent. */
-  | { kind: 'unreachable', why: string }
+  | { kind: 'unreachable', why: string, /** Whether nothing was received within the connect timeout. */ isSilent: boolean }
   /** The endpoint reported that it did not run the request. */
   | { kind: 'notRun', status: number }
   /** No valid response was received; the endpoint may have run the request. */
@@ -64,8 +64,8 @@
       opts.signal.removeEventListener('abort', onAbort)
       resolve(result)
     }
-    const fail = (why: string): void => {
-      settle(isConnected ? { kind: 'lost', why } : { kind: 'unreachable', why })
+    const fail = (why: string, isSilent = false): void => {
+      settle(isConnected ? { kind: 'lost', why } : { kind: 'unreachable', why, isSilent })
       req.destroy()
     }
     const onAbort = (): void => { fail(String(opts.signal.reason)) }
@@ -90,7 +90,7 @@
         isConnected = true
         return
       }
-      const connectTimer = setTimeout(() => { fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`) }, CONNECT_TIMEOUT_MS)
+      const connectTimer = setTimeout(() => { fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`, true) }, CONNECT_TIMEOUT_MS)
       socket.once('connect', () => {
         isConnected = true
         clearTimeout(connectTimer)
--- a/packages/forwarding/src/attemptRecorder.ts
+++ b/packages/forwarding/src/attemptRecorder.ts
@@ -22,7 +22,7 @@
   const { ctx } = call
   switch (result.kind) {
     case 'unreachable':
-      if (!call.aborter.signal.aborted) recordUnreachable(call, endpoint, result.why)
+      if (!call.aborter.signal.aborted) recordUnreachable(call, endpoint, result)
       break
     case 'notRun':
       state.sends++
@@ -55,9 +55,9 @@
 }
 
 /** Records a connection failure, and reports the requests that were lost with the endpoint as crashes. */
-export function recordUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, why: string): void {
+export function recordUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): void {
   const { ctx } = call
-  ctx.pool.markUnreachable(endpoint, ctx.now(), why)
+  ctx.pool.markUnreachable(endpoint, ctx.now(), failure)
   const reports = ctx.quarantine.confirmDown(toIncarnation(endpoint), ctx.now())
   if (reports.length > 0) ctx.gossip.sendCrashReports(reports)
 }
@@ -75,8 +75,8 @@
   call.ctx.pool.closeIdleConnections(endpoint)
   call.ctx.quarantine.recordLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
-  void endpointProbes.probeEndpoint(endpoint).then(why => {
-    if (why !== undefined) recordUnreachable(call, endpoint, why)
+  void endpointProbes.probeEndpoint(endpoint).then(failure => {
+    if (failure !== undefined) recordUnreachable(call, endpoint, failure)
   })
 }
 
--- a/packages/forwarding/src/attemptWatchdog.ts
+++ b/packages/forwarding/src/attemptWatchdog.ts
@@ -20,15 +20,18 @@
 }
 
 /** Probes the endpoint of an attempt that stays without a response. Returns a function that stops the watchdog. */
-export function startWatchdog (endpoint: endpointPools.Endpoint, afterMs: number, onDown: (why: string) => void): () => void {
+export function startWatchdog (endpoint: endpointPools.Endpoint, afterMs: number, onDown: (failure: endpointProbes.ProbeFailure) => void): () => void {
   let isStopped = false
   const timer = setTimeout(() => {
-    void endpointProbes.probeEndpoint(endpoint).then(why => {
-      if (why !== undefined && !isStopped) onDown(why)
+    void endpointProbes.probeEndpoint(endpoint).then(failure => {
+      if (failure !== undefined && !isStopped) onDown(failure)
     })
   }, afterMs)
+  const onZoneDown = (why: string): void => { onDown({ why, isSilent: true }) }
+  endpoint.downListeners.add(onZoneDown)
   return () => {
     isStopped = true
+    endpoint.downListeners.delete(onZoneDown)
     clearTimeout(timer)
   }
 }
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpointPool.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
+import type * as endpointProbes from './endpointProbe.js'
 import * as queueDelays from './queueDelay.js'
 
 /** State of an endpoint at this instance. */
@@ -30,6 +31,8 @@
   coldUntil: number
   /** When it was last found or ordered to be in a state that may end in a warm-up, -Infinity if never. */
   suspectedColdAt: number
+  /** Called with the reason when its availability zone is found unreachable. */
+  readonly downListeners: Set<(why: string) => void>
 }
 
 /** The endpoints of all services. */
@@ -43,7 +46,7 @@
   reachable (service: string, now: number): Endpoint[]
   all (): Endpoint[]
   /** Records a connection failure; the endpoint is not used during a backoff period. */
-  markUnreachable (endpoint: Endpoint, now: number, why: string): void
+  markUnreachable (endpoint: Endpoint, now: number, failure: endpointProbes.ProbeFailure): void
   /** Records a response; ends the backoff period. */
   markReachable (endpoint: Endpoint, now: number): void
   /** Records that the endpoints of a zone may have become cold, which their announcements will confirm later or not. */
@@ -65,6 +68,12 @@
   quorumSince: () => number
   /** Returns whether a zone is evacuated; none by default. */
   isEvacuated?: (zone: string) => boolean
+  /** Called when an endpoint is found silent. */
+  onSilence?: (endpoint: Endpoint, now: number) => void
+  /** Called when an endpoint responds. */
+  onAnswer?: (endpoint: Endpoint) => void
+  /** Returns whether a zone is unreachable while others are reachable; none by default. */
+  isZoneAvoided?: (zone: string) => boolean
   /** An endpoint without an announcement for this time is unresponsive and not used, in milliseconds. */
   unresponsiveMs: number
   log: telemetry.Log
@@ -92,6 +101,7 @@
 export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
   const endpointById = new Map<string, Endpoint>()
   const isEvacuated = opts.isEvacuated ?? (() => false)
+  const isZoneAvoided = opts.isZoneAvoided ?? (() => false)
   const now = opts.now ?? (() => performance.now())
 
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
@@ -129,7 +139,8 @@
       failures: 0,
       misdirectedAt: undefined,
       coldUntil: toColdUntil(record),
-      suspectedColdAt: -Infinity
+      suspectedColdAt: -Infinity,
+      downListeners: new Set()
     })
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
     for (const other of endpointById.values()) {
@@ -152,7 +163,7 @@
     return opts.lastQuorumAt() - lastSeenAt > opts.unresponsiveMs
   }
 
-  const isReachable = (endpoint: Endpoint, now: number): boolean => endpoint.backoffUntil <= now && !isUnresponsive(endpoint)
+  const isReachable = (endpoint: Endpoint, now: number): boolean => endpoint.backoffUntil <= now && !isUnresponsive(endpoint) && !isZoneAvoided(endpoint.record.zone)
 
   return {
     update (list) {
@@ -170,16 +181,18 @@
     },
     reachable: (service, now) => [...endpointById.values()].filter(item => item.record.service === service && !isMisdirected(item) && isReachable(item, now)),
     all: () => [...endpointById.values()],
-    markUnreachable (endpoint, now, why) {
+    markUnreachable (endpoint, now, failure) {
+      if (failure.isSilent) opts.onSilence?.(endpoint, now)
       // Concurrent attempts report the same failure, which must be counted and logged only once.
       if (endpoint.backoffUntil > now) return
       endpoint.failures++
       const backoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (endpoint.failures - 1))
       endpoint.backoffUntil = now + backoffMs
       endpoint.suspectedColdAt = now
-      opts.log.event('endpointGone', { endpoint: endpoint.id, why, failures: endpoint.failures, pauseMs: backoffMs })
+      opts.log.event('endpointGone', { endpoint: endpoint.id, why: failure.why, failures: endpoint.failures, pauseMs: backoffMs })
     },
     markReachable (endpoint, now) {
+      opts.onAnswer?.(endpoint)
       // It may have restarted, and its announcement may not have arrived yet.
       if (endpoint.failures > 0) endpoint.suspectedColdAt = now
       endpoint.failures = 0
--- a/packages/forwarding/src/endpointProbe.ts
+++ b/packages/forwarding/src/endpointProbe.ts
@@ -4,13 +4,16 @@
 import * as attempts from './attempt.js'
 import type * as endpointPools from './endpointPool.js'
 
-const runningProbes = new WeakMap<endpointPools.Endpoint, Promise<string | undefined>>()
+/** Why an endpoint could not be connected to. */
+export interface ProbeFailure { why: string, /** Whether nothing was received, as from a machine without power or behind a partition. */ isSilent: boolean }
+
+const runningProbes = new WeakMap<endpointPools.Endpoint, Promise<ProbeFailure | undefined>>()
 
 /**
  * Probes an endpoint. Concurrent calls share one probe.
  * @returns why the endpoint is considered down, or undefined if it accepts connections
  */
-export async function probeEndpoint (endpoint: endpointPools.Endpoint): Promise<string | undefined> {
+export async function probeEndpoint (endpoint: endpointPools.Endpoint): Promise<ProbeFailure | undefined> {
   const current = runningProbes.get(endpoint)
   if (current !== undefined) return await current
   const probe = connect(endpoint.record.address).finally(() => { runningProbes.delete(endpoint) })
@@ -18,16 +21,16 @@
   return await probe
 }
 
-async function connect (address: string): Promise<string | undefined> {
+async function connect (address: string): Promise<ProbeFailure | undefined> {
   return await new Promise(resolve => {
     const socket = net.connect(links.parseAddress(address))
-    const settle = (why: string | undefined): void => {
+    const settle = (failure: ProbeFailure | undefined): void => {
       clearTimeout(timer)
-      resolve(why)
+      resolve(failure)
       socket.destroy()
     }
-    const timer = setTimeout(() => { settle(`no connection within ${attempts.CONNECT_TIMEOUT_MS} ms`) }, attempts.CONNECT_TIMEOUT_MS)
+    const timer = setTimeout(() => { settle({ why: `no connection within ${attempts.CONNECT_TIMEOUT_MS} ms`, isSilent: true }) }, attempts.CONNECT_TIMEOUT_MS)
     socket.on('connect', () => { settle(undefined) })
-    socket.on('error', err => { settle(err.message) })
+    socket.on('error', err => { settle({ why: err.message, isSilent: false }) })
   })
 }
--- a/packages/forwarding/src/entryInstance.ts
+++ b/packages/forwarding/src/entryInstance.ts
@@ -20,6 +20,8 @@
 import * as outlierDetectors from './outlierDetector.js'
 import * as retryBudgets from './retryBudget.js'
 import * as routeTables from './routeTable.js'
+import * as zoneOutages from './zoneOutage.js'
+import * as zoneProbers from './zoneProber.js'
 
 /** Options of {@link startEntryInstance}. */
 export interface EntryInstanceOptions {
@@ -166,10 +168,18 @@
     subscriber.announce()
   }
 
+  const outages = zoneOutages.createZoneOutages(() => new Set(endpoints.all().map(item => item.record.zone)))
+  const probeZone = zoneProbers.createZoneProber({ outages, endpointsIn: zone => endpoints.all().filter(item => item.record.zone === zone), log })
+
   const endpoints = endpointPools.createEndpointPool({
     table,
     lastQuorumAt: () => subscriber.lastQuorumAt(),
     quorumSince: () => subscriber.quorumSince(),
+    onSilence (endpoint, at) {
+      if (outages.recordSilence(endpoint.record.zone, endpoint.id, at)) void probeZone(endpoint.record.zone)
+    },
+    onAnswer (endpoint) { outages.recordAnswer(endpoint.record.zone) },
+    isZoneAvoided: outages.isAvoided,
     isEvacuated: zone => evacuations.zones.includes(zone),
     unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
     log
@@ -255,7 +265,7 @@
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isResponsive(item.lastSeenAt))
         .map(item => item.record)
-      const reachable = ready.filter(item => now() - dialer.lastFailureAt(item.inner) > PEER_FAILURE_MS)
+      const reachable = ready.filter(item => item.id === opts.id || (now() - dialer.lastFailureAt(item.inner) > PEER_FAILURE_MS && !outages.isAvoided(item.zone)))
       const candidates = reachable.length > 0 ? reachable : ready
       const sameZone = candidates.filter(item => item.zone === zone)
       // Other regions are a last resort: requests may be bound to the client's.
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -110,10 +110,10 @@
   const { endpoint } = selected
   const pending = endpoint.queueDelay.onSent(sentAt)
   const down = new AbortController()
-  const stopWatchdog = attemptWatchdogs.startWatchdog(endpoint, attemptWatchdogs.toProbeDelayMs(route.targetMs), why => {
-    attemptRecorders.recordUnreachable(call, endpoint, why)
+  const stopWatchdog = attemptWatchdogs.startWatchdog(endpoint, attemptWatchdogs.toProbeDelayMs(route.targetMs), failure => {
+    attemptRecorders.recordUnreachable(call, endpoint, failure)
     // An attempt that cannot be retried continues: the endpoint may still respond on its open connection.
-    if (mayRunAgain) down.abort(why)
+    if (mayRunAgain) down.abort(failure.why)
   })
   const result = await attempts.sendAttempt({
     endpoint,
