perf(forwarding): one asynchronous iterator for each relayed stream instead of two

Cause: each piece of a stream passed two asynchronous generators and a promise for each event (relayPart 48 of 730 ms in the profile).

Change: the stall timer is refreshed in the loop that reads the body; only a full send buffer is waited for.

--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -67,29 +67,37 @@
     }
   })
 
-  const relayEvent = async (event: eventStreams.StreamEvent): Promise<void> => {
+  const relayEvent = (event: eventStreams.StreamEvent): void => {
     // Skips events that the client already has, if the endpoint resumes too early.
     if (resumedAfter !== undefined && event.id !== undefined && !isAfter(event.id, lastId)) return
     if (!isStarted) start()
     if (event.id !== undefined) lastId = event.id
     batcher.push(event.bytes)
-    if (needsDrain && !res.destroyed) {
-      await waitForDrain(res, call.aborter.signal)
-      needsDrain = false
-    }
+  }
+
+  const drain = async (): Promise<void> => {
+    if (!res.destroyed) await waitForDrain(res, call.aborter.signal)
+    needsDrain = false
   }
 
   const relayPart = async (response: OpenResponse): Promise<PartEnd> => {
     const body = response.res
     const splitter = eventStreams.createEventSplitter()
+    const stallTimer = isResumable ? setTimeout(() => { body.destroy(new Error(`no data within ${STALL_TIMEOUT_MS} ms`)) }, STALL_TIMEOUT_MS) : undefined
     try {
-      for await (const chunk of readWithTimeout(body, isResumable ? STALL_TIMEOUT_MS : undefined)) {
-        for (const event of splitter.push(chunk)) await relayEvent(event)
+      for await (const chunk of body) {
+        stallTimer?.refresh()
+        for (const event of splitter.push(chunk as Buffer)) {
+          relayEvent(event)
+          if (needsDrain) await drain()
+        }
         if (call.aborter.signal.aborted) return { kind: 'stopped', why: String(call.aborter.signal.reason) }
       }
     } catch (err) {
       if (call.aborter.signal.aborted) return { kind: 'stopped', why: String(call.aborter.signal.reason) }
       return { kind: 'broken', why: err instanceof Error ? err.message : String(err) }
+    } finally {
+      clearTimeout(stallTimer)
     }
     if (!attempts.isComplete(response)) return { kind: 'broken', why: 'the connection closed' }
     if (splitter.pendingBytes() > 0) return { kind: 'broken', why: 'the stream ended with an incomplete event' }
@@ -150,16 +158,3 @@
     signal.addEventListener('abort', settle)
   })
 }
-
-/** Reads a body, and aborts it if no data arrives within the timeout. */
-async function * readWithTimeout (body: http.IncomingMessage, timeoutMs: number | undefined): AsyncGenerator<Buffer> {
-  const timer = timeoutMs === undefined ? undefined : setTimeout(() => { body.destroy(new Error(`no data within ${timeoutMs} ms`)) }, timeoutMs)
-  try {
-    for await (const chunk of body) {
-      timer?.refresh()
-      yield chunk as Buffer
-    }
-  } finally {
-    clearTimeout(timer)
-  }
-}
