--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/relayStream.ts
@@ -64,7 +64,8 @@
     schedule (run, ms) {
       const timer = setTimeout(run, ms)
       return () => { clearTimeout(timer) }
-    }
+    },
+    now: ctx.now
   })
 
   const relayEvent = (event: eventStreams.StreamEvent): void => {
