fix(discovery): a second warm-up is recognized by its end, at every instance

Cause, by reading: the remaining warm-up was compared with the one that was announced first, so a second warm-up during the first was published by the control instance that heard it, and taken for nothing new by the others and by entry instances.

Change: the end of the warm-up on the local clock is kept and compared.

--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -11,6 +11,8 @@
   lastSeenAt: number
   /** Number of the latest known announcement, which may be newer than `record`. */
   lastSeenSeq: number
+  /** End of the announced warm-up of an endpoint on the local monotonic clock, 0 without one. */
+  coldUntil: number
 }
 
 /** The records known to a process. */
@@ -31,6 +33,8 @@
 
 /** How long records are retained after the last heartbeat, so that delayed announcements are recognized as stale. */
 const RETENTION_MS = 120_000
+/** A warm-up that ends this much later than announced before is a new one, not a delayed announcement. */
+const COLD_AGAIN_MS = 500
 
 /** Creates an empty table. */
 export function createRecordTable (): RecordTable {
@@ -39,7 +43,7 @@
   const merge = (record: records.Record, now: number): MergeResult => {
     const known = knownById.get(record.id)
     if (known === undefined) {
-      knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq })
+      knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq, coldUntil: toColdUntil(record, now) })
       return 'changed'
     }
     if (record.startedAt < known.record.startedAt) return 'stale'
@@ -49,8 +53,11 @@
     if (isSameIncarnation && isLater(known.record.state, record.state)) return 'stale'
     const isAdvanced = isSameIncarnation && isLater(record.state, known.record.state)
     if (isSameIncarnation && !isAdvanced && record.seq <= known.record.seq) return 'stale'
-    const isUnchanged = isSameIncarnation && isSameContent(record, known.record)
+    const coldUntil = toColdUntil(record, now)
+    const isColdAgain = coldUntil > known.coldUntil + COLD_AGAIN_MS
+    const isUnchanged = isSameIncarnation && !isColdAgain && toContent(record) === toContent(known.record)
     known.record = record
+    known.coldUntil = coldUntil
     known.lastSeenAt = now
     known.lastSeenSeq = isSameIncarnation ? Math.max(known.lastSeenSeq, record.seq) : record.seq
     return isUnchanged ? 'refreshed' : 'changed'
@@ -89,10 +96,8 @@
   return STATE_ORDER[left] > STATE_ORDER[right]
 }
 
-function isSameContent (record: records.Record, known: records.Record): boolean {
-  // The remaining warm-up time decreases by itself; an increase means that the endpoint has become cold again.
-  const isColdAgain = record.kind === 'endpoint' && known.kind === 'endpoint' && record.coldMs > known.coldMs
-  return !isColdAgain && toContent(record) === toContent(known)
+function toColdUntil (record: records.Record, now: number): number {
+  return record.kind === 'endpoint' && record.coldMs > 0 ? now + record.coldMs : 0
 }
 
 function toContent (record: records.Record): string {
