--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -66,3 +66,22 @@
     t.deepEqual(one, two)
   }), { seed: 7, numRuns: 300 })
 })
+
+// Only changes are sent to entry instances; a second warm-up of a running endpoint is one.
+test('an endpoint that becomes cold again while it warms up is a change', t => {
+  const table = discovery.createRecordTable()
+  const record = toRecord({ coldMs: 3000 })
+  t.is(table.merge(record, 0), 'changed')
+  t.is(table.merge({ ...record, seq: 2, coldMs: 1800 }, 1200), 'refreshed')
+  t.is(table.merge({ ...record, seq: 3, coldMs: 600 }, 2400), 'refreshed')
+  t.is(table.merge({ ...record, seq: 4, coldMs: 2900 }, 2700), 'changed')
+  t.is(table.merge({ ...record, seq: 5, coldMs: 0 }, 6000), 'changed')
+})
+
+// Other instances than the one that hears an endpoint receive its changes only, so they know the first warm-up alone.
+test('an instance that knows only the first warm-up recognizes the second one', t => {
+  const table = discovery.createRecordTable()
+  const record = toRecord({ coldMs: 3000 })
+  t.is(table.merge(record, 0), 'changed')
+  t.is(table.merge({ ...record, seq: 4, coldMs: 2900 }, 2700), 'changed')
+})
--- a/packages/forwarding/__tests__/coldLimiter.test.ts
+++ b/packages/forwarding/__tests__/coldLimiter.test.ts
@@ -1,6 +1,5 @@
 /** The limit of the requests to endpoints that are warming up. */
 import * as ava from 'ava'
-import * as discovery from '@kingcupdeck/discovery'
 import * as coldLimiters from '../src/coldLimiter.js'
 import * as randoms from './helpers/random.js'
 import * as helper from './helpers/testEntry.js'
@@ -106,14 +105,3 @@
   entry.close()
   endpoint.close()
 })
-
-// Only changes are sent to entry instances; a second warm-up of a running endpoint is one.
-test('an endpoint that becomes cold again while it warms up is a change', t => {
-  const table = discovery.createRecordTable()
-  const record: discovery.EndpointRecord = { kind: 'endpoint', id: 'e1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 8, coldMs: 3000 }
-  t.is(table.merge(record, 0), 'changed')
-  t.is(table.merge({ ...record, seq: 2, coldMs: 1800 }, 1200), 'refreshed')
-  t.is(table.merge({ ...record, seq: 3, coldMs: 600 }, 2400), 'refreshed')
-  t.is(table.merge({ ...record, seq: 4, coldMs: 2900 }, 2700), 'changed')
-  t.is(table.merge({ ...record, seq: 5, coldMs: 0 }, 6000), 'changed')
-})
