--- a/packages/forwarding/__tests__/chooseEndpoint.test.ts
+++ b/packages/forwarding/__tests__/chooseEndpoint.test.ts
@@ -1,7 +1,7 @@
 /** Selection of an endpoint. */
 import * as ava from 'ava'
 import * as contracts from '@kingcupdeck/contracts'
-import * as chooseEndpoints from '../src/chooseEndpoint.js'
+import * as chooseEndpoints from '../src/placement/chooseEndpoint.js'
 
 const test = ava.default
 
--- a/packages/forwarding/__tests__/coldLimiter.test.ts
+++ b/packages/forwarding/__tests__/coldLimiter.test.ts
@@ -1,6 +1,6 @@
 /** The limit of the requests to endpoints that are warming up. */
 import * as ava from 'ava'
-import * as coldLimiters from '../src/coldLimiter.js'
+import * as coldLimiters from '../src/placement/coldLimiter.js'
 import * as randoms from './helpers/random.js'
 import * as helper from './helpers/testEntry.js'
 
--- a/packages/forwarding/__tests__/documentWaiters.test.ts
+++ b/packages/forwarding/__tests__/documentWaiters.test.ts
@@ -1,8 +1,8 @@
 /** Requests that arrive before the first configuration document. */
 import * as ava from 'ava'
 import * as timers from 'node:timers/promises'
-import * as documentWaiters from '../src/documentWaiters.js'
-import * as retryAfters from '../src/retryAfter.js'
+import * as documentWaiters from '../src/admission/documentWaiters.js'
+import * as retryAfters from '../src/admission/retryAfter.js'
 import * as testEntries from './helpers/testEntry.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/draining.test.ts
+++ b/packages/forwarding/__tests__/draining.test.ts
@@ -1,6 +1,6 @@
 /** Admission at a draining instance. */
 import * as ava from 'ava'
-import * as draining from '../src/draining.js'
+import * as draining from '../src/admission/draining.js'
 
 const test = ava.default
 
--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -2,7 +2,7 @@
 import * as ava from 'ava'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as endpointPools from '../src/endpointPool.js'
+import * as endpointPools from '../src/endpoints/endpointPool.js'
 
 const test = ava.default
 const UNRESPONSIVE_MS = 5000
--- a/packages/forwarding/__tests__/eventBatcher.test.ts
+++ b/packages/forwarding/__tests__/eventBatcher.test.ts
@@ -1,6 +1,6 @@
 /** Batching of stream events. */
 import * as ava from 'ava'
-import * as eventBatchers from '../src/eventBatcher.js'
+import * as eventBatchers from '../src/streams/eventBatcher.js'
 
 const test = ava.default
 
--- a/packages/forwarding/__tests__/helpers/engineModel.ts
+++ b/packages/forwarding/__tests__/helpers/engineModel.ts
@@ -3,10 +3,10 @@
  * chunk of the queued prompts in order of arrival; a shared prompt prefix is processed once and then cached.
  */
 import * as contracts from '@kingcupdeck/contracts'
-import * as chooseEndpoints from '../../src/chooseEndpoint.js'
-import * as numbers from '../../src/numbers.js'
-import * as queueDelays from '../../src/queueDelay.js'
-import * as retryAfters from '../../src/retryAfter.js'
+import * as chooseEndpoints from '../../src/placement/chooseEndpoint.js'
+import * as numbers from '../../src/placement/numbers.js'
+import * as queueDelays from '../../src/placement/queueDelay.js'
+import * as retryAfters from '../../src/admission/retryAfter.js'
 import * as helper from './random.js'
 
 /** A class of requests. */
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -6,8 +6,8 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as entryInstances from '../../src/entryInstance.js'
-import type * as routeTables from '../../src/routeTable.js'
+import * as entryInstances from '../../src/instance/entryInstance.js'
+import type * as routeTables from '../../src/admission/routeTable.js'
 import * as helper from './testEntry.js'
 
 const log = telemetry.createLog({ instance: 'test', level: 'silent' })
--- a/packages/forwarding/__tests__/loadBalancing.test.ts
+++ b/packages/forwarding/__tests__/loadBalancing.test.ts
@@ -1,6 +1,6 @@
 /** Simulation of load balancing without affinity: short requests on a few small endpoints. */
 import * as ava from 'ava'
-import * as chooseEndpoints from '../src/chooseEndpoint.js'
+import * as chooseEndpoints from '../src/placement/chooseEndpoint.js'
 import * as helper from './helpers/random.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -4,12 +4,12 @@
 import * as fc from 'fast-check'
 import * as discovery from '@kingcupdeck/discovery'
 import type * as links from '@kingcupdeck/links'
-import * as crashQuarantines from '../src/crashQuarantine.js'
-import type * as endpointPools from '../src/endpointPool.js'
-import * as loadGossips from '../src/loadGossip.js'
-import * as loadSums from '../src/loadSums.js'
-import * as outlierDetectors from '../src/outlierDetector.js'
-import * as relayChoices from '../src/relayChoice.js'
+import * as crashQuarantines from '../src/attempts/crashQuarantine.js'
+import type * as endpointPools from '../src/endpoints/endpointPool.js'
+import * as loadGossips from '../src/gossip/loadGossip.js'
+import * as loadSums from '../src/gossip/loadSums.js'
+import * as outlierDetectors from '../src/placement/outlierDetector.js'
+import * as relayChoices from '../src/gossip/relayChoice.js'
 
 const test = ava.default
 const ZONES = 5
--- a/packages/forwarding/__tests__/outlierDetector.test.ts
+++ b/packages/forwarding/__tests__/outlierDetector.test.ts
@@ -1,6 +1,6 @@
 /** Outlier detection, simulated for a small and a large service. */
 import * as ava from 'ava'
-import * as outlierDetectors from '../src/outlierDetector.js'
+import * as outlierDetectors from '../src/placement/outlierDetector.js'
 import * as helper from './helpers/random.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/priority.test.ts
+++ b/packages/forwarding/__tests__/priority.test.ts
@@ -1,6 +1,6 @@
 /** Request priorities under overload. */
 import * as ava from 'ava'
-import * as priorities from '../src/priority.js'
+import * as priorities from '../src/admission/priority.js'
 
 const test = ava.default
 const RANKS: priorities.Ranks = { accounts: priorities.toDistinctRanks([1, 1, 0, 1]), routes: priorities.toDistinctRanks([0, 2, 1]) }
--- a/packages/forwarding/__tests__/queueDelay.test.ts
+++ b/packages/forwarding/__tests__/queueDelay.test.ts
@@ -1,6 +1,6 @@
 /** Queue delay estimates. */
 import * as ava from 'ava'
-import * as queueDelays from '../src/queueDelay.js'
+import * as queueDelays from '../src/placement/queueDelay.js'
 
 const test = ava.default
 
--- a/packages/forwarding/__tests__/regions.test.ts
+++ b/packages/forwarding/__tests__/regions.test.ts
@@ -1,6 +1,6 @@
 /** Restriction of requests to regions. */
 import * as ava from 'ava'
-import * as routeTables from '../src/routeTable.js'
+import * as routeTables from '../src/admission/routeTable.js'
 import * as helper from './helpers/testEntry.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/retryAfter.test.ts
+++ b/packages/forwarding/__tests__/retryAfter.test.ts
@@ -1,6 +1,6 @@
 /** Retry-After of rejected requests. */
 import * as ava from 'ava'
-import * as retryAfters from '../src/retryAfter.js'
+import * as retryAfters from '../src/admission/retryAfter.js'
 
 const test = ava.default
 
--- a/packages/forwarding/__tests__/zoneOutage.test.ts
+++ b/packages/forwarding/__tests__/zoneOutage.test.ts
@@ -2,9 +2,9 @@
 import * as ava from 'ava'
 import * as timers from 'node:timers/promises'
 import * as telemetry from '@kingcupdeck/telemetry'
-import type * as endpointPools from '../src/endpointPool.js'
-import * as zoneOutages from '../src/zoneOutage.js'
-import * as zoneProbers from '../src/zoneProber.js'
+import type * as endpointPools from '../src/endpoints/endpointPool.js'
+import * as zoneOutages from '../src/endpoints/zoneOutage.js'
+import * as zoneProbers from '../src/endpoints/zoneProber.js'
 import * as randoms from './helpers/random.js'
 
 const test = ava.default
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission/admission.ts
@@ -1,6 +1,6 @@
 /** Admission checks on the headers of a request: size, route, API key and attempt id. */
-import * as clientCalls from './clientCall.js'
-import * as headerNames from './headerNames.js'
+import * as clientCalls from '../attempts/clientCall.js'
+import * as headerNames from '../attempts/headerNames.js'
 import * as routeTables from './routeTable.js'
 
 /** Request line and headers of a request. */
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as links from '@kingcupdeck/links'
-import * as endpointPools from './endpointPool.js'
+import * as endpointPools from '../endpoints/endpointPool.js'
 import * as headerNames from './headerNames.js'
 
 /** A request to an endpoint. */
--- a/packages/forwarding/src/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -1,8 +1,8 @@
 /** Records the results of attempts: in the request log, the metrics, the endpoint pool, outlier detection and crash quarantine. */
 import type * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
-import * as endpointPools from './endpointPool.js'
-import * as endpointProbes from './endpointProbe.js'
+import * as endpointPools from '../endpoints/endpointPool.js'
+import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as requestStates from './requestState.js'
 
 /** A response that is missing for this multiple of the target latency counts as missed, also if the client disconnected. */
--- a/packages/forwarding/src/attemptWatchdog.ts
+++ b/packages/forwarding/src/attempts/attemptWatchdog.ts
@@ -2,8 +2,8 @@
  * Watchdog for attempts without a response. Detects endpoints that went down without closing their connections before the requests
  * sent to them time out.
  */
-import type * as endpointPools from './endpointPool.js'
-import * as endpointProbes from './endpointProbe.js'
+import type * as endpointPools from '../endpoints/endpointPool.js'
+import * as endpointProbes from '../endpoints/endpointProbe.js'
 
 /** Share of the target latency of the route after which the endpoint is probed: nearly all other responses have arrived by then. */
 const PROBE_DELAY_SHARE = 0.5
--- a/packages/forwarding/src/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -1,8 +1,8 @@
 /** An admitted client request, and the responses that the entry instance generates itself. */
 import * as http from 'node:http'
-import * as entryContexts from './entryContext.js'
-import * as retryAfters from './retryAfter.js'
-import * as routeTables from './routeTable.js'
+import * as entryContexts from '../instance/entryContext.js'
+import * as retryAfters from '../admission/retryAfter.js'
+import * as routeTables from '../admission/routeTable.js'
 
 /** Result of one attempt at an endpoint, for the log. */
 export interface AttemptRecord { endpoint: string, /** Why the endpoint was selected. */ why: string, outcome: string, ms: number }
--- a/packages/forwarding/src/outgoingRequest.ts
+++ b/packages/forwarding/src/attempts/outgoingRequest.ts
@@ -3,7 +3,7 @@
 import * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
 import * as forwardHeaders from './forwardHeaders.js'
-import * as selectEndpoints from './selectEndpoint.js'
+import * as selectEndpoints from '../placement/selectEndpoint.js'
 
 const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE'])
 
--- a/packages/forwarding/src/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -1,7 +1,7 @@
 /** Retry state of a request: where it was sent, and how many endpoints may have run it. */
 import type * as clientCalls from './clientCall.js'
 import type * as clientResponses from './clientResponse.js'
-import * as routeTables from './routeTable.js'
+import * as routeTables from '../admission/routeTable.js'
 
 /** Retry state of a request. */
 export interface RequestState {
--- a/packages/forwarding/src/retryBudget.ts
+++ b/packages/forwarding/src/attempts/retryBudget.ts
@@ -2,7 +2,7 @@
  * Retry budget of an entry instance for one service. Bounds the retries of the fleet in a sliding window, so that the failure of
  * some endpoints does not overload the others; each instance enforces its own share without coordination.
  */
-import * as numbers from './numbers.js'
+import * as numbers from '../placement/numbers.js'
 
 /** Limits for the fleet. */
 export interface RetryBudgetOptions {
--- a/packages/forwarding/src/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -6,7 +6,7 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import type * as endpointProbes from './endpointProbe.js'
-import * as queueDelays from './queueDelay.js'
+import * as queueDelays from '../placement/queueDelay.js'
 
 /** State of an endpoint at this instance. */
 export interface Endpoint {
--- a/packages/forwarding/src/endpointProbe.ts
+++ b/packages/forwarding/src/endpoints/endpointProbe.ts
@@ -1,7 +1,7 @@
 /** Probes whether an endpoint is down by opening a TCP connection to it. */
 import * as net from 'node:net'
 import * as links from '@kingcupdeck/links'
-import * as attempts from './attempt.js'
+import * as attempts from '../attempts/attempt.js'
 import type * as endpointPools from './endpointPool.js'
 
 /** Why an endpoint could not be connected to. */
--- a/packages/forwarding/src/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -6,10 +6,10 @@
 import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
-import type * as crashQuarantines from './crashQuarantine.js'
-import type * as endpointPools from './endpointPool.js'
+import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as loadSums from './loadSums.js'
-import type * as outlierDetectors from './outlierDetector.js'
+import type * as outlierDetectors from '../placement/outlierDetector.js'
 import * as relayChoices from './relayChoice.js'
 
 /** Gossip update of an entry instance. */
--- a/packages/forwarding/src/loadSums.ts
+++ b/packages/forwarding/src/gossip/loadSums.ts
@@ -1,6 +1,6 @@
 /** Sums of the loads and of the attempt outcomes that entry instances report to each other. */
-import * as numbers from './numbers.js'
-import type * as outlierDetectors from './outlierDetector.js'
+import * as numbers from '../placement/numbers.js'
+import type * as outlierDetectors from '../placement/outlierDetector.js'
 
 /** Load of an endpoint: its id, requests in flight, and queue delay in milliseconds or null if unknown. */
 export type EndpointLoad = [endpoint: string, inFlight: number, delayMs: number | null]
--- a/packages/forwarding/src/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -1,15 +1,15 @@
 /** State that all requests of an entry instance share. */
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as coldLimiters from './coldLimiter.js'
-import * as crashQuarantines from './crashQuarantine.js'
-import * as documentWaiters from './documentWaiters.js'
-import * as endpointPools from './endpointPool.js'
+import * as coldLimiters from '../placement/coldLimiter.js'
+import * as crashQuarantines from '../attempts/crashQuarantine.js'
+import * as documentWaiters from '../admission/documentWaiters.js'
+import * as endpointPools from '../endpoints/endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
-import * as headerNames from './headerNames.js'
-import * as loadGossips from './loadGossip.js'
-import * as outlierDetectors from './outlierDetector.js'
-import * as retryBudgets from './retryBudget.js'
-import * as routeTables from './routeTable.js'
+import * as headerNames from '../attempts/headerNames.js'
+import * as loadGossips from '../gossip/loadGossip.js'
+import * as outlierDetectors from '../placement/outlierDetector.js'
+import * as retryBudgets from '../attempts/retryBudget.js'
+import * as routeTables from '../admission/routeTable.js'
 
 /** State that all requests of an entry instance share. */
 export interface EntryContext {
--- a/packages/forwarding/src/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -3,12 +3,12 @@
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as links from '@kingcupdeck/links'
-import * as admission from './admission.js'
-import * as clientCalls from './clientCall.js'
-import * as documentWaiters from './documentWaiters.js'
+import * as admission from '../admission/admission.js'
+import * as clientCalls from '../attempts/clientCall.js'
+import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
-import * as forwards from './forward.js'
-import * as routeTables from './routeTable.js'
+import * as forwards from '../attempts/forward.js'
+import * as routeTables from '../admission/routeTable.js'
 
 /** HTTP server for clients. */
 export interface EntryServer {
--- a/packages/forwarding/src/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -1,10 +1,10 @@
 /** Selects the endpoint of a request from the current state of the endpoint pool. */
 import * as contracts from '@kingcupdeck/contracts'
-import * as admission from './admission.js'
+import * as admission from '../admission/admission.js'
 import * as chooseEndpoints from './chooseEndpoint.js'
-import type * as clientCalls from './clientCall.js'
+import type * as clientCalls from '../attempts/clientCall.js'
 import * as coldLimiters from './coldLimiter.js'
-import * as endpointPools from './endpointPool.js'
+import * as endpointPools from '../endpoints/endpointPool.js'
 import * as numbers from './numbers.js'
 
 /** Maximum number of endpoints that a request is sent to while none of them runs it. */
--- a/packages/forwarding/src/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -4,12 +4,12 @@
  */
 import * as http from 'node:http'
 import * as abortResponses from './abortResponse.js'
-import * as attempts from './attempt.js'
-import * as clientCalls from './clientCall.js'
-import * as endpointPools from './endpointPool.js'
+import * as attempts from '../attempts/attempt.js'
+import * as clientCalls from '../attempts/clientCall.js'
+import * as endpointPools from '../endpoints/endpointPool.js'
 import * as eventBatchers from './eventBatcher.js'
 import * as eventStreams from './eventStream.js'
-import * as forwardHeaders from './forwardHeaders.js'
+import * as forwardHeaders from '../attempts/forwardHeaders.js'
 
 /** A response whose body was not read yet. */
 export type OpenResponse = Extract<attempts.AttemptResult, { kind: 'response' }>
--- a/packages/forwarding/src/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -1,12 +1,12 @@
 /** Resumption of a broken stream at another endpoint. */
-import * as attempts from './attempt.js'
-import * as attemptRecorders from './attemptRecorder.js'
-import * as clientCalls from './clientCall.js'
-import * as clientResponses from './clientResponse.js'
-import * as outgoingRequests from './outgoingRequest.js'
+import * as attempts from '../attempts/attempt.js'
+import * as attemptRecorders from '../attempts/attemptRecorder.js'
+import * as clientCalls from '../attempts/clientCall.js'
+import * as clientResponses from '../attempts/clientResponse.js'
+import * as outgoingRequests from '../attempts/outgoingRequest.js'
 import * as relayStreams from './relayStream.js'
-import * as requestStates from './requestState.js'
-import * as selectEndpoints from './selectEndpoint.js'
+import * as requestStates from '../attempts/requestState.js'
+import * as selectEndpoints from '../placement/selectEndpoint.js'
 
 /**
  * Requests the rest of a stream from other endpoints. The queue delay is not limited, because the client already has a part of the
