--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -12,6 +12,7 @@
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as draining from '../admission/draining.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
+import * as addresses from './addresses.js'
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
 import * as entryServers from './entryServer.js'
@@ -64,8 +65,8 @@
   metrics: entryMetrics.EntryMetrics
   /** Returns whether clients may be directed to this instance. */
   isReady: () => boolean
-  /** Returns the addresses for clients of an availability zone and region. */
-  addresses: (zone: string | undefined, region: string | undefined) => string[]
+  /** Returns the addresses for a client. */
+  addresses: (client: addresses.ClientLocation) => string[]
   /** Drains the instance: completes open requests within the grace period, then closes all connections. */
   stop: () => Promise<void>
 }
@@ -76,8 +77,6 @@
 const ANNOUNCEMENT_MARGIN_MS = 3000
 /** An entry instance that a control instance reports as late at more than one tick is not returned to clients. */
 const ENTRY_UNRESPONSIVE_MS = discovery.LATE_AFTER_MS + 1.5 * discovery.TICK_INTERVAL_MS
-/** Minimum number of instances in a zone for its clients to get only their addresses: a single one may fail. */
-const MIN_ZONE_INSTANCES = 2
 /** Time before the end of the grace period at which the instance stops listening. Clients have asked for addresses again by then. */
 const STOP_LISTENING_MARGIN_MS = 1200
 /** Time before the end of the grace period at which open requests are aborted. */
@@ -260,18 +259,12 @@
   return {
     metrics,
     isReady: () => drainStartedAt === undefined && document !== undefined,
-    addresses (zone, region) {
+    addresses (client) {
       const isSelfReady = drainStartedAt === undefined && document !== undefined
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isResponsive(item.lastSeenAt))
         .map(item => item.record)
-      const reachable = ready.filter(item => item.id === opts.id || (now() - dialer.lastFailureAt(item.inner) > PEER_FAILURE_MS && !outages.isAvoided(item.zone)))
-      const candidates = reachable.length > 0 ? reachable : ready
-      const sameZone = candidates.filter(item => item.zone === zone)
-      // Other regions are a last resort: requests may be bound to the client's.
-      const sameRegion = candidates.filter(item => item.region === region)
-      const nearest = [sameZone.length >= MIN_ZONE_INSTANCES ? sameZone : [], sameRegion].find(list => list.length > 0) ?? candidates
-      return nearest.map(item => item.front)
+      return addresses.selectInstances(ready, client, isReachable).map(item => item.front)
     },
     async stop () {
       const startedAt = now()
@@ -297,6 +290,11 @@
     }
   }
 
+  /** Returns whether no recent failure speaks against another entry instance or its availability zone. */
+  function isReachable (item: discovery.EntryRecord): boolean {
+    return item.id === opts.id || (now() - dialer.lastFailureAt(item.inner) > PEER_FAILURE_MS && !outages.isAvoided(item.zone))
+  }
+
   /** Measures only time during which a control instance with a quorum was reachable. */
   function isResponsive (lastSeenAt: number): boolean {
     return subscriber.lastQuorumAt() - Math.max(lastSeenAt, subscriber.quorumSince()) < ENTRY_UNRESPONSIVE_MS
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -9,6 +9,8 @@
 
 /** Maximum number of endpoints that a request is sent to while none of them runs it. */
 export const MAX_SENDS = 4
+/** Connections that an instance may open to an endpoint, however many instances there are. */
+const MIN_CONNECTIONS = 2
 
 /** Result of {@link selectEndpoint}. */
 export type Selection =
@@ -28,27 +30,13 @@
   const { ctx, route } = call
   const now = ctx.now()
   const service = call.table.services.get(call.service)
-  const maxConnections = service?.maxConnections ?? Infinity
-  const connectionLimit = Math.max(2, Math.floor(maxConnections / ctx.gossip.instanceCount()))
   const endpoints = ctx.pool.usable(call.service, now).filter(item => isAllowed(call, item))
-  const unixNow = Date.now()
-  const usable = endpoints.map((item): chooseEndpoints.Candidate => ({
-    id: item.id,
-    zone: item.record.zone,
-    load: item.inFlight + item.peerInFlight,
-    ownInFlight: item.inFlight,
-    slots: Math.max(1, item.record.slots),
-    isCold: item.coldUntil > now,
-    delayMs: item.queueDelay.estimateMs(now) ?? item.peerQueueDelayMs ?? 0,
-    freeConnections: connectionLimit - item.inFlight,
-    ageMs: toAgeMs(item, unixNow)
-  }))
+  const usable = toCandidates(endpoints, service?.maxConnections ?? Infinity, ctx.gossip.instanceCount(), now)
   const outliers = ctx.outliers.findOutliers(call.service, usable, now)
   const maxColdPerSecond = coldLimiters.toMaxPerSecond(service?.coldPerSecond ?? 0, ctx.coldBound)
   const isLimited = (item: endpointPools.Endpoint): boolean => maxColdPerSecond < Infinity && endpointPools.mayBeCold(item, service?.coldStartMs ?? 0, now)
-  const candidates = usable.filter((item, i) => {
-    return !outliers.has(item.id) && !tried.has(item.id) && (!isLimited(endpoints[i]) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now))
-  })
+  const mayUse = (item: endpointPools.Endpoint): boolean => !isLimited(item) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now)
+  const candidates = usable.filter((item, i) => !outliers.has(item.id) && !tried.has(item.id) && mayUse(endpoints[i]))
   const prefix = route.hasPrompt ? toSharedPrefix(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const affinity = prefix === undefined ? undefined : contracts.createScorer(prefix)
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs }, Math.random())
@@ -61,6 +49,26 @@
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address }
 }
 
+/**
+ * Converts endpoints to candidates, in the same order.
+ * @param maxConnections connections that an endpoint accepts from all instances together
+ */
+function toCandidates (endpoints: readonly endpointPools.Endpoint[], maxConnections: number, instanceCount: number, now: number): chooseEndpoints.Candidate[] {
+  const connectionLimit = Math.max(MIN_CONNECTIONS, Math.floor(maxConnections / instanceCount))
+  const unixNow = Date.now()
+  return endpoints.map(item => ({
+    id: item.id,
+    zone: item.record.zone,
+    load: item.inFlight + item.peerInFlight,
+    ownInFlight: item.inFlight,
+    slots: Math.max(1, item.record.slots),
+    isCold: item.coldUntil > now,
+    delayMs: item.queueDelay.estimateMs(now) ?? item.peerQueueDelayMs ?? 0,
+    freeConnections: connectionLimit - item.inFlight,
+    ageMs: toAgeMs(item, unixNow)
+  }))
+}
+
 function findSource (call: clientCalls.ClientCall, tried: ReadonlySet<string>, affinity: contracts.Scorer, chosen: string): endpointPools.Endpoint | undefined {
   const { ctx } = call
   const unixNow = Date.now()
