fix(forwarding): the load bound counts endpoints of evacuated zones

While a zone is evacuated the mean of the service is a third lower.

Measured: chooseEndpoint, the load bound counts endpoints that may not be chosen: fails on the mean of the candidates (15 requests, 14.8 allowed), passes now.

--- a/packages/forwarding/__tests__/chooseEndpoint.test.ts
+++ b/packages/forwarding/__tests__/chooseEndpoint.test.ts
@@ -89,3 +89,16 @@
   t.is(homeOf(withDelay({ [home]: 1000 }), item), second)
   t.deepEqual(chooseEndpoints.chooseEndpoint(withDelay({ [home]: 1000, [second]: 700 }), { affinity: contracts.createScorer(item), zone: 'a', delayLimitMs: 560 }, 0), { kind: 'busy', delayMs: 700 })
 })
+
+// Load pattern: a third of the endpoints may not be chosen, the others take over its work, and one prompt prefix is popular.
+test('the load bound counts endpoints that may not be chosen', t => {
+  const evacuatedCount = 4
+  const candidates = EIGHT.map(item => ({ ...item, load: 8 }))
+  const toServiceMean = (): number => candidates.reduce((sum, item) => sum + item.load, 0) / (candidates.length + evacuatedCount)
+  for (let i = 0; i < 40; i++) {
+    const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity: contracts.createScorer('shared,popular'), zone: 'a', delayLimitMs: 560, meanLoad: toServiceMean() }, 0)
+    const chosen = candidates.find(item => item.id === idOf(choice)) as chooseEndpoints.Candidate
+    chosen.load++
+    t.true(chosen.load <= 2 * toServiceMean() + 3, `${chosen.load} requests, mean ${toServiceMean()}`)
+  }
+})
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -42,6 +42,8 @@
   get (id: string): Endpoint | undefined
   /** Returns the endpoints of a service that can be sent requests now. */
   usable (service: string, now: number): Endpoint[]
+  /** Returns the endpoints of a service that could be sent requests now if their zones were not evacuated. */
+  evacuated (service: string, now: number): Endpoint[]
   /** Returns the reachable endpoints of a service, also leaving ones. */
   reachable (service: string, now: number): Endpoint[]
   all (): Endpoint[]
@@ -186,6 +188,10 @@
       // If no endpoint is reachable, those whose backoff is nearly over are used.
       return ready.filter(item => item.backoffUntil - now < BACKOFF_MS)
     },
+    evacuated (service, now) {
+      const isUnresponsive = createUnresponsiveCheck()
+      return toServiceEndpoints(service).filter(item => isEvacuated(item.record.zone) && item.record.state === 'ready' && item.backoffUntil <= now && !isUnresponsive(item))
+    },
     reachable (service, now) {
       const isUnresponsive = createUnresponsiveCheck()
       return toServiceEndpoints(service).filter(item => item.backoffUntil <= now && !isZoneAvoided(item.record.zone) && !isUnresponsive(item))
--- a/packages/forwarding/src/placement/chooseEndpoint.ts
+++ b/packages/forwarding/src/placement/chooseEndpoint.ts
@@ -33,6 +33,8 @@
   zone: string
   /** Maximum queue delay, in milliseconds. */
   delayLimitMs: number
+  /** Mean load of the service, endpoints that may not be chosen now included; that of the candidates by default. */
+  meanLoad?: number
 }
 
 /** Result of {@link chooseEndpoint}. */
@@ -68,8 +70,13 @@
   const available = candidates.filter(item => item.freeConnections > 0)
   if (available.length === 0) return { kind: 'none' }
   if (req.affinity === undefined) return chooseByLoad(available, req.zone, draw)
-  const mean = numbers.sum(candidates.map(item => item.load)) / candidates.length
-  return chooseByAffinity(available, req.affinity, LOAD_FACTOR * mean + LOAD_ALLOWANCE, req.delayLimitMs)
+  const meanLoad = req.meanLoad ?? toMeanLoad(candidates)
+  return chooseByAffinity(available, req.affinity, LOAD_FACTOR * meanLoad + LOAD_ALLOWANCE, req.delayLimitMs)
+}
+
+/** Returns the mean load of endpoints, 0 without any. */
+export function toMeanLoad (endpoints: ReadonlyArray<{ load: number }>): number {
+  return endpoints.length === 0 ? 0 : numbers.sum(endpoints.map(item => item.load)) / endpoints.length
 }
 
 /** An endpoint whose KV cache may contain the shared prompt prefix. */
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -39,7 +39,7 @@
   const candidates = usable.filter((item, i) => !outliers.has(item.id) && !tried.has(item.id) && mayUse(endpoints[i]))
   const prefix = route.hasPrompt ? toSharedPrefix(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const affinity = prefix === undefined ? undefined : contracts.createScorer(prefix)
-  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs }, Math.random())
+  const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs, meanLoad: affinity === undefined ? undefined : toServiceMeanLoad(call, usable, now) }, Math.random())
   if (choice.kind !== 'chosen') return choice
   const endpoint = ctx.pool.get(choice.id)
   if (endpoint === undefined) return { kind: 'none' }
@@ -49,6 +49,15 @@
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address }
 }
 
+/**
+ * Returns the mean load that bounds the load of an endpoint. Endpoints of evacuated zones count: the others must not exceed the bound
+ * because they take over the work of a zone.
+ */
+function toServiceMeanLoad (call: clientCalls.ClientCall, usable: readonly chooseEndpoints.Candidate[], now: number): number {
+  const evacuated = call.ctx.pool.evacuated(call.service, now).map(item => ({ load: item.inFlight + item.peerInFlight }))
+  return chooseEndpoints.toMeanLoad([...usable, ...evacuated])
+}
+
 /**
  * Converts endpoints to candidates, in the same order.
  * @param maxConnections connections that an endpoint accepts from all instances together
