--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -12,14 +12,14 @@
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentMachines from './documentMachine.js'
+import * as evacuationOrders from './evacuationOrders.js'
 
 /** Calls between control instances about the document and the evacuations. */
 export const documentCall = z.discriminatedUnion('t', [
   z.object({ t: z.literal('replica'), msg: z.unknown() }),
   z.object({ t: z.literal('put'), packed: contracts.packedText }),
   z.object({ t: z.literal('read'), version: z.number() }),
-  z.object({ t: z.literal('readEvacuations') }),
-  z.object({ t: z.literal('evacuate'), zone: z.string(), isEvacuated: z.boolean(), revision: z.number() })
+  ...evacuationOrders.evacuationCall.options
 ])
 /** Calls between control instances about the document and the evacuations. */
 export type DocumentCall = z.infer<typeof documentCall>
@@ -68,12 +68,8 @@
   read (timeoutMs: number): Promise<contracts.VersionedText | null>
   /** Returns the evacuated zones as applied locally, which may be stale. */
   evacuations (): discovery.Evacuations
-  /**
-   * Starts or ends the evacuation of a zone. Resolves once the zone is in the requested state, as committed.
-   * @param isWanted returns whether the order is still wanted; an order that its sender gave up must not revert a later one
-   * @throws Error when the outcome is unknown after the timeout; the order may be repeated
-   */
-  evacuate (order: EvacuationOrder, isWanted: () => boolean, timeoutMs: number): Promise<discovery.Evacuations>
+  /** See {@link evacuationOrders.EvacuationOrders.execute}. */
+  evacuate (order: evacuationOrders.EvacuationOrder, isWanted: () => boolean, timeoutMs: number): Promise<discovery.Evacuations>
   /** Answers a call of another control instance. */
   onCall (call: DocumentCall): Promise<unknown>
   /** Returns whether this replica had applied everything that was committed a short time ago. */
@@ -87,9 +83,6 @@
   stop (): Promise<void>
 }
 
-/** Order to start or end the evacuation of a zone. */
-export interface EvacuationOrder { zone: string, isEvacuated: boolean }
-
 const GROUP = 'document'
 /**
  * Short, since after a kill of all replicas most of the time without a confirmed document is the wait for a leader. The shortest
@@ -218,15 +211,6 @@
     return machine.latest()
   }
 
-  const readEvacuationsLocally = async (timeoutMs: number): Promise<discovery.Evacuations> => {
-    await requireReplica().confirmLeadership(timeoutMs)
-    return machine.evacuations()
-  }
-
-  const evacuateLocally = async (command: documentMachines.EvacuationCommand): Promise<documentMachines.EvacuationResult> => {
-    return await requireReplica().propose(command) as documentMachines.EvacuationResult
-  }
-
   /** Runs an operation at the leader, local or remote; retries until it succeeds or the timeout expires. */
   const retry = async <T>(timeoutMs: number, locally: (leftMs: number) => Promise<T>, remotely: (link: links.Link, leftMs: number) => Promise<T>): Promise<T> => {
     const deadline = performance.now() + timeoutMs
@@ -245,11 +229,7 @@
     }
   }
 
-  const readEvacuations = async (timeoutMs: number): Promise<discovery.Evacuations> => {
-    return await retry(timeoutMs, readEvacuationsLocally, async (link, leftMs) => {
-      return discovery.evacuations.parse(await link.call({ t: 'readEvacuations' } satisfies DocumentCall, leftMs))
-    })
-  }
+  const orders = evacuationOrders.createEvacuationOrders({ replica: requireReplica, machine: () => machine, runAtLeader: retry, readTimeoutMs: RPC_TIMEOUT_MS })
 
   replica = await create()
 
@@ -273,21 +253,7 @@
       })
     },
     evacuations: () => latestEvacuations,
-    async evacuate ({ zone, isEvacuated }, isWanted, timeoutMs) {
-      const deadline = performance.now() + timeoutMs
-      while (true) {
-        const held = await readEvacuations(deadline - performance.now())
-        if (held.zones.includes(zone) === isEvacuated) return held
-        if (!isWanted()) throw new Error(`the sender of the order to ${isEvacuated ? 'evacuate' : 'restore'} zone "${zone}" has given it up: send it again`)
-        const command: documentMachines.EvacuationCommand = { t: 'evacuation', zone, isEvacuated, revision: held.revision }
-        const result = await retry(deadline - performance.now(), async () => await evacuateLocally(command), async (link, leftMs) => {
-          const call: DocumentCall = { t: 'evacuate', zone, isEvacuated, revision: held.revision }
-          return documentMachines.evacuationResult.parse(await link.call(call, leftMs))
-        })
-        // The revision may be outdated by an earlier attempt of this order, whose reply was lost.
-        if (result.evacuations.zones.includes(zone) === isEvacuated) return result.evacuations
-      }
-    },
+    evacuate: orders.execute,
     async onCall (call) {
       switch (call.t) {
         case 'replica':
@@ -302,8 +268,9 @@
           const isSame = document !== null && document.version === call.version
           return { packed: isSame || document === null ? null : contracts.packFull(document), isSame } satisfies ReadReply
         }
-        case 'readEvacuations': return await readEvacuationsLocally(RPC_TIMEOUT_MS)
-        case 'evacuate': return await evacuateLocally({ ...call, t: 'evacuation' })
+        case 'readEvacuations':
+        case 'evacuate':
+          return await orders.onCall(call)
       }
     },
     isCurrent: () => replica !== undefined && performance.now() - replica.lastCurrentAt() < CURRENT_TIMEOUT_MS,
