refactor(contracts): one ordering of nodes by rendezvous score

The limit of cold endpoints wrote again what the choice of subscriptions and of relays had: nodes of a key in the order of their scores. All three call one function; the order, and with it every choice, is the same.

--- a/packages/contracts/src/hashing.ts
+++ b/packages/contracts/src/hashing.ts
@@ -18,6 +18,17 @@
   return weight * toUnweightedScore(key, node)
 }
 
+/**
+ * Orders nodes by their score for a key, the owner first.
+ * @param toId returns the id of a node
+ */
+export function toRendezvousOrder<T> (key: string, nodes: Iterable<T>, toId: (node: T) => string): T[] {
+  return [...nodes]
+    .map(node => ({ node, score: rendezvousScore(key, toId(node)) }))
+    .sort((a, b) => b.score - a.score)
+    .map(item => item.node)
+}
+
 /** Returns the score of a node for one key; see {@link rendezvousScore}. */
 export type Scorer = (node: string, weight?: number) => number
 
--- a/packages/discovery/src/subscriptionChoice.ts
+++ b/packages/discovery/src/subscriptionChoice.ts
@@ -27,10 +27,7 @@
 
 /** Returns control instances in the order in which an entry instance prefers them. */
 export function toPreferred (id: string, addresses: Iterable<string>): string[] {
-  return [...addresses]
-    .map(address => ({ address, score: contracts.rendezvousScore(id, address) }))
-    .sort((a, b) => b.score - a.score)
-    .map(item => item.address)
+  return contracts.toRendezvousOrder(id, addresses, address => address)
 }
 
 /**
--- a/packages/forwarding/src/gossip/relayChoice.ts
+++ b/packages/forwarding/src/gossip/relayChoice.ts
@@ -39,16 +39,9 @@
   }
   const choice: RelayChoice = { own: undefined, others: [] }
   for (const [zone, members] of zones) {
-    const ordered = toOrder(members).filter(item => item.inner === self.inner || !isSuspect(item.inner))
+    const ordered = contracts.toRendezvousOrder(zone, members, item => item.inner).filter(item => item.inner === self.inner || !isSuspect(item.inner))
     if (zone !== self.zone) choice.others.push(...ordered.slice(0, RELAYS_PER_ZONE).map(item => item.inner))
     else if (ordered[0].inner !== self.inner) choice.own = ordered[0].inner
   }
   return choice
 }
-
-function toOrder (members: readonly RelayCandidate[]): RelayCandidate[] {
-  return members
-    .map(item => ({ item, score: contracts.rendezvousScore(item.zone, item.inner) }))
-    .sort((a, b) => b.score - a.score)
-    .map(({ item }) => item)
-}
--- a/packages/forwarding/src/placement/coldLimiter.ts
+++ b/packages/forwarding/src/placement/coldLimiter.ts
@@ -63,14 +63,12 @@
   return { senders, perSecond: Math.floor(available / senders) }
 }
 
-/** Returns whether an instance is one of the designated senders to an endpoint. */
+/**
+ * Returns whether an instance is one of the designated senders to an endpoint.
+ * @param instanceIds ids of all instances, this one included
+ */
 export function isDesignated (endpointId: string, self: string, instanceIds: readonly string[], senders: number): boolean {
-  const ownScore = contracts.rendezvousScore(endpointId, self)
-  let before = 0
-  for (const id of instanceIds) {
-    if (id !== self && contracts.rendezvousScore(endpointId, id) > ownScore && ++before >= senders) return false
-  }
-  return true
+  return contracts.toRendezvousOrder(endpointId, instanceIds, id => id).slice(0, senders).includes(self)
 }
 
 /** Creates a limiter. */
@@ -80,8 +78,8 @@
   const lookUp = (endpointId: string, maxPerSecond: number, now: number): { perSecond: number, sends: number[] } => {
     const known = entries.get(endpointId)
     if (known !== undefined && now - known.at < DESIGNATION_MAX_AGE_MS) return known
-    const ids = opts.instanceIds()
-    const share = toColdShare(maxPerSecond, ids.includes(opts.self) ? ids.length : ids.length + 1)
+    const ids = [...new Set([opts.self, ...opts.instanceIds()])]
+    const share = toColdShare(maxPerSecond, ids.length)
     const entry = { at: now, perSecond: isDesignated(endpointId, opts.self, ids, share.senders) ? share.perSecond : 0, sends: known?.sends ?? [] }
     if (entries.size >= MAX_ENTRIES) entries.clear()
     entries.set(endpointId, entry)
