refactor(coordination): an evacuation command is its own call, and messages are told apart by their tag

Cause: the same command stood in two schemas with another tag, converted in both directions. Each call to a control instance, of the replicated log too, and each entry of the log at a start was parsed as what it mostly is not, and a malformed put was reported as an unknown discovery call.

Change: one schema for call and command; the tag decides, then the one schema that fits parses. The tag in the replicated log stays.

Measured: the tests of coordination and of the control API passed.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -60,8 +60,7 @@
       if (event.success) publisher.onEvent(event.data)
     },
     async onCall (body, link) {
-      const call = documentStores.documentCall.safeParse(body)
-      if (call.success) return await store.onCall(call.data)
+      if (documentStores.isDocumentCall(body)) return await store.onCall(documentStores.documentCall.parse(body))
       return await publisher.onCall(discovery.discoveryCall.parse(body), link)
     }
   }
--- a/packages/coordination/src/documentMachine.ts
+++ b/packages/coordination/src/documentMachine.ts
@@ -19,7 +19,7 @@
 export type PutResult = z.infer<typeof putResult>
 
 /** Command that changes the evacuation of a zone. */
-const evacuationCommand = z.object({
+export const evacuationCommand = z.object({
   t: z.literal('evacuation'),
   zone: z.string(),
   isEvacuated: z.boolean(),
@@ -85,8 +85,8 @@
 
   return {
     apply (command) {
-      const evacuation = evacuationCommand.safeParse(command)
-      return evacuation.success ? evacuate(evacuation.data) : put(command as contracts.PackedText)
+      const known = command as contracts.PackedText | EvacuationCommand
+      return 't' in known ? evacuate(known) : put(known)
     },
     save () {
       const document = latest === null ? null : contracts.packFull(latest)
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -24,6 +24,13 @@
 /** Calls between control instances about the document and the evacuations. */
 export type DocumentCall = z.infer<typeof documentCall>
 
+const documentCallTags: ReadonlySet<unknown> = new Set(documentCall.options.map(item => item.shape.t.value))
+
+/** Returns whether a message is meant to be a {@link DocumentCall}, by its tag alone. */
+export function isDocumentCall (body: unknown): boolean {
+  return documentCallTags.has((body as { t?: unknown })?.t)
+}
+
 const readReply = z.object({ packed: contracts.packedText.nullable(), isSame: z.boolean() })
 type ReadReply = z.infer<typeof readReply>
 
@@ -269,7 +276,7 @@
           return { packed: isSame || document === null ? null : contracts.packFull(document), isSame } satisfies ReadReply
         }
         case 'readEvacuations':
-        case 'evacuate':
+        case 'evacuation':
           return await orders.onCall(call)
       }
     },
--- a/packages/coordination/src/evacuationOrders.ts
+++ b/packages/coordination/src/evacuationOrders.ts
@@ -8,7 +8,7 @@
 /** Calls between control instances about evacuations. */
 export const evacuationCall = z.discriminatedUnion('t', [
   z.object({ t: z.literal('readEvacuations') }),
-  z.object({ t: z.literal('evacuate'), zone: z.string(), isEvacuated: z.boolean(), revision: z.number() })
+  documentMachines.evacuationCommand
 ])
 /** Calls between control instances about evacuations. */
 export type EvacuationCall = z.infer<typeof evacuationCall>
@@ -61,7 +61,7 @@
 
   const propose = async (command: documentMachines.EvacuationCommand, timeoutMs: number): Promise<documentMachines.EvacuationResult> => {
     return await opts.runAtLeader(timeoutMs, async () => await proposeLocally(command), async (link, leftMs) => {
-      return documentMachines.evacuationResult.parse(await link.call({ ...command, t: 'evacuate' } satisfies EvacuationCall, leftMs))
+      return documentMachines.evacuationResult.parse(await link.call(command satisfies EvacuationCall, leftMs))
     })
   }
 
@@ -80,7 +80,7 @@
     async onCall (call) {
       switch (call.t) {
         case 'readEvacuations': return await readLocally(opts.readTimeoutMs)
-        case 'evacuate': return await proposeLocally({ ...call, t: 'evacuation' })
+        case 'evacuation': return await proposeLocally(call)
       }
     }
   }
