refactor(forwarding): a selection changes nothing; a send is recorded where it is made

Cause: selectEndpoint took from the limit of a cold endpoint although nothing was sent, as when a waiting request asks whether there is another endpoint, or the retry budget is spent. The two loops that send noted tried endpoint and requests in flight each for itself.

Change: recordSend notes all three, called by both. What is sent stays within the same limit; it is no longer charged for what is not sent.

--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -75,8 +75,7 @@
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'fail', why: 'the retry budget is exhausted' }
   const { endpoint } = selected
-  state.tried.add(endpoint.id)
-  endpoint.inFlight++
+  selectEndpoints.recordSend(call, state.tried, selected)
   try {
     return await runAttempt({ call, state, selected, remainingMs, sentAt: ctx.now(), mayRunAgain: requestStates.mayRun(route, state.runs + 1) })
   } finally {
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -20,7 +20,7 @@
   | { kind: 'none' }
 
 /** An endpoint and the reason for its selection, with its load and the total load. */
-export interface SelectedEndpoint { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose KV cache may contain the prompt. */ fetchFrom: string | undefined }
+export interface SelectedEndpoint { endpoint: endpointPools.Endpoint, why: string, /** Address of the endpoint whose KV cache may contain the prompt. */ fetchFrom: string | undefined, /** Whether the send counts against the limit of a cold endpoint. */ isLimited: boolean }
 
 /**
  * Selects among the endpoints that were not tried yet.
@@ -43,10 +43,17 @@
   if (choice.kind !== 'chosen') return choice
   const endpoint = ctx.pool.get(choice.id)
   if (endpoint === undefined) return { kind: 'none' }
-  if (isLimited(endpoint)) ctx.coldLimiter.recordSend(endpoint.id, now)
   const source = affinity === undefined || service?.canFetch !== true ? undefined : findSource(call, tried, affinity, endpoint.id)
   const why = `${choice.why} ${endpoint.inFlight + endpoint.peerInFlight}/${numbers.sum(candidates.map(item => item.load))}${source === undefined ? '' : ` from ${source.id}`}`
-  return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address }
+  return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address, isLimited: isLimited(endpoint) }
+}
+
+/** Records that the request is sent to the selected endpoint. Its `inFlight` is to be decremented when the endpoint is done with it. */
+export function recordSend (call: clientCalls.ClientCall, tried: Set<string>, selected: SelectedEndpoint): void {
+  const { endpoint } = selected
+  tried.add(endpoint.id)
+  endpoint.inFlight++
+  if (selected.isLimited) call.ctx.coldLimiter.recordSend(endpoint.id, call.ctx.now())
 }
 
 /**
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -23,10 +23,9 @@
     if (selected.kind !== 'selected') return { kind: 'none', why: 'no further endpoint is available' }
     if (!ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'none', why: 'the retry budget is exhausted' }
     const { endpoint } = selected
-    state.tried.add(endpoint.id)
+    selectEndpoints.recordSend(call, state.tried, selected)
     sends++
     const sentAt = ctx.now()
-    endpoint.inFlight++
     const result = await attempts.sendAttempt({
       endpoint,
       request: outgoingRequests.toOutgoingRequest(call, selected, remainingMs, lastEventId),
