refactor(forwarding): the regions of a request are worked out once

Cause: admission and the entry server intersected the regions of route and client account one after the other, for each request. Change: admission hands on what it found.

--- a/packages/forwarding/src/admission/admission.ts
+++ b/packages/forwarding/src/admission/admission.ts
@@ -14,7 +14,7 @@
 
 /** Result of {@link admit}. */
 export type Admission =
-  | { kind: 'admitted', route: routeTables.Route, account: routeTables.ClientAccount | undefined, attemptId: string, clientDeadlineMs: number | undefined }
+  | { kind: 'admitted', route: routeTables.Route, account: routeTables.ClientAccount | undefined, /** Regions whose endpoints may run the request, undefined without a restriction. */ allowedRegions: readonly string[] | undefined, attemptId: string, clientDeadlineMs: number | undefined }
   | { kind: 'refused', refusal: clientCalls.Refusal }
 
 /** Returns whether a newer document could admit the request: its route or API key was not found, or may not run in any region. */
@@ -42,8 +42,9 @@
   const key = findHeader(head.rawHeaders, names.key)
   const account = key === undefined ? undefined : table.accountByKey.get(key)
   if (table.hasAccounts && !route.isKeyless && account === undefined) return reject(401, `send a valid API key in ${names.key}`)
-  if (routeTables.toAllowedRegions(route, account)?.length === 0) return reject(403, 'the route and the client account allow no common region: correct the regions of one of them')
-  return { kind: 'admitted', route, account, attemptId, clientDeadlineMs: toClientDeadlineMs(head.rawHeaders, names) }
+  const allowedRegions = routeTables.toAllowedRegions(route, account)
+  if (allowedRegions?.length === 0) return reject(403, 'the route and the client account allow no common region: correct the regions of one of them')
+  return { kind: 'admitted', route, account, allowedRegions, attemptId, clientDeadlineMs: toClientDeadlineMs(head.rawHeaders, names) }
 }
 
 /**
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -153,7 +153,7 @@
   }
 
   const run = async (req: http.IncomingMessage, res: http.ServerResponse, startedAt: number, table: routeTables.CompiledTable, result: Extract<admission.Admission, { kind: 'admitted' }>, body: Buffer): Promise<void> => {
-    const { route, account } = result
+    const { route, account, allowedRegions } = result
     const waitMs = Math.min(route.timeoutMs, result.clientDeadlineMs ?? Infinity)
     const call: clientCalls.ClientCall = {
       req,
@@ -164,7 +164,7 @@
       service: routeTables.pickService(route, Math.random()),
       account: account?.name,
       accountRank: account?.rank ?? null,
-      allowedRegions: routeTables.toAllowedRegions(route, account),
+      allowedRegions,
       attemptId: result.attemptId,
       body,
       startedAt,
