refactor(discovery): replication to control instances and back-off in modules of their own

What goes to all subscribers was encoded once for each of their two groups.

Change: peerReplication.ts sends changes until they are acknowledged, dialBackoff.ts backs off from addresses; sendTo encodes an event once for all groups. What is sent, and when, is the same.

--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -9,6 +9,7 @@
 import * as livenesses from './liveness.js'
 import * as evacuations from './evacuations.js'
 import * as messages from './messages.js'
+import * as peerReplications from './peerReplication.js'
 import * as recordTables from './recordTable.js'
 import * as records from './records.js'
 import * as sendBudgets from './sendBudget.js'
@@ -42,7 +43,7 @@
 export interface Publisher {
   /**
    * Accepts an announcement. Resolves once every reachable control instance has acknowledged a change, or after
-   * {@link REPLICATION_TIMEOUT_MS}.
+   * {@link peerReplications.REPLICATION_TIMEOUT_MS}.
    */
   announce (record: records.Record): Promise<void>
   /** Answers a call of another instance. */
@@ -63,11 +64,6 @@
   tick (): void
 }
 
-/**
- * How long an announcement waits for the other control instances to acknowledge a change. An endpoint may stop soon after its
- * "leaving" was acknowledged, so the change must have been sent to all instances by then.
- */
-export const REPLICATION_TIMEOUT_MS = 400
 /** How long non-urgent changes are batched: a small part of the time for which callers cache addresses. */
 const BATCH_DELAY_MS = 40
 /** Added to the delay for each subscriber, so that the number of events per second that a control instance sends stays bounded. */
@@ -98,8 +94,7 @@
   let packedRecords: Uint8Array | undefined
   let ownHeartbeats = new Map<string, records.Heartbeat>()
   let forwardedHeartbeats = new Map<string, records.Heartbeat>()
-  /** Changes that another control instance has not acknowledged yet, by its address and the id of the record. */
-  const unacknowledged = new Map<string, Map<string, records.Record>>()
+  const replication = peerReplications.createPeerReplication(opts)
   /** Batched changes, by id. */
   const subscriberBatch = new Map<string, records.Record>()
   const peerBatch = new Map<string, records.Record>()
@@ -107,44 +102,22 @@
   let ticks = 0
   const waitForRoom = sendBudgets.createSendQueue(budget, now)
 
-  const sendAll = (event: messages.DiscoveryEvent, targets: ReadonlySet<links.Link> = subscribers): void => {
-    if (targets.size === 0) return
+  const sendTo = (event: messages.DiscoveryEvent, ...groups: Array<ReadonlySet<links.Link>>): void => {
+    if (groups.every(group => group.size === 0)) return
     const encoded = links.encodeEvent(event)
-    for (const link of targets) link.sendEncoded(encoded)
+    for (const group of groups) for (const link of group) link.sendEncoded(encoded)
   }
 
+  const sendToAll = (event: messages.DiscoveryEvent): void => { sendTo(event, subscribers, compactSubscribers) }
+
   const sendChanges = (list: records.Record[]): void => {
     packedRecords = undefined
     if (list.length < MIN_PACKED_RECORDS) {
-      sendAll({ t: 'news', list })
-      sendAll({ t: 'news', list }, compactSubscribers)
+      sendToAll({ t: 'news', list })
       return
     }
-    sendAll({ t: 'news', list })
-    sendAll({ t: 'packedNews', records: messages.packRecords(list) }, compactSubscribers)
-  }
-
-  /** Sends unacknowledged changes to another control instance. */
-  const sendPending = async (address: string): Promise<void> => {
-    const pending = unacknowledged.get(address)
-    if (pending === undefined || pending.size === 0) return
-    const list = [...pending.values()]
-    const link = await opts.getPeerLink(address)
-    await link.call({ t: 'records', list } satisfies messages.DiscoveryCall, REPLICATION_TIMEOUT_MS)
-    for (const item of list) {
-      if (pending.get(item.id) === item) pending.delete(item.id)
-    }
-  }
-
-  const replicate = async (list: records.Record[]): Promise<void> => {
-    const calls = opts.peerAddresses().map(async address => {
-      const pending = unacknowledged.get(address) ?? new Map<string, records.Record>()
-      unacknowledged.set(address, pending)
-      for (const item of list) pending.set(item.id, item)
-      await sendPending(address)
-    })
-    // Changes for unreachable control instances are sent again at the next ticks.
-    await Promise.race([Promise.allSettled(calls), new Promise(resolve => { setTimeout(resolve, REPLICATION_TIMEOUT_MS) })])
+    sendTo({ t: 'news', list }, subscribers)
+    sendTo({ t: 'packedNews', records: messages.packRecords(list) }, compactSubscribers)
   }
 
   const flush = async (): Promise<void> => {
@@ -154,13 +127,13 @@
     subscriberBatch.clear()
     peerBatch.clear()
     if (forSubscribers.length > 0) sendChanges(forSubscribers)
-    if (forPeers.length > 0) await replicate(forPeers)
+    if (forPeers.length > 0) await replication.replicate(forPeers)
   }
 
   /**
    * Queues changes for publication: flushes at once if a process leaves, otherwise batches them, so that a restart of many
    * instances does not cause one event per instance and subscriber. Resolves once every reachable control instance has
-   * acknowledged them, or after {@link REPLICATION_TIMEOUT_MS}.
+   * acknowledged them, or after {@link peerReplications.REPLICATION_TIMEOUT_MS}.
    */
   const queueChanges = async (list: readonly records.Record[], isForPeers: boolean): Promise<void> => {
     if (list.length === 0) return
@@ -285,16 +258,8 @@
           break
       }
     },
-    publishDocument () {
-      const event: messages.DiscoveryEvent = { t: 'version', version: opts.version() }
-      sendAll(event)
-      sendAll(event, compactSubscribers)
-    },
-    publishEvacuations () {
-      const event: messages.DiscoveryEvent = { t: 'evacuations', evacuations: toEvacuations() }
-      sendAll(event)
-      sendAll(event, compactSubscribers)
-    },
+    publishDocument () { sendToAll({ t: 'version', version: opts.version() }) },
+    publishEvacuations () { sendToAll({ t: 'evacuations', evacuations: toEvacuations() }) },
     toFullReply: () => ({ ...toReply(false, opts.packDocumentSince(0)), records: messages.packRecords(table.all()) }),
     subscriberCount: () => subscribers.size + compactSubscribers.size,
     lateCount: () => liveness.late().length,
@@ -306,17 +271,14 @@
       forwardedHeartbeats = new Map()
       const tick = { t: 'tick' as const, isCurrent: opts.isCurrent(), version: opts.version(), controls: [opts.self, ...opts.peerAddresses()], evacuations: evacuations.toEvacuationField(toEvacuations()) }
       const { late, revived } = liveness.takeChanges(now())
-      sendAll({ ...tick, signs })
-      sendAll({ ...tick, signs: revived, late }, compactSubscribers)
+      sendTo({ ...tick, signs }, subscribers)
+      sendTo({ ...tick, signs: revived, late }, compactSubscribers)
       if (own.length > 0) {
         const encoded = links.encodeEvent({ t: 'signs', signs: own } satisfies messages.DiscoveryEvent)
         for (const address of opts.peerAddresses()) opts.getPeerLink(address).then(link => { link.sendEncoded(encoded) }, () => {})
       }
+      replication.retry()
       const peers = opts.peerAddresses()
-      for (const address of unacknowledged.keys()) {
-        if (!peers.includes(address)) unacknowledged.delete(address)
-      }
-      for (const address of peers) sendPending(address).catch(() => {})
       if (peers.length > 0 && ticks % COMPARE_INTERVAL_TICKS === 2) compare(peers[Math.floor(Math.random() * peers.length)]).catch(() => {})
       if (ticks % PRUNE_INTERVAL_TICKS === 0) table.prune(now())
     }
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -4,6 +4,7 @@
  */
 import * as timers from 'node:timers/promises'
 import * as links from '@kingcupdeck/links'
+import * as dialBackoffs from './dialBackoff.js'
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
 import type * as evacuations from './evacuations.js'
@@ -22,14 +23,6 @@
 const QUORUM_TIMEOUT_MS = 1.5 * messages.TICK_INTERVAL_MS
 /** Ticks further apart than this were interrupted: changes may have been missed. */
 const MAX_TICK_GAP_MS = TICK_TIMEOUT_MS
-/**
- * Back-off after the first failure of an address; doubles with each consecutive failure. Short at first, since a process that was
- * killed is back soon.
- */
-const MIN_BACKOFF_MS = 200
-const MAX_BACKOFF_MS = 1600
-/** Random share of a back-off, so that instances that failed together do not return together. */
-const BACKOFF_JITTER = 0.5
 /** Mean time between moves of a subscription to a preferred control instance. */
 const MOVE_INTERVAL_MS = 2000
 const POLL_INTERVAL_MS = 100
@@ -44,8 +37,7 @@
 export function startSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
   const now = opts.now ?? (() => performance.now())
   const open = new Set<subscriptions.Subscription>()
-  const backoffUntil = new Map<string, number>()
-  const failures = new Map<string, number>()
+  const backoff = dialBackoffs.createDialBackoff(now)
   let controls: string[] = []
   const stopped = new AbortController()
   let lastQuorumAt = -Infinity
@@ -140,10 +132,7 @@
   /** Closes a subscription that failed, and backs off from its control instance. */
   const drop = (sub: subscriptions.Subscription, reason: string): void => {
     if (!close(sub, reason)) return
-    const failureCount = (failures.get(sub.address) ?? 0) + 1
-    failures.set(sub.address, failureCount)
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failureCount - 1))
-    backoffUntil.set(sub.address, now() + backoffMs * (1 - BACKOFF_JITTER * Math.random()))
+    backoff.noteFailure(sub.address)
   }
 
   const subscribe = async (address: string): Promise<void> => {
@@ -184,7 +173,7 @@
   const candidateAddresses = (): string[] => {
     const subscribed = new Set([...open].map(sub => sub.address))
     const all = new Set([...controls, ...opts.seeds()])
-    const available = [...all].filter(address => !subscribed.has(address) && (backoffUntil.get(address) ?? 0) <= now())
+    const available = [...all].filter(address => !subscribed.has(address) && backoff.isOver(address))
     // Before the first contact only the seeds are known, which all instances would prefer in the same few orders.
     return isBeforeContact() ? handoutPollers.toShuffled(available) : subscriptionChoices.toPreferred(opts.id, available)
   }
@@ -198,7 +187,7 @@
     const candidates = candidateAddresses()
     const withoutQuorum = [...open].filter(sub => !sub.isCurrent && now() - sub.lastQuorumAt > QUORUM_TIMEOUT_MS)
     // A subscription without a quorum is dropped only if it can be replaced; while the fleet starts, no control instance has one.
-    const replacements = isBeforeContact() ? candidates.filter(address => !failures.has(address)) : candidates
+    const replacements = isBeforeContact() ? candidates.filter(address => !backoff.hasFailed(address)) : candidates
     if (open.size >= subscriptionChoices.SUBSCRIPTIONS && withoutQuorum.length > 0 && replacements.length > 0) drop(withoutQuorum[0], 'no quorum')
     const missing = subscriptionChoices.countMissing([...open], isBeforeContact(), now())
     for (const address of candidates.slice(0, missing)) void subscribe(address)
@@ -264,7 +253,7 @@
           if (event.isCurrent) {
             if (now() - lastQuorumAt > MAX_TICK_GAP_MS) quorumSince = now()
             lastQuorumAt = sub.lastQuorumAt = now()
-            failures.delete(sub.address)
+            backoff.noteSuccess(sub.address)
           }
           // A control instance without a quorum may know former members only.
           if (event.isCurrent || controls.length === 0) controls = event.controls
