--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -6,6 +6,7 @@
 import type * as links from '@kingcupdeck/links'
 import * as crashQuarantines from '../src/attempts/crashQuarantine.js'
 import type * as endpointPools from '../src/endpoints/endpointPool.js'
+import * as gossipTypes from '../src/gossip/gossipTypes.js'
 import * as loadGossips from '../src/gossip/loadGossip.js'
 import * as loadSums from '../src/gossip/loadSums.js'
 import * as outlierDetectors from '../src/placement/outlierDetector.js'
@@ -24,7 +25,7 @@
   outliers: outlierDetectors.OutlierDetector
   merged: () => number
   evacuations: discovery.Evacuations
-  gossip: loadGossips.Gossip
+  gossip: gossipTypes.Gossip
   sentCount: number
   isUp: boolean
 }
@@ -44,7 +45,7 @@
       return {
         sendEncoded (event: links.EncodedEvent) {
           instance.sentCount++
-          target.gossip.onUpdate(loadGossips.gossipUpdate.parse(event.body), record.inner)
+          target.gossip.onUpdate(gossipTypes.gossipUpdate.parse(event.body), record.inner)
         }
       } as unknown as links.Link
     }
--- a/packages/forwarding/src/gossip/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -3,67 +3,14 @@
  * configuration document. Small fleets send updates to all instances, large ones through relays; see relayChoice.ts.
  */
 import * as timers from 'node:timers/promises'
-import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import type * as crashQuarantines from '../attempts/crashQuarantine.js'
-import type * as endpointPools from '../endpoints/endpointPool.js'
+import type * as gossipTypes from './gossipTypes.js'
 import * as loadSums from './loadSums.js'
 import type * as outlierDetectors from '../placement/outlierDetector.js'
 import * as relayChoices from './relayChoice.js'
 
-/** Gossip update of an entry instance. */
-export const gossipUpdate = z.object({
-  t: z.literal('peer'),
-  /** Endpoint id, requests in flight, and queue delay in milliseconds or null if unknown. */
-  loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
-  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })),
-  /** Document version of the sender. */
-  document: z.number().default(0),
-  /**
-   * What the update covers: the sender alone, the sender and the instances that it relays for, a whole zone, or the whole fleet. Only
-   * `instance` is used in small fleets.
-   */
-  scope: z.enum(['instance', 'members', 'zone', 'fleet']).default('instance'),
-  /** Inner addresses of other instances that have the document. */
-  holders: z.array(z.string()).default([]),
-  /** Evacuated zones as known to the sender; absent before the first evacuation. */
-  evacuations: discovery.evacuations.optional()
-})
-/** Gossip update of an entry instance. */
-export type GossipUpdate = z.infer<typeof gossipUpdate>
-
-/** Options of {@link startGossip}. */
-export interface GossipOptions {
-  self: relayChoices.RelayCandidate
-  /** Returns the other entry instances. */
-  peers: () => discovery.EntryRecord[]
-  connect: (address: string) => Promise<links.Link>
-  /** Returns the time of the latest failed dial of an instance, -Infinity if there was none. */
-  lastFailureAt: (address: string) => number
-  pool: endpointPools.EndpointPool
-  quarantine: crashQuarantines.CrashQuarantine
-  outliers: outlierDetectors.OutlierDetector
-  /** Returns the document version of this instance. */
-  documentVersion: () => number
-  /** Returns the evacuated zones as known to this instance. */
-  evacuations: () => discovery.Evacuations
-  /** Called with the evacuated zones that another instance knows. */
-  onEvacuations: (received: discovery.Evacuations, from: string) => void
-  /** Called with the document version of another instance. */
-  onDocumentVersion: (address: string, version: number) => void
-}
-
-export interface Gossip {
-  onUpdate (update: GossipUpdate, from: string): void
-  /** Sends crash reports towards all other instances immediately. */
-  sendCrashReports (crashes: crashQuarantines.CrashReport[]): void
-  /** Number of entry instances, including this one. */
-  instanceCount (): number
-  stop (): void
-}
-
 /** Base interval between updates. */
 const GOSSIP_INTERVAL_MS = 200
 /** Added to the interval for each known instance, so that the number of messages per instance stays bounded. */
@@ -85,10 +32,10 @@
 /** Interval at which the relays are chosen again. */
 const CHOICE_INTERVAL_MS = 1000
 
-type Content = Pick<GossipUpdate, 'loads' | 'outcomes'>
+type Content = Pick<gossipTypes.GossipUpdate, 'loads' | 'outcomes'>
 
 /** Starts the gossip. */
-export function startGossip (opts: GossipOptions): Gossip {
+export function startGossip (opts: gossipTypes.GossipOptions): gossipTypes.Gossip {
   const { self } = opts
   const now = (): number => performance.now()
   const aborter = new AbortController()
@@ -149,9 +96,9 @@
     }, SUM_INTERVAL_MS).unref()
   }
 
-  const sendTo = (addresses: readonly string[], update: Omit<GossipUpdate, 't' | 'document' | 'evacuations'>): void => {
+  const sendTo = (addresses: readonly string[], update: Omit<gossipTypes.GossipUpdate, 't' | 'document' | 'evacuations'>): void => {
     if (addresses.length === 0) return
-    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), evacuations: discovery.toEvacuationField(opts.evacuations()), ...update } satisfies GossipUpdate)
+    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), evacuations: discovery.toEvacuationField(opts.evacuations()), ...update } satisfies gossipTypes.GossipUpdate)
     for (const address of addresses) opts.connect(address).then(link => { link.sendEncoded(encoded) }, () => {})
   }
 
@@ -237,7 +184,7 @@
   }
 
   /** Sends received content on: towards the relay or the other zones if it comes from below, and always to the members. */
-  const receive = (update: GossipUpdate, from: string): void => {
+  const receive = (update: gossipTypes.GossipUpdate, from: string): void => {
     switch (update.scope) {
       case 'instance':
         // In a large fleet, only an instance that still considers it small sends to all: its load is counted through its relay.
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -6,7 +6,7 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
 import * as headerNames from '../attempts/headerNames.js'
-import * as loadGossips from '../gossip/loadGossip.js'
+import type * as gossipTypes from '../gossip/gossipTypes.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
@@ -20,7 +20,7 @@
   pool: endpointPools.EndpointPool
   quarantine: crashQuarantines.CrashQuarantine
   outliers: outlierDetectors.OutlierDetector
-  gossip: loadGossips.Gossip
+  gossip: gossipTypes.Gossip
   metrics: entryMetrics.EntryMetrics
   log: telemetry.Log
   /** Returns the configuration document in force, or undefined before the first. */
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -6,7 +6,6 @@
 import type * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
-import * as telemetry from '@kingcupdeck/telemetry'
 import * as coldLimiters from '../placement/coldLimiter.js'
 import * as crashQuarantines from '../attempts/crashQuarantine.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
@@ -15,8 +14,9 @@
 import * as addresses from './addresses.js'
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
+import type * as entryOptions from './entryOptions.js'
 import * as entryServers from './entryServer.js'
-import * as headerNames from '../attempts/headerNames.js'
+import * as gossipTypes from '../gossip/gossipTypes.js'
 import * as loadGossips from '../gossip/loadGossip.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
@@ -24,53 +24,6 @@
 import * as zoneOutages from '../endpoints/zoneOutage.js'
 import * as zoneProbers from '../endpoints/zoneProber.js'
 
-/** Options of {@link startEntryInstance}. */
-export interface EntryInstanceOptions {
-  id: string
-  /** Start time of this process, in Unix milliseconds. */
-  startedAt: number
-  zone: string
-  region: string
-  /** Returns the region of an availability zone, undefined if it is unknown. */
-  regionOf: (zone: string) => string | undefined
-  /** IP address and port for clients. */
-  front: string
-  /** IP address and port for the other instances. */
-  inner: string
-  /** Returns the inner addresses of control instances from the current settings. */
-  seeds: () => readonly string[]
-  /** Shared secret of the fleet. */
-  secret: string
-  /** Whether the document and records are fetched from the handout of a control instance during startup. */
-  usesHandouts: boolean
-  names: headerNames.HeaderNames
-  /** Parses a configuration document. @throws Error if it is invalid */
-  readDocument: (text: Buffer) => routeTables.RouteTable
-  retryBudget: retryBudgets.RetryBudgetOptions
-  /** Limit of the requests to endpoints that are warming up; the rate that their service declares by default. */
-  coldBound?: coldLimiters.ColdBound
-  /** Interval of endpoint announcements, in milliseconds. */
-  announceIntervalMs: number
-  /** Grace period of a stop, in milliseconds. */
-  graceMs: number
-  log: telemetry.Log
-  /** Returns the number of log lines dropped so far. */
-  droppedLines: () => number
-  /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
-  linkBytesPerMs?: number
-}
-
-/** A running entry instance. */
-export interface EntryInstance {
-  metrics: entryMetrics.EntryMetrics
-  /** Returns whether clients may be directed to this instance. */
-  isReady: () => boolean
-  /** Returns the addresses for a client. */
-  addresses: (client: addresses.ClientLocation) => string[]
-  /** Drains the instance: completes open requests within the grace period, then closes all connections. */
-  stop: () => Promise<void>
-}
-
 /** Missed announcements after which an endpoint is considered unresponsive. */
 const MISSED_ANNOUNCEMENTS = 4
 /** Added to that time: announcements are relayed by two control instances, and reported as late or not once a tick. */
@@ -96,7 +49,7 @@
 const CONTROL_DIAL_TIMEOUT_MS = 2000
 
 /** Starts an entry instance. */
-export async function startEntryInstance (opts: EntryInstanceOptions): Promise<EntryInstance> {
+export async function startEntryInstance (opts: entryOptions.EntryInstanceOptions): Promise<entryOptions.EntryInstance> {
   const { log } = opts
   const now = (): number => performance.now()
   const table = discovery.createRecordTable()
@@ -127,7 +80,7 @@
   const handlers: links.LinkHandlers = {
     onEvent (body, link) {
       if ((body as { t?: unknown })?.t === 'peer') {
-        const update = loadGossips.gossipUpdate.safeParse(body)
+        const update = gossipTypes.gossipUpdate.safeParse(body)
         if (update.success) gossip.onUpdate(update.data, link.peer.id)
         return
       }
--- /dev/null
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -0,0 +1,55 @@
+/** Options and interface of an entry instance. */
+import type * as telemetry from '@kingcupdeck/telemetry'
+import type * as routeTables from '../admission/routeTable.js'
+import type * as headerNames from '../attempts/headerNames.js'
+import type * as retryBudgets from '../attempts/retryBudget.js'
+import type * as coldLimiters from '../placement/coldLimiter.js'
+import type * as addresses from './addresses.js'
+import type * as entryMetrics from './entryMetrics.js'
+
+/** Options of `startEntryInstance`. */
+export interface EntryInstanceOptions {
+  id: string
+  /** Start time of this process, in Unix milliseconds. */
+  startedAt: number
+  zone: string
+  region: string
+  /** Returns the region of an availability zone, undefined if it is unknown. */
+  regionOf: (zone: string) => string | undefined
+  /** IP address and port for clients. */
+  front: string
+  /** IP address and port for the other instances. */
+  inner: string
+  /** Returns the inner addresses of control instances from the current settings. */
+  seeds: () => readonly string[]
+  /** Shared secret of the fleet. */
+  secret: string
+  /** Whether the document and records are fetched from the handout of a control instance during startup. */
+  usesHandouts: boolean
+  names: headerNames.HeaderNames
+  /** Parses a configuration document. @throws Error if it is invalid */
+  readDocument: (text: Buffer) => routeTables.RouteTable
+  retryBudget: retryBudgets.RetryBudgetOptions
+  /** Limit of the requests to endpoints that are warming up; the rate that their service declares by default. */
+  coldBound?: coldLimiters.ColdBound
+  /** Interval of endpoint announcements, in milliseconds. */
+  announceIntervalMs: number
+  /** Grace period of a stop, in milliseconds. */
+  graceMs: number
+  log: telemetry.Log
+  /** Returns the number of log lines dropped so far. */
+  droppedLines: () => number
+  /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
+  linkBytesPerMs?: number
+}
+
+/** A running entry instance. */
+export interface EntryInstance {
+  metrics: entryMetrics.EntryMetrics
+  /** Returns whether clients may be directed to this instance. */
+  isReady: () => boolean
+  /** Returns the addresses for a client. */
+  addresses: (client: addresses.ClientLocation) => string[]
+  /** Drains the instance: completes open requests within the grace period, then closes all connections. */
+  stop: () => Promise<void>
+}
