feat(forwarding): log lost responses, suspected requests and the fingerprint of a request

Change: events responseLost (K1508) and requestSuspected (K1509, with its source), the fingerprint in requestEnded; explain-logs prints the lines of the same request. No change of logic.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -65,12 +65,14 @@
   handoutTaken: spec(1316, 'info', 'document and records of a starting control instance applied'),
   handoutRefused: spec(1317, 'warn', 'fetching the document and records of a starting control instance failed', 'Expected while machines are down. Otherwise check that all instances use the same fleet secret.'),
   announcementRefused: spec(1408, 'warn', 'announcement rejected', 'Check the endpoint token and the service name at the endpoint.'),
-  requestQuarantined: spec(1501, 'warn', 'request was in flight during two endpoint crashes and is quarantined', 'Run "kingcupdeck explain" with the request id and inspect the request.'),
+  requestQuarantined: spec(1501, 'warn', 'request was in flight during repeated endpoint crashes and is quarantined', 'Run "kingcupdeck explain" with the request id and inspect the request.'),
   streamSilent: spec(1502, 'warn', 'stream from an engine is unresponsive; resuming over a new connection', 'If it repeats for the same endpoint, check that endpoint.'),
   ledgerRetry: spec(1503, 'warn', 'ledger did not confirm; retrying', 'If it persists, run "kingcupdeck status": a quorum of control instances must be up.'),
   requestEnded: spec(1505, 'info', 'forwarded request ended'),
   requestRefused: spec(1506, 'info', 'request rejected before it was forwarded'),
   linesDropped: spec(1507, 'warn', 'log lines dropped because the output buffer was full', 'Expected in bursts; the metrics are still complete.'),
+  responseLost: spec(1508, 'info', 'response of an endpoint broke off'),
+  requestSuspected: spec(1509, 'info', 'request was in flight at an endpoint that went down'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -73,6 +73,7 @@
   if (call.aborter.signal.aborted) return
   // The idle connections to the endpoint are probably broken too.
   call.ctx.pool.closeIdleConnections(endpoint)
+  call.ctx.log.event('responseLost', { request: call.attemptId, fingerprint, endpoint: endpoint.id })
   call.ctx.quarantine.recordLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
   void endpointProbes.probeEndpoint(endpoint).then(failure => {
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -22,6 +22,8 @@
   allowedRegions: readonly string[] | undefined
   attemptId: string
   body: Buffer
+  /** Identifies the request across the attempts of its client. */
+  fingerprint: string
   /** When the request headers were received. */
   startedAt: number
   /** The earlier of the client deadline and the timeout of the route. */
--- a/packages/forwarding/src/attempts/crashQuarantine.ts
+++ b/packages/forwarding/src/attempts/crashQuarantine.ts
@@ -3,6 +3,7 @@
  * {@link QUARANTINE_CRASHES} crashes the request is sent to no further endpoint, by any entry instance.
  */
 import * as contracts from '@kingcupdeck/contracts'
+import type * as telemetry from '@kingcupdeck/telemetry'
 
 /** Endpoints that crashed while a request was running, as exchanged between entry instances. */
 export interface CrashReport { fingerprint: string, crashed: string[] }
@@ -14,7 +15,7 @@
   /** Confirms that an endpoint is down. @returns the new crashes, to be sent to the other instances */
   confirmDown (endpoint: string, now: number): CrashReport[]
   /** Merges the reports of another instance. @returns those that were not known */
-  merge (reports: readonly CrashReport[], now: number): CrashReport[]
+  merge (reports: readonly CrashReport[], now: number, from?: string): CrashReport[]
   /** Returns whether the request must not be sent to any endpoint. */
   isQuarantined (fingerprint: string, now: number): boolean
 }
@@ -26,16 +27,21 @@
 const RETENTION_MS = 120_000
 const MAX_ENTRIES = 5000
 
-export function createCrashQuarantine (): CrashQuarantine {
+/**
+ * Creates an empty quarantine.
+ * @param log receives an event for each crash that counts against a request
+ */
+export function createCrashQuarantine (log?: telemetry.Log): CrashQuarantine {
   let losses: Array<{ fingerprint: string, endpoint: string, at: number }> = []
   const suspects = new Map<string, { crashed: Set<string>, at: number }>()
 
-  const add = (fingerprint: string, endpoint: string, now: number): boolean => {
+  const add = (fingerprint: string, endpoint: string, now: number, from: string): boolean => {
     const item = suspects.get(fingerprint) ?? { crashed: new Set<string>(), at: now }
     if (item.crashed.has(endpoint)) return false
     item.crashed.add(endpoint)
     item.at = now
     suspects.set(fingerprint, item)
+    log?.event('requestSuspected', { fingerprint, endpoint, crashes: item.crashed.size, from })
     if (suspects.size > MAX_ENTRIES) suspects.delete(suspects.keys().next().value as string)
     return true
   }
@@ -48,11 +54,11 @@
     confirmDown (endpoint, now) {
       const confirmed = losses.filter(item => item.endpoint === endpoint && now - item.at < CONFIRM_MS)
       losses = losses.filter(item => item.endpoint !== endpoint)
-      return confirmed.filter(item => add(item.fingerprint, endpoint, now)).map(item => ({ fingerprint: item.fingerprint, crashed: [endpoint] }))
+      return confirmed.filter(item => add(item.fingerprint, endpoint, now, 'self')).map(item => ({ fingerprint: item.fingerprint, crashed: [endpoint] }))
     },
-    merge (reports, now) {
+    merge (reports, now, from = 'unknown') {
       return reports
-        .map(({ fingerprint, crashed }) => ({ fingerprint, crashed: crashed.filter(endpoint => add(fingerprint, endpoint, now)) }))
+        .map(({ fingerprint, crashed }) => ({ fingerprint, crashed: crashed.filter(endpoint => add(fingerprint, endpoint, now, from)) }))
         .filter(item => item.crashed.length > 0)
     },
     isQuarantined (fingerprint, now) {
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -7,7 +7,6 @@
 import * as attemptWatchdogs from './attemptWatchdog.js'
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
-import * as crashQuarantines from './crashQuarantine.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as outgoingRequests from './outgoingRequest.js'
 import * as priorities from '../admission/priority.js'
@@ -46,12 +45,11 @@
 /** Forwards an admitted request and returns the outcome for the log. */
 export async function forward (call: clientCalls.ClientCall): Promise<string> {
   const { ctx } = call
-  const fingerprint = crashQuarantines.toFingerprint(call.account, call.req.method ?? '', call.req.url ?? '', call.body)
-  if (ctx.quarantine.isQuarantined(fingerprint, ctx.now())) {
+  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) {
     return clientResponses.sendRefusal(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', cause: { kind: 'quarantined' } })
   }
   ctx.retryBudget(call.service).recordRequest(ctx.now())
-  const state = requestStates.createRequestState(fingerprint)
+  const state = requestStates.createRequestState(call.fingerprint)
   while (true) {
     const next = await attemptOnce(call, state)
     switch (next.kind) {
--- a/packages/forwarding/src/gossip/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -226,7 +226,7 @@
   void run()
   return {
     onUpdate (update, from) {
-      const newCrashes = opts.quarantine.merge(update.crashes, now())
+      const newCrashes = opts.quarantine.merge(update.crashes, now(), from)
       if (!isDirect && newCrashes.length > 0) forwardCrashes(newCrashes, from)
       if (update.evacuations !== undefined) opts.onEvacuations(update.evacuations, from)
       opts.onDocumentVersion(from, update.document)
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -5,6 +5,7 @@
 import * as links from '@kingcupdeck/links'
 import * as admission from '../admission/admission.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as crashQuarantines from '../attempts/crashQuarantine.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
@@ -167,6 +168,7 @@
       allowedRegions,
       attemptId: result.attemptId,
       body,
+      fingerprint: crashQuarantines.toFingerprint(account?.name, req.method ?? '', req.url ?? '', body),
       startedAt,
       deadlineAt: startedAt + waitMs,
       aborter: new AbortController(),
@@ -278,6 +280,7 @@
   ctx.metrics.requests.inc({ route: labels.route, outcome: outcome.slice(0, 3) })
   ctx.log.event('requestEnded', {
     request: call.attemptId,
+    fingerprint: call.fingerprint,
     route: route.name,
     account: call.account,
     service: call.service,
--- a/packages/kingcupdeck/src/logExplanation.ts
+++ b/packages/kingcupdeck/src/logExplanation.ts
@@ -9,7 +9,7 @@
 export interface Explanation {
   /** Lines with the request's id, oldest first. */
   own: LogLine[]
-  /** Lines about the endpoints that were tried and about the instance that handled the request, within {@link CONTEXT_WINDOW_MS} of its end. */
+  /** Lines about the same request of other attempts, about the endpoints that were tried and about the instance that handled the request, within {@link CONTEXT_WINDOW_MS} of its end. */
   around: LogLine[]
   /** One sentence, human-readable. */
   cause: string
@@ -46,8 +46,10 @@
   const last = own[own.length - 1]
   const at = Date.parse(last.at)
   const endpoints = toText(last.attempts).split('; ').map(item => item.split(' ')[0]).filter(item => item !== '')
+  const fingerprint = toText(last.fingerprint)
+  const isSameRequest = (item: LogLine): boolean => fingerprint !== '' && item.fingerprint === fingerprint
   const around = lines
-    .filter(item => Math.abs(Date.parse(item.at) - at) < CONTEXT_WINDOW_MS && (endpoints.includes(toText(item.endpoint)) || endpoints.includes(toText(item.id)) || isInstanceEvent(item, last.instance)))
+    .filter(item => Math.abs(Date.parse(item.at) - at) < CONTEXT_WINDOW_MS && (isSameRequest(item) || endpoints.includes(toText(item.endpoint)) || endpoints.includes(toText(item.id)) || isInstanceEvent(item, last.instance)))
     .sort(byTime)
   return { own, around, cause: toCause(last, around) }
 }
