test(forwarding): requests that crash endpoints, and those beside them, on each kind of route

Not resumable streams and streams that crash before their first event reach 9 of 9 endpoints, as does a crash that the first probe misses; retries and resumptions of one attempt go on after the third crash; a request that was in flight at all endpoints is rejected once four of them are lost.

--- /dev/null
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -0,0 +1,185 @@
+/** Quarantine of requests that crash endpoints, and service of requests that were only in flight beside them. */
+import * as timers from 'node:timers/promises'
+import * as ava from 'ava'
+import * as helper from './helpers/testEntry.js'
+import type * as routeTables from '../src/admission/routeTable.js'
+
+const test = ava.default
+const ENDPOINTS = 9
+const SENDS = 9
+const SEND_INTERVAL_MS = 250
+/** Crashes after which the request must not be sent again. */
+const MAX_CRASHES = 3
+const TIMEOUTS = { targetMs: 10_000, timeoutMs: 20_000 }
+const DEADLINE = { 'x-deadline-ms': '20000' }
+const CRASHING = '/a/crashing'
+
+/** How an endpoint responds before it crashes. */
+type Crash = (req: Parameters<helper.Behaviour>[0], res: Parameters<helper.Behaviour>[1], crash: () => void) => void
+
+const beforeResponse: Crash = (req, res, crash) => { crash() }
+const afterHeaders: Crash = (req, res, crash) => {
+  helper.beginStream(req, res)
+  res.flushHeaders()
+  setTimeout(crash, 20)
+}
+const afterEvent: Crash = (req, res, crash) => {
+  helper.beginStream(req, res)
+  res.write('id: 1\ndata: event 1\n\n')
+  setTimeout(crash, 20)
+}
+
+/** Starts endpoints that crash with the request {@link CRASHING} and keep all others in flight. */
+async function startEndpoints (t: ava.ExecutionContext, crash: Crash, opts: { count?: number, acceptsForMs?: number } = {}): Promise<helper.TestEndpoint[]> {
+  const endpoints: helper.TestEndpoint[] = []
+  for (let i = 0; i < (opts.count ?? ENDPOINTS); i++) {
+    endpoints.push(await helper.startEndpoint(`e${i}`, (req, res) => {
+      if (req.url !== CRASHING) return
+      crash(req, res, () => {
+        endpoints[i].disconnect()
+        setTimeout(() => { endpoints[i].close() }, opts.acceptsForMs ?? 0)
+      })
+    }))
+  }
+  t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  return endpoints
+}
+
+async function startEntry (t: ava.ExecutionContext, endpoints: helper.TestEndpoint[], change: Partial<routeTables.Route>): Promise<helper.TestEntry> {
+  const entry = await helper.startEntry([helper.toRoute({ ...TIMEOUTS, ...change })], endpoints, { retrySlack: 1000 })
+  t.teardown(() => { entry.close() })
+  return entry
+}
+
+function countCrashed (endpoints: helper.TestEndpoint[]): number {
+  return endpoints.filter(item => item.requests.some(req => req.url === CRASHING)).length
+}
+
+async function sendCrashing (entry: helper.TestEntry, body = 'crash'): Promise<helper.TestResponse> {
+  return await entry.send({ method: 'POST', path: CRASHING, body, headers: DEADLINE })
+}
+
+/** Sends the crashing request again and again, and checks how many endpoints it crashed and what its client received last. */
+async function checkCrashing (t: ava.ExecutionContext, endpoints: helper.TestEndpoint[], entry: helper.TestEntry): Promise<void> {
+  let last: helper.TestResponse | undefined
+  for (let i = 0; i < SENDS; i++) {
+    last = await sendCrashing(entry)
+    await timers.setTimeout(SEND_INTERVAL_MS)
+  }
+  t.is(countCrashed(endpoints), MAX_CRASHES)
+  t.is(last?.status, 503)
+  t.true(Number(last?.headers['retry-after']) >= 10)
+}
+
+const CRASHING_ROUTES: Array<[name: string, crash: Crash, change: Partial<routeTables.Route>]> = [
+  ['buffered, one attempt', beforeResponse, { maxAttempts: 1 }],
+  ['buffered, two attempts', beforeResponse, { maxAttempts: 2 }],
+  ['may run once', beforeResponse, { kind: 'once', maxAttempts: 1 }],
+  ['stream, not resumable, before the headers', beforeResponse, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, not resumable, before the first event', afterHeaders, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, not resumable, after an event', afterEvent, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, resumable, before the headers', beforeResponse, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, before the first event', afterHeaders, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, after an event', afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, more attempts than crashes', afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 6 }]
+]
+
+for (const [name, crash, change] of CRASHING_ROUTES) {
+  // Guards against a request that is sent on after it has crashed three endpoints.
+  test(`a crashing request stops after three crashes: ${name}`, async t => {
+    const endpoints = await startEndpoints(t, crash)
+    await checkCrashing(t, endpoints, await startEntry(t, endpoints, change))
+  })
+}
+
+// Guards against a crash that goes unnoticed because the port still accepts connections right after it.
+test('a crash is found out if the port accepts connections for a while longer', async t => {
+  const endpoints = await startEndpoints(t, beforeResponse, { acceptsForMs: 100 })
+  await checkCrashing(t, endpoints, await startEntry(t, endpoints, { maxAttempts: 1 }))
+})
+
+// Guards against a crash that goes unnoticed because the endpoint is back before it is probed.
+test('a crash is found out by the next start of its endpoint', async t => {
+  const endpoints = await startEndpoints(t, afterEvent, { acceptsForMs: 60_000 })
+  const entry = await startEntry(t, endpoints, { kind: 'stream', maxAttempts: 1 })
+  const restarted = new Set<helper.TestEndpoint>()
+  for (let i = 0; i < SENDS; i++) {
+    await sendCrashing(entry)
+    await timers.setTimeout(SEND_INTERVAL_MS / 2)
+    for (const endpoint of endpoints.filter(item => item.requests.length > 0 && !restarted.has(item))) {
+      restarted.add(endpoint)
+      entry.announce(endpoint, { id: `${endpoint.id}-again`, startedAt: 2 })
+    }
+  }
+  t.is(endpoints.reduce((sum, item) => sum + item.requests.length, 0), MAX_CRASHES)
+})
+
+// Guards against requests beside the crashing one that take the blame, or hide it.
+test('a crashing request is quarantined beside many others, which are not', async t => {
+  const endpoints = await startEndpoints(t, afterEvent)
+  const entry = await startEntry(t, endpoints, { kind: 'stream', maxAttempts: 1 })
+  const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
+  // One request is in flight at all endpoints, so it is lost in each crash.
+  const popular = Array.from({ length: 4 * ENDPOINTS }, async () => await entry.send({ method: 'POST', path: '/a/popular', body: 'popular', headers: DEADLINE }).catch(() => undefined))
+  await until(() => endpoints.every(item => item.requests.some(req => req.url === '/a/popular')))
+  await checkCrashing(t, endpoints, entry)
+  t.true(await reaches(entry, endpoints, '/a/popular', 'popular'))
+  for (let i = 0; i < 30; i++) t.true(await reaches(entry, endpoints, '/a/other', `other ${i}`))
+  entry.server.destroy()
+  await Promise.all([...others, ...popular])
+})
+
+for (const change of [{ maxAttempts: 2 }, { kind: 'stream' as const, maxAttempts: 1 }, { kind: 'stream' as const, isResumable: true, maxAttempts: 2 }]) {
+  const name = [change.kind ?? 'idempotent', change.isResumable === true ? ', resumable' : ''].join('')
+  // Guards against rejecting a request that was in flight everywhere when endpoints were lost for another reason.
+  test(`a popular request is served after four endpoints are lost at once: ${name}`, async t => {
+    const endpoints = await startEndpoints(t, beforeResponse)
+    const entry = await startEntry(t, endpoints, change)
+    const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
+    const popular = Array.from({ length: 4 * ENDPOINTS }, async () => await entry.send({ method: 'POST', path: '/a/popular', body: 'popular', headers: DEADLINE }).catch(() => undefined))
+    await until(() => endpoints.every(item => item.requests.some(req => req.url === '/a/popular')))
+    for (const endpoint of endpoints.slice(0, 4)) endpoint.close()
+    for (let i = 0; i < 4; i++) {
+      t.true(await reaches(entry, endpoints, '/a/popular', 'popular'))
+      await timers.setTimeout(300)
+    }
+    entry.server.destroy()
+    await Promise.all([...others, ...popular])
+  })
+}
+
+// Guards against rejecting a request that follows crashes but has since succeeded.
+test('crashes before a completed run do not count', async t => {
+  let isCrashing = true
+  const endpoints: helper.TestEndpoint[] = []
+  for (let i = 0; i < 6; i++) endpoints.push(await helper.startEndpoint(`e${i}`, (req, res, count) => { if (isCrashing) endpoints[i].close(); else helper.healthy(req, res, count) }))
+  const entry = await startEntry(t, endpoints, { maxAttempts: 1 })
+  t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  const crash = async (): Promise<void> => {
+    isCrashing = true
+    await sendCrashing(entry)
+    await timers.setTimeout(100)
+    isCrashing = false
+  }
+  await crash()
+  await crash()
+  t.is((await sendCrashing(entry)).status, 200)
+  await crash()
+  t.is((await sendCrashing(entry)).status, 200)
+})
+
+/** Waits until a condition holds. */
+async function until (isMet: () => boolean): Promise<void> {
+  for (let i = 0; i < 500 && !isMet(); i++) await timers.setTimeout(10)
+  if (!isMet()) throw new Error('the condition was not met within 5 s')
+}
+
+/** Returns whether a request reaches an endpoint; it is then left in flight. */
+async function reaches (entry: helper.TestEntry, endpoints: helper.TestEndpoint[], path: string, body: string): Promise<boolean> {
+  const count = (): number => endpoints.reduce((sum, item) => sum + item.requests.filter(req => req.url === path && req.body === body).length, 0)
+  const before = count()
+  const answer = entry.send({ method: 'POST', path, body, headers: DEADLINE }).catch(() => undefined)
+  const arrival = until(() => count() > before).catch(() => undefined)
+  await Promise.race([answer, arrival])
+  return count() > before
+}
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -39,6 +39,8 @@
   connections: () => number
   /** Stops accepting connections; open ones are kept. */
   stopListening: () => void
+  /** Resets all connections and keeps accepting new ones. */
+  disconnect: () => void
   close: () => void
 }
 
@@ -81,6 +83,7 @@
     requests,
     connections: () => sockets.size,
     stopListening () { server.close() },
+    disconnect () { for (const socket of sockets) socket.resetAndDestroy() },
     close () {
       server.close()
       for (const socket of sockets) socket.destroy()
