fix(forwarding): a crash counts on every path of a response, and by what else explains it

Cause: a loss was recorded where a path happened to do so: streams that may not be resumed, and those that broke before their first event, ended without a record; retries and resumptions of one attempt did not ask the quarantine again. And each crash counted fully against whatever was in flight, so that recording more of them alone would have rejected popular requests after any outage of three endpoints. Evidence: crashQuarantine.test.ts on the code before, 9 of 9 endpoints on three kinds of route, 503 for a request that was in flight at nine endpoints of which four were lost. Why it works: a run cannot end without being recorded, and the retry loops ask before each send.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -73,6 +73,7 @@
   linesDropped: spec(1507, 'warn', 'log lines dropped because the output buffer was full', 'Expected in bursts; the metrics are still complete.'),
   responseLost: spec(1508, 'info', 'response of an endpoint broke off'),
   requestSuspected: spec(1509, 'info', 'request was in flight at an endpoint that went down'),
+  requestCleared: spec(1510, 'info', 'suspected request completed; its earlier crashes no longer count'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/__tests__/crashQuarantine.test.ts
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -30,14 +30,14 @@
 }
 
 /** Starts endpoints that crash with the request {@link CRASHING} and keep all others in flight. */
-async function startEndpoints (t: ava.ExecutionContext, crash: Crash, opts: { count?: number, acceptsForMs?: number } = {}): Promise<helper.TestEndpoint[]> {
+async function startEndpoints (t: ava.ExecutionContext, crash: Crash, opts: { acceptsForMs?: number, /** Whether it accepts connections again at once. */ isRestarted?: boolean } = {}): Promise<helper.TestEndpoint[]> {
   const endpoints: helper.TestEndpoint[] = []
-  for (let i = 0; i < (opts.count ?? ENDPOINTS); i++) {
+  for (let i = 0; i < (ENDPOINTS); i++) {
     endpoints.push(await helper.startEndpoint(`e${i}`, (req, res) => {
       if (req.url !== CRASHING) return
       crash(req, res, () => {
         endpoints[i].disconnect()
-        setTimeout(() => { endpoints[i].close() }, opts.acceptsForMs ?? 0)
+        if (opts.isRestarted !== true) setTimeout(() => { endpoints[i].close() }, opts.acceptsForMs ?? 0)
       })
     }))
   }
@@ -100,15 +100,16 @@
 
 // Guards against a crash that goes unnoticed because the endpoint is back before it is probed.
 test('a crash is found out by the next start of its endpoint', async t => {
-  const endpoints = await startEndpoints(t, afterEvent, { acceptsForMs: 60_000 })
+  const endpoints = await startEndpoints(t, afterEvent, { isRestarted: true })
   const entry = await startEntry(t, endpoints, { kind: 'stream', maxAttempts: 1 })
-  const restarted = new Set<helper.TestEndpoint>()
+  const starts = new Map(endpoints.map(item => [item, 0]))
   for (let i = 0; i < SENDS; i++) {
     await sendCrashing(entry)
     await timers.setTimeout(SEND_INTERVAL_MS / 2)
-    for (const endpoint of endpoints.filter(item => item.requests.length > 0 && !restarted.has(item))) {
-      restarted.add(endpoint)
-      entry.announce(endpoint, { id: `${endpoint.id}-again`, startedAt: 2 })
+    for (const endpoint of endpoints) {
+      if (starts.get(endpoint) === endpoint.requests.length) continue
+      starts.set(endpoint, endpoint.requests.length)
+      entry.announce(endpoint, { id: `${endpoint.id}-${endpoint.requests.length}`, startedAt: 1 + endpoint.requests.length })
     }
   }
   t.is(endpoints.reduce((sum, item) => sum + item.requests.length, 0), MAX_CRASHES)
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -1,15 +1,25 @@
 /** Records the results of attempts: in the request log, the metrics, the endpoint pool, outlier detection and crash quarantine. */
 import type * as attempts from './attempt.js'
+import type * as crashQuarantines from './crashQuarantine.js'
 import * as clientCalls from './clientCall.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
+import type * as entryContexts from '../instance/entryContext.js'
 import * as requestStates from './requestState.js'
 
 /** A response that is missing for this multiple of the target latency counts as missed, also if the client disconnected. */
 const UNRESPONSIVE_TARGETS = 2
 
+/** A request that was sent to an endpoint. */
+export interface SentRequest {
+  endpoint: endpointPools.Endpoint
+  /** Time at which it was sent, on the monotonic clock. */
+  sentAt: number
+  run: crashQuarantines.Run
+}
+
 /** Records the outcome of an attempt for the log and the metrics. */
-export function recordAttempt (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, outcome: string, sentAt: number, why = 'resume'): void {
+export function recordAttempt (call: clientCalls.ClientCall, { endpoint, sentAt }: SentRequest, outcome: string, why = 'resume'): void {
   call.attempts.push({ endpoint: endpoint.id, why, outcome, ms: Math.round(call.ctx.now() - sentAt) })
   call.ctx.metrics.attempts.inc({ service: call.service, outcome: outcome.split(':')[0] })
 }
@@ -17,27 +27,31 @@
 /**
  * Records the result of an attempt before the response body is read: whether the endpoint is reachable, whether it may have run the
  * request, and whether it is down.
+ * @returns when it is known whether the endpoint of a lost response is down
  */
-export function recordResult (call: clientCalls.ClientCall, state: requestStates.RequestState, endpoint: endpointPools.Endpoint, result: attempts.AttemptResult, sentAt: number): void {
+export async function recordResult (call: clientCalls.ClientCall, state: requestStates.RequestState, sent: SentRequest, result: attempts.AttemptResult): Promise<void> {
   const { ctx } = call
+  const { endpoint, run, sentAt } = sent
   switch (result.kind) {
     case 'unreachable':
-      if (!call.aborter.signal.aborted) recordUnreachable(call, endpoint, result)
+      run.end('inconclusive', ctx.now())
+      if (!call.aborter.signal.aborted) recordUnreachable(ctx, endpoint, result)
       break
     case 'notRun':
+      run.end('inconclusive', ctx.now())
       state.sends++
-      ctx.pool.markReachable(endpoint, ctx.now())
+      markReachable(ctx, endpoint)
       if (result.status === 421) ctx.pool.markMisdirected(endpoint, ctx.now())
       else recordOutcome(call, endpoint, true)
       break
     case 'lost':
       requestStates.recordRun(call, state)
       recordMissingResponse(call, endpoint, sentAt)
-      recordLoss(call, endpoint, state.fingerprint)
+      await recordLoss(call, sent)
       break
     case 'response':
       requestStates.recordRun(call, state)
-      ctx.pool.markReachable(endpoint, ctx.now())
+      markReachable(ctx, endpoint)
   }
 }
 
@@ -54,33 +68,43 @@
   if (!wasAbortedEarly) recordOutcome(call, endpoint, true)
 }
 
-/** Records a connection failure, and reports the requests that were lost with the endpoint as crashes. */
-export function recordUnreachable (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): void {
-  const { ctx } = call
+/** Records a connection failure; the responses that the endpoint lost become crashes. */
+export function recordUnreachable (ctx: entryContexts.EntryContext, endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): void {
   ctx.pool.markUnreachable(endpoint, ctx.now(), failure)
-  const reports = ctx.quarantine.confirmDown(toIncarnation(endpoint), ctx.now())
-  if (reports.length > 0) ctx.gossip.sendCrashReports(reports)
+  ctx.quarantine.confirmDown(endpointPools.toIncarnation(endpoint), ctx.now())
 }
 
-/** Records a response that broke off. */
-export function recordBrokenResponse (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
-  recordOutcome(call, endpoint, true)
-  recordLoss(call, endpoint, fingerprint)
+/**
+ * Records a response that broke off.
+ * @returns when it is known whether its endpoint is down
+ */
+export async function recordBrokenResponse (call: clientCalls.ClientCall, sent: SentRequest): Promise<void> {
+  recordOutcome(call, sent.endpoint, true)
+  await recordLoss(call, sent)
 }
 
-/** Records a lost response. */
-function recordLoss (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, fingerprint: string): void {
-  if (call.aborter.signal.aborted) return
-  // The idle connections to the endpoint are probably broken too.
-  call.ctx.pool.closeIdleConnections(endpoint)
-  call.ctx.log.event('responseLost', { request: call.attemptId, fingerprint, endpoint: endpoint.id })
-  call.ctx.quarantine.recordLoss(fingerprint, toIncarnation(endpoint), call.ctx.now())
-  // Probing immediately confirms a crash before further requests are sent to the endpoint.
-  void endpointProbes.probeEndpoint(endpoint).then(failure => {
-    if (failure !== undefined) recordUnreachable(call, endpoint, failure)
-  })
+/** Records a complete response. */
+export function recordCompleteResponse (call: clientCalls.ClientCall, sent: SentRequest, status: number): void {
+  sent.run.end(status < 500 ? 'completed' : 'inconclusive', call.ctx.now())
 }
 
-function toIncarnation (endpoint: endpointPools.Endpoint): string {
-  return `${endpoint.id}@${endpoint.record.startedAt}`
+function markReachable (ctx: entryContexts.EntryContext, endpoint: endpointPools.Endpoint): void {
+  ctx.pool.markReachable(endpoint, ctx.now())
+  ctx.quarantine.confirmUp(endpointPools.toIncarnation(endpoint))
+}
+
+async function recordLoss (call: clientCalls.ClientCall, { endpoint, run }: SentRequest): Promise<void> {
+  const { ctx } = call
+  if (call.aborter.signal.aborted) {
+    run.end('abandoned', ctx.now())
+    return
+  }
+  // The idle connections to the endpoint are probably broken too.
+  ctx.pool.closeIdleConnections(endpoint)
+  ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id })
+  run.end('lost', ctx.now())
+  // Probing immediately confirms a crash before further requests are sent to the endpoint.
+  const probe = endpointProbes.probeEndpoint(endpoint).then(failure => { if (failure !== undefined) recordUnreachable(ctx, endpoint, failure) })
+  // If this crash may quarantine the request, it must not be retried before.
+  if (ctx.quarantine.isSuspected(call.fingerprint)) await probe
 }
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -7,6 +7,7 @@
 import * as attemptWatchdogs from './attemptWatchdog.js'
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
+import * as crashQuarantines from './crashQuarantine.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as outgoingRequests from './outgoingRequest.js'
 import * as priorities from '../admission/priority.js'
@@ -36,7 +37,7 @@
   call: clientCalls.ClientCall
   state: requestStates.RequestState
   selected: selectEndpoints.SelectedEndpoint
-  sentAt: number
+  sent: attemptRecorders.SentRequest
   remainingMs: number
   /** Whether another endpoint may run the request if this attempt fails. */
   mayRunAgain: boolean
@@ -45,11 +46,8 @@
 /** Forwards an admitted request and returns the outcome for the log. */
 export async function forward (call: clientCalls.ClientCall): Promise<string> {
   const { ctx } = call
-  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) {
-    return clientResponses.sendRefusal(call, { kind: 'unavailable', why: 'this request crashed the endpoints that ran it', cause: { kind: 'quarantined' } })
-  }
   ctx.retryBudget(call.service).recordRequest(ctx.now())
-  const state = requestStates.createRequestState(call.fingerprint)
+  const state = requestStates.createRequestState()
   while (true) {
     const next = await attemptOnce(call, state)
     switch (next.kind) {
@@ -65,6 +63,8 @@
 async function attemptOnce (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<Next> {
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
+  // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
+  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return failQuarantined(call)
   const remainingMs = call.deadlineAt - ctx.now()
   if (call.aborter.signal.aborted || remainingMs < clientResponses.MIN_REMAINING_MS) return { kind: 'fail', why: 'the deadline has passed' }
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
@@ -73,18 +73,25 @@
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'fail', why: 'the retry budget is exhausted' }
   const { endpoint } = selected
-  selectEndpoints.recordSend(call, state.tried, selected)
+  const sent = selectEndpoints.recordSend(call, state.tried, selected)
   try {
-    return await runAttempt({ call, state, selected, remainingMs, sentAt: ctx.now(), mayRunAgain: requestStates.mayRun(route, state.runs + 1) })
+    return await runAttempt({ call, state, selected, sent, remainingMs, mayRunAgain: requestStates.mayRun(route, state.runs + 1) })
   } finally {
     endpoint.inFlight--
+    sent.run.end('abandoned', ctx.now())
   }
 }
 
+function failQuarantined (call: clientCalls.ClientCall): Next {
+  const why = crashQuarantines.QUARANTINED_WHY
+  if (call.mayHaveRun) return { kind: 'fail', why }
+  return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined' } }) }
+}
+
 async function runAttempt (attempt: Attempt): Promise<Next> {
-  const { call, state, selected: { endpoint } } = attempt
+  const { call, state, sent } = attempt
   const result = await send(attempt)
-  attemptRecorders.recordResult(call, state, endpoint, result, attempt.sentAt)
+  await attemptRecorders.recordResult(call, state, sent, result)
   switch (result.kind) {
     case 'unreachable':
       record(attempt, `unreachable: ${result.why}`)
@@ -102,13 +109,12 @@
 
 /** Sends the request and waits for the response headers. */
 async function send (attempt: Attempt): Promise<attempts.AttemptResult> {
-  const { call, state, selected, remainingMs, sentAt, mayRunAgain } = attempt
+  const { call, state, selected, sent: { endpoint, sentAt }, remainingMs, mayRunAgain } = attempt
   const { ctx, route } = call
-  const { endpoint } = selected
   const pending = endpoint.queueDelay.onSent(sentAt)
   const down = new AbortController()
   const stopWatchdog = attemptWatchdogs.startWatchdog(endpoint, attemptWatchdogs.toProbeDelayMs(route.targetMs), failure => {
-    attemptRecorders.recordUnreachable(call, endpoint, failure)
+    attemptRecorders.recordUnreachable(ctx, endpoint, failure)
     // An attempt that cannot be retried continues: the endpoint may still respond on its open connection.
     if (mayRunAgain) down.abort(failure.why)
   })
@@ -127,16 +133,12 @@
 
 /** Relays an event stream, and resumes it at another endpoint if it breaks off. */
 async function forwardStream (attempt: Attempt, result: relayStreams.OpenResponse): Promise<Next> {
-  const { call, state, selected: { endpoint } } = attempt
+  const { call, state, sent } = attempt
   call.firstByteAt = call.ctx.now()
-  attemptRecorders.recordOutcome(call, endpoint, isLate(attempt))
+  attemptRecorders.recordOutcome(call, sent.endpoint, isLate(attempt))
   const relayed = await relayStreams.relayStream(call, {
-    response: result,
-    endpoint,
-    resume: async (lastId, broken) => {
-      attemptRecorders.recordBrokenResponse(call, broken, state.fingerprint)
-      return await resumeStreams.resumeStream(call, state, lastId)
-    }
+    source: { sent, response: result },
+    resume: async lastId => await resumeStreams.resumeStream(call, state, lastId)
   })
   record(attempt, relayed.outcome)
   return relayed.kind === 'unstarted' ? afterLoss(attempt, relayed.outcome) : { kind: 'done', outcome: relayed.outcome }
@@ -144,16 +146,17 @@
 
 /** Buffers a response and sends it to the client once it is complete. */
 async function forwardBuffered (attempt: Attempt, result: relayStreams.OpenResponse): Promise<Next> {
-  const { call, state, selected: { endpoint } } = attempt
+  const { call, state, sent } = attempt
   const buffered = await attempts.readBody(result, call.aborter.signal, MAX_BUFFERED_BYTES)
   if (buffered.kind === 'broken') {
     record(attempt, `lost: ${buffered.why}`)
-    attemptRecorders.recordBrokenResponse(call, endpoint, state.fingerprint)
+    await attemptRecorders.recordBrokenResponse(call, sent)
     return afterLoss(attempt, buffered.why)
   }
   const status = result.res.statusCode ?? 0
   record(attempt, String(status))
-  attemptRecorders.recordOutcome(call, endpoint, isLate(attempt) || status >= 500)
+  attemptRecorders.recordCompleteResponse(call, sent, status)
+  attemptRecorders.recordOutcome(call, sent.endpoint, isLate(attempt) || status >= 500)
   const response = { res: result.res, body: buffered.body }
   // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
   if (status >= 500 && status !== 504 && attempt.mayRunAgain) {
@@ -168,11 +171,11 @@
 }
 
 function record (attempt: Attempt, outcome: string): void {
-  attemptRecorders.recordAttempt(attempt.call, attempt.selected.endpoint, outcome, attempt.sentAt, attempt.selected.why)
+  attemptRecorders.recordAttempt(attempt.call, attempt.sent, outcome, attempt.selected.why)
 }
 
 function isLate (attempt: Attempt): boolean {
-  const { call: { ctx, route }, sentAt } = attempt
+  const { call: { ctx, route }, sent: { sentAt } } = attempt
   return route.targetMs > 0 && ctx.now() - sentAt > route.targetMs
 }
 
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -5,8 +5,6 @@
 
 /** Retry state of a request. */
 export interface RequestState {
-  /** Identifies the request across retries. */
-  readonly fingerprint: string
   /** Ids of the endpoints that were tried. */
   readonly tried: Set<string>
   /** Number of endpoints that received the request, whether they ran it or not. */
@@ -17,8 +15,8 @@
   fallback: clientResponses.BufferedResponse | undefined
 }
 
-export function createRequestState (fingerprint: string): RequestState {
-  return { fingerprint, tried: new Set(), sends: 0, runs: 0, fallback: undefined }
+export function createRequestState (): RequestState {
+  return { tried: new Set(), sends: 0, runs: 0, fallback: undefined }
 }
 
 /** Returns whether one more endpoint may run a request. */
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -99,6 +99,11 @@
   return endpoint.coldUntil > now || now - endpoint.suspectedColdAt < coldStartMs
 }
 
+/** Returns a key that tells the starts of an endpoint apart. */
+export function toIncarnation (endpoint: Endpoint): string {
+  return `${endpoint.id}@${endpoint.record.startedAt}`
+}
+
 /** Creates an empty pool. */
 export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
   const endpointById = new Map<string, Endpoint>()
--- a/packages/forwarding/src/gossip/gossipTypes.ts
+++ b/packages/forwarding/src/gossip/gossipTypes.ts
@@ -13,7 +13,8 @@
   /** Endpoint id, requests in flight, and queue delay in milliseconds or null if unknown. */
   loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })),
+  /** What the sender knows about requests that are suspected of crashing endpoints; see `CrashReport`. */
+  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()), agoMs: z.number().default(0), isCleared: z.boolean().default(false), hasSurvivors: z.boolean().default(false) })),
   /** Document version of the sender. */
   document: z.number().default(0),
   /**
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -1,6 +1,7 @@
 /** Selects the endpoint of a request from the current state of the endpoint pool. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as admission from '../admission/admission.js'
+import type * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as chooseEndpoints from './chooseEndpoint.js'
 import type * as clientCalls from '../attempts/clientCall.js'
 import * as coldLimiters from './coldLimiter.js'
@@ -48,12 +49,18 @@
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address, isLimited: isLimited(endpoint) }
 }
 
-/** Records that the request is sent to the selected endpoint. Its `inFlight` is to be decremented when the endpoint is done with it. */
-export function recordSend (call: clientCalls.ClientCall, tried: Set<string>, selected: SelectedEndpoint): void {
+/**
+ * Records that the request is sent to the selected endpoint. Its `inFlight` is to be decremented, and its run to be ended, when the
+ * endpoint is done with it.
+ */
+export function recordSend (call: clientCalls.ClientCall, tried: Set<string>, selected: SelectedEndpoint): attemptRecorders.SentRequest {
   const { endpoint } = selected
+  const { ctx } = call
+  const sentAt = ctx.now()
   tried.add(endpoint.id)
   endpoint.inFlight++
-  if (selected.isLimited) call.ctx.coldLimiter.recordSend(endpoint.id, call.ctx.now())
+  if (selected.isLimited) ctx.coldLimiter.recordSend(endpoint.id, sentAt)
+  return { endpoint, sentAt, run: ctx.quarantine.startRun(call.fingerprint, endpointPools.toIncarnation(endpoint), sentAt) }
 }
 
 /**
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -5,8 +5,8 @@
 import * as http from 'node:http'
 import * as abortResponses from './abortResponse.js'
 import * as attempts from '../attempts/attempt.js'
+import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as endpointPools from '../endpoints/endpointPool.js'
 import * as eventBatchers from './eventBatcher.js'
 import * as eventStreams from './eventStream.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
@@ -14,18 +14,19 @@
 /** A response whose body was not read yet. */
 export type OpenResponse = Extract<attempts.AttemptResult, { kind: 'response' }>
 
+/** An endpoint that sends a stream. */
+export interface StreamSource { sent: attemptRecorders.SentRequest, response: OpenResponse }
+
 /** Result of resuming a stream at another endpoint. */
 export type ResumeResult =
-  | { kind: 'stream', endpoint: endpointPools.Endpoint, response: OpenResponse }
+  | { kind: 'stream', source: StreamSource }
   | { kind: 'none', why: string }
 
 /** Options of {@link relayStream}. */
 export interface RelayOptions {
-  response: OpenResponse
-  /** The endpoint that sent the response. */
-  endpoint: endpointPools.Endpoint
+  source: StreamSource
   /** Requests the events after `lastEventId` from another endpoint. */
-  resume: (lastEventId: string | undefined, broken: endpointPools.Endpoint) => Promise<ResumeResult>
+  resume: (lastEventId: string | undefined) => Promise<ResumeResult>
 }
 
 /** Result of a relay: completed, broken off, or broken before anything was sent to the client. */
@@ -44,11 +45,10 @@
 export async function relayStream (call: clientCalls.ClientCall, opts: RelayOptions): Promise<RelayResult> {
   const { res, route, ctx } = call
   const isResumable = route.isResumable
-  const first = opts.response.res
+  const first = opts.source.response.res
   let isStarted = false
   let lastId: string | undefined
-  let source = opts.response
-  let resumeEndpoint: endpointPools.Endpoint | undefined
+  let source = opts.source
   let resumedAfter: string | undefined
 
   const start = (): void => {
@@ -105,15 +105,23 @@
     return { kind: 'end' }
   }
 
-  const onAbort = (): void => { source.abort() }
+  /** Ends the accounting of a source that the relay has resumed the stream at. */
+  const endResumed = (): void => {
+    if (source === opts.source) return
+    source.sent.endpoint.inFlight--
+    source.sent.run.end('abandoned', ctx.now())
+  }
+
+  const onAbort = (): void => { source.response.abort() }
   call.aborter.signal.addEventListener('abort', onAbort)
   try {
     while (true) {
-      const end = await relayPart(source)
+      const end = await relayPart(source.response)
       batcher.flush()
-      if (end.kind !== 'end') source.abort()
+      if (end.kind !== 'end') source.response.abort()
       switch (end.kind) {
         case 'end':
+          attemptRecorders.recordCompleteResponse(call, source.sent, source.response.res.statusCode ?? 0)
           if (!isStarted) start()
           res.end()
           return { kind: 'done', outcome: resumedAfter === undefined ? '200' : '200 resumed' }
@@ -121,22 +129,22 @@
           abortResponses.abortResponse(res)
           return { kind: 'broken', outcome: `stopped: ${end.why}` }
         case 'broken': {
+          await attemptRecorders.recordBrokenResponse(call, source.sent)
           if (!isStarted && resumedAfter === undefined) return { kind: 'unstarted', outcome: `lost: ${end.why}` }
-          const resumed: ResumeResult = isResumable ? await opts.resume(lastId, resumeEndpoint ?? opts.endpoint) : { kind: 'none', why: 'the route is not resumable' }
+          const resumed: ResumeResult = isResumable ? await opts.resume(lastId) : { kind: 'none', why: 'the route is not resumable' }
           if (resumed.kind === 'none') {
             abortResponses.abortResponse(res)
             return { kind: 'broken', outcome: `broken: ${end.why}; ${resumed.why}` }
           }
-          if (resumeEndpoint !== undefined) resumeEndpoint.inFlight--
-          resumeEndpoint = resumed.endpoint
-          source = resumed.response
+          endResumed()
+          source = resumed.source
           resumedAfter = lastId ?? ''
-          call.attempts.push({ endpoint: resumeEndpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
+          call.attempts.push({ endpoint: source.sent.endpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
         }
       }
     }
   } finally {
-    if (resumeEndpoint !== undefined) resumeEndpoint.inFlight--
+    endResumed()
     call.aborter.signal.removeEventListener('abort', onAbort)
   }
 }
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -3,6 +3,7 @@
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
 import * as clientResponses from '../attempts/clientResponse.js'
+import * as crashQuarantines from '../attempts/crashQuarantine.js'
 import * as outgoingRequests from '../attempts/outgoingRequest.js'
 import * as relayStreams from './relayStream.js'
 import * as requestStates from '../attempts/requestState.js'
@@ -18,14 +19,14 @@
   while (sends < selectEndpoints.MAX_SENDS) {
     const remainingMs = call.deadlineAt - ctx.now()
     if (call.aborter.signal.aborted || remainingMs < clientResponses.MIN_REMAINING_MS) return { kind: 'none', why: 'the deadline has passed' }
+    if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return { kind: 'none', why: crashQuarantines.QUARANTINED_WHY }
     if (!requestStates.mayRun(route, state.runs)) return { kind: 'none', why: 'no further attempt is allowed' }
     const selected = selectEndpoints.selectEndpoint(call, state.tried, Infinity)
     if (selected.kind !== 'selected') return { kind: 'none', why: 'no further endpoint is available' }
     if (!ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'none', why: 'the retry budget is exhausted' }
     const { endpoint } = selected
-    selectEndpoints.recordSend(call, state.tried, selected)
+    const sent = selectEndpoints.recordSend(call, state.tried, selected)
     sends++
-    const sentAt = ctx.now()
     const result = await attempts.sendAttempt({
       endpoint,
       request: outgoingRequests.toOutgoingRequest(call, selected, remainingMs, lastEventId),
@@ -33,25 +34,26 @@
       signal: call.aborter.signal,
       responseTimeoutMs: remainingMs
     })
-    attemptRecorders.recordResult(call, state, endpoint, result, sentAt)
+    await attemptRecorders.recordResult(call, state, sent, result)
     switch (result.kind) {
       case 'response': {
         const status = result.res.statusCode ?? 0
-        // The relay decrements inFlight when the stream ends.
-        if (outgoingRequests.isEventStream(result.res) && status < 300) return { kind: 'stream', endpoint, response: result }
-        attemptRecorders.recordAttempt(call, endpoint, `no stream ${status}`, sentAt)
+        // The relay decrements inFlight and ends the run when the stream ends.
+        if (outgoingRequests.isEventStream(result.res) && status < 300) return { kind: 'stream', source: { sent, response: result } }
+        attemptRecorders.recordAttempt(call, sent, `no stream ${status}`)
         attemptRecorders.recordOutcome(call, endpoint, true)
         result.abort()
+        sent.run.end('inconclusive', ctx.now())
         break
       }
       case 'unreachable':
-        attemptRecorders.recordAttempt(call, endpoint, `unreachable: ${result.why}`, sentAt)
+        attemptRecorders.recordAttempt(call, sent, `unreachable: ${result.why}`)
         break
       case 'notRun':
-        attemptRecorders.recordAttempt(call, endpoint, `notRun ${result.status}`, sentAt)
+        attemptRecorders.recordAttempt(call, sent, `notRun ${result.status}`)
         break
       case 'lost':
-        attemptRecorders.recordAttempt(call, endpoint, `lost: ${result.why}`, sentAt)
+        attemptRecorders.recordAttempt(call, sent, `lost: ${result.why}`)
         endpoint.inFlight--
         return { kind: 'none', why: result.why }
     }
