fix(forwarding): a crash is found out after the first probe, and by the next start of the endpoint

Callers saw: a crashing request reached 8 or 9 of 9 endpoints where the port accepted connections for 100 ms more after the reset. Cause: one probe, right after the loss, decided; nothing looked again, and the announcement of a later start was no evidence.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -138,7 +138,7 @@
   const table = discovery.createRecordTable()
   const now = (): number => performance.now()
   const quarantine = crashQuarantines.createCrashQuarantine({ log })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, log })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
   const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts?.map(item => routeTables.clientAccount.parse(item)) ?? null, limits })
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -104,7 +104,7 @@
   ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id })
   run.end('lost', ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
-  const probe = endpointProbes.probeEndpoint(endpoint).then(failure => { if (failure !== undefined) recordUnreachable(ctx, endpoint, failure) })
+  const probe = endpointProbes.probeAfterLoss(endpoint, failure => { recordUnreachable(ctx, endpoint, failure) })
   // If this crash may quarantine the request, it must not be retried before.
   if (ctx.quarantine.isSuspected(call.fingerprint)) await probe
 }
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -74,6 +74,8 @@
   onSilence?: (endpoint: Endpoint, now: number) => void
   /** Called when an endpoint responds. */
   onAnswer?: (endpoint: Endpoint) => void
+  /** Called when a later start of an endpoint that was not leaving is announced, or of another one at its address. */
+  onRestart?: (endpoint: Endpoint) => void
   /** Returns whether a zone is unreachable while others are reachable; none by default. */
   isZoneAvoided?: (zone: string) => boolean
   /** An endpoint without an announcement for this time is unresponsive and not used, in milliseconds. */
@@ -133,7 +135,10 @@
       known.coldUntil = toColdUntil(record)
       return
     }
-    if (known !== undefined) release(known)
+    if (known !== undefined) {
+      noteRestart(known, record)
+      release(known)
+    }
     endpointById.set(record.id, {
       id: record.id,
       record,
@@ -152,12 +157,17 @@
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
     for (const other of endpointById.values()) {
       if (other.id !== record.id && other.record.address === record.address && other.record.startedAt < record.startedAt) {
+        noteRestart(other, record)
         release(other)
         endpointById.delete(other.id)
       }
     }
   }
 
+  const noteRestart = (endpoint: Endpoint, later: discovery.EndpointRecord): void => {
+    if (endpoint.record.state === 'ready' && later.startedAt > endpoint.record.startedAt) opts.onRestart?.(endpoint)
+  }
+
   const isMisdirected = (endpoint: Endpoint): boolean => {
     if (endpoint.misdirectedAt === undefined) return false
     return (opts.table.get(endpoint.id)?.lastSeenAt ?? -Infinity) <= endpoint.misdirectedAt
--- a/packages/forwarding/src/endpoints/endpointProbe.ts
+++ b/packages/forwarding/src/endpoints/endpointProbe.ts
@@ -1,5 +1,6 @@
 /** Probes whether an endpoint is down by opening a TCP connection to it. */
 import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
 import * as links from '@kingcupdeck/links'
 import * as attempts from '../attempts/attempt.js'
 import type * as endpointPools from './endpointPool.js'
@@ -7,6 +8,10 @@
 /** Why an endpoint could not be connected to. */
 export interface ProbeFailure { why: string, /** Whether nothing was received, as from a machine without power or behind a partition. */ isSilent: boolean }
 
+/** Delays of the further probes of an endpoint that lost a response but still accepts connections. */
+const REPEAT_DELAYS_MS = [150, 450, 1400]
+
+const repeatedProbes = new WeakMap<endpointPools.Endpoint, { count: number }>()
 const runningProbes = new WeakMap<endpointPools.Endpoint, Promise<ProbeFailure | undefined>>()
 
 /**
@@ -21,6 +26,36 @@
   return await probe
 }
 
+/**
+ * Probes an endpoint that lost a response: at once, and then a few times more, since a process that ends may accept connections until
+ * it is gone.
+ * @param onDown called when a probe fails; no further one is made
+ * @returns when the first probe has ended
+ */
+export async function probeAfterLoss (endpoint: endpointPools.Endpoint, onDown: (failure: ProbeFailure) => void): Promise<void> {
+  const failure = await probeEndpoint(endpoint)
+  if (failure !== undefined) {
+    onDown(failure)
+    return
+  }
+  const repeated = repeatedProbes.get(endpoint)
+  if (repeated === undefined) void repeatProbes(endpoint, onDown)
+  else repeated.count = 0
+}
+
+async function repeatProbes (endpoint: endpointPools.Endpoint, onDown: (failure: ProbeFailure) => void): Promise<void> {
+  const repeated = { count: 0 }
+  repeatedProbes.set(endpoint, repeated)
+  while (repeated.count < REPEAT_DELAYS_MS.length) {
+    await timers.setTimeout(REPEAT_DELAYS_MS[repeated.count++], undefined, { ref: false })
+    const failure = await probeEndpoint(endpoint)
+    if (failure === undefined) continue
+    onDown(failure)
+    break
+  }
+  repeatedProbes.delete(endpoint)
+}
+
 async function connect (address: string): Promise<ProbeFailure | undefined> {
   return await new Promise(resolve => {
     const socket = net.connect(links.parseAddress(address))
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -130,6 +130,7 @@
     onSilence (endpoint, at) {
       if (outages.recordSilence(endpoint.record.zone, endpoint.id, at)) void probeZone(endpoint.record.zone)
     },
+    onRestart (endpoint) { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') },
     onAnswer (endpoint) { outages.recordAnswer(endpoint.record.zone) },
     isZoneAvoided: outages.isAvoided,
     evacuatedZones: () => evacuations.zones,
