fix(forwarding): instances that missed crash reports receive them later

Cause: reports were sent once, to the neighbours of that moment. An instance asks for suspected requests for 5 s after its start, is told them when it is heard again after a silence, and each instance repeats them to one neighbour every 500 ms; a crash of a request that is quarantined here is answered with all that is known.

--- /dev/null
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -0,0 +1,126 @@
+/** Exchange of requests that are suspected of crashing endpoints. */
+import * as timers from 'node:timers/promises'
+import * as ava from 'ava'
+import type * as crashQuarantines from '../src/attempts/crashQuarantine.js'
+import * as helper from './helpers/testGossip.js'
+
+const test = ava.default
+const SMALL = 8
+const LARGE = 60
+const MAX_CRASHES = 3
+/** Time within which an instance knows what all others know. */
+const KNOWN_MS = 3000
+
+const now = (): number => performance.now()
+
+/** Loses runs of a request at endpoints that then are down. */
+function crash (quarantine: crashQuarantines.CrashQuarantine, fingerprint: string, endpoints: string[]): void {
+  for (const endpoint of endpoints) {
+    quarantine.startRun(fingerprint, endpoint, now()).end('lost', now())
+    quarantine.confirmDown(endpoint, now())
+  }
+}
+
+function countUnaware (fleet: helper.Fleet): number {
+  return fleet.instances.filter(item => !item.quarantine.isQuarantined('x', now())).length
+}
+
+async function isKnownEverywhere (fleet: helper.Fleet): Promise<boolean> {
+  for (const end = now() + KNOWN_MS; now() < end && countUnaware(fleet) > 0;) await timers.setTimeout(50)
+  return countUnaware(fleet) === 0
+}
+
+for (const count of [SMALL, LARGE]) {
+  // Guards against crash reports that an instance misses because it starts after they were sent.
+  test(`an instance that starts later knows the quarantined requests: ${count} instances`, async t => {
+    const fleet = helper.startFleet(t, count)
+    await timers.setTimeout(helper.SETTLE_MS)
+    crash(fleet.instances[1].quarantine, 'x', ['e1', 'e2', 'e3'])
+    await timers.setTimeout(100)
+    t.is(countUnaware(fleet), 0)
+    fleet.restart(0)
+    t.is(countUnaware(fleet), 1)
+    t.true(await isKnownEverywhere(fleet))
+  })
+
+  // Guards against crash reports that are lost with the last instance that received them.
+  test(`a quarantine outlasts a restart of every instance, one after the other: ${count} instances`, async t => {
+    const fleet = helper.startFleet(t, count)
+    await timers.setTimeout(helper.SETTLE_MS)
+    crash(fleet.instances[1].quarantine, 'x', ['e1', 'e2', 'e3'])
+    const step = count / SMALL
+    for (let i = 0; i < SMALL; i++) {
+      for (let k = 0; k < step; k++) fleet.restart(Math.floor(i * step + k))
+      await timers.setTimeout(KNOWN_MS / 2)
+    }
+    for (let i = Math.floor(SMALL * step); i < count; i++) fleet.restart(i)
+    t.true(await isKnownEverywhere(fleet))
+  })
+}
+
+// Guards against crash reports that an instance misses because its links are down when they are sent.
+test('an instance whose links were down knows the quarantined requests', async t => {
+  const fleet = helper.startFleet(t, SMALL)
+  await timers.setTimeout(500)
+  fleet.instances[0].isUp = false
+  crash(fleet.instances[1].quarantine, 'x', ['e1', 'e2', 'e3'])
+  await timers.setTimeout(200)
+  t.is(countUnaware(fleet), 1)
+  fleet.instances[0].isUp = true
+  t.true(await isKnownEverywhere(fleet))
+})
+
+// Guards against one more round of crashes at an instance that does not know the first ones.
+test('a crash at an instance that knows of no other makes it known there at once', async t => {
+  const fleet = helper.startFleet(t, SMALL)
+  await timers.setTimeout(500)
+  crash(fleet.instances[1].quarantine, 'x', ['e1', 'e2', 'e3'])
+  await timers.setTimeout(100)
+  fleet.restart(0)
+  crash(fleet.instances[0].quarantine, 'x', ['e4'])
+  await timers.setTimeout(50)
+  t.is(countUnaware(fleet), 0)
+})
+
+test('crashes at different instances add up', async t => {
+  const fleet = helper.startFleet(t, SMALL)
+  await timers.setTimeout(500)
+  for (let i = 0; i < MAX_CRASHES; i++) {
+    t.is(countUnaware(fleet), SMALL)
+    crash(fleet.instances[i].quarantine, 'x', [`e${i}`])
+    await timers.setTimeout(50)
+  }
+  t.is(countUnaware(fleet), 0)
+})
+
+// Guards against rejecting a request at instances that did not see that it survives elsewhere.
+test('a request that survives at endpoints of other instances is served everywhere', async t => {
+  const fleet = helper.startFleet(t, SMALL)
+  await timers.setTimeout(500)
+  const runs = fleet.instances.map(({ quarantine }, i) => quarantine.startRun('x', `e${i}`, now()))
+  await timers.setTimeout(100)
+  for (let i = 0; i < 4; i++) {
+    runs[i].end('lost', now())
+    fleet.instances[i].quarantine.confirmDown(`e${i}`, now())
+  }
+  for (let i = 0; i < 20; i++) {
+    await timers.setTimeout(100)
+    t.is(fleet.instances.filter(item => item.quarantine.isQuarantined('x', now())).length, 0)
+  }
+  runs[5].end('completed', now())
+  await timers.setTimeout(50)
+  for (const { quarantine } of fleet.instances) t.false(quarantine.isSuspected('x'))
+})
+
+// Guards against instances that answer each other's repeated reports without end.
+test('repeated reports cost an instance a bounded number of messages', async t => {
+  const fleet = helper.startFleet(t, LARGE)
+  await timers.setTimeout(helper.SETTLE_MS)
+  crash(fleet.instances[1].quarantine, 'x', ['e1', 'e2', 'e3'])
+  await timers.setTimeout(500)
+  for (const instance of fleet.instances) instance.sentCount = 0
+  await timers.setTimeout(helper.SETTLE_MS)
+  const mostPerSecond = 10 + 2
+  const perInstance = fleet.instances.reduce((sum, item) => sum + item.sentCount, 0) / LARGE
+  t.true(perInstance <= mostPerSecond * helper.SETTLE_MS / 1000, `${perInstance} messages of an instance`)
+})
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -2,135 +2,73 @@
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as fc from 'fast-check'
-import * as discovery from '@kingcupdeck/discovery'
-import type * as links from '@kingcupdeck/links'
-import * as crashQuarantines from '../src/attempts/crashQuarantine.js'
-import type * as endpointPools from '../src/endpoints/endpointPool.js'
-import * as gossipTypes from '../src/gossip/gossipTypes.js'
-import * as loadGossips from '../src/gossip/loadGossip.js'
 import * as loadSums from '../src/gossip/loadSums.js'
-import * as outlierDetectors from '../src/placement/outlierDetector.js'
+import * as helper from './helpers/testGossip.js'
 import * as relayChoices from '../src/gossip/relayChoice.js'
 
 const test = ava.default
-const ZONES = 5
-const ENDPOINTS = 20
-/** Several intervals of each of the three hops. */
-const SETTLE_MS = 3500
-
-interface Instance {
-  inner: string
-  endpoints: Array<{ id: string, inFlight: number, peerInFlight: number, peerQueueDelayMs: number | undefined }>
-  quarantine: crashQuarantines.CrashQuarantine
-  outliers: outlierDetectors.OutlierDetector
-  merged: () => number
-  evacuations: discovery.Evacuations
-  gossip: gossipTypes.Gossip
-  sentCount: number
-  isUp: boolean
-}
-
-/** Starts the gossip of a fleet whose links are function calls. */
-function startFleet (t: ava.ExecutionContext, count: number): Instance[] {
-  const instances = new Map<string, Instance>()
-  const records = Array.from({ length: count }, (_, i): discovery.EntryRecord => ({ kind: 'entry', id: `i${i}`, startedAt: 1, seq: 1, zone: `z${i % ZONES}`, region: 'r', front: `f${i}`, inner: `n${i}`, state: 'ready' }))
-  for (const record of records) {
-    const endpoints = Array.from({ length: ENDPOINTS }, (_, k) => ({ id: `e${k}`, inFlight: 0, peerInFlight: 0, peerQueueDelayMs: undefined, queueDelay: { estimateMs: () => undefined } }))
-    const quarantine = crashQuarantines.createCrashQuarantine()
-    const outliers = outlierDetectors.createOutlierDetector()
-    let merged = 0
-    const connect = async (address: string): Promise<links.Link> => {
-      const target = instances.get(address)
-      if (target === undefined || !target.isUp || !instance.isUp) throw new Error('unreachable')
-      return {
-        sendEncoded (event: links.EncodedEvent) {
-          instance.sentCount++
-          target.gossip.onUpdate(gossipTypes.gossipUpdate.parse(event.body), record.inner)
-        }
-      } as unknown as links.Link
-    }
-    const gossip = loadGossips.startGossip({
-      self: record,
-      peers: () => records.filter(item => item !== record && instances.get(item.inner)?.isUp !== false),
-      connect,
-      lastFailureAt: () => -Infinity,
-      pool: { all: () => endpoints, get: (id: string) => endpoints.find(item => item.id === id) } as unknown as endpointPools.EndpointPool,
-      quarantine,
-      outliers: { ...outliers, merge (list, now) { for (const [, attempts] of list) merged += attempts; outliers.merge(list, now) } },
-      documentVersion: () => 1,
-      evacuations: () => instance.evacuations,
-      onEvacuations (received) { if (received.revision > instance.evacuations.revision) instance.evacuations = received },
-      onDocumentVersion: () => {}
-    })
-    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, evacuations: discovery.NO_EVACUATIONS, gossip, sentCount: 0, isUp: true }
-    instances.set(record.inner, instance)
-  }
-  t.teardown(() => { for (const instance of instances.values()) instance.gossip.stop() })
-  return [...instances.values()]
-}
-
-function toKnownLoads (instance: Instance): number[] {
+function toKnownLoads (instance: helper.Instance): number[] {
   return instance.endpoints.map(item => item.inFlight + item.peerInFlight)
 }
 
-function toActualLoads (fleet: Instance[]): number[] {
+function toActualLoads (fleet: helper.Instance[]): number[] {
   return fleet[0].endpoints.map((_, k) => fleet.filter(item => item.isUp).reduce((sum, item) => sum + item.endpoints[k].inFlight, 0))
 }
 
-function setLoads (fleet: Instance[]): void {
+function setLoads (fleet: helper.Instance[]): void {
   fleet.forEach((instance, i) => {
-    instance.endpoints[i % ENDPOINTS].inFlight = 1
-    instance.endpoints[(i * 7 + 3) % ENDPOINTS].inFlight += 2
+    instance.endpoints[i % helper.ENDPOINTS].inFlight = 1
+    instance.endpoints[(i * 7 + 3) % helper.ENDPOINTS].inFlight += 2
   })
 }
 
 test('every instance of a large fleet knows the load of each endpoint', async t => {
-  const fleet = startFleet(t, 100)
-  await timers.setTimeout(SETTLE_MS)
+  const fleet = helper.startFleet(t, 100).instances
+  await timers.setTimeout(helper.SETTLE_MS)
   setLoads(fleet)
-  await timers.setTimeout(SETTLE_MS)
+  await timers.setTimeout(helper.SETTLE_MS)
   for (const instance of fleet) t.deepEqual(toKnownLoads(instance), toActualLoads(fleet))
 })
 
 // Updates from each instance to each other grew with the square of the fleet, so their interval had to grow with it.
 test('the messages of an instance do not grow with the fleet', async t => {
   const counts = await Promise.all([100, 200].map(async count => {
-    const fleet = startFleet(t, count)
-    await timers.setTimeout(SETTLE_MS)
+    const fleet = helper.startFleet(t, count).instances
+    await timers.setTimeout(helper.SETTLE_MS)
     setLoads(fleet)
     for (const instance of fleet) instance.sentCount = 0
-    await timers.setTimeout(SETTLE_MS)
+    await timers.setTimeout(helper.SETTLE_MS)
     return fleet.reduce((sum, item) => sum + item.sentCount, 0) / count
   }))
   t.true(counts[1] <= 1.15 * counts[0], `messages of an instance: ${counts.join(', ')}`)
   const mostPerSecond = 10
-  t.true(counts[1] <= mostPerSecond * SETTLE_MS / 1000, `messages of an instance: ${counts.join(', ')}`)
+  t.true(counts[1] <= mostPerSecond * helper.SETTLE_MS / 1000, `messages of an instance: ${counts.join(', ')}`)
 })
 
 // A relay that stops without notice must not leave its zone without loads, nor count them twice.
 test('the loads of a zone are known again after its relay is lost', async t => {
-  const fleet = startFleet(t, 60)
-  await timers.setTimeout(SETTLE_MS)
+  const fleet = helper.startFleet(t, 60).instances
+  await timers.setTimeout(helper.SETTLE_MS)
   setLoads(fleet)
-  await timers.setTimeout(SETTLE_MS)
+  await timers.setTimeout(helper.SETTLE_MS)
   const mostSent = [...fleet].sort((a, b) => b.sentCount - a.sentCount)
   mostSent[0].isUp = false
-  await timers.setTimeout(2 * SETTLE_MS)
+  await timers.setTimeout(2 * helper.SETTLE_MS)
   for (const instance of fleet.filter(item => item.isUp)) t.deepEqual(toKnownLoads(instance), toActualLoads(fleet))
 })
 
 test('each outcome is merged once by every other instance', async t => {
-  const fleet = startFleet(t, 60)
-  await timers.setTimeout(SETTLE_MS)
+  const fleet = helper.startFleet(t, 60).instances
+  await timers.setTimeout(helper.SETTLE_MS)
   for (const instance of fleet) instance.outliers.record('e1', true, performance.now())
-  await timers.setTimeout(SETTLE_MS)
+  await timers.setTimeout(helper.SETTLE_MS)
   for (const instance of fleet) t.is(instance.merged(), fleet.length - 1)
 })
 
 // A request that crashes endpoints is repeated at any instance within a second.
 test('crash reports reach all instances at once', async t => {
-  const fleet = startFleet(t, 100)
-  await timers.setTimeout(SETTLE_MS)
+  const fleet = helper.startFleet(t, 100).instances
+  await timers.setTimeout(helper.SETTLE_MS)
   fleet[42].gossip.sendCrashReports([{ fingerprint: 'x', crashed: ['e1', 'e2', 'e3'], agoMs: 0, isCleared: false, hasSurvivors: false }])
   await timers.setTimeout(50)
   t.is(fleet.filter(item => item !== fleet[42] && !item.quarantine.isQuarantined('x', performance.now())).length, 0)
@@ -162,9 +100,9 @@
 
 // The subscriptions of an instance may all be behind; it still learns from the others which zones are evacuated.
 test('an evacuation that one instance knows reaches a large fleet without load', async t => {
-  const fleet = startFleet(t, 60)
-  await timers.setTimeout(SETTLE_MS)
+  const fleet = helper.startFleet(t, 60).instances
+  await timers.setTimeout(helper.SETTLE_MS)
   fleet[7].evacuations = { revision: 3, zones: ['z1'] }
-  await timers.setTimeout(SETTLE_MS)
+  await timers.setTimeout(helper.SETTLE_MS)
   for (const instance of fleet) t.deepEqual(instance.evacuations, { revision: 3, zones: ['z1'] })
 })
--- a/packages/forwarding/src/gossip/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -5,7 +5,7 @@
 import * as timers from 'node:timers/promises'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
-import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+import * as crashGossips from './crashGossip.js'
 import type * as gossipTypes from './gossipTypes.js'
 import * as loadSums from './loadSums.js'
 import type * as outlierDetectors from '../placement/outlierDetector.js'
@@ -96,9 +96,9 @@
     }, SUM_INTERVAL_MS).unref()
   }
 
-  const sendTo = (addresses: readonly string[], update: Omit<gossipTypes.GossipUpdate, 't' | 'document' | 'evacuations'>): void => {
+  const sendTo = (addresses: readonly string[], update: Omit<gossipTypes.GossipUpdate, 't' | 'document' | 'evacuations' | keyof crashGossips.CrashContent> & Partial<crashGossips.CrashContent>): void => {
     if (addresses.length === 0) return
-    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), evacuations: discovery.toEvacuationField(opts.evacuations()), ...update } satisfies gossipTypes.GossipUpdate)
+    const encoded = links.encodeEvent({ t: 'peer', document: opts.documentVersion(), evacuations: discovery.toEvacuationField(opts.evacuations()), crashes: [], asksForCrashes: false, ...update } satisfies gossipTypes.GossipUpdate)
     for (const address of addresses) opts.connect(address).then(link => { link.sendEncoded(encoded) }, () => {})
   }
 
@@ -133,7 +133,7 @@
     const ownLoads = loadSums.sumLoads([own.loads, memberReports.sum(now())])
     const zoneOutcomes = loadSums.sumOutcomes([own.outcomes, outcomesForRelays])
     const memberOutcomes = loadSums.sumOutcomes([own.outcomes, outcomesForMembers])
-    const update = { loads: ownLoads, outcomes: zoneOutcomes, crashes: [], holders: toHolders() }
+    const update = { loads: ownLoads, outcomes: zoneOutcomes, holders: toHolders() }
     if (relays.own !== undefined) {
       echoes.noteSent(zoneOutcomes)
       sendTo([relays.own], { ...update, scope: 'members' })
@@ -141,7 +141,7 @@
       sendTo(relays.others, { ...update, scope: 'zone' })
     }
     const fleetLoads = relays.own === undefined ? loadSums.sumLoads([ownLoads, zoneReports.sum(now())]) : fleetReports.sum(now())
-    sendTo(members, { loads: fleetLoads, outcomes: memberOutcomes, crashes: [], holders: update.holders, scope: 'fleet' })
+    sendTo(members, { loads: fleetLoads, outcomes: memberOutcomes, holders: update.holders, scope: 'fleet' })
     lastSentLoads = own.loads
     outcomesForMembers = []
     outcomesForRelays = []
@@ -174,8 +174,9 @@
         intervalMs = (isQuiet ? IDLE_RELAY_INTERVAL_MS : RELAY_INTERVAL_MS) * (1 - RELAY_JITTER * Math.random())
       } else if (!isIdle || !wasIdle || hasNews) {
         // An idle instance sends one empty update, and then only new document versions and evacuations; an expired update counts as no load.
-        sendTo(peers.map(item => item.inner), { loads, outcomes, crashes: [], scope: 'instance', holders: [] })
+        sendTo(peers.map(item => item.inner), { loads, outcomes, scope: 'instance', holders: [] })
       }
+      crashGossip.tick()
       if (isDirect) intervalMs = GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * memberReports.senders(now()).length
       wasIdle = isIdle
       sentVersion = version
@@ -217,32 +218,33 @@
     }
   }
 
-  /** Sends crash reports on to the neighbours that have not seen them, at once: the request may be repeated at any instance. */
-  const forwardCrashes = (crashes: crashQuarantines.CrashReport[], from: string | undefined): void => {
-    const neighbours = [...memberReports.senders(now()), ...(relays.own === undefined ? relays.others : [relays.own])]
-    sendTo(neighbours.filter(address => address !== from), { loads: [], outcomes: [], crashes, scope: 'instance', holders: [] })
+  const crashGossip = crashGossips.createCrashGossip({
+    quarantine: opts.quarantine,
+    neighbours: () => isDirect ? opts.peers().map(item => item.inner) : [...memberReports.senders(now()), ...(relays.own === undefined ? relays.others : [relays.own])],
+    isDirect: () => isDirect,
+    // In a small fleet each update replaces the loads of the one before.
+    send (addresses, content) { sendTo(addresses, { loads: isDirect ? toOwnLoads() : [], outcomes: [], ...content, scope: 'instance', holders: [] }) },
+    now
+  })
+
+  /** Returns whether an update is the first recent one of an instance whose loads are counted here. */
+  const isNewMember = (update: gossipTypes.GossipUpdate, from: string): boolean => {
+    return update.crashes.length === 0 && (isDirect || update.scope === 'members') && !memberReports.has(from, now())
   }
 
   void run()
   return {
     onUpdate (update, from) {
-      const newCrashes = opts.quarantine.merge(update.crashes, now(), from)
-      if (!isDirect && newCrashes.length > 0) forwardCrashes(newCrashes, from)
+      crashGossip.onUpdate(update, from, isNewMember(update, from))
       if (update.evacuations !== undefined) opts.onEvacuations(update.evacuations, from)
       opts.onDocumentVersion(from, update.document)
       for (const address of update.holders) opts.onDocumentVersion(address, update.document)
-      // Crash reports that are sent on at once carry no loads.
-      if (update.crashes.length > 0 && !isDirect) return
+      // In a large fleet, updates about suspected requests carry no loads.
+      if ((update.crashes.length > 0 || update.asksForCrashes) && !isDirect) return
       receive(update, from)
       scheduleApply()
     },
-    sendCrashReports (crashes) {
-      if (!isDirect) {
-        forwardCrashes(crashes, undefined)
-        return
-      }
-      sendTo(opts.peers().map(item => item.inner), { loads: toOwnLoads(), outcomes: [], crashes, scope: 'instance', holders: [] })
-    },
+    sendCrashReports: crashGossip.sendReports,
     instanceCount: () => (peerCount > 0 ? peerCount : opts.peers().length) + 1,
     stop () {
       aborter.abort()
--- a/packages/forwarding/src/gossip/loadSums.ts
+++ b/packages/forwarding/src/gossip/loadSums.ts
@@ -8,6 +8,8 @@
 /** Latest loads by sender. */
 export interface LoadReports {
   set (sender: string, loads: readonly EndpointLoad[], now: number): void
+  /** Returns whether a report of a sender has not expired. */
+  has (sender: string, now: number): boolean
   /** Returns the senders of reports that have not expired. */
   senders (now: number): string[]
   /** Adds up all reports that have not expired; the queue delay is the median of those reported. */
@@ -28,6 +30,10 @@
   }
   return {
     set (sender, loads, now) { reports.set(sender, { loads, at: now }) },
+    has (sender, now) {
+      const report = reports.get(sender)
+      return report !== undefined && now - report.at <= ttlMs
+    },
     senders (now) {
       expire(now)
       return [...reports.keys()]
