feat(forwarding): quarantined requests outlast a restart of all entry instances at once

Change: entry records name quarantined requests; three instances announce each, at most ten a record.

--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -31,6 +31,11 @@
 /** An endpoint: one process of a service. */
 export type EndpointRecord = z.infer<typeof endpointRecord>
 
+/** A request that crashes endpoints, and the starts of endpoints that it crashed, as announced by an entry instance. */
+export const quarantinedRequest = z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })
+/** A request that crashes endpoints, and the starts of endpoints that it crashed, as announced by an entry instance. */
+export type QuarantinedRequest = z.infer<typeof quarantinedRequest>
+
 /** An entry instance: accepts requests of callers. */
 export const entryRecord = z.object({
   kind: z.literal('entry'),
@@ -39,7 +44,9 @@
   /** IP address and port for callers. */
   front: z.string(),
   /** IP address and port for the other instances. */
-  inner: z.string()
+  inner: z.string(),
+  /** Requests that no instance may send, so that they are known after a restart of all entry instances; absent if there are none. */
+  quarantined: z.array(quarantinedRequest).optional()
 })
 /** An entry instance: accepts requests of callers. */
 export type EntryRecord = z.infer<typeof entryRecord>
--- /dev/null
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -0,0 +1,49 @@
+/** Quarantined requests in the records of entry instances. */
+import * as timers from 'node:timers/promises'
+import * as ava from 'ava'
+import * as endpointHelper from './helpers/testEntry.js'
+import * as helper from './helpers/testFleet.js'
+import * as quarantineRecords from '../src/instance/quarantineRecords.js'
+
+const test = ava.default
+const ENDPOINTS = 9
+const MAX_CRASHES = 3
+const SENDS = 6
+/** Time within which a quarantine is announced. */
+const ANNOUNCED_MS = 1000
+
+// Guards against another round of crashes once no running instance knows of the first one.
+test('entry instances that are all restarted at once know the quarantined requests', async t => {
+  const control = await helper.startControl()
+  control.put(helper.toDocument(1, ['/a/']))
+  const endpoints: endpointHelper.TestEndpoint[] = []
+  for (let i = 0; i < ENDPOINTS; i++) endpoints.push(await endpointHelper.startEndpoint(`e${i}`, () => { endpoints[i].close() }))
+  for (const endpoint of endpoints) await control.announce(endpoint)
+  t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  const sendAll = async (generation: string): Promise<void> => {
+    const instances = await Promise.all(['1', '2'].map(async id => await helper.startInstance(`${generation}${id}`, [control.inner])))
+    for (let i = 0; i < SENDS; i++) {
+      await instances[i % instances.length].send('/a/crashing')
+      await timers.setTimeout(100)
+    }
+    await timers.setTimeout(ANNOUNCED_MS)
+    await Promise.all(instances.map(async item => { await item.stop() }))
+  }
+  await sendAll('first')
+  t.is(endpoints.filter(item => item.requests.length > 0).length, MAX_CRASHES)
+  await sendAll('second')
+  t.is(endpoints.filter(item => item.requests.length > 0).length, MAX_CRASHES)
+  await control.close()
+})
+
+test('few instances announce a quarantined request, and a record is bounded', t => {
+  const quarantined = Array.from({ length: 100 }, (_, i) => ({ fingerprint: `f${i}`, crashed: Array.from({ length: 20 }, (_, k) => `e${k}`) }))
+  const instanceIds = Array.from({ length: 60 }, (_, i) => `i${i}`)
+  for (const self of instanceIds) {
+    const announced = quarantineRecords.selectAnnounced(quarantined, { self, instanceIds })
+    t.true(announced.length <= 10)
+    t.true(announced.every(item => item.crashed.length <= 5))
+  }
+  const announcers = instanceIds.filter(self => quarantineRecords.selectAnnounced(quarantined.slice(-1), { self, instanceIds }).length > 0)
+  t.is(announcers.length, 3)
+})
--- a/packages/forwarding/src/attempts/crashQuarantine.ts
+++ b/packages/forwarding/src/attempts/crashQuarantine.ts
@@ -4,6 +4,7 @@
  * suffices; see crashEvidence.ts. A completed run at any instance clears the request.
  */
 import * as contracts from '@kingcupdeck/contracts'
+import type * as discovery from '@kingcupdeck/discovery'
 import type * as telemetry from '@kingcupdeck/telemetry'
 import * as crashEvidences from './crashEvidence.js'
 
@@ -54,6 +55,8 @@
   isSuspected (fingerprint: string): boolean
   /** Returns whether the request must not be sent to any endpoint. */
   isQuarantined (fingerprint: string, now: number): boolean
+  /** Returns the quarantined requests, latest last. */
+  quarantined (now: number): discovery.QuarantinedRequest[]
   /** Returns reports of repeatedly suspected requests, newest first, for instances that may have missed them. */
   toReports (now: number): CrashReport[]
 }
@@ -321,6 +324,9 @@
       return suspect !== undefined && toCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1
     },
     isQuarantined,
+    quarantined: now => [...suspects].flatMap(([fingerprint, suspect]) => {
+      return isQuarantined(fingerprint, now) ? [{ fingerprint, crashed: toCrashes(suspect).map(item => item.endpoint) }] : []
+    }),
     toReports (now) {
       const repeated = [...suspects].filter(([, suspect]) => toCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1)
       return repeated.slice(-MAX_REPORTED_SUSPECTS).reverse().flatMap(([fingerprint, suspect]) => {
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -19,6 +19,7 @@
 import * as entryServers from './entryServer.js'
 import * as gossipTypes from '../gossip/gossipTypes.js'
 import * as loadGossips from '../gossip/loadGossip.js'
+import * as quarantineRecords from './quarantineRecords.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
@@ -44,6 +45,8 @@
 const DRAIN_POLL_MS = 50
 /** Interval of the removal of expired records. */
 const PRUNE_INTERVAL_MS = 10_000
+/** Interval of the checks whether the announced quarantined requests have changed. */
+const QUARANTINE_ANNOUNCEMENT_MS = 250
 /** Timeout of a dial to another entry instance. */
 const PEER_DIAL_TIMEOUT_MS = 1000
 /** Timeout of a dial to a control instance, which may be busy with the whole fleet at its start. */
@@ -64,6 +67,7 @@
   let evacuations = discovery.NO_EVACUATIONS
   let drainStartedAt: number | undefined
   let seq = 0
+  let announcedRequests: discovery.QuarantinedRequest[] | undefined
   const budgetByService = new Map<string, retryBudgets.RetryBudget>()
 
   const self = (): discovery.EntryRecord => ({
@@ -75,7 +79,8 @@
     region: opts.region,
     front: opts.front,
     inner: opts.inner,
-    state: drainStartedAt !== undefined ? 'leaving' : document === undefined ? 'starting' : 'ready'
+    state: drainStartedAt !== undefined ? 'leaving' : document === undefined ? 'starting' : 'ready',
+    quarantined: announcedRequests
   })
 
   const handlers: links.LinkHandlers = {
@@ -198,12 +203,23 @@
     self,
     onDocument: applyDocument,
     onEvacuations: applyEvacuations,
-    onRecords: list => { endpoints.update(list) },
+    onRecords (list) {
+      endpoints.update(list)
+      quarantineRecords.applyRecords(list, quarantine, now())
+    },
     peerAddresses: () => discovery.toShuffled(otherEntries().map(item => item.inner)),
     getPeerLink: dialer.get,
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     log
   })
+  const quarantineAnnouncer = setInterval(() => {
+    const instanceIds = [opts.id, ...otherEntries().map(item => item.id)]
+    const selected = quarantineRecords.selectAnnounced(quarantine.quarantined(now()), { self: opts.id, instanceIds })
+    const isSame = selected.map(item => item.fingerprint).join() === (announcedRequests ?? []).map(item => item.fingerprint).join()
+    if (isSame) return
+    announcedRequests = selected.length === 0 ? undefined : selected
+    announce()
+  }, QUARANTINE_ANNOUNCEMENT_MS)
   const pruner = setInterval(() => {
     // While no control instance is reachable, no record expires, and the instance keeps serving.
     table.prune(subscriber.lastQuorumAt())
@@ -237,6 +253,7 @@
       while (server.openRequests() > 0 && elapsed() < opts.graceMs - EXIT_MARGIN_MS) await timers.setTimeout(DRAIN_POLL_MS)
       log.event('stopped', { ms: Math.round(elapsed()), open: server.openRequests() })
       clearInterval(pruner)
+      clearInterval(quarantineAnnouncer)
       gossip.stop()
       subscriber.stop()
       peerLinks.close()
--- /dev/null
+++ b/packages/forwarding/src/instance/quarantineRecords.ts
@@ -0,0 +1,41 @@
+/**
+ * Quarantined requests in the records of entry instances. Control instances keep these records, so that entry instances that are all
+ * restarted at once learn the requests from the records of their last start.
+ */
+import * as contracts from '@kingcupdeck/contracts'
+import type * as discovery from '@kingcupdeck/discovery'
+import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+
+/** Options of {@link selectAnnounced}. */
+export interface AnnouncementOptions {
+  /** Id of this instance. */
+  self: string
+  /** Ids of all entry instances. */
+  instanceIds: readonly string[]
+}
+
+/** Instances that announce the same request. */
+const ANNOUNCERS = 3
+/** Latest quarantined requests that are considered. */
+const MAX_CONSIDERED = 30
+/** Requests in one record, and crashes of each that are named. */
+const MAX_REQUESTS = 10
+const MAX_CRASHES = 5
+
+/** Returns those of the quarantined requests that this instance announces. */
+export function selectAnnounced (quarantined: readonly discovery.QuarantinedRequest[], opts: AnnouncementOptions): discovery.QuarantinedRequest[] {
+  return quarantined
+    .slice(-MAX_CONSIDERED)
+    .filter(({ fingerprint }) => contracts.toRendezvousOrder(fingerprint, opts.instanceIds, id => id).slice(0, ANNOUNCERS).includes(opts.self))
+    .slice(-MAX_REQUESTS)
+    .map(({ fingerprint, crashed }) => ({ fingerprint, crashed: crashed.slice(-MAX_CRASHES) }))
+}
+
+/** Applies the requests that other entry instances, or earlier starts of this one, have announced. */
+export function applyRecords (records: readonly discovery.Record[], quarantine: crashQuarantines.CrashQuarantine, now: number): void {
+  for (const record of records) {
+    if (record.kind !== 'entry' || record.quarantined === undefined) continue
+    const reports = record.quarantined.map(item => ({ ...item, agoMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false }))
+    quarantine.merge(reports, now, `record of ${record.id}`)
+  }
+}
