fix(forwarding): a client that leaves a silent endpoint is no evidence against its request

Cause, by reading: a busy endpoint that accepts no connections in time is taken for down, and then clients leave; three of them would have quarantined the request. Change: what was abandoned at a silent endpoint counts only once a later start of it is announced; losses stay known until then; instances repeat the requests with most crashes.

--- /dev/null
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -0,0 +1,125 @@
+/** Which lost runs count as crashes, and when they suffice for a quarantine; on virtual time. */
+import * as ava from 'ava'
+import * as crashEvidences from '../src/attempts/crashEvidence.js'
+import * as crashQuarantines from '../src/attempts/crashQuarantine.js'
+
+const test = ava.default
+const HOUR_MS = 3_600_000
+
+interface Setup {
+  quarantine: crashQuarantines.CrashQuarantine
+  /** Lets an endpoint crash with requests in flight. */
+  crash: (endpoint: string, fingerprints: string[]) => void
+  wait: (ms: number) => void
+  now: () => number
+}
+
+function createSetup (): Setup {
+  const quarantine = crashQuarantines.createCrashQuarantine()
+  let at = 0
+  return {
+    quarantine,
+    crash (endpoint, fingerprints) {
+      const runs = fingerprints.map(item => quarantine.startRun(item, endpoint, at))
+      for (const run of runs) run.end('lost', at)
+      quarantine.confirmDown(endpoint, at, 'refused')
+    },
+    wait (ms) { at += ms },
+    now: () => at
+  }
+}
+
+test('three crashes, one after the other, quarantine a request', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  for (const endpoint of ['e1', 'e2']) crash(endpoint, ['x'])
+  wait(10_000)
+  t.false(quarantine.isQuarantined('x', now()))
+  crash('e3', ['x'])
+  t.true(quarantine.isQuarantined('x', now()))
+})
+
+// Guards against a request that crashes endpoints again and again because its quarantine expires.
+test('a request is quarantined again after one more crash, and for longer', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x'])
+  let crashes = 0
+  const end = now() + HOUR_MS
+  while (now() < end) {
+    if (!quarantine.isQuarantined('x', now())) crash(`later-${crashes++}`, ['x'])
+    wait(1000)
+  }
+  t.true(crashes <= 3, `${crashes} further crashes in an hour`)
+})
+
+// Guards against blaming requests whose clients left an endpoint that was only too busy to accept connections.
+test('a client that leaves a silent endpoint is no evidence until the endpoint was restarted', t => {
+  const { quarantine, now, wait } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    quarantine.startRun('x', endpoint, now()).end('abandoned', now())
+    quarantine.confirmDown(endpoint, now(), 'silent')
+  }
+  t.false(quarantine.isSuspected('x'))
+  wait(5000)
+  for (const endpoint of ['e1', 'e2', 'e3']) quarantine.confirmDown(endpoint, now(), 'restarted')
+  t.true(quarantine.isQuarantined('x', now()))
+})
+
+// Guards against a crashing request that is not found out because its client leaves first.
+test('a client that leaves an endpoint that crashes counts', t => {
+  const { quarantine, now } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    const run = quarantine.startRun('x', endpoint, now())
+    quarantine.confirmDown(endpoint, now(), 'refused')
+    run.end('abandoned', now())
+  }
+  t.true(quarantine.isQuarantined('x', now()))
+})
+
+// Guards against quarantining what was in flight beside a crashing request.
+test('crashes beside a quarantined request do not count', t => {
+  const { quarantine, crash, now } = createSetup()
+  crash('e1', ['x'])
+  for (const endpoint of ['e2', 'e3', 'e4']) crash(endpoint, ['x', 'beside'])
+  t.true(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined('beside', now()))
+  t.deepEqual(quarantine.quarantined(now()).map(item => item.fingerprint), ['x'])
+})
+
+test('of two requests that are lost in the same crashes, the one that goes on crashing is quarantined', t => {
+  const { quarantine, crash, now } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x', 'beside'])
+  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined('beside', now()))
+  crash('e4', ['x'])
+  t.true(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined('beside', now()))
+})
+
+// Guards against more further runs than the users allow while two requests cannot be told apart.
+test('requests that are always lost together are quarantined after five crashes', t => {
+  const { quarantine, crash, now } = createSetup()
+  for (let i = 1; i <= crashEvidences.CONTESTED_CRASHES; i++) crash(`e${i}`, ['x', 'y'])
+  t.true(quarantine.isQuarantined('x', now()))
+  t.true(crashEvidences.CONTESTED_CRASHES - crashEvidences.QUARANTINE_CRASHES <= 3)
+})
+
+// Guards against blaming a popular request for an outage, and against never blaming one.
+test('crashes of a request that has succeeded before count once a moment', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  quarantine.startRun('x', 'e0', now()).end('completed', now())
+  wait(100)
+  for (const endpoint of ['e1', 'e2', 'e3', 'e4']) crash(endpoint, ['x'])
+  t.false(quarantine.isQuarantined('x', now()))
+  for (const endpoint of ['e5', 'e6']) {
+    wait(2 * crashEvidences.COINCIDENCE_MS)
+    crash(endpoint, ['x'])
+  }
+  t.true(quarantine.isQuarantined('x', now()))
+})
+
+test('a request is known by account, method, path and body', t => {
+  const same = crashQuarantines.toFingerprint('a', 'GET', '/x', Buffer.from(''))
+  t.is(crashQuarantines.toFingerprint('a', 'GET', '/x', Buffer.from('')), same)
+  const others = [['b', 'GET', '/x', ''], ['a', 'POST', '/x', ''], ['a', 'GET', '/y', ''], ['a', 'GET', '/x', 'body']]
+  for (const [account, method, url, body] of others) t.not(crashQuarantines.toFingerprint(account, method, url, Buffer.from(body)), same)
+})
--- a/packages/forwarding/__tests__/crashGossip.test.ts
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -17,7 +17,7 @@
 function crash (quarantine: crashQuarantines.CrashQuarantine, fingerprint: string, endpoints: string[]): void {
   for (const endpoint of endpoints) {
     quarantine.startRun(fingerprint, endpoint, now()).end('lost', now())
-    quarantine.confirmDown(endpoint, now())
+    quarantine.confirmDown(endpoint, now(), 'refused')
   }
 }
 
@@ -101,7 +101,7 @@
   await timers.setTimeout(100)
   for (let i = 0; i < 4; i++) {
     runs[i].end('lost', now())
-    fleet.instances[i].quarantine.confirmDown(`e${i}`, now())
+    fleet.instances[i].quarantine.confirmDown(`e${i}`, now(), 'refused')
   }
   for (let i = 0; i < 20; i++) {
     await timers.setTimeout(100)
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -71,7 +71,7 @@
 /** Records a connection failure; the responses that the endpoint lost become crashes. */
 export function recordUnreachable (ctx: entryContexts.EntryContext, endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): void {
   ctx.pool.markUnreachable(endpoint, ctx.now(), failure)
-  ctx.quarantine.confirmDown(endpointPools.toIncarnation(endpoint), ctx.now())
+  ctx.quarantine.confirmDown(endpointPools.toIncarnation(endpoint), ctx.now(), failure.isSilent ? 'silent' : 'refused')
 }
 
 /** Probes an endpoint, and records a failure. */
--- a/packages/forwarding/src/attempts/crashQuarantine.ts
+++ b/packages/forwarding/src/attempts/crashQuarantine.ts
@@ -38,15 +38,15 @@
   end (how: RunEnd, now: number): void
 }
 
-/** How an endpoint was found to be down. */
-export type DownReason = 'unreachable' | 'restarted'
+/** How an endpoint was found to be down: it refused a connection, did not answer, or was announced with a later start. */
+export type DownReason = 'refused' | 'silent' | 'restarted'
 
 /** Requests that are suspected of crashing endpoints. */
 export interface CrashQuarantine {
   /** @param endpoint incarnation of the endpoint */
   startRun (fingerprint: string, endpoint: string, now: number): Run
   /** Records that an endpoint is down; the runs that it lost become crashes. */
-  confirmDown (endpoint: string, now: number, reason?: DownReason): void
+  confirmDown (endpoint: string, now: number, reason: DownReason): void
   /** Records that an endpoint responded. */
   confirmUp (endpoint: string): void
   /** Merges the reports of another instance. @returns those that were not known */
@@ -57,7 +57,7 @@
   isQuarantined (fingerprint: string, now: number): boolean
   /** Returns the quarantined requests, latest last. */
   quarantined (now: number): discovery.QuarantinedRequest[]
-  /** Returns reports of repeatedly suspected requests, newest first, for instances that may have missed them. */
+  /** Returns reports of the requests with most crashes, for instances that may have missed them. */
   toReports (now: number): CrashReport[]
 }
 
@@ -70,9 +70,9 @@
   checkEndpoint?: (endpoint: string) => void
 }
 
-/** A lost run counts as a crash if its endpoint is found to be unreachable within this time. */
+/** A run counts as a crash if its endpoint is found to be unreachable within this time. */
 const UNREACHABLE_MS = 3000
-/** A lost run counts as a crash if a later start of its endpoint is announced within this time. */
+/** A run counts as a crash if a later start of its endpoint is announced within this time. */
 const RESTARTED_MS = 15_000
 /** Time for which suspicions are kept after the last crash. */
 const RETENTION_MS = 600_000
@@ -110,7 +110,7 @@
   const lostRuns = new Map<string, LostRun[]>()
   const suspects = new Map<string, Suspect>()
   /** Endpoints that are or were down, and when this was found last. */
-  const downs = new Map<string, number>()
+  const downs = new Map<string, { at: number, reason: DownReason }>()
   /** Requests that were in flight at each crashed endpoint. */
   const fingerprintsByCrash = new Map<string, Set<string>>()
   /** Time of the last completed run of recent requests, oldest first. */
@@ -144,7 +144,7 @@
   const prune = (now: number): void => {
     if (now - prunedAt < PRUNE_INTERVAL_MS) return
     prunedAt = now
-    for (const [endpoint, at] of downs) if (now - at > RETENTION_MS) downs.delete(endpoint)
+    for (const [endpoint, { at }] of downs) if (now - at > RETENTION_MS) downs.delete(endpoint)
     for (const [endpoint, list] of lostRuns) if (list.every(item => now - item.at > RESTARTED_MS)) lostRuns.delete(endpoint)
     for (const [fingerprint, suspect] of suspects) {
       if (now - suspect.lastCrashAt > RETENTION_MS && !isQuarantined(fingerprint, now)) forget(fingerprint, suspect)
@@ -160,11 +160,12 @@
     if (suspects.size > MAX_SUSPECTS) forgetOne()
     const others = fingerprintsByCrash.get(endpoint) ?? new Set()
     fingerprintsByCrash.set(endpoint, others.add(fingerprint))
-    if (!downs.has(endpoint)) downs.set(endpoint, at)
+    if (!downs.has(endpoint)) downs.set(endpoint, { at, reason: 'refused' })
     log?.event('requestSuspected', { fingerprint, endpoint, crashes: toCrashes(suspect).length, from })
     // A run that is still in flight speaks for the request only if its endpoint is not down unnoticed.
     if (suspect.crashes.size >= crashEvidences.QUARANTINE_CRASHES) {
-      for (const run of runs.get(fingerprint) ?? []) if (!downs.has(run.endpoint)) checkEndpoint(run.endpoint)
+      const survivors = new Set([...runs.get(fingerprint) ?? []].map(run => run.endpoint))
+      for (const survivor of survivors) if (!downs.has(survivor)) checkEndpoint(survivor)
     }
     return true
   }
@@ -186,7 +187,8 @@
   }
 
   const recordLost = (run: RunState, how: LostRun['how'], now: number): void => {
-    if (now - (downs.get(run.endpoint) ?? -Infinity) < UNREACHABLE_MS) {
+    const down = downs.get(run.endpoint)
+    if (down !== undefined && isCrash(how, now - down.at, down.reason)) {
       if (addCrash(run.fingerprint, run.endpoint, now, 'self')) send([toReport(run.fingerprint, { crashed: [run.endpoint] })])
       return
     }
@@ -303,12 +305,12 @@
         }
       }
     },
-    confirmDown (endpoint, now, reason = 'unreachable') {
+    confirmDown (endpoint, now, reason) {
       prune(now)
-      downs.set(endpoint, now)
+      downs.set(endpoint, { at: now, reason })
       const lost = lostRuns.get(endpoint) ?? []
-      lostRuns.delete(endpoint)
-      const crashed = lost.filter(({ how, at }) => now - at < (reason === 'restarted' && how === 'lost' ? RESTARTED_MS : UNREACHABLE_MS))
+      const crashed = lost.filter(({ how, at }) => isCrash(how, now - at, reason))
+      lostRuns.set(endpoint, lost.filter(item => !crashed.includes(item)))
       const reports = crashed
         .filter(({ fingerprint, at }) => addCrash(fingerprint, endpoint, at, 'self'))
         .map(({ fingerprint, at }) => toReport(fingerprint, { crashed: [endpoint], agoMs: Math.round(now - at) }))
@@ -328,8 +330,11 @@
       return isQuarantined(fingerprint, now) ? [{ fingerprint, crashed: toCrashes(suspect).map(item => item.endpoint) }] : []
     }),
     toReports (now) {
-      const repeated = [...suspects].filter(([, suspect]) => toCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1)
-      return repeated.slice(-MAX_REPORTED_SUSPECTS).reverse().flatMap(([fingerprint, suspect]) => {
+      prune(now)
+      const repeated = [...suspects]
+        .filter(([, suspect]) => toCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1)
+        .sort(([, a], [, b]) => b.crashes.size - a.crashes.size)
+      return repeated.slice(0, MAX_REPORTED_SUSPECTS).flatMap(([fingerprint, suspect]) => {
         const reports = toCrashReports(fingerprint, suspect, now)
         return hasOwnSurvivors(fingerprint, suspect, suspect.lastCrashAt) ? [...reports, toReport(fingerprint, { hasSurvivors: true })] : reports
       })
@@ -337,6 +342,19 @@
   }
 }
 
+/**
+ * Returns whether a run was lost because its endpoint went down.
+ * @param apartMs time between the two, in milliseconds
+ */
+function isCrash (how: LostRun['how'], apartMs: number, reason: DownReason): boolean {
+  switch (reason) {
+    case 'refused': return apartMs < UNREACHABLE_MS
+    // An overloaded endpoint does not answer either, and then clients leave.
+    case 'silent': return how === 'lost' && apartMs < UNREACHABLE_MS
+    case 'restarted': return apartMs < RESTARTED_MS
+  }
+}
+
 /**
  * Returns a hash that identifies a request across retries: client account, method, path and body.
  * @param account undefined for a request without a client account
