--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -1,7 +1,8 @@
 /** Which lost runs count as crashes, and when they suffice for a quarantine; on virtual time. */
 import * as ava from 'ava'
-import * as crashEvidences from '../src/attempts/crashEvidence.js'
-import * as crashQuarantines from '../src/attempts/crashQuarantine.js'
+import * as crashEvidences from '../src/quarantine/crashEvidence.js'
+import * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
+import * as crashReports from '../src/quarantine/crashReport.js'
 
 const test = ava.default
 const HOUR_MS = 3_600_000
@@ -118,8 +119,8 @@
 })
 
 test('a request is known by account, method, path and body', t => {
-  const same = crashQuarantines.toFingerprint('a', 'GET', '/x', Buffer.from(''))
-  t.is(crashQuarantines.toFingerprint('a', 'GET', '/x', Buffer.from('')), same)
+  const same = crashReports.toFingerprint('a', 'GET', '/x', Buffer.from(''))
+  t.is(crashReports.toFingerprint('a', 'GET', '/x', Buffer.from('')), same)
   const others = [['b', 'GET', '/x', ''], ['a', 'POST', '/x', ''], ['a', 'GET', '/y', ''], ['a', 'GET', '/x', 'body']]
-  for (const [account, method, url, body] of others) t.not(crashQuarantines.toFingerprint(account, method, url, Buffer.from(body)), same)
+  for (const [account, method, url, body] of others) t.not(crashReports.toFingerprint(account, method, url, Buffer.from(body)), same)
 })
--- a/packages/forwarding/__tests__/crashGossip.test.ts
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -1,7 +1,7 @@
 /** Exchange of requests that are suspected of crashing endpoints. */
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
-import type * as crashQuarantines from '../src/attempts/crashQuarantine.js'
+import type * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
 import * as helper from './helpers/testGossip.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/helpers/testGossip.ts
+++ b/packages/forwarding/__tests__/helpers/testGossip.ts
@@ -2,7 +2,7 @@
 import type * as ava from 'ava'
 import * as discovery from '@kingcupdeck/discovery'
 import type * as links from '@kingcupdeck/links'
-import * as crashQuarantines from '../../src/attempts/crashQuarantine.js'
+import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as endpointPools from '../../src/endpoints/endpointPool.js'
 import * as gossipTypes from '../../src/gossip/gossipTypes.js'
 import * as loadGossips from '../../src/gossip/loadGossip.js'
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -3,6 +3,7 @@
 import * as ava from 'ava'
 import * as fc from 'fast-check'
 import * as loadSums from '../src/gossip/loadSums.js'
+import * as crashReports from '../src/quarantine/crashReport.js'
 import * as helper from './helpers/testGossip.js'
 import * as relayChoices from '../src/gossip/relayChoice.js'
 
@@ -69,7 +70,7 @@
 test('crash reports reach all instances at once', async t => {
   const fleet = helper.startFleet(t, 100).instances
   await timers.setTimeout(helper.SETTLE_MS)
-  fleet[42].gossip.sendCrashReports([{ fingerprint: 'x', crashed: ['e1', 'e2', 'e3'], agoMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false }])
+  fleet[42].gossip.sendCrashReports([crashReports.toCrashReport('x', { crashed: ['e1', 'e2', 'e3'] })])
   await timers.setTimeout(50)
   t.is(fleet.filter(item => item !== fleet[42] && !item.quarantine.isQuarantined('x', performance.now())).length, 0)
 })
--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -3,7 +3,7 @@
 import * as ava from 'ava'
 import * as endpointHelper from './helpers/testEntry.js'
 import * as helper from './helpers/testFleet.js'
-import * as quarantineRecords from '../src/instance/quarantineRecords.js'
+import * as quarantineRecords from '../src/quarantine/quarantineRecords.js'
 
 const test = ava.default
 const ENDPOINTS = 9
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -1,11 +1,11 @@
 /** Records the results of attempts: in the request log, the metrics, the endpoint pool, outlier detection and crash quarantine. */
 import type * as attempts from './attempt.js'
-import type * as crashQuarantines from './crashQuarantine.js'
 import * as clientCalls from './clientCall.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryContexts from '../instance/entryContext.js'
 import * as requestStates from './requestState.js'
+import type * as runTrackers from '../quarantine/runTracker.js'
 
 /** A response that is missing for this multiple of the target latency counts as missed, also if the client disconnected. */
 const UNRESPONSIVE_TARGETS = 2
@@ -15,7 +15,7 @@
   endpoint: endpointPools.Endpoint
   /** Time at which it was sent, on the monotonic clock. */
   sentAt: number
-  run: crashQuarantines.Run
+  run: runTrackers.Run
 }
 
 /** Records the outcome of an attempt for the log and the metrics. */
--- a/packages/forwarding/src/gossip/crashGossip.ts
+++ b/packages/forwarding/src/gossip/crashGossip.ts
@@ -4,7 +4,8 @@
  * to one neighbour after the other, so that an instance that missed a report receives it later.
  */
 import * as discovery from '@kingcupdeck/discovery'
-import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+import type * as crashQuarantines from '../quarantine/crashQuarantine.js'
+import type * as crashReports from '../quarantine/crashReport.js'
 import type * as gossipTypes from './gossipTypes.js'
 
 /** Content of a gossip update that concerns suspected requests. */
@@ -27,7 +28,7 @@
   /** @param isNewMember whether the sender was not heard before, or not recently */
   onUpdate (update: CrashContent, from: string, isNewMember: boolean): void
   /** Sends reports towards all other instances at once. */
-  sendReports (crashes: crashQuarantines.CrashReport[]): void
+  sendReports (crashes: crashReports.CrashReport[]): void
   /** Asks for reports and repeats them, if it is time to. */
   tick (): void
 }
@@ -44,7 +45,7 @@
   let askedAt = -Infinity
   let repeatedAt = -Infinity
 
-  const sendReports = (addresses: readonly string[], crashes: crashQuarantines.CrashReport[]): void => {
+  const sendReports = (addresses: readonly string[], crashes: crashReports.CrashReport[]): void => {
     if (crashes.length > 0) opts.send(addresses, { crashes, asksForCrashes: false })
   }
 
--- a/packages/forwarding/src/gossip/gossipTypes.ts
+++ b/packages/forwarding/src/gossip/gossipTypes.ts
@@ -2,7 +2,8 @@
 import * as z from 'zod'
 import * as discovery from '@kingcupdeck/discovery'
 import type * as links from '@kingcupdeck/links'
-import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+import type * as crashQuarantines from '../quarantine/crashQuarantine.js'
+import * as crashReports from '../quarantine/crashReport.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import type * as outlierDetectors from '../placement/outlierDetector.js'
 import type * as relayChoices from './relayChoice.js'
@@ -13,8 +14,7 @@
   /** Endpoint id, requests in flight, and queue delay in milliseconds or null if unknown. */
   loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  /** What the sender knows about requests that are suspected of crashing endpoints; see `CrashReport`. */
-  crashes: z.array(z.object({ fingerprint: z.string(), crashed: z.array(z.string()), agoMs: z.number().default(0), isCleared: z.boolean().default(false), hasSurvivors: z.boolean().default(false), hasSucceeded: z.boolean().default(false) })),
+  crashes: z.array(crashReports.crashReport),
   /** Whether the sender has started recently and asks for all suspected requests. */
   asksForCrashes: z.boolean().default(false),
   /** Document version of the sender. */
@@ -56,7 +56,7 @@
 export interface Gossip {
   onUpdate (update: GossipUpdate, from: string): void
   /** Sends crash reports towards all other instances immediately. */
-  sendCrashReports (crashes: crashQuarantines.CrashReport[]): void
+  sendCrashReports (crashes: crashReports.CrashReport[]): void
   /** Number of entry instances, including this one. */
   instanceCount (): number
   stop (): void
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -1,7 +1,7 @@
 /** State that all requests of an entry instance share. */
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coldLimiters from '../placement/coldLimiter.js'
-import * as crashQuarantines from '../attempts/crashQuarantine.js'
+import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as entryMetrics from './entryMetrics.js'
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -5,7 +5,7 @@
 import * as links from '@kingcupdeck/links'
 import * as admission from '../admission/admission.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as crashQuarantines from '../attempts/crashQuarantine.js'
+import * as crashReports from '../quarantine/crashReport.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
@@ -168,7 +168,7 @@
       allowedRegions,
       attemptId: result.attemptId,
       body,
-      fingerprint: crashQuarantines.toFingerprint(account?.name, req.method ?? '', req.url ?? '', body),
+      fingerprint: crashReports.toFingerprint(account?.name, req.method ?? '', req.url ?? '', body),
       startedAt,
       deadlineAt: startedAt + waitMs,
       aborter: new AbortController(),
--- a/packages/forwarding/src/instance/quarantineRecords.ts
+++ b/packages/forwarding/src/quarantine/quarantineRecords.ts
@@ -4,7 +4,8 @@
  */
 import * as contracts from '@kingcupdeck/contracts'
 import type * as discovery from '@kingcupdeck/discovery'
-import type * as crashQuarantines from '../attempts/crashQuarantine.js'
+import type * as crashQuarantines from './crashQuarantine.js'
+import * as crashReports from './crashReport.js'
 
 /** Options of {@link selectAnnounced}. */
 export interface AnnouncementOptions {
@@ -35,7 +36,7 @@
 export function applyRecords (records: readonly discovery.Record[], quarantine: crashQuarantines.CrashQuarantine, now: number): void {
   for (const record of records) {
     if (record.kind !== 'entry' || record.quarantined === undefined) continue
-    const reports = record.quarantined.map(item => ({ ...item, agoMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false }))
+    const reports = record.quarantined.map(({ fingerprint, crashed }) => crashReports.toCrashReport(fingerprint, { crashed }))
     quarantine.merge(reports, now, `record of ${record.id}`)
   }
 }
--- /dev/null
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -0,0 +1,126 @@
+/**
+ * Runs of requests at endpoints, to tell which of them were lost because their endpoint went down. An endpoint is identified by its
+ * incarnation, so that a later start of it is another one.
+ */
+
+/**
+ * How a run ended: with a success, without a complete response, without a response because the client left or the deadline passed,
+ * or in a way that says nothing about crashes.
+ */
+export type RunEnd = 'completed' | 'lost' | 'abandoned' | 'inconclusive'
+
+/** A request that was sent to an endpoint. */
+export interface Run {
+  /** Records how the run ended; only the first call counts. */
+  end (how: RunEnd, now: number): void
+}
+
+/** How an endpoint was found to be down: it refused a connection, did not answer, or was announced with a later start. */
+export type DownReason = 'refused' | 'silent' | 'restarted'
+
+/** Runs that are in flight, and those that may turn out to be lost in a crash. */
+export interface RunTracker {
+  startRun (fingerprint: string, endpoint: string, now: number): Run
+  /** Records that an endpoint is down; the runs that it lost become crashes. */
+  confirmDown (endpoint: string, now: number, reason: DownReason): void
+  /** Records that an endpoint responded. */
+  confirmUp (endpoint: string): void
+  /**
+   * Returns the endpoints that are not known to be down and have a request in flight.
+   * @param before start of the runs that are considered, on the monotonic clock
+   */
+  endpointsOf (fingerprint: string, before: number): Set<string>
+  /** Forgets what is too old to matter. */
+  prune (now: number): void
+}
+
+/** Options of {@link createRunTracker}. */
+export interface RunTrackerOptions {
+  onCompleted: (fingerprint: string, now: number) => void
+  /** Called for each request that was in flight at a crash; `at` is the time of its loss. */
+  onCrash: (fingerprint: string, endpoint: string, at: number, now: number) => void
+}
+
+/** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
+const UNREACHABLE_MS = 3000
+/** A run counts as lost in a crash if a later start of its endpoint is announced within this time. */
+const RESTARTED_MS = 15_000
+/** Time for which an endpoint is known to be down. */
+const DOWN_RETENTION_MS = 600_000
+/** Lost runs of an endpoint that are kept. */
+const MAX_LOST_RUNS = 1000
+
+interface RunState { endpoint: string, startedAt: number }
+interface LostRun { fingerprint: string, how: 'lost' | 'abandoned', at: number }
+
+/** Creates an empty tracker. */
+export function createRunTracker ({ onCompleted, onCrash }: RunTrackerOptions): RunTracker {
+  const runs = new Map<string, Set<RunState>>()
+  const lostRuns = new Map<string, LostRun[]>()
+  const downs = new Map<string, { at: number, reason: DownReason }>()
+
+  const recordLost = (endpoint: string, run: LostRun): void => {
+    const down = downs.get(endpoint)
+    if (down !== undefined && isCrash(run, run.at - down.at, down.reason)) {
+      onCrash(run.fingerprint, endpoint, run.at, run.at)
+      return
+    }
+    const list = lostRuns.get(endpoint) ?? []
+    lostRuns.set(endpoint, list)
+    while (list.length > 0 && (list.length >= MAX_LOST_RUNS || run.at - list[0].at > RESTARTED_MS)) list.shift()
+    list.push(run)
+  }
+
+  return {
+    startRun (fingerprint, endpoint, now) {
+      const run: RunState = { endpoint, startedAt: now }
+      const sameRequest = runs.get(fingerprint) ?? new Set()
+      runs.set(fingerprint, sameRequest.add(run))
+      let isEnded = false
+      return {
+        end (how, at) {
+          if (isEnded) return
+          isEnded = true
+          sameRequest.delete(run)
+          if (sameRequest.size === 0 && runs.get(fingerprint) === sameRequest) runs.delete(fingerprint)
+          switch (how) {
+            case 'completed': onCompleted(fingerprint, at); break
+            case 'lost':
+            case 'abandoned': recordLost(endpoint, { fingerprint, how, at }); break
+            case 'inconclusive': break
+          }
+        }
+      }
+    },
+    confirmDown (endpoint, now, reason) {
+      downs.set(endpoint, { at: now, reason })
+      const lost = lostRuns.get(endpoint)
+      if (lost === undefined) return
+      const crashed = lost.filter(run => isCrash(run, now - run.at, reason))
+      lostRuns.set(endpoint, lost.filter(run => !crashed.includes(run)))
+      for (const run of crashed) onCrash(run.fingerprint, endpoint, run.at, now)
+    },
+    confirmUp (endpoint) { downs.delete(endpoint) },
+    endpointsOf (fingerprint, before) {
+      const list = [...runs.get(fingerprint) ?? []].filter(run => run.startedAt < before && !downs.has(run.endpoint))
+      return new Set(list.map(run => run.endpoint))
+    },
+    prune (now) {
+      for (const [endpoint, { at }] of downs) if (now - at > DOWN_RETENTION_MS) downs.delete(endpoint)
+      for (const [endpoint, list] of lostRuns) if (list.every(run => now - run.at > RESTARTED_MS)) lostRuns.delete(endpoint)
+    }
+  }
+}
+
+/**
+ * Returns whether a run was lost because its endpoint went down.
+ * @param apartMs time between the two, in milliseconds
+ */
+function isCrash ({ how }: LostRun, apartMs: number, reason: DownReason): boolean {
+  switch (reason) {
+    case 'refused': return apartMs < UNREACHABLE_MS
+    // An overloaded endpoint does not answer either, and then clients leave.
+    case 'silent': return how === 'lost' && apartMs < UNREACHABLE_MS
+    case 'restarted': return apartMs < RESTARTED_MS
+  }
+}
