fix(router): an answered request of the chat fleet is no longer a suspect

Change: an answer clears the crashes at all instances; reports carry it, earlier versions ignore the field.

--- a/packages/contracts/src/peerMessages.ts
+++ b/packages/contracts/src/peerMessages.ts
@@ -47,7 +47,7 @@
   z.object({ t: z.literal('lost'), attempt: z.string(), detail: z.string(), status: z.int().optional(), death: z.string().optional() }),
   z.object({ t: z.literal('handover'), announcement: announcements.announcement, inFlight: z.int().nonnegative() }),
   z.object({ t: z.literal('placed'), chat: z.string(), home: z.string(), endpoint: z.string() }),
-  z.object({ t: z.literal('suspects'), list: z.array(z.object({ fingerprint: z.string(), boots: z.array(z.string()), ageMs: z.number() })) })
+  z.object({ t: z.literal('suspects'), list: z.array(z.object({ fingerprint: z.string(), boots: z.array(z.string()), ageMs: z.number(), isCleared: z.boolean().optional() })) })
 ])
 /** An event between router instances, sent without a reply. */
 export type PeerEvent = z.infer<typeof peerEvent>
--- a/packages/router/src/chatEntry.ts
+++ b/packages/router/src/chatEntry.ts
@@ -3,7 +3,7 @@
 import * as answers from './answer.js'
 import type * as auths from './auth.js'
 import * as chatRequest from './chatRequest.js'
-import type * as context from './entryContext.js'
+import * as context from './entryContext.js'
 import * as helpers from './http.js'
 import * as ids from './ids.js'
 import * as placement from './placement.js'
@@ -198,6 +198,7 @@
 }
 
 function recordCompletion (ctx: context.EntryContext, run: Run, event: Extract<contracts.PeerEvent, { t: 'done' }>): void {
+  context.clearSuspicion(ctx, run.request.fingerprint)
   const account = ctx.metrics.toAccountLabel(run.account.id)
   ctx.metrics.duration.observe({ account, priority: run.priority }, (performance.now() - run.startedAt) / 1000)
   ctx.metrics.requests.inc({ account, outcome: 'answered' })
--- a/packages/router/src/entryContext.ts
+++ b/packages/router/src/entryContext.ts
@@ -20,6 +20,8 @@
   attempts: attempts.Attempts
   ledger: ledgerClient.LedgerClient
   suspects: routing.Suspects
+  /** Sends what is known of suspects to all peers. */
+  broadcastSuspects (fingerprints: readonly string[]): void
   budget: routing.RetryBudget
   traces: traces.Traces
   metrics: telemetry.RouterMetrics
@@ -34,3 +36,8 @@
   /** Returns a signal that aborts when the caller disconnects before the response is complete. */
   watchCaller (exchange: helpers.Exchange): AbortSignal
 }
+
+/** Records that a request was answered, and tells all peers if it was suspected. */
+export function clearSuspicion (ctx: EntryContext, fingerprint: string): void {
+  if (ctx.suspects.clear(fingerprint)) ctx.broadcastSuspects([fingerprint])
+}
--- a/packages/router/src/plainEntry.ts
+++ b/packages/router/src/plainEntry.ts
@@ -4,13 +4,14 @@
  */
 import * as contracts from '@kingcupdeck/contracts'
 import type * as auths from './auth.js'
-import type * as context from './entryContext.js'
+import * as context from './entryContext.js'
 import * as helpers from './http.js'
 import * as ids from './ids.js'
 import type * as ledgerClient from './ledgerClient.js'
 import * as placement from './placement.js'
 
 const MAX_ATTEMPTS = 3
+const SERVER_ERROR = 500
 const OUTCOME_WAIT_MS = 4000
 const OUTCOME_POLL_MS = 250
 const LEDGER_RETRY_AFTER_MS = 2000
@@ -149,7 +150,9 @@
   while (true) {
     const event = await placed.attempt.next()
     switch (event.t) {
-      case 'answer': return { kind: 'answer', answer: { status: event.status, contentType: event.contentType, body: event.body } }
+      case 'answer':
+        if (event.status < SERVER_ERROR) context.clearSuspicion(ctx, request.fingerprint)
+        return { kind: 'answer', answer: { status: event.status, contentType: event.contentType, body: event.body } }
       case 'declined': return { kind: 'broke', why: `owner declined: ${event.reason}`, ran: 'no' }
       case 'lost':
         if (event.death !== undefined) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -140,6 +140,7 @@
     attempts: openAttempts,
     ledger: ledgerClient.createLedgerClient(member.control, opts.ledgerGroups, log),
     suspects,
+    broadcastSuspects,
     budget,
     traces: requestTraces,
     metrics,
--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -123,6 +123,23 @@
   t.false(suspects.isQuarantined('f'))
 })
 
+// Guards against rejecting a popular request that was in flight at two endpoints that crashed for another reason.
+test('a request that is answered is no longer a suspect, at any instance', t => {
+  const [suspects, peer, late] = Array.from({ length: 3 }, () => routing.createSuspects(() => 0))
+  for (const boot of ['engine@1', 'engine@2']) suspects.record('f', boot)
+  for (const other of [peer, late]) other.merge(suspects.toReports())
+  t.true(peer.isQuarantined('f'))
+  t.true(suspects.clear('f'))
+  t.false(suspects.isQuarantined('f'))
+  t.is(suspects.remainingMs('f'), 0)
+  t.true(peer.merge(suspects.toReports(['f'])))
+  // A peer that missed it repeats what it knows.
+  peer.merge(late.toReports())
+  t.is(peer.crashCount('f'), 0)
+  peer.record('f', 'engine@3')
+  t.is(peer.crashCount('f'), 1)
+})
+
 // Guards against rejecting callers on an overestimated wait while the endpoint has free slots.
 test('the predicted wait is short for the load cap and longer for slots', t => {
   const estimator = routing.createWaitEstimator()
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/suspects.ts
@@ -4,9 +4,16 @@
  */
 
 /** A suspect as exchanged between peers. */
-export interface SuspectReport { fingerprint: string, boots: string[], ageMs: number }
+export interface SuspectReport {
+  fingerprint: string
+  /** Process incarnations of the endpoints that crashed with it. */
+  boots: string[]
+  ageMs: number
+  /** Whether it was answered since, so that these crashes no longer count; absent from reports of earlier versions. */
+  isCleared?: boolean
+}
 
-/** Suspect requests suspects to this instance. */
+/** Suspect requests known to this instance. */
 export interface Suspects {
   /**
    * Records that a request was in flight on an endpoint that crashed.
@@ -15,10 +22,15 @@
    * @returns false when this crash was already recorded for the request
    */
   record (fingerprint: string, boot: string, ageMs?: number): boolean
+  /**
+   * Records that a request was answered, so that its earlier crashes no longer count.
+   * @returns whether there were any
+   */
+  clear (fingerprint: string): boolean
   /** @returns the number of crashes that the request was in flight at */
   crashCount (fingerprint: string): number
   isQuarantined (fingerprint: string): boolean
-  /** @returns milliseconds until the suspicion expires; 0 for an unsuspects request */
+  /** @returns milliseconds until the suspicion expires; 0 for a request that is not suspected */
   remainingMs (fingerprint: string): number
   /** @returns reports for peers: of the given requests, or of the most recent ones */
   toReports (fingerprints?: readonly string[]): SuspectReport[]
@@ -32,7 +44,11 @@
 const MAX_SUSPECTS = 10_000
 const MAX_REPORTS = 30
 
-interface Suspect { boots: Set<string>, crashedAt: number }
+interface Suspect {
+  /** Whether each crash still counts, by process incarnation. */
+  boots: Map<string, boolean>
+  crashedAt: number
+}
 
 /** @param now monotonic milliseconds */
 export function createSuspects (now: () => number = () => performance.now()): Suspects {
@@ -46,9 +62,9 @@
   }
 
   const record = (fingerprint: string, boot: string, ageMs = 0): boolean => {
-    const suspect = find(fingerprint) ?? { boots: new Set<string>(), crashedAt: now() - ageMs }
+    const suspect = find(fingerprint) ?? { boots: new Map<string, boolean>(), crashedAt: now() - ageMs }
     if (suspect.boots.has(boot)) return false
-    suspect.boots.add(boot)
+    suspect.boots.set(boot, true)
     suspect.crashedAt = Math.max(suspect.crashedAt, now() - ageMs)
     suspects.delete(fingerprint)
     suspects.set(fingerprint, suspect)
@@ -56,18 +72,34 @@
     return true
   }
 
+  const crashCount = (fingerprint: string): number => [...find(fingerprint)?.boots.values() ?? []].filter(Boolean).length
+
+  const clear = (fingerprint: string, boots: Iterable<string>): boolean => {
+    const suspect = find(fingerprint)
+    if (suspect === undefined) return false
+    const countBefore = crashCount(fingerprint)
+    for (const boot of boots) suspect.boots.set(boot, false)
+    return crashCount(fingerprint) < countBefore
+  }
+
   return {
     record,
-    crashCount: fingerprint => find(fingerprint)?.boots.size ?? 0,
-    isQuarantined: fingerprint => (find(fingerprint)?.boots.size ?? 0) >= QUARANTINE_CRASHES,
+    clear: fingerprint => clear(fingerprint, [...find(fingerprint)?.boots.keys() ?? []]),
+    crashCount,
+    isQuarantined: fingerprint => crashCount(fingerprint) >= QUARANTINE_CRASHES,
     remainingMs: fingerprint => {
       const suspect = find(fingerprint)
-      return suspect === undefined ? 0 : SUSPECT_TTL_MS - (now() - suspect.crashedAt)
+      return suspect === undefined || crashCount(fingerprint) === 0 ? 0 : SUSPECT_TTL_MS - (now() - suspect.crashedAt)
     },
     toReports: (fingerprints = [...suspects.keys()].slice(-MAX_REPORTS)) => fingerprints.flatMap(fingerprint => {
       const suspect = find(fingerprint)
-      return suspect === undefined ? [] : [{ fingerprint, boots: [...suspect.boots], ageMs: Math.round(now() - suspect.crashedAt) }]
+      if (suspect === undefined) return []
+      const toReport = (isCleared: boolean): SuspectReport => ({ fingerprint, boots: [...suspect.boots].filter(([, counts]) => counts !== isCleared).map(([boot]) => boot), ageMs: Math.round(now() - suspect.crashedAt), isCleared })
+      return [toReport(false), toReport(true)].filter(item => item.boots.length > 0)
     }),
-    merge: reports => reports.map(item => item.boots.map(boot => record(item.fingerprint, boot, item.ageMs)).some(Boolean)).some(Boolean)
+    merge: reports => reports.map(item => {
+      if (item.isCleared === true) return clear(item.fingerprint, item.boots)
+      return item.boots.map(boot => record(item.fingerprint, boot, item.ageMs)).some(Boolean)
+    }).some(Boolean)
   }
 }
