perf(forwarding): the reports of one crash are sent together, and logged once

Cause, by reading: each request that a crash loses was a message to every neighbour and a log line at every instance. Change: new reports are collected for 5 ms; an instance logs what it lost itself, and what others lost from the second crash of a request on.

--- a/packages/forwarding/__tests__/crashGossip.test.ts
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -124,3 +124,16 @@
   const perInstance = fleet.instances.reduce((sum, item) => sum + item.sentCount, 0) / LARGE
   t.true(perInstance <= mostPerSecond * helper.SETTLE_MS / 1000, `${perInstance} messages of an instance`)
 })
+
+// Guards against one message to each neighbour for each of the requests that a crash loses.
+test('the crashes of many requests are reported in few messages', async t => {
+  const fleet = helper.startFleet(t, SMALL)
+  await timers.setTimeout(500)
+  const [{ quarantine }] = fleet.instances
+  const runs = Array.from({ length: 200 }, (_, i) => quarantine.startRun(`f${i}`, 'e1', now()))
+  fleet.instances[0].sentCount = 0
+  for (const run of runs) run.end('lost', now())
+  quarantine.confirmDown('e1', now(), 'refused')
+  await timers.setTimeout(50)
+  t.true(fleet.instances[0].sentCount <= 2 * SMALL, `${fleet.instances[0].sentCount} messages`)
+})
--- a/packages/forwarding/src/gossip/crashGossip.ts
+++ b/packages/forwarding/src/gossip/crashGossip.ts
@@ -1,5 +1,5 @@
 /**
- * Exchange of suspected requests between entry instances. New crashes are sent to all neighbours at once, because the request may be
+ * Exchange of suspected requests between entry instances. New crashes are sent to all neighbours without delay, because the request may be
  * repeated at any instance. What is known is sent again to an instance that has just started, that is heard for the first time, and
  * to one neighbour after the other, so that an instance that missed a report receives it later.
  */
@@ -27,12 +27,14 @@
 export interface CrashGossip {
   /** @param isNewMember whether the sender was not heard before, or not recently */
   onUpdate (update: CrashContent, from: string, isNewMember: boolean): void
-  /** Sends reports towards all other instances at once. */
+  /** Sends reports towards all other instances within {@link COLLECT_MS}. */
   sendReports (crashes: crashReports.CrashReport[]): void
   /** Asks for reports and repeats them, if it is time to. */
   tick (): void
 }
 
+/** Time for which new reports are collected: a crash loses many requests at once. */
+const COLLECT_MS = 5
 /** Interval at which the suspected requests are repeated to one neighbour. */
 const REPEAT_INTERVAL_MS = 500
 /** Time after the start in which an instance asks its neighbours for suspected requests, and the interval between these updates. */
@@ -44,18 +46,28 @@
   const startedAt = now()
   let askedAt = -Infinity
   let repeatedAt = -Infinity
+  let collected: crashReports.CrashReport[] = []
 
   const sendReports = (addresses: readonly string[], crashes: crashReports.CrashReport[]): void => {
     if (crashes.length > 0) opts.send(addresses, { crashes, asksForCrashes: false })
   }
 
+  const flush = (): void => {
+    const reports = collected
+    collected = []
+    sendReports(neighbours(), reports)
+  }
+
   return {
     onUpdate (update, from, isNewMember) {
       const added = quarantine.merge(update.crashes, now(), from)
       if (!opts.isDirect()) sendReports(neighbours().filter(address => address !== from), added)
       if (update.asksForCrashes || isNewMember) sendReports([from], quarantine.toReports(now()))
     },
-    sendReports (crashes) { sendReports(neighbours(), crashes) },
+    sendReports (crashes) {
+      if (collected.length === 0) setTimeout(flush, COLLECT_MS).unref()
+      collected.push(...crashes)
+    },
     tick () {
       const at = now()
       if (at - startedAt < ASK_PERIOD_MS && at - askedAt > ASK_INTERVAL_MS) {
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -213,8 +213,10 @@
     log
   })
   const quarantineAnnouncer = setInterval(() => {
+    const quarantined = quarantine.quarantined(now())
+    if (quarantined.length === 0 && announcedRequests === undefined) return
     const instanceIds = [opts.id, ...otherEntries().map(item => item.id)]
-    const selected = quarantineRecords.selectAnnounced(quarantine.quarantined(now()), { self: opts.id, instanceIds })
+    const selected = quarantineRecords.selectAnnounced(quarantined, { self: opts.id, instanceIds })
     const isSame = selected.map(item => item.fingerprint).join() === (announcedRequests ?? []).map(item => item.fingerprint).join()
     if (isSame) return
     announcedRequests = selected.length === 0 ? undefined : selected
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -93,7 +93,9 @@
   const addCrash = (fingerprint: string, endpoint: string, at: number, from: string): boolean => {
     const suspect = suspects.add(fingerprint, endpoint, at)
     if (suspect === undefined) return false
-    log?.event('requestSuspected', { fingerprint, endpoint, crashes: suspectTables.toOpenCrashes(suspect).length, from })
+    const count = suspectTables.toOpenCrashes(suspect).length
+    // Many requests are lost once in an outage; the instance that lost them logs it.
+    if (from === SELF || count > 1) log?.event('requestSuspected', { fingerprint, endpoint, crashes: count, from })
     // A run that is still in flight speaks for the request only if its endpoint is not down unnoticed.
     if (suspect.crashes.size >= crashEvidences.QUARANTINE_CRASHES) tracker.endpointsOf(fingerprint, Infinity).forEach(checkEndpoint)
     return true
