--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -8,7 +8,7 @@
 import * as links from '@kingcupdeck/links'
 import * as coldLimiters from '../placement/coldLimiter.js'
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
-import * as crashQuarantines from '../attempts/crashQuarantine.js'
+import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as draining from '../admission/draining.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
@@ -19,7 +19,7 @@
 import * as entryServers from './entryServer.js'
 import * as gossipTypes from '../gossip/gossipTypes.js'
 import * as loadGossips from '../gossip/loadGossip.js'
-import * as quarantineRecords from './quarantineRecords.js'
+import * as quarantineRecords from '../quarantine/quarantineRecords.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
@@ -213,8 +213,10 @@
     log
   })
   const quarantineAnnouncer = setInterval(() => {
+    const quarantined = quarantine.quarantined(now())
+    if (quarantined.length === 0 && announcedRequests === undefined) return
     const instanceIds = [opts.id, ...otherEntries().map(item => item.id)]
-    const selected = quarantineRecords.selectAnnounced(quarantine.quarantined(now()), { self: opts.id, instanceIds })
+    const selected = quarantineRecords.selectAnnounced(quarantined, { self: opts.id, instanceIds })
     const isSame = selected.map(item => item.fingerprint).join() === (announcedRequests ?? []).map(item => item.fingerprint).join()
     if (isSame) return
     announcedRequests = selected.length === 0 ? undefined : selected
