refactor(forwarding): one condition and one report of a crash in the quarantine

Cause: read again: the condition "one more crash may quarantine it" and the report of a crash stood twice, and a full table of suspects was copied for each new one. Change: isNearQuarantine and toReportOfCrash serve both; the oldest suspect is looked for without a copy.

--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -47,6 +47,11 @@
 const REPORT_INTERVAL_MS = 1000
 const SELF = 'self'
 
+/** Returns whether one more crash may quarantine a request, or some have. */
+function isNearQuarantine (suspect: suspectTables.Suspect): boolean {
+  return suspectTables.toOpenCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1
+}
+
 /** Creates an empty quarantine. */
 export function createCrashQuarantine (opts: CrashQuarantineOptions = {}): CrashQuarantine {
   const { log, send = () => {}, checkEndpoint = () => {} } = opts
@@ -60,7 +65,7 @@
       if (clear(fingerprint, SELF)) send([toReport(fingerprint, { isCleared: true })])
     },
     onCrash (fingerprint, endpoint, at, now) {
-      if (addCrash(fingerprint, endpoint, at, SELF)) send([toReport(fingerprint, { crashed: [endpoint], agoMs: Math.round(now - at) })])
+      if (addCrash(fingerprint, endpoint, at, SELF)) send([toReportOfCrash(fingerprint, { endpoint, at }, now)])
     }
   })
 
@@ -70,8 +75,12 @@
     return crashReports.toCrashReport(fingerprint, { hasSucceeded: hasSucceeded(fingerprint), ...fields })
   }
 
+  const toReportOfCrash = (fingerprint: string, { endpoint, at }: crashEvidences.Crash, now: number): crashReports.CrashReport => {
+    return toReport(fingerprint, { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)) })
+  }
+
   const toReportsOf = (fingerprint: string, suspect: suspectTables.Suspect, now: number): crashReports.CrashReport[] => {
-    return suspectTables.toOpenCrashes(suspect).map(({ endpoint, at }) => toReport(fingerprint, { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)) }))
+    return suspectTables.toOpenCrashes(suspect).map(crash => toReportOfCrash(fingerprint, crash, now))
   }
 
   const recordCompletion = (fingerprint: string): void => {
@@ -196,7 +205,7 @@
     },
     isSuspected (fingerprint) {
       const suspect = suspects.get(fingerprint)
-      return suspect !== undefined && suspectTables.toOpenCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1
+      return suspect !== undefined && isNearQuarantine(suspect)
     },
     isQuarantined,
     quarantined: now => suspects.entries().flatMap(([fingerprint, suspect]) => {
@@ -205,7 +214,7 @@
     toReports (now) {
       prune(now)
       return suspects.entries()
-        .filter(([, suspect]) => suspectTables.toOpenCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES - 1)
+        .filter(([, suspect]) => isNearQuarantine(suspect))
         .sort(([, a], [, b]) => b.crashes.size - a.crashes.size)
         .slice(0, MAX_REPORTED_SUSPECTS)
         .flatMap(([fingerprint, suspect]) => {
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -59,9 +59,13 @@
 
   /** Removes the oldest request that was lost once, which is the least conclusive. */
   const removeOne = (): void => {
-    const [oldest] = suspects
-    const [fingerprint] = [...suspects].find(([, suspect]) => suspect.crashes.size === 1) ?? oldest
-    remove(fingerprint)
+    for (const [fingerprint, suspect] of suspects) {
+      if (suspect.crashes.size !== 1) continue
+      remove(fingerprint)
+      return
+    }
+    const [oldest] = suspects.keys()
+    remove(oldest)
   }
 
   return {
