feat(state): log voters, lost elections and join requests

Callers saw acknowledged configurations come back older, or not at all. The control instances' logs did not say why an update ended 'unknown': not who the voters were, which of them did not vote, nor whom a replica had asked to admit it. No change of behaviour.

--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -102,8 +102,18 @@
 
 /** Sends the join request to all contacts in parallel, so that an unreachable one does not delay the others. */
 async function requestJoin (core: replicaCore.Core): Promise<void> {
-  const calls = toContacts(core).map(async name => await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined))
-  await Promise.all(calls)
+  const asked = toContacts(core)
+  const replies = await Promise.all(asked.map(async name => await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined)))
+  const leaders = new Set(replies.flatMap(reply => reply?.t === 'join' && reply.leader !== null ? [reply.leader] : []))
+  logPendingJoin(core, asked, [...leaders])
+}
+
+/** Logs a join request, unless it is a repetition. */
+function logPendingJoin (core: replicaCore.Core, asked: string[], leaders: string[]): void {
+  const request = `asked: ${asked.filter(name => name !== core.opts.name).sort().join(' ')}, leaders: ${leaders.sort().join(' ')}`
+  if (request === core.lastJoinRequest) return
+  core.lastJoinRequest = request
+  core.opts.log.event('joinPending', { group: core.opts.group, replica: core.opts.name, request })
 }
 
 function toContacts (core: replicaCore.Core): string[] {
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -57,31 +57,46 @@
 
 /** Requests votes from all voters in parallel and resolves as soon as the result is decided. */
 async function collectVotes (core: replicaCore.Core, msg: VoteRequest): Promise<boolean> {
-  const voters = core.voters()
+  const others = core.voters().filter(voter => entries.toMemberId(voter) !== core.selfId())
   const quorum = core.quorum()
+  const results = new Map(others.map(voter => [entries.toMemberId(voter), 'no reply yet']))
   let granted = 1
-  let outstanding = voters.length - 1
+  let outstanding = others.length
   if (granted >= quorum) return true
   return await new Promise<boolean>(resolve => {
-    const settle = (isGranted: boolean): void => {
+    const settle = (id: string, result: VoteResult): void => {
       outstanding--
-      if (isGranted) granted++
-      if (granted >= quorum) resolve(true)
-      else if (granted + outstanding < quorum) resolve(false)
+      results.set(id, result)
+      if (result === 'granted') granted++
+      if (granted >= quorum) return resolve(true)
+      if (granted + outstanding >= quorum) return
+      resolve(false)
+      logLostElection(core, msg, results)
     }
-    for (const voter of voters) {
-      if (entries.toMemberId(voter) === core.selfId()) continue
-      requestVote(core, voter, msg).then(settle, () => { settle(false) })
+    for (const voter of others) {
+      const id = entries.toMemberId(voter)
+      requestVote(core, voter, msg).then(result => { settle(id, result) }, () => { settle(id, 'no reply') })
     }
   })
 }
 
-async function requestVote (core: replicaCore.Core, voter: entries.Member, msg: VoteRequest): Promise<boolean> {
+type VoteResult = 'granted' | 'rejected' | 'lost its disk' | 'no reply'
+
+async function requestVote (core: replicaCore.Core, voter: entries.Member, msg: VoteRequest): Promise<VoteResult> {
   const reply = await core.opts.transport.call(voter.name, msg)
-  if (reply.t !== 'ballot') return false
+  if (reply.t !== 'ballot') return 'rejected'
   if (reply.term > msg.term) await core.observeTerm(reply.term)
   // Guards against counting the vote of a replica that lost its disk: it has the same name, but is a new member.
-  return reply.isGranted && reply.term === msg.term && entries.toMemberId(reply.from) === entries.toMemberId(voter)
+  if (entries.toMemberId(reply.from) !== entries.toMemberId(voter)) return 'lost its disk'
+  return reply.isGranted && reply.term === msg.term ? 'granted' : 'rejected'
+}
+
+/** Logs the votes of a lost election, unless they are those of the previous one. */
+function logLostElection (core: replicaCore.Core, msg: VoteRequest, results: ReadonlyMap<string, string>): void {
+  const votes = [...results].map(([id, result]) => `${id}: ${result}`).join(', ')
+  if (votes === core.lastLostVotes) return
+  core.lastLostVotes = votes
+  core.opts.log.event('electionLost', { group: core.opts.group, replica: core.opts.name, step: msg.t, term: msg.term, quorum: core.quorum(), lastIndex: msg.lastIndex, lastTerm: msg.lastTerm, votes })
 }
 
 /** Handles a vote or pre-vote request; replies only after a granted vote is synced. */
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -66,6 +66,10 @@
     currentAsFollowerAt: -Infinity,
     /** Last reset of the election timer for reasons other than contact from a leader. */
     electionTimerStartedAt: clock.now(),
+    /** Votes of the latest lost election that was logged. */
+    lastLostVotes: '',
+    /** The latest join request that was logged. */
+    lastJoinRequest: '',
     isRunning: true,
     commitIndex: 0,
     /** Latest commit index received from a leader. */
@@ -244,6 +248,7 @@
     if (item === undefined) throw new Error(`entry ${core.appliedIndex + 1} is committed but not in the log`)
     core.appliedIndex = item.index
     let result: unknown
+    if (item.body.kind === 'membership') opts.log.event('votersChanged', { group: opts.group, replica: opts.name, index: item.index, term: item.term, voters: item.body.voters.map(entries.toMemberId).join(' ') })
     if (item.body.kind === 'command') {
       core.lastAtMs = item.body.atMs
       result = opts.stateMachine.apply(item.body.command, { index: item.index, atMs: item.body.atMs })
