fix(state): a new replica joins through the leader that its contacts name

Cause: only the leader admits replicas, and requestJoin asked the seeds only and ignored the leader that they name in their replies. While the leader is no seed, a replaced or wiped replica never becomes a voter, and the dead one that it replaces still counts. Change: the request is sent on to each leader that is named. Evidence: the new test 'a new replica joins through the leader that its contacts name' fails on (false is not true: f is no voter within catch-up time) and passes now.

--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -100,12 +100,23 @@
   core.opts.log.event('replicaFounded', { group: core.opts.group, replica: core.opts.name, voters: founding.length })
 }
 
-/** Sends the join request to all contacts in parallel, so that an unreachable one does not delay the others. */
+/**
+ * Sends the join request to all contacts in parallel, so that an unreachable one does not delay the others, and to the leaders that
+ * they name: only the leader admits replicas.
+ */
 async function requestJoin (core: replicaCore.Core): Promise<void> {
-  const asked = toContacts(core)
-  const replies = await Promise.all(asked.map(async name => await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined)))
-  const leaders = new Set(replies.flatMap(reply => reply?.t === 'join' && reply.leader !== null ? [reply.leader] : []))
-  logPendingJoin(core, asked, [...leaders])
+  const asked = new Set<string>([core.opts.name])
+  const leaders = new Set<string>()
+  const ask = async (name: string): Promise<void> => {
+    if (asked.has(name)) return
+    asked.add(name)
+    const reply = await core.opts.transport.call(name, { t: 'join', from: core.self() }).catch(() => undefined)
+    if (reply?.t !== 'join' || reply.leader === null) return
+    leaders.add(reply.leader)
+    await ask(reply.leader)
+  }
+  await Promise.all(toContacts(core).map(ask))
+  logPendingJoin(core, [...asked], [...leaders])
 }
 
 /** Logs a join request, unless it is a repetition. */
