fix(state): replaced replicas are removed from the group in turn

Cause: an unresponsive voter was removed only while all other voters replied, so two removed machines blocked the removal of each other for ever. Three of them among eight voters leave a quorum of five without a spare. Change: a removal must leave a quorum of responsive voters and a spare one. A group of five parted into three and two still keeps its five voters. A voter that is silent while another one is admitted counts as replaced and is removed after 3 s instead of 12 s, since the next machine may be lost 4 s after its successor has started.

--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -79,6 +79,8 @@
   readonly stalledDisks = new Set<string>()
   /** Replicas whose disk is full. */
   readonly fullDisks = new Set<string>()
+  /** Names that replicas contact for joining; the founders by default. */
+  seeds: readonly string[] | undefined
   /** Replicas that reported a storage failure. */
   readonly failed: string[] = []
   /** Leader of each term. */
@@ -120,6 +122,7 @@
       name,
       founderNames: this.names,
       canBootstrap,
+      contacts: () => this.seeds ?? this.names,
       isDynamic: this.isDynamic,
       storage: this.createStorage(node, process),
       transport: { call: async (to, msg) => await this.call(name, process, to, msg) },
--- a/packages/state/__tests__/replacedReplicas.test.ts
+++ b/packages/state/__tests__/replacedReplicas.test.ts
@@ -1,8 +1,10 @@
 /** Replicas that are replaced by new ones at other addresses, on virtual time: the group must keep a reachable quorum. */
 import * as ava from 'ava'
+import * as fc from 'fast-check'
 import * as virtual from './helpers/virtualCluster.js'
 
 const test = ava.default
+const RUNS = 30
 /** A further replica may be lost this long after the successor of the previous one has started. */
 const CATCH_UP_MS = 4000
 
@@ -18,6 +20,10 @@
   return (cluster.leader()?.process.replica?.status().voters ?? []).map(id => id.split('#')[0]).sort()
 }
 
+function running (cluster: virtual.VirtualCluster): string[] {
+  return [...cluster.nodes.keys()].filter(name => cluster.isUp(name)).sort()
+}
+
 async function run (cluster: virtual.VirtualCluster, ms: number): Promise<void> {
   for (let at = 0; at < ms; at += 100) {
     await cluster.clock.advance(100)
@@ -40,3 +46,84 @@
   await run(cluster, CATCH_UP_MS)
   t.true(voters(cluster).includes('f'))
 })
+
+// Guards against removed replicas that block the removal of each other and then outnumber the others.
+test('replicas replaced in turn are removed, and a disk may be lost afterwards', async t => {
+  for (const seed of [21, 22, 23]) {
+    const cluster = await startGroup(seed)
+    for (const [gone, fresh] of [['a', 'f'], ['b', 'g'], ['d', 'h']]) {
+      cluster.crash(gone)
+      await run(cluster, 1000)
+      await cluster.add(fresh)
+      await run(cluster, 7000)
+    }
+    await run(cluster, 30_000)
+    t.deepEqual(voters(cluster), ['c', 'e', 'f', 'g', 'h'], `seed ${seed}`)
+    cluster.propose('before')
+    await run(cluster, 1000)
+    cluster.wipe('c')
+    for (const name of ['e', 'f', 'g', 'h']) cluster.crash(name)
+    for (const name of ['c', 'e', 'f', 'g', 'h']) await cluster.start(name, false)
+    await run(cluster, 10_000)
+    cluster.propose('after')
+    await run(cluster, 1000)
+    t.deepEqual(cluster.acknowledged, ['before', 'after'], `seed ${seed}`)
+    t.deepEqual(cluster.violations, [])
+  }
+})
+
+// Guards against a group without a quorum although only one replica is lost at a time.
+test('the group has a leader after any losses in turn', async t => {
+  const plan = fc.array(fc.record({
+    kind: fc.constantFrom('replace', 'wipe', 'crash', 'isolate', 'powerLoss'),
+    target: fc.integer({ min: 0, max: 4 }),
+    isLeader: fc.boolean(),
+    downMs: fc.integer({ min: 200, max: 3000 }),
+    pauseMs: fc.integer({ min: 0, max: 5000 })
+  }), { minLength: 4, maxLength: 10 })
+  await fc.assert(fc.asyncProperty(plan, fc.integer({ min: 1, max: 1e6 }), async (losses, seed) => {
+    const cluster = await startGroup(seed)
+    for (const [i, loss] of losses.entries()) {
+      const up = running(cluster)
+      cluster.seeds = up.slice(0, 3)
+      const name = loss.isLeader ? cluster.leader()?.name ?? up[0] : up[loss.target % up.length]
+      cluster.propose(`command-${i}`)
+      await run(cluster, 500)
+      switch (loss.kind) {
+        case 'replace':
+          cluster.crash(name)
+          await run(cluster, loss.downMs)
+          await cluster.add(`new-${i}`)
+          break
+        case 'wipe':
+          cluster.wipe(name)
+          await run(cluster, loss.downMs)
+          await cluster.start(name, false)
+          break
+        case 'crash':
+          cluster.crash(name)
+          await run(cluster, loss.downMs)
+          await cluster.start(name, false)
+          break
+        case 'isolate':
+          cluster.network.isolated.add(name)
+          await run(cluster, loss.downMs)
+          cluster.network.isolated.delete(name)
+          break
+        case 'powerLoss':
+          for (const other of up) cluster.crash(other)
+          for (const other of up) await cluster.start(other, false)
+          break
+      }
+      await run(cluster, CATCH_UP_MS + loss.pauseMs)
+    }
+    await run(cluster, 20_000)
+    cluster.propose('last')
+    await run(cluster, 1000)
+    t.true(cluster.acknowledged.includes('last'), 'the group has no leader')
+    t.deepEqual(voters(cluster), running(cluster))
+    const applied = new Set(cluster.applied(cluster.leader()?.name ?? ''))
+    t.deepEqual(cluster.acknowledged.filter(command => !applied.has(command)), [], 'an acknowledged command is lost')
+    t.deepEqual(cluster.violations, [])
+  }), { seed: 20261206, numRuns: RUNS, endOnFailure: true })
+})
--- a/packages/state/src/membershipChanges.ts
+++ b/packages/state/src/membershipChanges.ts
@@ -44,7 +44,11 @@
     const change = findChange(core, leadership)
     if (change === undefined) continue
     await commitVoters(change.voters).catch(() => {})
-    if (change.kind === 'admit') leadership.learners.delete(entries.toMemberId(change.member))
+    if (change.kind === 'admit') {
+      leadership.learners.delete(entries.toMemberId(change.member))
+      leadership.lastAdmittedAt = core.opts.clock.now()
+    }
+    if (change.kind === 'remove') leadership.lastAdmittedAt = -Infinity
     if (change.kind === 'remove' && replication.isLeading(core, leadership)) {
       leadership.peers.delete(entries.toMemberId(change.member))
       core.opts.log.event('replicaRepaired', { group: core.opts.group, replica: change.member.name })
@@ -62,20 +66,31 @@
  * returns later joins like a new one.
  */
 const REMOVE_UNRESPONSIVE_MS = 12_000
-/** All other voters must have replied within this time before an unresponsive one is removed. */
+/** The same if a voter was admitted meanwhile, which takes its place; longer than restarts. */
+const REMOVE_REPLACED_MS = 3000
+/** A voter counts as responsive if it has replied within this time. */
 const RESPONSIVE_MS = 1500
+/** Number of responsive voters that may be lost during a removal, and the group still has a quorum. */
+const SPARE_VOTERS = 1
 const DEFAULT_MIN_VOTERS = 3
 
-/** Guards against a quorum that becomes unreachable as hosts are replaced by new ones with other names. */
+/**
+ * Finds a voter to remove because it is unresponsive, as when hosts are replaced by new ones with other names: their quorum would
+ * become unreachable. A removal must leave a quorum of responsive voters and a spare one, so it may remove voters in turn, but
+ * during a partition it does not shrink the group to those that the leader happens to reach.
+ */
 function findUnresponsive (core: replicaCore.Core, leadership: replicaCore.Leadership): entries.Member | undefined {
   const now = core.opts.clock.now()
   const voters = core.voters()
-  if (now - leadership.startedAt < REMOVE_UNRESPONSIVE_MS || voters.length <= (core.opts.minVoters ?? DEFAULT_MIN_VOTERS)) return undefined
+  if (voters.length <= (core.opts.minVoters ?? DEFAULT_MIN_VOTERS)) return undefined
   const others = voters.filter(voter => entries.toMemberId(voter) !== core.selfId())
-  const unresponsiveMs = (voter: entries.Member): number => now - (leadership.peers.get(entries.toMemberId(voter))?.lastAckedSentAt ?? -Infinity)
-  const unresponsive = others.find(voter => unresponsiveMs(voter) > REMOVE_UNRESPONSIVE_MS)
-  if (unresponsive === undefined || others.some(voter => voter !== unresponsive && unresponsiveMs(voter) > RESPONSIVE_MS)) return undefined
-  return unresponsive
+  const lastContactAt = (voter: entries.Member): number => Math.max(leadership.startedAt, leadership.peers.get(entries.toMemberId(voter))?.lastAckedSentAt ?? -Infinity)
+  const unresponsive = others.sort((a, b) => lastContactAt(a) - lastContactAt(b))[0]
+  const isReplaced = leadership.lastAdmittedAt > lastContactAt(unresponsive)
+  if (now - lastContactAt(unresponsive) <= (isReplaced ? REMOVE_REPLACED_MS : REMOVE_UNRESPONSIVE_MS)) return undefined
+  const responsive = 1 + others.filter(voter => now - lastContactAt(voter) <= RESPONSIVE_MS).length
+  const quorumAfterwards = Math.floor((voters.length - 1) / 2) + 1
+  return responsive >= quorumAfterwards + SPARE_VOTERS ? unresponsive : undefined
 }
 
 type Change =
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -27,6 +27,8 @@
   startedAt: number
   peers: Map<string, PeerProgress>
   learners: Map<string, entries.Member>
+  /** Time of the latest admission that no removal has followed; -Infinity if there is none. */
+  lastAdmittedAt: number
   pendingProposals: Map<number, { resolve: (result: unknown) => void, reject: (err: Error) => void }>
   /** Whether `onLeadershipChange` was called with true. */
   isAnnounced: boolean
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -18,6 +18,7 @@
     startedAt: core.opts.clock.now(),
     peers: new Map(),
     learners: new Map(),
+    lastAdmittedAt: -Infinity,
     pendingProposals: new Map(),
     isAnnounced: false
   }
--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -28,7 +28,7 @@
   return { isOk, lastLine: (res.stdout ?? '').trim().split('\n').at(-1) ?? '' }
 }
 
-/** An entry of KNOWN-RED.txt: a test that may fail, or a case or seed, which this script only prints. */
+/** Names of entries that are no tests: cases and seeds, which need the bench or minutes, and are only printed. */
 const CASE_NAME = /^(review\/\d+|seed \S+)$/
 
 /** Reads KNOWN-RED.txt, one entry a line: its name, its command, what was seen and its issue. Prints the cases and seeds. @returns the titles of tests */
