fix(state): a failed write ends the replica

Cause: persist counted entries as passed to the storage before the write had succeeded. If it failed on a follower, the error failed one call only; the next entry was written alone, after a gap, and the follower acknowledged all entries up to it. At the next start the gap passed for damage, the disk was wiped, and after a few full disks in turn a majority did so at one time. Change: the core performs all writes in one chain; the first that fails stops the replica (K1210 replicaFailed), none behind it is performed, and the document store starts it again from its disk. A stopped replica answers no calls. What a start has read back is saved again before anything is acknowledged. Evidence: 'entries refused by a full disk are not acknowledged' and 'what a replica acknowledged is on its disk when any write may fail' fail on ('a acknowledged entries up to 6, but its disk ends at 4', gaps in the logs) and pass now.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -31,6 +31,7 @@
   logDamaged: spec(1207, 'error', 'log is damaged before its synced end; treated as a lost disk', 'Replace the disk.'),
   snapshotTaken: spec(1208, 'info', 'snapshot taken and log compacted'),
   snapshotInstalled: spec(1209, 'info', 'snapshot from the leader installed'),
+  replicaFailed: spec(1210, 'error', 'replica stopped because its state could not be stored', 'Check the disk: free space, and whether writes complete. The replica starts again by itself from what is stored.'),
   votersChanged: spec(1211, 'info', 'voters of the replica group changed'),
   electionLost: spec(1212, 'info', 'this replica stood for election and was not elected', 'Expected for seconds while control instances restart. If no replica is elected, compare the voters named with the control instances that run: a quorum of the voters must be up.'),
   joinPending: spec(1213, 'info', 'this replica asks to be admitted to its group', 'If it repeats for minutes, check that the addresses named can be reached and that the group has a leader.'),
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -43,6 +43,9 @@
   await new Promise(resolve => setImmediate(resolve))
 }
 
+/** Pause before a replica whose storage failed is started again. */
+const RESTART_PAUSE_MS = 700
+
 /** A disk that keeps synced data when its replica crashes. */
 class MemoryDisk {
   meta: state.Meta | undefined
@@ -56,6 +59,20 @@
     this.snapshot = undefined
     this.committed = 0
   }
+
+  /** @returns the index up to which entries are stored without a gap */
+  lastIndex (): number {
+    let last = this.snapshot?.lastIndex ?? 0
+    for (const item of this.entries) if (item.index === last + 1) last++
+    return last
+  }
+
+  /** Checks what a replica acknowledges against its disk. @returns what is missing */
+  findMissing (reply: state.RpcReply): string | undefined {
+    if (reply.t === 'append' && reply.isOk && reply.match > this.lastIndex()) return `acknowledged entries up to ${reply.match}, but its disk ends at ${this.lastIndex()}`
+    if (reply.t === 'ballot' && reply.isGranted && reply.from.incarnation !== this.meta?.incarnation) return 'granted a vote, but its incarnation is not on its disk'
+    return undefined
+  }
 }
 
 /** One running incarnation of a replica process. */
@@ -79,6 +96,10 @@
   readonly stalledDisks = new Set<string>()
   /** Replicas whose disk is full. */
   readonly fullDisks = new Set<string>()
+  /** Replicas whose disk refuses some of the writes, and performs part of what it refuses. */
+  readonly faultyDisks = new Set<string>()
+  /** Whether replicas whose storage failed are started again. */
+  restartsFailed = false
   /** Names that replicas contact for joining; the founders by default. */
   seeds: readonly string[] | undefined
   /** Replicas that reported a storage failure. */
@@ -137,9 +158,23 @@
       log,
       invariants,
       snapshotEvery: this.snapshotEvery,
-      onFailed: () => { this.failed.push(name) }
+      onFailed: () => {
+        this.failed.push(name)
+        if (this.restartsFailed) this.restartLater(name, process)
+      }
+    })
+    starting.then(replica => { process.replica = replica }, err => {
+      if (!this.restartsFailed) throw err
+      this.restartLater(name, process)
+    })
+  }
+
+  private restartLater (name: string, failed: Process): void {
+    this.clock.schedule(RESTART_PAUSE_MS, () => {
+      if (failed.isDead || this.node(name).process !== failed) return
+      this.crash(name)
+      void this.start(name)
     })
-    void starting.then(replica => { process.replica = replica })
   }
 
   crash (name: string): void {
@@ -208,24 +243,31 @@
     let queue: Promise<void> = Promise.resolve()
     const { disk } = node
     // A write is synced after a delay; a crash before that loses it.
-    const write = async (apply: () => void): Promise<void> => {
+    const write = async (apply: () => void, applyPart: () => void = () => {}): Promise<void> => {
       const turn = queue.then(async () => {
         await new Promise<void>(resolve => { this.clock.schedule(1 + this.random() * 8, resolve) })
         while (this.stalledDisks.has(node.name) && !process.isDead) await new Promise<void>(resolve => { this.clock.schedule(10, resolve) })
         if (process.isDead) await new Promise(() => {})
         if (this.fullDisks.has(node.name)) throw new Error('no space left on device')
+        if (this.faultyDisks.has(node.name) && this.random() < 0.5) {
+          applyPart()
+          throw new Error('input/output error')
+        }
         apply()
       })
       queue = turn.catch(() => {})
       await turn
     }
     return {
-      load: async () => disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0, commitIndex: disk.committed },
+      load: async () => {
+        if (disk.entries.some((item, i) => i > 0 && item.index !== disk.entries[i - 1].index + 1)) this.violations.push(`gap in the log of ${node.name}: ${disk.entries.map(item => item.index).join(' ')}`)
+        return disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0, commitIndex: disk.committed }
+      },
       wipe: async () => { await write(() => { disk.wipe() }) },
       saveMeta: async meta => { await write(() => { disk.meta = meta }) },
       append: async list => {
         const copy = [...list]
-        await write(() => { disk.entries.push(...copy) })
+        await write(() => { disk.entries.push(...copy) }, () => { disk.entries.push(...copy.slice(0, 1)) })
       },
       saveCommitIndex: index => { write(() => { disk.committed = index }).catch(() => {}) },
       truncateFrom: async index => { await write(() => { disk.entries = disk.entries.filter(item => item.index < index) }) },
@@ -233,7 +275,7 @@
         await write(() => {
           disk.snapshot = snapshot
           disk.entries = disk.entries.filter(item => item.index >= keepFrom)
-        })
+        }, () => { disk.snapshot = snapshot })
       },
       close: async () => {}
     }
@@ -258,6 +300,8 @@
           return
         }
         handled.then(reply => {
+          const missing = this.node(to).disk.findMissing(reply)
+          if (!target.isDead && missing !== undefined) this.violations.push(`${to} ${missing}`)
           if (target.isDead || isLost()) failCall()
           else this.clock.schedule(this.randomDelayMs(), () => { if (!caller.isDead) resolve(structuredClone(reply)) })
         }, failCall)
--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -31,12 +31,23 @@
     core.log.reset(snapshot.lastIndex, snapshot.lastTerm)
     replication.restoreSnapshot(core, snapshot)
   }
-  core.log.append(list.filter(item => item.index > core.log.base().index))
+  core.log.append(findSuffix(list, snapshot))
   core.queuedIndex = core.log.lastIndex()
   core.syncedIndex = core.log.lastIndex()
   // Committed entries stay committed, so they are applied before a leader is elected.
   core.advanceCommit(commitIndex)
-  if (meta.founding !== null) core.role = { kind: 'follower' }
+  if (core.meta.founding !== null) core.role = { kind: 'follower' }
+  // The process may have ended before this state was durable, so it is written again before anything is acknowledged. A failure
+  // ends the replica.
+  core.saveMeta().catch(() => {})
+}
+
+/** Returns the entries that continue a snapshot. The process may have ended before it removed those that the snapshot replaced. */
+function findSuffix (list: entries.Entry[], snapshot: entries.Snapshot | undefined): entries.Entry[] {
+  if (snapshot === undefined) return list
+  const covered = list.find(item => item.index === snapshot.lastIndex)
+  if (covered !== undefined && covered.term !== snapshot.lastTerm) return []
+  return list.filter(item => item.index > snapshot.lastIndex)
 }
 
 /** Number of maximum election timeouts without a leader after which a voter requests to join again, in case it was removed. */
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -61,7 +61,14 @@
   const assembly: replication.SnapshotAssembly = { lastIndex: 0, lastTerm: 0, chunks: [], bytes: 0 }
   let isFlushing = false
 
-  await bootstrap.loadReplica(core)
+  try {
+    await bootstrap.loadReplica(core)
+  } catch (err) {
+    core.isRunning = false
+    await opts.storage.close().catch(closeErr => { opts.log.event('replicaFailed', { group: opts.group, replica: opts.name, step: 'close', detail: String(closeErr) }) })
+    throw err
+  }
+  core.isLoaded = true
   core.lastContactOrStartAt = opts.clock.now()
 
   /** Persists the leader's appended entries; proposals that arrive during a sync share the next one. */
@@ -119,6 +126,7 @@
 
   return {
     async handle (msg) {
+      if (!core.isRunning) throw new Error(`replica ${opts.name} has stopped: call it again after its restart`)
       switch (msg.t) {
         case 'hello': return bootstrap.onHello(core)
         case 'join': return membershipChanges.onJoinRequest(core, msg.from)
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -54,6 +54,7 @@
   const { clock, storage, invariants } = opts
   const log = memoryLog.createMemoryLog()
   const snapshotEvery = opts.snapshotEvery ?? DEFAULT_SNAPSHOT_ENTRIES
+  let writes: Promise<void> = Promise.resolve()
   const core = {
     opts,
     timing: opts.timing ?? replicaOptions.DEFAULT_TIMING,
@@ -73,6 +74,8 @@
     /** The latest join request that was logged. */
     lastJoinRequest: '',
     isRunning: true,
+    /** Whether the stored state was loaded; an earlier failure is reported by the loading itself. */
+    isLoaded: false,
     commitIndex: 0,
     /** Latest commit index received from a leader. */
     leaderCommitIndex: 0,
@@ -86,7 +89,7 @@
     queuedIndex: 0,
     /** Last index synced to storage. */
     syncedIndex: 0,
-    /** The latest write of entries. Writes are performed in order, so it completes after all earlier ones. */
+    /** The latest write that acknowledgements wait for. Writes are performed in order, so it completes after all earlier ones. */
     lastWrite: Promise.resolve() as Promise<void>,
 
     self: (): entries.Member => ({ name: opts.name, incarnation: core.meta.incarnation }),
@@ -98,8 +101,11 @@
     /** Persists the current metadata. */
     async saveMeta (): Promise<void> {
       const copy = { ...core.meta }
-      await storage.saveMeta(copy)
-      core.syncedMeta = copy
+      core.lastWrite = write(async () => {
+        await storage.saveMeta(copy)
+        core.syncedMeta = copy
+      })
+      await core.lastWrite
     },
 
     /** Adopts a higher term, in which this replica has not voted. */
@@ -124,17 +130,19 @@
       if (previous.leadership.isAnnounced) opts.onLeadershipChange?.(false)
     },
 
-    /** Writes all entries that were not yet passed to the storage, and waits until they are synced. */
+    /** Writes all entries that were not yet passed to the storage, and waits until everything to be acknowledged is synced. */
     async persist (): Promise<void> {
       const list = log.from(core.queuedIndex + 1, Infinity)
-      const last = log.lastIndex()
-      if (list.length > 0) {
-        core.queuedIndex = last
-        core.lastWrite = storage.append(list)
+      const last = list.at(-1)
+      if (last !== undefined) {
+        core.queuedIndex = last.index
+        core.lastWrite = write(async () => {
+          await storage.append(list)
+          // Another leader's entries may have replaced these in memory meanwhile.
+          if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
+        })
       }
-      // Entries passed to the storage by another task must be synced as well.
       await core.lastWrite
-      core.syncedIndex = Math.min(Math.max(core.syncedIndex, last), log.lastIndex())
     },
 
     /** Removes entries that conflict with the leader's log. */
@@ -144,7 +152,17 @@
       core.syncedIndex = Math.min(core.syncedIndex, index - 1)
       if (index > core.queuedIndex) return
       core.queuedIndex = index - 1
-      await storage.truncateFrom(index)
+      core.lastWrite = write(async () => { await storage.truncateFrom(index) })
+      await core.lastWrite
+    },
+
+    /** Stores a snapshot received from the leader, in place of the entries that it covers. */
+    async saveInstalledSnapshot (snapshot: entries.Snapshot, keepFrom: number): Promise<void> {
+      core.lastWrite = write(async () => {
+        await storage.saveSnapshot(snapshot, keepFrom)
+        core.syncedIndex = Math.max(core.syncedIndex, snapshot.lastIndex)
+      })
+      await core.lastWrite
     },
 
     /** Advances the commit index and applies the newly committed entries. */
@@ -219,22 +237,35 @@
       core.lastSnapshot = snapshot
       core.snapshotIndex = snapshot.lastIndex
       core.snapshotVoters = snapshot.voters
-      const keepFrom = Math.max(log.base().index + 1, snapshot.lastIndex - RETAINED_ENTRIES + 1)
+      // Entries that the storage has not received yet stay in the log.
+      const keepFrom = Math.max(log.base().index + 1, Math.min(snapshot.lastIndex - RETAINED_ENTRIES, core.queuedIndex) + 1)
       if (keepFrom - 1 > log.base().index) log.compactTo(keepFrom - 1)
       opts.log.event('snapshotTaken', { group: opts.group, replica: opts.name, index: snapshot.lastIndex })
-      storage.saveSnapshot(snapshot, keepFrom).catch(core.fail)
+      // Acknowledgements do not wait for it: the entries that it covers are synced. A failure ends the replica.
+      write(async () => { await storage.saveSnapshot(snapshot, keepFrom) }).catch(() => {})
     },
 
-    /** Stops the replica after a storage failure, since it can no longer guarantee what it acknowledges. */
+    /** Stops the replica after a failure of its storage or of one of its tasks, since it can no longer guarantee what it acknowledges. */
     fail (err: unknown): void {
       if (!core.isRunning) return
-      core.stepDown('storage failed')
+      core.stepDown('storage or a task failed')
       core.isRunning = false
-      opts.onFailed?.()
-      opts.log.event('uncaught', { group: opts.group, replica: opts.name, detail: err instanceof Error ? err.message : String(err) })
+      opts.log.event('replicaFailed', { group: opts.group, replica: opts.name, term: core.meta.term, lastIndex: log.lastIndex(), syncedIndex: core.syncedIndex, detail: err instanceof Error ? err.message : String(err) })
+      if (core.isLoaded) opts.onFailed?.()
     }
   }
 
+  /**
+   * Performs a write after all earlier ones. A failed write ends the replica, and no later one is performed: the stored state
+   * would no longer be a prefix of the decisions in memory.
+   */
+  const write = async (perform: () => Promise<void>): Promise<void> => {
+    const turn = writes.then(perform)
+    writes = turn
+    turn.catch(core.fail)
+    await turn
+  }
+
   const votersAt = (index: number): entries.Member[] => {
     const latest = log.membership()
     if (latest === undefined || latest.index <= index) return core.voters()
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -211,15 +211,17 @@
 async function installSnapshot (core: replicaCore.Core, snapshot: entries.Snapshot): Promise<void> {
   const { log } = core
   const hasSuffix = log.termAt(snapshot.lastIndex) === snapshot.lastTerm
-  if (hasSuffix) log.compactTo(snapshot.lastIndex)
-  else {
+  if (hasSuffix) {
+    log.compactTo(snapshot.lastIndex)
+    core.queuedIndex = Math.max(core.queuedIndex, snapshot.lastIndex)
+  } else {
     log.reset(snapshot.lastIndex, snapshot.lastTerm)
     core.queuedIndex = snapshot.lastIndex
-    core.syncedIndex = snapshot.lastIndex
+    core.syncedIndex = Math.min(core.syncedIndex, core.commitIndex)
   }
   restoreSnapshot(core, snapshot)
   core.opts.log.event('snapshotInstalled', { group: core.opts.group, replica: core.opts.name, index: snapshot.lastIndex })
-  await core.opts.storage.saveSnapshot(snapshot, hasSuffix ? snapshot.lastIndex + 1 : Number.MAX_SAFE_INTEGER)
+  await core.saveInstalledSnapshot(snapshot, hasSuffix ? snapshot.lastIndex + 1 : Number.MAX_SAFE_INTEGER)
 }
 
 /**
