fix(state): a founder that ended between its first entry and its metadata founds the group

Callers saw: nothing yet; found while looking for writes that may be cut off. A founder that is killed after the founding entry and before its metadata counts itself a voter, asks nobody, and tells the others that it is new: no founder ever bootstraps the group. Change: the founding voters are read from the first entry if the metadata lacks them. Evidence: the new test fails on (no leader after 10 s) and passes now.

--- a/packages/state/__tests__/storageFailures.test.ts
+++ b/packages/state/__tests__/storageFailures.test.ts
@@ -77,3 +77,17 @@
     checkAcknowledged(t, cluster)
   }), { seed: 20261205, numRuns: RUNS, endOnFailure: true })
 })
+
+// Guards against a group that is never founded because its first founder ended between two writes.
+test('a founder that ended before its metadata was stored founds the group after its restart', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 29, 20, true)
+  for (const name of cluster.names) await cluster.start(name)
+  const { disk } = cluster.node('a')
+  for (let i = 0; i < 2000 && disk.entries.length === 0; i++) await cluster.clock.advance(1)
+  t.is(disk.meta?.founding, null)
+  cluster.crash('a')
+  await cluster.start('a', false)
+  await cluster.clock.advance(10_000)
+  t.not(cluster.leader(), undefined)
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -25,7 +25,7 @@
 }
 
 function restoreLoaded (core: replicaCore.Core, meta: entries.Meta, snapshot: entries.Snapshot | undefined, list: entries.Entry[], commitIndex: number): void {
-  core.meta = meta
+  core.meta = { ...meta, founding: meta.founding ?? findFounding(list) }
   core.syncedMeta = meta
   if (snapshot !== undefined) {
     core.log.reset(snapshot.lastIndex, snapshot.lastTerm)
@@ -42,6 +42,12 @@
   core.saveMeta().catch(() => {})
 }
 
+/** Returns the founding voters if the process ended after it had stored the founding entry, but not yet the metadata. */
+function findFounding (list: entries.Entry[]): entries.Member[] | null {
+  const [first] = list
+  return first?.index === 1 && first.term === 0 && first.body.kind === 'membership' ? first.body.voters : null
+}
+
 /** Returns the entries that continue a snapshot. The process may have ended before it removed those that the snapshot replaced. */
 function findSuffix (list: entries.Entry[], snapshot: entries.Snapshot | undefined): entries.Entry[] {
   if (snapshot === undefined) return list
