fix(state): a stopped replica writes nothing

Callers saw: nothing yet. A replica that had stopped could still store a term or vote from an election under way, on a disk that its successor may already use; the same error was an unhandled rejection when it came from a leadership transfer. Change: the chain of writes refuses them once the replica has stopped; a failed transfer ends the replica like other failures.

--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -135,7 +135,7 @@
         case 'append': return await replication.onAppend(core, msg)
         case 'snapshot': return await replication.onSnapshotChunk(core, assembly, msg)
         case 'takeOver':
-          if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') void election.campaign(core, true, onElected)
+          if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') election.campaign(core, true, onElected).catch(core.fail)
           return { t: 'takeOver', from: core.self() }
       }
     },
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -260,7 +260,11 @@
    * would no longer be a prefix of the decisions in memory.
    */
   const write = async (perform: () => Promise<void>): Promise<void> => {
-    const turn = writes.then(perform)
+    const turn = writes.then(async () => {
+      // The disk may belong to the successor of a stopped replica.
+      if (!core.isRunning) throw new Error(`replica ${opts.name} has stopped and writes nothing any more`)
+      await perform()
+    })
     writes = turn
     turn.catch(core.fail)
     await turn
