fix(state): a log that cannot be read or repaired now is not damaged, and what was not synced is written again

Cause: any error while the files were read or a torn tail was cut counted as damage, a full disk too, and damage wipes the disk. And a start took entries for synced that a killed process had only written, or whose sync had failed: the kernel keeps such pages readable and reports a later sync as successful, though a power loss loses them. Change: files are read first (errors end the start), then decoded (damage), then repaired (errors end the start); the document store repeats a start that failed for its disk. What lies beyond the mark of the synced end is written again to a new file. A truncation clears the mark first, so an interrupted one is repaired in the same way. An interrupted wipe leaves no metadata without its log. A temporary file of an earlier attempt is removed, not reused. 'a replica whose disk is full at the start begins once there is room' guards the repeated start, which is new.

--- a/packages/coordination/__tests__/documentStore.test.ts
+++ b/packages/coordination/__tests__/documentStore.test.ts
@@ -19,6 +19,8 @@
   /** Partitions a store from all others, in both directions. */
   partition: (name: string) => void
   leader: () => Promise<string>
+  /** Stops a store and starts it on its disk while a fault is in place. @param begin puts it in place, and returns what ends it */
+  restart: (name: string, begin: (folder: string) => Promise<() => Promise<void>>) => Promise<void>
   close: () => Promise<void>
 }
 
@@ -35,8 +37,7 @@
     }
     return { call } as unknown as links.Link
   }
-  for (const name of names) {
-    await fs.mkdir(folderOf(name))
+  const start = async (name: string): Promise<void> => {
     stores.set(name, await coordination.startDocumentStore({
       self: name,
       founders: names,
@@ -51,10 +52,19 @@
       invariants: telemetry.createInvariants({ log, isFatal: true })
     }))
   }
+  for (const name of names) {
+    await fs.mkdir(folderOf(name))
+    await start(name)
+  }
   return {
     stores,
     folderOf,
     partition: name => { partitioned.add(name) },
+    async restart (name, begin) {
+      await stores.get(name)?.stop()
+      const end = await begin(folderOf(name))
+      await start(name).finally(end)
+    },
     async leader () {
       const deadline = performance.now() + WAIT_MS
       while (performance.now() < deadline) {
@@ -149,6 +159,28 @@
   await group.close()
 })
 
+// Guards against a control instance that exits, or wipes its log, because its disk is full at the start.
+test.serial('a replica whose disk is full at the start begins once there is room', async t => {
+  const group = await startGroup(['a', 'b', 'c'])
+  await group.leader()
+  await putUntilStored(get(group, 'a'), toDocument(1))
+  await group.restart('b', async folder => {
+    // An incomplete record, which the start removes by writing the log again.
+    await fs.appendFile(path.join(folder, 'document', 'log'), Buffer.from([0, 0, 0, 9, 1]))
+    const handle = await fs.open(folder, 'r')
+    const prototype = Object.getPrototypeOf(handle) as { writeFile: unknown }
+    const { writeFile } = prototype
+    prototype.writeFile = async () => { throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' }) }
+    return async () => {
+      prototype.writeFile = writeFile
+      await handle.close()
+    }
+  })
+  t.is((await get(group, 'b').read(WAIT_MS))?.version, 1)
+  t.deepEqual(get(group, 'b').status()?.voters.length, 3)
+  await group.close()
+})
+
 test('an evacuation is committed before it is acknowledged, and does not change the document', async t => {
   const group = await startGroup(['a', 'b', 'c'])
   await group.leader()
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -106,6 +106,13 @@
 /** Log entries between snapshots. A starting replica applies up to this many before its document is available. */
 const SNAPSHOT_ENTRIES = 30
 
+/** Codes of system errors that a disk may recover from. */
+const DISK_FAILURES: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT', 'EIO'])
+
+function isDiskFailure (err: unknown): boolean {
+  return DISK_FAILURES.has((err as NodeJS.ErrnoException | undefined)?.code)
+}
+
 /** Starts the replica, and restarts it after disk failures until the store is stopped. */
 export async function startDocumentStore (opts: DocumentStoreOptions): Promise<DocumentStore> {
   const stopped = new AbortController()
@@ -238,7 +245,13 @@
 
   const orders = evacuationOrders.createEvacuationOrders({ replica: requireReplica, machine: () => machine, runAtLeader: retry, readTimeoutMs: RPC_TIMEOUT_MS })
 
-  replica = await create()
+  try {
+    replica = await create()
+  } catch (err) {
+    if (!isDiskFailure(err)) throw err
+    opts.log.event('replicaRestarted', { step: 'failed', detail: String(err) })
+    void restart()
+  }
 
   return {
     latest: () => latest,
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -52,7 +52,10 @@
   await fs.mkdir(folder, { recursive: true })
   const toPath = (name: string) => path.join(folder, name)
   let log = await fs.open(toPath('log'), 'a+')
-  let syncedFile = await fs.open(toPath('synced'), 'a').then(async handle => { await handle.close(); return await fs.open(toPath('synced'), 'r+') })
+  let syncedFile = await openForUpdate(toPath('synced')).catch(async err => {
+    await log.close()
+    throw err
+  })
   let ends: Array<{ index: number, end: number }> = []
   let size = 0
   let queue: Promise<unknown> = Promise.resolve()
@@ -65,41 +68,41 @@
     return await turn
   }
 
-  const logEnd = (): number => ends.at(-1)?.end ?? 0
-
   // Distinguishes damage from a torn tail. The mark is written after the log is synced and is not synced itself, so after a power
   // loss it may be too low but never too high: a log that is valid only below it has lost acknowledged entries.
   const writeSyncedMark = async (): Promise<void> => {
-    const content = encodeRecord(logEnd())
+    const content = encodeRecord(size)
     await syncedFile.write(content, 0, content.length, 0)
   }
 
   // Guards against treating an intact log as damaged: before the log is shortened, the lower mark must be synced. Otherwise
   // a power loss may leave the shorter log with the previous, higher mark.
-  const lowerSyncedMark = async (end: number): Promise<void> => {
-    const content = encodeRecord(end)
+  const clearSyncedMark = async (): Promise<void> => {
+    const content = encodeRecord(0)
     await syncedFile.write(content, 0, content.length, 0)
     await syncedFile.datasync()
   }
 
   const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
-    const records = [...kept.map(encodeRecord), encodeRecord(commitIndex)]
-    await lowerSyncedMark(0)
-    await replaceFiles.replaceFile(folder, 'log', Buffer.concat(records))
+    const commitRecord = encodeRecord(commitIndex)
+    const records = kept.map(encodeRecord)
+    await clearSyncedMark()
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...records]))
     await log.close()
     log = await fs.open(toPath('log'), 'a+')
-    let at = 0
-    ends = kept.map((item, i) => ({ index: item.index, end: (at += records[i].length) }))
-    size = at + records[records.length - 1].length
+    size = commitRecord.length
+    ends = kept.map((item, i) => ({ index: item.index, end: (size += records[i].length) }))
     await writeSyncedMark()
   }
 
-  const readSingleRecord = async (name: string): Promise<unknown> => {
-    const bytes = await fs.readFile(toPath(name)).catch(() => undefined)
-    if (bytes === undefined) return undefined
-    const { values, validBytes } = decodeRecords(bytes)
-    if (values.length !== 1 || validBytes !== bytes.length) throw new Error(`file ${name} is damaged: ${validBytes} of ${bytes.length} bytes are valid`)
-    return values[0]
+  /** Returns the content of a file, undefined if it does not exist. A file that cannot be read is not damaged: the error is passed on. */
+  const readFile = async (name: string): Promise<Buffer | undefined> => {
+    try {
+      return await fs.readFile(toPath(name))
+    } catch (err) {
+      if ((err as NodeJS.ErrnoException).code === 'ENOENT') return undefined
+      throw err
+    }
   }
 
   const readLog = async (): Promise<entries.Entry[]> => {
@@ -108,35 +111,16 @@
   }
 
   const load = async (): Promise<storage.LoadResult> => {
-    const bytes = await fs.readFile(toPath('log'))
-    const records = decodeRecords(bytes)
-    const { values, validBytes } = records
-    try {
-      const rawMeta = await readSingleRecord('meta')
-      const rawSnapshot = await readSingleRecord('snapshot')
-      if (rawMeta === undefined) {
-        if (bytes.length > 0 || rawSnapshot !== undefined) return { kind: 'damaged', detail: 'file meta is missing, but a log or snapshot exists' }
-        return { kind: 'empty' }
-      }
-      const list = values.filter(isEntry).map(value => entries.entry.parse(value))
-      // Besides entries the log contains numbers: the commit index at the time of the next append.
-      const commitRecords = values.filter(value => typeof value === 'number')
-      const synced = decodeRecords(await fs.readFile(toPath('synced'))).values[0]
-      if (typeof synced === 'number' && validBytes < synced) return { kind: 'damaged', detail: `log is valid up to byte ${validBytes}, but was synced up to byte ${synced}` }
-      const snapshot = rawSnapshot === undefined ? undefined : entries.snapshot.parse(rawSnapshot)
-      const detail = findGap(list, snapshot)
-      if (detail !== undefined) return { kind: 'damaged', detail }
-      const tornBytes = bytes.length - validBytes
-      if (tornBytes > 0) await log.truncate(validBytes)
-      const entryEnds = records.ends.filter((end, i) => isEntry(values[i]))
-      ends = list.map((item, i) => ({ index: item.index, end: entryEnds[i] }))
-      size = validBytes
-      const latestCommit = decodeRecords(await fs.readFile(toPath('committed')).catch(() => Buffer.alloc(0))).values[0]
-      commitIndex = Math.max(0, ...commitRecords, typeof latestCommit === 'number' ? latestCommit : 0)
-      return { kind: 'found', meta: entries.meta.parse(rawMeta), snapshot, entries: list, tornBytes, commitIndex }
-    } catch (err) {
-      return { kind: 'damaged', detail: err instanceof Error ? err.message : String(err) }
-    }
+    const files = { meta: await readFile('meta'), snapshot: await readFile('snapshot'), log: await fs.readFile(toPath('log')), synced: await readFile('synced'), committed: await readFile('committed') }
+    const stored = decodeFiles(files)
+    if (stored.kind !== 'found') return stored
+    commitIndex = stored.commitIndex
+    ends = stored.ends
+    size = files.log.length
+    // What was not marked as synced may be lost at the next power loss although it can be read, also after a later sync of the same
+    // file: a failed sync drops the changes of a file.
+    if (size > stored.syncedEnd || stored.syncedEnd === 0) await rewriteLog(stored.entries)
+    return stored
   }
 
   return {
@@ -145,7 +129,10 @@
       await enqueue(async () => {
         await log.close()
         await syncedFile.close()
-        for (const name of ['log', 'meta', 'snapshot', 'synced', 'committed']) await fs.rm(toPath(name), { force: true })
+        // Without its metadata, what an interrupted removal leaves is wiped at the next start too.
+        await fs.rm(toPath('meta'), { force: true })
+        await replaceFiles.syncFolder(folder)
+        for (const name of ['log', 'snapshot', 'synced', 'committed']) await fs.rm(toPath(name), { force: true })
         await replaceFiles.syncFolder(folder)
         log = await fs.open(toPath('log'), 'a+')
         syncedFile = await fs.open(toPath('synced'), 'w+')
@@ -183,11 +170,13 @@
     truncateFrom: async index => {
       await enqueue(async () => {
         const kept = ends.filter(item => item.index < index)
-        await lowerSyncedMark(kept.at(-1)?.end ?? 0)
+        // If this is interrupted, the next start writes the log again.
+        await clearSyncedMark()
         size = kept.at(-1)?.end ?? 0
         await log.truncate(size)
         await log.datasync()
         ends = kept
+        await writeSyncedMark()
       })
     },
     saveSnapshot: async (snapshot, keepFrom) => {
@@ -199,13 +188,70 @@
     },
     close: async () => {
       await enqueue(async () => {
-        await log.close()
-        await syncedFile.close()
+        await log.close().finally(async () => { await syncedFile.close() })
       })
     }
   }
 }
 
+/** Opens a file for reading and writing; creates it if it is missing. */
+async function openForUpdate (file: string): Promise<fs.FileHandle> {
+  await (await fs.open(file, 'a')).close()
+  return await fs.open(file, 'r+')
+}
+
+/** Contents of the files of a replica; those that do not exist are undefined. */
+interface Files { meta: Buffer | undefined, snapshot: Buffer | undefined, log: Buffer, synced: Buffer | undefined, committed: Buffer | undefined }
+
+type DecodedFiles = Exclude<storage.LoadResult, { kind: 'found' }> | (Extract<storage.LoadResult, { kind: 'found' }> & { /** End offset of each entry. */ ends: Array<{ index: number, end: number }>, /** Offset up to which the log is known to be synced. */ syncedEnd: number })
+
+/** Decodes the files of a replica, and tells damage from an incomplete last write. */
+function decodeFiles (files: Files): DecodedFiles {
+  const log = decodeRecords(files.log)
+  try {
+    const rawMeta = decodeSingleRecord('meta', files.meta)
+    const rawSnapshot = decodeSingleRecord('snapshot', files.snapshot)
+    if (rawMeta === undefined) {
+      if (files.log.length > 0 || rawSnapshot !== undefined) return { kind: 'damaged', detail: 'file meta is missing, but a log or snapshot exists' }
+      return { kind: 'empty' }
+    }
+    const mark = decodeFirstNumber(files.synced)
+    if (log.validBytes < mark) return { kind: 'damaged', detail: `log is valid up to byte ${log.validBytes}, but was synced up to byte ${mark}` }
+    const list = log.values.filter(isEntry).map(value => entries.entry.parse(value))
+    const snapshot = rawSnapshot === undefined ? undefined : entries.snapshot.parse(rawSnapshot)
+    const gap = findGap(list, snapshot)
+    if (gap !== undefined) return { kind: 'damaged', detail: gap }
+    // Besides entries the log contains numbers: the commit index at the time of the next append.
+    const commitRecords = log.values.filter(value => typeof value === 'number')
+    const entryEnds = log.ends.filter((end, i) => isEntry(log.values[i]))
+    return {
+      kind: 'found',
+      meta: entries.meta.parse(rawMeta),
+      snapshot,
+      entries: list,
+      tornBytes: files.log.length - log.validBytes,
+      commitIndex: Math.max(0, ...commitRecords, decodeFirstNumber(files.committed)),
+      ends: list.map((item, i) => ({ index: item.index, end: entryEnds[i] })),
+      syncedEnd: mark
+    }
+  } catch (err) {
+    return { kind: 'damaged', detail: err instanceof Error ? err.message : String(err) }
+  }
+}
+
+function decodeSingleRecord (name: string, bytes: Buffer | undefined): unknown {
+  if (bytes === undefined) return undefined
+  const { values, validBytes } = decodeRecords(bytes)
+  if (values.length !== 1 || validBytes !== bytes.length) throw new Error(`file ${name} is damaged: ${validBytes} of ${bytes.length} bytes are valid`)
+  return values[0]
+}
+
+/** Returns 0 if there is no intact record: these files are written in place, and 0 is always safe. */
+function decodeFirstNumber (bytes: Buffer | undefined): number {
+  const value = bytes === undefined ? undefined : decodeRecords(bytes).values[0]
+  return typeof value === 'number' ? value : 0
+}
+
 function isEntry (value: unknown): boolean {
   return typeof value !== 'number'
 }
--- a/packages/state/src/replaceFile.ts
+++ b/packages/state/src/replaceFile.ts
@@ -9,6 +9,8 @@
  */
 export async function replaceFile (folder: string, name: string, content: string | Buffer): Promise<void> {
   const tempFile = path.join(folder, `${name}.new`)
+  // What an earlier attempt left is removed, not overwritten: a file whose sync has failed once is not relied on.
+  await fs.rm(tempFile, { force: true })
   const handle = await fs.open(tempFile, 'w')
   try {
     await handle.writeFile(content)
