fix(forwarding): a rejection without the attempt id is no promise

Cause: a response with the not-run header, or with status 421, was accepted without the echoed attempt id; only a different id was refused. Additional bytes of a faulty endpoint, read where the next response is expected, passed for 'not run' while that endpoint ran the request. Change: every response must echo the attempt id; without it the request may have run, and its connection is closed. Streams, their resumption and tunnels share this path; probes only open a connection and read no response. Tests: the new one (421, 408, 429, 503, 400 without an id) guards it. Three stand-ins of endpoints rejected without an id, which the protocol says an endpoint never does to a request that has one; they now echo it, and their tests assert the same as before.

--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -5,7 +5,7 @@
 const test = ava.default
 
 const reset: helper.Behaviour = (req, res) => { res.destroy() }
-const full: helper.Behaviour = (req, res) => { res.writeHead(503, { 'x-not-run': '1', 'content-length': 0 }).end() }
+const full: helper.Behaviour = (req, res) => { res.writeHead(503, { 'x-attempt': req.headers['x-attempt'] as string, 'x-not-run': '1', 'content-length': 0 }).end() }
 
 /** Starts two endpoints: the first becomes unresponsive and unreachable with its first request, the second is healthy. */
 async function startUnresponsiveAndHealthy (): Promise<helper.TestEndpoint[]> {
@@ -64,7 +64,7 @@
 
 // Guards against repeated requests to an address that now belongs to another process.
 test('an endpoint whose address belongs to another process is not used', async t => {
-  const other = await helper.startEndpoint('e1', (req, res) => { res.writeHead(421, { 'content-length': 0 }).end() })
+  const other = await helper.startEndpoint('e1', (req, res) => { res.writeHead(421, { 'x-attempt': req.headers['x-attempt'] as string, 'content-length': 0 }).end() })
   const healthy = await helper.startEndpoint('e2', helper.healthy)
   const entry = await helper.startEntry([helper.toRoute({ kind: 'once', maxAttempts: 1 })], [other, healthy])
   for (let i = 0; i < 8; i++) t.is((await entry.send({ method: 'POST', body: 'pay' })).status, 200)
@@ -115,6 +115,20 @@
   endpoint.close()
 })
 
+// Guards against a second run because additional bytes on a reused connection pass for the promise that the request was not run.
+test('a rejection without the attempt id is no promise', async t => {
+  for (const status of [421, 408, 429, 503, 400]) {
+    const rejecting: helper.Behaviour = (req, res) => { res.writeHead(status, { 'x-not-run': '1', 'content-length': 0 }).end() }
+    const endpoints = [await helper.startEndpoint('e1', rejecting), await helper.startEndpoint('e2', rejecting)]
+    const entry = await helper.startEntry([helper.toRoute({ kind: 'once', maxAttempts: 2 })], endpoints)
+    const response = await entry.send({ method: 'POST', body: 'pay' })
+    t.is(response.status, 502, `status ${status}: neither "not run" nor a success`)
+    t.is(endpoints[0].requests.length + endpoints[1].requests.length, 1)
+    entry.close()
+    endpoints.forEach(item => { item.close() })
+  }
+})
+
 // Guards against success responses of a proxy or a faulty endpoint.
 test('a success response without the endpoint seal is not returned', async t => {
   const endpoint = await helper.startEndpoint('e1', (req, res) => {
--- a/packages/forwarding/__tests__/brittleEndpoints.test.ts
+++ b/packages/forwarding/__tests__/brittleEndpoints.test.ts
@@ -26,7 +26,7 @@
     if (open >= SLOTS + QUEUE) {
       rejectedAt = [...rejectedAt.filter(at => now - at < WINDOW_MS), now]
       maxRejections = Math.max(maxRejections, rejectedAt.length)
-      res.writeHead(503, { 'x-not-run': '1', 'content-length': 0, ...headers }).end()
+      res.writeHead(503, { 'x-attempt': req.headers['x-attempt'] as string, 'x-not-run': '1', 'content-length': 0, ...headers }).end()
       return
     }
     open++
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -132,24 +132,20 @@
     res.resume()
     req.destroy()
   }
-  // A late response to an earlier request on this connection must not be taken for the response to this one. The endpoint echoes the
-  // attempt id.
+  // Late or additional bytes on this connection must not be taken for the response to this request, nor for the promise that it was
+  // not run. The endpoint echoes the attempt id.
   const echoed = res.headers[names.attemptId]
   const status = res.statusCode ?? 0
   const isNotRun = res.headers[names.notRun] !== undefined || status === 421
-  if (echoed !== undefined && echoed !== request.attemptId) {
+  if (echoed !== request.attemptId) {
     discard()
-    return { kind: 'lost', why: 'the response belongs to another request' }
+    return { kind: 'lost', why: echoed === undefined ? 'the response has no attempt id' : 'the response belongs to another request' }
   }
   if (isNotRun) {
     // The body is short: it is discarded, and the connection is reused.
     res.resume()
     return { kind: 'notRun', status, brittleLimit: brittleLimiters.parseBrittleLimit(res.headers[names.brittle]) }
   }
-  if (echoed === undefined) {
-    discard()
-    return { kind: 'lost', why: 'the response has no attempt id' }
-  }
   if (status < 200 || (status < 300 && res.headers[names.seal] === undefined)) {
     discard()
     return { kind: 'lost', why: 'the success response has no endpoint seal' }
