fix(forwarding): pipelined requests are answered

Cause: a pipelined request's response has no socket before its turn, which passed for 'the client left'. Change: such a request waits until the responses before it were sent, so at most one request of a connection is forwarded at a time, and it isn't forwarded if its client leaves meanwhile. Evidence: 'pipelined requests are answered in order' fails before and passes now; 'a pipelined request of a client that left is not forwarded' guards the wait.

--- a/packages/forwarding/__tests__/clientRequests.test.ts
+++ b/packages/forwarding/__tests__/clientRequests.test.ts
@@ -20,6 +20,33 @@
 
 const HEAD = 'Host: test.example\r\nX-Attempt: raw1\r\n'
 
+// Guards against requests that are never answered because they were sent before the response to an earlier one.
+test('pipelined requests are answered in order', async t => {
+  const endpoint = await helper.startEndpoint('e1', helper.healthy)
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once' })], [endpoint])
+  const toRequest = (n: number, close = ''): string => `POST /a/${n} HTTP/1.1\r\nHost: test.example\r\nX-Attempt: raw${n}\r\nContent-Length: 2\r\n${close}\r\n${n}${n}`
+  const received = await sendRaw(entry.address, toRequest(1) + toRequest(2) + toRequest(3, 'Connection: close\r\n'))
+  t.deepEqual([...received.matchAll(/^x-attempt: (raw\d)/gmi)].map(match => match[1]), ['raw1', 'raw2', 'raw3'])
+  t.is(received.match(/HTTP\/1\.1 200/g)?.length, 3)
+  t.deepEqual(endpoint.requests.map(item => item.body), ['11', '22', '33'])
+  entry.close()
+  endpoint.close()
+})
+
+// Guards against forwarding a request whose client left before its turn came.
+test('a pipelined request of a client that left is not forwarded', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => { setTimeout(() => { helper.healthy(req, res, 1) }, 600) })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once' })], [endpoint])
+  const [host, port] = entry.address.split(':')
+  const socket = net.connect({ host, port: Number(port) }, () => { socket.write(`POST /a/1 HTTP/1.1\r\n${HEAD}Content-Length: 0\r\n\r\nPOST /a/2 HTTP/1.1\r\n${HEAD}Content-Length: 0\r\n\r\n`) })
+  socket.on('error', () => {})
+  setTimeout(() => { socket.destroy() }, 200)
+  await new Promise(resolve => { setTimeout(resolve, 1500) })
+  t.deepEqual(endpoint.requests.map(item => item.url), ['/a/1'])
+  entry.close()
+  endpoint.close()
+})
+
 test('the endpoint receives the client request with the headers of the fleet', async t => {
   const endpoint = await helper.startEndpoint('e1', helper.healthy)
   const accounts = [{ name: 'clerks', keys: ['k1'], rank: null }]
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -76,6 +76,10 @@
       ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version, newest: ctx.newestDocument(), sources: restsOnDocument(refusal) ? ctx.describeDocumentSources() : undefined })
     }
     res.on('error', () => {})
+    if (res.socket === null && !await waitForTurn(req, res)) {
+      ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
+      return
+    }
     if (ctx.isDraining()) res.setHeader('Connection', 'close')
     const { table, result } = await admit(req, res)
     if (res.destroyed) return
@@ -223,6 +227,18 @@
   }
 }
 
+/**
+ * Waits until the responses to earlier requests of the connection were sent: a response has no connection before, so nothing tells
+ * whether its client is still there.
+ * @returns false if the connection closed meanwhile
+ */
+async function waitForTurn (req: http.IncomingMessage, res: http.ServerResponse): Promise<boolean> {
+  return await new Promise(resolve => {
+    res.once('socket', () => { resolve(true) })
+    req.once('close', () => { resolve(false) })
+  })
+}
+
 type RequestBody = { kind: 'complete', body: Buffer } | { kind: 'tooLarge' } | { kind: 'broken' }
 
 async function readBody (req: http.IncomingMessage, maxBytes: number): Promise<RequestBody> {
