fix(coordination): failed writes of the record and handout files are repeated

The records and the handout of a control instance stayed old on its disk after a full disk until the next change, so a restart began with old records and handed out an old document. Change: a failed write is logged and repeated after 1 s, until it succeeds or the instance stops. Evidence: the new test fails before (no records) and passes now.

--- a/packages/coordination/__tests__/recordFile.test.ts
+++ b/packages/coordination/__tests__/recordFile.test.ts
@@ -34,3 +34,19 @@
   t.deepEqual(await fs.readdir(folder), [])
   await fs.rm(folder, { recursive: true })
 })
+
+// Guards against a restart with old records because the disk was full when they changed.
+test('a failed write is repeated without a further change', async t => {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const blocked = path.join(folder, 'records.new')
+  await fs.mkdir(blocked)
+  const file = recordFiles.createRecordFile(folder, () => records, log)
+  file.save()
+  await new Promise(resolve => { setTimeout(resolve, 200) })
+  t.deepEqual(await file.load(), [])
+  await fs.rmdir(blocked)
+  for (let i = 0; i < 100 && (await file.load()).length === 0; i++) await new Promise(resolve => { setTimeout(resolve, 50) })
+  t.deepEqual(await file.load(), records)
+  await file.close()
+  await fs.rm(folder, { recursive: true })
+})
--- a/packages/coordination/src/writeBehindFile.ts
+++ b/packages/coordination/src/writeBehindFile.ts
@@ -1,11 +1,14 @@
 /**
  * A small file that is written in the background when the state of the process changes. Changes during a write are coalesced into
- * the next one; failed writes are logged.
+ * the next one; failed writes are logged and repeated.
  */
 import * as timers from 'node:timers/promises'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
 
+/** Pause before a failed write is repeated; a full disk stays full for seconds. */
+const RETRY_PAUSE_MS = 1000
+
 /** Options of {@link createWriteBehindFile}. */
 export interface WriteBehindFileOptions {
   folder: string
@@ -27,29 +30,40 @@
 
 /** Creates the file's writer; nothing is written before the first `save`. */
 export function createWriteBehindFile (opts: WriteBehindFileOptions): WriteBehindFile {
+  const closing = new AbortController()
   let isWriteScheduled = false
-  let isClosed = false
   let pendingWrite: Promise<void> | undefined
 
   const write = async (): Promise<void> => {
+    const content = opts.content()
+    if (content !== undefined) await state.replaceFile(opts.folder, opts.name, content)
+  }
+
+  /** Writes until the file has the current content, or the last write before the close has failed. */
+  const runWrites = async (): Promise<void> => {
     while (isWriteScheduled) {
       if (opts.batchDelayMs > 0) await timers.setTimeout(opts.batchDelayMs)
       isWriteScheduled = false
-      const content = opts.content()
-      if (content !== undefined) await state.replaceFile(opts.folder, opts.name, content)
+      try {
+        await write()
+      } catch (err) {
+        opts.log.event('recordsNotKept', { file: opts.name, detail: err instanceof Error ? err.message : String(err) })
+        if (closing.signal.aborted) return
+        isWriteScheduled = true
+        // The close ends the pause early.
+        await timers.setTimeout(RETRY_PAUSE_MS, undefined, { signal: closing.signal }).catch(() => {})
+      }
     }
   }
 
   return {
     save () {
-      if (isClosed) return
+      if (closing.signal.aborted) return
       isWriteScheduled = true
-      pendingWrite ??= write()
-        .catch(err => { opts.log.event('recordsNotKept', { file: opts.name, detail: err instanceof Error ? err.message : String(err) }) })
-        .finally(() => { pendingWrite = undefined })
+      pendingWrite ??= runWrites().finally(() => { pendingWrite = undefined })
     },
     async close () {
-      isClosed = true
+      closing.abort()
       await pendingWrite
     }
   }
