--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -6,6 +6,7 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentCalls from './documentCall.js'
 import * as documentStores from './documentStore.js'
 import * as handoutFiles from './handoutFile.js'
 import * as recordFiles from './recordFile.js'
@@ -60,7 +61,7 @@
       if (event.success) publisher.onEvent(event.data)
     },
     async onCall (body, link) {
-      if (documentStores.isDocumentCall(body)) return await store.onCall(documentStores.documentCall.parse(body))
+      if (documentCalls.isDocumentCall(body)) return await store.onCall(documentCalls.documentCall.parse(body))
       return await publisher.onCall(discovery.discoveryCall.parse(body), link)
     }
   }
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -11,26 +11,10 @@
 import * as links from '@kingcupdeck/links'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentCalls from './documentCall.js'
 import * as documentMachines from './documentMachine.js'
 import * as evacuationOrders from './evacuationOrders.js'
 
-/** Calls between control instances about the document and the evacuations. */
-export const documentCall = z.discriminatedUnion('t', [
-  z.object({ t: z.literal('replica'), msg: z.unknown() }),
-  z.object({ t: z.literal('put'), packed: contracts.packedText }),
-  z.object({ t: z.literal('read'), version: z.number() }),
-  ...evacuationOrders.evacuationCall.options
-])
-/** Calls between control instances about the document and the evacuations. */
-export type DocumentCall = z.infer<typeof documentCall>
-
-const documentCallTags: ReadonlySet<unknown> = new Set(documentCall.options.map(item => item.shape.t.value))
-
-/** Returns whether a message is meant to be a {@link DocumentCall}, by its tag alone. */
-export function isDocumentCall (body: unknown): boolean {
-  return documentCallTags.has((body as { t?: unknown })?.t)
-}
-
 const readReply = z.object({ packed: contracts.packedText.nullable(), isSame: z.boolean() })
 type ReadReply = z.infer<typeof readReply>
 
@@ -78,7 +62,7 @@
   /** See {@link evacuationOrders.EvacuationOrders.execute}. */
   evacuate (order: evacuationOrders.EvacuationOrder, isWanted: () => boolean, timeoutMs: number): Promise<discovery.Evacuations>
   /** Answers a call of another control instance. */
-  onCall (call: DocumentCall): Promise<unknown>
+  onCall (call: documentCalls.DocumentCall): Promise<unknown>
   /** Returns whether this replica had applied everything that was committed a short time ago. */
   isCurrent (): boolean
   /** Returns the inner addresses of the other members of the group. */
@@ -153,7 +137,7 @@
   const transport: state.Transport = {
     async call (name, msg) {
       const link = await opts.getPeerLink(name)
-      return state.rpcReply.parse(await link.call({ t: 'replica', msg } satisfies DocumentCall, RPC_TIMEOUT_MS))
+      return state.rpcReply.parse(await link.call({ t: 'replica', msg } satisfies documentCalls.DocumentCall, RPC_TIMEOUT_MS))
     }
   }
 
@@ -261,13 +245,13 @@
       const staleResult = documentMachines.resolveStalePut(latest, document)
       if (staleResult !== undefined) return staleResult
       return await retry(timeoutMs, async () => await putLocally(document), async (link, leftMs) => {
-        const call: DocumentCall = { t: 'put', packed: contracts.packFull(document) }
+        const call: documentCalls.DocumentCall = { t: 'put', packed: contracts.packFull(document) }
         return documentMachines.putResult.parse(await link.call(call, leftMs))
       })
     },
     async read (timeoutMs) {
       return await retry(timeoutMs, readLocally, async (link, leftMs) => {
-        const reply: ReadReply = readReply.parse(await link.call({ t: 'read', version: latest?.version ?? 0 } satisfies DocumentCall, leftMs))
+        const reply: ReadReply = readReply.parse(await link.call({ t: 'read', version: latest?.version ?? 0 } satisfies documentCalls.DocumentCall, leftMs))
         if (reply.isSame) return latest
         return reply.packed === null ? null : contracts.unpackText(reply.packed, null) ?? null
       })
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -9,6 +9,7 @@
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
+import * as requestReaders from './requestReader.js'
 import * as routeTables from '../admission/routeTable.js'
 
 /** HTTP server for clients. */
@@ -76,7 +77,7 @@
       ctx.log.event('requestRefused', { request: attemptId, status: clientCalls.toStatus(refusal), why: refusal.why, host: req.headers.host, path: req.url?.slice(0, 80), document: ctx.table()?.version, newest: ctx.newestDocument(), sources: restsOnDocument(refusal) ? ctx.describeDocumentSources() : undefined })
     }
     res.on('error', () => {})
-    if (res.socket === null && !await waitForTurn(req, res)) {
+    if (res.socket === null && !await requestReaders.waitForTurn(req, res)) {
       ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
       return
     }
@@ -95,7 +96,7 @@
       refuse({ kind: 'unavailable', why: 'this instance is stopping', cause: { kind: 'stopping' } })
       return
     }
-    const body = await readBody(req, table.limits.maxBodyBytes)
+    const body = await requestReaders.readBody(req, table.limits.maxBodyBytes)
     switch (body.kind) {
       case 'tooLarge':
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
@@ -227,41 +228,6 @@
   }
 }
 
-/**
- * Waits until the responses to earlier requests of the connection were sent: a response has no connection before, so nothing tells
- * whether its client is still there.
- * @returns false if the connection closed meanwhile
- */
-async function waitForTurn (req: http.IncomingMessage, res: http.ServerResponse): Promise<boolean> {
-  return await new Promise(resolve => {
-    res.once('socket', () => { resolve(true) })
-    req.once('close', () => { resolve(false) })
-  })
-}
-
-type RequestBody = { kind: 'complete', body: Buffer } | { kind: 'tooLarge' } | { kind: 'broken' }
-
-async function readBody (req: http.IncomingMessage, maxBytes: number): Promise<RequestBody> {
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) return { kind: 'tooLarge' }
-  return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes > maxBytes) {
-        req.pause()
-        resolve({ kind: 'tooLarge' })
-        return
-      }
-      chunks.push(chunk)
-    })
-    req.on('end', () => { resolve({ kind: 'complete', body: Buffer.concat(chunks, bytes) }) })
-    // The client disconnected while sending: no response is possible.
-    req.on('error', () => { resolve({ kind: 'broken' }) })
-    req.on('close', () => { resolve({ kind: 'broken' }) })
-  })
-}
-
 /** Responds to a malformed request, or closes the connection if a response is in progress on it. */
 function onClientError (err: NodeJS.ErrnoException, socket: net.Socket, ctx: entryContexts.EntryContext): void {
   const status = toClientErrorStatus(err.code)
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -6,43 +6,10 @@
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
 import * as uniform from 'pure-rand/distribution/uniformFloat64'
 import * as state from '../../src/index.js'
+import * as virtualClocks from './virtualClock.js'
 
 const CALL_TIMEOUT_MS = 300
 
-interface Timer { at: number, order: number, run: () => void }
-
-/** Virtual clock that advances from timer to timer. */
-export class VirtualClock {
-  private at = 0
-  private order = 0
-  private timers: Timer[] = []
-
-  now (): number { return this.at }
-
-  schedule (ms: number, run: () => void): void {
-    this.timers.push({ at: this.at + Math.max(0, ms), order: this.order++, run })
-  }
-
-  /** Advances the time, settling all promises between two timers. */
-  async advance (ms: number): Promise<void> {
-    const until = this.at + ms
-    while (true) {
-      await settle()
-      this.timers.sort((a, b) => a.at - b.at || a.order - b.order)
-      const next = this.timers[0]
-      if (next === undefined || next.at > until) break
-      this.timers.shift()
-      this.at = next.at
-      next.run()
-    }
-    this.at = until
-  }
-}
-
-async function settle (): Promise<void> {
-  await new Promise(resolve => setImmediate(resolve))
-}
-
 /** Pause before a replica whose storage failed is started again. */
 const RESTART_PAUSE_MS = 700
 
@@ -85,7 +52,7 @@
 
 /** A replica group under test. */
 export class VirtualCluster {
-  readonly clock = new VirtualClock()
+  readonly clock = new virtualClocks.VirtualClock()
   readonly network: Network = { loss: 0, delayMs: 3, isolated: new Set(), brokenLinks: new Set() }
   readonly nodes = new Map<string, Node>()
   /** Commands acknowledged to their proposer, in order. */
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -5,6 +5,7 @@
 import * as entries from './entries.js'
 import * as memoryLog from './memoryLog.js'
 import * as replicaOptions from './replicaOptions.js'
+import * as writeChains from './writeChain.js'
 
 /** Replication progress of a peer, tracked by the leader. */
 export interface PeerProgress {
@@ -54,7 +55,6 @@
   const { clock, storage, invariants } = opts
   const log = memoryLog.createMemoryLog()
   const snapshotEvery = opts.snapshotEvery ?? DEFAULT_SNAPSHOT_ENTRIES
-  let writes: Promise<void> = Promise.resolve()
   const core = {
     opts,
     timing: opts.timing ?? replicaOptions.DEFAULT_TIMING,
@@ -250,25 +250,12 @@
       if (!core.isRunning) return
       core.stepDown('storage or a task failed')
       core.isRunning = false
-      opts.log.event('replicaFailed', { group: opts.group, replica: opts.name, term: core.meta.term, lastIndex: log.lastIndex(), syncedIndex: core.syncedIndex, detail: err instanceof Error ? err.message : String(err) })
+      opts.log.event('replicaFailed', { group: opts.group, replica: opts.name, term: core.meta.term, lastIndex: log.lastIndex(), syncedIndex: core.syncedIndex, detail: String(err) })
       if (core.isLoaded) opts.onFailed?.()
     }
   }
 
-  /**
-   * Performs a write after all earlier ones. A failed write ends the replica, and no later one is performed: the stored state
-   * would no longer be a prefix of the decisions in memory.
-   */
-  const write = async (perform: () => Promise<void>): Promise<void> => {
-    const turn = writes.then(async () => {
-      // The disk may belong to the successor of a stopped replica.
-      if (!core.isRunning) throw new Error(`replica ${opts.name} has stopped and writes nothing any more`)
-      await perform()
-    })
-    writes = turn
-    turn.catch(core.fail)
-    await turn
-  }
+  const write = writeChains.createWriteChain({ isRunning: () => core.isRunning, onFailed: err => { core.fail(err) } })
 
   const votersAt = (index: number): entries.Member[] => {
     const latest = log.membership()
@@ -285,7 +272,10 @@
     if (item === undefined) throw new Error(`entry ${core.appliedIndex + 1} is committed but not in the log`)
     core.appliedIndex = item.index
     let result: unknown
-    if (item.body.kind === 'membership') opts.log.event('votersChanged', { group: opts.group, replica: opts.name, index: item.index, term: item.term, voters: item.body.voters.map(entries.toMemberId).join(' ') })
+    if (item.body.kind === 'membership') {
+      const voters = item.body.voters.map(entries.toMemberId).join(' ')
+      opts.log.event('votersChanged', { group: opts.group, replica: opts.name, index: item.index, term: item.term, voters })
+    }
     if (item.body.kind === 'command') {
       core.lastAtMs = item.body.atMs
       result = opts.stateMachine.apply(item.body.command, { index: item.index, atMs: item.body.atMs })
--- /dev/null
+++ b/packages/state/src/storedFiles.ts
@@ -0,0 +1,84 @@
+/** Decodes the files of a replica, and tells damage from an incomplete last write. */
+import * as entries from './entries.js'
+import * as records from './records.js'
+import type * as storage from './storage.js'
+
+/** Contents of the files of a replica; those that do not exist are undefined. */
+export interface Files {
+  meta: Buffer | undefined
+  snapshot: Buffer | undefined
+  log: Buffer
+  synced: Buffer | undefined
+  committed: Buffer | undefined
+}
+
+/** Stored state with the positions of the entries in the log file. */
+export interface FoundFiles extends Extract<storage.LoadResult, { kind: 'found' }> {
+  /** End offset of each entry. */
+  ends: Array<{ index: number, end: number }>
+  /** Offset up to which the log is known to be synced. */
+  syncedEnd: number
+}
+
+/** Result of {@link decodeFiles}. */
+export type DecodedFiles = Exclude<storage.LoadResult, { kind: 'found' }> | FoundFiles
+
+/** Decodes the files of a replica. An incomplete last write is no damage. */
+export function decodeFiles (files: Files): DecodedFiles {
+  const log = records.decodeRecords(files.log)
+  try {
+    const rawMeta = decodeSingleRecord('meta', files.meta)
+    const rawSnapshot = decodeSingleRecord('snapshot', files.snapshot)
+    if (rawMeta === undefined) {
+      if (files.log.length > 0 || rawSnapshot !== undefined) return { kind: 'damaged', detail: 'file meta is missing, but a log or snapshot exists' }
+      return { kind: 'empty' }
+    }
+    const mark = decodeFirstNumber(files.synced)
+    if (log.validBytes < mark) return { kind: 'damaged', detail: `log is valid up to byte ${log.validBytes}, but was synced up to byte ${mark}` }
+    const list = log.values.filter(isEntry).map(value => entries.entry.parse(value))
+    const snapshot = rawSnapshot === undefined ? undefined : entries.snapshot.parse(rawSnapshot)
+    const gap = findGap(list, snapshot)
+    if (gap !== undefined) return { kind: 'damaged', detail: gap }
+    // Besides entries the log contains numbers: the commit index at the time of the next append.
+    const commitRecords = log.values.filter(value => typeof value === 'number')
+    const entryEnds = log.ends.filter((end, i) => isEntry(log.values[i]))
+    return {
+      kind: 'found',
+      meta: entries.meta.parse(rawMeta),
+      snapshot,
+      entries: list,
+      tornBytes: files.log.length - log.validBytes,
+      commitIndex: Math.max(0, ...commitRecords, decodeFirstNumber(files.committed)),
+      ends: list.map((item, i) => ({ index: item.index, end: entryEnds[i] })),
+      syncedEnd: mark
+    }
+  } catch (err) {
+    return { kind: 'damaged', detail: err instanceof Error ? err.message : String(err) }
+  }
+}
+
+function decodeSingleRecord (name: string, bytes: Buffer | undefined): unknown {
+  if (bytes === undefined) return undefined
+  const { values, validBytes } = records.decodeRecords(bytes)
+  if (values.length !== 1 || validBytes !== bytes.length) throw new Error(`file ${name} is damaged: ${validBytes} of ${bytes.length} bytes are valid`)
+  return values[0]
+}
+
+/** Returns 0 if there is no intact record: these files are written in place, and 0 is always safe. */
+function decodeFirstNumber (bytes: Buffer | undefined): number {
+  const value = bytes === undefined ? undefined : records.decodeRecords(bytes).values[0]
+  return typeof value === 'number' ? value : 0
+}
+
+export function isEntry (value: unknown): boolean {
+  return typeof value !== 'number'
+}
+
+function findGap (list: readonly entries.Entry[], snapshot: entries.Snapshot | undefined): string | undefined {
+  const first = list[0]
+  if (first !== undefined && first.index > (snapshot?.lastIndex ?? 0) + 1) return `gap in the log: the first entry is ${first.index}, but the snapshot ends at ${snapshot?.lastIndex ?? 0}`
+  for (let i = 1; i < list.length; i++) {
+    if (list[i].index !== list[i - 1].index + 1) return `gap in the log: entry ${list[i - 1].index} is followed by ${list[i].index}`
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/state/src/writeChain.ts
@@ -0,0 +1,29 @@
+/** Writes of one replica, performed one after the other. */
+
+/** Options of {@link createWriteChain}. */
+export interface WriteChainOptions {
+  /** Returns whether the replica still runs. The disk may belong to the successor of a stopped one. */
+  isRunning: () => boolean
+  /** Called with the error of a write, before it is rejected. */
+  onFailed: (err: unknown) => void
+}
+
+/** Performs a write after all earlier ones. @throws Error when it, or an earlier one, has failed, or the replica has stopped */
+export type Write = (perform: () => Promise<void>) => Promise<void>
+
+/**
+ * Creates a chain of writes. After a failed one no later one is performed: the stored state would no longer be a prefix of the decisions
+ * in memory.
+ */
+export function createWriteChain (opts: WriteChainOptions): Write {
+  let last: Promise<void> = Promise.resolve()
+  return async perform => {
+    const turn = last.then(async () => {
+      if (!opts.isRunning()) throw new Error('the replica has stopped and writes nothing any more')
+      await perform()
+    })
+    last = turn
+    turn.catch(opts.onFailed)
+    await turn
+  }
+}
