--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -5,6 +5,7 @@
 import * as url from 'node:url'
 
 const root = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)))
+const MAX_DIAGNOSTIC_LINES = 60
 const KNOWN_RED_FILE = path.join(root, 'KNOWN-RED.txt')
 let passed = 0
 let failed = 0
@@ -47,13 +48,20 @@
   return entries.map(entry => entry.name).filter(name => !CASE_NAME.test(name))
 }
 
+/** Returns the indented diagnostics that follow the line of a failed test in TAP output. */
+function readDiagnostics (lines, i) {
+  const end = lines.findIndex((line, j) => j > i && !line.startsWith('  '))
+  return lines.slice(i + 1, end < 0 ? undefined : end).slice(0, MAX_DIAGNOSTIC_LINES).join('\n')
+}
+
 function runTests () {
   const knownRed = readKnownRed()
   const startedAt = Date.now()
   // The test command of the README, with TAP output so that results can be counted.
   const res = run('npm', ['it', '--no-audit', '--no-fund'], { AVA_FLAGS: '--tap' })
   const matchedRed = new Set()
-  for (const line of res.stdout.split('\n')) {
+  const lines = res.stdout.split('\n')
+  for (const [i, line] of lines.entries()) {
     const match = /^(not )?ok \d+ - (.*)$/.exec(line)
     if (match === null) continue
     const [, isNot, title] = match
@@ -61,7 +69,7 @@
     if (knownTitle !== undefined) matchedRed.add(knownTitle)
     if (isNot === undefined) passed++
     else if (knownTitle === undefined) failed++
-    if (isNot !== undefined) print(`${knownTitle === undefined ? 'FAILED' : 'known red'}  ${title}`)
+    if (isNot !== undefined) print(`${knownTitle === undefined ? 'FAILED' : 'known red'}  ${title}\n${readDiagnostics(lines, i)}`)
   }
   for (const name of knownRed.filter(name => !matchedRed.has(name))) {
     failed++
