fix(state): zeros that a power loss leaves in a file are no record

Cause: `decodeRecords` took eight zero bytes for a record (length 0, CRC 0) and threw at its empty payload. After a power loss a file whose length had grown may end with zeros in place of what was not synced. In the log the error ended every start of the process; in `synced` or `committed`, which are never synced, it passed for damage, and log, term and vote were wiped. Two followers with a write in flight beside one lost disk are the end of a group of five.

Change: an empty record ends the decoding, like a truncated one. The log is decoded where errors count as damage, so no content of a file can end every start.

--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -2,9 +2,9 @@
  * File-based storage of a replica, one folder with the files `meta`, `snapshot`, `log`, `synced` and `committed`. Records
  * are framed with their length and a CRC.
  */
-import * as fs from 'node:fs/promises'
 import * as path from 'node:path'
 import * as entries from './entries.js'
+import * as fileSystems from './fileSystem.js'
 import * as records from './records.js'
 import * as replaceFiles from './replaceFile.js'
 import * as storage from './storage.js'
@@ -14,11 +14,11 @@
  * Opens the storage of a replica.
  * @param folder data folder; created if missing
  */
-export async function createFileStorage (folder: string): Promise<storage.Storage> {
+export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
   await fs.mkdir(folder, { recursive: true })
   const toPath = (name: string) => path.join(folder, name)
   let log = await fs.open(toPath('log'), 'a+')
-  let syncedFile = await openForUpdate(toPath('synced')).catch(async err => {
+  let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
     await log.close()
     throw err
   })
@@ -53,7 +53,7 @@
     const commitRecord = records.encodeRecord(commitIndex)
     const encoded = kept.map(records.encodeRecord)
     await clearSyncedMark()
-    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]))
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs)
     await log.close()
     log = await fs.open(toPath('log'), 'a+')
     size = commitRecord.length
@@ -103,9 +103,9 @@
         await syncedFile.close()
         // Without its metadata, what an interrupted removal leaves is wiped at the next start too.
         await fs.rm(toPath('meta'), { force: true })
-        await replaceFiles.syncFolder(folder)
+        await replaceFiles.syncFolder(folder, fs)
         for (const name of ['log', 'snapshot', 'synced', 'committed']) await fs.rm(toPath(name), { force: true })
-        await replaceFiles.syncFolder(folder)
+        await replaceFiles.syncFolder(folder, fs)
         log = await fs.open(toPath('log'), 'a+')
         syncedFile = await fs.open(toPath('synced'), 'w+')
         ends = []
@@ -113,7 +113,7 @@
         commitIndex = 0
       })
     },
-    saveMeta: async meta => { await enqueue(async () => { await replaceFiles.replaceFile(folder, 'meta', records.encodeRecord(meta)) }) },
+    saveMeta: async meta => { await enqueue(async () => { await replaceFiles.replaceFile(folder, 'meta', records.encodeRecord(meta), fs) }) },
     append: async list => {
       const encoded = list.map(records.encodeRecord)
       const indexes = list.map(item => item.index)
@@ -153,7 +153,7 @@
     },
     saveSnapshot: async (snapshot, keepFrom) => {
       await enqueue(async () => {
-        await replaceFiles.replaceFile(folder, 'snapshot', records.encodeRecord(snapshot))
+        await replaceFiles.replaceFile(folder, 'snapshot', records.encodeRecord(snapshot), fs)
         const list = await readLog()
         await rewriteLog(list.filter(item => item.index >= keepFrom))
       })
@@ -167,7 +167,7 @@
 }
 
 /** Opens a file for reading and writing; creates it if it is missing. */
-async function openForUpdate (file: string): Promise<fs.FileHandle> {
+async function openForUpdate (file: string, fs: fileSystems.FileSystem): Promise<fileSystems.OpenFile> {
   await (await fs.open(file, 'a')).close()
   return await fs.open(file, 'r+')
 }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clock.js'
 export * from './entries.js'
 export * from './fileStorage.js'
+export type { FileSystem, OpenFile } from './fileSystem.js'
 export * from './fleetMachine.js'
 export * from './ledgerMachine.js'
 export * from './records.js'
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -26,7 +26,8 @@
   while (at + HEADER_BYTES <= bytes.length) {
     const length = bytes.readUInt32BE(at)
     const end = at + HEADER_BYTES + length
-    if (end > bytes.length) break
+    // No value has an empty encoding, but a power loss may leave zeros in place of a record, and the CRC of nothing is zero.
+    if (length === 0 || end > bytes.length) break
     const payload = bytes.subarray(at + HEADER_BYTES, end)
     if (zlib.crc32(payload) !== bytes.readUInt32BE(at + 4)) break
     values.push(codec.decode(payload))
--- a/packages/state/src/replaceFile.ts
+++ b/packages/state/src/replaceFile.ts
@@ -1,13 +1,13 @@
 /** Atomic, durable replacement of small files. */
-import * as fs from 'node:fs/promises'
 import * as path from 'node:path'
+import * as fileSystems from './fileSystem.js'
 
 /**
  * Replaces a file atomically: writes a temporary file, syncs it, renames it and syncs the folder. After a power loss either
  * the old or the new content is found.
  * @throws Error when the disk is full or fails
  */
-export async function replaceFile (folder: string, name: string, content: string | Buffer): Promise<void> {
+export async function replaceFile (folder: string, name: string, content: string | Buffer, fs = fileSystems.nodeFileSystem): Promise<void> {
   const tempFile = path.join(folder, `${name}.new`)
   // What an earlier attempt left is removed, not overwritten: a file whose sync has failed once is not relied on.
   await fs.rm(tempFile, { force: true })
@@ -19,11 +19,11 @@
     await handle.close()
   }
   await fs.rename(tempFile, path.join(folder, name))
-  await syncFolder(folder)
+  await syncFolder(folder, fs)
 }
 
 /** Syncs a folder, which makes created, renamed and removed files durable. */
-export async function syncFolder (folder: string): Promise<void> {
+export async function syncFolder (folder: string, fs = fileSystems.nodeFileSystem): Promise<void> {
   const handle = await fs.open(folder, 'r')
   await handle.sync().finally(async () => { await handle.close() })
 }
--- a/packages/state/src/storedFiles.ts
+++ b/packages/state/src/storedFiles.ts
@@ -25,8 +25,8 @@
 
 /** Decodes the files of a replica. An incomplete last write is no damage. */
 export function decodeFiles (files: Files): DecodedFiles {
-  const log = records.decodeRecords(files.log)
   try {
+    const log = records.decodeRecords(files.log)
     const rawMeta = decodeSingleRecord('meta', files.meta)
     const rawSnapshot = decodeSingleRecord('snapshot', files.snapshot)
     if (rawMeta === undefined) {
