fix(state): the folder of a new replica is synced

What callers saw: nothing that is proved to be this. All machines of a new group, and each replaced or wiped one, start so: a power loss could take the whole folder, as if the disk were lost, and with it entries, term and vote that were acknowledged.

Cause: the storage made its folder and never synced the folder that holds its name; POSIX and the users' pages let a power loss keep or lose such a name.

Change: each start syncs the name, since an earlier process may have ended between the two.

Before: the test found an empty storage. Now it finds the entry.

--- a/packages/state/__tests__/powerLoss.test.ts
+++ b/packages/state/__tests__/powerLoss.test.ts
@@ -1,4 +1,5 @@
 /** File storage on a disk that loses power: what was acknowledged is found, whatever became of later writes and names. */
+import * as path from 'node:path'
 import * as ava from 'ava'
 import * as state from '../src/index.js'
 import * as powerLossDisks from './helpers/powerLossDisk.js'
@@ -69,3 +70,19 @@
     t.deepEqual(loaded.kind === 'found' ? loaded.entries.map(item => item.index) : loaded, [1, 2, 3], name)
   }
 })
+
+// Guards against a new replica that loses all that it acknowledged, as if its disk were lost.
+test('the folder of a new replica survives a power loss', async t => {
+  const machine = new Machine(seededRandom.createRandom(1))
+  const fs = machine.disk.connect()
+  await fs.mkdir(path.dirname(FOLDER), { recursive: true })
+  await (await fs.open('/', 'r')).sync()
+  // An earlier process has ended before it synced the name of the folder.
+  await fs.mkdir(FOLDER, { recursive: true })
+  const { storage } = await machine.open()
+  await storage.saveMeta(META)
+  await storage.append([toEntry(1)])
+  machine.disk.losePower('syncedOnly')
+  const { loaded } = await machine.open()
+  t.deepEqual(loaded.kind === 'found' ? loaded.entries.map(item => item.index) : loaded, [1])
+})
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -15,7 +15,7 @@
  * @param folder data folder; created if missing
  */
 export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
-  await fs.mkdir(folder, { recursive: true })
+  await createFolder(folder, fs)
   const toPath = (name: string) => path.join(folder, name)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
@@ -166,6 +166,15 @@
   }
 }
 
+/** Creates a folder that survives a power loss. An earlier process may have ended before it synced the name of the folder. */
+async function createFolder (folder: string, fs: fileSystems.FileSystem): Promise<void> {
+  const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
+  for (let created = path.resolve(folder); ; created = path.dirname(created)) {
+    await replaceFiles.syncFolder(path.dirname(created), fs)
+    if (created.length <= path.resolve(firstCreated).length) return
+  }
+}
+
 /** Opens a file for reading and writing; creates it if it is missing. */
 async function openForUpdate (file: string, fs: fileSystems.FileSystem): Promise<fileSystems.OpenFile> {
   await (await fs.open(file, 'a')).close()
