fix(state): a start removes what an interrupted removal left

What callers saw: nothing that is proved to be this. Found by a drawn test of the file storage on a disk that loses power.

Cause: `wipe` removes the metadata first, then the other files, whose names a power loss keeps or loses one by one. The new replica then took the former mark for proof of damage at its next start ("log is valid up to byte 0, but was synced up to byte 100") and gave up what it had promised meanwhile; a former commit index made it apply entries that no quorum had.

Change: any leftover counts as an incomplete removal, which is repeated.

The drawn test runs the real storage through kills and power losses at each of its file operations, with writes present, missing, torn or zero-filled and names kept or lost one by one.

--- a/packages/state/__tests__/powerLoss.test.ts
+++ b/packages/state/__tests__/powerLoss.test.ts
@@ -1,11 +1,13 @@
 /** File storage on a disk that loses power: what was acknowledged is found, whatever became of later writes and names. */
 import * as path from 'node:path'
 import * as ava from 'ava'
+import * as fc from 'fast-check'
 import * as state from '../src/index.js'
 import * as powerLossDisks from './helpers/powerLossDisk.js'
 import * as seededRandom from './helpers/seededRandom.js'
 
 const test = ava.default
+const RUNS = 400
 const FOLDER = '/data/document'
 const META: state.Meta = { incarnation: 'x', term: 1, votedFor: null, founding: [] }
 
@@ -39,6 +41,65 @@
   }
 }
 
+/** State that a storage has acknowledged. */
+interface Acknowledged { meta: state.Meta | undefined, lastIndex: number, snapshotIndex: number, /** The highest commit index that was passed to the storage. */ commitIndex: number }
+
+type Operation = 'append' | 'appendMany' | 'truncate' | 'meta' | 'snapshot' | 'commit' | 'wipe'
+
+async function perform (storage: state.Storage, operation: Operation, lastIndex: number, acknowledged: Acknowledged): Promise<number> {
+  switch (operation) {
+    case 'append':
+    case 'appendMany': {
+      const list = Array.from({ length: operation === 'append' ? 1 : 6 }, (_, i) => toEntry(lastIndex + 1 + i, 'x'.repeat(30 + 20 * i)))
+      await storage.append(list)
+      acknowledged.lastIndex = lastIndex + list.length
+      return lastIndex + list.length
+    }
+    case 'truncate':
+      if (lastIndex <= acknowledged.snapshotIndex + 1) return lastIndex
+      // While the outcome is open, either end is right.
+      acknowledged.lastIndex = Math.min(acknowledged.lastIndex, lastIndex - 1)
+      await storage.truncateFrom(lastIndex)
+      return lastIndex - 1
+    case 'meta': {
+      const meta = { ...META, term: (acknowledged.meta?.term ?? 0) + 1, votedFor: `x#${lastIndex}` }
+      await storage.saveMeta(meta)
+      acknowledged.meta = meta
+      return lastIndex
+    }
+    case 'snapshot':
+      if (lastIndex === 0) return lastIndex
+      await storage.saveSnapshot({ lastIndex, lastTerm: 1, lastAtMs: 0, voters: [], state: Buffer.alloc(200, 's') }, Math.max(1, lastIndex - 3))
+      acknowledged.snapshotIndex = lastIndex
+      return lastIndex
+    case 'commit':
+      acknowledged.commitIndex = Math.max(acknowledged.commitIndex, lastIndex)
+      storage.saveCommitIndex?.(lastIndex)
+      return lastIndex
+    case 'wipe':
+      // While the outcome is open, either state is right.
+      Object.assign(acknowledged, { meta: undefined, lastIndex: 0, snapshotIndex: 0 })
+      await storage.wipe()
+      await storage.saveMeta(META)
+      Object.assign(acknowledged, { meta: META, commitIndex: 0 })
+      return 0
+  }
+}
+
+/** Returns what a start lacks of the acknowledged state. */
+function findMissing (loaded: state.LoadResult, acknowledged: Acknowledged): string | undefined {
+  if (loaded.kind === 'found' && loaded.commitIndex > acknowledged.commitIndex) return `commit index ${loaded.commitIndex}, but only entries up to ${acknowledged.commitIndex} were committed`
+  if (acknowledged.meta === undefined) return undefined
+  if (loaded.kind !== 'found') return `the stored state is ${loaded.kind}${loaded.kind === 'damaged' ? `: ${loaded.detail}` : ''}`
+  const lastIndex = Math.max(loaded.entries.at(-1)?.index ?? 0, loaded.snapshot?.lastIndex ?? 0)
+  if (lastIndex < acknowledged.lastIndex) return `entries up to ${lastIndex}, acknowledged up to ${acknowledged.lastIndex}`
+  if ((loaded.snapshot?.lastIndex ?? 0) < acknowledged.snapshotIndex) return `a snapshot up to ${loaded.snapshot?.lastIndex ?? 0}, acknowledged up to ${acknowledged.snapshotIndex}`
+  const { term, votedFor, incarnation } = loaded.meta
+  if (term < acknowledged.meta.term) return `term ${term}, acknowledged ${acknowledged.meta.term}`
+  if (term === acknowledged.meta.term && votedFor !== acknowledged.meta.votedFor) return `a vote for ${votedFor}, acknowledged for ${acknowledged.meta.votedFor}`
+  return incarnation === acknowledged.meta.incarnation ? undefined : `incarnation ${incarnation}`
+}
+
 /** Creates a machine with three entries and their commit index on its disk, all synced. */
 async function createMachine (): Promise<Machine> {
   const machine = new Machine(seededRandom.createRandom(1))
@@ -86,3 +147,55 @@
   const { loaded } = await machine.open()
   t.deepEqual(loaded.kind === 'found' ? loaded.entries.map(item => item.index) : loaded, [1])
 })
+
+// Guards against a wiped replica that takes its former mark for damage, or its former commit index for that of its new log.
+test('what an interrupted removal left is removed at the next start', async t => {
+  for (const name of ['synced', 'committed']) {
+    const machine = await createMachine()
+    for (const removed of ['meta', 'log', 'synced', 'committed'].filter(item => item !== name)) await machine.disk.connect().rm(`${FOLDER}/${removed}`, { force: true })
+    const { loaded } = await machine.open()
+    t.is(loaded.kind, 'damaged', name)
+  }
+})
+
+// Guards against a replica that does not start any more, or gives up its log and its vote, after a power loss.
+test('what was acknowledged is found after any power loss', async t => {
+  const step = fc.record({
+    operation: fc.constantFrom<Operation>('append', 'append', 'appendMany', 'truncate', 'meta', 'snapshot', 'commit', 'wipe'),
+    operationsBeforeLoss: fc.oneof({ weight: 2, arbitrary: fc.constant(Infinity) }, { weight: 1, arbitrary: fc.integer({ min: 0, max: 25 }) }),
+    loss: fc.constantFrom<powerLossDisks.PowerLoss>('drawn', 'drawn', 'syncedOnly')
+  })
+  await fc.assert(fc.asyncProperty(fc.integer(), fc.array(step, { minLength: 3, maxLength: 14 }), async (seed, steps) => {
+    const machine = new Machine(seededRandom.createRandom(seed))
+    const acknowledged: Acknowledged = { meta: undefined, lastIndex: 0, snapshotIndex: 0, commitIndex: 0 }
+    let storage: state.Storage | undefined
+    let lastIndex = 0
+    for (const { operation, operationsBeforeLoss, loss } of steps) {
+      const hasEnded = await machine.run(async () => {
+        if (storage === undefined) {
+          const opened = await machine.open()
+          const missing = findMissing(opened.loaded, acknowledged)
+          if (missing !== undefined) throw new Error(missing)
+          if (opened.loaded.kind === 'damaged') await opened.storage.wipe()
+          if (opened.loaded.kind === 'found') lastIndex = Math.max(opened.loaded.entries.at(-1)?.index ?? 0, opened.loaded.snapshot?.lastIndex ?? 0)
+          else lastIndex = 0
+          Object.assign(acknowledged, { lastIndex, snapshotIndex: opened.loaded.kind === 'found' ? opened.loaded.snapshot?.lastIndex ?? 0 : 0 })
+          // A replica writes what it has found again before it acknowledges anything.
+          const meta = opened.loaded.kind === 'found' ? opened.loaded.meta : META
+          await opened.storage.saveMeta(meta)
+          acknowledged.meta = meta
+          if (opened.loaded.kind !== 'found') acknowledged.commitIndex = 0
+          storage = opened.storage
+        }
+        lastIndex = await perform(storage, operation, lastIndex, acknowledged)
+      }, operationsBeforeLoss)
+      if (hasEnded && operationsBeforeLoss === Infinity) continue
+      machine.disk.losePower(loss)
+      storage = undefined
+    }
+    await machine.run(async () => {
+      const { loaded } = await machine.open()
+      t.is(findMissing(loaded, acknowledged), undefined)
+    }, Infinity)
+  }), { seed: 20261208, numRuns: RUNS, endOnFailure: true, includeErrorInReport: true })
+})
--- a/packages/state/src/storedFiles.ts
+++ b/packages/state/src/storedFiles.ts
@@ -29,11 +29,13 @@
     const log = records.decodeRecords(files.log)
     const rawMeta = decodeSingleRecord('meta', files.meta)
     const rawSnapshot = decodeSingleRecord('snapshot', files.snapshot)
+    const mark = decodeFirstNumber(files.synced)
+    const committed = decodeFirstNumber(files.committed)
     if (rawMeta === undefined) {
-      if (files.log.length > 0 || rawSnapshot !== undefined) return { kind: 'damaged', detail: 'file meta is missing, but a log or snapshot exists' }
-      return { kind: 'empty' }
+      // After an interrupted removal any of the files may be left, also one that would later be taken for a part of the new state.
+      const hasLeftover = files.log.length > 0 || rawSnapshot !== undefined || mark > 0 || committed > 0
+      return hasLeftover ? { kind: 'damaged', detail: 'file meta is missing, but other files of an earlier state exist' } : { kind: 'empty' }
     }
-    const mark = decodeFirstNumber(files.synced)
     if (log.validBytes < mark) return { kind: 'damaged', detail: `log is valid up to byte ${log.validBytes}, but was synced up to byte ${mark}` }
     const list = log.values.filter(isEntry).map(value => entries.entry.parse(value))
     const snapshot = rawSnapshot === undefined ? undefined : entries.snapshot.parse(rawSnapshot)
@@ -48,7 +50,7 @@
       snapshot,
       entries: list,
       tornBytes: files.log.length - log.validBytes,
-      commitIndex: Math.max(0, ...commitRecords, decodeFirstNumber(files.committed)),
+      commitIndex: Math.max(committed, ...commitRecords),
       ends: list.map((item, i) => ({ index: item.index, end: entryEnds[i] })),
       syncedEnd: mark
     }
