fix(state): a new voter votes before its log says that it is one

What callers saw: nothing that is proved to be this; the symptom would be theirs (no configuration is read back, no update is acknowledged).

Cause: a replica that was no voter of its own log rejected all votes. After a lost or replaced disk the leader appends the entry that admits the successor. If the leader ends when the other replicas have that entry and the successor has not, the successor counts towards the quorum and rejects, and nothing can tell it: three voters, one lost disk, one restart of the leader, and the group never has a leader again.

Change: a replica votes whether or not its own log names it. The check was redundant: votes are counted by incarnation, and a candidate whose log names an incarnation as a voter has all entries that this one rests on.

"A replica that lost its disk does not vote" passes unchanged, and fails with the candidate's check switched off.

--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -3,13 +3,11 @@
  * unsynced writes on a crash.
  */
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus'
-import * as uniform from 'pure-rand/distribution/uniformFloat64'
 import * as state from '../../src/index.js'
+import * as powerLossDisks from './powerLossDisk.js'
+import * as seededRandom from './seededRandom.js'
 import * as virtualClocks from './virtualClock.js'
 
-const CALL_TIMEOUT_MS = 300
-
 /** Pause before a replica whose storage failed is started again. */
 const RESTART_PAUSE_MS = 700
 
@@ -45,7 +43,10 @@
 /** One running incarnation of a replica process. */
 interface Process { isDead: boolean, replica: state.Replica | undefined, applied: string[] }
 
-interface Node { name: string, disk: MemoryDisk, process: Process, starts: number }
+interface Node { name: string, disk: MemoryDisk, /** Used in place of `disk` if the cluster uses files. */ files: powerLossDisks.PowerLossDisk, process: Process, starts: number }
+
+/** Bounds of a duration, milliseconds. */
+interface Range { min: number, max: number }
 
 /** Faults of the simulated network. */
 export interface Network { loss: number, delayMs: number, /** Nodes without any connection. */ isolated: Set<string>, /** Broken links between two nodes, as `a b` with sorted names. */ brokenLinks: Set<string> }
@@ -67,6 +68,16 @@
   readonly faultyDisks = new Set<string>()
   /** Whether replicas whose storage failed are started again. */
   restartsFailed = false
+  /** Whether replicas store their state in files, on disks that lose power. */
+  usesFiles = false
+  /** How long a disk takes to sync. */
+  syncMs: Range = { min: 1, max: 9 }
+  /** How long a process takes from its start until its replica starts. */
+  loadMs: Range = { min: 0, max: 0 }
+  /** Time after which a call without a reply fails. */
+  callTimeoutMs = 300
+  /** Timing of the replicas; their default if undefined. */
+  timing: state.ReplicaTiming | undefined
   /** Names that replicas contact for joining; the founders by default. */
   seeds: readonly string[] | undefined
   /** Replicas that reported a storage failure. */
@@ -82,19 +93,28 @@
    * @param isDynamic whether other replicas may join, and unresponsive ones are removed
    */
   constructor (readonly names: string[], seed: number, readonly snapshotEvery = 20, readonly isDynamic = false) {
-    const generator = xoroshiro.xoroshiro128plus(seed)
-    this.random = () => uniform.uniformFloat64(generator)
-    for (const name of names) this.nodes.set(name, { name, disk: new MemoryDisk(), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+    this.random = seededRandom.createRandom(seed)
+    for (const name of names) this.addNode(name)
   }
 
   node (name: string): Node { return this.nodes.get(name) as Node }
 
   /** Adds a replica with an empty disk that is not a founder. */
   async add (name: string): Promise<void> {
-    this.nodes.set(name, { name, disk: new MemoryDisk(), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+    this.addNode(name)
     await this.start(name)
   }
 
+  private addNode (name: string): void {
+    this.nodes.set(name, { name, disk: new MemoryDisk(), files: powerLossDisks.createPowerLossDisk(this.random), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+  }
+
+  private draw (range: Range): number { return range.min + this.random() * (range.max - range.min) }
+
+  private async sleep (ms: number): Promise<void> {
+    await new Promise<void>(resolve => { this.clock.schedule(ms, resolve) })
+  }
+
   async start (name: string, canBootstrap = true): Promise<void> {
     const node = this.node(name)
     const process: Process = { isDead: false, replica: undefined, applied: [] }
@@ -105,14 +125,20 @@
       check: (invariant, holds, detail) => { if (!holds) this.violations.push(`${invariant}: ${detail()}`) },
       tallies: () => ({} as ReturnType<telemetry.Invariants['tallies']>)
     }
-    const starting = state.createReplica({
+    const create = async (): Promise<state.Replica> => {
+      if (this.loadMs.max > 0) await this.sleep(this.draw(this.loadMs))
+      // The power may have been lost meanwhile.
+      if (process.isDead) await new Promise(() => {})
+      return await state.createReplica({ ...opts, storage: await this.openStorage(node, process) })
+    }
+    const opts: Omit<state.ReplicaOptions, 'storage'> = {
       group: 'test',
       name,
       founderNames: this.names,
       canBootstrap,
       contacts: () => this.seeds ?? this.names,
       isDynamic: this.isDynamic,
-      storage: this.createStorage(node, process),
+      timing: this.timing,
       transport: { call: async (to, msg) => await this.call(name, process, to, msg) },
       stateMachine: this.createStateMachine(process),
       clock: {
@@ -129,8 +155,8 @@
         this.failed.push(name)
         if (this.restartsFailed) this.restartLater(name, process)
       }
-    })
-    starting.then(replica => { process.replica = replica }, err => {
+    }
+    create().then(replica => { process.replica = replica }, err => {
       if (!this.restartsFailed) throw err
       this.restartLater(name, process)
     })
@@ -152,6 +178,13 @@
   wipe (name: string): void {
     this.crash(name)
     this.node(name).disk.wipe()
+    this.node(name).files.wipe()
+  }
+
+  /** Ends a process, and what its files held beyond their last sync is lost or kept by lot. */
+  losePower (name: string, loss: powerLossDisks.PowerLoss): void {
+    this.crash(name)
+    this.node(name).files.losePower(loss)
   }
 
   isUp (name: string): boolean { return !this.node(name).process.isDead }
@@ -206,14 +239,22 @@
     }
   }
 
+  private async openStorage (node: Node, process: Process): Promise<state.Storage> {
+    if (!this.usesFiles) return this.createStorage(node, process)
+    return await state.createFileStorage('/data/test', node.files.connect(async isSync => {
+      if (isSync) await this.sleep(this.draw(this.syncMs))
+      if (process.isDead) await new Promise(() => {})
+    }))
+  }
+
   private createStorage (node: Node, process: Process): state.Storage {
     let queue: Promise<void> = Promise.resolve()
     const { disk } = node
     // A write is synced after a delay; a crash before that loses it.
     const write = async (apply: () => void, applyPart: () => void = () => {}): Promise<void> => {
       const turn = queue.then(async () => {
-        await new Promise<void>(resolve => { this.clock.schedule(1 + this.random() * 8, resolve) })
-        while (this.stalledDisks.has(node.name) && !process.isDead) await new Promise<void>(resolve => { this.clock.schedule(10, resolve) })
+        await this.sleep(this.draw(this.syncMs))
+        while (this.stalledDisks.has(node.name) && !process.isDead) await this.sleep(10)
         if (process.isDead) await new Promise(() => {})
         if (this.fullDisks.has(node.name)) throw new Error('no space left on device')
         if (this.faultyDisks.has(node.name) && this.random() < 0.5) {
@@ -251,13 +292,13 @@
   private async call (from: string, caller: Process, to: string, msg: state.Rpc): Promise<state.RpcReply> {
     return await new Promise((resolve, reject) => {
       const isLost = (): boolean => this.random() < this.network.loss || this.network.isolated.has(from) || this.network.isolated.has(to) || this.network.brokenLinks.has([from, to].sort().join(' '))
-      const failCall = (): void => { this.clock.schedule(CALL_TIMEOUT_MS, () => { if (!caller.isDead) reject(new Error('no reply')) }) }
+      const failCall = (): void => { this.clock.schedule(this.callTimeoutMs, () => { if (!caller.isDead) reject(new Error('no reply')) }) }
       if (isLost()) {
         failCall()
         return
       }
       // A handler that waits for a stalled disk does not keep its caller waiting.
-      this.clock.schedule(CALL_TIMEOUT_MS, () => { if (!caller.isDead) reject(new Error('no reply')) })
+      this.clock.schedule(this.callTimeoutMs, () => { if (!caller.isDead) reject(new Error('no reply')) })
       const copy = structuredClone(msg)
       this.clock.schedule(this.randomDelayMs(), () => {
         const target = this.node(to).process
@@ -267,7 +308,7 @@
           return
         }
         handled.then(reply => {
-          const missing = this.node(to).disk.findMissing(reply)
+          const missing = this.usesFiles ? undefined : this.node(to).disk.findMissing(reply)
           if (!target.isDead && missing !== undefined) this.violations.push(`${to} ${missing}`)
           if (target.isDead || isLost()) failCall()
           else this.clock.schedule(this.randomDelayMs(), () => { if (!caller.isDead) resolve(structuredClone(reply)) })
--- a/packages/state/__tests__/replacedReplicas.test.ts
+++ b/packages/state/__tests__/replacedReplicas.test.ts
@@ -1,6 +1,7 @@
 /** Replicas that are replaced by new ones at other addresses, on virtual time: the group must keep a reachable quorum. */
 import * as ava from 'ava'
 import * as fc from 'fast-check'
+import type * as state from '../src/index.js'
 import * as virtual from './helpers/virtualCluster.js'
 
 const test = ava.default
@@ -127,3 +128,30 @@
     t.deepEqual(cluster.violations, [])
   }), { seed: 20261206, numRuns: RUNS, endOnFailure: true })
 })
+
+// Guards against a group without a quorum for ever: the new voter that the quorum needs has not received the entry that makes it one.
+test('a new voter votes before it knows that it is one', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 7)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(6000)
+  const leader = cluster.leader()?.name ?? ''
+  const lost = cluster.names.find(name => name !== leader) ?? ''
+  cluster.wipe(lost)
+  await cluster.clock.advance(500)
+  await cluster.start(lost)
+  const status = (name: string): state.ReplicaStatus | undefined => cluster.node(name).process.replica?.status()
+  const countVoters = (name: string): number => status(name)?.voters.length ?? 0
+  const other = cluster.names.find(name => name !== leader && name !== lost) ?? ''
+  for (let ms = 0; ms < 5000 && (status(lost)?.lastIndex ?? 0) < (status(leader)?.lastIndex ?? 0); ms++) await cluster.clock.advance(1)
+  // The leader has heard that the new replica is up to date, and reaches only the other one when it admits the new one.
+  await cluster.clock.advance(20)
+  cluster.network.brokenLinks.add([leader, lost].sort().join(' '))
+  await cluster.clock.advance(500)
+  t.deepEqual([leader, other, lost].map(countVoters), [4, 4, 3])
+  cluster.crash(leader)
+  cluster.network.brokenLinks.clear()
+  await cluster.start(leader)
+  await cluster.clock.advance(20_000)
+  t.truthy(cluster.leader())
+  t.is(voters(cluster).length, 3)
+})
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -99,12 +99,12 @@
   core.opts.log.event('electionLost', { group: core.opts.group, replica: core.opts.name, step: msg.t, term: msg.term, quorum: core.quorum(), lastIndex: msg.lastIndex, lastTerm: msg.lastTerm, votes })
 }
 
-/** Handles a vote or pre-vote request; replies only after a granted vote is synced. */
+/**
+ * Handles a vote or pre-vote request; replies only after a granted vote is synced. Whether this replica is a voter is for the candidate
+ * to judge, by incarnation: a new voter that the quorum needs may not have received the entry that makes it one.
+ */
 export async function onVoteRequest (core: replicaCore.Core, msg: VoteRequest): Promise<entries.RpcReply> {
   const reject = (): entries.RpcReply => ({ t: 'ballot', from: core.self(), term: core.meta.term, isGranted: false })
-  // Guards against votes of a replica that lost its disk: it could vote twice in a term, or elect a leader without the
-  // entries that it had acknowledged. Only a committed membership change restores its vote.
-  if (!core.isVoter()) return reject()
   // Guards the leader's lease: no other candidate may win while the lease can be valid. A replica that just started may
   // have acknowledged a leader before its restart, so it waits as long.
   if (!msg.isTransfer && isLeaderAlive(core)) return reject()
