fix(state): replicas that start at once do not split the votes

What callers saw: after a loss of all power the acknowledged change is in force only once a leader has committed its log.

Cause, by traces on virtual time: - A lost election, also a lost pre-vote, was followed by a whole election timeout (0.7 to 1.3 s). - A vote in a new term took two writes of the metadata one after the other, so candidates that started meanwhile met. - Two candidates that met split the votes, and a replica that had just voted supported the next candidate too.

Change: the first election after the start and those after a lost one come after a short, widely drawn pause. Term and vote are written together. Of two candidates that meet before either has voted, one gives up. A vote excludes pre-votes for others for half the shortest election timeout. A pre-vote waits no longer than that timeout for voters that are starting.

`commonStart` runs the file storage through drawn power losses.

--- /dev/null
+++ b/packages/state/__tests__/commonStart.test.ts
@@ -0,0 +1,75 @@
+/** Replicas that all start again at once, one of them without its disk, on virtual time: how soon they have a leader, and what it knows. */
+import * as ava from 'ava'
+import type * as powerLossDisks from './helpers/powerLossDisk.js'
+import * as seededRandom from './helpers/seededRandom.js'
+import * as virtual from './helpers/virtualCluster.js'
+
+const test = ava.default
+const DRAWS = 25
+/** Time after which changes must be in force again once all replicas have started, milliseconds. */
+const BOUND_MS = 3000
+const DOWN_MS = 1000
+const TIMING = { heartbeatMs: 200, electionMinMs: 700, electionMaxMs: 1300 }
+
+/** A disk, a network and how long after the first replica the last one starts; milliseconds. */
+interface Conditions { syncMs: number, delayMs: number, spreadMs: number }
+
+const CONDITIONS: Conditions[] = [
+  { syncMs: 5, delayMs: 2, spreadMs: 150 },
+  { syncMs: 20, delayMs: 10, spreadMs: 150 },
+  { syncMs: 60, delayMs: 20, spreadMs: 200 },
+  { syncMs: 5, delayMs: 2, spreadMs: 800 },
+  { syncMs: 60, delayMs: 20, spreadMs: 800 }
+]
+
+async function startGroup (seed: number): Promise<virtual.VirtualCluster> {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], seed, 20, true)
+  cluster.usesFiles = true
+  cluster.timing = TIMING
+  cluster.callTimeoutMs = 800
+  for (const name of cluster.names) await cluster.start(name)
+  for (const name of ['d', 'e']) await cluster.add(name)
+  await cluster.clock.advance(12_000)
+  return cluster
+}
+
+/** Ends all replicas right after a change was sent, wipes one of them, and starts all again. @returns the time of the last start */
+async function restartAll (cluster: virtual.VirtualCluster, conditions: Conditions, random: () => number, loss: powerLossDisks.PowerLoss): Promise<number> {
+  const { syncMs, delayMs, spreadMs } = conditions
+  cluster.syncMs = { min: 0.5 * syncMs, max: 1.5 * syncMs }
+  cluster.network.delayMs = delayMs
+  cluster.propose('last')
+  await cluster.clock.advance(random() * (6 * syncMs + 10 * delayMs))
+  const names = [...cluster.nodes.keys()]
+  for (const name of names) cluster.losePower(name, loss)
+  cluster.wipe(names[Math.floor(random() * names.length)])
+  await cluster.clock.advance(DOWN_MS)
+  const delays = names.map(() => random() * spreadMs)
+  names.forEach((name, i) => { cluster.clock.schedule(delays[i], () => { void cluster.start(name, false) }) })
+  return cluster.clock.now() + Math.max(...delays)
+}
+
+async function waitForLeader (cluster: virtual.VirtualCluster, ms: number): Promise<void> {
+  for (let waited = 0; waited < ms && cluster.leader() === undefined; waited += 20) await cluster.clock.advance(20)
+}
+
+// Guards against replicas that split the votes of one election after the other, or do not start at all after a power loss.
+for (const conditions of CONDITIONS) {
+  const { syncMs, delayMs, spreadMs } = conditions
+  test(`a common start elects a leader soon: syncs of ${syncMs} ms, messages of ${delayMs} ms, starts within ${spreadMs} ms`, async t => {
+    for (let seed = 1; seed <= DRAWS; seed++) {
+      const cluster = await startGroup(seed)
+      for (const n of [1, 2, 3]) {
+        cluster.propose(`before-${n}`)
+        await cluster.clock.advance(300)
+      }
+      const lastStartAt = await restartAll(cluster, conditions, seededRandom.createRandom(seed), seed % 3 === 0 ? 'syncedOnly' : 'drawn')
+      await waitForLeader(cluster, 20_000)
+      const ms = Math.round(cluster.clock.now() - lastStartAt)
+      t.true(cluster.leader() !== undefined && ms <= BOUND_MS, `seed ${seed}: a leader after ${ms} ms`)
+      const applied = cluster.applied(cluster.leader()?.name ?? '')
+      t.deepEqual(cluster.acknowledged.filter(command => !applied.includes(command)), [], `seed ${seed}: an acknowledged command is lost`)
+      t.deepEqual(cluster.violations, [])
+    }
+  })
+}
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -5,28 +5,44 @@
 type VoteRequest = Extract<entries.Rpc, { t: 'preVote' | 'vote' }>
 
 const MIN_SLEEP_MS = 10
+/** Bounds of the pause after a lost election, as fractions of the minimum election timeout. Wide, so that candidates do not meet again. */
+const RETRY_MIN_FRACTION = 0.1
+const RETRY_MAX_FRACTION = 0.6
+/** How long a vote keeps this replica from supporting another candidate, as a fraction of the minimum election timeout. */
+const VOTE_FRACTION = 0.5
 
 /**
- * Starts an election after each election timeout without contact to a leader, until the replica stops.
+ * Starts an election after each election timeout without contact to a leader, until the replica stops. The first election after the
+ * start and those that follow a lost one come sooner, since no leader is known to be alive.
  * @param onElected called when an election is won
  */
 export async function runElections (core: replicaCore.Core, onElected: () => Promise<void>): Promise<void> {
-  const { clock, random } = core.opts
+  const { clock } = core.opts
+  let hasLeader = false
   while (core.isRunning) {
-    const { electionMinMs, electionMaxMs } = core.timing
-    const timeoutMs = electionMinMs + random() * (electionMaxMs - electionMinMs)
-    await clock.sleep(Math.max(MIN_SLEEP_MS, timerStartedAt(core) + timeoutMs - clock.now()))
-    if (!core.isRunning || core.role.kind === 'leader' || !core.isVoter()) {
-      if (core.role.kind === 'leader' || !core.isVoter()) core.electionTimerStartedAt = clock.now()
+    const startedAt = timerStartedAt(core)
+    await clock.sleep(Math.max(MIN_SLEEP_MS, startedAt + drawTimeout(core, hasLeader) - clock.now()))
+    if (!core.isRunning) return
+    if (core.role.kind === 'leader' || !core.isVoter()) {
+      core.electionTimerStartedAt = clock.now()
+      hasLeader = true
       continue
     }
-    if (clock.now() - timerStartedAt(core) < timeoutMs) continue
+    // The timer was restarted meanwhile: by a leader, or by a vote for a candidate that is about to lead.
+    hasLeader = timerStartedAt(core) !== startedAt
+    if (hasLeader) continue
     await campaign(core, false, onElected)
     // Restarts only the election timer: after a lost election this replica still grants votes to other candidates.
     core.electionTimerStartedAt = clock.now()
   }
 }
 
+function drawTimeout (core: replicaCore.Core, hasLeader: boolean): number {
+  const { electionMinMs, electionMaxMs } = core.timing
+  const [minMs, maxMs] = hasLeader ? [electionMinMs, electionMaxMs] : [RETRY_MIN_FRACTION * electionMinMs, RETRY_MAX_FRACTION * electionMinMs]
+  return minMs + core.opts.random() * (maxMs - minMs)
+}
+
 /**
  * Runs one election as candidate.
  * @param isTransfer whether the leader requested it and has given up its lease
@@ -34,17 +50,20 @@
  */
 export async function campaign (core: replicaCore.Core, isTransfer: boolean, onElected: () => Promise<void>): Promise<void> {
   core.role = { kind: 'candidate' }
+  if (await isElected(core, isTransfer)) await onElected()
+  else if (core.role.kind === 'candidate') core.role = { kind: 'follower' }
+}
+
+async function isElected (core: replicaCore.Core, isTransfer: boolean): Promise<boolean> {
   const term = core.meta.term + 1
   // Guards against a partitioned replica that returns with a higher term and deposes a working leader.
-  if (!isTransfer && !await collectVotes(core, { t: 'preVote', ...toVoteRequest(core, term, isTransfer) })) return
-  if (!isStillCandidate(core, term - 1)) return
-  core.meta = { ...core.meta, term, votedFor: core.selfId() }
-  await core.saveMeta()
+  if (!isTransfer && !await collectVotes(core, { t: 'preVote', ...toVoteRequest(core, term, isTransfer) })) return false
+  if (!isStillCandidate(core, term - 1)) return false
+  core.votedAt = core.opts.clock.now()
+  await core.saveVote(term, core.selfId())
   checkVoteSynced(core, term, core.selfId())
-  if (!isStillCandidate(core, term)) return
-  if (!await collectVotes(core, { t: 'vote', ...toVoteRequest(core, term, isTransfer) })) return
-  if (!isStillCandidate(core, term)) return
-  await onElected()
+  if (!isStillCandidate(core, term)) return false
+  return await collectVotes(core, { t: 'vote', ...toVoteRequest(core, term, isTransfer) }) && isStillCandidate(core, term)
 }
 
 function isStillCandidate (core: replicaCore.Core, term: number): boolean {
@@ -64,15 +83,24 @@
   let outstanding = others.length
   if (granted >= quorum) return true
   return await new Promise<boolean>(resolve => {
+    let isDecided = false
+    const lose = (): void => {
+      if (isDecided) return
+      isDecided = true
+      resolve(false)
+      logLostElection(core, msg, results)
+    }
     const settle = (id: string, result: VoteResult): void => {
       outstanding--
       results.set(id, result)
       if (result === 'granted') granted++
-      if (granted >= quorum) return resolve(true)
-      if (granted + outstanding >= quorum) return
-      resolve(false)
-      logLostElection(core, msg, results)
+      if (granted >= quorum) {
+        isDecided = true
+        resolve(true)
+      } else if (granted + outstanding < quorum) lose()
     }
+    // A voter that is starting or gone must not delay the next try. Votes are waited for: they are on disk and cannot be repeated in this term.
+    if (msg.t === 'preVote') void core.opts.clock.sleep(core.timing.electionMinMs).then(lose)
     for (const voter of others) {
       const id = entries.toMemberId(voter)
       requestVote(core, voter, msg).then(result => { settle(id, result) }, () => { settle(id, 'no reply') })
@@ -110,18 +138,42 @@
   if (!msg.isTransfer && isLeaderAlive(core)) return reject()
   if (msg.term < core.meta.term) return reject()
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
-  if (msg.t === 'preVote') return { t: 'ballot', from: core.self(), term: msg.term, isGranted: isUpToDate && msg.term > core.meta.term }
-  await core.observeTerm(msg.term)
+  if (msg.t === 'preVote') {
+    const isGranted = isUpToDate && msg.term > core.meta.term && !hasJustVotedForAnother(core, msg.candidate) && yieldsTo(core, msg)
+    return { t: 'ballot', from: core.self(), term: msg.term, isGranted }
+  }
   const candidate = entries.toMemberId(msg.candidate)
-  const canVote = core.meta.term === msg.term && (core.meta.votedFor === null || core.meta.votedFor === candidate)
-  if (!canVote || !isUpToDate) return reject()
-  core.meta = { ...core.meta, votedFor: candidate }
+  const votedFor = msg.term > core.meta.term ? null : core.meta.votedFor
+  const canVote = votedFor === null || votedFor === candidate
+  if (!canVote || !isUpToDate) {
+    await core.observeTerm(msg.term)
+    return reject()
+  }
   core.electionTimerStartedAt = core.opts.clock.now()
-  await core.saveMeta()
+  core.votedAt = core.opts.clock.now()
+  await core.saveVote(msg.term, candidate)
   checkVoteSynced(core, msg.term, candidate)
   return { t: 'ballot', from: core.self(), term: msg.term, isGranted: true }
 }
 
+/**
+ * Decides between two candidates that meet before either has voted, so that they do not split the votes.
+ * @returns whether this replica does not precede the other candidate; it then gives up its own election
+ */
+function yieldsTo (core: replicaCore.Core, msg: VoteRequest): boolean {
+  if (core.role.kind !== 'candidate') return true
+  const hasSameLog = msg.lastTerm === core.log.lastTerm() && msg.lastIndex === core.log.lastIndex()
+  if (hasSameLog && core.selfId() < entries.toMemberId(msg.candidate)) return false
+  core.role = { kind: 'follower' }
+  return true
+}
+
+/** Guards against an election that deposes the winner of the previous one before its first message arrives. */
+function hasJustVotedForAnother (core: replicaCore.Core, candidate: entries.Member): boolean {
+  const isRecent = core.opts.clock.now() - core.votedAt < VOTE_FRACTION * core.timing.electionMinMs
+  return isRecent && core.meta.votedFor !== null && core.meta.votedFor !== entries.toMemberId(candidate)
+}
+
 /** @returns when the election timer was last reset */
 function timerStartedAt (core: replicaCore.Core): number {
   return Math.max(core.lastContactOrStartAt, core.electionTimerStartedAt)
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -69,6 +69,8 @@
     currentAsFollowerAt: -Infinity,
     /** Last reset of the election timer for reasons other than contact from a leader. */
     electionTimerStartedAt: clock.now(),
+    /** When this replica last voted, also for itself. */
+    votedAt: -Infinity,
     /** Votes of the latest lost election that was logged. */
     lastLostVotes: '',
     /** The latest join request that was logged. */
@@ -110,9 +112,14 @@
 
     /** Adopts a higher term, in which this replica has not voted. */
     async observeTerm (term: number): Promise<void> {
-      if (term <= core.meta.term) return
-      core.meta = { ...core.meta, term, votedFor: null }
-      core.stepDown('observed a higher term')
+      if (term > core.meta.term) await core.saveVote(term, null)
+    },
+
+    /** Persists a vote, together with its term if that is a higher one. */
+    async saveVote (term: number, votedFor: string | null): Promise<void> {
+      const isHigher = term > core.meta.term
+      core.meta = { ...core.meta, term, votedFor }
+      if (isHigher && votedFor !== core.selfId()) core.stepDown('observed a higher term')
       await core.saveMeta()
     },
 
