--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -99,7 +99,7 @@
         resolve(true)
       } else if (granted + outstanding < quorum) lose()
     }
-    // A voter that is starting or gone must not delay the next try. Votes are waited for: they are on disk and cannot be repeated in this term.
+    // A voter that is starting or gone must not delay the next pre-vote. Votes are waited for, since they cannot be repeated in this term.
     if (msg.t === 'preVote') void core.opts.clock.sleep(core.timing.electionMinMs).then(lose)
     for (const voter of others) {
       const id = entries.toMemberId(voter)
@@ -133,8 +133,8 @@
  */
 export async function onVoteRequest (core: replicaCore.Core, msg: VoteRequest): Promise<entries.RpcReply> {
   const reject = (): entries.RpcReply => ({ t: 'ballot', from: core.self(), term: core.meta.term, isGranted: false })
-  // Guards the leader's lease: no other candidate may win while the lease can be valid. A replica that just started may
-  // have acknowledged a leader before its restart, so it waits as long.
+  // Guards the leader's lease: no other candidate may win while the lease can be valid. A replica whose process just started may
+  // have acknowledged a leader before, so it waits as long.
   if (!msg.isTransfer && isLeaderAlive(core)) return reject()
   if (msg.term < core.meta.term) return reject()
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
