fix(links): a connection that was established during a stall of the process is used

What callers saw: an entry instance that stalls for longer than the connect timeout (0.35 s; a used-up processor quota, a busy machine) takes endpoints that accepted its connection for unreachable, and other instances are asked for a path to them.

Cause: after a stall the event loop runs due timers before it reads that the connection was established.

Change: the verdict waits until the event loop has read its events once. The chat fleet's connections to engines do the same.

Evidence: the test failed before ("no connection within 350 ms"), with a stall of 500 ms right after the connection was begun. This does not mend the known red test of streams under stalls, whose other cause is not traced: with stalls of 500 ms in each 0.6 to 0.8 s it fails with and without this change.

--- a/packages/forwarding/src/paths/endpointDialer.ts
+++ b/packages/forwarding/src/paths/endpointDialer.ts
@@ -44,18 +44,14 @@
 export async function dial (connect: Connect, address: string): Promise<net.Socket> {
   return await new Promise((resolve, reject) => {
     const socket = connect(address)
-    const timer = setTimeout(() => { fail(new DialError(`no connection within ${CONNECT_TIMEOUT_MS} ms`, true)) }, CONNECT_TIMEOUT_MS)
+    links.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { fail(new DialError(`no connection within ${CONNECT_TIMEOUT_MS} ms`, true)) })
     const onError = (err: Error): void => { fail(new DialError(err.message, false)) }
     function fail (err: DialError): void {
-      clearTimeout(timer)
       reject(err)
       socket.destroy()
     }
     socket.on('error', onError)
-    socket.once('connect', () => {
-      clearTimeout(timer)
-      resolve(prepare(socket))
-    })
+    socket.once('connect', () => { resolve(prepare(socket)) })
   })
 }
 
--- a/packages/links/src/endpointClient.ts
+++ b/packages/links/src/endpointClient.ts
@@ -4,6 +4,7 @@
  */
 import * as net from 'node:net'
 import * as undici from 'undici'
+import * as connectDeadlines from './connectDeadline.js'
 
 /** A connection acquired for one request. */
 export interface EndpointConnection {
@@ -64,9 +65,9 @@
   const connect = async (): Promise<undici.Client> => {
     const socket = net.connect(toHostPort(origin))
     await new Promise<void>((resolve, reject) => {
-      const timer = setTimeout(() => { socket.destroy(new Error(`no connection to ${origin} within ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
-      socket.once('connect', () => { clearTimeout(timer); resolve() })
-      socket.once('error', err => { clearTimeout(timer); reject(err) })
+      connectDeadlines.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { socket.destroy(new Error(`no connection to ${origin} within ${CONNECT_TIMEOUT_MS} ms`)) })
+      socket.once('connect', resolve)
+      socket.once('error', reject)
     })
     socket.removeAllListeners('error')
     socket.on('error', () => {})
