--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -47,6 +47,7 @@
   evacuationsAccepted: spec(1321, 'info', 'evacuated availability zones changed at this control instance'),
   evacuationAnswered: spec(1322, 'info', 'result of an evacuation order returned to the operator'),
   evacuationsInForce: spec(1323, 'info', 'evacuated availability zones applied; their endpoints receive no further requests'),
+  documentRead: spec(1324, 'info', 'document returned to the operator, or the read failed'),
   documentAnswered: spec(1314, 'info', 'result of a document update returned to the operator'),
   documentRefused: spec(1310, 'warn', 'configuration document rejected', 'The response to the operator names the field to correct.'),
   documentUnreadable: spec(1311, 'error', 'accepted configuration document cannot be parsed here; the previous version stays in effect', 'Check that all instances run the same version.'),
