fix(state): a leader stores the commit index once it has synced the entry itself

What callers saw: after a kill of all control instances, a former leader that starts first has no document, or the one before the last change, until there is a leader.

Cause: the stored commit index is limited to what is synced here. If the followers were quicker, the entry was committed before the leader had synced it, and nothing stored the index when it had.

Change: the index is stored after each sync too, if it is higher than the stored one.

Evidence: the test on virtual time (the leader's disk stalls) failed before and passes now.

--- a/packages/state/__tests__/dynamicMembership.test.ts
+++ b/packages/state/__tests__/dynamicMembership.test.ts
@@ -79,6 +79,22 @@
   for (const name of cluster.names) t.is(cluster.applied(name).length, 5)
 })
 
+// Guards against a former leader that starts without the last change, since its followers had synced it before.
+test('a restarted leader whose disk was slow applies what its followers committed', async t => {
+  const cluster = await startGroup(['a', 'b', 'c'], [], 13)
+  const leader = cluster.leader()?.name ?? ''
+  cluster.stalledDisks.add(leader)
+  cluster.propose('change')
+  await cluster.clock.advance(100)
+  t.deepEqual(cluster.acknowledged, ['change'])
+  cluster.stalledDisks.delete(leader)
+  await cluster.clock.advance(200)
+  for (const name of cluster.names) cluster.crash(name)
+  await cluster.start(leader)
+  await cluster.clock.advance(50)
+  t.deepEqual(cluster.applied(leader), ['change'])
+})
+
 // Guards against stale reads from a replaced leader whose lease still looks valid by its own clock.
 test('a leader that was replaced during a partition cannot confirm its leadership', async t => {
   const cluster = await startGroup(['a', 'b', 'c'], ['d', 'e'], 17)
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -91,6 +91,8 @@
     queuedIndex: 0,
     /** Last index synced to storage. */
     syncedIndex: 0,
+    /** The commit index that was passed to the storage last. */
+    savedCommitIndex: 0,
     /** The latest write that acknowledgements wait for. Writes are performed in order, so it completes after all earlier ones. */
     lastWrite: Promise.resolve() as Promise<void>,
 
@@ -147,6 +149,7 @@
           await storage.append(list)
           // Another leader's entries may have replaced these in memory meanwhile.
           if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
+          core.saveCommitIndex()
         })
       }
       await core.lastWrite
@@ -178,11 +181,21 @@
       if (newIndex <= core.commitIndex) return
       core.commitIndex = newIndex
       while (core.appliedIndex < core.commitIndex) applyNext()
-      // Limited to synced entries: a restarted replica applies them before it contacts any other.
-      storage.saveCommitIndex?.(Math.min(core.commitIndex, core.syncedIndex))
+      core.saveCommitIndex()
       core.maybeSnapshot()
     },
 
+    /**
+     * Stores how far entries are committed, limited to synced ones: a restarted replica applies them before it contacts any other. A
+     * quorum may have committed an entry before this replica has synced it.
+     */
+    saveCommitIndex (): void {
+      const index = Math.min(core.commitIndex, core.syncedIndex)
+      if (index <= core.savedCommitIndex) return
+      core.savedCommitIndex = index
+      storage.saveCommitIndex?.(index)
+    },
+
     /** As leader, commits the entries that a quorum of voters has synced. */
     commitAcknowledged (): void {
       const { role } = core
