fix(state): a candidate waits for late votes

On a busy machine replies come later than a call waits (0.8 s): a candidate gave up although its voters had given their votes, which nobody else could use in that term, while others passed their pre-votes.

Change: the request for a vote is repeated until the election is decided, for up to two election timeouts; the voter gives the same vote again. Pre-votes are waited for twice as long, and a vote excludes pre-votes for others for a whole shortest election timeout.

--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -5,11 +5,14 @@
 type VoteRequest = Extract<entries.Rpc, { t: 'preVote' | 'vote' }>
 
 const MIN_SLEEP_MS = 10
+const VOTE_RETRY_MS = 50
 /** Bounds of the pause after a lost election, as fractions of the minimum election timeout. Wide, so that candidates do not meet again. */
 const RETRY_MIN_FRACTION = 0.1
 const RETRY_MAX_FRACTION = 0.6
-/** How long a vote keeps this replica from supporting another candidate, as a fraction of the minimum election timeout. */
-const VOTE_FRACTION = 0.5
+/** How long a candidate waits for pre-votes, in minimum election timeouts. */
+const PRE_VOTE_TIMEOUTS = 2
+/** How long a candidate repeats its request to a voter that does not reply, in maximum election timeouts. */
+const VOTE_TIMEOUTS = 2
 
 /**
  * Starts an election after each election timeout without contact to a leader, until the replica stops. The first election after the
@@ -99,11 +102,12 @@
         resolve(true)
       } else if (granted + outstanding < quorum) lose()
     }
-    // A voter that is starting or gone must not delay the next pre-vote. Votes are waited for, since they cannot be repeated in this term.
-    if (msg.t === 'preVote') void core.opts.clock.sleep(core.timing.electionMinMs).then(lose)
+    // A voter that is starting or gone must not delay the next pre-vote.
+    if (msg.t === 'preVote') void core.opts.clock.sleep(PRE_VOTE_TIMEOUTS * core.timing.electionMinMs).then(lose)
     for (const voter of others) {
       const id = entries.toMemberId(voter)
-      requestVote(core, voter, msg).then(result => { settle(id, result) }, () => { settle(id, 'no reply') })
+      const request = msg.t === 'preVote' ? requestVote(core, voter, msg) : requestVoteRepeatedly(core, voter, msg, () => isDecided)
+      request.then(result => { settle(id, result) }, () => { settle(id, 'no reply') })
     }
   })
 }
@@ -119,6 +123,24 @@
   return reply.isGranted && reply.term === msg.term ? 'granted' : 'rejected'
 }
 
+/**
+ * Repeats the request while there is no reply: a vote that was given but whose reply came too late is of use to no other candidate in this
+ * term. The voter gives it again.
+ */
+async function requestVoteRepeatedly (core: replicaCore.Core, voter: entries.Member, msg: VoteRequest, isDecided: () => boolean): Promise<VoteResult> {
+  const { clock } = core.opts
+  const until = clock.now() + VOTE_TIMEOUTS * core.timing.electionMaxMs
+  while (true) {
+    try {
+      return await requestVote(core, voter, msg)
+    } catch (err) {
+      if (isDecided() || !isStillCandidate(core, msg.term) || clock.now() > until) throw err
+      // A refused connection fails at once.
+      await clock.sleep(VOTE_RETRY_MS)
+    }
+  }
+}
+
 /** Logs the votes of a lost election, unless they are those of the previous one. */
 function logLostElection (core: replicaCore.Core, msg: VoteRequest, results: ReadonlyMap<string, string>): void {
   const votes = [...results].map(([id, result]) => `${id}: ${result}`).join(', ')
@@ -170,7 +192,7 @@
 
 /** Guards against an election that deposes the winner of the previous one before its first message arrives. */
 function hasJustVotedForAnother (core: replicaCore.Core, candidate: entries.Member): boolean {
-  const isRecent = core.opts.clock.now() - core.votedAt < VOTE_FRACTION * core.timing.electionMinMs
+  const isRecent = core.opts.clock.now() - core.votedAt < core.timing.electionMinMs
   return isRecent && core.meta.votedFor !== null && core.meta.votedFor !== entries.toMemberId(candidate)
 }
 
