--- a/packages/state/__tests__/commonStart.test.ts
+++ b/packages/state/__tests__/commonStart.test.ts
@@ -86,3 +86,19 @@
     }
   })
 }
+
+// Guards against elections that are lost one after the other on slow disks or a busy machine, although the votes were given.
+test('a vote whose reply comes later than a call waits is counted', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 5)
+  cluster.timing = TIMING
+  for (const name of cluster.names) await cluster.start(name)
+  await waitForLeader(cluster, 10_000)
+  const leader = cluster.leader()?.name ?? ''
+  cluster.syncMs = { min: 400, max: 500 }
+  cluster.callTimeoutMs = 300
+  cluster.crash(leader)
+  await cluster.clock.advance(100)
+  const hasLeader = (): boolean => cluster.names.some(name => cluster.node(name).process.replica?.status().role === 'leader')
+  for (let ms = 0; ms < 8000 && !hasLeader(); ms += 50) await cluster.clock.advance(50)
+  t.true(hasLeader())
+})
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -173,7 +173,8 @@
   }
   core.electionTimerStartedAt = core.opts.clock.now()
   core.votedAt = core.opts.clock.now()
-  await core.saveVote(msg.term, candidate)
+  // A repeated request is answered without another write.
+  if (!isVoteSynced(core, msg.term, candidate)) await core.saveVote(msg.term, candidate)
   checkVoteSynced(core, msg.term, candidate)
   return { t: 'ballot', from: core.self(), term: msg.term, isGranted: true }
 }
@@ -208,7 +209,10 @@
 
 /** Guards against a second vote after a crash: the vote is sent only once it is on disk. */
 function checkVoteSynced (core: replicaCore.Core, term: number, candidate: string): void {
-  const meta = core.syncedMeta
-  const isSynced = meta !== undefined && (meta.term > term || (meta.term === term && meta.votedFor === candidate))
+  const isSynced = isVoteSynced(core, term, candidate) || (core.syncedMeta?.term ?? 0) > term
   core.opts.invariants.check('voteSyncedBeforeSent', isSynced, () => `vote for ${candidate} in term ${term} is not synced to disk`)
 }
+
+function isVoteSynced (core: replicaCore.Core, term: number, candidate: string): boolean {
+  return core.syncedMeta?.term === term && core.syncedMeta.votedFor === candidate
+}
