fix(state): a candidate votes for itself by the rule of all votes

Cause: since lost elections are retried after a short pause, a candidate that heard from the leader during its election could stand again 0.1 s later and vote for itself, although it had just acknowledged an append that the leader's lease rests on.

Change: a candidate does not stand while the leader may be alive by its own record, as it rejects the votes of others.

Evidence: the plan that showed it stands as a test, which failed before.

--- a/packages/state/__tests__/replicaSchedules.test.ts
+++ b/packages/state/__tests__/replicaSchedules.test.ts
@@ -99,6 +99,22 @@
   })
 }
 
+// Guards against two leaders with a valid lease: a candidate that heard from the leader during its last election votes for itself.
+test('a candidate that has just heard from the leader does not stand again', async t => {
+  const plan: Fault[] = [
+    { at: 25_029, kind: 'noise', target: 2, durationMs: 4835 },
+    { at: 28_510, kind: 'wipe', target: 2, durationMs: 5643 },
+    { at: 34_746, kind: 'wipe', target: 4, durationMs: 574 },
+    { at: 30_056, kind: 'isolate', target: 3, durationMs: 7950 },
+    { at: 33_560, kind: 'wipe', target: 2, durationMs: 5048 },
+    { at: 30_816, kind: 'isolate', target: 0, durationMs: 8868 },
+    { at: 33_703, kind: 'wipe', target: 3, durationMs: 5486 },
+    { at: 29_606, kind: 'noise', target: 2, durationMs: 5545 },
+    { at: 36_864, kind: 'crash', target: 3, durationMs: 7447 }
+  ]
+  checkHistory(t, await runPlan(3, 467_899, plan))
+})
+
 // Guards against a stale document that passes for the latest, after any of these faults.
 test('no replica claims to be current with an old state while disks stall and replicas crash', async t => {
   await fc.assert(fc.asyncProperty(toPlans(['crash', 'isolate', 'stall', 'noise']), fc.integer({ min: 1, max: 1e6 }), async (plan, seed) => {
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -58,6 +58,8 @@
 }
 
 async function isElected (core: replicaCore.Core, isTransfer: boolean): Promise<boolean> {
+  // Guards the leader's lease: the vote for itself follows the same rule as that for others.
+  if (!isTransfer && isLeaderAlive(core)) return false
   const term = core.meta.term + 1
   // Guards against a partitioned replica that returns with a higher term and deposes a working leader.
   if (!isTransfer && !await collectVotes(core, { t: 'preVote', ...toVoteRequest(core, term, isTransfer) })) return false
