--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -5,6 +5,7 @@
 type VoteRequest = Extract<entries.Rpc, { t: 'preVote' | 'vote' }>
 
 const MIN_SLEEP_MS = 10
+/** Pause before a voter that did not reply is asked again. */
 const VOTE_RETRY_MS = 50
 /** Bounds of the pause after a lost election, as fractions of the minimum election timeout. Wide, so that candidates do not meet again. */
 const RETRY_MIN_FRACTION = 0.1
