--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -20,8 +20,8 @@
   secret: string
   ledgerGroups: number
   snapshotEvery?: number
-  /** Monotonic time at which the process started, milliseconds, if no other instance has run in it. Default: now. */
-  processStartedAt?: number
+  /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
+  ownsProcess?: boolean
   /** Configuration document to propose while the fleet has none. */
   document?: contracts.Document
   log: telemetry.Log
--- a/packages/control/src/replicaGroups.ts
+++ b/packages/control/src/replicaGroups.ts
@@ -18,8 +18,8 @@
   log: telemetry.Log
   invariants: telemetry.Invariants
   snapshotEvery?: number
-  /** Monotonic time at which the process started, milliseconds, if no other instance has run in it. Default: now. */
-  processStartedAt?: number
+  /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
+  ownsProcess?: boolean
 }
 
 /** Longer than a disk sync under load, shorter than the minimum election timeout. */
@@ -50,7 +50,7 @@
     transport: createTransport(opts, group),
     stateMachine: machine,
     clock: state.systemClock,
-    startedAt: opts.processStartedAt,
+    startedAt: opts.ownsProcess === true ? state.PROCESS_STARTED_AT_MS : undefined,
     random: Math.random,
     createIncarnation: () => crypto.randomUUID(),
     log: opts.log,
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -24,8 +24,8 @@
   /** Number of disks that may fail at the same time without loss of the document. */
   maxFailedDisks: number
   dataFolder: string
-  /** Monotonic time at which the process started, milliseconds, if no other instance has run in it. Default: now. */
-  processStartedAt?: number
+  /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
+  ownsProcess?: boolean
   /** Secret shared by all instances of the fleet. */
   secret: string
   /** Capacity of this machine's link, bytes per millisecond; unlimited by default. */
@@ -78,7 +78,7 @@
     contacts: opts.contacts,
     maxFailedDisks: opts.maxFailedDisks,
     dataFolder: opts.dataFolder,
-    processStartedAt: opts.processStartedAt,
+    ownsProcess: opts.ownsProcess,
     getPeerLink,
     onChange: () => { onDocumentChange() },
     onEvacuations: () => { onEvacuations() },
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -31,8 +31,8 @@
   /** Number of disks that may fail at the same time without loss of the document. */
   maxFailedDisks: number
   dataFolder: string
-  /** Monotonic time at which the process started, milliseconds, if no other instance has run in it. Default: now. */
-  processStartedAt?: number
+  /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
+  ownsProcess?: boolean
   /** Returns a link to another control instance. */
   getPeerLink: (address: string) => Promise<links.Link>
   /** Called when the local document changed. */
@@ -233,7 +233,7 @@
   const orders = evacuationOrders.createEvacuationOrders({ replica: requireReplica, machine: () => machine, runAtLeader: retry, readTimeoutMs: RPC_TIMEOUT_MS })
 
   try {
-    replica = await create(opts.processStartedAt)
+    replica = await create(opts.ownsProcess === true ? state.PROCESS_STARTED_AT_MS : undefined)
   } catch (err) {
     if (!isDiskFailure(err)) throw err
     opts.log.event('replicaRestarted', { step: 'failed', detail: String(err) })
--- a/packages/forwarding/src/paths/endpointDialer.ts
+++ b/packages/forwarding/src/paths/endpointDialer.ts
@@ -44,13 +44,12 @@
 export async function dial (connect: Connect, address: string): Promise<net.Socket> {
   return await new Promise((resolve, reject) => {
     const socket = connect(address)
-    links.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { fail(new DialError(`no connection within ${CONNECT_TIMEOUT_MS} ms`, true)) })
-    const onError = (err: Error): void => { fail(new DialError(err.message, false)) }
-    function fail (err: DialError): void {
+    const fail = (err: DialError): void => {
       reject(err)
       socket.destroy()
     }
-    socket.on('error', onError)
+    links.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { fail(new DialError(`no connection within ${CONNECT_TIMEOUT_MS} ms`, true)) })
+    socket.on('error', err => { fail(new DialError(err.message, false)) })
     socket.once('connect', () => { resolve(prepare(socket)) })
   })
 }
--- a/packages/kingcupdeck/src/daemons.ts
+++ b/packages/kingcupdeck/src/daemons.ts
@@ -8,9 +8,6 @@
 import * as exitCodes from './exitCodes.js'
 import * as settings from './settings.js'
 
-/** The process's start on its monotonic clock. */
-const PROCESS_STARTED_AT_MS = 0
-
 type RouterValues = settings.Values<typeof settings.routerSettings>
 type ControlValues = settings.Values<typeof settings.controlSettings>
 
@@ -54,7 +51,7 @@
     secret: values['fleet-secret'],
     ledgerGroups: values['ledger-groups'],
     snapshotEvery: values['snapshot-every'],
-    processStartedAt: PROCESS_STARTED_AT_MS,
+    ownsProcess: true,
     document: values.document === '' ? undefined : readDocument(values.document),
     log,
     isFatal: values['fatal-invariants']
--- a/packages/state/src/clock.ts
+++ b/packages/state/src/clock.ts
@@ -9,6 +9,9 @@
   sleep (ms: number): Promise<void>
 }
 
+/** The start of this process on {@link systemClock}. */
+export const PROCESS_STARTED_AT_MS = 0
+
 /** Clock of the operating system. */
 export const systemClock: Clock = {
   now: () => performance.now(),
