--- a/packages/state/__tests__/helpers/faultyFiles.ts
+++ b/packages/state/__tests__/helpers/faultyFiles.ts
@@ -17,10 +17,7 @@
   return `${stat.ino} ${stat.birthtimeMs}`
 }
 
-/**
- * Replaces the writing methods of all file handles of this process.
- * @param next returns the fault of the next call
- */
+/** Replaces the writing methods of all file handles of this process. @param next returns the fault of the next call */
 export async function createFaultyFiles (next: () => Fault) {
   const handle = await fs.open(await fs.mkdtemp(path.join(os.tmpdir(), 'faulty-')), 'r')
   const prototype = Object.getPrototypeOf(handle) as Record<string, Method>
--- a/packages/state/__tests__/helpers/powerLossDisk.ts
+++ b/packages/state/__tests__/helpers/powerLossDisk.ts
@@ -1,7 +1,4 @@
-/**
- * A file system in memory that loses power. What was not synced is then present, missing, torn or filled with zeros, each write
- * and each name on its own.
- */
+/** A file system in memory that loses power: each unsynced write and name is then present, missing, torn or filled with zeros. */
 import * as path from 'node:path'
 import type * as state from '../../src/index.js'
 
@@ -23,10 +20,7 @@
 
 export interface PowerLossDisk extends ReturnType<typeof createPowerLossDisk> {}
 
-/**
- * Creates an empty disk whose only folder is the root.
- * @param random returns a number in [0, 1)
- */
+/** Creates an empty disk whose only folder is the root. @param random returns a number in [0, 1) */
 export function createPowerLossDisk (random: () => number) {
   let names = new Map<string, Node>([['/', 'folder']])
   let syncedNames = new Map(names)
@@ -56,10 +50,7 @@
     file.content = applyChange(file.content, item)
   }
 
-  /**
-   * Returns the file system as one process sees it; its operations never end once the power was lost.
-   * @param beforeOperation called before each operation, and after each part of a write
-   */
+  /** Returns the file system as one process sees it; its operations never end once the power was lost. @param beforeOperation also called after each part of a write */
   const connect = (beforeOperation: (isSync: boolean) => Promise<void> = async () => {}): state.FileSystem => {
     const lossesAtStart = powerLosses
     const begin = async (isSync: boolean): Promise<void> => {
@@ -170,8 +161,6 @@
 
   return {
     connect,
-    /** Returns the names in a folder. */
-    list: (folder: string) => [...names.keys()].filter(name => path.dirname(name) === folder && name !== folder).map(name => path.basename(name)),
     /** Replaces the content of a file, synced. */
     put (name: string, content: Buffer): void {
       const file: File = { content, synced: content, changes: [] }
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -4,6 +4,7 @@
  */
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as state from '../../src/index.js'
+import * as memoryDisks from './memoryDisk.js'
 import * as powerLossDisks from './powerLossDisk.js'
 import * as seededRandom from './seededRandom.js'
 import * as virtualClocks from './virtualClock.js'
@@ -11,39 +12,10 @@
 /** Pause before a replica whose storage failed is started again. */
 const RESTART_PAUSE_MS = 700
 
-/** A disk that keeps synced data when its replica crashes. */
-class MemoryDisk {
-  meta: state.Meta | undefined
-  entries: state.Entry[] = []
-  snapshot: state.Snapshot | undefined
-  committed = 0
-
-  wipe (): void {
-    this.meta = undefined
-    this.entries = []
-    this.snapshot = undefined
-    this.committed = 0
-  }
-
-  /** @returns the index up to which entries are stored without a gap */
-  lastIndex (): number {
-    let last = this.snapshot?.lastIndex ?? 0
-    for (const item of this.entries) if (item.index === last + 1) last++
-    return last
-  }
-
-  /** Checks what a replica acknowledges against its disk. @returns what is missing */
-  findMissing (reply: state.RpcReply): string | undefined {
-    if (reply.t === 'append' && reply.isOk && reply.match > this.lastIndex()) return `acknowledged entries up to ${reply.match}, but its disk ends at ${this.lastIndex()}`
-    if (reply.t === 'ballot' && reply.isGranted && reply.from.incarnation !== this.meta?.incarnation) return 'granted a vote, but its incarnation is not on its disk'
-    return undefined
-  }
-}
-
 /** One running incarnation of a replica process. */
 interface Process { isDead: boolean, replica: state.Replica | undefined, applied: string[] }
 
-interface Node { name: string, disk: MemoryDisk, /** Used in place of `disk` if the cluster uses files. */ files: powerLossDisks.PowerLossDisk, process: Process, starts: number }
+interface Node { name: string, disk: memoryDisks.MemoryDisk, /** Used in place of `disk` if the cluster uses files. */ files: powerLossDisks.PowerLossDisk, process: Process, starts: number }
 
 /** Bounds of a duration, milliseconds. */
 interface Range { min: number, max: number }
@@ -106,7 +78,7 @@
   }
 
   private addNode (name: string): void {
-    this.nodes.set(name, { name, disk: new MemoryDisk(), files: powerLossDisks.createPowerLossDisk(this.random), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+    this.nodes.set(name, { name, disk: new memoryDisks.MemoryDisk(), files: powerLossDisks.createPowerLossDisk(this.random), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
   }
 
   private draw (range: Range): number { return range.min + this.random() * (range.max - range.min) }
--- a/packages/state/src/membershipChanges.ts
+++ b/packages/state/src/membershipChanges.ts
@@ -5,6 +5,7 @@
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 import * as replication from './replication.js'
+import type * as roles from './roles.js'
 
 /** Number of entries that a caught-up learner may lag behind the commit index. */
 const CAUGHT_UP_LAG_ENTRIES = 16
@@ -25,7 +26,7 @@
 }
 
 /** Removes learners whose disk was wiped: they never return under their former incarnation. */
-function removeEarlierIncarnations (leadership: replicaCore.Leadership, from: entries.Member): void {
+function removeEarlierIncarnations (leadership: roles.Leadership, from: entries.Member): void {
   for (const [id, member] of leadership.learners) {
     if (member.name !== from.name || member.incarnation === from.incarnation) continue
     leadership.learners.delete(id)
@@ -37,7 +38,7 @@
  * Performs pending membership changes one at a time while the leadership lasts.
  * @param commitVoters appends a membership entry and waits for its commit
  */
-export async function runMembershipChanges (core: replicaCore.Core, leadership: replicaCore.Leadership, commitVoters: (voters: entries.Member[]) => Promise<void>): Promise<void> {
+export async function runMembershipChanges (core: replicaCore.Core, leadership: roles.Leadership, commitVoters: (voters: entries.Member[]) => Promise<void>): Promise<void> {
   while (replication.isLeading(core, leadership)) {
     await core.opts.clock.sleep(core.timing.heartbeatMs)
     if (!core.isReady() || !isLastChangeCommitted(core)) continue
@@ -79,7 +80,7 @@
  * become unreachable. A removal must leave a quorum of responsive voters and a spare one, so it may remove voters in turn, but
  * during a partition it does not shrink the group to those that the leader happens to reach.
  */
-function findUnresponsive (core: replicaCore.Core, leadership: replicaCore.Leadership): entries.Member | undefined {
+function findUnresponsive (core: replicaCore.Core, leadership: roles.Leadership): entries.Member | undefined {
   const now = core.opts.clock.now()
   const voters = core.voters()
   if (voters.length <= (core.opts.minVoters ?? DEFAULT_MIN_VOTERS)) return undefined
@@ -97,7 +98,7 @@
   | { kind: 'admit', member: entries.Member, voters: entries.Member[] }
   | { kind: 'remove', member: entries.Member, voters: entries.Member[] }
 
-function findChange (core: replicaCore.Core, leadership: replicaCore.Leadership): Change | undefined {
+function findChange (core: replicaCore.Core, leadership: roles.Leadership): Change | undefined {
   const voters = core.voters()
   const replaced = voters.find((voter, i) => voters.findIndex((other, j) => j > i && other.name === voter.name) >= 0)
   if (replaced !== undefined) return { kind: 'remove', member: replaced, voters: voters.filter(voter => voter !== replaced) }
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -5,43 +5,9 @@
 import * as entries from './entries.js'
 import * as memoryLog from './memoryLog.js'
 import * as replicaOptions from './replicaOptions.js'
+import type * as roles from './roles.js'
 import * as writeChains from './writeChain.js'
 
-/** Replication progress of a peer, tracked by the leader. */
-export interface PeerProgress {
-  member: entries.Member
-  /** Index of the next entry to send. */
-  nextIndex: number
-  /** Highest index known to be synced by the peer. */
-  matchIndex: number
-  /** Send time of the latest append that the peer acknowledged. */
-  lastAckedSentAt: number
-  /** Wakes the replication task of the peer. */
-  wake: () => void
-}
-
-/** State of a leader for its term. */
-export interface Leadership {
-  term: number
-  /** Index of the no-op entry that starts the term. */
-  termStartIndex: number
-  startedAt: number
-  peers: Map<string, PeerProgress>
-  learners: Map<string, entries.Member>
-  /** Time of the latest admission that no removal has followed; -Infinity if there is none. */
-  lastAdmittedAt: number
-  pendingProposals: Map<number, { resolve: (result: unknown) => void, reject: (err: Error) => void }>
-  /** Whether `onLeadershipChange` was called with true. */
-  isAnnounced: boolean
-}
-
-/** Role of a replica in its group; `outside` before it is part of one. */
-export type Role =
-  | { kind: 'outside' }
-  | { kind: 'follower' }
-  | { kind: 'candidate' }
-  | { kind: 'leader', leadership: Leadership }
-
 /** Lease duration as a fraction of the minimum election timeout; the margin covers clock drift. */
 const LEASE_FRACTION = 0.8
 const DEFAULT_SNAPSHOT_ENTRIES = 500
@@ -61,7 +27,7 @@
     log,
     meta: { incarnation: '', term: 0, votedFor: null, founding: null } as entries.Meta,
     syncedMeta: undefined as entries.Meta | undefined,
-    role: { kind: 'outside' } as Role,
+    role: { kind: 'outside' } as roles.Role,
     leader: null as string | null,
     /** Last contact from a leader, or the start of the replica; votes are rejected for a while afterwards. */
     lastContactOrStartAt: opts.startedAt ?? clock.now(),
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -1,6 +1,7 @@
 /** Log replication: appending entries, transferring snapshots and checking the leader's lease. */
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
+import type * as roles from './roles.js'
 
 const MAX_ENTRIES = 256
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024
@@ -11,8 +12,8 @@
 type SnapshotChunk = Extract<entries.Rpc, { t: 'snapshot' }>
 
 /** Makes the winner of an election the leader: appends a no-op entry of its term and starts replication to all peers. */
-export function becomeLeader (core: replicaCore.Core): replicaCore.Leadership {
-  const leadership: replicaCore.Leadership = {
+export function becomeLeader (core: replicaCore.Core): roles.Leadership {
+  const leadership: roles.Leadership = {
     term: core.meta.term,
     termStartIndex: core.log.lastIndex() + 1,
     startedAt: core.opts.clock.now(),
@@ -31,23 +32,23 @@
 }
 
 /** Starts a replication task for each voter and learner that has none. */
-export function replicateToPeers (core: replicaCore.Core, leadership: replicaCore.Leadership): void {
+export function replicateToPeers (core: replicaCore.Core, leadership: roles.Leadership): void {
   const members = [...core.voters(), ...leadership.learners.values()]
   for (const member of members) {
     const id = entries.toMemberId(member)
     if (id === core.selfId() || leadership.peers.has(id)) continue
-    const progress: replicaCore.PeerProgress = { member, nextIndex: core.log.lastIndex() + 1, matchIndex: 0, lastAckedSentAt: -Infinity, wake: () => {} }
+    const progress: roles.PeerProgress = { member, nextIndex: core.log.lastIndex() + 1, matchIndex: 0, lastAckedSentAt: -Infinity, wake: () => {} }
     leadership.peers.set(id, progress)
     void replicateToPeer(core, leadership, progress)
   }
 }
 
 /** Returns whether the leadership is still current. */
-export function isLeading (core: replicaCore.Core, leadership: replicaCore.Leadership): boolean {
+export function isLeading (core: replicaCore.Core, leadership: roles.Leadership): boolean {
   return core.isRunning && core.role.kind === 'leader' && core.role.leadership === leadership && core.meta.term === leadership.term
 }
 
-async function replicateToPeer (core: replicaCore.Core, leadership: replicaCore.Leadership, progress: replicaCore.PeerProgress): Promise<void> {
+async function replicateToPeer (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress): Promise<void> {
   const id = entries.toMemberId(progress.member)
   while (isLeading(core, leadership) && leadership.peers.get(id) === progress) {
     const wakeup = new Promise<void>(resolve => { progress.wake = resolve })
@@ -60,7 +61,7 @@
   }
 }
 
-async function sendNext (core: replicaCore.Core, leadership: replicaCore.Leadership, progress: replicaCore.PeerProgress): Promise<boolean> {
+async function sendNext (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress): Promise<boolean> {
   const prevIndex = progress.nextIndex - 1
   const prevTerm = core.log.termAt(prevIndex)
   if (prevTerm === undefined) return await sendSnapshot(core, leadership, progress)
@@ -79,7 +80,7 @@
 }
 
 /** Records term and acknowledgement of a reply. @returns whether it is from the called member and leadership is current */
-async function acceptReply (core: replicaCore.Core, leadership: replicaCore.Leadership, progress: replicaCore.PeerProgress, reply: entries.RpcReply, sentAt: number): Promise<boolean> {
+async function acceptReply (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress, reply: entries.RpcReply, sentAt: number): Promise<boolean> {
   if (reply.t !== 'append') return false
   if (reply.term > leadership.term) {
     await core.observeTerm(reply.term)
@@ -92,7 +93,7 @@
   return true
 }
 
-async function sendSnapshot (core: replicaCore.Core, leadership: replicaCore.Leadership, progress: replicaCore.PeerProgress): Promise<boolean> {
+async function sendSnapshot (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress): Promise<boolean> {
   const snapshot = core.lastSnapshot
   if (snapshot === undefined) return false
   const total = snapshot.state.length
@@ -111,7 +112,7 @@
 }
 
 /** Ends the leadership when no quorum acknowledges any more. */
-export async function watchLease (core: replicaCore.Core, leadership: replicaCore.Leadership): Promise<void> {
+export async function watchLease (core: replicaCore.Core, leadership: roles.Leadership): Promise<void> {
   while (isLeading(core, leadership)) {
     await core.opts.clock.sleep(core.timing.heartbeatMs / 2)
     if (!isLeading(core, leadership)) return
@@ -126,7 +127,7 @@
 }
 
 /** Calls `onLeadershipChange` once the leader is ready. */
-export function announceLeadership (core: replicaCore.Core, leadership: replicaCore.Leadership): void {
+export function announceLeadership (core: replicaCore.Core, leadership: roles.Leadership): void {
   if (leadership.isAnnounced || !core.isReady()) return
   leadership.isAnnounced = true
   core.opts.onLeadershipChange?.(true)
