fix(discovery): a restarted entry instance keeps what earlier starts had announced as quarantined

Change: while a start has announced no quarantined requests itself, its record holds those of the earlier starts, in whatever order the two arrive. An instance that has learned them announces its own list, also an empty one.

--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -85,3 +85,26 @@
   t.is(table.merge(record, 0), 'changed')
   t.is(table.merge({ ...record, seq: 4, coldMs: 2900 }, 2700), 'changed')
 })
+
+function toEntry (change: Partial<discovery.EntryRecord> = {}): discovery.EntryRecord {
+  return { kind: 'entry', id: 'r1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', region: 'r', front: '10.0.0.2:80', inner: '10.0.0.2:81', ...change }
+}
+
+const QUARANTINED = [{ fingerprint: 'f1', crashed: ['e1@1', 'e2@1', 'e3@1'] }]
+
+// Guards against the loss of quarantined requests when an instance announces its next start before it has learned them.
+test('a later start takes over the quarantined requests until it announces its own', t => {
+  const earlier = toEntry({ quarantined: QUARANTINED })
+  const later = toEntry({ startedAt: 2, state: 'starting' })
+  for (const list of [[earlier, later], [later, earlier]]) {
+    const table = discovery.createRecordTable()
+    for (const item of list) t.is(table.merge(item, 0), item === list[0] || item === later ? 'changed' : 'supplemented')
+    t.deepEqual(table.get('r1')?.record, { ...later, inherited: QUARANTINED })
+    t.is(table.merge(toEntry({ startedAt: 2, seq: 2, state: 'ready' }), 1), 'changed')
+    t.deepEqual(table.get('r1')?.record, toEntry({ startedAt: 2, seq: 2, inherited: QUARANTINED }))
+    t.is(table.merge(toEntry({ startedAt: 2, seq: 3 }), 2), 'refreshed', 'the same content again')
+    t.is(table.merge(toEntry({ startedAt: 2, seq: 4, quarantined: [] }), 3), 'changed')
+    t.is(table.merge(earlier, 4), 'stale')
+    t.deepEqual(table.get('r1')?.record, toEntry({ startedAt: 2, seq: 4, quarantined: [] }))
+  }
+})
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -152,20 +152,23 @@
   /**
    * Merges records.
    * @param isHeard whether they were announced just now
-   * @returns those that changed
+   * @returns the changed records as they are known now
    */
-  const mergeAll = (list: readonly records.Record[], isHeard: boolean): records.Record[] => {
-    const mergedAt = now()
-    const changed = list.filter(item => {
-      const result = table.merge(item, mergedAt)
-      if (result !== 'stale' && isHeard) liveness.noteHeard(item.id, mergedAt)
-      if (result === 'refreshed') forwardedHeartbeats.set(item.id, [item.id, item.startedAt, item.seq])
-      if (result === 'changed') reportChange(item)
-      return result === 'changed'
-    })
-    return changed
+  const mergeAll = (list: readonly records.Record[], isHeard: boolean): records.Record[] => list.flatMap(item => {
+    const result = merge(item, isHeard)
+    if (result === 'refreshed') forwardedHeartbeats.set(item.id, [item.id, item.startedAt, item.seq])
+    return result === 'changed' || result === 'supplemented' ? toKnown(item) : []
+  })
+
+  const merge = (item: records.Record, isHeard: boolean): recordTables.MergeResult => {
+    const result = table.merge(item, now())
+    if (isHeard && (result === 'changed' || result === 'refreshed')) liveness.noteHeard(item.id, now())
+    if (result === 'changed' || result === 'supplemented') reportChange(item)
+    return result
   }
 
+  const toKnown = (item: records.Record): records.Record => table.get(item.id)?.record ?? item
+
   const reportChange = (item: records.Record): void => {
     opts.onChange?.()
     opts.log.event('recordChanged', { kind: item.kind, id: item.id, state: item.state, startedAt: item.startedAt, seq: item.seq, zone: item.zone })
@@ -194,16 +197,14 @@
 
   return {
     async announce (record) {
-      const result = table.merge(record, now())
-      if (result !== 'stale') liveness.noteHeard(record.id, now())
-      switch (result) {
+      switch (merge(record, true)) {
         case 'stale': return
         case 'refreshed':
           ownHeartbeats.set(record.id, [record.id, record.startedAt, record.seq])
           return
         case 'changed':
-          reportChange(record)
-          await queueChanges([record], true)
+        case 'supplemented':
+          await queueChanges([toKnown(record)], true)
       }
     },
     async onCall (call, link) {
@@ -217,10 +218,7 @@
           group.add(link)
           void link.closed.then(() => { group.delete(link) })
           liveness.noteHeard(call.self.id, now())
-          if (table.merge(call.self, now()) === 'changed') {
-            reportChange(call.self)
-            void queueChanges([call.self], true)
-          }
+          void queueChanges(mergeAll([call.self], false), true)
           const document = opts.packDocumentSince(call.version)
           return { ...toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null), late: liveness.late() }
         }
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -1,8 +1,11 @@
 /** Records of endpoints and entry instances, merged so that the result does not depend on the order of arrival. */
 import * as records from './records.js'
 
-/** Result of a merge: the content changed, only the heartbeat advanced, or the record was older than the known one. */
-export type MergeResult = 'changed' | 'refreshed' | 'stale'
+/**
+ * Result of a merge: the content changed, only the heartbeat advanced, the record was older than the known one but supplemented it, or
+ * it was older.
+ */
+export type MergeResult = 'changed' | 'refreshed' | 'supplemented' | 'stale'
 
 /** A record with the last heartbeat of its process. */
 export interface KnownRecord<T extends records.Record = records.Record> {
@@ -17,6 +20,7 @@
 
 /** The records known to a process. */
 export interface RecordTable {
+  /** The record may be supplemented: {@link RecordTable.get} returns the result. */
   merge (record: records.Record, now: number): MergeResult
   /** Applies a heartbeat. @returns whether it was newer than the last one */
   applyHeartbeat (heartbeat: records.Heartbeat, now: number): boolean
@@ -40,19 +44,27 @@
 export function createRecordTable (): RecordTable {
   const knownById = new Map<string, KnownRecord>()
 
-  const merge = (record: records.Record, now: number): MergeResult => {
-    const known = knownById.get(record.id)
+  const mergeStale = (known: KnownRecord, record: records.Record): MergeResult => {
+    const supplemented = inherit(known.record, record)
+    if (supplemented === known.record) return 'stale'
+    known.record = supplemented
+    return 'supplemented'
+  }
+
+  const merge = (received: records.Record, now: number): MergeResult => {
+    const known = knownById.get(received.id)
+    const record = known === undefined ? received : inherit(received, known.record)
     if (known === undefined) {
       knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq, coldUntil: toColdUntil(record, now) })
       return 'changed'
     }
-    if (record.startedAt < known.record.startedAt) return 'stale'
+    if (record.startedAt < known.record.startedAt) return mergeStale(known, record)
     const isSameIncarnation = record.startedAt === known.record.startedAt
     // The state takes precedence over `seq`: within an incarnation it only advances, and the control instance that assigns
     // the `seq` of a "gone" record may have received fewer announcements than others.
-    if (isSameIncarnation && isLater(known.record.state, record.state)) return 'stale'
+    if (isSameIncarnation && isLater(known.record.state, record.state)) return mergeStale(known, record)
     const isAdvanced = isSameIncarnation && isLater(record.state, known.record.state)
-    if (isSameIncarnation && !isAdvanced && record.seq <= known.record.seq) return 'stale'
+    if (isSameIncarnation && !isAdvanced && record.seq <= known.record.seq) return mergeStale(known, record)
     const coldUntil = toColdUntil(record, now)
     const isColdAgain = coldUntil > known.coldUntil + COLD_AGAIN_MS
     const isUnchanged = isSameIncarnation && !isColdAgain && toContent(record) === toContent(known.record)
@@ -96,6 +108,19 @@
   return STATE_ORDER[left] > STATE_ORDER[right]
 }
 
+/**
+ * Adds to the record of an entry instance what earlier starts of it had announced as quarantined, while it has announced none itself.
+ * @returns the same record if that is nothing
+ */
+function inherit (record: records.Record, other: records.Record): records.Record {
+  if (record.kind !== 'entry' || other.kind !== 'entry' || record.quarantined !== undefined) return record
+  const requests = new Map((record.inherited ?? []).map(item => [item.fingerprint, item]))
+  const knownCount = requests.size
+  const announced = other.startedAt < record.startedAt ? other.quarantined ?? [] : []
+  for (const item of [...announced, ...other.inherited ?? []]) if (!requests.has(item.fingerprint)) requests.set(item.fingerprint, item)
+  return requests.size === knownCount ? record : { ...record, inherited: [...requests.values()] }
+}
+
 function toColdUntil (record: records.Record, now: number): number {
   return record.kind === 'endpoint' && record.coldMs > 0 ? now + record.coldMs : 0
 }
@@ -103,6 +128,6 @@
 function toContent (record: records.Record): string {
   switch (record.kind) {
     case 'endpoint': return [record.state, record.service, record.address, record.zone, record.slots, record.coldMs > 0].join(' ')
-    case 'entry': return [record.state, record.front, record.inner, record.zone, record.region, record.isImpaired === true, ...(record.quarantined ?? []).map(item => item.fingerprint)].join(' ')
+    case 'entry': return [record.state, record.front, record.inner, record.zone, record.region, record.isImpaired === true, record.quarantined === undefined, ...[...record.quarantined ?? [], ...record.inherited ?? []].map(item => item.fingerprint).sort()].join(' ')
   }
 }
--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -47,8 +47,10 @@
   inner: z.string(),
   /** Whether it has lost its own paths to most endpoints of a service and reaches them through other instances; absent if not. */
   isImpaired: z.boolean().optional(),
-  /** Requests that no instance may send, so that they are known after a restart of all entry instances; absent if there are none. */
-  quarantined: z.array(quarantinedRequest).optional()
+  /** Requests that no instance may send, so that they are known after a restart of all entry instances; absent until there are some. */
+  quarantined: z.array(quarantinedRequest).optional(),
+  /** What earlier starts had announced as `quarantined`, until this start announces its own. */
+  inherited: z.array(quarantinedRequest).optional()
 })
 /** An entry instance: accepts requests of callers. */
 export type EntryRecord = z.infer<typeof entryRecord>
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -48,7 +48,10 @@
 
   const mergeRecords = (list: readonly records.Record[]): void => {
     const mergedAt = now()
-    const changed = list.filter(item => opts.table.merge(item, mergedAt) === 'changed')
+    const changed = list.flatMap(item => {
+      const result = opts.table.merge(item, mergedAt)
+      return result === 'changed' || result === 'supplemented' ? opts.table.get(item.id)?.record ?? item : []
+    })
     if (changed.length > 0) opts.onRecords(changed)
   }
 
--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -36,6 +36,45 @@
   await control.close()
 })
 
+// Guards against another round of crashes after a loss of all power in which one control instance lost its disk and answers first.
+test('a control instance without records does not make restarted entry instances forget the quarantined requests', async t => {
+  const group: helper.ControlGroup = new Set()
+  const control = await helper.startControl(group)
+  control.put(helper.toDocument(1, ['/a/']))
+  const endpoints: endpointHelper.TestEndpoint[] = []
+  for (let i = 0; i < ENDPOINTS; i++) endpoints.push(await endpointHelper.startEndpoint(`e${i}`, () => { endpoints[i].close() }))
+  for (const endpoint of endpoints) await control.announce(endpoint)
+  t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  const start = async (startedAt: number, seeds: string[]): Promise<helper.TestInstance[]> => {
+    return await Promise.all(['1', '2'].map(async id => await helper.startInstance(id, seeds, { startedAt })))
+  }
+  const sendAll = async (instances: helper.TestInstance[]): Promise<number> => {
+    for (let i = 0; i < SENDS; i++) {
+      await instances[i % instances.length].send('/a/crashing')
+      await timers.setTimeout(100)
+    }
+    return endpoints.filter(item => item.requests.length > 0).length
+  }
+  const first = await start(1, [control.inner])
+  const crashes = await sendAll(first)
+  await timers.setTimeout(ANNOUNCED_MS)
+  await Promise.all(first.map(async item => { await item.stop() }))
+
+  // It sends what it learns, and receives nothing.
+  const empty = await helper.startControl(new Set(group))
+  t.teardown(async () => {
+    await control.close()
+    await empty.close()
+  })
+  empty.put(helper.toDocument(1, ['/a/']))
+  const seeds = [empty.inner]
+  const second = await start(2, seeds)
+  seeds.push(control.inner)
+  await timers.setTimeout(ANNOUNCED_MS)
+  t.teardown(async () => { await Promise.all(second.map(async item => { await item.stop() })) })
+  t.is(await sendAll(second), crashes)
+})
+
 test('few instances announce a quarantined request, and a record is bounded', t => {
   const quarantined = Array.from({ length: 100 }, (_, i) => ({ fingerprint: `f${i}`, crashed: Array.from({ length: 20 }, (_, k) => `e${k}`) }))
   const instanceIds = Array.from({ length: 60 }, (_, i) => `i${i}`)
--- a/packages/forwarding/src/instance/changeAnnouncer.ts
+++ b/packages/forwarding/src/instance/changeAnnouncer.ts
@@ -15,6 +15,8 @@
   otherIds: () => string[]
   quarantine: crashQuarantines.CrashQuarantine
   paths: Pick<lostPaths.LostPaths, 'isImpaired'>
+  /** Returns whether the record of this instance still holds what an earlier start had announced as quarantined. */
+  hasInherited: () => boolean
   /** Announces the record of this instance. */
   announce: () => void
   now: () => number
@@ -30,17 +32,22 @@
 }
 
 const CHECK_INTERVAL_MS = 250
+/** Time after the start within which an instance learns what the others and its earlier start had announced. */
+const LEARNING_MS = 5000
 
 /** Creates an announcer. */
 export function createChangeAnnouncer (opts: ChangeAnnouncerOptions): ChangeAnnouncer {
   const { id, quarantine, paths, now } = opts
+  const startedAt = now()
   let current: ChangingFields = {}
 
   const findQuarantined = (): discovery.QuarantinedRequest[] | undefined => {
     const quarantined = quarantine.quarantined(now())
-    if (quarantined.length === 0) return undefined
-    const selected = quarantineRecords.selectAnnounced(quarantined, { self: id, instanceIds: [id, ...opts.otherIds()] })
-    return selected.length === 0 ? undefined : selected
+    const selected = quarantined.length === 0 ? [] : quarantineRecords.selectAnnounced(quarantined, { self: id, instanceIds: [id, ...opts.otherIds()] })
+    if (selected.length > 0) return selected
+    // "None" replaces what was announced before; while this instance may still learn that, it says nothing.
+    const replacesEarlier = current.quarantined !== undefined || (opts.hasInherited() && now() - startedAt > LEARNING_MS)
+    return replacesEarlier ? [] : undefined
   }
 
   let timer: NodeJS.Timeout | undefined
@@ -59,6 +66,6 @@
   }
 }
 
-function toKey ({ quarantined = [], isImpaired = false }: ChangingFields): string {
-  return [isImpaired, ...quarantined.map(item => item.fingerprint)].join()
+function toKey ({ quarantined, isImpaired = false }: ChangingFields): string {
+  return [isImpaired, quarantined === undefined, ...(quarantined ?? []).map(item => item.fingerprint)].join()
 }
--- a/packages/forwarding/src/quarantine/quarantineRecords.ts
+++ b/packages/forwarding/src/quarantine/quarantineRecords.ts
@@ -35,8 +35,8 @@
 /** Applies the requests that other entry instances, or earlier starts of this one, have announced. */
 export function applyRecords (records: readonly discovery.Record[], quarantine: crashQuarantines.CrashQuarantine, now: number): void {
   for (const record of records) {
-    if (record.kind !== 'entry' || record.quarantined === undefined) continue
-    const reports = record.quarantined.map(({ fingerprint, crashed }) => crashReports.toCrashReport(fingerprint, { crashed }))
+    if (record.kind !== 'entry') continue
+    const reports = [...record.quarantined ?? [], ...record.inherited ?? []].map(({ fingerprint, crashed }) => crashReports.toCrashReport(fingerprint, { crashed }))
     quarantine.merge(reports, now, `record of ${record.id}`)
   }
 }
