fix(forwarding): a request that was quarantined beside crashing ones is released once those explain its crashes

Callers may see: a popular request is rejected for two minutes because it was in flight at three crashes that three other requests caused. While none of those was quarantined, nothing explained the crashes, and a quarantine was not looked at again. Change: a quarantine ends when each of its crashes has another quarantined request whose quarantine rests on at least three other crashes. One crash that is not explained so quarantines the request again. Test, failed before: a quarantined request is released once other quarantined requests explain its crashes.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -86,6 +86,19 @@
   t.deepEqual(quarantine.quarantined(now()).map(item => item.fingerprint), ['x'])
 })
 
+// Guards against rejecting a popular request for minutes that was in flight beside several crashing ones.
+test('a quarantined request is released once other quarantined requests explain its crashes', t => {
+  const { quarantine, crash, now } = createSetup()
+  const culprits = ['x', 'y', 'z']
+  for (const item of culprits) crash(`first-${item}`, [item, 'beside'])
+  t.true(quarantine.isQuarantined('beside', now()))
+  for (const item of culprits) for (const endpoint of ['second', 'third', 'fourth']) crash(`${endpoint}-${item}`, [item])
+  for (const item of culprits) t.true(quarantine.isQuarantined(item, now()))
+  t.false(quarantine.isQuarantined('beside', now()))
+  crash('alone', ['beside'])
+  t.true(quarantine.isQuarantined('beside', now()), 'one crash that is not explained suffices then')
+})
+
 test('of two requests that are lost in the same crashes, the one that goes on crashing is quarantined', t => {
   const { quarantine, crash, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x', 'beside'])
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -139,6 +139,7 @@
     if (suspect === undefined || crashes.length === 0) return false
     for (const crash of crashes) crash.isCleared = true
     suspect.isQuarantined = false
+    suspect.isReleased = false
     log?.event('requestCleared', { fingerprint, crashes: crashes.length, from })
     return true
   }
@@ -166,12 +167,36 @@
     return [...suspects.atCrash(endpoint)].some(other => other !== fingerprint && suspects.get(other)?.isQuarantined === true)
   }
 
+  /** Returns whether a request is quarantined because of enough crashes other than the given ones. */
+  const hasFurtherCrashes = (fingerprint: string, crashes: readonly suspectTables.KnownCrash[]): boolean => {
+    const suspect = suspects.get(fingerprint)
+    if (suspect?.isQuarantined !== true) return false
+    const further = suspectTables.toOpenCrashes(suspect).filter(item => crashes.every(crash => crash.endpoint !== item.endpoint))
+    return further.length >= crashEvidences.QUARANTINE_CRASHES
+  }
+
+  /** Returns whether each of the crashes is explained by a quarantined request that has crashed enough other endpoints too. */
+  const areAllExplained = (fingerprint: string, crashes: readonly suspectTables.KnownCrash[]): boolean => {
+    return crashes.every(({ endpoint }) => [...suspects.atCrash(endpoint)].some(other => other !== fingerprint && hasFurtherCrashes(other, crashes)))
+  }
+
+  const release = (fingerprint: string, suspect: suspectTables.Suspect, crashes: number): void => {
+    suspect.isQuarantined = false
+    suspect.isReleased = true
+    log?.event('requestReleased', { fingerprint, crashes })
+  }
+
   const isQuarantined = (fingerprint: string, now: number): boolean => {
     const suspect = suspects.get(fingerprint)
     if (suspect === undefined || suspect.crashes.size < crashEvidences.QUARANTINE_CRASHES) return false
-    const crashes = suspectTables.toOpenCrashes(suspect)
-      .filter(item => suspect.isQuarantined || !isExplained(fingerprint, item.endpoint))
-      .sort((a, b) => a.at - b.at)
+    const open = suspectTables.toOpenCrashes(suspect)
+    const wasQuarantined = suspect.isQuarantined || suspect.isReleased
+    if (wasQuarantined && areAllExplained(fingerprint, open)) {
+      if (suspect.isQuarantined) release(fingerprint, suspect, open.length)
+      return false
+    }
+    // One more crash after a release shows that the request crashes endpoints itself.
+    const crashes = open.filter(item => wasQuarantined || !isExplained(fingerprint, item.endpoint)).sort((a, b) => a.at - b.at)
     if (crashes.length < crashEvidences.QUARANTINE_CRASHES) return false
     const until = crashEvidences.toQuarantineEnd({
       crashes,
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -24,6 +24,8 @@
   crashesReportedAt: number
   /** Whether the evidence sufficed when it was last looked at. */
   isQuarantined: boolean
+  /** Whether a quarantine ended because other requests turned out to explain its crashes. */
+  isReleased: boolean
 }
 
 /** The suspects known to an instance. */
@@ -80,7 +82,7 @@
       const known = suspects.get(fingerprint)
       if (known?.crashes.has(endpoint) === true) return undefined
       if (known === undefined && suspects.size >= MAX_SUSPECTS) removeOne()
-      const suspect: Suspect = known ?? { crashes: new Map(), lastCrashAt: at, hasSucceeded: false, survivorsUntil: -Infinity, survivorsReportedAt: -Infinity, crashesReportedAt: -Infinity, isQuarantined: false }
+      const suspect: Suspect = known ?? { crashes: new Map(), lastCrashAt: at, hasSucceeded: false, survivorsUntil: -Infinity, survivorsReportedAt: -Infinity, crashesReportedAt: -Infinity, isQuarantined: false, isReleased: false }
       suspect.crashes.set(endpoint, { endpoint, at, knownAt, isCleared: false })
       suspect.lastCrashAt = Math.max(suspect.lastCrashAt, at)
       suspects.set(fingerprint, suspect)
