fix(state): a leader on slow disks stays leader: heartbeats do not wait for the disk

Callers saw: with syncs of 0.14 to 0.42 s and no other fault, no leader was ready at 184 of 600 times within 30 s, and three others were elected (virtual time). Cause: a follower acknowledged a message only after all its earlier writes were synced, and the leader sent the next one only then. Change: while a reply is pending, the leader sends heartbeats, which are acknowledged without the disk and acknowledge no entry. The promise not to vote for another needs no disk, since each start waits as long. Test, failed before: a leader stays ready while the disks of all replicas are slow (25 draws, ready at all 600 times, all changes acknowledged).

--- a/packages/state/__tests__/commonStart.test.ts
+++ b/packages/state/__tests__/commonStart.test.ts
@@ -19,9 +19,14 @@
   { syncMs: 20, delayMs: 10, spreadMs: 150 },
   { syncMs: 60, delayMs: 20, spreadMs: 200 },
   { syncMs: 5, delayMs: 2, spreadMs: 800 },
-  { syncMs: 60, delayMs: 20, spreadMs: 800 }
+  { syncMs: 60, delayMs: 20, spreadMs: 800 },
+  { syncMs: 100, delayMs: 3, spreadMs: 200 },
+  { syncMs: 280, delayMs: 3, spreadMs: 200 }
 ]
 
+/** Syncs of a disk that many processes share, or of a faulty one. */
+const SLOW_SYNC_MS = { min: 140, max: 420 }
+
 async function startGroup (seed: number): Promise<virtual.VirtualCluster> {
   const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], seed, 20, true)
   cluster.usesFiles = true
@@ -102,3 +107,46 @@
   for (let ms = 0; ms < 8000 && !hasLeader(); ms += 50) await cluster.clock.advance(50)
   t.true(hasLeader())
 })
+
+// Guards against a replica that leads one term twice: it may be elected again in a term that it has not stored.
+test('a candidate does not lead before its own vote is on its disk', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 7)
+  cluster.timing = TIMING
+  for (const name of cluster.names) await cluster.start(name)
+  await waitForLeader(cluster, 10_000)
+  const leader = cluster.leader()?.name ?? ''
+  const [stalled] = cluster.names.filter(name => name !== leader)
+  cluster.stalledDisks.add(stalled)
+  cluster.crash(leader)
+  const hasLeader = (): boolean => cluster.names.some(name => cluster.node(name).process.replica?.status().role === 'leader')
+  for (let ms = 0; ms < 8000; ms += 50) {
+    await cluster.clock.advance(50)
+    t.false(hasLeader(), `after ${ms} ms`)
+  }
+  cluster.stalledDisks.delete(stalled)
+  await waitForLeader(cluster, 10_000)
+  t.true(hasLeader())
+})
+
+// Guards against leaders that are deposed, or not ready, because followers reply only after their disk has synced.
+test('a leader stays ready while the disks of all replicas are slow', async t => {
+  for (let seed = 1; seed <= DRAWS; seed++) {
+    const cluster = await startGroup(seed)
+    cluster.syncMs = SLOW_SYNC_MS
+    await cluster.clock.advance(5000)
+    const leaders = cluster.leaders.size
+    let proposed = 0
+    let missed = 0
+    for (let ms = 0; ms < 30_000; ms += 50) {
+      if (cluster.leader() === undefined) missed++
+      if (ms % 500 === 0) cluster.propose(`slow-${proposed++}`)
+      await cluster.clock.advance(50)
+      cluster.checkLeaders()
+    }
+    await cluster.clock.advance(5000)
+    const acknowledged = cluster.acknowledged.filter(command => command.startsWith('slow-')).length
+    t.is(missed, 0, `seed ${seed}: no leader was ready at ${missed} of 600 times, ${cluster.leaders.size - leaders} others were elected`)
+    t.is(acknowledged, proposed, `seed ${seed}`)
+    t.deepEqual(cluster.violations, [])
+  }
+})
--- a/packages/state/src/entries.ts
+++ b/packages/state/src/entries.ts
@@ -62,6 +62,8 @@
     /** Time since the leader sent the latest append that a quorum has acknowledged, milliseconds; absent from earlier versions. */
     quorumAgeMs: z.number().optional()
   }),
+  /** Sent while a reply to entries is pending; it is answered without waiting for the disk. */
+  z.object({ t: z.literal('heartbeat'), term: z.int(), leader: member, commit: z.int(), quorumAgeMs: z.number() }),
   z.object({ t: z.literal('snapshot'), term: z.int(), leader: member, lastIndex: z.int(), lastTerm: z.int(), lastAtMs: z.number(), voters: z.array(member), offset: z.int(), total: z.int(), data: contracts.bytes }),
   z.object({ t: z.literal('takeOver'), term: z.int(), leader: member })
 ])
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -133,6 +133,7 @@
         case 'preVote':
         case 'vote': return await election.onVoteRequest(core, msg)
         case 'append': return await replication.onAppend(core, msg)
+        case 'heartbeat': return await replication.onHeartbeat(core, msg)
         case 'snapshot': return await replication.onSnapshotChunk(core, assembly, msg)
         case 'takeOver':
           if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') election.campaign(core, true, onElected).catch(core.fail)
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -9,6 +9,7 @@
 const MAX_QUORUM_AGE_MS = 3_600_000
 
 type Append = Extract<entries.Rpc, { t: 'append' }>
+type Heartbeat = Extract<entries.Rpc, { t: 'heartbeat' }>
 type SnapshotChunk = Extract<entries.Rpc, { t: 'snapshot' }>
 
 /** Makes the winner of an election the leader: appends a no-op entry of its term and starts replication to all peers. */
@@ -52,7 +53,10 @@
   const id = entries.toMemberId(progress.member)
   while (isLeading(core, leadership) && leadership.peers.get(id) === progress) {
     const wakeup = new Promise<void>(resolve => { progress.wake = resolve })
+    let isPending = true
+    void sendHeartbeats(core, leadership, progress, () => isPending, wakeup)
     const hasReplied = await sendNext(core, leadership, progress).catch(() => false)
+    isPending = false
     if (!isLeading(core, leadership)) return
     core.commitAcknowledged()
     const isBehind = progress.nextIndex <= core.log.lastIndex()
@@ -61,13 +65,36 @@
   }
 }
 
+/**
+ * Sends heartbeats while a call to a member is pending, so that a slow disk neither ends the lease nor makes the member start an election.
+ * @param wakeup resolves when an acknowledgement is needed early
+ */
+async function sendHeartbeats (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress, isPending: () => boolean, wakeup: Promise<void>): Promise<void> {
+  const { clock, transport } = core.opts
+  await Promise.race([clock.sleep(core.timing.heartbeatMs), wakeup])
+  while (isPending() && isLeading(core, leadership)) {
+    const sentAt = clock.now()
+    try {
+      const reply = await transport.call(progress.member.name, { t: 'heartbeat', term: leadership.term, leader: core.self(), commit: core.commitIndex, quorumAgeMs: toQuorumAgeMs(core, sentAt) })
+      await acceptReply(core, leadership, progress, reply, sentAt)
+    } catch {
+      // The pending call fails too if the member is unreachable.
+    }
+    await clock.sleep(core.timing.heartbeatMs)
+  }
+}
+
+function toQuorumAgeMs (core: replicaCore.Core, now: number): number {
+  return Math.min(now - core.lastQuorumContactAt(), MAX_QUORUM_AGE_MS)
+}
+
 async function sendNext (core: replicaCore.Core, leadership: roles.Leadership, progress: roles.PeerProgress): Promise<boolean> {
   const prevIndex = progress.nextIndex - 1
   const prevTerm = core.log.termAt(prevIndex)
   if (prevTerm === undefined) return await sendSnapshot(core, leadership, progress)
   const batch = core.log.from(progress.nextIndex, MAX_ENTRIES)
   const sentAt = core.opts.clock.now()
-  const reply = await core.opts.transport.call(progress.member.name, { t: 'append', term: leadership.term, leader: core.self(), prevIndex, prevTerm, entries: batch, commit: core.commitIndex, quorumAgeMs: Math.min(sentAt - core.lastQuorumContactAt(), MAX_QUORUM_AGE_MS) })
+  const reply = await core.opts.transport.call(progress.member.name, { t: 'append', term: leadership.term, leader: core.self(), prevIndex, prevTerm, entries: batch, commit: core.commitIndex, quorumAgeMs: toQuorumAgeMs(core, sentAt) })
   if (!await acceptReply(core, leadership, progress, reply, sentAt)) return false
   if (reply.t !== 'append') return false
   if (!reply.isOk) {
@@ -162,15 +189,27 @@
   const matchIndex = msg.prevIndex + msg.entries.length
   await core.persist()
   if (core.meta.term === msg.term) core.advanceCommit(Math.min(msg.commit, matchIndex))
-  // Only an entry of its own term tells a leader, and its followers, what is committed.
-  if (core.commitIndex >= msg.commit && log.termAt(msg.commit) === msg.term) {
-    core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - (msg.quorumAgeMs ?? 0))
-  }
+  noteCurrency(core, msg, receivedAt)
   return reply(true, matchIndex, matchIndex + 1)
 }
 
+/** Notes that all that was committed when a message was sent is applied. */
+function noteCurrency (core: replicaCore.Core, msg: Append | Heartbeat, receivedAt: number): void {
+  // Only an entry of its own term tells a leader, and its followers, what is committed.
+  if (core.commitIndex < msg.commit || core.log.termAt(msg.commit) !== msg.term) return
+  core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - (msg.quorumAgeMs ?? 0))
+}
+
+/** Acknowledges a leader without acknowledging any entry. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
+export async function onHeartbeat (core: replicaCore.Core, msg: Heartbeat): Promise<entries.RpcReply> {
+  const receivedAt = core.opts.clock.now()
+  const isOk = await follow(core, msg)
+  if (isOk) noteCurrency(core, msg, receivedAt)
+  return { t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match: 0, tryNext: 0 }
+}
+
 /** Becomes a follower of the sender. @returns false when the sender's term is outdated */
-async function follow (core: replicaCore.Core, msg: Append | SnapshotChunk): Promise<boolean> {
+async function follow (core: replicaCore.Core, msg: Append | Heartbeat | SnapshotChunk): Promise<boolean> {
   if (msg.term < core.meta.term) return false
   await core.observeTerm(msg.term)
   if (core.meta.term !== msg.term) return false
