--- a/packages/state/__tests__/commonStart.test.ts
+++ b/packages/state/__tests__/commonStart.test.ts
@@ -74,7 +74,7 @@
 // Guards against replicas that split the votes of one election after the other, or do not start at all after a power loss.
 for (const conditions of CONDITIONS) {
   const { syncMs, delayMs, spreadMs } = conditions
-  test(`a common start elects a leader soon: syncs of ${syncMs} ms, messages of ${delayMs} ms, starts within ${spreadMs} ms`, async t => {
+  test(`a common start elects a leader soon: syncs of ${syncMs} ms and messages of ${delayMs} ms and starts within ${spreadMs} ms`, async t => {
     for (let seed = 1; seed <= DRAWS; seed++) {
       const cluster = await startGroup(seed)
       for (const n of [1, 2, 3]) {
