test(forwarding): an unreachable endpoint of a test has a port that no other test is given

Both tests run at the same time; the first one closed the port of its unreachable endpoint, and the system gave it to an endpoint of the other.

--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -53,8 +53,10 @@
 
 // A request that was not sent may be retried even if it may run only once.
 test('no request fails because of an unreachable endpoint', async t => {
-  const unreachable = await helper.startEndpoint('e1', helper.healthy)
-  unreachable.close()
+  const closed = await helper.startEndpoint('e1', helper.healthy)
+  closed.close()
+  // The system gives the port of a closed endpoint to that of another test; this one is never given.
+  const unreachable = { ...closed, address: '127.0.0.1:1' }
   const healthy = await helper.startEndpoint('e2', helper.healthy)
   const entry = await helper.startEntry([helper.toRoute({ kind: 'once', maxAttempts: 1 })], [unreachable, healthy])
   for (let i = 0; i < 6; i++) t.is((await entry.send({ method: 'POST', body: 'pay' })).status, 200)
