--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -157,18 +157,16 @@
   const mergeAll = (list: readonly records.Record[], isHeard: boolean): records.Record[] => list.flatMap(item => {
     const result = merge(item, isHeard)
     if (result === 'refreshed') forwardedHeartbeats.set(item.id, [item.id, item.startedAt, item.seq])
-    return result === 'changed' || result === 'supplemented' ? toKnown(item) : []
+    return recordTables.isContentChanged(result) ? recordTables.toKnownRecord(table, item) : []
   })
 
   const merge = (item: records.Record, isHeard: boolean): recordTables.MergeResult => {
     const result = table.merge(item, now())
     if (isHeard && (result === 'changed' || result === 'refreshed')) liveness.noteHeard(item.id, now())
-    if (result === 'changed' || result === 'supplemented') reportChange(item)
+    if (recordTables.isContentChanged(result)) reportChange(item)
     return result
   }
 
-  const toKnown = (item: records.Record): records.Record => table.get(item.id)?.record ?? item
-
   const reportChange = (item: records.Record): void => {
     opts.onChange?.()
     opts.log.event('recordChanged', { kind: item.kind, id: item.id, state: item.state, startedAt: item.startedAt, seq: item.seq, zone: item.zone })
@@ -204,7 +202,7 @@
           return
         case 'changed':
         case 'supplemented':
-          await queueChanges([toKnown(record)], true)
+          await queueChanges([recordTables.toKnownRecord(table, record)], true)
       }
     },
     async onCall (call, link) {
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -40,6 +40,16 @@
 /** A warm-up that ends this much later than announced before is a new one, not a delayed announcement. */
 const COLD_AGAIN_MS = 500
 
+/** Returns whether a merge changed the content of the known record. */
+export function isContentChanged (result: MergeResult): boolean {
+  return result === 'changed' || result === 'supplemented'
+}
+
+/** Returns a merged record as it is known now, which may hold more. */
+export function toKnownRecord (table: RecordTable, record: records.Record): records.Record {
+  return table.get(record.id)?.record ?? record
+}
+
 /** Creates an empty table. */
 export function createRecordTable (): RecordTable {
   const knownById = new Map<string, KnownRecord>()
@@ -114,10 +124,12 @@
  */
 function inherit (record: records.Record, other: records.Record): records.Record {
   if (record.kind !== 'entry' || other.kind !== 'entry' || record.quarantined !== undefined) return record
+  const announced = other.startedAt < record.startedAt ? other.quarantined ?? [] : []
+  const offered = [...announced, ...other.inherited ?? []]
+  if (offered.length === 0) return record
   const requests = new Map((record.inherited ?? []).map(item => [item.fingerprint, item]))
   const knownCount = requests.size
-  const announced = other.startedAt < record.startedAt ? other.quarantined ?? [] : []
-  for (const item of [...announced, ...other.inherited ?? []]) if (!requests.has(item.fingerprint)) requests.set(item.fingerprint, item)
+  for (const item of offered) if (!requests.has(item.fingerprint)) requests.set(item.fingerprint, item)
   return requests.size === knownCount ? record : { ...record, inherited: [...requests.values()] }
 }
 
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -11,6 +11,7 @@
 import * as handoutPollers from './handoutPoller.js'
 import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
+import * as recordTables from './recordTable.js'
 import * as records from './records.js'
 import * as sendBudgets from './sendBudget.js'
 import type * as subscriberOptions from './subscriberOptions.js'
@@ -49,8 +50,7 @@
   const mergeRecords = (list: readonly records.Record[]): void => {
     const mergedAt = now()
     const changed = list.flatMap(item => {
-      const result = opts.table.merge(item, mergedAt)
-      return result === 'changed' || result === 'supplemented' ? opts.table.get(item.id)?.record ?? item : []
+      return recordTables.isContentChanged(opts.table.merge(item, mergedAt)) ? recordTables.toKnownRecord(opts.table, item) : []
     })
     if (changed.length > 0) opts.onRecords(changed)
   }
--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -12,27 +12,41 @@
 /** Time within which a quarantine is announced. */
 const ANNOUNCED_MS = 1000
 
-// Guards against another round of crashes once no running instance knows of the first one.
-test('entry instances that are all restarted at once know the quarantined requests', async t => {
-  const control = await helper.startControl()
+/** Starts endpoints that a request crashes, and announces them together with a document. */
+async function startCrashingEndpoints (t: ava.ExecutionContext, control: helper.TestControl): Promise<endpointHelper.TestEndpoint[]> {
   control.put(helper.toDocument(1, ['/a/']))
   const endpoints: endpointHelper.TestEndpoint[] = []
   for (let i = 0; i < ENDPOINTS; i++) endpoints.push(await endpointHelper.startEndpoint(`e${i}`, () => { endpoints[i].close() }))
   for (const endpoint of endpoints) await control.announce(endpoint)
   t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  return endpoints
+}
+
+async function sendCrashing (instances: helper.TestInstance[]): Promise<void> {
+  for (let i = 0; i < SENDS; i++) {
+    await instances[i % instances.length].send('/a/crashing')
+    await timers.setTimeout(100)
+  }
+}
+
+function countCrashes (endpoints: endpointHelper.TestEndpoint[]): number {
+  return endpoints.filter(item => item.requests.length > 0).length
+}
+
+// Guards against another round of crashes once no running instance knows of the first one.
+test('entry instances that are all restarted at once know the quarantined requests', async t => {
+  const control = await helper.startControl()
+  const endpoints = await startCrashingEndpoints(t, control)
   const sendAll = async (generation: string): Promise<void> => {
     const instances = await Promise.all(['1', '2'].map(async id => await helper.startInstance(`${generation}${id}`, [control.inner])))
-    for (let i = 0; i < SENDS; i++) {
-      await instances[i % instances.length].send('/a/crashing')
-      await timers.setTimeout(100)
-    }
+    await sendCrashing(instances)
     await timers.setTimeout(ANNOUNCED_MS)
     await Promise.all(instances.map(async item => { await item.stop() }))
   }
   await sendAll('first')
-  t.is(endpoints.filter(item => item.requests.length > 0).length, MAX_CRASHES)
+  t.is(countCrashes(endpoints), MAX_CRASHES)
   await sendAll('second')
-  t.is(endpoints.filter(item => item.requests.length > 0).length, MAX_CRASHES)
+  t.is(countCrashes(endpoints), MAX_CRASHES)
   await control.close()
 })
 
@@ -40,23 +54,13 @@
 test('a control instance without records does not make restarted entry instances forget the quarantined requests', async t => {
   const group: helper.ControlGroup = new Set()
   const control = await helper.startControl(group)
-  control.put(helper.toDocument(1, ['/a/']))
-  const endpoints: endpointHelper.TestEndpoint[] = []
-  for (let i = 0; i < ENDPOINTS; i++) endpoints.push(await endpointHelper.startEndpoint(`e${i}`, () => { endpoints[i].close() }))
-  for (const endpoint of endpoints) await control.announce(endpoint)
-  t.teardown(() => { endpoints.forEach(item => { item.close() }) })
+  const endpoints = await startCrashingEndpoints(t, control)
   const start = async (startedAt: number, seeds: string[]): Promise<helper.TestInstance[]> => {
     return await Promise.all(['1', '2'].map(async id => await helper.startInstance(id, seeds, { startedAt })))
   }
-  const sendAll = async (instances: helper.TestInstance[]): Promise<number> => {
-    for (let i = 0; i < SENDS; i++) {
-      await instances[i % instances.length].send('/a/crashing')
-      await timers.setTimeout(100)
-    }
-    return endpoints.filter(item => item.requests.length > 0).length
-  }
   const first = await start(1, [control.inner])
-  const crashes = await sendAll(first)
+  await sendCrashing(first)
+  const crashes = countCrashes(endpoints)
   await timers.setTimeout(ANNOUNCED_MS)
   await Promise.all(first.map(async item => { await item.stop() }))
 
@@ -72,7 +76,8 @@
   seeds.push(control.inner)
   await timers.setTimeout(ANNOUNCED_MS)
   t.teardown(async () => { await Promise.all(second.map(async item => { await item.stop() })) })
-  t.is(await sendAll(second), crashes)
+  await sendCrashing(second)
+  t.is(countCrashes(endpoints), crashes)
 })
 
 test('few instances announce a quarantined request, and a record is bounded', t => {
--- a/packages/forwarding/src/instance/changeAnnouncer.ts
+++ b/packages/forwarding/src/instance/changeAnnouncer.ts
@@ -15,8 +15,8 @@
   otherIds: () => string[]
   quarantine: crashQuarantines.CrashQuarantine
   paths: Pick<lostPaths.LostPaths, 'isImpaired'>
-  /** Returns whether the record of this instance still holds what an earlier start had announced as quarantined. */
-  hasInherited: () => boolean
+  /** Returns the record of this instance as it is known, undefined before it is. */
+  record: () => discovery.Record | undefined
   /** Announces the record of this instance. */
   announce: () => void
   now: () => number
@@ -46,7 +46,7 @@
     const selected = quarantined.length === 0 ? [] : quarantineRecords.selectAnnounced(quarantined, { self: id, instanceIds: [id, ...opts.otherIds()] })
     if (selected.length > 0) return selected
     // "None" replaces what was announced before; while this instance may still learn that, it says nothing.
-    const replacesEarlier = current.quarantined !== undefined || (opts.hasInherited() && now() - startedAt > LEARNING_MS)
+    const replacesEarlier = current.quarantined !== undefined || (hasInherited(opts.record()) && now() - startedAt > LEARNING_MS)
     return replacesEarlier ? [] : undefined
   }
 
@@ -66,6 +66,11 @@
   }
 }
 
+/** Returns whether a record still holds what an earlier start had announced as quarantined. */
+function hasInherited (record: discovery.Record | undefined): boolean {
+  return record?.kind === 'entry' && record.inherited !== undefined
+}
+
 function toKey ({ quarantined, isImpaired = false }: ChangingFields): string {
   return [isImpaired, quarantined === undefined, ...(quarantined ?? []).map(item => item.fingerprint)].join()
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -229,12 +229,7 @@
     now
   }
 
-  const hasInherited = (): boolean => {
-    const record = table.get(opts.id)?.record
-    return record?.kind === 'entry' && record.inherited !== undefined
-  }
-
-  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, hasInherited, announce, now })
+  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, now })
   const innerServer = await links.listen(opts.inner, linkSettings, link => { peerLinks.add(link) })
   const server = await entryServers.startEntryServer({ front: opts.front, ctx })
   const subscriber = discovery.startSubscriber({
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -188,8 +188,9 @@
 
   const isQuarantined = (fingerprint: string, now: number): boolean => {
     const suspect = suspects.get(fingerprint)
-    if (suspect === undefined || suspect.crashes.size < crashEvidences.QUARANTINE_CRASHES) return false
+    if (suspect === undefined) return false
     const open = suspectTables.toOpenCrashes(suspect)
+    if (open.length < crashEvidences.QUARANTINE_CRASHES) return false
     const wasQuarantined = suspect.isQuarantined || suspect.isReleased
     if (wasQuarantined && areAllExplained(fingerprint, open)) {
       if (suspect.isQuarantined) release(fingerprint, suspect, open.length)
--- a/packages/state/__tests__/commonStart.test.ts
+++ b/packages/state/__tests__/commonStart.test.ts
@@ -58,6 +58,20 @@
   for (let waited = 0; waited < ms && cluster.leader() === undefined; waited += 20) await cluster.clock.advance(20)
 }
 
+/** Starts three replicas that elect a leader. */
+async function startThree (seed: number): Promise<{ cluster: virtual.VirtualCluster, leader: string }> {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], seed)
+  cluster.timing = TIMING
+  for (const name of cluster.names) await cluster.start(name)
+  await waitForLeader(cluster, 10_000)
+  return { cluster, leader: cluster.leader()?.name ?? '' }
+}
+
+/** Returns whether a replica leads, ready or not. */
+function hasLeader (cluster: virtual.VirtualCluster): boolean {
+  return cluster.names.some(name => cluster.node(name).process.replica?.status().role === 'leader')
+}
+
 // Guards against waiting once more for a lease that was over before the processes had started.
 test('replicas whose processes started long ago need not wait for the lease of an earlier leader', async t => {
   for (let seed = 1; seed <= DRAWS; seed++) {
@@ -94,38 +108,28 @@
 
 // Guards against elections that are lost one after the other on slow disks or a busy machine, although the votes were given.
 test('a vote whose reply comes later than a call waits is counted', async t => {
-  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 5)
-  cluster.timing = TIMING
-  for (const name of cluster.names) await cluster.start(name)
-  await waitForLeader(cluster, 10_000)
-  const leader = cluster.leader()?.name ?? ''
+  const { cluster, leader } = await startThree(5)
   cluster.syncMs = { min: 400, max: 500 }
   cluster.callTimeoutMs = 300
   cluster.crash(leader)
   await cluster.clock.advance(100)
-  const hasLeader = (): boolean => cluster.names.some(name => cluster.node(name).process.replica?.status().role === 'leader')
-  for (let ms = 0; ms < 8000 && !hasLeader(); ms += 50) await cluster.clock.advance(50)
-  t.true(hasLeader())
+  for (let ms = 0; ms < 8000 && !hasLeader(cluster); ms += 50) await cluster.clock.advance(50)
+  t.true(hasLeader(cluster))
 })
 
 // Guards against a replica that leads one term twice: it may be elected again in a term that it has not stored.
 test('a candidate does not lead before its own vote is on its disk', async t => {
-  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 7)
-  cluster.timing = TIMING
-  for (const name of cluster.names) await cluster.start(name)
-  await waitForLeader(cluster, 10_000)
-  const leader = cluster.leader()?.name ?? ''
+  const { cluster, leader } = await startThree(7)
   const [stalled] = cluster.names.filter(name => name !== leader)
   cluster.stalledDisks.add(stalled)
   cluster.crash(leader)
-  const hasLeader = (): boolean => cluster.names.some(name => cluster.node(name).process.replica?.status().role === 'leader')
   for (let ms = 0; ms < 8000; ms += 50) {
     await cluster.clock.advance(50)
-    t.false(hasLeader(), `after ${ms} ms`)
+    t.false(hasLeader(cluster), `after ${ms} ms`)
   }
   cluster.stalledDisks.delete(stalled)
   await waitForLeader(cluster, 10_000)
-  t.true(hasLeader())
+  t.true(hasLeader(cluster))
 })
 
 // Guards against leaders that are deposed, or not ready, because followers reply only after their disk has synced.
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -165,7 +165,7 @@
  * @returns the index up to which the synced log matches the leader's, or where the leader should retry
  */
 export async function onAppend (core: replicaCore.Core, msg: Append): Promise<entries.RpcReply> {
-  const reply = (isOk: boolean, match: number, tryNext: number): entries.RpcReply => ({ t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match, tryNext })
+  const reply = (isOk: boolean, match: number, tryNext: number): entries.RpcReply => toReply(core, msg, isOk, match, tryNext)
   const receivedAt = core.opts.clock.now()
   if (!await follow(core, msg)) return reply(false, 0, 0)
   core.leaderCommitIndex = msg.commit
@@ -205,7 +205,11 @@
   const receivedAt = core.opts.clock.now()
   const isOk = await follow(core, msg)
   if (isOk) noteCurrency(core, msg, receivedAt)
-  return { t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match: 0, tryNext: 0 }
+  return toReply(core, msg, isOk)
+}
+
+function toReply (core: replicaCore.Core, { term }: Append | Heartbeat | SnapshotChunk, isOk: boolean, match = 0, tryNext = 0): entries.RpcReply {
+  return { t: 'append', from: core.self(), term: Math.max(term, isOk ? 0 : core.meta.term), isOk, match, tryNext }
 }
 
 /** Becomes a follower of the sender. @returns false when the sender's term is outdated */
@@ -235,7 +239,7 @@
 
 /** Handles a snapshot chunk; rejects chunks out of order and installs the snapshot after the last one. */
 export async function onSnapshotChunk (core: replicaCore.Core, assembly: SnapshotAssembly, msg: SnapshotChunk): Promise<entries.RpcReply> {
-  const reply = (isOk: boolean): entries.RpcReply => ({ t: 'append', from: core.self(), term: Math.max(msg.term, isOk ? 0 : core.meta.term), isOk, match: 0, tryNext: 0 })
+  const reply = (isOk: boolean): entries.RpcReply => toReply(core, msg, isOk)
   if (!await follow(core, msg)) return reply(false)
   if (msg.offset === 0) Object.assign(assembly, { lastIndex: msg.lastIndex, lastTerm: msg.lastTerm, chunks: [], bytes: 0 })
   if (msg.lastIndex !== assembly.lastIndex || msg.lastTerm !== assembly.lastTerm || msg.offset !== assembly.bytes) return reply(false)
