--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -84,6 +84,7 @@
   requestCleared: spec(1510, 'info', 'suspected request completed; its earlier crashes no longer count'),
   crashRetracted: spec(1511, 'info', 'endpoint that was taken for crashed responded under the same start; its crashes no longer count'),
   requestReleased: spec(1512, 'info', 'quarantine ended: other quarantined requests explain the crashes'),
+  responseSilent: spec(1513, 'info', 'endpoint sends no data of a response whose connection is open'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -4,6 +4,9 @@
 import * as retryAfters from '../admission/retryAfter.js'
 import * as routeTables from '../admission/routeTable.js'
 
+/** Why a request is aborted when its client disconnects. */
+export const CLIENT_LEFT = 'the client left'
+
 /** Result of one attempt at an endpoint, for the log. */
 export interface AttemptRecord { endpoint: string, /** Why the endpoint was selected. */ why: string, outcome: string, ms: number }
 
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -184,7 +184,7 @@
     const timer = setTimeout(() => { call.aborter.abort('the deadline has passed') }, Math.max(0, call.deadlineAt - ctx.now()))
     const onClose = (): void => {
       // A request that may run only once is not aborted, because it cannot be retried.
-      if (!res.writableFinished && route.kind !== 'once') call.aborter.abort('the client left')
+      if (!res.writableFinished && route.kind !== 'once') call.aborter.abort(clientCalls.CLIENT_LEFT)
     }
     res.on('close', onClose)
     ctx.metrics.open.inc()
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -9,6 +9,7 @@
 import * as clientCalls from '../attempts/clientCall.js'
 import * as eventBatchers from './eventBatcher.js'
 import * as eventStreams from './eventStream.js'
+import type * as entryMetrics from '../instance/entryMetrics.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
 
 /** A response whose body was not read yet. */
@@ -50,6 +51,7 @@
   let lastId: string | undefined
   let source = opts.source
   let resumedAfter: string | undefined
+  let isSilent = false
 
   const start = (): void => {
     isStarted = true
@@ -84,7 +86,12 @@
   const relayPart = async (response: OpenResponse): Promise<PartEnd> => {
     const body = response.res
     const splitter = eventStreams.createEventSplitter()
-    const stallTimer = isResumable ? setTimeout(() => { body.destroy(new Error(`no data within ${STALL_TIMEOUT_MS} ms`)) }, STALL_TIMEOUT_MS) : undefined
+    const onStall = (): void => {
+      isSilent = true
+      ctx.log.event('responseSilent', { request: call.attemptId, endpoint: source.sent.endpoint.id, via: source.sent.via, ms: STALL_TIMEOUT_MS, isOpen: !body.socket.destroyed, lastEventId: lastId })
+      body.destroy(new Error(`no data within ${STALL_TIMEOUT_MS} ms`))
+    }
+    const stallTimer = isResumable ? setTimeout(onStall, STALL_TIMEOUT_MS) : undefined
     try {
       for await (const chunk of body) {
         stallTimer?.refresh()
@@ -105,6 +112,8 @@
     return { kind: 'end' }
   }
 
+  const countBroken = (cause: entryMetrics.BrokenCause): void => { ctx.metrics.broken.inc({ route: ctx.metrics.toRouteLabel(route.name), cause }) }
+
   /** Ends the accounting of a source that the relay has resumed the stream at. */
   const endResumed = (): void => {
     if (source === opts.source) return
@@ -126,6 +135,7 @@
           res.end()
           return { kind: 'done', outcome: resumedAfter === undefined ? '200' : '200 resumed' }
         case 'stopped':
+          countBroken(end.why === clientCalls.CLIENT_LEFT ? 'client' : 'deadline')
           abortResponses.abortResponse(res)
           return { kind: 'broken', outcome: `stopped: ${end.why}` }
         case 'broken': {
@@ -133,6 +143,7 @@
           if (!isStarted && resumedAfter === undefined) return { kind: 'unstarted', outcome: `lost: ${end.why}` }
           const resumed: ResumeResult = isResumable ? await opts.resume(lastId) : { kind: 'none', why: 'the route is not resumable' }
           if (resumed.kind === 'none') {
+            countBroken(isSilent ? 'silence' : 'endpoint')
             abortResponses.abortResponse(res)
             return { kind: 'broken', outcome: `broken: ${end.why}; ${resumed.why}` }
           }
