--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -85,6 +85,8 @@
   crashRetracted: spec(1511, 'info', 'endpoint that was taken for crashed responded under the same start; its crashes no longer count'),
   requestReleased: spec(1512, 'info', 'quarantine ended: other quarantined requests explain the crashes'),
   responseSilent: spec(1513, 'info', 'endpoint sends no data of a response whose connection is open'),
+  responseContinued: spec(1514, 'info', 'endpoint that was silent sends events again'),
+  responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -27,27 +27,27 @@
   | { kind: 'notRun', status: number, /** Rejections in a second that a brittle endpoint tolerates, undefined if it is not brittle. */ brittleLimit: number | undefined }
   /** No valid response was received; the endpoint may have run the request. */
   | { kind: 'lost', why: string }
+  /** The attempt was aborted by its signal before a response; the endpoint may have run the request if it was sent. */
+  | { kind: 'aborted', isSent: boolean, why: string }
   /** The response headers were received; the body follows. */
   | { kind: 'response', res: http.IncomingMessage, abort: () => void, /** Whether the connection failed, for example by a reset. */ isBroken: () => boolean }
 
+/** A response whose body was not read yet. */
+export type OpenResponse = Extract<AttemptResult, { kind: 'response' }>
+
 /** Options of {@link sendAttempt}. */
 export interface AttemptOptions {
   endpoint: endpointPools.Endpoint
   request: OutgoingRequest
   names: headerNames.HeaderNames
-  /** Aborts the attempt. */
+  /** Aborts the attempt; it has no timeout of its own. */
   signal: AbortSignal
-  /** Time to wait for the response headers, in milliseconds. */
-  responseTimeoutMs: number
   /** Called with the connection that the request is sent over. */
   onConnection?: (socket: net.Socket) => void
-  /** Called when that time is over; returns whether to keep waiting. */
-  mayKeepWaiting?: () => boolean
+  /** Called when the endpoint sent more than it may outside of a response. */
+  onExcess?: (what: string) => void
 }
 
-/** Interval of the calls of mayKeepWaiting. */
-const RECHECK_MS = 200
-
 /** Sends a request to an endpoint. Resolves when the response headers are received or the attempt has failed. */
 export async function sendAttempt (opts: AttemptOptions): Promise<AttemptResult> {
   const { endpoint, request } = opts
@@ -59,7 +59,6 @@
     const settle = (result: AttemptResult): void => {
       if (isSettled) return
       isSettled = true
-      clearTimeout(timer)
       opts.signal.removeEventListener('abort', onAbort)
       resolve(result)
     }
@@ -67,11 +66,9 @@
       settle(isConnected ? { kind: 'lost', why } : { kind: 'unreachable', why, isSilent })
       req.destroy()
     }
-    const onAbort = (): void => { fail(String(opts.signal.reason)) }
-    const startedAt = performance.now()
-    function onTimeout (): void {
-      if (opts.mayKeepWaiting?.() === true) timer = setTimeout(onTimeout, RECHECK_MS)
-      else fail(`no response within ${Math.round(performance.now() - startedAt)} ms`)
+    const onAbort = (): void => {
+      settle({ kind: 'aborted', isSent: isConnected, why: String(opts.signal.reason) })
+      req.destroy()
     }
 
     const req = http.request({
@@ -92,18 +89,17 @@
       const { why, isSilent } = endpointProbes.toFailure(err)
       fail(why, isSilent)
     })
-    req.on('response', res => {
+    req.on('response', received => {
       // Without a listener, an error of the response after this point would be uncaught.
-      res.on('error', () => {})
+      received.on('error', () => {})
       // An instance that is killed closes its tunnels in order, so the end of one proves nothing.
-      if (isUnframed(res)) res.socket.prependListener('end', () => { isBroken ||= isReset(res.socket) || endpointDialers.findHelper(res.socket) !== undefined })
+      if (isUnframed(received)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) || endpointDialers.findHelper(received.socket) !== undefined })
       if (isSettled) {
         req.destroy()
         return
       }
-      settle(toResult(res, req, opts, () => isBroken))
+      settle(toResult(received, req, opts, () => isBroken))
     })
-    let timer = setTimeout(onTimeout, opts.responseTimeoutMs)
     opts.signal.addEventListener('abort', onAbort, { once: true })
     if (opts.signal.aborted) {
       onAbort()
@@ -164,12 +160,12 @@
  * Returns whether a response that ended is complete. The HTTP library reports the end of a body without a length also when the
  * connection was reset.
  */
-export function isComplete (response: Extract<AttemptResult, { kind: 'response' }>): boolean {
+export function isComplete (response: OpenResponse): boolean {
   return response.res.complete && !response.isBroken()
 }
 
 /** Reads a body to its end. */
-export async function readBody (response: Extract<AttemptResult, { kind: 'response' }>, signal: AbortSignal, maxBytes: number): Promise<BodyResult> {
+export async function readBody (response: OpenResponse, signal: AbortSignal, maxBytes: number): Promise<BodyResult> {
   const { res } = response
   return await new Promise(resolve => {
     const chunks: Buffer[] = []
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -23,6 +23,10 @@
   run: runTrackers.Run
   /** Inner address of the entry instance that it passed through, undefined for a direct connection. */
   via?: string
+  /** Whether the endpoint was found silent while a response was due. */
+  isSilent: boolean
+  /** Ends the accounting when the endpoint is done with the request or was aborted; only the first call counts. */
+  release: () => void
 }
 
 /** Records the outcome of an attempt for the log and the metrics. */
@@ -38,11 +42,11 @@
  */
 export async function recordResult (call: clientCalls.ClientCall, state: requestStates.RequestState, sent: SentRequest, result: attempts.AttemptResult): Promise<void> {
   const { ctx } = call
-  const { endpoint, run, sentAt } = sent
+  const { endpoint, run } = sent
   switch (result.kind) {
     case 'unreachable':
       run.end('inconclusive', ctx.now())
-      if (!call.aborter.signal.aborted) await recordConnectionFailure(ctx, state, endpoint, result)
+      await recordConnectionFailure(ctx, state, endpoint, result)
       break
     case 'notRun':
       run.end('inconclusive', ctx.now())
@@ -56,7 +60,13 @@
       break
     case 'lost':
       requestStates.recordRun(call, state)
-      await recordLoss(call, sent, wasAbortedEarly(call, sentAt))
+      await recordLoss(call, sent)
+      break
+    case 'aborted':
+      if (result.isSent) {
+        requestStates.recordRun(call, state)
+        recordAbandoned(call, sent)
+      } else run.end('inconclusive', ctx.now())
       break
     case 'response':
       ctx.brittleLimiter.record(call.service, endpoint.id, brittleLimiters.parseBrittleLimit(result.res.headers[ctx.names.brittle]), false, ctx.now())
@@ -111,14 +121,6 @@
   })
 }
 
-/**
- * Records a response that broke off.
- * @returns when it is known whether its endpoint is down
- */
-export async function recordBrokenResponse (call: clientCalls.ClientCall, sent: SentRequest): Promise<void> {
-  await recordLoss(call, sent, false)
-}
-
 /** Records a complete response. */
 export function recordCompleteResponse (call: clientCalls.ClientCall, sent: SentRequest, status: number): void {
   sent.run.end(status < 500 ? 'completed' : 'inconclusive', call.ctx.now())
@@ -130,27 +132,34 @@
 }
 
 /**
- * Records a lost response. It counts against the endpoint unless the path to the endpoint turns out to be lost.
- * @param isExcused whether it does not count in any case
+ * Records that an attempt or its response was aborted: the client left, the deadline passed, or another endpoint responded first. It
+ * counts against the endpoint if that had enough time.
  */
-async function recordLoss (call: clientCalls.ClientCall, { endpoint, run, via }: SentRequest, isExcused: boolean): Promise<void> {
+export function recordAbandoned (call: clientCalls.ClientCall, sent: SentRequest): void {
+  sent.run.end('abandoned', call.ctx.now())
+  const wasDue = call.aborter.signal.aborted ? !wasAbortedEarly(call, sent.sentAt) : sent.isSilent
+  if (wasDue) recordMissed(call, sent)
+}
+
+/**
+ * Records a response that was lost or broke off. It counts against the endpoint unless the path to the endpoint turns out to be lost.
+ * @returns when it is known whether the endpoint is down, if this crash may quarantine the request
+ */
+export async function recordLoss (call: clientCalls.ClientCall, sent: SentRequest): Promise<void> {
   const { ctx } = call
-  const recordMissed = (verdict: lostPaths.PathVerdict): void => {
-    // The instance that a request passed through may have lost it.
-    if (verdict !== 'lost' && via === undefined && !isExcused) recordOutcome(call, endpoint, true)
-  }
-  if (call.aborter.signal.aborted) {
-    run.end('abandoned', ctx.now())
-    recordMissed('unknown')
-    return
-  }
+  const { endpoint, run } = sent
   // The idle connections to the endpoint are probably broken too.
   ctx.pool.closeIdleConnections(endpoint)
   ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id })
   run.end('lost', ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
   const probe = endpointProbes.probeAfterLoss(endpoint, async failure => await recordUnreachable(ctx, endpoint, failure))
-    .then(verdict => { recordMissed(verdict ?? 'unknown') })
+    .then(verdict => { if (verdict !== 'lost') recordMissed(call, sent) })
   // If this crash may quarantine the request, it must not be retried before.
   if (ctx.quarantine.isSuspected(call.fingerprint)) await probe
 }
+
+/** Records a response that is missing or incomplete. The instance that the request passed through may have lost it. */
+function recordMissed (call: clientCalls.ClientCall, { endpoint, via }: SentRequest): void {
+  if (via === undefined) recordOutcome(call, endpoint, true)
+}
--- a/packages/forwarding/src/attempts/attemptWatchdog.ts
+++ b/packages/forwarding/src/attempts/attemptWatchdog.ts
@@ -1,14 +1,32 @@
 /**
- * Watchdog for attempts without a response. Detects endpoints that went down without closing their connections before the requests
- * sent to them time out.
+ * Watchdog for attempts without a response. It detects endpoints that are silent, so that the request can be sent to another one
+ * before it times out. Silence proves no loss: the attempt continues. A later start of the endpoint does.
  */
-import type * as endpointPools from '../endpoints/endpointPool.js'
+import type * as attemptRecorders from './attemptRecorder.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 
+/** Options of {@link startWatchdog}. */
+export interface WatchdogOptions {
+  sent: attemptRecorders.SentRequest
+  /** Time without a response after which the endpoint is probed, in milliseconds. */
+  probeDelayMs: number
+  /** Returns whether the response is overdue, however the endpoint answers others. */
+  isOverdue: () => boolean
+  /** Called when a probe failed. */
+  onUnreachable: (failure: endpointProbes.ProbeFailure) => void
+  /** Called repeatedly while the endpoint is silent. */
+  onSilent: () => void
+  /** Called when the process that received the request has ended. */
+  onEnded: (why: string) => void
+  now: () => number
+}
+
 /** Share of the target latency of the route after which the endpoint is probed: nearly all other responses have arrived by then. */
 const PROBE_DELAY_SHARE = 0.5
 /** Lower bound; a single retransmission may take this long. */
 const MIN_PROBE_DELAY_MS = 150
+/** Interval at which a silent endpoint is reported again: another endpoint may have become available. */
+export const RECHECK_MS = 200
 
 /**
  * Returns how long an attempt may stay without a response before its endpoint is probed.
@@ -19,19 +37,51 @@
   return Math.max(MIN_PROBE_DELAY_MS, PROBE_DELAY_SHARE * targetMs)
 }
 
-/** Probes the endpoint of an attempt that stays without a response. Returns a function that stops the watchdog. */
-export function startWatchdog (endpoint: endpointPools.Endpoint, afterMs: number, onDown: (failure: endpointProbes.ProbeFailure) => void): () => void {
+/** Watches an attempt. Returns a function that stops the watchdog. */
+export function startWatchdog (opts: WatchdogOptions): () => void {
+  const { sent, now } = opts
+  const { endpoint } = sent
   let isStopped = false
-  const timer = setTimeout(() => {
-    void endpointProbes.probeEndpoint(endpoint).then(failure => {
-      if (failure !== undefined && !isStopped) onDown(failure)
-    })
-  }, afterMs)
-  const onZoneDown = (why: string): void => { onDown({ why, isSilent: true }) }
-  endpoint.downListeners.add(onZoneDown)
+  /** When the endpoint was found unreachable. */
+  let unreachableAt: number | undefined
+
+  const reportSilence = (): void => {
+    sent.isSilent = true
+    opts.onSilent()
+  }
+
+  const onFailure = (failure: endpointProbes.ProbeFailure): void => {
+    if (isStopped) return
+    unreachableAt = now()
+    reportSilence()
+  }
+
+  const probe = async (): Promise<void> => {
+    const failure = await endpointProbes.probeEndpoint(endpoint)
+    if (failure === undefined || isStopped) return
+    opts.onUnreachable(failure)
+    onFailure(failure)
+  }
+
+  const check = (): void => {
+    const isUnreachable = unreachableAt !== undefined && endpoint.answeredAt < unreachableAt
+    if (isUnreachable || opts.isOverdue()) reportSilence()
+    timer = setTimeout(check, RECHECK_MS)
+  }
+
+  let timer = setTimeout(() => {
+    void probe()
+    check()
+  }, opts.probeDelayMs)
+
+  const onDown = (failure: endpointProbes.ProbeFailure): void => {
+    if (failure.isSilent) onFailure(failure)
+    else opts.onEnded(failure.why)
+  }
+  endpoint.downListeners.add(onDown)
   return () => {
     isStopped = true
-    endpoint.downListeners.delete(onZoneDown)
+    endpoint.downListeners.delete(onDown)
     clearTimeout(timer)
   }
 }
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -1,28 +1,32 @@
 /**
  * Sends a request to endpoints until one responds or no further attempt is allowed, and relays the response. A request that may run
  * only once is never retried after an endpoint may have started to run it, and is reported as not run only if no endpoint ran it.
+ *
+ * While an endpoint is silent, a repeatable request is sent to a responsive one too. The first attempt stays open until another one has
+ * a response for the client; then the others are aborted.
  */
-import * as attempts from './attempt.js'
+import * as links from '@kingcupdeck/links'
+import type * as attempts from './attempt.js'
 import * as attemptRecorders from './attemptRecorder.js'
 import * as attemptWatchdogs from './attemptWatchdog.js'
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
 import * as crashQuarantines from '../quarantine/crashQuarantine.js'
-import * as endpointDialers from '../paths/endpointDialer.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
+import * as openAttempts from './openAttempt.js'
 import * as outgoingRequests from './outgoingRequest.js'
 import * as priorities from '../admission/priority.js'
 import * as queueDelays from '../placement/queueDelay.js'
 import * as relayStreams from '../streams/relayStream.js'
 import * as requestStates from './requestState.js'
 import * as resumeStreams from '../streams/resumeStream.js'
+import * as retryBudgets from './retryBudget.js'
 import * as selectEndpoints from '../placement/selectEndpoint.js'
 
-/** Response timeout of a retryable attempt, as a share of the remaining time. */
+/** Time after which the response to a retryable request is overdue, as a share of the remaining time. */
 const RESPONSE_TIMEOUT_SHARE = 0.4
-/** Response timeout of a retryable stream attempt, as a multiple of the target latency. */
+/** Time after which a retryable stream is overdue, as a multiple of the target latency. */
 const STREAM_TIMEOUT_TARGETS = 2
-const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 
 /** Next step after an attempt. */
 type Next =
@@ -40,17 +44,23 @@
   selected: selectEndpoints.SelectedEndpoint
   sent: attemptRecorders.SentRequest
   remainingMs: number
-  /** Whether another endpoint may run the request if this attempt fails. */
-  mayRunAgain: boolean
+  aborter: AbortController
 }
 
+/** Events of the open attempts of a request. */
+type AttemptEvent =
+  | { kind: 'ended', attempt: Attempt, result: openAttempts.OpenResult }
+  /** The endpoint of an attempt is silent; repeated while it is. */
+  | { kind: 'silent', attempt: Attempt }
+
 /** Forwards an admitted request and returns the outcome for the log. */
 export async function forward (call: clientCalls.ClientCall): Promise<string> {
   const { ctx } = call
   ctx.retryBudget(call.service).recordRequest(ctx.now())
   const state = requestStates.createRequestState()
   while (true) {
-    const next = await attemptOnce(call, state)
+    const begun = await beginAttempt(call, state)
+    const next = 'kind' in begun ? begun : await awaitResponse(begun)
     switch (next.kind) {
       case 'done': return next.outcome
       case 'fail': return clientResponses.sendFailure(call, state.fallback, next.why, next.delayMs)
@@ -60,8 +70,8 @@
   }
 }
 
-/** Selects an endpoint and makes one attempt. */
-async function attemptOnce (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<Next> {
+/** Selects an endpoint and begins an attempt. */
+async function beginAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<Attempt | Next> {
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
   // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
@@ -73,13 +83,32 @@
   if (selected.kind === 'none') return await requestStates.awaitVerdicts(call, state) ? { kind: 'retry' } : { kind: 'fail', why: toUnavailableReason(call, state) }
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'fail', why: 'the retry budget is exhausted' }
-  const { endpoint } = selected
-  const sent = selectEndpoints.recordSend(call, state.tried, selected)
-  try {
-    return await runAttempt({ call, state, selected, sent, remainingMs, mayRunAgain: requestStates.mayRun(route, state.runs + 1) })
-  } finally {
-    endpoint.inFlight--
-    sent.run.end('abandoned', ctx.now())
+  return createAttempt(call, state, selected)
+}
+
+/**
+ * Begins an attempt at a responsive endpoint beside those whose endpoints are silent, if that is allowed and there is one.
+ * @param open number of attempts whose result is not known yet
+ */
+function beginHedge (call: clientCalls.ClientCall, state: requestStates.RequestState, open: number): Attempt | undefined {
+  const { ctx, route } = call
+  if (call.aborter.signal.aborted || call.deadlineAt - ctx.now() < clientResponses.MIN_REMAINING_MS) return undefined
+  if (state.sends + open >= selectEndpoints.MAX_SENDS || !requestStates.mayRun(route, state.runs + open)) return undefined
+  // The silent endpoint may have crashed because of the request.
+  if (ctx.quarantine.isSuspected(call.fingerprint) || ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return undefined
+  const selected = selectEndpoints.selectResponsive(call, state.tried, toDelayLimitMs(call))
+  if (selected === undefined || !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount(), retryBudgets.HEDGE_SHARE)) return undefined
+  return createAttempt(call, state, selected)
+}
+
+function createAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint): Attempt {
+  return {
+    call,
+    state,
+    selected,
+    sent: selectEndpoints.recordSend(call, state.tried, selected),
+    remainingMs: call.deadlineAt - call.ctx.now(),
+    aborter: new AbortController()
   }
 }
 
@@ -97,92 +126,161 @@
   return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined' } }) }
 }
 
-async function runAttempt (attempt: Attempt): Promise<Next> {
-  const { call, state, sent } = attempt
-  const result = await send(attempt)
-  await attemptRecorders.recordResult(call, state, sent, result)
+/** Waits for the response of an attempt, or of one that is begun while its endpoint is silent, and sends it to the client. */
+async function awaitResponse (first: Attempt): Promise<Next> {
+  const { call, state } = first
+  const mailbox = links.createMailbox<AttemptEvent>()
+  const open = new Set<Attempt>()
+
+  const start = (attempt: Attempt, onHeaders: (response: attempts.OpenResponse) => void): void => {
+    open.add(attempt)
+    const onSilent = (): void => { mailbox.put({ kind: 'silent', attempt }) }
+    void send(attempt, onSilent, onHeaders).then(result => { mailbox.put({ kind: 'ended', attempt, result }) })
+  }
+
+  const startHedge = (silent: Attempt): void => {
+    const hedge = beginHedge(call, state, open.size)
+    if (hedge === undefined) return
+    logHedge(silent, hedge)
+    start(hedge, response => {
+      if (!outgoingRequests.isEventStream(response.res)) return
+      const timer = setTimeout(() => { if (open.size > 1) hedge.aborter.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
+      response.res.once('close', () => { clearTimeout(timer) })
+    })
+  }
+
+  const abandonOpen = (): void => {
+    for (const attempt of open) abandon(attempt)
+    open.clear()
+  }
+
+  start(first, () => {})
+  let next: Next = { kind: 'retry' }
+  while (open.size > 0) {
+    const event = await mailbox.take()
+    const { attempt } = event
+    if (!open.has(attempt)) continue
+    if (event.kind === 'silent') {
+      startHedge(attempt)
+      continue
+    }
+    open.delete(attempt)
+    try {
+      if (event.result.kind === 'stream') {
+        abandonOpen()
+        return await forwardStream(attempt, event.result.source)
+      }
+      next = handleResult(attempt, event.result)
+      if (next.kind === 'done') abandonOpen()
+    } finally {
+      attempt.sent.release()
+    }
+  }
+  return next
+}
+
+/** Aborts an attempt that is not needed any more. */
+function abandon (attempt: Attempt): void {
+  record(attempt, 'abandoned')
+  attempt.aborter.abort('another endpoint responded first')
+  attempt.sent.release()
+}
+
+function logHedge ({ call, sent }: Attempt, hedge: Attempt): void {
+  const { ctx } = call
+  ctx.log.event('responseSilent', { request: call.attemptId, endpoint: sent.endpoint.id, via: sent.via, ms: Math.round(ctx.now() - sent.sentAt), hedge: hedge.selected.endpoint.id })
+}
+
+/** Makes an attempt, and reports while its endpoint is silent. */
+async function send (attempt: Attempt, onSilent: () => void, onHeaders: (response: attempts.OpenResponse) => void): Promise<openAttempts.OpenResult> {
+  const { call, state, selected, sent, remainingMs, aborter } = attempt
+  const { endpoint, sentAt } = sent
+  const { ctx, route } = call
+  const pending = endpoint.queueDelay.onSent(sentAt)
+  const timeoutMs = toResponseTimeoutMs(call, remainingMs)
+  let headersAt: number | undefined
+  const isOverdue = (): boolean => {
+    if (headersAt !== undefined) return ctx.now() - headersAt >= relayStreams.STALL_TIMEOUT_MS
+    return ctx.now() - sentAt >= timeoutMs && !isQueued(call, endpoint, pending)
+  }
+  const ended = new AbortController()
+  const stopWatchdog = attemptWatchdogs.startWatchdog({
+    sent,
+    probeDelayMs: attemptWatchdogs.toProbeDelayMs(route.targetMs),
+    isOverdue,
+    onUnreachable (failure) { void attemptRecorders.recordUnreachable(ctx, endpoint, failure) },
+    onSilent,
+    onEnded (why) { ended.abort(why) },
+    now: ctx.now
+  })
+  const result = await openAttempts.openAttempt({
+    call,
+    state,
+    selected,
+    sent,
+    remainingMs,
+    signal: AbortSignal.any([call.aborter.signal, aborter.signal, ended.signal]),
+    onHeaders (response) {
+      headersAt = ctx.now()
+      endpoint.queueDelay.onResponse(pending, headersAt)
+      onHeaders(response)
+    }
+  }).finally(stopWatchdog)
+  if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
+  return result
+}
+
+/** Handles the result of an attempt that is no stream. */
+function handleResult (attempt: Attempt, result: Exclude<openAttempts.OpenResult, { kind: 'stream' }>): Next {
+  const { call, state } = attempt
   switch (result.kind) {
     case 'unreachable':
       record(attempt, `unreachable: ${result.why}`)
-      return call.aborter.signal.aborted ? { kind: 'fail', why: 'the client left' } : { kind: 'retry' }
+      return { kind: 'retry' }
     case 'notRun':
       record(attempt, `notRun ${result.status}`)
       // The next brittle endpoint would have to reject the request too.
       if (result.brittleLimit !== undefined && result.status !== 421) return { kind: 'fail', why: 'a brittle endpoint has no room' }
       return { kind: 'retry' }
+    case 'aborted':
+      record(attempt, `${result.isSent ? 'lost' : 'unreachable'}: ${result.why}`)
+      if (call.aborter.signal.aborted && !result.isSent) return { kind: 'fail', why: 'the client left' }
+      return afterLoss(attempt, result.why)
     case 'lost':
       record(attempt, `lost: ${result.why}`)
       return afterLoss(attempt, result.why)
-    case 'response':
-      return outgoingRequests.isEventStream(result.res) ? await forwardStream(attempt, result) : await forwardBuffered(attempt, result)
+    case 'complete': {
+      const { response } = result
+      const status = response.res.statusCode ?? 0
+      record(attempt, String(status))
+      attemptRecorders.recordCompleteResponse(call, attempt.sent, status)
+      attemptRecorders.recordOutcome(call, attempt.sent.endpoint, isLate(attempt) || status >= 500)
+      // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
+      if (status >= 500 && status !== 504 && requestStates.mayRun(call.route, state.runs)) {
+        state.fallback = response
+        return { kind: 'retry' }
+      }
+      return { kind: 'done', outcome: clientResponses.sendResponse(call, response) }
+    }
   }
 }
 
-/** Sends the request and waits for the response headers. */
-async function send (attempt: Attempt): Promise<attempts.AttemptResult> {
-  const { call, state, selected, sent, remainingMs, mayRunAgain } = attempt
-  const { endpoint, sentAt } = sent
-  const { ctx, route } = call
-  const pending = endpoint.queueDelay.onSent(sentAt)
-  const down = new AbortController()
-  const stopWatchdog = attemptWatchdogs.startWatchdog(endpoint, attemptWatchdogs.toProbeDelayMs(route.targetMs), failure => {
-    void attemptRecorders.recordUnreachable(ctx, endpoint, failure)
-    // An attempt that cannot be retried continues: the endpoint may still respond on its open connection.
-    if (mayRunAgain) down.abort(failure.why)
-  })
-  const result = await attempts.sendAttempt({
-    endpoint,
-    request: outgoingRequests.toOutgoingRequest(call, selected, remainingMs, undefined),
-    names: ctx.names,
-    signal: AbortSignal.any([call.aborter.signal, down.signal]),
-    onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
-    responseTimeoutMs: mayRunAgain ? toResponseTimeoutMs(call, remainingMs) : remainingMs,
-    mayKeepWaiting: () => ctx.now() < call.deadlineAt && isQueued(call, state.tried, endpoint, pending)
-  }).finally(stopWatchdog)
-  if (result.kind === 'response') endpoint.queueDelay.onResponse(pending, ctx.now())
-  else endpoint.queueDelay.onAbandoned(pending)
-  return result
-}
-
 /** Relays an event stream, and resumes it at another endpoint if it breaks off. */
-async function forwardStream (attempt: Attempt, result: relayStreams.OpenResponse): Promise<Next> {
-  const { call, state, sent } = attempt
+async function forwardStream (attempt: Attempt, source: openAttempts.StreamSource): Promise<Next> {
+  const { call, state } = attempt
   call.firstByteAt = call.ctx.now()
-  attemptRecorders.recordOutcome(call, sent.endpoint, isLate(attempt))
-  const relayed = await relayStreams.relayStream(call, {
-    source: { sent, response: result },
-    resume: async lastId => await resumeStreams.resumeStream(call, state, lastId)
+  attemptRecorders.recordOutcome(call, source.sent.endpoint, isLate(attempt))
+  const outcome = await relayStreams.relayStream(call, {
+    source,
+    resume: async opts => await resumeStreams.resumeStream(call, state, opts)
   })
-  record(attempt, relayed.outcome)
-  return relayed.kind === 'unstarted' ? afterLoss(attempt, relayed.outcome) : { kind: 'done', outcome: relayed.outcome }
-}
-
-/** Buffers a response and sends it to the client once it is complete. */
-async function forwardBuffered (attempt: Attempt, result: relayStreams.OpenResponse): Promise<Next> {
-  const { call, state, sent } = attempt
-  const buffered = await attempts.readBody(result, call.aborter.signal, MAX_BUFFERED_BYTES)
-  if (buffered.kind === 'broken') {
-    record(attempt, `lost: ${buffered.why}`)
-    await attemptRecorders.recordBrokenResponse(call, sent)
-    return afterLoss(attempt, buffered.why)
-  }
-  const status = result.res.statusCode ?? 0
-  record(attempt, String(status))
-  attemptRecorders.recordCompleteResponse(call, sent, status)
-  attemptRecorders.recordOutcome(call, sent.endpoint, isLate(attempt) || status >= 500)
-  const response = { res: result.res, body: buffered.body }
-  // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
-  if (status >= 500 && status !== 504 && attempt.mayRunAgain) {
-    state.fallback = response
-    return { kind: 'retry' }
-  }
-  return { kind: 'done', outcome: clientResponses.sendResponse(call, response) }
+  record(attempt, outcome)
+  return { kind: 'done', outcome }
 }
 
-function afterLoss (attempt: Attempt, why: string): Next {
-  return attempt.mayRunAgain ? { kind: 'retry' } : { kind: 'fail', why }
+function afterLoss ({ call, state }: Attempt, why: string): Next {
+  return requestStates.mayRun(call.route, state.runs) ? { kind: 'retry' } : { kind: 'fail', why }
 }
-
 function record (attempt: Attempt, outcome: string): void {
   attemptRecorders.recordAttempt(attempt.call, attempt.sent, outcome, attempt.selected.why)
 }
@@ -207,12 +305,6 @@
  * Returns whether a slow request is still queued at its endpoint. Moving a queued request to another endpoint would process its prompt
  * twice and increase the overload.
  */
-function isQueued (call: clientCalls.ClientCall, tried: ReadonlySet<string>, endpoint: endpointPools.Endpoint, pending: queueDelays.PendingRequest): boolean {
-  if (!call.route.hasPrompt) return false
-  const progress = endpoint.queueDelay.classify(pending)
-  switch (progress) {
-    case 'overtaken': return false
-    case 'queued': return true
-    case 'unresponsive': return selectEndpoints.selectEndpoint(call, tried, toDelayLimitMs(call)).kind !== 'selected'
-  }
+function isQueued (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, pending: queueDelays.PendingRequest): boolean {
+  return call.route.hasPrompt && endpoint.queueDelay.classify(pending) === 'queued'
 }
--- /dev/null
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -0,0 +1,92 @@
+/**
+ * Makes an attempt up to the point at which its response can be passed on: the first event of a stream, or a complete body. Until then
+ * another endpoint can take over without the client noticing.
+ */
+import * as attempts from './attempt.js'
+import * as attemptRecorders from './attemptRecorder.js'
+import type * as clientCalls from './clientCall.js'
+import type * as clientResponses from './clientResponse.js'
+import * as endpointDialers from '../paths/endpointDialer.js'
+import * as outgoingRequests from './outgoingRequest.js'
+import type * as requestStates from './requestState.js'
+import type * as selectEndpoints from '../placement/selectEndpoint.js'
+import * as streamReaders from '../streams/streamReader.js'
+
+/** Maximum size of a response that is not a stream. */
+const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+
+/** An endpoint that sends a stream. */
+export interface StreamSource { sent: attemptRecorders.SentRequest, response: attempts.OpenResponse, reader: streamReaders.StreamReader }
+
+/** Result of {@link openAttempt}. */
+export type OpenResult =
+  | Exclude<attempts.AttemptResult, attempts.OpenResponse>
+  | { kind: 'complete', response: clientResponses.BufferedResponse }
+  | { kind: 'stream', source: StreamSource }
+
+/** Options of {@link openAttempt}. */
+export interface OpenAttemptOptions {
+  call: clientCalls.ClientCall
+  state: requestStates.RequestState
+  selected: selectEndpoints.SelectedEndpoint
+  sent: attemptRecorders.SentRequest
+  /** Time until the deadline, in milliseconds. */
+  remainingMs: number
+  /** Last event that the client has, if a stream is resumed. */
+  lastEventId?: string
+  /** Aborts the attempt and its response. */
+  signal: AbortSignal
+  /** Called when the response headers were received. */
+  onHeaders?: (response: attempts.OpenResponse) => void
+}
+
+/** Makes an attempt and records its result. */
+export async function openAttempt (opts: OpenAttemptOptions): Promise<OpenResult> {
+  const { call, state, selected, sent, lastEventId, signal } = opts
+  const { endpoint } = selected
+  const onExcess = (what: string): void => { call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what }) }
+  const result = await attempts.sendAttempt({
+    endpoint,
+    request: outgoingRequests.toOutgoingRequest(call, selected, opts.remainingMs, lastEventId),
+    names: call.ctx.names,
+    signal,
+    onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
+    onExcess
+  })
+  if (result.kind === 'response') opts.onHeaders?.(result)
+  await attemptRecorders.recordResult(call, state, sent, result)
+  if (result.kind !== 'response') return result
+  return outgoingRequests.isEventStream(result.res) ? await openStream(opts, result, onExcess) : await readComplete(opts, result)
+}
+
+/** Waits for the first event of a stream. */
+async function openStream ({ call, sent, lastEventId, signal }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
+  const { endpoint } = sent
+  const reader = streamReaders.createStreamReader({
+    response,
+    lastEventId,
+    onData () { endpoint.answeredAt = call.ctx.now() },
+    onExcess
+  })
+  const onAbort = (): void => { reader.abort(String(signal.reason)) }
+  signal.addEventListener('abort', onAbort)
+  if (signal.aborted) onAbort()
+  const first = await reader.first
+  if (first.kind !== 'broken') return { kind: 'stream', source: { sent, response, reader } }
+  return await recordBroken(call, sent, signal, first.why)
+}
+
+async function readComplete ({ call, sent, signal }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
+  const buffered = await attempts.readBody(response, signal, MAX_BUFFERED_BYTES)
+  if (buffered.kind === 'broken') return await recordBroken(call, sent, signal, buffered.why)
+  return { kind: 'complete', response: { res: response.res, body: buffered.body } }
+}
+
+async function recordBroken (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, signal: AbortSignal, why: string): Promise<OpenResult> {
+  if (signal.aborted) {
+    attemptRecorders.recordAbandoned(call, sent)
+    return { kind: 'aborted', isSent: true, why }
+  }
+  await attemptRecorders.recordLoss(call, sent)
+  return { kind: 'lost', why }
+}
--- a/packages/forwarding/src/attempts/retryBudget.ts
+++ b/packages/forwarding/src/attempts/retryBudget.ts
@@ -18,14 +18,21 @@
 export interface RetryBudget {
   /** Counts a request towards the budget. */
   recordRequest (now: number): void
-  /** Takes one retry from the budget. @returns false if the budget is exhausted */
-  trySpend (now: number, instances: number): boolean
+  /**
+   * Takes one retry from the budget.
+   * @param share share of the budget that may be used, the whole by default
+   * @returns false if it is exhausted
+   */
+  trySpend (now: number, instances: number, share?: number): boolean
 }
 
 /** Share of the budget that is used; the windows of the instances are not aligned. */
 const SAFETY_SHARE = 0.8
 const SLOTS = 10
 
+/** Share of the budget that retries may use whose endpoint is only silent; the rest is left for those whose response was lost. */
+export const HEDGE_SHARE = 0.5
+
 export function createRetryBudget (opts: RetryBudgetOptions): RetryBudget {
   const slotMs = opts.windowMs / SLOTS
   const requests = new Array<number>(SLOTS).fill(0)
@@ -47,9 +54,9 @@
       advance(now)
       requests[slot % SLOTS]++
     },
-    trySpend (now, instances) {
+    trySpend (now, instances, share = 1) {
       advance(now)
-      const allowed = SAFETY_SHARE * (opts.ratio * numbers.sum(requests) + opts.slack / Math.max(1, instances))
+      const allowed = share * SAFETY_SHARE * (opts.ratio * numbers.sum(requests) + opts.slack / Math.max(1, instances))
       if (numbers.sum(retries) + 1 > allowed) return false
       retries[slot % SLOTS]++
       return true
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -21,6 +21,8 @@
   helpers: readonly string[] | undefined
   /** When this instance last received a response of it, on the monotonic clock; -Infinity if never. */
   answeredAt: number
+  /** When it last accepted a connection for a probe, on the monotonic clock; -Infinity if never. */
+  acceptedAt: number
   /** Requests in flight of this instance. */
   inFlight: number
   /** Requests in flight of the other entry instances, by their last gossip update. */
@@ -43,8 +45,8 @@
   coldUntil: number
   /** When it was last found or ordered to be in a state that may end in a warm-up, -Infinity if never. */
   suspectedColdAt: number
-  /** Called with the reason when its availability zone is found unreachable. */
-  readonly downListeners: Set<(why: string) => void>
+  /** Called when its availability zone is found unreachable, which is silence, and when a later start of it is announced, which is none. */
+  readonly downListeners: Set<(failure: endpointProbes.ProbeFailure) => void>
 }
 
 /** The endpoints of all services. */
@@ -176,6 +178,7 @@
       dial: async () => await dial(endpoint),
       helpers: undefined,
       answeredAt: -Infinity,
+      acceptedAt: -Infinity,
       inFlight: 0,
       peerInFlight: 0,
       queueDelay: queueDelays.createQueueDelayEstimator(),
@@ -201,7 +204,9 @@
   }
 
   const noteRestart = (endpoint: Endpoint, later: discovery.EndpointRecord): void => {
-    if (endpoint.record.state === 'ready' && later.startedAt > endpoint.record.startedAt) opts.onRestart?.(endpoint)
+    if (later.startedAt <= endpoint.record.startedAt) return
+    for (const listener of [...endpoint.downListeners]) listener({ why: 'a later start of the endpoint was announced', isSilent: false })
+    if (endpoint.record.state === 'ready') opts.onRestart?.(endpoint)
   }
 
   /** Returns whether requests can be sent to an endpoint, directly or through another instance. */
--- a/packages/forwarding/src/endpoints/zoneProber.ts
+++ b/packages/forwarding/src/endpoints/zoneProber.ts
@@ -49,7 +49,7 @@
         isConfirmed = true
         opts.log.event('zoneUnreachable', { zone, endpoints: opts.endpointsIn(zone).length })
         for (const endpoint of opts.endpointsIn(zone)) {
-          for (const listener of [...endpoint.downListeners]) listener(`availability zone "${zone}" is unreachable`)
+          for (const listener of [...endpoint.downListeners]) listener({ why: `availability zone "${zone}" is unreachable`, isSilent: true })
         }
       }
       await timers.setTimeout(PROBE_INTERVAL_MS, undefined, { ref: false })
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -1,11 +1,12 @@
 /** Selects the endpoint of a request from the current state of the endpoint pool. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as admission from '../admission/admission.js'
-import type * as attemptRecorders from '../attempts/attemptRecorder.js'
+import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as chooseEndpoints from './chooseEndpoint.js'
 import type * as clientCalls from '../attempts/clientCall.js'
 import * as coldLimiters from './coldLimiter.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
+import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as numbers from './numbers.js'
 
 /** Maximum number of endpoints that a request is sent to while none of them runs it. */
@@ -29,8 +30,9 @@
 /**
  * Selects among the endpoints that were not tried yet.
  * @param delayLimitMs maximum queue delay, in milliseconds
+ * @param isEligible leaves out further endpoints; none by default
  */
-export function selectEndpoint (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number): Selection {
+export function selectEndpoint (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number, isEligible: (endpoint: endpointPools.Endpoint) => boolean = () => true): Selection {
   const { ctx, route } = call
   const now = ctx.now()
   const service = call.table.services.get(call.service)
@@ -41,7 +43,7 @@
   const isLimited = (item: endpointPools.Endpoint): boolean => maxColdPerSecond < Infinity && endpointPools.mayBeCold(item, service?.coldStartMs ?? 0, now)
   const mayUse = (item: endpointPools.Endpoint): boolean => !isLimited(item) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now)
   const isWorthRetry = (item: endpointPools.Endpoint): boolean => tried.size === 0 || item.failures <= MAX_RETRY_FAILURES
-  const candidates = usable.filter((item, i) => !outliers.has(item.id) && !tried.has(item.id) && isWorthRetry(endpoints[i]) && mayUse(endpoints[i]) && ctx.brittleLimiter.maySend(call.service, item, now))
+  const candidates = usable.filter((item, i) => !outliers.has(item.id) && !tried.has(item.id) && isEligible(endpoints[i]) && isWorthRetry(endpoints[i]) && mayUse(endpoints[i]) && ctx.brittleLimiter.maySend(call.service, item, now))
   const prefix = route.hasPrompt ? toSharedPrefix(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
   const affinity = prefix === undefined ? undefined : contracts.createScorer(prefix)
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs, meanLoad: affinity === undefined ? undefined : toServiceMeanLoad(call, usable, now) }, Math.random())
@@ -53,9 +55,33 @@
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address, isLimited: isLimited(endpoint) }
 }
 
+/** Time since which an endpoint must have answered something to be considered responsive; longer than the interval between events. */
+const RESPONSIVE_MAX_AGE_MS = 400
+
+/**
+ * Selects an endpoint for a request whose endpoint is silent: one that has just sent something, or owes no response and has just
+ * accepted a connection. In a pause of all endpoints there is none, and a prompt would only be processed once more. If only endpoints
+ * without requests come into question, one is probed, so that a later call may return it.
+ */
+export function selectResponsive (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number): SelectedEndpoint | undefined {
+  const since = call.ctx.now() - RESPONSIVE_MAX_AGE_MS
+  const isIdle = (endpoint: endpointPools.Endpoint): boolean => endpoint.inFlight === 0
+  const isResponsive = (endpoint: endpointPools.Endpoint): boolean => endpoint.answeredAt > since || (isIdle(endpoint) && endpoint.acceptedAt > since)
+  const selected = selectEndpoint(call, tried, delayLimitMs, isResponsive)
+  if (selected.kind === 'selected') return selected
+  const idle = selectEndpoint(call, tried, delayLimitMs, isIdle)
+  if (idle.kind === 'selected') void probeIdle(call, idle.endpoint)
+  return undefined
+}
+
+async function probeIdle (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint): Promise<void> {
+  const failure = await endpointProbes.probeEndpoint(endpoint)
+  if (failure === undefined) endpoint.acceptedAt = call.ctx.now()
+  else await attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
+}
+
 /**
- * Records that the request is sent to the selected endpoint. Its `inFlight` is to be decremented, and its run to be ended, when the
- * endpoint is done with it.
+ * Records that the request is sent to the selected endpoint. It is to be released when the endpoint is done with it.
  */
 export function recordSend (call: clientCalls.ClientCall, tried: Set<string>, selected: SelectedEndpoint): attemptRecorders.SentRequest {
   const { endpoint } = selected
@@ -64,7 +90,20 @@
   tried.add(endpoint.id)
   endpoint.inFlight++
   if (selected.isLimited) ctx.coldLimiter.recordSend(endpoint.id, sentAt)
-  return { endpoint, sentAt, run: ctx.quarantine.startRun(call.fingerprint, endpointPools.toIncarnation(endpoint), sentAt) }
+  const run = ctx.quarantine.startRun(call.fingerprint, endpointPools.toIncarnation(endpoint), sentAt)
+  let isReleased = false
+  return {
+    endpoint,
+    sentAt,
+    run,
+    isSilent: false,
+    release () {
+      if (isReleased) return
+      isReleased = true
+      endpoint.inFlight--
+      run.end('abandoned', ctx.now())
+    }
+  }
 }
 
 /**
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -1,56 +1,76 @@
 /**
  * Relays an event stream to the client, and resumes it at another endpoint if it breaks off and the route is resumable. Only complete
  * events are relayed, so that the stream can be resumed after the last one.
+ *
+ * A silent source is not given up: it is resumed elsewhere while it stays open, and whichever endpoint sends the next event first
+ * continues the stream. The other one is aborted then.
  */
 import * as http from 'node:http'
+import * as links from '@kingcupdeck/links'
 import * as abortResponses from './abortResponse.js'
-import * as attempts from '../attempts/attempt.js'
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
+import * as attemptWatchdogs from '../attempts/attemptWatchdog.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as eventBatchers from './eventBatcher.js'
-import * as eventStreams from './eventStream.js'
+import * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryMetrics from '../instance/entryMetrics.js'
+import * as eventBatchers from './eventBatcher.js'
+import type * as eventStreams from './eventStream.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
-
-/** A response whose body was not read yet. */
-export type OpenResponse = Extract<attempts.AttemptResult, { kind: 'response' }>
-
-/** An endpoint that sends a stream. */
-export interface StreamSource { sent: attemptRecorders.SentRequest, response: OpenResponse }
+import type * as openAttempts from '../attempts/openAttempt.js'
+import type * as streamReaders from './streamReader.js'
 
 /** Result of resuming a stream at another endpoint. */
 export type ResumeResult =
-  | { kind: 'stream', source: StreamSource }
+  | { kind: 'stream', source: openAttempts.StreamSource }
   | { kind: 'none', why: string }
 
+/** Options of a resumption. */
+export interface ResumeOptions {
+  /** Last event that the client has, undefined if none. */
+  lastEventId: string | undefined
+  /** Aborts the resumption. */
+  signal: AbortSignal
+  /** Returns whether the present source is open, and only silent. */
+  isSourceOpen: () => boolean
+}
+
 /** Options of {@link relayStream}. */
 export interface RelayOptions {
-  source: StreamSource
-  /** Requests the events after `lastEventId` from another endpoint. */
-  resume: (lastEventId: string | undefined) => Promise<ResumeResult>
+  source: openAttempts.StreamSource
+  /** Requests the rest of the stream from another endpoint. */
+  resume: (opts: ResumeOptions) => Promise<ResumeResult>
 }
 
-/** Result of a relay: completed, broken off, or broken before anything was sent to the client. */
-export interface RelayResult { kind: 'done' | 'broken' | 'unstarted', outcome: string }
+/** Time without an event after which a stream is silent: several times the longest pause of a healthy one, and half of what clients wait before they leave. */
+export const STALL_TIMEOUT_MS = 1000
+/** Maximum time for which a second endpoint may have begun to respond without an event while the first one is connected. */
+export const MAX_OVERLAP_MS = 300
+/** Why a second endpoint is aborted after that time. */
+export const NO_EVENT_WHY = `no event within ${MAX_OVERLAP_MS} ms of the response headers`
 
-/** How the part of a stream from one endpoint ended. */
-type PartEnd = { kind: 'end' } | { kind: 'broken', why: string } | { kind: 'stopped', why: string }
-
-/**
- * A resumable stream without an event for this time is resumed at another endpoint: several times the longest pause of a healthy one,
- * and half of what clients wait before they leave.
- */
-const STALL_TIMEOUT_MS = 1000
+/** Events that a relay waits for. */
+type RelayEvent =
+  | { kind: 'part', source: openAttempts.StreamSource, part: streamReaders.StreamPart }
+  /** The source is silent; repeated while it is. */
+  | { kind: 'silent' }
+  | { kind: 'resumed', resumption: AbortController, result: ResumeResult }
+  /** The client left or the deadline passed. */
+  | { kind: 'stopped' }
 
-/** Passes a stream on to its end. */
-export async function relayStream (call: clientCalls.ClientCall, opts: RelayOptions): Promise<RelayResult> {
+/** Passes a stream on to its end. @returns the outcome for the log */
+export async function relayStream (call: clientCalls.ClientCall, opts: RelayOptions): Promise<string> {
   const { res, route, ctx } = call
-  const isResumable = route.isResumable
+  const mailbox = links.createMailbox<RelayEvent>()
   const first = opts.source.response.res
   let isStarted = false
   let lastId: string | undefined
-  let source = opts.source
-  let resumedAfter: string | undefined
+  let { source } = opts
+  let hasResumed = false
+  /** The resumption in progress. */
+  let resumption: AbortController | undefined
+  /** Why the source broke off, undefined while it is open. */
+  let brokenWhy: string | undefined
+  let lastEventAt = ctx.now()
   let isSilent = false
 
   const start = (): void => {
@@ -71,98 +91,175 @@
   })
 
   const relayEvent = (event: eventStreams.StreamEvent): void => {
-    // Skips events that the client already has, if the endpoint resumes too early.
-    if (resumedAfter !== undefined && event.id !== undefined && !isAfter(event.id, lastId)) return
     if (!isStarted) start()
     if (event.id !== undefined) lastId = event.id
     batcher.push(event.bytes)
   }
 
+  /** Waits for a client that reads slowly. Its endpoint is not silent meanwhile. */
   const drain = async (): Promise<void> => {
+    clearTimeout(silenceTimer)
+    source.reader.pause()
     if (!res.destroyed) await waitForDrain(res, call.aborter.signal)
     needsDrain = false
+    source.reader.resume()
+    silenceTimer = setTimeout(onSilence, STALL_TIMEOUT_MS)
   }
 
-  const relayPart = async (response: OpenResponse): Promise<PartEnd> => {
-    const body = response.res
-    const splitter = eventStreams.createEventSplitter()
-    const onStall = (): void => {
-      isSilent = true
-      ctx.log.event('responseSilent', { request: call.attemptId, endpoint: source.sent.endpoint.id, via: source.sent.via, ms: STALL_TIMEOUT_MS, isOpen: !body.socket.destroyed, lastEventId: lastId })
-      body.destroy(new Error(`no data within ${STALL_TIMEOUT_MS} ms`))
-    }
-    const stallTimer = isResumable ? setTimeout(onStall, STALL_TIMEOUT_MS) : undefined
-    try {
-      for await (const chunk of body) {
-        stallTimer?.refresh()
-        for (const event of splitter.push(chunk as Buffer)) {
-          relayEvent(event)
-          if (needsDrain) await drain()
-        }
-        if (call.aborter.signal.aborted) return { kind: 'stopped', why: String(call.aborter.signal.reason) }
-      }
-    } catch (err) {
-      if (call.aborter.signal.aborted) return { kind: 'stopped', why: String(call.aborter.signal.reason) }
-      return { kind: 'broken', why: err instanceof Error ? err.message : String(err) }
-    } finally {
-      clearTimeout(stallTimer)
-    }
-    if (!attempts.isComplete(response)) return { kind: 'broken', why: 'the connection closed' }
-    if (splitter.pendingBytes() > 0) return { kind: 'broken', why: 'the stream ended with an incomplete event' }
-    return { kind: 'end' }
+  const onSilence = (): void => {
+    mailbox.put({ kind: 'silent' })
+    silenceTimer = setTimeout(onSilence, attemptWatchdogs.RECHECK_MS)
   }
+  let silenceTimer = setTimeout(onSilence, STALL_TIMEOUT_MS)
 
-  const countBroken = (cause: entryMetrics.BrokenCause): void => { ctx.metrics.broken.inc({ route: ctx.metrics.toRouteLabel(route.name), cause }) }
+  /** Records that the source sends events. */
+  const noteProgress = (): void => {
+    if (isSilent) {
+      ctx.log.event('responseContinued', { request: call.attemptId, endpoint: source.sent.endpoint.id, ms: Math.round(ctx.now() - lastEventAt), isResuming: resumption !== undefined })
+      ctx.metrics.silences.inc({ outcome: 'continued' })
+      clearTimeout(silenceTimer)
+      silenceTimer = setTimeout(onSilence, STALL_TIMEOUT_MS)
+    } else silenceTimer.refresh()
+    isSilent = false
+    source.sent.isSilent = false
+    lastEventAt = ctx.now()
+    resumption?.abort('the endpoint sends events again')
+    resumption = undefined
+  }
 
-  /** Ends the accounting of a source that the relay has resumed the stream at. */
-  const endResumed = (): void => {
-    if (source === opts.source) return
-    source.sent.endpoint.inFlight--
-    source.sent.run.end('abandoned', ctx.now())
+  const noteSilence = (): void => {
+    if (isSilent) return
+    isSilent = true
+    source.sent.isSilent = true
+    const { endpoint, via } = source.sent
+    ctx.log.event('responseSilent', { request: call.attemptId, endpoint: endpoint.id, via, ms: Math.round(ctx.now() - lastEventAt), lastEventId: lastId })
+    // Requests that come next must not wait for an endpoint that is lost.
+    void endpointProbes.probeEndpoint(endpoint).then(async failure => {
+      if (failure !== undefined) await attemptRecorders.recordUnreachable(ctx, endpoint, failure)
+    })
   }
 
-  const onAbort = (): void => { source.response.abort() }
-  call.aborter.signal.addEventListener('abort', onAbort)
+  /** Without an id of the last event, the client would get the same events again. */
+  const mayResume = (): boolean => route.isResumable && (lastId !== undefined || !isStarted)
+
+  const startResumption = (): void => {
+    if (resumption !== undefined || !mayResume()) return
+    const started = new AbortController()
+    resumption = started
+    const isSourceOpen = (): boolean => brokenWhy === undefined
+    void opts.resume({ lastEventId: lastId, signal: started.signal, isSourceOpen }).then(result => {
+      if (result.kind === 'stream') discardOnAbort(call, result.source, started.signal)
+      mailbox.put({ kind: 'resumed', resumption: started, result })
+    })
+  }
+
+  const onEndpointDown = (failure: endpointProbes.ProbeFailure): void => {
+    if (!failure.isSilent) mailbox.put({ kind: 'part', source, part: { kind: 'broken', why: failure.why } })
+  }
+
+  const listen = (): void => {
+    const current = source
+    current.sent.endpoint.downListeners.add(onEndpointDown)
+    current.reader.start(part => { mailbox.put({ kind: 'part', source: current, part }) })
+  }
+
+  /** Ends the present source. */
+  const release = (why: string): void => {
+    source.sent.endpoint.downListeners.delete(onEndpointDown)
+    source.reader.abort(why)
+    source.sent.release()
+  }
+
+  /** Continues the stream with another source. */
+  const moveTo = (next: openAttempts.StreamSource): void => {
+    const cause = brokenWhy ?? `silent for ${Math.round(ctx.now() - lastEventAt)} ms`
+    if (brokenWhy === undefined) {
+      attemptRecorders.recordAbandoned(call, source.sent)
+      ctx.metrics.silences.inc({ outcome: 'moved' })
+    }
+    release('another endpoint continues the stream')
+    call.attempts.push({ endpoint: next.sent.endpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${cause}`, ms: 0 })
+    source = next
+    hasResumed = true
+    isSilent = false
+    brokenWhy = undefined
+    lastEventAt = ctx.now()
+    clearTimeout(silenceTimer)
+    silenceTimer = setTimeout(onSilence, STALL_TIMEOUT_MS)
+    listen()
+  }
+
+  const breakOff = (why: string, cause: entryMetrics.BrokenCause): string => {
+    ctx.metrics.broken.inc({ route: ctx.metrics.toRouteLabel(route.name), cause })
+    batcher.flush()
+    abortResponses.abortResponse(res)
+    return why
+  }
+
+  const onStop = (): void => { mailbox.put({ kind: 'stopped' }) }
+  call.aborter.signal.addEventListener('abort', onStop)
+  if (call.aborter.signal.aborted) onStop()
+  listen()
   try {
     while (true) {
-      const end = await relayPart(source.response)
-      batcher.flush()
-      if (end.kind !== 'end') source.response.abort()
-      switch (end.kind) {
-        case 'end':
-          attemptRecorders.recordCompleteResponse(call, source.sent, source.response.res.statusCode ?? 0)
-          if (!isStarted) start()
-          res.end()
-          return { kind: 'done', outcome: resumedAfter === undefined ? '200' : '200 resumed' }
-        case 'stopped':
-          countBroken(end.why === clientCalls.CLIENT_LEFT ? 'client' : 'deadline')
-          abortResponses.abortResponse(res)
-          return { kind: 'broken', outcome: `stopped: ${end.why}` }
-        case 'broken': {
-          await attemptRecorders.recordBrokenResponse(call, source.sent)
-          if (!isStarted && resumedAfter === undefined) return { kind: 'unstarted', outcome: `lost: ${end.why}` }
-          const resumed: ResumeResult = isResumable ? await opts.resume(lastId) : { kind: 'none', why: 'the route is not resumable' }
-          if (resumed.kind === 'none') {
-            countBroken(isSilent ? 'silence' : 'endpoint')
-            abortResponses.abortResponse(res)
-            return { kind: 'broken', outcome: `broken: ${end.why}; ${resumed.why}` }
+      const event = await mailbox.take()
+      switch (event.kind) {
+        case 'silent':
+          if (brokenWhy !== undefined) break
+          noteSilence()
+          startResumption()
+          break
+        case 'stopped': {
+          const why = String(call.aborter.signal.reason)
+          return breakOff(`stopped: ${why}`, why === clientCalls.CLIENT_LEFT ? 'client' : 'deadline')
+        }
+        case 'resumed':
+          if (event.resumption !== resumption) break
+          resumption = undefined
+          if (event.result.kind === 'stream') moveTo(event.result.source)
+          else if (brokenWhy !== undefined) return breakOff(`broken: ${brokenWhy}; ${event.result.why}`, 'endpoint')
+          break
+        case 'part': {
+          const { part } = event
+          if (event.source !== source || brokenWhy !== undefined) break
+          if (part.kind === 'events') {
+            noteProgress()
+            for (const item of part.events) relayEvent(item)
+            if (needsDrain) await drain()
+            break
+          }
+          batcher.flush()
+          if (part.kind === 'end') {
+            attemptRecorders.recordCompleteResponse(call, source.sent, source.response.res.statusCode ?? 0)
+            if (!isStarted) start()
+            res.end()
+            return hasResumed ? '200 resumed' : '200'
           }
-          endResumed()
-          source = resumed.source
-          resumedAfter = lastId ?? ''
-          call.attempts.push({ endpoint: source.sent.endpoint.id, why: 'resume', outcome: `resumed after ${lastId ?? 'nothing'}: ${end.why}`, ms: 0 })
+          brokenWhy = part.why
+          source.reader.abort(part.why)
+          await attemptRecorders.recordLoss(call, source.sent)
+          if (!mayResume()) return breakOff(`broken: ${part.why}; the stream is not resumable`, 'endpoint')
+          startResumption()
         }
       }
     }
   } finally {
-    endResumed()
-    call.aborter.signal.removeEventListener('abort', onAbort)
+    clearTimeout(silenceTimer)
+    call.aborter.signal.removeEventListener('abort', onStop)
+    resumption?.abort('the stream has ended')
+    release('the stream has ended')
   }
 }
 
-/** Event ids are increasing numbers. */
-function isAfter (id: string, last: string | undefined): boolean {
-  return last === undefined || Number(id) > Number(last)
+/** Aborts the stream of a resumption when that is aborted. */
+function discardOnAbort (call: clientCalls.ClientCall, source: openAttempts.StreamSource, signal: AbortSignal): void {
+  const discard = (): void => {
+    source.reader.abort(String(signal.reason))
+    attemptRecorders.recordAbandoned(call, source.sent)
+    source.sent.release()
+  }
+  if (signal.aborted) discard()
+  else signal.addEventListener('abort', discard)
 }
 
 async function waitForDrain (res: http.ServerResponse, signal: AbortSignal): Promise<void> {
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -1,68 +1,102 @@
-/** Resumption of a broken stream at another endpoint. */
-import * as attempts from '../attempts/attempt.js'
-import * as endpointDialers from '../paths/endpointDialer.js'
+/** Resumption of a stream at another endpoint. */
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
 import * as clientResponses from '../attempts/clientResponse.js'
 import * as crashQuarantines from '../quarantine/crashQuarantine.js'
+import * as openAttempts from '../attempts/openAttempt.js'
 import * as outgoingRequests from '../attempts/outgoingRequest.js'
 import * as relayStreams from './relayStream.js'
 import * as requestStates from '../attempts/requestState.js'
+import * as retryBudgets from '../attempts/retryBudget.js'
 import * as selectEndpoints from '../placement/selectEndpoint.js'
 
 /**
- * Requests the rest of a stream from other endpoints. The queue delay is not limited, because the client already has a part of the
- * response.
+ * Requests the rest of a stream from other endpoints, up to its first new event. The queue delay is not limited, because the client
+ * already has a part of the response.
  */
-export async function resumeStream (call: clientCalls.ClientCall, state: requestStates.RequestState, lastEventId: string | undefined): Promise<relayStreams.ResumeResult> {
-  const { ctx, route } = call
+export async function resumeStream (call: clientCalls.ClientCall, state: requestStates.RequestState, opts: relayStreams.ResumeOptions): Promise<relayStreams.ResumeResult> {
   let sends = 0
   while (sends < selectEndpoints.MAX_SENDS) {
-    const remainingMs = call.deadlineAt - ctx.now()
-    if (call.aborter.signal.aborted || remainingMs < clientResponses.MIN_REMAINING_MS) return { kind: 'none', why: 'the deadline has passed' }
-    if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return { kind: 'none', why: crashQuarantines.QUARANTINED_WHY }
-    if (!requestStates.mayRun(route, state.runs)) return { kind: 'none', why: 'no further attempt is allowed' }
-    const selected = selectEndpoints.selectEndpoint(call, state.tried, Infinity)
-    if (selected.kind !== 'selected') {
-      if (await requestStates.awaitVerdicts(call, state)) continue
+    const why = toObstacle(call, state, opts)
+    if (why !== undefined) return { kind: 'none', why }
+    const selected = select(call, state, opts.isSourceOpen())
+    if (selected === undefined) {
+      if (!opts.isSourceOpen() && await requestStates.awaitVerdicts(call, state)) continue
       return { kind: 'none', why: 'no further endpoint is available' }
     }
-    if (!ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'none', why: 'the retry budget is exhausted' }
-    const { endpoint } = selected
-    const sent = selectEndpoints.recordSend(call, state.tried, selected)
+    if (!trySpend(call, opts.isSourceOpen())) return { kind: 'none', why: 'the retry budget is exhausted' }
     sends++
-    const result = await attempts.sendAttempt({
-      endpoint,
-      request: outgoingRequests.toOutgoingRequest(call, selected, remainingMs, lastEventId),
-      names: ctx.names,
-      signal: call.aborter.signal,
-      onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
-      responseTimeoutMs: remainingMs
-    })
-    await attemptRecorders.recordResult(call, state, sent, result)
-    switch (result.kind) {
-      case 'response': {
-        const status = result.res.statusCode ?? 0
-        // The relay decrements inFlight and ends the run when the stream ends.
-        if (outgoingRequests.isEventStream(result.res) && status < 300) return { kind: 'stream', source: { sent, response: result } }
-        attemptRecorders.recordAttempt(call, sent, `no stream ${status}`)
-        attemptRecorders.recordOutcome(call, endpoint, true)
-        result.abort()
-        sent.run.end('inconclusive', ctx.now())
-        break
-      }
-      case 'unreachable':
-        attemptRecorders.recordAttempt(call, sent, `unreachable: ${result.why}`)
-        break
-      case 'notRun':
-        attemptRecorders.recordAttempt(call, sent, `notRun ${result.status}`)
-        break
-      case 'lost':
-        attemptRecorders.recordAttempt(call, sent, `lost: ${result.why}`)
-        endpoint.inFlight--
-        return { kind: 'none', why: result.why }
-    }
-    endpoint.inFlight--
+    const result = await attempt(call, state, selected, opts)
+    if (result !== undefined) return { kind: 'stream', source: result }
   }
   return { kind: 'none', why: 'no endpoint accepted the request' }
 }
+
+/** Returns why the stream must not be resumed now, if so. */
+function toObstacle (call: clientCalls.ClientCall, state: requestStates.RequestState, opts: relayStreams.ResumeOptions): string | undefined {
+  const { ctx, route } = call
+  if (opts.signal.aborted) return String(opts.signal.reason)
+  if (call.aborter.signal.aborted || call.deadlineAt - ctx.now() < clientResponses.MIN_REMAINING_MS) return 'the deadline has passed'
+  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return crashQuarantines.QUARANTINED_WHY
+  // The silent endpoint may have crashed because of the request.
+  if (opts.isSourceOpen() && ctx.quarantine.isSuspected(call.fingerprint)) return 'the request is suspected of crashing endpoints'
+  return requestStates.mayRun(route, state.runs) ? undefined : 'no further attempt is allowed'
+}
+
+/** While the source is only silent, an endpoint is selected only if it is responsive. */
+function select (call: clientCalls.ClientCall, state: requestStates.RequestState, isSourceOpen: boolean): selectEndpoints.SelectedEndpoint | undefined {
+  if (isSourceOpen) return selectEndpoints.selectResponsive(call, state.tried, Infinity)
+  const selected = selectEndpoints.selectEndpoint(call, state.tried, Infinity)
+  return selected.kind === 'selected' ? selected : undefined
+}
+
+function trySpend ({ ctx, service }: clientCalls.ClientCall, isSourceOpen: boolean): boolean {
+  return ctx.retryBudget(service).trySpend(ctx.now(), ctx.gossip.instanceCount(), isSourceOpen ? retryBudgets.HEDGE_SHARE : 1)
+}
+
+/** @returns the stream, which is to be released, or undefined if the endpoint sent none */
+async function attempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint, opts: relayStreams.ResumeOptions): Promise<openAttempts.StreamSource | undefined> {
+  const { ctx } = call
+  const sent = selectEndpoints.recordSend(call, state.tried, selected)
+  const overlap = new AbortController()
+  let timer: NodeJS.Timeout | undefined
+  const result = await openAttempts.openAttempt({
+    call,
+    state,
+    selected,
+    sent,
+    remainingMs: call.deadlineAt - ctx.now(),
+    lastEventId: opts.lastEventId,
+    signal: AbortSignal.any([call.aborter.signal, opts.signal, overlap.signal]),
+    onHeaders (response) {
+      if (!outgoingRequests.isEventStream(response.res)) return
+      timer = setTimeout(() => { if (opts.isSourceOpen()) overlap.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
+    }
+  })
+  clearTimeout(timer)
+  switch (result.kind) {
+    case 'stream':
+      if ((result.source.response.res.statusCode ?? 0) < 300) return result.source
+      result.source.reader.abort('the resumption failed')
+      recordFailed(call, sent, result.source.response.res.statusCode)
+      break
+    case 'complete':
+      recordFailed(call, sent, result.response.res.statusCode)
+      break
+    case 'notRun':
+      attemptRecorders.recordAttempt(call, sent, `notRun ${result.status}`)
+      break
+    case 'unreachable':
+    case 'lost':
+    case 'aborted':
+      attemptRecorders.recordAttempt(call, sent, `${result.kind}: ${result.why}`)
+  }
+  sent.release()
+  return undefined
+}
+
+function recordFailed (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, status: number | undefined): void {
+  attemptRecorders.recordAttempt(call, sent, `no stream ${status}`)
+  attemptRecorders.recordOutcome(call, sent.endpoint, true)
+  sent.run.end('inconclusive', call.ctx.now())
+}
--- a/packages/router/src/attempts.ts
+++ b/packages/router/src/attempts.ts
@@ -56,9 +56,9 @@
 
 /** Creates the attempts of an entry instance. */
 export function createAttempts (opts: AttemptsOptions): Attempts {
-  const mailboxes = new Map<string, Mailbox>()
+  const mailboxes = new Map<string, links.Mailbox<AttemptEvent>>()
 
-  const startLocal = (msg: contracts.Dispatch, mailbox: Mailbox): void => {
+  const startLocal = (msg: contracts.Dispatch, mailbox: links.Mailbox<AttemptEvent>): void => {
     opts.dispatchLocally(msg, {
       send: event => { if (mailboxes.get(msg.attempt) === mailbox) mailbox.put(event) },
       isOpen: () => mailboxes.get(msg.attempt) === mailbox,
@@ -66,7 +66,7 @@
     })
   }
 
-  const startRemote = async (owner: contracts.Instance, msg: contracts.Dispatch, mailbox: Mailbox): Promise<() => void> => {
+  const startRemote = async (owner: contracts.Instance, msg: contracts.Dispatch, mailbox: links.Mailbox<AttemptEvent>): Promise<() => void> => {
     const link = await opts.peers.get(owner.id, owner.peer)
     const release = link.markBusy()
     void link.closed.then(() => { mailbox.put({ t: 'linkLost' }) })
@@ -76,7 +76,7 @@
 
   return {
     async start (owner, msg) {
-      const mailbox = createMailbox()
+      const mailbox = links.createMailbox<AttemptEvent>()
       mailboxes.set(msg.attempt, mailbox)
       let release = (): void => {}
       const close = (): void => {
@@ -113,23 +113,3 @@
     }
   }
 }
-
-interface Mailbox { put (event: AttemptEvent): void, take (): Promise<AttemptEvent> }
-
-function createMailbox (): Mailbox {
-  const queued: AttemptEvent[] = []
-  let waiter: ((event: AttemptEvent) => void) | undefined
-  return {
-    put (event) {
-      const resolve = waiter
-      waiter = undefined
-      if (resolve !== undefined) resolve(event)
-      else queued.push(event)
-    },
-    async take () {
-      const first = queued.shift()
-      if (first !== undefined) return first
-      return await new Promise(resolve => { waiter = resolve })
-    }
-  }
-}
