--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -48,6 +48,13 @@
   onExcess?: (what: string) => void
 }
 
+/** Informational responses before the response to a request; an endpoint that sends more is faulty. */
+const MAX_INFORMATIONAL_RESPONSES = 16
+/** Size of a discarded body up to which its connection is kept. */
+const MAX_DISCARDED_BYTES = 16 * 1024
+/** Time for a discarded body to end. */
+const DISCARD_TIMEOUT_MS = 1000
+
 /** Sends a request to an endpoint. Resolves when the response headers are received or the attempt has failed. */
 export async function sendAttempt (opts: AttemptOptions): Promise<AttemptResult> {
   const { endpoint, request } = opts
@@ -56,6 +63,7 @@
     let isConnected = false
     let isSettled = false
     let isBroken = false
+    let res: http.IncomingMessage | undefined
     const settle = (result: AttemptResult): void => {
       if (isSettled) return
       isSettled = true
@@ -70,6 +78,14 @@
       settle({ kind: 'aborted', isSent: isConnected, why: String(opts.signal.reason) })
       req.destroy()
     }
+    let informational = 0
+    const onInformational = (): void => {
+      informational++
+      if (informational <= MAX_INFORMATIONAL_RESPONSES) return
+      const why = `more than ${MAX_INFORMATIONAL_RESPONSES} informational responses`
+      opts.onExcess?.(why)
+      fail(why)
+    }
 
     const req = http.request({
       host,
@@ -85,11 +101,16 @@
       opts.onConnection?.(socket)
     })
     req.on('error', err => {
+      // Bytes that follow a complete response belong to no request.
+      if (res?.complete === true) return
       isBroken = true
+      if (isSettled) return
       const { why, isSilent } = endpointProbes.toFailure(err)
       fail(why, isSilent)
     })
+    req.on('information', onInformational)
     req.on('response', received => {
+      res = received
       // Without a listener, an error of the response after this point would be uncaught.
       received.on('error', () => {})
       // An instance that is killed closes its tunnels in order, so the end of one proves nothing.
@@ -138,8 +159,7 @@
     return { kind: 'lost', why: echoed === undefined ? 'the response has no attempt id' : 'the response belongs to another request' }
   }
   if (isNotRun) {
-    // The body is short: it is discarded, and the connection is reused.
-    res.resume()
+    discardBody(res, opts)
     return { kind: 'notRun', status, brittleLimit: brittleLimiters.parseBrittleLimit(res.headers[names.brittle]) }
   }
   if (status < 200 || (status < 300 && res.headers[names.seal] === undefined)) {
@@ -153,6 +173,21 @@
   return { kind: 'response', res, abort: () => { req.destroy() }, isBroken }
 }
 
+/** Discards a body so that its connection can be reused, or closes the connection if the body is long or slow. */
+function discardBody (res: http.IncomingMessage, opts: AttemptOptions): void {
+  let bytes = 0
+  const stop = (why: string): void => {
+    opts.onExcess?.(why)
+    res.destroy()
+  }
+  const timer = setTimeout(() => { stop(`the body of a rejection did not end within ${DISCARD_TIMEOUT_MS} ms`) }, DISCARD_TIMEOUT_MS)
+  res.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > MAX_DISCARDED_BYTES && !res.destroyed) stop(`the body of a rejection is larger than ${MAX_DISCARDED_BYTES} bytes`)
+  })
+  res.once('close', () => { clearTimeout(timer) })
+}
+
 /** Result of {@link readBody}. */
 export type BodyResult = { kind: 'complete', body: Buffer } | { kind: 'broken', why: string }
 
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -149,6 +149,17 @@
       timeout: IDLE_TIMEOUT_MS
     })
     return Object.assign(agent, {
+      // An idle connection owes nothing: what arrives on it belongs to no request, and may come without end.
+      keepSocketAlive (socket: net.Socket) {
+        // The result is missing in the types.
+        const isKept = http.Agent.prototype.keepSocketAlive.call(agent, socket) as unknown as boolean
+        if (isKept) socket.on('data', closeOnData)
+        return isKept
+      },
+      reuseSocket (socket: net.Socket, req: http.ClientRequest) {
+        socket.off('data', closeOnData)
+        http.Agent.prototype.reuseSocket.call(agent, socket, req)
+      },
       createConnection (options: unknown, onCreated: (err: Error | null, socket?: net.Socket) => void) {
         dial().then(socket => { onCreated(null, socket) }, onCreated)
       }
@@ -319,6 +330,10 @@
   }
 }
 
+function closeOnData (this: net.Socket): void {
+  this.destroy()
+}
+
 function resetFailures (endpoint: Endpoint): void {
   endpoint.failures = 0
   endpoint.loggedFailures = 0
--- a/packages/forwarding/src/streams/eventStream.ts
+++ b/packages/forwarding/src/streams/eventStream.ts
@@ -14,32 +14,58 @@
 const CR = 13
 const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/
 
+/** Creates a splitter. Its cost is linear in the number of bytes, however many chunks an event has. */
 export function createEventSplitter (): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0)
+  /** Chunks of the incomplete event. */
+  let pending: Buffer[] = []
+  let pendingBytes = 0
+  /** Whether the last line of the incomplete event has ended, and whether a carriage return followed. */
+  let hasLineEnded = false
+  let hasReturn = false
+
+  const take = (last: Buffer): StreamEvent => {
+    const bytes = pending.length === 0 ? last : Buffer.concat([...pending, last])
+    pending = []
+    pendingBytes = 0
+    hasLineEnded = false
+    hasReturn = false
+    return { bytes, id: ID_LINE.exec(bytes.toString('latin1'))?.[1] }
+  }
+
+  /** Returns the index after the blank line that ends the event, or 0 if the event is incomplete. */
+  const findEnd = (chunk: Buffer, from: number): number => {
+    let at = from
+    while (at < chunk.length) {
+      if (hasLineEnded && chunk[at] === LF) return at + 1
+      if (hasLineEnded && !hasReturn && chunk[at] === CR) {
+        hasReturn = true
+        at++
+        continue
+      }
+      hasReturn = false
+      const next = chunk.indexOf(LF, at)
+      hasLineEnded = next >= 0
+      at = next >= 0 ? next + 1 : chunk.length
+    }
+    return 0
+  }
+
   return {
     push (chunk) {
-      const all = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
       const events: StreamEvent[] = []
       let from = 0
-      let end = findEnd(all, from)
+      let end = findEnd(chunk, from)
       while (end > 0) {
-        const bytes = all.subarray(from, end)
-        events.push({ bytes, id: ID_LINE.exec(bytes.toString('latin1'))?.[1] })
+        events.push(take(chunk.subarray(from, end)))
         from = end
-        end = findEnd(all, from)
+        end = findEnd(chunk, from)
+      }
+      if (from < chunk.length) {
+        pending.push(chunk.subarray(from))
+        pendingBytes += chunk.length - from
       }
-      pending = all.subarray(from)
       return events
     },
-    pendingBytes: () => pending.length
-  }
-}
-
-/** Returns the index after the blank line that ends the event, or 0 if the event is incomplete. */
-function findEnd (bytes: Buffer, from: number): number {
-  for (let at = bytes.indexOf(LF, from); at >= 0; at = bytes.indexOf(LF, at + 1)) {
-    if (bytes[at + 1] === LF) return at + 2
-    if (bytes[at + 1] === CR && bytes[at + 2] === LF) return at + 3
+    pendingBytes: () => pendingBytes
   }
-  return 0
 }
