--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -7,6 +7,7 @@
 import * as coldLimiters from '../../src/placement/coldLimiter.js'
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import * as documentWaiters from '../../src/admission/documentWaiters.js'
+import * as endpointDialers from '../../src/paths/endpointDialer.js'
 import * as endpointPools from '../../src/endpoints/endpointPool.js'
 import * as entryContexts from '../../src/instance/entryContext.js'
 import * as entryMetrics from '../../src/instance/entryMetrics.js'
@@ -134,13 +135,13 @@
 /** A response as received by the client. */
 export interface TestResponse { status: number, headers: http.IncomingHttpHeaders, body: string, /** Whether the body is complete. */ isComplete: boolean }
 
-export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccountInput[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, regionByZone?: { [zone: string]: string }, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
+export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccountInput[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, regionByZone?: { [zone: string]: string }, /** Opens connections to endpoints; direct ones by default. */ connect?: endpointDialers.Connect, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
   const lines: TestEntry['lines'] = []
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
   const now = (): number => performance.now()
   const quarantine = crashQuarantines.createCrashQuarantine({ log })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, dial: async endpoint => await endpointDialers.dial(opts.connect ?? endpointDialers.connectDirectly, endpoint.record.address), onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
   const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts?.map(item => routeTables.clientAccount.parse(item)) ?? null, limits })
