--- a/packages/forwarding/__tests__/helpers/pausingEndpoint.ts
+++ b/packages/forwarding/__tests__/helpers/pausingEndpoint.ts
@@ -4,7 +4,7 @@
 import * as timers from 'node:timers/promises'
 import * as helper from './testEntry.js'
 
-/** A run of a request at an endpoint; times by the clock of the test. */
+/** A request at an endpoint; times by the clock of the test. */
 export interface Run {
   endpoint: string
   attempt: string
@@ -12,7 +12,7 @@
   wasSilent: boolean
   /** Whether the endpoint broke it off. */
   wasCut: boolean
-  /** When the response headers were sent, undefined before. */
+  /** When it began to run and the response headers were sent, undefined before. */
   beganAt: number | undefined
   /** When the response ended or the entry closed the connection, undefined before. */
   endedAt: number | undefined
@@ -55,10 +55,10 @@
 
   const serve = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
     const run: Run = { endpoint: id, attempt: req.headers['x-attempt'] as string, wasSilent: resumed !== undefined, wasCut: false, beganAt: undefined, endedAt: undefined }
-    await ready()
-    if (res.destroyed) return
     runs.push(run)
     res.on('close', () => { run.endedAt ??= opts.now() })
+    await ready()
+    if (res.destroyed) return
     helper.beginStream(req, res)
     res.flushHeaders()
     run.beganAt = opts.now()
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -14,7 +14,6 @@
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryMetrics from '../instance/entryMetrics.js'
 import * as eventBatchers from './eventBatcher.js'
-import type * as eventStreams from './eventStream.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
 import type * as openAttempts from '../attempts/openAttempt.js'
 import type * as streamReaders from './streamReader.js'
@@ -90,7 +89,7 @@
     now: ctx.now
   })
 
-  const relayEvent = (event: eventStreams.StreamEvent): void => {
+  const relayEvent = (event: links.StreamEvent): void => {
     if (!isStarted) start()
     if (event.id !== undefined) lastId = event.id
     batcher.push(event.bytes)
--- a/packages/forwarding/src/streams/streamReader.ts
+++ b/packages/forwarding/src/streams/streamReader.ts
@@ -2,12 +2,12 @@
  * Reads the event stream of an endpoint: up to its first new event at once, so that the caller can decide between endpoints, and the
  * rest once it is started.
  */
+import * as links from '@kingcupdeck/links'
 import * as attempts from '../attempts/attempt.js'
-import * as eventStreams from './eventStream.js'
 
 /** A part of a stream. */
 export type StreamPart =
-  | { kind: 'events', events: eventStreams.StreamEvent[] }
+  | { kind: 'events', events: links.StreamEvent[] }
   | { kind: 'end' }
   | { kind: 'broken', why: string }
 
@@ -41,10 +41,10 @@
 export function createStreamReader (opts: StreamReaderOptions): StreamReader {
   const { response, lastEventId } = opts
   const { res } = response
-  const splitter = eventStreams.createEventSplitter()
+  const splitter = links.createEventSplitter()
   const queued: StreamPart[] = []
   /** Events without an id that precede the first new one. */
-  let held: eventStreams.StreamEvent[] = []
+  let held: links.StreamEvent[] = []
   let hasNew = lastEventId === undefined
   let bytesWithoutEvent = 0
   let isEnded = false
@@ -62,7 +62,7 @@
     if (part.kind === 'events') res.pause()
   }
 
-  const putEvents = (events: eventStreams.StreamEvent[]): void => {
+  const putEvents = (events: links.StreamEvent[]): void => {
     if (events.length > 0) put({ kind: 'events', events })
   }
 
@@ -75,7 +75,7 @@
   }
 
   /** Returns the events to pass on now. */
-  const select = (events: eventStreams.StreamEvent[]): eventStreams.StreamEvent[] => {
+  const select = (events: links.StreamEvent[]): links.StreamEvent[] => {
     if (lastEventId === undefined) return events
     const unseen = events.filter(event => event.id === undefined || isAfter(event.id, lastEventId))
     hasNew ||= unseen.some(event => event.id !== undefined)
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -2,6 +2,7 @@
 export * from './connect.js'
 export * from './connectDeadline.js'
 export * from './endpointClient.js'
+export * from './eventStream.js'
 export * from './frames.js'
 export * from './handshake.js'
 export * from './link.js'
--- a/packages/router/src/engineStream.ts
+++ b/packages/router/src/engineStream.ts
@@ -7,6 +7,7 @@
  */
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
+import * as boundedBodies from './boundedBody.js'
 import type * as session from './session.js'
 
 /** Result of an engine's stream. */
@@ -27,6 +28,8 @@
 }
 
 const MAX_ERROR_BYTES = 2048
+/** Size of an incomplete event from which on the stream is broken off. */
+const MAX_EVENT_BYTES = 1024 * 1024
 
 /**
  * Sends the request over a connection and forwards events until the stream ends.
@@ -67,8 +70,7 @@
   const res = await opts.lease.client.request({ path: '/v1/chat/completions', method: 'POST', headers, body: Buffer.from(msg.body), signal: idleTimer.signal })
   idleTimer.reset()
   if (res.statusCode !== 200) {
-    const detail = (await res.body.text()).slice(0, MAX_ERROR_BYTES)
-    return { kind: 'error', status: res.statusCode, detail }
+    return { kind: 'error', status: res.statusCode, detail: await boundedBodies.readBeginning(res.body, MAX_ERROR_BYTES) }
   }
   const echoed = res.headers[contracts.HEADERS.attempt]
   if (echoed !== msg.attempt) return { kind: 'crossed', detail: `response has attempt id ${String(echoed)}, expected ${msg.attempt}` }
@@ -78,17 +80,12 @@
 async function readEvents (opts: StreamOptions, idleTimer: IdleTimer, body: AsyncIterable<Uint8Array>): Promise<StreamEnd> {
   const { session } = opts
   let hasTerminator = false
-  const decoder = new TextDecoder()
-  let text = ''
+  const splitter = links.createEventSplitter()
   let usage: Usage = { promptTokens: 0, cachedTokens: 0, tokens: 0 }
   for await (const bytes of body) {
     idleTimer.reset()
-    text += decoder.decode(bytes, { stream: true })
-    let at = text.indexOf('\n\n')
-    while (at >= 0) {
-      const event = parseEvent(text.slice(0, at))
-      text = text.slice(at + 2)
-      at = text.indexOf('\n\n')
+    for (const { bytes: block } of splitter.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength))) {
+      const event = parseEvent(block.toString())
       if (event === undefined) continue
       if (event.data === '[DONE]') hasTerminator = true
       if (hasTerminator) continue
@@ -100,6 +97,7 @@
       usage = toUsage(event.data) ?? usage
       session.emit({ t: 'chunk', attempt: session.msg.attempt, n: event.n, data: event.data })
     }
+    if (splitter.pendingBytes() > MAX_EVENT_BYTES) return { kind: 'cut', detail: `an event is larger than ${MAX_EVENT_BYTES} bytes` }
     await session.drained()
   }
   // The body is read to its end even after [DONE], so that the connection can be reused.
--- a/packages/router/src/execution.ts
+++ b/packages/router/src/execution.ts
@@ -5,6 +5,7 @@
 import * as membership from '@kingcupdeck/membership'
 import * as routing from '@kingcupdeck/routing'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as boundedBodies from './boundedBody.js'
 import * as engineStream from './engineStream.js'
 import type * as ownedEndpoint from './ownedEndpoint.js'
 import * as plainCall from './plainCall.js'
@@ -35,6 +36,8 @@
 const IMPORT_TIMEOUT_MS = 1500
 const SERVER_ERROR = 500
 const HEALTH_TIMEOUT_MS = 1000
+/** Maximum size of a reply to a health or import call. */
+const MAX_REPLY_BYTES = 64 * 1024
 const DEFAULT_CALL_TIMEOUT_MS = 5000
 
 /** Runs an admitted attempt to its end. */
@@ -190,7 +193,7 @@
 async function callHealth (address: string, boot: number | undefined): Promise<ownedEndpoint.ProbeResult> {
   try {
     const res = await undici.request(`http://${address}/health`, { signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS), reset: true })
-    const body = await res.body.json() as { boot?: number }
+    const body = await boundedBodies.readJson(res.body, MAX_REPLY_BYTES) as { boot?: number }
     return body.boot === undefined || body.boot === boot ? 'alive' : 'died'
   } catch (err) {
     const code = (err as { code?: string }).code
@@ -212,7 +215,7 @@
       body: JSON.stringify({ chat: work.chat, from: source.address }),
       signal: AbortSignal.any([AbortSignal.timeout(IMPORT_TIMEOUT_MS), session.abort.signal])
     })
-    const body = await res.body.json() as { tokens?: number }
+    const body = await boundedBodies.readJson(res.body, MAX_REPLY_BYTES) as { tokens?: number }
     opts.metrics.imports.inc({ outcome: (body.tokens ?? 0) > 0 ? 'imported' : 'nothing' })
   } catch {
     opts.metrics.imports.inc({ outcome: 'failed' })
--- a/packages/router/src/plainCall.ts
+++ b/packages/router/src/plainCall.ts
@@ -1,8 +1,12 @@
 /** Runs one call on an endpoint of a plain service. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
+import * as boundedBodies from './boundedBody.js'
 import type * as session from './session.js'
 
+/** Maximum size of an answer. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
 /** Result of a call. */
 export type CallEnd =
   | { kind: 'answer', status: number, contentType: string, body: Uint8Array }
@@ -35,7 +39,7 @@
       body: msg.body.length > 0 ? Buffer.from(msg.body) : null,
       signal
     })
-    const body = new Uint8Array(await res.body.arrayBuffer())
+    const body = await boundedBodies.readBounded(res.body, MAX_ANSWER_BYTES)
     const echoed = res.headers[contracts.HEADERS.attempt]
     if (echoed !== undefined && echoed !== msg.attempt) {
       lease.destroy()
--- a/packages/trials/src/standIn/engineServer.ts
+++ b/packages/trials/src/standIn/engineServer.ts
@@ -138,6 +138,11 @@
       sendJson(res, 500, { error: { message: 'out of memory' } })
       return
     }
+    if (fault === 'endlessError') {
+      res.writeHead(500, { 'content-type': 'application/json' })
+      void attemptStream.sendEndlessly(res)
+      return
+    }
     startAttempt(attempt, req, body, fault).attach(res, Math.max(0, (body.kingcupdeck_resume?.offset ?? 0) - 1))
   }
 
