--- a/packages/forwarding/__tests__/lostPaths.test.ts
+++ b/packages/forwarding/__tests__/lostPaths.test.ts
@@ -61,6 +61,8 @@
   others?: number
   /** How the other instances connect to the endpoints. */
   connectOthers?: (address: string) => net.Socket
+  /** Grace period of the other instances, in milliseconds. */
+  graceMs?: number
 }
 
 async function startScene (t: ava.ExecutionContext, opts: SceneOptions = {}): Promise<Scene> {
@@ -70,7 +72,7 @@
   const path = cutPaths.createCutPath()
   const events: string[] = []
   const log = telemetry.createLog({ instance: 'cut', json: true, write: line => { events.push(JSON.parse(line).event) } })
-  const others = await Promise.all(Array.from({ length: opts.others ?? 1 }, async (_, i) => await fleets.startInstance(`other-${i}`, [control.inner], { connectEndpoint: opts.connectOthers })))
+  const others = await Promise.all(Array.from({ length: opts.others ?? 1 }, async (_, i) => await fleets.startInstance(`other-${i}`, [control.inner], { connectEndpoint: opts.connectOthers, ...(opts.graceMs === undefined ? {} : { graceMs: opts.graceMs }) })))
   const cut = await fleets.startInstance('cut', [control.inner], { connectEndpoint: path.connect, log })
   for (const endpoint of endpoints) await control.announce(endpoint)
   for (const instance of [cut, ...others]) {
@@ -201,6 +203,25 @@
   t.true(countServed(statuses) >= MIN_SERVED_SHARE * statuses.length, statuses.join())
 })
 
+// Guards against responses that an instance breaks off at its exit, because it helped with them until then.
+test('no response breaks off when an instance that helped stops', async t => {
+  const scene = await startScene(t, { route: { kind: 'stream' }, behave: streaming, others: 2, graceMs: 4000 })
+  const expected = Array.from({ length: EVENTS }, (_, i) => `id: ${i + 1}\ndata: event ${i + 1}\n\n`).join('')
+  scene.path.cut('reset', scene.addresses)
+  await findOut(scene)
+  const stopped = new AbortController()
+  const stopping = scene.others[0].stop().then(() => { stopped.abort() })
+  const send = async (): Promise<void> => {
+    while (!stopped.signal.aborted) {
+      const { status, body } = await scene.cut.send('/a/x').catch(err => ({ status: 0, body: String(err) }))
+      t.is(status, 200, body)
+      t.is(body, expected)
+      await timers.setTimeout(5 * Math.random())
+    }
+  }
+  await Promise.all([stopping, ...Array.from({ length: 6 }, send)])
+})
+
 test('only the endpoints that this instance does not reach are reached through another one', async t => {
   const scene = await startScene(t)
   const [lost, ...rest] = scene.addresses
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -71,14 +71,21 @@
   clearBackoff (endpoint: Endpoint): void
   /** Records a response; ends the backoff period. */
   markReachable (endpoint: Endpoint, now: number): void
+  /** Does not use an endpoint for some time, in milliseconds, unless it responds meanwhile. */
+  hold (endpoint: Endpoint, now: number, ms: number): void
+  /** Records that an endpoint accepts connections again; ends the backoff period. */
+  markAccepting (endpoint: Endpoint, now: number): void
   /** Records that the endpoints of a zone may have become cold, which their announcements will confirm later or not. */
   suspectCold (zone: string, now: number): void
   /** Records that another process answered at the address of the endpoint; it is not used until its next announcement. */
   markMisdirected (endpoint: Endpoint, now: number): void
   /** Removes endpoints that are no longer in the record table and have no requests in flight. */
   prune (): void
-  /** Closes all idle connections to an endpoint, after one of its connections failed. */
-  closeIdleConnections (endpoint: Endpoint): void
+  /**
+   * Closes idle connections to an endpoint, after one of its connections failed.
+   * @param helper closes only those through this entry instance
+   */
+  closeIdleConnections (endpoint: Endpoint, helper?: string): void
 }
 
 /** Options of {@link createEndpointPool}. */
@@ -103,6 +110,8 @@
   log: telemetry.Log
   /** Opens a connection to an endpoint, a direct one by default. @throws DialError when that fails */
   dial?: (endpoint: Endpoint) => Promise<net.Socket>
+  /** Returns whether a connection may be used for a further request; true by default. */
+  mayReuse?: (socket: net.Socket) => boolean
   /** Returns milliseconds on the monotonic clock. */
   now?: () => number
 }
@@ -151,6 +160,7 @@
     return Object.assign(agent, {
       // An idle connection owes nothing: what arrives on it belongs to no request, and may come without end.
       keepSocketAlive (socket: net.Socket) {
+        if (opts.mayReuse?.(socket) === false) return false
         // The result is missing in the types.
         const isKept = http.Agent.prototype.keepSocketAlive.call(agent, socket) as unknown as boolean
         if (isKept) socket.on('data', closeOnData)
@@ -309,6 +319,13 @@
       if (endpoint.failures > 0) endpoint.suspectedColdAt = now
       resetFailures(endpoint)
     },
+    hold (endpoint, now, ms) {
+      if (endpoint.failures > 0) endpoint.backoffUntil = Math.max(endpoint.backoffUntil, now + ms)
+    },
+    markAccepting (endpoint, now) {
+      if (endpoint.failures > 0) endpoint.suspectedColdAt = now
+      resetFailures(endpoint)
+    },
     suspectCold (zone, now) {
       for (const endpoint of endpointById.values()) {
         if (endpoint.record.zone === zone) endpoint.suspectedColdAt = now
@@ -340,9 +357,11 @@
   endpoint.backoffUntil = 0
 }
 
-function closeIdleConnections (endpoint: Endpoint): void {
+function closeIdleConnections (endpoint: Endpoint, helper?: string): void {
   for (const sockets of Object.values(endpoint.agent.freeSockets)) {
-    for (const socket of [...(sockets ?? [])]) socket.destroy()
+    for (const socket of [...(sockets ?? [])]) {
+      if (helper === undefined || endpointDialers.findHelper(socket) === helper) socket.destroy()
+    }
   }
 }
 
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -29,6 +29,7 @@
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
+import * as silenceProbers from '../endpoints/silenceProber.js'
 import * as zoneOutages from '../endpoints/zoneOutage.js'
 import * as zoneProbers from '../endpoints/zoneProber.js'
 
@@ -138,11 +139,17 @@
   const outages = zoneOutages.createZoneOutages(() => new Set(endpoints.all().map(item => item.record.zone)))
   const probeZone = zoneProbers.createZoneProber({ outages, endpointsIn: zone => endpoints.all().filter(item => item.record.zone === zone), log })
 
+  const probeSilent = silenceProbers.createSilenceProber({
+    pool: { get: id => endpoints.get(id), hold: (...args) => { endpoints.hold(...args) }, markAccepting: (...args) => { endpoints.markAccepting(...args) } },
+    now
+  })
+
   const endpoints = endpointPools.createEndpointPool({
     table,
     lastQuorumAt: () => subscriber.lastQuorumAt(),
     quorumSince: () => subscriber.quorumSince(),
     onSilence (endpoint, at) {
+      probeSilent(endpoint)
       if (outages.recordSilence(endpoint.record.zone, endpoint.id, at)) void probeZone(endpoint.record.zone)
     },
     onRestart (endpoint) { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') },
@@ -150,6 +157,7 @@
     isZoneAvoided: outages.isAvoided,
     evacuatedZones: () => evacuations.zones,
     dial: async endpoint => await paths.dial(endpoint),
+    mayReuse: socket => paths.mayReuse(socket),
     unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
     log
   })
@@ -172,7 +180,8 @@
   const tunnels = tunnelServers.createTunnelServer({
     pool: endpoints,
     dialDirectly: async address => await endpointDialers.dial(connectDirectly, address),
-    isAccepting: () => ctx.isAccepted(0),
+    // How long a tunnel is needed is not known.
+    isAccepting: () => ctx.isAccepted(Infinity),
     isDraining: () => drainStartedAt !== undefined,
     openRequests: () => server.openRequests(),
     log,
@@ -243,6 +252,7 @@
     onEvacuations: applyEvacuations,
     onRecords (list) {
       endpoints.update(list)
+      paths.update(list)
       quarantineRecords.applyRecords(list, quarantine, now())
     },
     peerAddresses: () => discovery.toShuffled(otherEntries().map(item => item.inner)),
--- a/packages/forwarding/src/paths/lostPaths.ts
+++ b/packages/forwarding/src/paths/lostPaths.ts
@@ -25,6 +25,10 @@
   check (endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): Promise<PathVerdict>
   /** Opens a connection to an endpoint. @throws endpointDialers.DialError */
   dial (endpoint: endpointPools.Endpoint): Promise<net.Socket>
+  /** Applies changed records: connections through an instance that is leaving are not used for further requests. */
+  update (list: readonly discovery.Record[]): void
+  /** Returns whether a connection may be used for a further request. */
+  mayReuse (socket: net.Socket): boolean
   /** Number of endpoints that are reached through other instances only. */
   count (): number
   /** Returns whether this instance has lost its paths to most endpoints of a service. */
@@ -72,6 +76,8 @@
   const groups = new Map<string, number>()
   const checks = new Map<endpointPools.Endpoint, Promise<PathVerdict>>()
   const loads = new Map<string, number>()
+  /** Inner addresses of the instances that are leaving. */
+  const leaving = new Set<string>()
   const siblingsAt = new Map<string, number>()
   let timer: NodeJS.Timeout | undefined
   let isStopped = false
@@ -211,6 +217,21 @@
       if (endpoint.helpers !== undefined) return await dialThrough(endpoint)
       return await endpointDialers.dial(opts.connectDirectly, endpoint.record.address)
     },
+    update (list) {
+      for (const record of list) {
+        if (record.kind !== 'entry') continue
+        if (record.state !== 'leaving') {
+          leaving.delete(record.inner)
+          continue
+        }
+        leaving.add(record.inner)
+        for (const endpoint of pool.all()) pool.closeIdleConnections(endpoint, record.inner)
+      }
+    },
+    mayReuse (socket) {
+      const helper = endpointDialers.findHelper(socket)
+      return helper === undefined || !leaving.has(helper)
+    },
     count: () => lost.size,
     isImpaired () {
       const known = new Map<string, { all: number, lost: number }>()
--- a/packages/forwarding/src/paths/tunnelServer.ts
+++ b/packages/forwarding/src/paths/tunnelServer.ts
@@ -15,7 +15,7 @@
   pool: Pick<endpointPools.EndpointPool, 'get'>
   /** Opens a direct connection. @throws DialError */
   dialDirectly: (address: string) => Promise<net.Socket>
-  /** Returns whether this instance still accepts requests of its own clients. */
+  /** Returns whether this instance still accepts requests of its own clients, however long they last. */
   isAccepting: () => boolean
   /** Returns whether other instances should be preferred, because this one is about to stop. */
   isDraining: () => boolean
