--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -71,10 +71,6 @@
   clearBackoff (endpoint: Endpoint): void
   /** Records a response; ends the backoff period. */
   markReachable (endpoint: Endpoint, now: number): void
-  /** Does not use an endpoint for some time, in milliseconds, unless it responds meanwhile. */
-  hold (endpoint: Endpoint, now: number, ms: number): void
-  /** Records that an endpoint accepts connections again; ends the backoff period. */
-  markAccepting (endpoint: Endpoint, now: number): void
   /** Records that the endpoints of a zone may have become cold, which their announcements will confirm later or not. */
   suspectCold (zone: string, now: number): void
   /** Records that another process answered at the address of the endpoint; it is not used until its next announcement. */
@@ -319,13 +315,6 @@
       if (endpoint.failures > 0) endpoint.suspectedColdAt = now
       resetFailures(endpoint)
     },
-    hold (endpoint, now, ms) {
-      if (endpoint.failures > 0) endpoint.backoffUntil = Math.max(endpoint.backoffUntil, now + ms)
-    },
-    markAccepting (endpoint, now) {
-      if (endpoint.failures > 0) endpoint.suspectedColdAt = now
-      resetFailures(endpoint)
-    },
     suspectCold (zone, now) {
       for (const endpoint of endpointById.values()) {
         if (endpoint.record.zone === zone) endpoint.suspectedColdAt = now
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -29,7 +29,6 @@
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
-import * as silenceProbers from '../endpoints/silenceProber.js'
 import * as zoneOutages from '../endpoints/zoneOutage.js'
 import * as zoneProbers from '../endpoints/zoneProber.js'
 
@@ -139,17 +138,11 @@
   const outages = zoneOutages.createZoneOutages(() => new Set(endpoints.all().map(item => item.record.zone)))
   const probeZone = zoneProbers.createZoneProber({ outages, endpointsIn: zone => endpoints.all().filter(item => item.record.zone === zone), log })
 
-  const probeSilent = silenceProbers.createSilenceProber({
-    pool: { get: id => endpoints.get(id), hold: (...args) => { endpoints.hold(...args) }, markAccepting: (...args) => { endpoints.markAccepting(...args) } },
-    now
-  })
-
   const endpoints = endpointPools.createEndpointPool({
     table,
     lastQuorumAt: () => subscriber.lastQuorumAt(),
     quorumSince: () => subscriber.quorumSince(),
     onSilence (endpoint, at) {
-      probeSilent(endpoint)
       if (outages.recordSilence(endpoint.record.zone, endpoint.id, at)) void probeZone(endpoint.record.zone)
     },
     onRestart (endpoint) { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') },
