--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -26,7 +26,6 @@
 
 function restoreLoaded (core: replicaCore.Core, meta: entries.Meta, snapshot: entries.Snapshot | undefined, list: entries.Entry[], commitIndex: number): void {
   core.meta = { ...meta, founding: meta.founding ?? findFounding(list) }
-  core.syncedMeta = meta
   if (snapshot !== undefined) {
     core.log.reset(snapshot.lastIndex, snapshot.lastTerm)
     replication.restoreSnapshot(core, snapshot)
@@ -37,9 +36,6 @@
   // Committed entries stay committed, so they are applied before a leader is elected.
   core.advanceCommit(commitIndex)
   if (core.meta.founding !== null) core.role = { kind: 'follower' }
-  // The process may have ended before this state was durable, so it is written again before anything is acknowledged. A failure
-  // ends the replica.
-  core.saveMeta().catch(() => {})
 }
 
 /** Returns the founding voters if the process ended after it had stored the founding entry, but not yet the metadata. */
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -15,7 +15,10 @@
  * @param folder data folder; created if missing
  */
 export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
-  await createFolder(folder, fs)
+  const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
+  const folderDurable = syncNames(folder, firstCreated, fs)
+  // A failure is reported where it is waited for.
+  folderDurable.catch(() => {})
   const toPath = (name: string) => path.join(folder, name)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
@@ -52,8 +55,10 @@
   const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
     const commitRecord = records.encodeRecord(commitIndex)
     const encoded = kept.map(records.encodeRecord)
-    await clearSyncedMark()
-    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs)
+    const cleared = clearSyncedMark()
+    // A failure is reported where it is waited for.
+    cleared.catch(() => {})
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs, cleared)
     await log.close()
     log = await fs.open(toPath('log'), 'a+')
     size = commitRecord.length
@@ -96,7 +101,11 @@
   }
 
   return {
-    load: async () => await enqueue(load),
+    load: async () => {
+      // Nothing is stored, or acknowledged, before the folder is durable.
+      const [loaded] = await Promise.all([enqueue(load), folderDurable])
+      return loaded
+    },
     wipe: async () => {
       await enqueue(async () => {
         await log.close()
@@ -166,9 +175,11 @@
   }
 }
 
-/** Creates a folder that survives a power loss. An earlier process may have ended before it synced the name of the folder. */
-async function createFolder (folder: string, fs: fileSystems.FileSystem): Promise<void> {
-  const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
+/**
+ * Syncs the names of a folder and of its ancestors that were created with it. An earlier process may have ended before it did so.
+ * @param firstCreated the outermost folder that was created
+ */
+async function syncNames (folder: string, firstCreated: string, fs: fileSystems.FileSystem): Promise<void> {
   for (let created = path.resolve(folder); ; created = path.dirname(created)) {
     await replaceFiles.syncFolder(path.dirname(created), fs)
     if (created.length <= path.resolve(firstCreated).length) return
--- a/packages/state/src/replaceFile.ts
+++ b/packages/state/src/replaceFile.ts
@@ -5,9 +5,10 @@
 /**
  * Replaces a file atomically: writes a temporary file, syncs it, renames it and syncs the folder. After a power loss either
  * the old or the new content is found.
+ * @param before what must be durable before the new content is found
  * @throws Error when the disk is full or fails
  */
-export async function replaceFile (folder: string, name: string, content: string | Buffer, fs = fileSystems.nodeFileSystem): Promise<void> {
+export async function replaceFile (folder: string, name: string, content: string | Buffer, fs = fileSystems.nodeFileSystem, before: Promise<void> = Promise.resolve()): Promise<void> {
   const tempFile = path.join(folder, `${name}.new`)
   // What an earlier attempt left is removed, not overwritten: a file whose sync has failed once is not relied on.
   await fs.rm(tempFile, { force: true })
@@ -18,6 +19,7 @@
   } finally {
     await handle.close()
   }
+  await before
   await fs.rename(tempFile, path.join(folder, name))
   await syncFolder(folder, fs)
 }
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -27,6 +27,8 @@
     log,
     meta: { incarnation: '', term: 0, votedFor: null, founding: null } as entries.Meta,
     syncedMeta: undefined as entries.Meta | undefined,
+    /** Whether the metadata was passed to the storage since the start. */
+    hasQueuedMeta: false,
     role: { kind: 'outside' } as roles.Role,
     leader: null as string | null,
     /** Last contact from a leader, or the start of the replica; votes are rejected for a while afterwards. */
@@ -70,6 +72,7 @@
 
     /** Persists the current metadata. */
     async saveMeta (): Promise<void> {
+      core.hasQueuedMeta = true
       const copy = { ...core.meta }
       core.lastWrite = write(async () => {
         await storage.saveMeta(copy)
@@ -105,8 +108,18 @@
       if (previous.leadership.isAnnounced) opts.onLeadershipChange?.(false)
     },
 
+    /**
+     * Writes the metadata that was loaded again, before anything is acknowledged: the previous process may have ended before it was
+     * durable. A vote writes it anyway.
+     */
+    rewriteLoadedMeta (): void {
+      // A failure ends the replica.
+      if (!core.hasQueuedMeta) core.saveMeta().catch(() => {})
+    },
+
     /** Writes all entries that were not yet passed to the storage, and waits until everything to be acknowledged is synced. */
     async persist (): Promise<void> {
+      core.rewriteLoadedMeta()
       const list = log.from(core.queuedIndex + 1, Infinity)
       const last = list.at(-1)
       if (last !== undefined) {
@@ -134,6 +147,7 @@
 
     /** Stores a snapshot received from the leader, in place of the entries that it covers. */
     async saveInstalledSnapshot (snapshot: entries.Snapshot, keepFrom: number): Promise<void> {
+      core.rewriteLoadedMeta()
       core.lastWrite = write(async () => {
         await storage.saveSnapshot(snapshot, keepFrom)
         core.syncedIndex = Math.max(core.syncedIndex, snapshot.lastIndex)
