--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -177,9 +177,14 @@
     return reject()
   }
   core.electionTimerStartedAt = core.opts.clock.now()
-  core.votedAt = core.opts.clock.now()
   // A repeated request is answered without another write.
-  if (!isVoteSynced(core, msg.term, candidate)) await core.saveVote(msg.term, candidate)
+  if (!isVoteSynced(core, msg.term, candidate)) {
+    // The candidate may win only once this vote is written, which takes long on a slow disk.
+    core.votedAt = Infinity
+    await core.saveVote(msg.term, candidate)
+    core.electionTimerStartedAt = core.opts.clock.now()
+  }
+  core.votedAt = core.opts.clock.now()
   checkVoteSynced(core, msg.term, candidate)
   return { t: 'ballot', from: core.self(), term: msg.term, isGranted: true }
 }
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -37,7 +37,7 @@
     currentAsFollowerAt: -Infinity,
     /** Last reset of the election timer for reasons other than contact from a leader. */
     electionTimerStartedAt: clock.now(),
-    /** When this replica last voted, also for itself. */
+    /** When this replica last voted, also for itself; Infinity while its vote for another one is written. */
     votedAt: -Infinity,
     /** Votes of the latest lost election that was logged. */
     lastLostVotes: '',
