--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -25,6 +25,9 @@
   via?: string
   /** Whether the endpoint was found silent while a response was due. */
   isSilent: boolean
+  /** Aborted with the request, or by {@link SentRequest.abort}. */
+  signal: AbortSignal
+  abort: (why: string) => void
   /** Ends the accounting when the endpoint is done with the request or was aborted; only the first call counts. */
   release: () => void
 }
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -45,7 +45,6 @@
   selected: selectEndpoints.SelectedEndpoint
   sent: attemptRecorders.SentRequest
   remainingMs: number
-  aborter: AbortController
 }
 
 /** Events of the open attempts of a request. */
@@ -110,8 +109,7 @@
     state,
     selected,
     sent: selectEndpoints.recordSend(call, state.tried, selected),
-    remainingMs: call.deadlineAt - call.ctx.now(),
-    aborter: new AbortController()
+    remainingMs: call.deadlineAt - call.ctx.now()
   }
 }
 
@@ -150,7 +148,7 @@
     logHedge(silent, hedge)
     start(hedge, response => {
       if (!outgoingRequests.isEventStream(response.res)) return
-      const timer = setTimeout(() => { if (open.size > 1) hedge.aborter.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
+      const timer = setTimeout(() => { if (open.size > 1) hedge.sent.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
       response.res.once('close', () => { clearTimeout(timer) })
     })
   }
@@ -193,7 +191,7 @@
 /** Aborts an attempt that is not needed any more. */
 function abandon (attempt: Attempt): void {
   record(attempt, 'abandoned')
-  attempt.aborter.abort('another endpoint responded first')
+  attempt.sent.abort('another endpoint responded first')
   attempt.sent.release()
 }
 
@@ -204,7 +202,7 @@
 
 /** Makes an attempt, and reports while its endpoint is silent. */
 async function send (attempt: Attempt, onSilent: () => void, onHeaders: (response: attempts.OpenResponse) => void): Promise<openAttempts.OpenResult> {
-  const { call, state, selected, sent, remainingMs, aborter } = attempt
+  const { call, state, selected, sent, remainingMs } = attempt
   const { endpoint, sentAt } = sent
   const { ctx, route } = call
   const pending = endpoint.queueDelay.onSent(sentAt)
@@ -214,14 +212,13 @@
     if (headersAt !== undefined) return ctx.now() - headersAt >= silenceTimers.STALL_TIMEOUT_MS
     return ctx.now() - sentAt >= timeoutMs && !isQueued(call, endpoint, pending)
   }
-  const ended = new AbortController()
   const stopWatchdog = attemptWatchdogs.startWatchdog({
     sent,
     probeDelayMs: attemptWatchdogs.toProbeDelayMs(route.targetMs),
     isOverdue,
     onUnreachable (failure) { void attemptRecorders.recordUnreachable(ctx, endpoint, failure) },
     onSilent,
-    onEnded (why) { ended.abort(why) },
+    onEnded: sent.abort,
     now: ctx.now
   })
   const result = await openAttempts.openAttempt({
@@ -230,7 +227,6 @@
     selected,
     sent,
     remainingMs,
-    signal: AbortSignal.any([call.aborter.signal, aborter.signal, ended.signal]),
     onHeaders (response) {
       headersAt = ctx.now()
       endpoint.queueDelay.onResponse(pending, headersAt)
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -34,22 +34,20 @@
   remainingMs: number
   /** Last event that the client has, if a stream is resumed. */
   lastEventId?: string
-  /** Aborts the attempt and its response. */
-  signal: AbortSignal
   /** Called when the response headers were received. */
   onHeaders?: (response: attempts.OpenResponse) => void
 }
 
 /** Makes an attempt and records its result. */
 export async function openAttempt (opts: OpenAttemptOptions): Promise<OpenResult> {
-  const { call, state, selected, sent, lastEventId, signal } = opts
+  const { call, state, selected, sent, lastEventId } = opts
   const { endpoint } = selected
   const onExcess = (what: string): void => { call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what }) }
   const result = await attempts.sendAttempt({
     endpoint,
     request: outgoingRequests.toOutgoingRequest(call, selected, opts.remainingMs, lastEventId),
     names: call.ctx.names,
-    signal,
+    signal: sent.signal,
     onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
     onExcess
   })
@@ -60,8 +58,8 @@
 }
 
 /** Waits for the first event of a stream. */
-async function openStream ({ call, sent, lastEventId, signal }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
-  const { endpoint } = sent
+async function openStream ({ call, sent, lastEventId }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
+  const { endpoint, signal } = sent
   const reader = streamReaders.createStreamReader({
     response,
     lastEventId,
@@ -73,17 +71,17 @@
   if (signal.aborted) onAbort()
   const first = await reader.first
   if (first.kind !== 'broken') return { kind: 'stream', source: { sent, response, reader } }
-  return await recordBroken(call, sent, signal, first.why)
+  return await recordBroken(call, sent, first.why)
 }
 
-async function readComplete ({ call, sent, signal }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
-  const buffered = await attempts.readBody(response, signal, MAX_BUFFERED_BYTES)
-  if (buffered.kind === 'broken') return await recordBroken(call, sent, signal, buffered.why)
+async function readComplete ({ call, sent }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
+  const buffered = await attempts.readBody(response, sent.signal, MAX_BUFFERED_BYTES)
+  if (buffered.kind === 'broken') return await recordBroken(call, sent, buffered.why)
   return { kind: 'complete', response: { res: response.res, body: buffered.body } }
 }
 
-async function recordBroken (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, signal: AbortSignal, why: string): Promise<OpenResult> {
-  if (signal.aborted) {
+async function recordBroken (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, why: string): Promise<OpenResult> {
+  if (sent.signal.aborted) {
     attemptRecorders.recordAbandoned(call, sent)
     return { kind: 'aborted', isSent: true, why }
   }
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -91,15 +91,23 @@
   endpoint.inFlight++
   if (selected.isLimited) ctx.coldLimiter.recordSend(endpoint.id, sentAt)
   const run = ctx.quarantine.startRun(call.fingerprint, endpointPools.toIncarnation(endpoint), sentAt)
+  const aborter = new AbortController()
+  // Not AbortSignal.any: a combined signal with a listener is never collected.
+  const onAbort = (): void => { aborter.abort(call.aborter.signal.reason) }
+  call.aborter.signal.addEventListener('abort', onAbort)
+  if (call.aborter.signal.aborted) onAbort()
   let isReleased = false
   return {
     endpoint,
     sentAt,
     run,
     isSilent: false,
+    signal: aborter.signal,
+    abort (why) { aborter.abort(why) },
     release () {
       if (isReleased) return
       isReleased = true
+      call.aborter.signal.removeEventListener('abort', onAbort)
       endpoint.inFlight--
       run.end('abandoned', ctx.now())
     }
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -58,7 +58,8 @@
 async function attempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint, opts: relayStreams.ResumeOptions): Promise<openAttempts.StreamSource | undefined> {
   const { ctx } = call
   const sent = selectEndpoints.recordSend(call, state.tried, selected)
-  const overlap = new AbortController()
+  const onAbort = (): void => { sent.abort(String(opts.signal.reason)) }
+  opts.signal.addEventListener('abort', onAbort)
   let timer: NodeJS.Timeout | undefined
   const result = await openAttempts.openAttempt({
     call,
@@ -67,13 +68,13 @@
     sent,
     remainingMs: call.deadlineAt - ctx.now(),
     lastEventId: opts.lastEventId,
-    signal: AbortSignal.any([call.aborter.signal, opts.signal, overlap.signal]),
     onHeaders (response) {
       if (!outgoingRequests.isEventStream(response.res)) return
-      timer = setTimeout(() => { if (opts.isSourceOpen()) overlap.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
+      timer = setTimeout(() => { if (opts.isSourceOpen()) sent.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
     }
   })
   clearTimeout(timer)
+  opts.signal.removeEventListener('abort', onAbort)
   switch (result.kind) {
     case 'stream':
       if ((result.source.response.res.statusCode ?? 0) < 300) return result.source
