--- a/packages/forwarding/__tests__/endlessBytes.test.ts
+++ b/packages/forwarding/__tests__/endlessBytes.test.ts
@@ -105,16 +105,22 @@
   t.is(endpoints[0].connections(), 0, 'its connections are closed')
 })
 
-// Guards against a stream that is kept until the deadline while its endpoint sends an event without end.
-test('a stream with an event without end is resumed at another endpoint', async t => {
-  const sent: Sent[] = []
-  const behave = endless(req => toHead(req, '200 OK', STREAM) + toChunk('id: 1\ndata: a\n\n'), toChunk('data: ' + 'x'.repeat(4096)), sent, { isEvery: false })
+/** Starts an entry with two endpoints and a resumable route. */
+async function startResumable (t: ava.ExecutionContext, behave: helper.Behaviour): Promise<helper.TestEntry> {
   const endpoints = [await helper.startEndpoint('e1', behave), await helper.startEndpoint('e2', behave)]
   const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, ...LONG })], endpoints)
   t.teardown(() => {
     entry.close()
     endpoints.forEach(item => { item.close() })
   })
+  return entry
+}
+
+// Guards against a stream that is kept until the deadline while its endpoint sends an event without end.
+test('a stream with an event without end is resumed at another endpoint', async t => {
+  const sent: Sent[] = []
+  const behave = endless(req => toHead(req, '200 OK', STREAM) + toChunk('id: 1\ndata: a\n\n'), toChunk('data: ' + 'x'.repeat(4096)), sent, { isEvery: false })
+  const entry = await startResumable(t, behave)
   const response = await entry.send({ method: 'POST', body: 'q', headers: DEADLINE })
   t.true(response.isComplete)
   t.is(response.body, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
@@ -132,12 +138,7 @@
   }
   const repeating = endless(req => toHead(req, '200 OK', STREAM), toChunk('id: 1\ndata: a\n\n'), sent)
   const behave: helper.Behaviour = (req, res, count) => { (++calls === 1 ? first : repeating)(req, res, count) }
-  const endpoints = [await helper.startEndpoint('e1', behave), await helper.startEndpoint('e2', behave)]
-  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', isResumable: true, ...LONG })], endpoints)
-  t.teardown(() => {
-    entry.close()
-    endpoints.forEach(item => { item.close() })
-  })
+  const entry = await startResumable(t, behave)
   const response = await entry.send({ method: 'POST', body: 'q', headers: DEADLINE })
   t.false(response.isComplete)
   t.is(response.body, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
--- a/packages/forwarding/src/attempts/attemptWatchdog.ts
+++ b/packages/forwarding/src/attempts/attemptWatchdog.ts
@@ -1,6 +1,6 @@
 /**
  * Watchdog for attempts without a response. It detects endpoints that are silent, so that the request can be sent to another one
- * before it times out. Silence proves no loss: the attempt continues. A later start of the endpoint does.
+ * before it times out. Silence is no proof of a loss, so the attempt continues; a later start of the endpoint is one.
  */
 import type * as attemptRecorders from './attemptRecorder.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
@@ -10,7 +10,7 @@
   sent: attemptRecorders.SentRequest
   /** Time without a response after which the endpoint is probed, in milliseconds. */
   probeDelayMs: number
-  /** Returns whether the response is overdue, however the endpoint answers others. */
+  /** Returns whether the response is overdue, although the endpoint may accept connections. */
   isOverdue: () => boolean
   /** Called when a probe failed. */
   onUnreachable: (failure: endpointProbes.ProbeFailure) => void
@@ -18,6 +18,7 @@
   onSilent: () => void
   /** Called when the process that received the request has ended. */
   onEnded: (why: string) => void
+  /** Returns milliseconds on the monotonic clock. */
   now: () => number
 }
 
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -55,13 +55,13 @@
   return { kind: 'selected', endpoint, why, fetchFrom: source?.record.address, isLimited: isLimited(endpoint) }
 }
 
-/** Time since which an endpoint must have answered something to be considered responsive; longer than the interval between events. */
+/** Age of the latest data of a responsive endpoint, in milliseconds; longer than the interval between events. */
 const RESPONSIVE_MAX_AGE_MS = 400
 
 /**
- * Selects an endpoint for a request whose endpoint is silent: one that has just sent something, or owes no response and has just
- * accepted a connection. In a pause of all endpoints there is none, and a prompt would only be processed once more. If only endpoints
- * without requests come into question, one is probed, so that a later call may return it.
+ * Selects an endpoint for a request whose endpoint is silent: one that has just sent something, or one without requests that has just
+ * accepted a connection. If all endpoints pause there is none, and the prompt is not processed once more for nothing.
+ * @returns undefined if there is none now; an endpoint without requests is then probed, so that a later call may return it
  */
 export function selectResponsive (call: clientCalls.ClientCall, tried: ReadonlySet<string>, delayLimitMs: number): SelectedEndpoint | undefined {
   const since = call.ctx.now() - RESPONSIVE_MAX_AGE_MS
@@ -80,9 +80,7 @@
   else await attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
 }
 
-/**
- * Records that the request is sent to the selected endpoint. It is to be released when the endpoint is done with it.
- */
+/** Records that the request is sent to the selected endpoint. What is returned is to be released when the endpoint is done with it. */
 export function recordSend (call: clientCalls.ClientCall, tried: Set<string>, selected: SelectedEndpoint): attemptRecorders.SentRequest {
   const { endpoint } = selected
   const { ctx } = call
