--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -68,6 +68,11 @@
     let body = ''
     req.on('data', chunk => { body += String(chunk) })
     req.on('end', () => {
+      // A request of another test, to an endpoint that had this port before.
+      if (req.headers['x-attempt'] === undefined) {
+        res.writeHead(421).end()
+        return
+      }
       let isClosed = false
       res.on('close', () => { isClosed = !res.writableFinished })
       requests.push({ method: req.method ?? '', url: req.url ?? '', headers: req.headers, body, isClosed: () => isClosed })
