--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -115,13 +115,17 @@
   return verdict
 }
 
-/** Probes an endpoint, and records a failure. */
+/** Probes an endpoint, and records a failure. @returns why it is considered down, or undefined if it accepts connections */
+export async function probeAndRecord (ctx: entryContexts.EntryContext, endpoint: endpointPools.Endpoint): Promise<endpointProbes.ProbeFailure | undefined> {
+  const failure = await endpointProbes.probeEndpoint(endpoint)
+  if (failure !== undefined) void recordUnreachable(ctx, endpoint, failure)
+  return failure
+}
+
+/** Probes the endpoint with an incarnation, if it is known. */
 export function checkEndpoint (ctx: entryContexts.EntryContext, incarnation: string): void {
   const endpoint = ctx.pool.all().find(item => endpointPools.toIncarnation(item) === incarnation)
-  if (endpoint === undefined) return
-  void endpointProbes.probeEndpoint(endpoint).then(async failure => {
-    if (failure !== undefined) await recordUnreachable(ctx, endpoint, failure)
-  })
+  if (endpoint !== undefined) void probeAndRecord(ctx, endpoint)
 }
 
 /** Records a complete response. */
--- a/packages/forwarding/src/attempts/attemptWatchdog.ts
+++ b/packages/forwarding/src/attempts/attemptWatchdog.ts
@@ -3,7 +3,7 @@
  * before it times out. Silence is no proof of a loss, so the attempt continues; a later start of the endpoint is one.
  */
 import type * as attemptRecorders from './attemptRecorder.js'
-import * as endpointProbes from '../endpoints/endpointProbe.js'
+import type * as endpointProbes from '../endpoints/endpointProbe.js'
 
 /** Options of {@link startWatchdog}. */
 export interface WatchdogOptions {
@@ -12,8 +12,8 @@
   probeDelayMs: number
   /** Returns whether the response is overdue, although the endpoint may accept connections. */
   isOverdue: () => boolean
-  /** Called when a probe failed. */
-  onUnreachable: (failure: endpointProbes.ProbeFailure) => void
+  /** Probes the endpoint, and records a failure. */
+  probe: () => Promise<endpointProbes.ProbeFailure | undefined>
   /** Called repeatedly while the endpoint is silent. */
   onSilent: () => void
   /** Called when the process that received the request has ended. */
@@ -51,19 +51,12 @@
     opts.onSilent()
   }
 
-  const onFailure = (failure: endpointProbes.ProbeFailure): void => {
+  const noteUnreachable = (): void => {
     if (isStopped) return
     unreachableAt = now()
     reportSilence()
   }
 
-  const probe = async (): Promise<void> => {
-    const failure = await endpointProbes.probeEndpoint(endpoint)
-    if (failure === undefined || isStopped) return
-    opts.onUnreachable(failure)
-    onFailure(failure)
-  }
-
   const check = (): void => {
     const isUnreachable = unreachableAt !== undefined && endpoint.answeredAt < unreachableAt
     if (isUnreachable || opts.isOverdue()) reportSilence()
@@ -71,12 +64,12 @@
   }
 
   let timer = setTimeout(() => {
-    void probe()
+    void opts.probe().then(failure => { if (failure !== undefined) noteUnreachable() })
     check()
   }, opts.probeDelayMs)
 
   const onDown = (failure: endpointProbes.ProbeFailure): void => {
-    if (failure.isSilent) onFailure(failure)
+    if (failure.isSilent) noteUnreachable()
     else opts.onEnded(failure.why)
   }
   endpoint.downListeners.add(onDown)
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -6,7 +6,7 @@
  * a response for the client; then the others are aborted.
  */
 import * as links from '@kingcupdeck/links'
-import type * as attempts from './attempt.js'
+import * as attemptOutcomes from './attemptOutcome.js'
 import * as attemptRecorders from './attemptRecorder.js'
 import * as attemptWatchdogs from './attemptWatchdog.js'
 import * as clientCalls from './clientCall.js'
@@ -14,12 +14,9 @@
 import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as openAttempts from './openAttempt.js'
-import * as outgoingRequests from './outgoingRequest.js'
 import * as priorities from '../admission/priority.js'
 import * as queueDelays from '../placement/queueDelay.js'
-import * as relayStreams from '../streams/relayStream.js'
 import * as requestStates from './requestState.js'
-import * as resumeStreams from '../streams/resumeStream.js'
 import * as retryBudgets from './retryBudget.js'
 import * as selectEndpoints from '../placement/selectEndpoint.js'
 import * as silenceTimers from '../streams/silenceTimer.js'
@@ -29,31 +26,13 @@
 /** Time after which a retryable stream is overdue, as a multiple of the target latency. */
 const STREAM_TIMEOUT_TARGETS = 2
 
-/** Next step after an attempt. */
-type Next =
-  /** Try another endpoint. */
-  | { kind: 'retry' }
-  /** Fail the request; `delayMs` is the lowest queue delay if the endpoints are overloaded. */
-  | { kind: 'fail', why: string, delayMs?: number }
-  /** The response was sent, or the client disconnected. */
-  | { kind: 'done', outcome: string }
-
-/** One attempt at an endpoint. */
-interface Attempt {
-  call: clientCalls.ClientCall
-  state: requestStates.RequestState
-  selected: selectEndpoints.SelectedEndpoint
-  sent: attemptRecorders.SentRequest
-  remainingMs: number
-}
-
 /** Events of the open attempts of a request. */
 type AttemptEvent =
-  | { kind: 'ended', attempt: Attempt, result: openAttempts.OpenResult }
+  | { kind: 'ended', attempt: attemptOutcomes.Attempt, result: openAttempts.OpenResult }
   /** The endpoint of an attempt is silent; repeated while it is. */
-  | { kind: 'silent', attempt: Attempt }
+  | { kind: 'silent', attempt: attemptOutcomes.Attempt }
   /** An attempt threw an error. */
-  | { kind: 'failed', attempt: Attempt, err: unknown }
+  | { kind: 'failed', attempt: attemptOutcomes.Attempt, err: unknown }
 
 /** Forwards an admitted request and returns the outcome for the log. */
 export async function forward (call: clientCalls.ClientCall): Promise<string> {
@@ -73,18 +52,17 @@
 }
 
 /** Selects an endpoint and begins an attempt. */
-async function beginAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<Attempt | Next> {
+async function beginAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<attemptOutcomes.Attempt | attemptOutcomes.Next> {
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
   // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
   if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return failQuarantined(call)
-  const remainingMs = call.deadlineAt - ctx.now()
-  if (call.aborter.signal.aborted || remainingMs < clientResponses.MIN_REMAINING_MS) return { kind: 'fail', why: 'the deadline has passed' }
+  if (requestStates.isOver(call)) return { kind: 'fail', why: 'the deadline has passed' }
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
   if (selected.kind === 'none') return await requestStates.awaitVerdicts(call, state) ? { kind: 'retry' } : { kind: 'fail', why: toUnavailableReason(call, state) }
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
-  if (state.sends > 0 && !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount())) return { kind: 'fail', why: 'the retry budget is exhausted' }
+  if (state.sends > 0 && !requestStates.trySpendRetry(call)) return { kind: 'fail', why: 'the retry budget is exhausted' }
   return createAttempt(call, state, selected)
 }
 
@@ -92,25 +70,18 @@
  * Begins an attempt at a responsive endpoint beside those whose endpoints are silent, if that is allowed and there is one.
  * @param open number of attempts whose result is not known yet
  */
-function beginHedge (call: clientCalls.ClientCall, state: requestStates.RequestState, open: number): Attempt | undefined {
+function beginHedge (call: clientCalls.ClientCall, state: requestStates.RequestState, open: number): attemptOutcomes.Attempt | undefined {
   const { ctx, route } = call
-  if (call.aborter.signal.aborted || call.deadlineAt - ctx.now() < clientResponses.MIN_REMAINING_MS) return undefined
-  if (state.sends + open >= selectEndpoints.MAX_SENDS || !requestStates.mayRun(route, state.runs + open)) return undefined
+  if (requestStates.isOver(call) || state.sends + open >= selectEndpoints.MAX_SENDS || !requestStates.mayRun(route, state.runs + open)) return undefined
   // The silent endpoint may have crashed because of the request.
   if (ctx.quarantine.isSuspected(call.fingerprint) || ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return undefined
   const selected = selectEndpoints.selectResponsive(call, state.tried, toDelayLimitMs(call))
-  if (selected === undefined || !ctx.retryBudget(call.service).trySpend(ctx.now(), ctx.gossip.instanceCount(), retryBudgets.HEDGE_SHARE)) return undefined
+  if (selected === undefined || !requestStates.trySpendRetry(call, retryBudgets.HEDGE_SHARE)) return undefined
   return createAttempt(call, state, selected)
 }
 
-function createAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint): Attempt {
-  return {
-    call,
-    state,
-    selected,
-    sent: selectEndpoints.recordSend(call, state.tried, selected),
-    remainingMs: call.deadlineAt - call.ctx.now()
-  }
+function createAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint): attemptOutcomes.Attempt {
+  return { call, state, selected, sent: selectEndpoints.recordSend(call, state.tried, selected) }
 }
 
 function toUnavailableReason (call: clientCalls.ClientCall, state: requestStates.RequestState): string {
@@ -121,36 +92,33 @@
   return isKnown ? 'no endpoint of the service is reachable' : 'the service has no known endpoint'
 }
 
-function failQuarantined (call: clientCalls.ClientCall): Next {
+function failQuarantined (call: clientCalls.ClientCall): attemptOutcomes.Next {
   const why = crashQuarantines.QUARANTINED_WHY
   if (call.mayHaveRun) return { kind: 'fail', why }
   return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined' } }) }
 }
 
 /** Waits for the response of an attempt, or of one that is begun while its endpoint is silent, and sends it to the client. */
-async function awaitResponse (first: Attempt): Promise<Next> {
+async function awaitResponse (first: attemptOutcomes.Attempt): Promise<attemptOutcomes.Next> {
   const { call, state } = first
   const mailbox = links.createMailbox<AttemptEvent>()
-  const open = new Set<Attempt>()
+  const open = new Set<attemptOutcomes.Attempt>()
 
-  const start = (attempt: Attempt, onHeaders: (response: attempts.OpenResponse) => void): void => {
+  const start = (attempt: attemptOutcomes.Attempt): void => {
     open.add(attempt)
     const onSilent = (): void => { mailbox.put({ kind: 'silent', attempt }) }
-    void send(attempt, onSilent, onHeaders).then(
+    // An attempt that is not the first one is aborted rather than working beside the others.
+    void send(attempt, onSilent, () => attempt !== first && open.size > 1).then(
       result => { mailbox.put({ kind: 'ended', attempt, result }) },
       err => { mailbox.put({ kind: 'failed', attempt, err }) }
     )
   }
 
-  const startHedge = (silent: Attempt): void => {
+  const startHedge = (silent: attemptOutcomes.Attempt): void => {
     const hedge = beginHedge(call, state, open.size)
     if (hedge === undefined) return
     logHedge(silent, hedge)
-    start(hedge, response => {
-      if (!outgoingRequests.isEventStream(response.res)) return
-      const timer = setTimeout(() => { if (open.size > 1) hedge.sent.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
-      response.res.once('close', () => { clearTimeout(timer) })
-    })
+    start(hedge)
   }
 
   const abandonOpen = (): void => {
@@ -158,9 +126,9 @@
     open.clear()
   }
 
-  start(first, () => {})
+  start(first)
   try {
-    let next: Next = { kind: 'retry' }
+    let next: attemptOutcomes.Next = { kind: 'retry' }
     while (open.size > 0) {
       const event = await mailbox.take()
       const { attempt } = event
@@ -173,9 +141,9 @@
           try {
             if (event.result.kind === 'stream') {
               abandonOpen()
-              return await forwardStream(attempt, event.result.source)
+              return await attemptOutcomes.forwardStream(attempt, event.result.source)
             }
-            next = handleResult(attempt, event.result)
+            next = attemptOutcomes.handleResult(attempt, event.result)
           } finally {
             attempt.sent.release()
           }
@@ -189,24 +157,24 @@
 }
 
 /** Aborts an attempt that is not needed any more. */
-function abandon (attempt: Attempt): void {
-  record(attempt, 'abandoned')
+function abandon (attempt: attemptOutcomes.Attempt): void {
+  attemptOutcomes.record(attempt, 'abandoned')
   attempt.sent.abort('another endpoint responded first')
   attempt.sent.release()
 }
 
-function logHedge ({ call, sent }: Attempt, hedge: Attempt): void {
+function logHedge ({ call, sent }: attemptOutcomes.Attempt, hedge: attemptOutcomes.Attempt): void {
   const { ctx } = call
   ctx.log.event('responseSilent', { request: call.attemptId, endpoint: sent.endpoint.id, via: sent.via, ms: Math.round(ctx.now() - sent.sentAt), hedge: hedge.selected.endpoint.id })
 }
 
 /** Makes an attempt, and reports while its endpoint is silent. */
-async function send (attempt: Attempt, onSilent: () => void, onHeaders: (response: attempts.OpenResponse) => void): Promise<openAttempts.OpenResult> {
-  const { call, state, selected, sent, remainingMs } = attempt
+async function send (attempt: attemptOutcomes.Attempt, onSilent: () => void, isOtherOpen: () => boolean): Promise<openAttempts.OpenResult> {
+  const { call, state, selected, sent } = attempt
   const { endpoint, sentAt } = sent
   const { ctx, route } = call
   const pending = endpoint.queueDelay.onSent(sentAt)
-  const timeoutMs = toResponseTimeoutMs(call, remainingMs)
+  const timeoutMs = toResponseTimeoutMs(call, call.deadlineAt - sentAt)
   let headersAt: number | undefined
   const isOverdue = (): boolean => {
     if (headersAt !== undefined) return ctx.now() - headersAt >= silenceTimers.STALL_TIMEOUT_MS
@@ -216,7 +184,7 @@
     sent,
     probeDelayMs: attemptWatchdogs.toProbeDelayMs(route.targetMs),
     isOverdue,
-    onUnreachable (failure) { void attemptRecorders.recordUnreachable(ctx, endpoint, failure) },
+    probe: async () => await attemptRecorders.probeAndRecord(ctx, endpoint),
     onSilent,
     onEnded: sent.abort,
     now: ctx.now
@@ -226,77 +194,16 @@
     state,
     selected,
     sent,
-    remainingMs,
-    onHeaders (response) {
+    isOtherOpen,
+    onHeaders () {
       headersAt = ctx.now()
       endpoint.queueDelay.onResponse(pending, headersAt)
-      onHeaders(response)
     }
   }).finally(stopWatchdog)
   if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
   return result
 }
 
-/** Handles the result of an attempt that is no stream. */
-function handleResult (attempt: Attempt, result: Exclude<openAttempts.OpenResult, { kind: 'stream' }>): Next {
-  const { call, state } = attempt
-  switch (result.kind) {
-    case 'unreachable':
-      record(attempt, `unreachable: ${result.why}`)
-      return { kind: 'retry' }
-    case 'notRun':
-      record(attempt, `notRun ${result.status}`)
-      // The next brittle endpoint would have to reject the request too.
-      if (result.brittleLimit !== undefined && result.status !== 421) return { kind: 'fail', why: 'a brittle endpoint has no room' }
-      return { kind: 'retry' }
-    case 'aborted':
-      record(attempt, `${result.isSent ? 'lost' : 'unreachable'}: ${result.why}`)
-      if (call.aborter.signal.aborted && !result.isSent) return { kind: 'fail', why: 'the client left' }
-      return afterLoss(attempt, result.why)
-    case 'lost':
-      record(attempt, `lost: ${result.why}`)
-      return afterLoss(attempt, result.why)
-    case 'complete': {
-      const { response } = result
-      const status = response.res.statusCode ?? 0
-      record(attempt, String(status))
-      attemptRecorders.recordCompleteResponse(call, attempt.sent, status)
-      attemptRecorders.recordOutcome(call, attempt.sent.endpoint, isLate(attempt) || status >= 500)
-      // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
-      if (status >= 500 && status !== 504 && requestStates.mayRun(call.route, state.runs)) {
-        state.fallback = response
-        return { kind: 'retry' }
-      }
-      return { kind: 'done', outcome: clientResponses.sendResponse(call, response) }
-    }
-  }
-}
-
-/** Relays an event stream, and resumes it at another endpoint if it breaks off. */
-async function forwardStream (attempt: Attempt, source: openAttempts.StreamSource): Promise<Next> {
-  const { call, state } = attempt
-  call.firstByteAt = call.ctx.now()
-  attemptRecorders.recordOutcome(call, source.sent.endpoint, isLate(attempt))
-  const outcome = await relayStreams.relayStream(call, {
-    source,
-    resume: async opts => await resumeStreams.resumeStream(call, state, opts)
-  })
-  record(attempt, outcome)
-  return { kind: 'done', outcome }
-}
-
-function afterLoss ({ call, state }: Attempt, why: string): Next {
-  return requestStates.mayRun(call.route, state.runs) ? { kind: 'retry' } : { kind: 'fail', why }
-}
-function record (attempt: Attempt, outcome: string): void {
-  attemptRecorders.recordAttempt(attempt.call, attempt.sent, outcome, attempt.selected.why)
-}
-
-function isLate (attempt: Attempt): boolean {
-  const { call: { ctx, route }, sent: { sentAt } } = attempt
-  return route.targetMs > 0 && ctx.now() - sentAt > route.targetMs
-}
-
 function toResponseTimeoutMs (call: clientCalls.ClientCall, remainingMs: number): number {
   const timeoutMs = call.route.kind === 'stream' ? STREAM_TIMEOUT_TARGETS * call.route.targetMs : RESPONSE_TIMEOUT_SHARE * remainingMs
   return Math.min(remainingMs, timeoutMs)
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -30,14 +30,17 @@
   state: requestStates.RequestState
   selected: selectEndpoints.SelectedEndpoint
   sent: attemptRecorders.SentRequest
-  /** Time until the deadline, in milliseconds. */
-  remainingMs: number
   /** Last event that the client has, if a stream is resumed. */
   lastEventId?: string
+  /** Returns whether another endpoint is connected that may send the response too. */
+  isOtherOpen: () => boolean
   /** Called when the response headers were received. */
-  onHeaders?: (response: attempts.OpenResponse) => void
+  onHeaders?: () => void
 }
 
+/** Maximum time for which an endpoint may have begun to respond without an event while another one is connected. */
+const MAX_OVERLAP_MS = 300
+
 /** Makes an attempt and records its result. */
 export async function openAttempt (opts: OpenAttemptOptions): Promise<OpenResult> {
   const { call, state, selected, sent, lastEventId } = opts
@@ -45,20 +48,20 @@
   const onExcess = (what: string): void => { call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what }) }
   const result = await attempts.sendAttempt({
     endpoint,
-    request: outgoingRequests.toOutgoingRequest(call, selected, opts.remainingMs, lastEventId),
+    request: outgoingRequests.toOutgoingRequest(call, selected, call.deadlineAt - call.ctx.now(), lastEventId),
     names: call.ctx.names,
     signal: sent.signal,
     onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
     onExcess
   })
-  if (result.kind === 'response') opts.onHeaders?.(result)
+  if (result.kind === 'response') opts.onHeaders?.()
   await attemptRecorders.recordResult(call, state, sent, result)
   if (result.kind !== 'response') return result
   return outgoingRequests.isEventStream(result.res) ? await openStream(opts, result, onExcess) : await readComplete(opts, result)
 }
 
 /** Waits for the first event of a stream. */
-async function openStream ({ call, sent, lastEventId }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
+async function openStream ({ call, sent, lastEventId, isOtherOpen }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
   const { endpoint, signal } = sent
   const reader = streamReaders.createStreamReader({
     response,
@@ -69,7 +72,9 @@
   const onAbort = (): void => { reader.abort(String(signal.reason)) }
   signal.addEventListener('abort', onAbort)
   if (signal.aborted) onAbort()
+  const timer = setTimeout(() => { if (isOtherOpen()) sent.abort(`no event within ${MAX_OVERLAP_MS} ms of the response headers`) }, MAX_OVERLAP_MS)
   const first = await reader.first
+  clearTimeout(timer)
   if (first.kind !== 'broken') return { kind: 'stream', source: { sent, response, reader } }
   return await recordBroken(call, sent, first.why)
 }
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -1,6 +1,6 @@
 /** Retry state of a request: where it was sent, and how many endpoints may have run it. */
 import type * as clientCalls from './clientCall.js'
-import type * as clientResponses from './clientResponse.js'
+import * as clientResponses from './clientResponse.js'
 import * as routeTables from '../admission/routeTable.js'
 
 /** Retry state of a request. */
@@ -28,6 +28,20 @@
   return runs === 0 || (runs < route.maxAttempts && routeTables.isRepeatable(route))
 }
 
+/** Returns whether the client has left or too little time remains for an attempt. */
+export function isOver (call: clientCalls.ClientCall): boolean {
+  return call.aborter.signal.aborted || call.deadlineAt - call.ctx.now() < clientResponses.MIN_REMAINING_MS
+}
+
+/**
+ * Takes one retry of a request from the budget of its service.
+ * @param share share of the budget that may be used, the whole by default
+ * @returns false if it is exhausted
+ */
+export function trySpendRetry ({ ctx, service }: clientCalls.ClientCall, share?: number): boolean {
+  return ctx.retryBudget(service).trySpend(ctx.now(), ctx.gossip.instanceCount(), share)
+}
+
 /** Records that an endpoint may have run a request. From then on it must not be reported as not run. */
 export function recordRun (call: clientCalls.ClientCall, state: RequestState): void {
   state.sends++
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -6,7 +6,6 @@
 import type * as clientCalls from '../attempts/clientCall.js'
 import * as coldLimiters from './coldLimiter.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
-import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as numbers from './numbers.js'
 
 /** Maximum number of endpoints that a request is sent to while none of them runs it. */
@@ -75,9 +74,8 @@
 }
 
 async function probeIdle (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint): Promise<void> {
-  const failure = await endpointProbes.probeEndpoint(endpoint)
+  const failure = await attemptRecorders.probeAndRecord(call.ctx, endpoint)
   if (failure === undefined) endpoint.acceptedAt = call.ctx.now()
-  else await attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
 }
 
 /** Records that the request is sent to the selected endpoint. What is returned is to be released when the endpoint is done with it. */
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -10,7 +10,7 @@
 import * as abortResponses from './abortResponse.js'
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as endpointProbes from '../endpoints/endpointProbe.js'
+import type * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryMetrics from '../instance/entryMetrics.js'
 import * as eventBatchers from './eventBatcher.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
@@ -40,11 +40,6 @@
   resume: (opts: ResumeOptions) => Promise<ResumeResult>
 }
 
-/** Maximum time for which a second endpoint may have begun to respond without an event while the first one is connected. */
-export const MAX_OVERLAP_MS = 300
-/** Why a second endpoint is aborted after that time. */
-export const NO_EVENT_WHY = `no event within ${MAX_OVERLAP_MS} ms of the response headers`
-
 /** Events that a relay waits for. */
 type RelayEvent =
   | { kind: 'part', source: openAttempts.StreamSource, part: streamReaders.StreamPart }
@@ -124,9 +119,7 @@
     sent.isSilent = true
     ctx.log.event('responseSilent', { request: call.attemptId, endpoint: sent.endpoint.id, via: sent.via, ms: silence.silentMs(), lastEventId: lastId })
     // Requests that come next must not wait for an endpoint that is lost.
-    void endpointProbes.probeEndpoint(sent.endpoint).then(async failure => {
-      if (failure !== undefined) await attemptRecorders.recordUnreachable(ctx, sent.endpoint, failure)
-    })
+    void attemptRecorders.probeAndRecord(ctx, sent.endpoint)
   }
 
   /** Without an id of the last event, the client would get the same events again. */
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -1,11 +1,9 @@
 /** Resumption of a stream at another endpoint. */
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as clientResponses from '../attempts/clientResponse.js'
 import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import * as openAttempts from '../attempts/openAttempt.js'
-import * as outgoingRequests from '../attempts/outgoingRequest.js'
-import * as relayStreams from './relayStream.js'
+import type * as relayStreams from './relayStream.js'
 import * as requestStates from '../attempts/requestState.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as selectEndpoints from '../placement/selectEndpoint.js'
@@ -24,7 +22,7 @@
       if (!opts.isSourceOpen() && await requestStates.awaitVerdicts(call, state)) continue
       return { kind: 'none', why: 'no further endpoint is available' }
     }
-    if (!trySpend(call, opts.isSourceOpen())) return { kind: 'none', why: 'the retry budget is exhausted' }
+    if (!requestStates.trySpendRetry(call, opts.isSourceOpen() ? retryBudgets.HEDGE_SHARE : 1)) return { kind: 'none', why: 'the retry budget is exhausted' }
     sends++
     const result = await attempt(call, state, selected, opts)
     if (result !== undefined) return { kind: 'stream', source: result }
@@ -36,7 +34,7 @@
 function toObstacle (call: clientCalls.ClientCall, state: requestStates.RequestState, opts: relayStreams.ResumeOptions): string | undefined {
   const { ctx, route } = call
   if (opts.signal.aborted) return String(opts.signal.reason)
-  if (call.aborter.signal.aborted || call.deadlineAt - ctx.now() < clientResponses.MIN_REMAINING_MS) return 'the deadline has passed'
+  if (requestStates.isOver(call)) return 'the deadline has passed'
   if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return crashQuarantines.QUARANTINED_WHY
   // The silent endpoint may have crashed because of the request.
   if (opts.isSourceOpen() && ctx.quarantine.isSuspected(call.fingerprint)) return 'the request is suspected of crashing endpoints'
@@ -50,30 +48,19 @@
   return selected.kind === 'selected' ? selected : undefined
 }
 
-function trySpend ({ ctx, service }: clientCalls.ClientCall, isSourceOpen: boolean): boolean {
-  return ctx.retryBudget(service).trySpend(ctx.now(), ctx.gossip.instanceCount(), isSourceOpen ? retryBudgets.HEDGE_SHARE : 1)
-}
-
 /** @returns the stream, which is to be released, or undefined if the endpoint sent none */
 async function attempt (call: clientCalls.ClientCall, state: requestStates.RequestState, selected: selectEndpoints.SelectedEndpoint, opts: relayStreams.ResumeOptions): Promise<openAttempts.StreamSource | undefined> {
-  const { ctx } = call
   const sent = selectEndpoints.recordSend(call, state.tried, selected)
   const onAbort = (): void => { sent.abort(String(opts.signal.reason)) }
   opts.signal.addEventListener('abort', onAbort)
-  let timer: NodeJS.Timeout | undefined
   const result = await openAttempts.openAttempt({
     call,
     state,
     selected,
     sent,
-    remainingMs: call.deadlineAt - ctx.now(),
     lastEventId: opts.lastEventId,
-    onHeaders (response) {
-      if (!outgoingRequests.isEventStream(response.res)) return
-      timer = setTimeout(() => { if (opts.isSourceOpen()) sent.abort(relayStreams.NO_EVENT_WHY) }, relayStreams.MAX_OVERLAP_MS)
-    }
+    isOtherOpen: opts.isSourceOpen
   })
-  clearTimeout(timer)
   opts.signal.removeEventListener('abort', onAbort)
   switch (result.kind) {
     case 'stream':
