--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -2,10 +2,12 @@
  * Pool of the known endpoints: their announcements, the requests in flight of this and of the other entry instances, and recent
  * connection failures.
  */
-import * as http from 'node:http'
+import type * as http from 'node:http'
 import type * as net from 'node:net'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as endpointAgents from './endpointAgent.js'
+import * as endpointBackoffs from './endpointBackoff.js'
 import * as endpointDialers from '../paths/endpointDialer.js'
 import type * as endpointProbes from './endpointProbe.js'
 import * as queueDelays from '../placement/queueDelay.js'
@@ -112,13 +114,6 @@
   now?: () => number
 }
 
-/** Initial backoff after a connection failure, doubled with each further failure. */
-const BACKOFF_MS = 250
-const MAX_BACKOFF_MS = 2000
-/** Idle connections are closed after this time, earlier than most endpoints close them. */
-const IDLE_TIMEOUT_MS = 4000
-const MAX_IDLE_CONNECTIONS = 32
-const KEEP_ALIVE_DELAY_MS = 1000
 /** An endpoint that responded within this time counts as reached. */
 const REACHED_MAX_AGE_MS = 1000
 
@@ -145,37 +140,10 @@
 
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
-  const createAgent = (dial: () => Promise<net.Socket>): http.Agent => {
-    const agent = new http.Agent({
-      keepAlive: true,
-      keepAliveMsecs: KEEP_ALIVE_DELAY_MS,
-      maxFreeSockets: MAX_IDLE_CONNECTIONS,
-      scheduling: 'lifo',
-      timeout: IDLE_TIMEOUT_MS
-    })
-    return Object.assign(agent, {
-      // An idle connection owes nothing: what arrives on it belongs to no request, and may come without end.
-      keepSocketAlive (socket: net.Socket) {
-        if (opts.mayReuse?.(socket) === false) return false
-        // The result is missing in the types.
-        const isKept = http.Agent.prototype.keepSocketAlive.call(agent, socket) as unknown as boolean
-        if (isKept) socket.on('data', closeOnData)
-        return isKept
-      },
-      reuseSocket (socket: net.Socket, req: http.ClientRequest) {
-        socket.off('data', closeOnData)
-        http.Agent.prototype.reuseSocket.call(agent, socket, req)
-      },
-      createConnection (options: unknown, onCreated: (err: Error | null, socket?: net.Socket) => void) {
-        dial().then(socket => { onCreated(null, socket) }, onCreated)
-      }
-    })
-  }
-
   const applyRecord = (record: discovery.EndpointRecord): void => {
     const known = endpointById.get(record.id)
     if (record.state === 'gone') {
-      if (known !== undefined) release(known)
+      if (known !== undefined) endpointAgents.release(known.agent)
       endpointById.delete(record.id)
       return
     }
@@ -186,12 +154,12 @@
     }
     if (known !== undefined) {
       noteRestart(known, record)
-      release(known)
+      endpointAgents.release(known.agent)
     }
     const endpoint: Endpoint = {
       id: record.id,
       record,
-      agent: createAgent(async () => await endpoint.dial()),
+      agent: endpointAgents.createAgent({ dial: async () => await endpoint.dial(), mayReuse: opts.mayReuse }),
       dial: async () => await dial(endpoint),
       helpers: undefined,
       answeredAt: -Infinity,
@@ -214,7 +182,7 @@
     for (const other of endpointById.values()) {
       if (other.id !== record.id && other.record.address === record.address && other.record.startedAt < record.startedAt) {
         noteRestart(other, record)
-        release(other)
+        endpointAgents.release(other.agent)
         endpointById.delete(other.id)
       }
     }
@@ -265,7 +233,7 @@
       const reachable = ready.filter(item => isReachable(item, now))
       if (reachable.length > 0) return reachable
       // If no endpoint is reachable, those whose backoff is nearly over are used.
-      return ready.filter(item => item.backoffUntil - now < BACKOFF_MS)
+      return ready.filter(item => item.backoffUntil - now < endpointBackoffs.BACKOFF_MS)
     },
     evacuated (service, now) {
       const zones = evacuatedZones()
@@ -288,13 +256,7 @@
       if (failure.isSilent) opts.onSilence?.(endpoint, now)
       // Concurrent attempts report the same failure, which must be counted only once.
       if (endpoint.backoffUntil > now) return
-      if (endpoint.failures === 0) endpoint.suspectedColdBefore = endpoint.suspectedColdAt
-      endpoint.failures++
-      const backoffMs = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (endpoint.failures - 1))
-      endpoint.backoffUntil = now + backoffMs
-      endpoint.suspectedColdAt = now
-      // Its requests have waited for a connection, not in a queue.
-      endpoint.queueDelay.reset()
+      endpointBackoffs.recordFailure(endpoint, now)
     },
     logUnreachable (endpoint, failure) {
       if (endpoint.loggedFailures === endpoint.failures) return
@@ -305,7 +267,7 @@
     },
     clearBackoff (endpoint) {
       if (endpoint.failures > 0) endpoint.suspectedColdAt = endpoint.suspectedColdBefore
-      resetFailures(endpoint)
+      endpointBackoffs.resetFailures(endpoint)
     },
     markReachable (endpoint, now) {
       // A response through another instance says nothing about the path to its zone.
@@ -313,7 +275,7 @@
       endpoint.answeredAt = now
       // It may have restarted, and its announcement may not have arrived yet.
       if (endpoint.failures > 0) endpoint.suspectedColdAt = now
-      resetFailures(endpoint)
+      endpointBackoffs.resetFailures(endpoint)
     },
     suspectCold (zone, now) {
       for (const endpoint of endpointById.values()) {
@@ -322,43 +284,16 @@
     },
     markMisdirected (endpoint, now) {
       endpoint.misdirectedAt = now
-      release(endpoint)
+      endpointAgents.release(endpoint.agent)
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address' })
     },
     prune () {
       for (const [id, endpoint] of endpointById) {
         if (opts.table.get(id) !== undefined || endpoint.inFlight > 0) continue
-        release(endpoint)
+        endpointAgents.release(endpoint.agent)
         endpointById.delete(id)
       }
     },
-    closeIdleConnections
+    closeIdleConnections: ({ agent }, helper) => { endpointAgents.closeIdleConnections(agent, helper) }
   }
 }
-
-function closeOnData (this: net.Socket): void {
-  this.destroy()
-}
-
-function resetFailures (endpoint: Endpoint): void {
-  endpoint.failures = 0
-  endpoint.loggedFailures = 0
-  endpoint.backoffUntil = 0
-}
-
-function closeIdleConnections (endpoint: Endpoint, helper?: string): void {
-  for (const sockets of Object.values(endpoint.agent.freeSockets)) {
-    for (const socket of [...(sockets ?? [])]) {
-      if (helper === undefined || endpointDialers.findHelper(socket) === helper) socket.destroy()
-    }
-  }
-}
-
-/**
- * Closes the idle connections of a removed endpoint. Those in use stay open until their responses end, because a leaving endpoint
- * still completes its requests.
- */
-function release (endpoint: Endpoint): void {
-  endpoint.agent.maxFreeSockets = 0
-  closeIdleConnections(endpoint)
-}
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -2,7 +2,6 @@
  * Entry instance of the forwarding fleet: forwards client requests, subscribes to endpoint records and configuration documents of
  * control instances, and exchanges loads with the other entry instances.
  */
-import * as timers from 'node:timers/promises'
 import type * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
@@ -15,6 +14,7 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as addresses from './addresses.js'
 import * as changeAnnouncers from './changeAnnouncer.js'
+import * as drainWorks from './drainWork.js'
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
 import type * as entryOptions from './entryOptions.js'
@@ -38,17 +38,10 @@
 const ANNOUNCEMENT_MARGIN_MS = 3000
 /** An entry instance that a control instance reports as late at more than one tick is not returned to clients. */
 const ENTRY_UNRESPONSIVE_MS = discovery.LATE_AFTER_MS + 1.5 * discovery.TICK_INTERVAL_MS
-/** Time before the end of the grace period at which the instance stops listening. Clients have asked for addresses again by then. */
-const STOP_LISTENING_MARGIN_MS = 1200
-/** Time before the end of the grace period at which open requests are aborted. */
-const EXIT_MARGIN_MS = 400
 /** An entry instance with a connection failure within this time is returned to clients only if no other is reachable. */
 const PEER_FAILURE_MS = 1500
 /** Backoff after a failed connection to another entry instance. */
 const PEER_BACKOFF_MS = 1000
-/** A draining instance without open requests for this time stops early: its clients have been directed to other instances. */
-const DRAIN_IDLE_MS = 2500
-const DRAIN_POLL_MS = 50
 /** Interval of the removal of expired records. */
 const PRUNE_INTERVAL_MS = 10_000
 /** Timeout of a dial to another entry instance. */
@@ -273,21 +266,11 @@
       return addresses.selectInstances(ready, client, isReachable).map(item => item.front)
     },
     async stop () {
-      const startedAt = now()
-      drainStartedAt = startedAt
+      drainStartedAt = now()
       log.event('stopping', { open: server.openRequests(), connections: server.connections() })
       announce()
-      const elapsed = (): number => now() - startedAt
-      const openWork = (): number => server.openRequests() + tunnels.count()
-      let idleSince = startedAt
-      while (elapsed() < opts.graceMs - STOP_LISTENING_MARGIN_MS) {
-        if (openWork() > 0) idleSince = now()
-        if (now() - idleSince > DRAIN_IDLE_MS) break
-        await timers.setTimeout(DRAIN_POLL_MS)
-      }
-      server.stopListening()
-      while (openWork() > 0 && elapsed() < opts.graceMs - EXIT_MARGIN_MS) await timers.setTimeout(DRAIN_POLL_MS)
-      log.event('stopped', { ms: Math.round(elapsed()), open: server.openRequests() })
+      const ms = await drainWorks.drainWork({ graceMs: opts.graceMs, openWork: () => server.openRequests() + tunnels.count(), stopListening: server.stopListening, now })
+      log.event('stopped', { ms, open: server.openRequests() })
       clearInterval(pruner)
       changes.stop()
       paths.stop()
