--- a/packages/router/src/boundedBody.ts
+++ b/packages/router/src/boundedBody.ts
@@ -8,20 +8,27 @@
   }
 }
 
-/**
- * Reads a body to its end.
- * @param maxBytes maximum size
- * @throws BodyTooLargeError when it is larger; the rest is not read
- */
-export async function readBounded (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Uint8Array> {
+/** Reads until a body ends or is larger than `maxBytes`; the rest is not read. */
+async function readUpTo (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Buffer> {
   const chunks: Uint8Array[] = []
   let bytes = 0
   for await (const chunk of body) {
-    bytes += chunk.length
-    if (bytes > maxBytes) throw new BodyTooLargeError(maxBytes)
     chunks.push(chunk)
+    bytes += chunk.length
+    if (bytes > maxBytes) break
   }
-  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, bytes)
+  return Buffer.concat(chunks, bytes)
+}
+
+/**
+ * Reads a body to its end.
+ * @param maxBytes maximum size
+ * @throws BodyTooLargeError when it is larger; the rest is not read
+ */
+export async function readBounded (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Buffer> {
+  const read = await readUpTo(body, maxBytes)
+  if (read.length > maxBytes) throw new BodyTooLargeError(maxBytes)
+  return read
 }
 
 /**
@@ -29,14 +36,7 @@
  * @param maxBytes maximum size of the beginning
  */
 export async function readBeginning (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<string> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
-  for await (const chunk of body) {
-    chunks.push(chunk)
-    bytes += chunk.length
-    if (bytes >= maxBytes) break
-  }
-  return Buffer.concat(chunks, bytes).subarray(0, maxBytes).toString()
+  return (await readUpTo(body, maxBytes)).subarray(0, maxBytes).toString()
 }
 
 /**
@@ -45,5 +45,5 @@
  * @throws BodyTooLargeError when it is larger, SyntaxError when it is not JSON
  */
 export async function readJson (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<unknown> {
-  return JSON.parse(Buffer.from(await readBounded(body, maxBytes)).toString())
+  return JSON.parse((await readBounded(body, maxBytes)).toString())
 }
