--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -1,11 +1,8 @@
-/** A TCP relay between two processes that can close connections, drop their traffic or hold it back. */
+/** A TCP relay between two processes that can close connections or drop their traffic. */
 import * as net from 'node:net'
 
-/**
- * How a relay treats traffic: `cut` closes and refuses connections; `silent` keeps them open and drops all data; `held` accepts
- * connections and passes nothing on until it is open again, as a stopped process.
- */
-export type RelayMode = 'open' | 'silent' | 'cut' | 'held'
+/** How a relay treats traffic: `cut` closes and refuses connections; `silent` keeps them open and drops all data. */
+export type RelayMode = 'open' | 'silent' | 'cut'
 
 /** A relay in front of one target address. */
 export interface Relay {
@@ -43,13 +40,8 @@
     }
     pass(left, right)
     pass(right, left)
-    if (mode === 'held') hold(pair)
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const hold = ({ left, right }: { left: net.Socket, right: net.Socket }): void => {
-    left.pause()
-    right.pause()
-  }
   const closeAll = (): void => {
     for (const pair of pairs) {
       pair.left.destroy()
@@ -60,13 +52,6 @@
   return {
     address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
     setMode (next) {
-      if (next === 'held') pairs.forEach(hold)
-      else if (mode === 'held') {
-        for (const { left, right } of pairs) {
-          left.resume()
-          right.resume()
-        }
-      }
       mode = next
       if (next === 'cut') closeAll()
     },
