feat(telemetry): why a request is sent in spite of the crashes that are known

No change of logic. Until now nothing told crashes that are explained away from crashes that were taken back: suspectSent (K1516) says for each send of a request with three known crashes how many are known and which evidence is in its favour, requestQuarantined how many are known beside those that count, crashRetracted which response took the crashes back. One line a send, so the volume is bounded by the sends.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -87,6 +87,7 @@
   responseSilent: spec(1513, 'info', 'endpoint sends no data of a response whose connection is open'),
   responseContinued: spec(1514, 'info', 'endpoint that was silent sends events again'),
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
+  suspectSent: spec(1516, 'info', 'request was sent although it was in flight at enough crashes for a quarantine', 'The fields say how many crashes are known, how many count, and why the others do not.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -54,7 +54,7 @@
     case 'notRun':
       run.end('inconclusive', ctx.now())
       state.sends++
-      markReachable(ctx, sent)
+      markReachable(ctx, sent, `notRun ${result.status}`)
       if (result.status === 421) ctx.pool.markMisdirected(endpoint, ctx.now())
       else {
         ctx.brittleLimiter.record(call.service, endpoint.id, result.brittleLimit, true, ctx.now())
@@ -74,7 +74,7 @@
     case 'response':
       ctx.brittleLimiter.record(call.service, endpoint.id, brittleLimiters.parseBrittleLimit(result.res.headers[ctx.names.brittle]), false, ctx.now())
       requestStates.recordRun(call, state)
-      markReachable(ctx, sent)
+      markReachable(ctx, sent, String(result.res.statusCode))
   }
 }
 
@@ -133,9 +133,9 @@
   sent.run.end(status < 500 ? 'completed' : 'inconclusive', call.ctx.now())
 }
 
-function markReachable (ctx: entryContexts.EntryContext, { endpoint, sentAt }: SentRequest): void {
+function markReachable (ctx: entryContexts.EntryContext, { endpoint, sentAt }: SentRequest, response: string): void {
   ctx.pool.markReachable(endpoint, ctx.now())
-  ctx.quarantine.confirmUp(endpointPools.toIncarnation(endpoint), sentAt, ctx.now())
+  ctx.quarantine.confirmUp(endpointPools.toIncarnation(endpoint), sentAt, ctx.now(), response)
 }
 
 /**
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -13,7 +13,13 @@
 export const QUARANTINED_WHY = 'this request crashed the endpoints that ran it'
 
 /** Requests that are suspected of crashing endpoints. */
-export interface CrashQuarantine extends Pick<runTrackers.RunTracker, 'startRun' | 'confirmDown' | 'confirmUp' | 'excuse'> {
+export interface CrashQuarantine extends Pick<runTrackers.RunTracker, 'startRun' | 'confirmDown' | 'excuse'> {
+  /**
+   * Records that an endpoint responded.
+   * @param sentAt when the request that it responded to was sent
+   * @param response status of the response, for the log
+   */
+  confirmUp (endpoint: string, sentAt: number, now: number, response?: string): void
   /** Merges the reports of another instance. @returns those that were not known */
   merge (reports: readonly crashReports.CrashReport[], now: number, from: string): crashReports.CrashReport[]
   /** Returns whether one more crash may quarantine the request. */
@@ -121,14 +127,15 @@
   /**
    * Takes back the crashes of an endpoint that has responded under the same start: it stalled, or the path to it was lost.
    * @param at when it was up, on the monotonic clock
+   * @param why what it responded, for the log
    * @returns the requests that were lost at it
    */
-  const retract = (endpoint: string, at: number, from: string): string[] => {
+  const retract = (endpoint: string, at: number, from: string, why?: string): string[] => {
     // A response that was under way when this instance learned of the crash does not excuse the endpoint.
     const retracted = suspects.retract(endpoint, crash => (from === SELF ? crash.knownAt : crash.at) < at)
     if (retracted.length === 0 && from === SELF) return retracted
     survivedAt.set(endpoint, Math.max(at, survivedAt.get(endpoint) ?? -Infinity))
-    if (retracted.length > 0) log?.event('crashRetracted', { endpoint, requests: retracted.length, from })
+    if (retracted.length > 0) log?.event('crashRetracted', { endpoint, requests: retracted.length, from, why })
     return retracted
   }
 
@@ -205,7 +212,7 @@
       isContested: hasSurvivors(fingerprint, suspect, crashes[0].at, now) || hasRival(fingerprint, crashes, now)
     })
     if (until > now && !suspect.isQuarantined) {
-      log?.event('requestQuarantined', { fingerprint, crashes: crashes.length, forMs: Math.round(until - now), endpoints: crashes.map(item => item.endpoint).join(' ') })
+      log?.event('requestQuarantined', { fingerprint, crashes: crashes.length, known: open.length, forMs: Math.round(until - now), endpoints: crashes.map(item => item.endpoint).join(' ') })
     }
     suspect.isQuarantined = until > now
     return suspect.isQuarantined
@@ -241,8 +248,20 @@
     return crashed.length > 0 || isSurvivalNew ? { ...report, crashed } : undefined
   }
 
+  /** Logs why a request is sent that was in flight at enough crashes for a quarantine. */
+  const logSend = (fingerprint: string, endpoint: string, now: number): void => {
+    const suspect = suspects.get(fingerprint)
+    const open = suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect).sort((a, b) => a.at - b.at)
+    if (suspect === undefined || open.length < crashEvidences.QUARANTINE_CRASHES) return
+    const explained = open.filter(item => isExplained(fingerprint, item.endpoint)).length
+    log?.event('suspectSent', { fingerprint, endpoint, known: open.length, explained, hasSucceeded: hasSucceeded(fingerprint), hasSurvivors: hasSurvivors(fingerprint, suspect, open[0].at, now), hasRival: hasRival(fingerprint, open, now) })
+  }
+
   return {
-    startRun: tracker.startRun,
+    startRun (fingerprint, endpoint, now) {
+      logSend(fingerprint, endpoint, now)
+      return tracker.startRun(fingerprint, endpoint, now)
+    },
     excuse: tracker.excuse,
     confirmDown (endpoint, now, reason) {
       prune(now)
@@ -250,10 +269,10 @@
       if (reason === 'restarted') survivedAt.delete(endpoint)
       tracker.confirmDown(endpoint, now, reason)
     },
-    confirmUp (endpoint, sentAt, now) {
-      tracker.confirmUp(endpoint, sentAt, now)
+    confirmUp (endpoint, sentAt, now, response) {
+      tracker.confirmUp(endpoint, sentAt)
       if (suspects.atCrash(endpoint).size === 0) return
-      const [fingerprint] = retract(endpoint, sentAt, SELF)
+      const [fingerprint] = retract(endpoint, sentAt, SELF, response)
       if (fingerprint !== undefined) send([toReport(fingerprint, { survived: [endpoint], agoMs: Math.max(0, Math.round(now - sentAt)) })])
     },
     merge (reports, now, from) {
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -27,7 +27,7 @@
    * Records that an endpoint responded.
    * @param sentAt when the request that it responded to was sent
    */
-  confirmUp (endpoint: string, sentAt: number, now: number): void
+  confirmUp (endpoint: string, sentAt: number): void
   /** Forgets the runs that an endpoint lost: the path to it was lost. */
   excuse (endpoint: string): void
   /**
