--- a/packages/forwarding/__tests__/crashQuarantine.test.ts
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -171,6 +171,21 @@
   t.is((await sendCrashing(entry)).status, 200)
 })
 
+// Guards against taking back a crash because of a response of the process that was started at the address afterwards.
+test('a crash counts although another process responds at the address of the endpoint', async t => {
+  const endpoint = await helper.startEndpoint('e0', (req, res) => { res.writeHead(421, { 'x-attempt': req.headers['x-attempt'], 'x-not-run': '1' }).end() })
+  const entry = await startEntry(t, [endpoint], { maxAttempts: 1 })
+  t.teardown(() => { endpoint.close() })
+  for (const incarnation of ['e0@1', 'e1@1', 'e2@1']) {
+    entry.quarantine.startRun('x', incarnation, performance.now()).end('lost', performance.now())
+    entry.quarantine.confirmDown(incarnation, performance.now(), 'refused')
+  }
+  t.true(entry.quarantine.isQuarantined('x', performance.now()))
+  await entry.send()
+  t.is(endpoint.requests.length, 1)
+  t.true(entry.quarantine.isQuarantined('x', performance.now()))
+})
+
 /** Waits until a condition holds. */
 async function until (isMet: () => boolean): Promise<void> {
   for (let i = 0; i < 500 && !isMet(); i++) await timers.setTimeout(10)
