fix(attempts): a response of another process takes no crash back

Callers saw crashing requests sent on although all instances had known their crashes. Cause: an endpoint that crashed is back after seconds at its address under another id. An instance that still has the earlier record sends there and gets 421; any response counted as proof that the endpoint is up under the same start, so that its crash was taken back for all requests, at all instances. Now a 421 only shows that the address is reached.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -8,6 +8,9 @@
 import * as brittleLimiters from '../placement/brittleLimiter.js'
 import type * as headerNames from './headerNames.js'
 
+/** Status of the response of a process that is not the endpoint that the request names; it did not run the request. */
+export const MISDIRECTED_STATUS = 421
+
 /** A request to an endpoint. */
 export interface OutgoingRequest {
   method: string
@@ -153,7 +156,7 @@
   // not run. The endpoint echoes the attempt id.
   const echoed = res.headers[names.attemptId]
   const status = res.statusCode ?? 0
-  const isNotRun = res.headers[names.notRun] !== undefined || status === 421
+  const isNotRun = res.headers[names.notRun] !== undefined || status === MISDIRECTED_STATUS
   if (echoed !== request.attemptId) {
     discard()
     return { kind: 'lost', why: echoed === undefined ? 'the response has no attempt id' : 'the response belongs to another request' }
--- a/packages/forwarding/src/attempts/attemptOutcome.ts
+++ b/packages/forwarding/src/attempts/attemptOutcome.ts
@@ -1,4 +1,5 @@
 /** What follows from the result of an attempt: a response to the client, another attempt, or a failure. */
+import * as attempts from './attempt.js'
 import * as attemptRecorders from './attemptRecorder.js'
 import type * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
@@ -35,7 +36,7 @@
     case 'notRun':
       record(attempt, `notRun ${result.status}`)
       // The next brittle endpoint would have to reject the request too.
-      if (result.brittleLimit !== undefined && result.status !== 421) return { kind: 'fail', why: 'a brittle endpoint has no room' }
+      if (result.brittleLimit !== undefined && result.status !== attempts.MISDIRECTED_STATUS) return { kind: 'fail', why: 'a brittle endpoint has no room' }
       return { kind: 'retry' }
     case 'aborted':
       record(attempt, `${result.isSent ? 'lost' : 'unreachable'}: ${result.why}`)
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -1,7 +1,7 @@
 /** Records the results of attempts: in the request log, the metrics, the endpoint pool, outlier detection and crash quarantine. */
 import * as timers from 'node:timers/promises'
 import * as brittleLimiters from '../placement/brittleLimiter.js'
-import type * as attempts from './attempt.js'
+import * as attempts from './attempt.js'
 import * as clientCalls from './clientCall.js'
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
@@ -54,9 +54,12 @@
     case 'notRun':
       run.end('inconclusive', ctx.now())
       state.sends++
-      markReachable(ctx, sent, `notRun ${result.status}`)
-      if (result.status === 421) ctx.pool.markMisdirected(endpoint, ctx.now())
-      else {
+      if (result.status === attempts.MISDIRECTED_STATUS) {
+        // The response of another process does not show that the endpoint is up, only that its address is reached.
+        ctx.pool.markReachable(endpoint, ctx.now())
+        ctx.pool.markMisdirected(endpoint, ctx.now())
+      } else {
+        markReachable(ctx, sent, `notRun ${result.status}`)
         ctx.brittleLimiter.record(call.service, endpoint.id, result.brittleLimit, true, ctx.now())
         recordOutcome(call, endpoint, true)
       }
