fix(quarantine): from three crashes on a request is sent only as a trial, one at a time in the whole fleet

Cause: evidence in favour of a request outweighed any amount of evidence against it. A crash did not count if a quarantined request explained it, crashes of one second counted once while another copy "survived", be it in the queue of an endpoint, and a quarantined request was released when others explained its crashes. Beside several crashing requests each crash has such an explanation, so that the count stood still.

Now the third crash since the last completed run ends free sending, whatever speaks for the request. It is then sent as a trial: one at a time, at most three that have crashed or are under way, permitted by one instance for the whole fleet, so that nine instances do not allow nine. What speaks for the request only decides when: at once if its crashes have another explanation (others that are suspected had begun later at the endpoint, another request was lost in all of them, requests with three further crashes were), after seconds if it succeeded before, else after two minutes. A permit is not used up by an endpoint that cannot be connected to. A crash at the same moment as others is excused for 3 s and up to six crashes.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -83,11 +83,11 @@
   requestSuspected: spec(1509, 'info', 'request was in flight at an endpoint that went down'),
   requestCleared: spec(1510, 'info', 'suspected request completed; its earlier crashes no longer count'),
   crashRetracted: spec(1511, 'info', 'endpoint that was taken for crashed responded under the same start; its crashes no longer count'),
-  requestReleased: spec(1512, 'info', 'quarantine ended: other quarantined requests explain the crashes'),
   responseSilent: spec(1513, 'info', 'endpoint sends no data of a response whose connection is open'),
   responseContinued: spec(1514, 'info', 'endpoint that was silent sends events again'),
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
-  suspectSent: spec(1516, 'info', 'request was sent although it was in flight at enough crashes for a quarantine', 'The fields say how many crashes are known, how many count, and why the others do not.'),
+  suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it was in flight at enough crashes for a quarantine'),
+  trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -52,6 +52,17 @@
   t.true(crashes <= 3, `${crashes} further crashes in an hour`)
 })
 
+// Guards against three further crashes by a request whose quarantine has ended.
+test('a request is quarantined again after one more crash half an hour later', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x'])
+  wait(HOUR_MS / 2)
+  t.false(quarantine.isQuarantined('x', now()))
+  crash('e4', ['beside'])
+  crash('e5', ['x'])
+  t.true(quarantine.isQuarantined('x', now()))
+})
+
 // Guards against blaming requests whose clients left an endpoint that was only too busy to accept connections.
 test('a client that leaves a silent endpoint is no evidence until the endpoint was restarted', t => {
   const { quarantine, now, wait } = createSetup()
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -16,6 +16,7 @@
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 import * as retryBudgets from '../../src/attempts/retryBudget.js'
 import * as routeTables from '../../src/admission/routeTable.js'
+import * as trialPermits from '../../src/quarantine/trialPermits.js'
 
 /** Header names of the tests. */
 export const NAMES: headerNames.HeaderNames = {
@@ -162,6 +163,7 @@
     pool,
     paths: { check: async () => 'unknown' },
     quarantine,
+    trialPermits: trialPermits.createTrialPermits({ self: 'self', others: () => [], connect: async () => { throw new Error('no other instances') }, quarantine, log, now }),
     outliers,
     gossip: { start: () => {}, onUpdate: () => {}, sendCrashReports: () => {}, instanceCount: () => 1, stop: () => {} },
     metrics: entryMetrics.createEntryMetrics(),
--- a/packages/forwarding/__tests__/helpers/virtualFleet.ts
+++ b/packages/forwarding/__tests__/helpers/virtualFleet.ts
@@ -1,4 +1,5 @@
 /** Entry instances and endpoints on virtual time: requests that crash what runs them, and others beside them. */
+import * as contracts from '@kingcupdeck/contracts'
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as crashReports from '../../src/quarantine/crashReport.js'
 import type * as runTrackers from '../../src/quarantine/runTracker.js'
@@ -47,6 +48,7 @@
 const DOWN_MS = 4000
 const PROBE_MS = 5
 const REPEAT_INTERVAL_MS = 500
+const LEARNING_MS = 3000
 /** Clients send a crashing request again after this time at most, whatever became of it. */
 const CLIENT_INTERVAL_MS = 1500
 const RETRY_MS = 300
@@ -55,8 +57,13 @@
 const MAX_RETURNS = 3
 const RETURN_MS = 1500
 
-interface VirtualInstance { place: number, quarantine: crashQuarantines.CrashQuarantine }
+interface VirtualInstance { place: number, startedAt: number, quarantine: crashQuarantines.CrashQuarantine }
 interface VirtualRun { isOver: boolean, run: runTrackers.Run, instance: VirtualInstance, onLost: (at: number) => void }
+interface SendOptions {
+  onSent: (run: VirtualRun, endpoint: VirtualEndpoint, at: number) => void
+  onLost: (at: number) => void
+  onRejected: (at: number) => void
+}
 interface VirtualEndpoint { id: string, start: number, upAt: number, runs: Set<VirtualRun> }
 
 /** Runs the model. */
@@ -89,16 +96,17 @@
     })
   }
 
-  const startInstance = (place: number): VirtualInstance => {
+  const startInstance = (place: number, startedAt: number): VirtualInstance => {
     const instance: VirtualInstance = {
       place,
+      startedAt,
       quarantine: crashQuarantines.createCrashQuarantine({
         send (reports) { for (let to = 0; to < scenario.instances; to++) if (to !== place) deliver(instance, to, reports) }
       })
     }
     return instance
   }
-  const instances = Array.from({ length: scenario.instances }, (_, place) => startInstance(place))
+  const instances = Array.from({ length: scenario.instances }, (_, place) => startInstance(place, -Infinity))
 
   const toIncarnation = (endpoint: VirtualEndpoint): string => `${endpoint.id}@${endpoint.start}`
 
@@ -122,20 +130,45 @@
     return up.length === 0 ? undefined : random.pick(draw, up)
   }
 
-  /** Sends a request from an instance, unless that rejects it. @returns false if it does */
-  const send = (fingerprint: string, instance: VirtualInstance, at: number, onSent: (run: VirtualRun, endpoint: VirtualEndpoint) => void, onLost: (at: number) => void): boolean => {
-    if (instance.quarantine.isQuarantined(fingerprint, at)) return false
-    const endpoint = toEndpoint(at)
-    if (endpoint === undefined) {
-      onLost(at)
-      return true
+  /** Asks the instance that permits trials of a request, if it may only be sent as one. */
+  const askToSend = (fingerprint: string, instance: VirtualInstance, at: number, proceed: (isAllowed: boolean, at: number) => void): void => {
+    const { kind } = instance.quarantine.judge(fingerprint, at)
+    const [arbiter] = contracts.toRendezvousOrder(fingerprint, instances, item => `i${item.place}`)
+    if (kind !== 'trial') proceed(kind === 'allowed', at)
+    else if (arbiter === instance) proceed(at - instance.startedAt > LEARNING_MS && instance.quarantine.grantTrial(fingerprint, at, 'self'), at)
+    else {
+      const reports = instance.quarantine.toReportsOf(fingerprint, at)
+      const isLost = draw() < scenario.lossShare
+      schedule(at + draw() * scenario.gossipMs, askedAt => {
+        arbiter.quarantine.merge(reports.map(item => ({ ...item, agoMs: item.agoMs + askedAt - at })), askedAt, `i${instance.place}`)
+        const isGranted = !isLost && instances.includes(arbiter) && askedAt - arbiter.startedAt > LEARNING_MS && arbiter.quarantine.grantTrial(fingerprint, askedAt, `i${instance.place}`)
+        schedule(askedAt + draw() * scenario.gossipMs, repliedAt => { proceed(isGranted && !instance.quarantine.isQuarantined(fingerprint, repliedAt), repliedAt) })
+      })
+    }
+  }
+
+  /** Sends a request from an instance, unless that rejects it. */
+  const send = (fingerprint: string, instance: VirtualInstance, askedAt: number, { onSent, onLost, onRejected }: SendOptions): void => {
+    if (toEndpoint(askedAt) === undefined) {
+      onLost(askedAt)
+      return
     }
-    const third = crashesOf.get(fingerprint)?.[CRASHES - 1] ?? Infinity
-    if (at > third + GRACE_MS) lateSendsOf.set(fingerprint, (lateSendsOf.get(fingerprint) ?? 0) + 1)
-    const run: VirtualRun = { isOver: false, instance, run: instance.quarantine.startRun(fingerprint, toIncarnation(endpoint), at), onLost }
-    endpoint.runs.add(run)
-    onSent(run, endpoint)
-    return true
+    askToSend(fingerprint, instance, askedAt, (isAllowed, at) => {
+      if (!isAllowed) {
+        onRejected(at)
+        return
+      }
+      const endpoint = toEndpoint(at)
+      if (endpoint === undefined) {
+        onLost(at)
+        return
+      }
+      const third = crashesOf.get(fingerprint)?.[CRASHES - 1] ?? Infinity
+      if (at > third + GRACE_MS) lateSendsOf.set(fingerprint, (lateSendsOf.get(fingerprint) ?? 0) + 1)
+      const run: VirtualRun = { isOver: false, instance, run: instance.quarantine.startRun(fingerprint, toIncarnation(endpoint), at), onLost }
+      endpoint.runs.add(run)
+      onSent(run, endpoint, at)
+    })
   }
 
   const sendCrashing = (fingerprint: string, at: number): void => {
@@ -145,31 +178,37 @@
       isAnswered = true
       schedule(from + CLIENT_INTERVAL_MS * (0.2 + 0.8 * draw()), now => { sendCrashing(fingerprint, now) })
     }
-    const isSent = send(fingerprint, random.pick(draw, instances), at, (run, endpoint) => {
-      schedule(at + draw() * scenario.queueMs + scenario.crashMs * (0.5 + draw()), now => {
-        if (run.isOver) return
-        crashesOf.set(fingerprint, [...crashesOf.get(fingerprint) ?? [], now])
-        crash(endpoint, now)
-      })
-    }, again)
-    if (!isSent) again(at)
+    send(fingerprint, random.pick(draw, instances), at, {
+      onSent (run, endpoint, sentAt) {
+        schedule(sentAt + draw() * scenario.queueMs + scenario.crashMs * (0.5 + draw()), now => {
+          if (run.isOver) return
+          crashesOf.set(fingerprint, [...crashesOf.get(fingerprint) ?? [], now])
+          crash(endpoint, now)
+        })
+      },
+      onLost: again,
+      onRejected: again
+    })
   }
 
   const sendOther = (fingerprint: string, durationMs: number, at: number, tries: number, returns: number): void => {
-    const retry = (from: number): void => {
-      if (tries < MAX_TRIES) schedule(from + RETRY_MS * (0.5 + draw()), now => { sendOther(fingerprint, durationMs, now, tries + 1, returns) })
-    }
-    const isSent = send(fingerprint, random.pick(draw, instances), at, (run, endpoint) => {
-      schedule(at + durationMs, now => {
-        if (run.isOver) return
-        run.isOver = true
-        endpoint.runs.delete(run)
-        run.run.end('completed', now)
-      })
-    }, retry)
-    if (isSent) return
-    if (returns < MAX_RETURNS) schedule(at + RETURN_MS * (1 + draw() / 2), now => { sendOther(fingerprint, durationMs, now, tries, returns + 1) })
-    else outcome.rejected++
+    send(fingerprint, random.pick(draw, instances), at, {
+      onSent (run, endpoint, sentAt) {
+        schedule(sentAt + durationMs, now => {
+          if (run.isOver) return
+          run.isOver = true
+          endpoint.runs.delete(run)
+          run.run.end('completed', now)
+        })
+      },
+      onLost (lostAt) {
+        if (tries < MAX_TRIES) schedule(lostAt + RETRY_MS * (0.5 + draw()), now => { sendOther(fingerprint, durationMs, now, tries + 1, returns) })
+      },
+      onRejected (rejectedAt) {
+        if (returns < MAX_RETURNS) schedule(rejectedAt + RETURN_MS * (1 + draw() / 2), now => { sendOther(fingerprint, durationMs, now, tries, returns + 1) })
+        else outcome.rejected++
+      }
+    })
   }
 
   const startOthers = (at: number): void => {
@@ -186,7 +225,7 @@
 
   const restart = (at: number): void => {
     const place = Math.floor(draw() * scenario.instances)
-    instances[place] = startInstance(place)
+    instances[place] = startInstance(place, at)
     for (const other of instances) if (other.place !== place) deliver(other, place, other.quarantine.toReports(at))
     schedule(at + (scenario.restartMs ?? Infinity), restart)
   }
--- a/packages/forwarding/src/admission/retryAfter.ts
+++ b/packages/forwarding/src/admission/retryAfter.ts
@@ -16,8 +16,8 @@
   | { kind: 'noRoom' }
   /** All eligible endpoints exceed the maximum queue delay; `delayMs` is the lowest delay, in milliseconds. */
   | { kind: 'busy', delayMs: number }
-  /** The request is quarantined. */
-  | { kind: 'quarantined' }
+  /** The request is quarantined; `delayMs` is the time until it may be tried, in milliseconds. */
+  | { kind: 'quarantined', delayMs: number }
 
 const MIN_STARTING_MS = 400
 /** Clients with seconds to their deadline return once more within this time. */
@@ -31,7 +31,9 @@
 const NO_ROOM_MS = 150
 /** Multiple of the queue delay after which the client of a rejected request retries: queues of overloaded endpoints shrink slowly. */
 const BUSY_DELAY_FACTOR = 5
-const QUARANTINED_MS = 30_000
+/** A quarantined request may be tried soon, because a trial of it is running or something speaks for it. */
+const MIN_QUARANTINED_MS = 1000
+const MAX_QUARANTINED_MS = 30_000
 /** Maximum jitter, as a share of the delay. */
 const MAX_JITTER_SHARE = 0.5
 
@@ -53,6 +55,6 @@
     case 'noEndpoint': return NO_ENDPOINT_MS
     case 'noRoom': return NO_ROOM_MS
     case 'busy': return BUSY_DELAY_FACTOR * cause.delayMs
-    case 'quarantined': return QUARANTINED_MS
+    case 'quarantined': return Math.min(MAX_QUARANTINED_MS, Math.max(MIN_QUARANTINED_MS, cause.delayMs))
   }
 }
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -46,6 +46,7 @@
 export async function recordResult (call: clientCalls.ClientCall, state: requestStates.RequestState, sent: SentRequest, result: attempts.AttemptResult): Promise<void> {
   const { ctx } = call
   const { endpoint, run } = sent
+  if (result.kind !== 'unreachable') state.holdsTrialPermit = false
   switch (result.kind) {
     case 'unreachable':
       run.end('inconclusive', ctx.now())
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -11,6 +11,7 @@
 import * as attemptWatchdogs from './attemptWatchdog.js'
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
+import * as crashEvidences from '../quarantine/crashEvidence.js'
 import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as openAttempts from './openAttempt.js'
@@ -56,11 +57,12 @@
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
   // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
-  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return failQuarantined(call)
+  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return failQuarantined(call)
   if (requestStates.isOver(call)) return { kind: 'fail', why: 'the deadline has passed' }
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
   if (selected.kind === 'none') return await requestStates.awaitVerdicts(call, state) ? { kind: 'retry' } : { kind: 'fail', why: toUnavailableReason(call, state) }
+  if (!await requestStates.maySend(call, state)) return failQuarantined(call)
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !requestStates.trySpendRetry(call)) return { kind: 'fail', why: 'the retry budget is exhausted' }
   return createAttempt(call, state, selected)
@@ -95,7 +97,10 @@
 function failQuarantined (call: clientCalls.ClientCall): attemptOutcomes.Next {
   const why = crashQuarantines.QUARANTINED_WHY
   if (call.mayHaveRun) return { kind: 'fail', why }
-  return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined' } }) }
+  const now = call.ctx.now()
+  const verdict = call.ctx.quarantine.judge(call.fingerprint, now)
+  const delayMs = verdict.kind === 'quarantined' ? verdict.until - now : crashEvidences.TRIAL_INTERVAL_MS
+  return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined', delayMs } }) }
 }
 
 /** Waits for the response of an attempt, or of one that is begun while its endpoint is silent, and sends it to the client. */
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -15,12 +15,14 @@
   readonly excused: Set<string>
   /** Resolve when it is known whether the paths to endpoints that could not be connected to are lost. */
   readonly verdicts: Set<Promise<void>>
+  /** Whether the request may be sent once more as a trial, because the endpoint of its trial could not be connected to. */
+  holdsTrialPermit: boolean
   /** Error response of an endpoint, sent to the client if no other endpoint succeeds. */
   fallback: clientResponses.BufferedResponse | undefined
 }
 
 export function createRequestState (): RequestState {
-  return { tried: new Set(), sends: 0, runs: 0, excused: new Set(), verdicts: new Set(), fallback: undefined }
+  return { tried: new Set(), sends: 0, runs: 0, excused: new Set(), verdicts: new Set(), holdsTrialPermit: false, fallback: undefined }
 }
 
 /** Returns whether one more endpoint may run a request. */
@@ -42,6 +44,18 @@
   return ctx.retryBudget(service).trySpend(ctx.now(), ctx.gossip.instanceCount(), share)
 }
 
+/**
+ * Returns whether a request may be sent with regard to the crashes that it was in flight at. A permit for a trial is valid until an
+ * endpoint was connected to.
+ */
+export async function maySend ({ ctx, fingerprint }: clientCalls.ClientCall, state: RequestState): Promise<boolean> {
+  if (state.holdsTrialPermit) return true
+  const isTrial = ctx.quarantine.judge(fingerprint, ctx.now()).kind === 'trial'
+  const isPermitted = await ctx.trialPermits.maySend(fingerprint)
+  state.holdsTrialPermit = isTrial && isPermitted
+  return isPermitted
+}
+
 /** Records that an endpoint may have run a request. From then on it must not be reported as not run. */
 export function recordRun (call: clientCalls.ClientCall, state: RequestState): void {
   state.sends++
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -12,6 +12,7 @@
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeTables from '../admission/routeTable.js'
+import type * as trialPermits from '../quarantine/trialPermits.js'
 
 /** State that all requests of an entry instance share. */
 export interface EntryContext {
@@ -22,6 +23,7 @@
   pool: endpointPools.EndpointPool
   paths: Pick<lostPaths.LostPaths, 'check'>
   quarantine: crashQuarantines.CrashQuarantine
+  trialPermits: Pick<trialPermits.TrialPermits, 'maySend'>
   outliers: outlierDetectors.OutlierDetector
   gossip: gossipTypes.Gossip
   metrics: entryMetrics.EntryMetrics
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -25,6 +25,7 @@
 import * as endpointDialers from '../paths/endpointDialer.js'
 import * as lostPaths from '../paths/lostPaths.js'
 import * as reachMessages from '../paths/reachMessages.js'
+import * as trialPermits from '../quarantine/trialPermits.js'
 import * as tunnelServers from '../paths/tunnelServer.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
@@ -91,7 +92,8 @@
       const event = discovery.discoveryEvent.safeParse(body)
       if (event.success) subscriber.onEvent(event.data, link)
     },
-    async onCall (body) {
+    async onCall (body, link) {
+      if ((body as { t?: unknown })?.t === 'trial') return permits.answer(trialPermits.trialCall.parse(body), link.peer.id)
       if ((body as { t?: unknown })?.t === 'reach') return await tunnels.answer(reachMessages.reachCall.parse(body))
       return subscriber.onCall(discovery.discoveryCall.parse(body))
     },
@@ -192,6 +194,15 @@
     onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) }
   })
 
+  const permits = trialPermits.createTrialPermits({
+    self: opts.inner,
+    others: () => otherEntries().filter(item => item.state === 'ready').map(item => item.inner),
+    connect: dialer.get,
+    quarantine,
+    log,
+    now
+  })
+
   const ctx: entryContexts.EntryContext = {
     names: opts.names,
     zone: opts.zone,
@@ -199,6 +210,7 @@
     pool: endpoints,
     paths,
     quarantine,
+    trialPermits: permits,
     outliers,
     gossip,
     metrics,
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -1,12 +1,16 @@
 /**
  * Evidence that a request crashes the endpoints that run it. Whatever is in flight at an endpoint is lost when it goes down, so a
- * crash alone does not tell the request that caused it from those beside it, nor from an outage that had another cause:
+ * crash alone does not tell the request that caused it from those beside it, nor from an outage that had another cause.
+ *
+ * From three crashes on, a request is sent only as a trial: one run at a time in the whole fleet, and at most three that are not known
+ * to have passed. What speaks for the request decides when it is tried, never how often:
  *
  * - Crashes at the same moment count once if the request survives at another endpoint or succeeded before: it has probably just been
  *   in flight everywhere when several endpoints were lost for another reason.
- * - A crash does not count if a request that is already quarantined was in flight there too.
- * - A request whose crashes have another explanation needs more of them: it survives elsewhere, or another request was lost in all of
- *   them too.
+ * - A crash does not count if several of the other requests that were lost in it had begun later, because a request that crashes its
+ *   endpoint is mostly among the last to begin there.
+ * - The crashes as a whole have another explanation if another request was lost in all of them too, or if each is explained by a
+ *   request that has crashed enough other endpoints.
  */
 
 /** A crash of an endpoint at which a request was in flight. */
@@ -15,27 +19,47 @@
   endpoint: string
   /** Time of the loss, milliseconds on the monotonic clock. */
   at: number
+  /** Time at which the request had been sent to the endpoint, on the same clock. */
+  startedAt: number
 }
 
 /** What is known about the crashes of a request. */
 export interface Evidence {
-  /** Crashes since its last completed run that no quarantined request explains, oldest first. */
+  /** Crashes since its last completed run, oldest first. */
   crashes: readonly Crash[]
   /** Whether a crash has a probable cause other than the request. */
   isCoincident: (crash: Crash) => boolean
-  /** Whether the crashes as a whole have another explanation. */
-  isContested: boolean
+  /** Whether several other requests that were lost in a crash had begun later. */
+  isOutlasted: (crash: Crash) => boolean
+  /** Whether the request completed a run before. */
+  hasSucceeded: boolean
+  /** Returns whether the crashes as a whole have another explanation. */
+  isContested: () => boolean
+  /** When the request was sent in spite of its crashes, oldest first, without runs whose crash is known. */
+  pendingTrials: readonly number[]
 }
 
-/** Crashes after which a request is quarantined; fewer may coincide with an unrelated outage. */
+/** What may be done with a request: send it, send it as a trial, or reject it until a time on the monotonic clock. */
+export type Verdict = { kind: 'allowed' } | { kind: 'trial' } | { kind: 'quarantined', until: number }
+
+/** Crashes after which a request is sent only as a trial; fewer may coincide with an unrelated outage. */
 export const QUARANTINE_CRASHES = 3
-/** The same for a request whose crashes have another explanation, so that the next ones tell them apart. */
+/** Trials that have crashed their endpoint or may still do so, beyond which only {@link MAX_HOLD_MS} allows another one. */
+export const MAX_TRIALS = 3
+/** Crashes up to which another explanation is considered for the crashes as a whole. */
 export const CONTESTED_CRASHES = 5
 /** Coincident crashes within this time count once. */
 export const COINCIDENCE_MS = 1000
+/** Time for which an outage that explains the crashes may last, and up to which crashes it may explain. */
+const OUTAGE_MS = 3000
+const OUTAGE_CRASHES = QUARANTINE_CRASHES + MAX_TRIALS
+/** Minimum time between two trials while the first one has neither completed nor crashed. */
+export const TRIAL_INTERVAL_MS = 2000
 
+/** Time after the last crash after which a request that has succeeded before is tried; doubled with each trial that crashes. */
+const PROVEN_HOLD_MS = 1000
 const HOLD_MS = 120_000
-/** A request that crashes an endpoint again after its quarantine is quarantined this many times longer. */
+/** A request whose trial crashes an endpoint is quarantined this many times longer. */
 const HOLD_GROWTH = 5
 const MAX_HOLD_MS = 3_600_000
 
@@ -53,13 +77,34 @@
   return count
 }
 
-/**
- * Returns until when a request is quarantined.
- * @returns milliseconds on the monotonic clock, -Infinity if the evidence does not suffice
- */
-export function toQuarantineEnd (evidence: Evidence): number {
-  const last = evidence.crashes.at(-1)
-  const excess = countCrashes(evidence) - (evidence.isContested ? CONTESTED_CRASHES : QUARANTINE_CRASHES)
-  if (last === undefined || excess < 0) return -Infinity
-  return last.at + Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** excess)
+/** Returns the crashes in trials: runs that began after the third crash. */
+export function toFailedTrials (crashes: readonly Crash[]): Crash[] {
+  const thirdAt = crashes[QUARANTINE_CRASHES - 1]?.at ?? Infinity
+  return crashes.filter(item => item.startedAt > thirdAt)
+}
+
+/** Returns for how long a request is quarantined after its last crash if nothing speaks for it. */
+function toHoldMs (failedTrials: number): number {
+  return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
+}
+
+/** Decides what may be done with a request. */
+export function toVerdict (evidence: Evidence, now: number): Verdict {
+  const { crashes, isOutlasted, isCoincident, pendingTrials } = evidence
+  if (crashes.length < QUARANTINE_CRASHES) return { kind: 'allowed' }
+  const isOutage = (): boolean => countCrashes(evidence) < QUARANTINE_CRASHES
+  if (crashes.length < OUTAGE_CRASHES && now - crashes[QUARANTINE_CRASHES - 1].at < OUTAGE_MS && isOutage()) return { kind: 'allowed' }
+  const retryAt = (pendingTrials.at(-1) ?? -Infinity) + TRIAL_INTERVAL_MS
+  const failedRuns = toFailedTrials(crashes)
+  // What was allowed during an outage are no trials.
+  const failed = evidence.hasSucceeded ? countCrashes({ crashes: failedRuns, isCoincident }) : failedRuns.length
+  const isDoubtful = (): boolean => countCrashes({ crashes: crashes.filter(item => !isOutlasted(item)), isCoincident }) < QUARANTINE_CRASHES ||
+    (crashes.length < CONTESTED_CRASHES && evidence.isContested())
+  const toHold = (): number => {
+    if (failed + pendingTrials.length >= MAX_TRIALS) return toHoldMs(failed)
+    if (evidence.hasSucceeded) return PROVEN_HOLD_MS * 2 ** failed
+    return isDoubtful() ? 0 : toHoldMs(failed)
+  }
+  const until = Math.max(retryAt, crashes[crashes.length - 1].at + toHold())
+  return now >= until ? { kind: 'trial' } : { kind: 'quarantined', until }
 }
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -7,6 +7,7 @@
 import * as crashEvidences from './crashEvidence.js'
 import * as crashReports from './crashReport.js'
 import * as runTrackers from './runTracker.js'
+import * as suspectEvidences from './suspectEvidence.js'
 import * as suspectTables from './suspectTable.js'
 
 /** Why a quarantined request is rejected. */
@@ -24,8 +25,18 @@
   merge (reports: readonly crashReports.CrashReport[], now: number, from: string): crashReports.CrashReport[]
   /** Returns whether one more crash may quarantine the request. */
   isSuspected (fingerprint: string): boolean
+  /** Decides what may be done with a request. */
+  judge (fingerprint: string, now: number): crashEvidences.Verdict
   /** Returns whether the request must not be sent to any endpoint. */
   isQuarantined (fingerprint: string, now: number): boolean
+  /**
+   * Permits an instance to send a request as a trial.
+   * @param by the instance, for the log
+   * @returns whether it may
+   */
+  grantTrial (fingerprint: string, now: number, by: string): boolean
+  /** Returns reports of the crashes of a request. */
+  toReportsOf (fingerprint: string, now: number): crashReports.CrashReport[]
   /** Returns the quarantined requests, latest last. */
   quarantined (now: number): discovery.QuarantinedRequest[]
   /** Returns reports of the requests with most crashes, for instances that may have missed them. */
@@ -41,8 +52,9 @@
   checkEndpoint?: (endpoint: string) => void
 }
 
-/** Time for which suspicions are kept after the last crash. */
+/** Time for which suspicions are kept after the last crash, and the same for a request that is sent only as a trial. */
 const RETENTION_MS = 600_000
+const QUARANTINE_RETENTION_MS = 86_400_000
 const PRUNE_INTERVAL_MS = 1000
 /** Recent requests of which it is known that they have succeeded. */
 const MAX_COMPLETIONS = 5000
@@ -51,6 +63,8 @@
 const SURVIVORS_TTL_MS = 3000
 /** Minimum interval between reports of the same kind about one request. */
 const REPORT_INTERVAL_MS = 1000
+/** Trials of a request that are remembered. */
+const MAX_KNOWN_TRIALS = 20
 const SELF = 'self'
 
 /** Returns whether one more crash may quarantine a request, or some have. */
@@ -73,23 +87,26 @@
       recordCompletion(fingerprint, now)
       if (clear(fingerprint, SELF)) send([toReport(fingerprint, { isCleared: true })])
     },
-    onCrash (fingerprint, endpoint, at, now) {
-      if (addCrash(fingerprint, { endpoint, at, knownAt: now }, SELF)) send([toReportOfCrash(fingerprint, { endpoint, at }, now)])
+    onCrash (fingerprint, crash, now) {
+      if (addCrash(fingerprint, { ...crash, knownAt: now }, SELF)) send([toReportOfCrash(fingerprint, crash, now)])
     }
   })
 
   const hasSucceeded = (fingerprint: string): boolean => completedAt.has(fingerprint) || suspects.get(fingerprint)?.hasSucceeded === true
 
+  const evidence = suspectEvidences.createSuspectEvidence({ suspects, tracker, hasSucceeded })
+
   const toReport = (fingerprint: string, fields: Partial<crashReports.CrashReport>): crashReports.CrashReport => {
     return crashReports.toCrashReport(fingerprint, { hasSucceeded: hasSucceeded(fingerprint), ...fields })
   }
 
-  const toReportOfCrash = (fingerprint: string, { endpoint, at }: crashEvidences.Crash, now: number): crashReports.CrashReport => {
-    return toReport(fingerprint, { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)) })
+  const toReportOfCrash = (fingerprint: string, { endpoint, at, startedAt }: crashEvidences.Crash, now: number): crashReports.CrashReport => {
+    return toReport(fingerprint, { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)), ranMs: Math.max(0, Math.round(at - startedAt)) })
   }
 
-  const toReportsOf = (fingerprint: string, suspect: suspectTables.Suspect, now: number): crashReports.CrashReport[] => {
-    return suspectTables.toOpenCrashes(suspect).map(crash => toReportOfCrash(fingerprint, crash, now))
+  const toReportsOf = (fingerprint: string, now: number): crashReports.CrashReport[] => {
+    const suspect = suspects.get(fingerprint)
+    return suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect).map(crash => toReportOfCrash(fingerprint, crash, now))
   }
 
   const recordCompletion = (fingerprint: string, now: number): void => {
@@ -104,7 +121,8 @@
     tracker.prune(now)
     for (const [endpoint, at] of survivedAt) if (now - at > RETENTION_MS) survivedAt.delete(endpoint)
     for (const [fingerprint, suspect] of suspects.entries()) {
-      if (now - suspect.lastCrashAt > RETENTION_MS && !isQuarantined(fingerprint, now)) suspects.delete(fingerprint)
+      const isConclusive = suspectTables.toOpenCrashes(suspect).length >= crashEvidences.QUARANTINE_CRASHES
+      if (now - suspect.lastCrashAt > (isConclusive ? QUARANTINE_RETENTION_MS : RETENTION_MS)) suspects.delete(fingerprint)
     }
   }
 
@@ -145,88 +163,52 @@
     const crashes = suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect)
     if (suspect === undefined || crashes.length === 0) return false
     for (const crash of crashes) crash.isCleared = true
+    suspect.trials = []
     suspect.isQuarantined = false
-    suspect.isReleased = false
     log?.event('requestCleared', { fingerprint, crashes: crashes.length, from })
     return true
   }
 
-  /** Returns whether a run of this instance that began before a crash is still in flight at another endpoint. */
-  const hasOwnSurvivors = (fingerprint: string, suspect: suspectTables.Suspect, at: number): boolean => {
-    return [...tracker.endpointsOf(fingerprint, at)].some(endpoint => !suspect.crashes.has(endpoint))
-  }
-
-  const hasSurvivors = (fingerprint: string, suspect: suspectTables.Suspect, at: number, now: number): boolean => {
-    return suspect.survivorsUntil > now || hasOwnSurvivors(fingerprint, suspect, at)
-  }
-
-  /** Returns whether another request was lost in the same crashes and is no less suspicious. */
-  const hasRival = (fingerprint: string, crashes: readonly suspectTables.KnownCrash[], now: number): boolean => {
-    return [...suspects.atCrash(crashes[0].endpoint)].some(other => {
-      const suspect = suspects.get(other)
-      if (other === fingerprint || suspect === undefined) return false
-      return crashes.every(item => suspect.crashes.get(item.endpoint)?.isCleared === false) && !hasSurvivors(other, suspect, crashes[0].at, now)
-    })
-  }
-
-  /** Returns whether a quarantined request was lost in the same crash, which it then explains. */
-  const isExplained = (fingerprint: string, endpoint: string): boolean => {
-    return [...suspects.atCrash(endpoint)].some(other => other !== fingerprint && suspects.get(other)?.isQuarantined === true)
-  }
-
-  /** Returns whether a request is quarantined because of enough crashes other than the given ones. */
-  const hasFurtherCrashes = (fingerprint: string, crashes: readonly suspectTables.KnownCrash[]): boolean => {
+  const judge = (fingerprint: string, now: number): crashEvidences.Verdict => {
     const suspect = suspects.get(fingerprint)
-    if (suspect?.isQuarantined !== true) return false
-    const further = suspectTables.toOpenCrashes(suspect).filter(item => crashes.every(crash => crash.endpoint !== item.endpoint))
-    return further.length >= crashEvidences.QUARANTINE_CRASHES
-  }
-
-  /** Returns whether each of the crashes is explained by a quarantined request that has crashed enough other endpoints too. */
-  const areAllExplained = (fingerprint: string, crashes: readonly suspectTables.KnownCrash[]): boolean => {
-    return crashes.every(({ endpoint }) => [...suspects.atCrash(endpoint)].some(other => other !== fingerprint && hasFurtherCrashes(other, crashes)))
+    if (suspect === undefined) return { kind: 'allowed' }
+    const collected = evidence.collect(fingerprint, suspect, now)
+    const verdict = crashEvidences.toVerdict(collected, now)
+    const isQuarantined = verdict.kind === 'quarantined'
+    if (isQuarantined && !suspect.isQuarantined) {
+      const { crashes, pendingTrials } = collected
+      log?.event('requestQuarantined', { fingerprint, crashes: crashes.length, trials: crashEvidences.toFailedTrials(crashes).length + pendingTrials.length, forMs: Math.round(verdict.until - now), endpoints: crashes.map(item => item.endpoint).join(' ') })
+    }
+    suspect.isQuarantined = isQuarantined
+    return verdict
   }
 
-  const release = (fingerprint: string, suspect: suspectTables.Suspect, crashes: number): void => {
-    suspect.isQuarantined = false
-    suspect.isReleased = true
-    log?.event('requestReleased', { fingerprint, crashes })
-  }
+  const isQuarantined = (fingerprint: string, now: number): boolean => judge(fingerprint, now).kind === 'quarantined'
 
-  const isQuarantined = (fingerprint: string, now: number): boolean => {
+  /**
+   * Records that a request is sent in spite of its crashes.
+   * @param to endpoint, or what the request is sent by, for the log
+   */
+  const recordTrial = (fingerprint: string, now: number, to: string): void => {
     const suspect = suspects.get(fingerprint)
-    if (suspect === undefined) return false
-    const open = suspectTables.toOpenCrashes(suspect)
-    if (open.length < crashEvidences.QUARANTINE_CRASHES) return false
-    const wasQuarantined = suspect.isQuarantined || suspect.isReleased
-    if (wasQuarantined && areAllExplained(fingerprint, open)) {
-      if (suspect.isQuarantined) release(fingerprint, suspect, open.length)
-      return false
-    }
-    // One more crash after a release shows that the request crashes endpoints itself.
-    const crashes = open.filter(item => wasQuarantined || !isExplained(fingerprint, item.endpoint)).sort((a, b) => a.at - b.at)
-    if (crashes.length < crashEvidences.QUARANTINE_CRASHES) return false
-    const until = crashEvidences.toQuarantineEnd({
-      crashes,
-      isCoincident: ({ at }) => hasSucceeded(fingerprint) || hasSurvivors(fingerprint, suspect, at, now),
-      isContested: hasSurvivors(fingerprint, suspect, crashes[0].at, now) || hasRival(fingerprint, crashes, now)
-    })
-    if (until > now && !suspect.isQuarantined) {
-      log?.event('requestQuarantined', { fingerprint, crashes: crashes.length, known: open.length, forMs: Math.round(until - now), endpoints: crashes.map(item => item.endpoint).join(' ') })
-    }
-    suspect.isQuarantined = until > now
-    return suspect.isQuarantined
+    if (suspect === undefined) return
+    const { crashes, pendingTrials } = evidence.collect(fingerprint, suspect, now)
+    if (crashes.length < crashEvidences.QUARANTINE_CRASHES) return
+    log?.event('suspectSent', { fingerprint, to, crashes: crashes.length, verdict: judge(fingerprint, now).kind, hasSucceeded: hasSucceeded(fingerprint) })
+    // It was recorded when it was permitted.
+    if (now - (pendingTrials.at(-1) ?? -Infinity) < crashEvidences.TRIAL_INTERVAL_MS) return
+    suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
   }
 
   /** Tells the other instances what the sender of a new crash report seems not to know. */
   const respond = (fingerprint: string, suspect: suspectTables.Suspect, now: number): void => {
-    if (hasOwnSurvivors(fingerprint, suspect, suspect.lastCrashAt) && now - suspect.survivorsReportedAt > REPORT_INTERVAL_MS) {
+    if (evidence.hasOwnSurvivors(fingerprint, suspect, suspect.lastCrashAt) && now - suspect.survivorsReportedAt > REPORT_INTERVAL_MS) {
       suspect.survivorsReportedAt = now
       send([toReport(fingerprint, { hasSurvivors: true })])
     }
-    if (isQuarantined(fingerprint, now) && now - suspect.crashesReportedAt > REPORT_INTERVAL_MS) {
+    if (judge(fingerprint, now).kind !== 'allowed' && now - suspect.crashesReportedAt > REPORT_INTERVAL_MS) {
       suspect.crashesReportedAt = now
-      send(toReportsOf(fingerprint, suspect, now))
+      send(toReportsOf(fingerprint, now))
     }
   }
 
@@ -238,7 +220,7 @@
       return clear(fingerprint, from) ? report : undefined
     }
     for (const endpoint of report.survived) retract(endpoint, now - report.agoMs, from)
-    const crashed = report.crashed.filter(endpoint => addCrash(fingerprint, { endpoint, at: now - report.agoMs, knownAt: now }, from))
+    const crashed = report.crashed.filter(endpoint => addCrash(fingerprint, { endpoint, at: now - report.agoMs, startedAt: now - report.agoMs - report.ranMs, knownAt: now }, from))
     const suspect = suspects.get(fingerprint)
     if (suspect === undefined) return undefined
     const isSurvivalNew = report.hasSurvivors && suspect.survivorsUntil - now < SURVIVORS_TTL_MS / 2
@@ -248,18 +230,9 @@
     return crashed.length > 0 || isSurvivalNew ? { ...report, crashed } : undefined
   }
 
-  /** Logs why a request is sent that was in flight at enough crashes for a quarantine. */
-  const logSend = (fingerprint: string, endpoint: string, now: number): void => {
-    const suspect = suspects.get(fingerprint)
-    const open = suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect).sort((a, b) => a.at - b.at)
-    if (suspect === undefined || open.length < crashEvidences.QUARANTINE_CRASHES) return
-    const explained = open.filter(item => isExplained(fingerprint, item.endpoint)).length
-    log?.event('suspectSent', { fingerprint, endpoint, known: open.length, explained, hasSucceeded: hasSucceeded(fingerprint), hasSurvivors: hasSurvivors(fingerprint, suspect, open[0].at, now), hasRival: hasRival(fingerprint, open, now) })
-  }
-
   return {
     startRun (fingerprint, endpoint, now) {
-      logSend(fingerprint, endpoint, now)
+      recordTrial(fingerprint, now, endpoint)
       return tracker.startRun(fingerprint, endpoint, now)
     },
     excuse: tracker.excuse,
@@ -283,7 +256,14 @@
       const suspect = suspects.get(fingerprint)
       return suspect !== undefined && isNearQuarantine(suspect)
     },
+    judge,
     isQuarantined,
+    grantTrial (fingerprint, now, by) {
+      const isGranted = !isQuarantined(fingerprint, now)
+      if (isGranted) recordTrial(fingerprint, now, by)
+      return isGranted
+    },
+    toReportsOf,
     quarantined: now => suspects.entries().flatMap(([fingerprint, suspect]) => {
       return isQuarantined(fingerprint, now) ? [{ fingerprint, crashed: suspectTables.toOpenCrashes(suspect).map(item => item.endpoint) }] : []
     }),
@@ -294,8 +274,8 @@
         .sort(([, a], [, b]) => b.crashes.size - a.crashes.size)
         .slice(0, MAX_REPORTED_SUSPECTS)
         .flatMap(([fingerprint, suspect]) => {
-          const reports = toReportsOf(fingerprint, suspect, now)
-          return hasOwnSurvivors(fingerprint, suspect, suspect.lastCrashAt) ? [...reports, toReport(fingerprint, { hasSurvivors: true })] : reports
+          const reports = toReportsOf(fingerprint, now)
+          return evidence.hasOwnSurvivors(fingerprint, suspect, suspect.lastCrashAt) ? [...reports, toReport(fingerprint, { hasSurvivors: true })] : reports
         })
     }
   }
--- a/packages/forwarding/src/quarantine/crashReport.ts
+++ b/packages/forwarding/src/quarantine/crashReport.ts
@@ -9,6 +9,8 @@
   crashed: z.array(z.string()),
   /** Time since then, in milliseconds. */
   agoMs: z.number().default(0),
+  /** Time for which the request had been at the endpoint then, in milliseconds. */
+  ranMs: z.number().default(0),
   /** Incarnations of endpoints that were taken for crashed and have responded since; concerns all requests that they lost. */
   survived: z.array(z.string()).default([]),
   /** Whether the request completed a run, so that its crashes no longer count. */
@@ -23,7 +25,7 @@
 
 /** Returns a report with the given fields and defaults for the others. */
 export function toCrashReport (fingerprint: string, fields: Partial<CrashReport>): CrashReport {
-  return { fingerprint, crashed: [], survived: [], agoMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false, ...fields }
+  return { fingerprint, crashed: [], survived: [], agoMs: 0, ranMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false, ...fields }
 }
 
 /**
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -2,6 +2,7 @@
  * Runs of requests at endpoints, to tell which of them were lost because their endpoint went down. An endpoint is identified by its
  * incarnation, so that a later start of it is another one.
  */
+import type * as crashEvidences from './crashEvidence.js'
 
 /**
  * How a run ended: with a success, without a complete response, without a response because the client left or the deadline passed,
@@ -42,8 +43,8 @@
 /** Options of {@link createRunTracker}. */
 export interface RunTrackerOptions {
   onCompleted: (fingerprint: string, now: number) => void
-  /** Called for each request that was in flight at a crash; `at` is the time of its loss. */
-  onCrash: (fingerprint: string, endpoint: string, at: number, now: number) => void
+  /** Called for each request that was in flight at a crash. */
+  onCrash: (fingerprint: string, crash: crashEvidences.Crash, now: number) => void
 }
 
 /** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
@@ -56,7 +57,7 @@
 const MAX_LOST_RUNS = 1000
 
 interface RunState { endpoint: string, startedAt: number }
-interface LostRun { fingerprint: string, how: 'lost' | 'abandoned', at: number }
+interface LostRun { fingerprint: string, how: 'lost' | 'abandoned', startedAt: number, at: number }
 
 /** Creates an empty tracker. */
 export function createRunTracker ({ onCompleted, onCrash }: RunTrackerOptions): RunTracker {
@@ -70,7 +71,7 @@
     const down = downs.get(endpoint)
     if (down !== undefined && isCrash(run, run.at - down.at, down.reason)) {
       push(crashedRuns, endpoint, run)
-      onCrash(run.fingerprint, endpoint, run.at, run.at)
+      onCrash(run.fingerprint, toCrash(endpoint, run), run.at)
     } else push(lostRuns, endpoint, run)
   }
 
@@ -89,7 +90,7 @@
           switch (how) {
             case 'completed': onCompleted(fingerprint, at); break
             case 'lost':
-            case 'abandoned': recordLost(endpoint, { fingerprint, how, at }); break
+            case 'abandoned': recordLost(endpoint, { fingerprint, how, startedAt: now, at }); break
             case 'inconclusive': break
           }
         }
@@ -103,7 +104,7 @@
       lostRuns.set(endpoint, lost.filter(run => !crashed.includes(run)))
       for (const run of crashed) {
         push(crashedRuns, endpoint, run)
-        onCrash(run.fingerprint, endpoint, run.at, now)
+        onCrash(run.fingerprint, toCrash(endpoint, run), now)
       }
     },
     confirmUp (endpoint, sentAt) {
@@ -128,6 +129,10 @@
   }
 }
 
+function toCrash (endpoint: string, { at, startedAt }: LostRun): crashEvidences.Crash {
+  return { endpoint, at, startedAt }
+}
+
 /** Adds a run of an endpoint, and drops those that are too old to matter. */
 function push (runs: Map<string, LostRun[]>, endpoint: string, run: LostRun): void {
   const list = runs.get(endpoint) ?? []
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -22,10 +22,10 @@
   survivorsReportedAt: number
   /** When all crashes were reported last, because another instance seemed not to know them. */
   crashesReportedAt: number
-  /** Whether the evidence sufficed when it was last looked at. */
+  /** When it was sent in spite of its crashes, as far as this instance knows, oldest first. */
+  trials: number[]
+  /** Whether it was to be rejected when the evidence was last looked at. */
   isQuarantined: boolean
-  /** Whether a quarantine ended because other requests turned out to explain its crashes. */
-  isReleased: boolean
 }
 
 /** The suspects known to an instance. */
@@ -44,9 +44,9 @@
 const MAX_SUSPECTS = 5000
 const NONE: ReadonlySet<string> = new Set()
 
-/** Returns the crashes of a suspect since its last completed run. */
+/** Returns the crashes of a suspect since its last completed run, oldest first. */
 export function toOpenCrashes (suspect: Suspect): KnownCrash[] {
-  return [...suspect.crashes.values()].filter(item => !item.isCleared)
+  return [...suspect.crashes.values()].filter(item => !item.isCleared).sort((a, b) => a.at - b.at)
 }
 
 /** Creates an empty table. */
@@ -78,12 +78,13 @@
     get: fingerprint => suspects.get(fingerprint),
     entries: () => [...suspects],
     atCrash: endpoint => fingerprintsByCrash.get(endpoint) ?? NONE,
-    add (fingerprint, { endpoint, at, knownAt }) {
+    add (fingerprint, crash) {
+      const { endpoint, at } = crash
       const known = suspects.get(fingerprint)
       if (known?.crashes.has(endpoint) === true) return undefined
       if (known === undefined && suspects.size >= MAX_SUSPECTS) removeOne()
-      const suspect: Suspect = known ?? { crashes: new Map(), lastCrashAt: at, hasSucceeded: false, survivorsUntil: -Infinity, survivorsReportedAt: -Infinity, crashesReportedAt: -Infinity, isQuarantined: false, isReleased: false }
-      suspect.crashes.set(endpoint, { endpoint, at, knownAt, isCleared: false })
+      const suspect: Suspect = known ?? { crashes: new Map(), lastCrashAt: at, hasSucceeded: false, survivorsUntil: -Infinity, survivorsReportedAt: -Infinity, crashesReportedAt: -Infinity, trials: [], isQuarantined: false }
+      suspect.crashes.set(endpoint, { ...crash, isCleared: false })
       suspect.lastCrashAt = Math.max(suspect.lastCrashAt, at)
       suspects.set(fingerprint, suspect)
       fingerprintsByCrash.set(endpoint, (fingerprintsByCrash.get(endpoint) ?? new Set()).add(fingerprint))
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -22,6 +22,7 @@
       if (!opts.isSourceOpen() && await requestStates.awaitVerdicts(call, state)) continue
       return { kind: 'none', why: 'no further endpoint is available' }
     }
+    if (!await requestStates.maySend(call, state)) return { kind: 'none', why: crashQuarantines.QUARANTINED_WHY }
     if (!requestStates.trySpendRetry(call, opts.isSourceOpen() ? retryBudgets.HEDGE_SHARE : 1)) return { kind: 'none', why: 'the retry budget is exhausted' }
     sends++
     const result = await attempt(call, state, selected, opts)
@@ -35,7 +36,7 @@
   const { ctx, route } = call
   if (opts.signal.aborted) return String(opts.signal.reason)
   if (requestStates.isOver(call)) return 'the deadline has passed'
-  if (ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return crashQuarantines.QUARANTINED_WHY
+  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return crashQuarantines.QUARANTINED_WHY
   // The silent endpoint may have crashed because of the request.
   if (opts.isSourceOpen() && ctx.quarantine.isSuspected(call.fingerprint)) return 'the request is suspected of crashing endpoints'
   return requestStates.mayRun(route, state.runs) ? undefined : 'no further attempt is allowed'
