fix(quarantine): only crashes of one moment are taken for an outage

Now it is let pass only if all its crashes happened within 0.3 s, as in an outage; crashes that follow each other speak against it. Requests that succeeded before are tried 0.5, 1 and 2 s after a crash instead of 1, 2 and 4.

--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -5,9 +5,9 @@
  * From three crashes on, a request is sent only as a trial: one run at a time in the whole fleet, and at most three that are not known
  * to have passed. What speaks for the request decides when it is tried, never how often:
  *
- * - Crashes at the same moment count once if the request survives at another endpoint or succeeded before: it has probably just been
- *   in flight everywhere when several endpoints were lost for another reason.
- * - A crash does not count if several of the other requests that were lost in it had begun later, because a request that crashes its
+ * - If all crashes happened at the same moment and the request survives at another endpoint or succeeded before, it has probably just
+ *   been in flight everywhere when several endpoints were lost for another reason; it is not held back while that is being found out.
+ * - A crash does not count if several suspected requests that were lost in it too had begun later, because a request that crashes its
  *   endpoint is mostly among the last to begin there.
  * - The crashes as a whole have another explanation if another request was lost in all of them too, or if each is explained by a
  *   request that has crashed enough other endpoints.
@@ -27,9 +27,9 @@
 export interface Evidence {
   /** Crashes since its last completed run, oldest first. */
   crashes: readonly Crash[]
-  /** Whether a crash has a probable cause other than the request. */
-  isCoincident: (crash: Crash) => boolean
-  /** Whether several other requests that were lost in a crash had begun later. */
+  /** Returns whether the request is in flight at another endpoint since before a crash. */
+  hasSurvivors: (crash: Crash) => boolean
+  /** Returns whether several other requests that were lost in a crash had begun later. */
   isOutlasted: (crash: Crash) => boolean
   /** Whether the request completed a run before. */
   hasSucceeded: boolean
@@ -48,35 +48,20 @@
 export const MAX_TRIALS = 3
 /** Crashes up to which another explanation is considered for the crashes as a whole. */
 export const CONTESTED_CRASHES = 5
-/** Coincident crashes within this time count once. */
-export const COINCIDENCE_MS = 1000
-/** Time for which an outage that explains the crashes may last, and up to which crashes it may explain. */
+/** Crashes within this time may be one outage. */
+export const COINCIDENCE_MS = 300
+/** Time within which it is found out that an outage has another cause than the request. */
 const OUTAGE_MS = 3000
-const OUTAGE_CRASHES = QUARANTINE_CRASHES + MAX_TRIALS
 /** Minimum time between two trials while the first one has neither completed nor crashed. */
 export const TRIAL_INTERVAL_MS = 2000
 
 /** Time after the last crash after which a request that has succeeded before is tried; doubled with each trial that crashes. */
-const PROVEN_HOLD_MS = 1000
+const PROVEN_HOLD_MS = 500
 const HOLD_MS = 120_000
 /** A request whose trial crashes an endpoint is quarantined this many times longer. */
 const HOLD_GROWTH = 5
 const MAX_HOLD_MS = 3_600_000
 
-/** Counts the crashes of a request; those that coincide with others within {@link COINCIDENCE_MS} count once. */
-export function countCrashes ({ crashes, isCoincident }: Pick<Evidence, 'crashes' | 'isCoincident'>): number {
-  let count = 0
-  let outageAt = -Infinity
-  for (const crash of crashes) {
-    if (isCoincident(crash)) {
-      if (crash.at - outageAt <= COINCIDENCE_MS) continue
-      outageAt = crash.at
-    }
-    count++
-  }
-  return count
-}
-
 /** Returns the crashes in trials: runs that began after the third crash. */
 export function toFailedTrials (crashes: readonly Crash[]): Crash[] {
   const thirdAt = crashes[QUARANTINE_CRASHES - 1]?.at ?? Infinity
@@ -88,23 +73,26 @@
   return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
 }
 
+/** Returns whether the crashes were probably one outage that the request did not cause. */
+function isOutage ({ crashes, hasSucceeded, hasSurvivors }: Evidence, now: number): boolean {
+  const [first] = crashes
+  const last = crashes[crashes.length - 1]
+  return last.at - first.at <= COINCIDENCE_MS && now - last.at < OUTAGE_MS && (hasSucceeded || hasSurvivors(first))
+}
+
 /** Decides what may be done with a request. */
 export function toVerdict (evidence: Evidence, now: number): Verdict {
-  const { crashes, isOutlasted, isCoincident, pendingTrials } = evidence
-  if (crashes.length < QUARANTINE_CRASHES) return { kind: 'allowed' }
-  const isOutage = (): boolean => countCrashes(evidence) < QUARANTINE_CRASHES
-  if (crashes.length < OUTAGE_CRASHES && now - crashes[QUARANTINE_CRASHES - 1].at < OUTAGE_MS && isOutage()) return { kind: 'allowed' }
-  const retryAt = (pendingTrials.at(-1) ?? -Infinity) + TRIAL_INTERVAL_MS
-  const failedRuns = toFailedTrials(crashes)
-  // What was allowed during an outage are no trials.
-  const failed = evidence.hasSucceeded ? countCrashes({ crashes: failedRuns, isCoincident }) : failedRuns.length
-  const isDoubtful = (): boolean => countCrashes({ crashes: crashes.filter(item => !isOutlasted(item)), isCoincident }) < QUARANTINE_CRASHES ||
+  const { crashes, isOutlasted, pendingTrials } = evidence
+  if (crashes.length < QUARANTINE_CRASHES || isOutage(evidence, now)) return { kind: 'allowed' }
+  const failed = toFailedTrials(crashes).length
+  const isDoubtful = (): boolean => crashes.filter(item => !isOutlasted(item)).length < QUARANTINE_CRASHES ||
     (crashes.length < CONTESTED_CRASHES && evidence.isContested())
   const toHold = (): number => {
     if (failed + pendingTrials.length >= MAX_TRIALS) return toHoldMs(failed)
     if (evidence.hasSucceeded) return PROVEN_HOLD_MS * 2 ** failed
     return isDoubtful() ? 0 : toHoldMs(failed)
   }
-  const until = Math.max(retryAt, crashes[crashes.length - 1].at + toHold())
+  const trialAt = (pendingTrials.at(-1) ?? -Infinity) + TRIAL_INTERVAL_MS
+  const until = Math.max(trialAt, crashes[crashes.length - 1].at + toHold())
   return now >= until ? { kind: 'trial' } : { kind: 'quarantined', until }
 }
--- a/packages/forwarding/src/quarantine/suspectEvidence.ts
+++ b/packages/forwarding/src/quarantine/suspectEvidence.ts
@@ -79,7 +79,7 @@
       return {
         crashes,
         hasSucceeded: hasSucceeded(fingerprint),
-        isCoincident: ({ at }) => hasSucceeded(fingerprint) || hasSurvivors(fingerprint, suspect, at, now),
+        hasSurvivors: ({ at }) => hasSurvivors(fingerprint, suspect, at, now),
         isOutlasted: crash => isOutlasted(fingerprint, crash),
         isContested: () => hasRival(fingerprint, crashes, now) || areAllExplained(fingerprint, crashes),
         pendingTrials: toPendingTrials(suspect.trials.filter(at => now - at < TRIAL_TTL_MS), crashEvidences.toFailedTrials(crashes))
