fix(quarantine): each of many quarantined requests is announced by an instance

Cause: a record holds ten requests, and every instance left out the same ones, the oldest, so that of 24 only 15 were announced by anybody. Now an instance announces first those for which it is first in order, so that four instances announce 24, each of them once at least; the bound of a record stays. The test failed before (15 of 24).

--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -80,6 +80,14 @@
   t.is(countCrashes(endpoints), crashes)
 })
 
+// Guards against forgetting the first of many quarantined requests when all instances are restarted.
+test('each of many quarantined requests is announced by an instance', t => {
+  const instanceIds = ['a', 'b', 'c', 'd']
+  const quarantined = Array.from({ length: 24 }, (_, i) => ({ fingerprint: `f${i}`, crashed: ['e1', 'e2', 'e3'] }))
+  const announced = instanceIds.flatMap(self => quarantineRecords.selectAnnounced(quarantined, { self, instanceIds }))
+  t.is(new Set(announced.map(item => item.fingerprint)).size, quarantined.length)
+})
+
 test('few instances announce a quarantined request, and a record is bounded', t => {
   const quarantined = Array.from({ length: 100 }, (_, i) => ({ fingerprint: `f${i}`, crashed: Array.from({ length: 20 }, (_, k) => `e${k}`) }))
   const instanceIds = Array.from({ length: 60 }, (_, i) => `i${i}`)
--- a/packages/forwarding/src/quarantine/quarantineRecords.ts
+++ b/packages/forwarding/src/quarantine/quarantineRecords.ts
@@ -17,19 +17,23 @@
 
 /** Instances that announce the same request. */
 const ANNOUNCERS = 3
-/** Latest quarantined requests that are considered. */
-const MAX_CONSIDERED = 30
+/** Latest quarantined requests that are considered, for each instance. */
+const MAX_CONSIDERED = 10
 /** Requests in one record, and crashes of each that are named. */
 const MAX_REQUESTS = 10
 const MAX_CRASHES = 5
 
-/** Returns those of the quarantined requests that this instance announces. */
+/** Returns those of the quarantined requests that this instance announces. If they are too many, each is left to fewer instances. */
 export function selectAnnounced (quarantined: readonly discovery.QuarantinedRequest[], opts: AnnouncementOptions): discovery.QuarantinedRequest[] {
-  return quarantined
-    .slice(-MAX_CONSIDERED)
-    .filter(({ fingerprint }) => contracts.toRendezvousOrder(fingerprint, opts.instanceIds, id => id).slice(0, ANNOUNCERS).includes(opts.self))
+  const { self, instanceIds } = opts
+  const considered = quarantined.slice(-MAX_CONSIDERED * instanceIds.length).map(request => {
+    return { request, rank: contracts.toRendezvousOrder(request.fingerprint, instanceIds, id => id).indexOf(self) }
+  })
+  return considered
+    .filter(({ rank }) => rank < ANNOUNCERS)
+    .sort((a, b) => b.rank - a.rank)
     .slice(-MAX_REQUESTS)
-    .map(({ fingerprint, crashed }) => ({ fingerprint, crashed: crashed.slice(-MAX_CRASHES) }))
+    .map(({ request: { fingerprint, crashed } }) => ({ fingerprint, crashed: crashed.slice(-MAX_CRASHES) }))
 }
 
 /** Applies the requests that other entry instances, or earlier starts of this one, have announced. */
