--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -37,7 +37,7 @@
   grantTrial (fingerprint: string, now: number, by: string): boolean
   /** Returns reports of the crashes of a request. */
   toReportsOf (fingerprint: string, now: number): crashReports.CrashReport[]
-  /** Returns the quarantined requests, latest last. */
+  /** Returns the requests that are quarantined for a while, latest last. */
   quarantined (now: number): discovery.QuarantinedRequest[]
   /** Returns reports of the requests with most crashes, for instances that may have missed them. */
   toReports (now: number): crashReports.CrashReport[]
@@ -63,6 +63,8 @@
 const SURVIVORS_TTL_MS = 3000
 /** Minimum interval between reports of the same kind about one request. */
 const REPORT_INTERVAL_MS = 1000
+/** Remaining time of a quarantine that is worth announcing; a request for which something speaks is tried before. */
+const MIN_ANNOUNCED_MS = 10_000
 /** Trials of a request that are remembered. */
 const MAX_KNOWN_TRIALS = 20
 const SELF = 'self'
@@ -265,7 +267,9 @@
     },
     toReportsOf,
     quarantined: now => suspects.entries().flatMap(([fingerprint, suspect]) => {
-      return isQuarantined(fingerprint, now) ? [{ fingerprint, crashed: suspectTables.toOpenCrashes(suspect).map(item => item.endpoint) }] : []
+      const verdict = judge(fingerprint, now)
+      const isLasting = verdict.kind === 'quarantined' && verdict.until - now > MIN_ANNOUNCED_MS
+      return isLasting ? [{ fingerprint, crashed: suspectTables.toOpenCrashes(suspect).map(item => item.endpoint) }] : []
     }),
     toReports (now) {
       prune(now)
