fix(quarantine): trials without a result are 2 s apart again

Popular requests on the soak were not served sooner with 1 s (seeds 9001, 9003). suspectSent says whether the send is a trial, and the soak prints it.

--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -53,7 +53,7 @@
 /** Time within which it is found out that an outage has another cause than the request. */
 const OUTAGE_MS = 3000
 /** Minimum time between two trials while the first one has neither completed nor crashed. */
-export const TRIAL_INTERVAL_MS = 1000
+export const TRIAL_INTERVAL_MS = 2000
 
 /** Time after the last crash after which a request that has succeeded before is tried; doubled with each trial that crashes. */
 const PROVEN_HOLD_MS = 500
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -196,7 +196,7 @@
     if (suspect === undefined) return
     const { crashes, pendingTrials } = evidence.collect(fingerprint, suspect, now)
     if (crashes.length < crashEvidences.QUARANTINE_CRASHES) return
-    log?.event('suspectSent', { fingerprint, to, crashes: crashes.length, verdict: judge(fingerprint, now).kind, hasSucceeded: hasSucceeded(fingerprint) })
+    log?.event('suspectSent', { fingerprint, to, crashes: crashes.length, isTrial: judge(fingerprint, now).kind !== 'allowed', hasSucceeded: hasSucceeded(fingerprint) })
     // It was recorded when it was permitted.
     if (now - (pendingTrials.at(-1) ?? -Infinity) < crashEvidences.TRIAL_INTERVAL_MS) return
     suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
