feat(forwarding): responseLost names the shared parts of the prompt

The logs could not tell a part of prompts that crashes endpoints from a series of independent crashes, since no line named the parts of a prompt. No decision is changed.

--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -6,6 +6,7 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryContexts from '../instance/entryContext.js'
+import * as promptParts from './promptParts.js'
 import * as requestStates from './requestState.js'
 import type * as lostPaths from '../paths/lostPaths.js'
 import type * as runTrackers from '../quarantine/runTracker.js'
@@ -161,7 +162,7 @@
   const { endpoint, run } = sent
   // The idle connections to the endpoint are probably broken too.
   ctx.pool.closeIdleConnections(endpoint)
-  ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id })
+  ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id, parts: promptParts.toLoggedParts(call.sharedParts) })
   run.end('lost', ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
   const probe = endpointProbes.probeAfterLoss(endpoint, async failure => await recordUnreachable(ctx, endpoint, failure))
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -27,6 +27,8 @@
   body: Buffer
   /** Identifies the request across the attempts of its client. */
   fingerprint: string
+  /** Ids of the parts of its prompt that other requests may share. */
+  sharedParts: readonly string[]
   /** When the request headers were received. */
   startedAt: number
   /** The earlier of the client deadline and the timeout of the route. */
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -9,6 +9,7 @@
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
+import * as promptParts from '../attempts/promptParts.js'
 import * as requestReaders from './requestReader.js'
 import * as routeTables from '../admission/routeTable.js'
 
@@ -174,6 +175,7 @@
       attemptId: result.attemptId,
       body,
       fingerprint: crashReports.toFingerprint(account?.name, req.method ?? '', req.url ?? '', body),
+      sharedParts: promptParts.toSharedParts(req.rawHeaders, ctx.names.promptParts),
       startedAt,
       deadlineAt: startedAt + waitMs,
       aborter: new AbortController(),
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -1,6 +1,5 @@
 /** Selects the endpoint of a request from the current state of the endpoint pool. */
 import * as contracts from '@kingcupdeck/contracts'
-import * as admission from '../admission/admission.js'
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as chooseEndpoints from './chooseEndpoint.js'
 import type * as clientCalls from '../attempts/clientCall.js'
@@ -43,8 +42,7 @@
   const mayUse = (item: endpointPools.Endpoint): boolean => !isLimited(item) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now)
   const isWorthRetry = (item: endpointPools.Endpoint): boolean => tried.size === 0 || item.failures <= MAX_RETRY_FAILURES
   const candidates = usable.filter((item, i) => !outliers.has(item.id) && !tried.has(item.id) && isEligible(endpoints[i]) && isWorthRetry(endpoints[i]) && mayUse(endpoints[i]) && ctx.brittleLimiter.maySend(call.service, item, now))
-  const prefix = route.hasPrompt ? toSharedPrefix(admission.findHeader(call.req.rawHeaders, ctx.names.promptParts)) : undefined
-  const affinity = prefix === undefined ? undefined : contracts.createScorer(prefix)
+  const affinity = route.hasPrompt && call.sharedParts.length > 0 ? contracts.createScorer(call.sharedParts.join(',')) : undefined
   const choice = chooseEndpoints.chooseEndpoint(candidates, { affinity, zone: ctx.zone, delayLimitMs, meanLoad: affinity === undefined ? undefined : toServiceMeanLoad(call, usable, now) }, Math.random())
   if (choice.kind !== 'chosen') return choice
   const endpoint = ctx.pool.get(choice.id)
@@ -160,10 +158,3 @@
 function toAgeMs (endpoint: endpointPools.Endpoint, unixNow: number): number {
   return endpoint.record.startedAt === 0 ? Infinity : Math.max(0, unixNow - endpoint.record.startedAt)
 }
-
-/** Returns the shared prompt prefix: all parts but the last one. */
-function toSharedPrefix (parts: string | undefined): string | undefined {
-  if (parts === undefined) return undefined
-  const ids = parts.split(',').map(part => part.split(':')[0].trim())
-  return ids.length > 1 ? ids.slice(0, -1).join(',') : undefined
-}
