--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -2,7 +2,7 @@
 import * as ava from 'ava'
 import * as crashEvidences from '../src/quarantine/crashEvidence.js'
 import * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
-import * as crashReports from '../src/quarantine/crashReport.js'
+import * as suspectKeys from '../src/quarantine/suspectKey.js'
 
 const test = ava.default
 const HOUR_MS = 3_600_000
@@ -21,7 +21,7 @@
   return {
     quarantine,
     crash (endpoint, fingerprints) {
-      const runs = fingerprints.map(item => quarantine.startRun(item, endpoint, at))
+      const runs = fingerprints.map(item => quarantine.startRun([item], endpoint, at))
       for (const run of runs) run.end('lost', at)
       quarantine.confirmDown(endpoint, at, 'refused')
     },
@@ -34,9 +34,9 @@
   const { quarantine, crash, wait, now } = createSetup()
   for (const endpoint of ['e1', 'e2']) crash(endpoint, ['x'])
   wait(10_000)
-  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
   crash('e3', ['x'])
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 // Guards against a request that crashes endpoints again and again because its quarantine expires.
@@ -46,7 +46,7 @@
   let crashes = 0
   const end = now() + HOUR_MS
   while (now() < end) {
-    if (!quarantine.isQuarantined('x', now())) crash(`later-${crashes++}`, ['x'])
+    if (!quarantine.isQuarantined(['x'], now())) crash(`later-${crashes++}`, ['x'])
     wait(1000)
   }
   t.true(crashes <= 3, `${crashes} further crashes in an hour`)
@@ -57,34 +57,34 @@
   const { quarantine, crash, wait, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x'])
   wait(HOUR_MS / 2)
-  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
   crash('e4', ['beside'])
   crash('e5', ['x'])
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 // Guards against blaming requests whose clients left an endpoint that was only too busy to accept connections.
 test('a client that leaves a silent endpoint is no evidence until the endpoint was restarted', t => {
   const { quarantine, now, wait } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) {
-    quarantine.startRun('x', endpoint, now()).end('abandoned', now())
+    quarantine.startRun(['x'], endpoint, now()).end('abandoned', now())
     quarantine.confirmDown(endpoint, now(), 'silent')
   }
-  t.false(quarantine.isSuspected('x'))
+  t.false(quarantine.isSuspected(['x']))
   wait(5000)
   for (const endpoint of ['e1', 'e2', 'e3']) quarantine.confirmDown(endpoint, now(), 'restarted')
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 // Guards against a crashing request that is not found out because its client leaves first.
 test('a client that leaves an endpoint that crashes counts', t => {
   const { quarantine, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) {
-    const run = quarantine.startRun('x', endpoint, now())
+    const run = quarantine.startRun(['x'], endpoint, now())
     quarantine.confirmDown(endpoint, now(), 'refused')
     run.end('abandoned', now())
   }
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 // Guards against quarantining what was in flight beside a crashing request.
@@ -92,8 +92,8 @@
   const { quarantine, crash, now } = createSetup()
   crash('e1', ['x'])
   for (const endpoint of ['e2', 'e3', 'e4']) crash(endpoint, ['x', 'beside'])
-  t.true(quarantine.isQuarantined('x', now()))
-  t.false(quarantine.isQuarantined('beside', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
+  t.false(quarantine.isQuarantined(['beside'], now()))
   t.deepEqual(quarantine.quarantined(now()).map(item => item.fingerprint), ['x'])
 })
 
@@ -102,49 +102,49 @@
   const { quarantine, crash, now } = createSetup()
   const culprits = ['x', 'y', 'z']
   for (const item of culprits) crash(`first-${item}`, [item, 'beside'])
-  t.true(quarantine.isQuarantined('beside', now()))
+  t.true(quarantine.isQuarantined(['beside'], now()))
   for (const item of culprits) for (const endpoint of ['second', 'third', 'fourth']) crash(`${endpoint}-${item}`, [item])
-  for (const item of culprits) t.true(quarantine.isQuarantined(item, now()))
-  t.false(quarantine.isQuarantined('beside', now()))
+  for (const item of culprits) t.true(quarantine.isQuarantined([item], now()))
+  t.false(quarantine.isQuarantined(['beside'], now()))
   crash('alone', ['beside'])
-  t.true(quarantine.isQuarantined('beside', now()), 'one crash that is not explained suffices then')
+  t.true(quarantine.isQuarantined(['beside'], now()), 'one crash that is not explained suffices then')
 })
 
 test('of two requests that are lost in the same crashes, the one that goes on crashing is quarantined', t => {
   const { quarantine, crash, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) crash(endpoint, ['x', 'beside'])
-  t.false(quarantine.isQuarantined('x', now()))
-  t.false(quarantine.isQuarantined('beside', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
+  t.false(quarantine.isQuarantined(['beside'], now()))
   crash('e4', ['x'])
-  t.true(quarantine.isQuarantined('x', now()))
-  t.false(quarantine.isQuarantined('beside', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
+  t.false(quarantine.isQuarantined(['beside'], now()))
 })
 
 // Guards against more further runs than the users allow while two requests cannot be told apart.
 test('requests that are always lost together are quarantined after five crashes', t => {
   const { quarantine, crash, now } = createSetup()
   for (let i = 1; i <= crashEvidences.CONTESTED_CRASHES; i++) crash(`e${i}`, ['x', 'y'])
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
   t.true(crashEvidences.CONTESTED_CRASHES - crashEvidences.QUARANTINE_CRASHES <= 3)
 })
 
 // Guards against blaming a popular request for an outage, and against never blaming one.
 test('crashes of a request that has succeeded before count once a moment', t => {
   const { quarantine, crash, wait, now } = createSetup()
-  quarantine.startRun('x', 'e0', now()).end('completed', now())
+  quarantine.startRun(['x'], 'e0', now()).end('completed', now())
   wait(100)
   for (const endpoint of ['e1', 'e2', 'e3', 'e4']) crash(endpoint, ['x'])
-  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
   for (const endpoint of ['e5', 'e6']) {
     wait(2 * crashEvidences.COINCIDENCE_MS)
     crash(endpoint, ['x'])
   }
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 test('a request is known by account, method, path and body', t => {
-  const same = crashReports.toFingerprint('a', 'GET', '/x', Buffer.from(''))
-  t.is(crashReports.toFingerprint('a', 'GET', '/x', Buffer.from('')), same)
+  const same = suspectKeys.toRequestKey('a', 'GET', '/x', Buffer.from(''))
+  t.is(suspectKeys.toRequestKey('a', 'GET', '/x', Buffer.from('')), same)
   const others = [['b', 'GET', '/x', ''], ['a', 'POST', '/x', ''], ['a', 'GET', '/y', ''], ['a', 'GET', '/x', 'body']]
-  for (const [account, method, url, body] of others) t.not(crashReports.toFingerprint(account, method, url, Buffer.from(body)), same)
+  for (const [account, method, url, body] of others) t.not(suspectKeys.toRequestKey(account, method, url, Buffer.from(body)), same)
 })
--- a/packages/forwarding/__tests__/crashGossip.test.ts
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -16,13 +16,13 @@
 /** Loses runs of a request at endpoints that then are down. */
 function crash (quarantine: crashQuarantines.CrashQuarantine, fingerprint: string, endpoints: string[]): void {
   for (const endpoint of endpoints) {
-    quarantine.startRun(fingerprint, endpoint, now()).end('lost', now())
+    quarantine.startRun([fingerprint], endpoint, now()).end('lost', now())
     quarantine.confirmDown(endpoint, now(), 'refused')
   }
 }
 
 function countUnaware (fleet: helper.Fleet): number {
-  return fleet.instances.filter(item => !item.quarantine.isQuarantined('x', now())).length
+  return fleet.instances.filter(item => !item.quarantine.isQuarantined(['x'], now())).length
 }
 
 /** Waits until a number of instances does not know the request. @returns whether it came to that in time */
@@ -102,7 +102,7 @@
 test('a request that survives at endpoints of other instances is served everywhere', async t => {
   const fleet = helper.startFleet(t, SMALL)
   await timers.setTimeout(500)
-  const runs = fleet.instances.map(({ quarantine }, i) => quarantine.startRun('x', `e${i}`, now()))
+  const runs = fleet.instances.map(({ quarantine }, i) => quarantine.startRun(['x'], `e${i}`, now()))
   await timers.setTimeout(100)
   for (let i = 0; i < 4; i++) {
     runs[i].end('lost', now())
@@ -110,11 +110,11 @@
   }
   for (let i = 0; i < 20; i++) {
     await timers.setTimeout(100)
-    t.is(fleet.instances.filter(item => item.quarantine.isQuarantined('x', now())).length, 0)
+    t.is(fleet.instances.filter(item => item.quarantine.isQuarantined(['x'], now())).length, 0)
   }
   runs[5].end('completed', now())
   await timers.setTimeout(500)
-  for (const { quarantine } of fleet.instances) t.false(quarantine.isSuspected('x'))
+  for (const { quarantine } of fleet.instances) t.false(quarantine.isSuspected(['x']))
 })
 
 // Guards against instances that answer each other's repeated reports without end.
@@ -135,7 +135,7 @@
   const fleet = helper.startFleet(t, SMALL)
   await timers.setTimeout(500)
   const [{ quarantine }] = fleet.instances
-  const runs = Array.from({ length: 200 }, (_, i) => quarantine.startRun(`f${i}`, 'e1', now()))
+  const runs = Array.from({ length: 200 }, (_, i) => quarantine.startRun([`f${i}`], 'e1', now()))
   fleet.instances[0].sentCount = 0
   for (const run of runs) run.end('lost', now())
   quarantine.confirmDown('e1', now(), 'refused')
--- a/packages/forwarding/__tests__/crashQuarantine.test.ts
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -177,13 +177,13 @@
   const entry = await startEntry(t, [endpoint], { maxAttempts: 1 })
   t.teardown(() => { endpoint.close() })
   for (const incarnation of ['e0@1', 'e1@1', 'e2@1']) {
-    entry.quarantine.startRun('x', incarnation, performance.now()).end('lost', performance.now())
+    entry.quarantine.startRun(['x'], incarnation, performance.now()).end('lost', performance.now())
     entry.quarantine.confirmDown(incarnation, performance.now(), 'refused')
   }
-  t.true(entry.quarantine.isQuarantined('x', performance.now()))
+  t.true(entry.quarantine.isQuarantined(['x'], performance.now()))
   await entry.send()
   t.is(endpoint.requests.length, 1)
-  t.true(entry.quarantine.isQuarantined('x', performance.now()))
+  t.true(entry.quarantine.isQuarantined(['x'], performance.now()))
 })
 
 /** Waits until a condition holds. */
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -29,6 +29,7 @@
   notRun: 'x-not-run',
   brittle: 'x-brittle',
   promptParts: 'x-parts',
+  model: 'x-model',
   fetchFrom: 'x-fetch-from',
   lastEventId: 'last-event-id',
   reserved: ['x-reserved']
--- a/packages/forwarding/__tests__/helpers/virtualFleet.ts
+++ b/packages/forwarding/__tests__/helpers/virtualFleet.ts
@@ -1,8 +1,9 @@
-/** Entry instances and endpoints on virtual time: requests that crash what runs them, and others beside them. */
+/** Entry instances and endpoints on virtual time: requests and parts of prompts that crash what runs them, and others beside them. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as crashReports from '../../src/quarantine/crashReport.js'
 import type * as runTrackers from '../../src/quarantine/runTracker.js'
+import * as suspectKeys from '../../src/quarantine/suspectKey.js'
 import * as random from './random.js'
 
 /** What happens in a run of the model. */
@@ -27,6 +28,15 @@
   lossShare: number
   /** Interval at which an instance is replaced by one that has just started; never if undefined. */
   restartMs?: number
+  /** Parts of prompts that crash endpoints, and new requests with each of them in a second. */
+  badParts: number
+  badPerS: number
+  /** Whether the part is the first one of its prompts; otherwise it follows a root that all prompts share. */
+  isFirst: boolean
+  /** Share of the other requests that have such a part before it turns bad. */
+  turnsBadShare: number
+  /** Other parts that come only with a crashing one until a moment after it has crashed endpoints. */
+  hasNeighbours: boolean
 }
 
 /** What was seen in a run of the model. */
@@ -37,13 +47,27 @@
   /** Other requests that were asked for, and those that ended with a rejection. */
   others: number
   rejected: number
+  /** The most crashes of a part, and the most sends of one later than {@link GRACE_MS} after its fifth crash. */
+  partCrashes: number
+  latePartSends: number
+  /** Other requests from twice {@link GRACE_MS} after the last fifth crash on, and those rejected at the first attempt. */
+  settled: number
+  settledRejected: number
 }
 
 /** Defaults of a scenario. */
-export const QUIET: Omit<Scenario, 'seed'> = { instances: 8, endpoints: 12, crashing: 1, copies: 1, crashMs: 70, queueMs: 0, rate: 60, meanMs: 800, popularShare: 0, gossipMs: 10, lossShare: 0 }
+export const QUIET: Omit<Scenario, 'seed'> = { instances: 8, endpoints: 12, crashing: 1, copies: 1, crashMs: 70, queueMs: 0, rate: 60, meanMs: 800, popularShare: 0, gossipMs: 10, lossShare: 0, badParts: 0, badPerS: 3, isFirst: false, turnsBadShare: 0, hasNeighbours: false }
 
 const END_MS = 40_000
 const CRASHES = 3
+const PART_CRASHES = 5
+/** When parts turn bad, and until when requests with them come. */
+const BAD_FROM_MS = 5000
+const BAD_TO_MS = 34_000
+/** Time after that at which neighbours of a crashing part are asked for without it. */
+const NEIGHBOURS_FROM_MS = 8000
+const TOPICS = 10
+const RESPONDS_AFTER_MS = 200
 const GRACE_MS = 3000
 const DOWN_MS = 4000
 const PROBE_MS = 5
@@ -85,6 +109,9 @@
   const endpoints = Array.from({ length: scenario.endpoints }, (_, i): VirtualEndpoint => ({ id: `e${i}`, start: 0, upAt: 0, runs: new Set() }))
   const crashesOf = new Map<string, number[]>()
   const lateSendsOf = new Map<string, number>()
+  const crashesOfPart = new Map<number, number[]>()
+  const sendsOfPart = new Map<number, number[]>()
+  const firstAttempts: Array<{ at: number, isRejected: boolean }> = []
   const outcome = { crashes: 0, others: 0, rejected: 0 }
 
   const deliver = (from: VirtualInstance, to: number, reports: crashReports.CrashReport[]): void => {
@@ -130,30 +157,52 @@
     return up.length === 0 ? undefined : random.pick(draw, up)
   }
 
-  /** Asks the instance that permits trials of a request, if it may only be sent as one. */
-  const askToSend = (fingerprint: string, instance: VirtualInstance, at: number, proceed: (isAllowed: boolean, at: number) => void): void => {
-    const { kind } = instance.quarantine.judge(fingerprint, at)
-    const [arbiter] = contracts.toRendezvousOrder(fingerprint, instances, item => `i${item.place}`)
-    if (kind !== 'trial') proceed(kind === 'allowed', at)
-    else if (arbiter === instance) proceed(at - instance.startedAt > LEARNING_MS && instance.quarantine.grantTrial(fingerprint, at, 'self'), at)
-    else {
-      const reports = instance.quarantine.toReportsOf(fingerprint, at)
-      const isLost = draw() < scenario.lossShare
-      schedule(at + draw() * scenario.gossipMs, askedAt => {
-        arbiter.quarantine.merge(reports.map(item => ({ ...item, agoMs: item.agoMs + askedAt - at })), askedAt, `i${instance.place}`)
-        const isGranted = !isLost && instances.includes(arbiter) && askedAt - arbiter.startedAt > LEARNING_MS && arbiter.quarantine.grantTrial(fingerprint, askedAt, `i${instance.place}`)
-        schedule(askedAt + draw() * scenario.gossipMs, repliedAt => { proceed(isGranted && !instance.quarantine.isQuarantined(fingerprint, repliedAt), repliedAt) })
-      })
+  /** Asks the instances that permit trials, if a request may only be sent as one. */
+  const askToSend = (keys: readonly string[], instance: VirtualInstance, at: number, proceed: (isAllowed: boolean, at: number) => void): void => {
+    const verdict = instance.quarantine.judge(keys, at)
+    if (verdict.kind !== 'trial') {
+      proceed(verdict.kind === 'allowed', at)
+      return
+    }
+    const groups = new Map<VirtualInstance, string[]>()
+    for (const key of verdict.keys) {
+      const [arbiter] = contracts.toRendezvousOrder(suspectKeys.toArbiterKey(key), instances, item => `i${item.place}`)
+      groups.set(arbiter, [...groups.get(arbiter) ?? [], key])
+    }
+    askArbiters(keys, instance, [...groups], at, proceed)
+  }
+
+  const askArbiters = (carried: readonly string[], instance: VirtualInstance, groups: Array<[arbiter: VirtualInstance, keys: string[]]>, at: number, proceed: (isAllowed: boolean, at: number) => void): void => {
+    const [first, ...rest] = groups
+    if (first === undefined) {
+      proceed(true, at)
+      return
+    }
+    const [arbiter, keys] = first
+    const next = (isGranted: boolean, now: number): void => {
+      if (isGranted) askArbiters(carried, instance, rest, now, proceed)
+      else proceed(false, now)
+    }
+    if (arbiter === instance) {
+      next(at - instance.startedAt > LEARNING_MS && instance.quarantine.grantTrial(keys, carried, at, 'self'), at)
+      return
     }
+    const reports = instance.quarantine.toReportsOf(keys, at)
+    const isLost = draw() < scenario.lossShare
+    schedule(at + draw() * scenario.gossipMs, askedAt => {
+      arbiter.quarantine.merge(reports.map(item => ({ ...item, agoMs: item.agoMs + askedAt - at })), askedAt, `i${instance.place}`)
+      const isGranted = !isLost && instances.includes(arbiter) && askedAt - arbiter.startedAt > LEARNING_MS && arbiter.quarantine.grantTrial(keys, carried, askedAt, `i${instance.place}`)
+      schedule(askedAt + draw() * scenario.gossipMs, repliedAt => { next(isGranted && !instance.quarantine.isQuarantined(keys, repliedAt, carried), repliedAt) })
+    })
   }
 
   /** Sends a request from an instance, unless that rejects it. */
-  const send = (fingerprint: string, instance: VirtualInstance, askedAt: number, { onSent, onLost, onRejected }: SendOptions): void => {
+  const send = (keys: readonly string[], instance: VirtualInstance, askedAt: number, { onSent, onLost, onRejected }: SendOptions): void => {
     if (toEndpoint(askedAt) === undefined) {
       onLost(askedAt)
       return
     }
-    askToSend(fingerprint, instance, askedAt, (isAllowed, at) => {
+    askToSend(keys, instance, askedAt, (isAllowed, at) => {
       if (!isAllowed) {
         onRejected(at)
         return
@@ -163,9 +212,10 @@
         onLost(at)
         return
       }
+      const [fingerprint] = keys
       const third = crashesOf.get(fingerprint)?.[CRASHES - 1] ?? Infinity
       if (at > third + GRACE_MS) lateSendsOf.set(fingerprint, (lateSendsOf.get(fingerprint) ?? 0) + 1)
-      const run: VirtualRun = { isOver: false, instance, run: instance.quarantine.startRun(fingerprint, toIncarnation(endpoint), at), onLost }
+      const run: VirtualRun = { isOver: false, instance, run: instance.quarantine.startRun(keys, toIncarnation(endpoint), at), onLost }
       endpoint.runs.add(run)
       onSent(run, endpoint, at)
     })
@@ -178,7 +228,7 @@
       isAnswered = true
       schedule(from + CLIENT_INTERVAL_MS * (0.2 + 0.8 * draw()), now => { sendCrashing(fingerprint, now) })
     }
-    send(fingerprint, random.pick(draw, instances), at, {
+    send([fingerprint], random.pick(draw, instances), at, {
       onSent (run, endpoint, sentAt) {
         schedule(sentAt + draw() * scenario.queueMs + scenario.crashMs * (0.5 + draw()), now => {
           if (run.isOver) return
@@ -191,9 +241,19 @@
     })
   }
 
-  const sendOther = (fingerprint: string, durationMs: number, at: number, tries: number, returns: number): void => {
-    send(fingerprint, random.pick(draw, instances), at, {
+  const toKeys = (fingerprint: string, parts: readonly string[]): string[] => [fingerprint, ...suspectKeys.toPartKeys('svc', 'm', parts)]
+
+  const sendOther = (keys: readonly string[], durationMs: number, at: number, tries: number, returns: number): void => {
+    const attempt = { at, isRejected: false }
+    if (tries === 0 && returns === 0) firstAttempts.push(attempt)
+    send(keys, random.pick(draw, instances), at, {
       onSent (run, endpoint, sentAt) {
+        // A repeat of a request that was sound when it was sent first.
+        if (sentAt >= BAD_FROM_MS && keys.some(key => key.endsWith(':bad-0'))) {
+          crashWithPart(0, run, endpoint, sentAt)
+          return
+        }
+        schedule(sentAt + RESPONDS_AFTER_MS, now => { if (!run.isOver) run.run.begin(now) })
         schedule(sentAt + durationMs, now => {
           if (run.isOver) return
           run.isOver = true
@@ -202,19 +262,55 @@
         })
       },
       onLost (lostAt) {
-        if (tries < MAX_TRIES) schedule(lostAt + RETRY_MS * (0.5 + draw()), now => { sendOther(fingerprint, durationMs, now, tries + 1, returns) })
+        if (tries < MAX_TRIES) schedule(lostAt + RETRY_MS * (0.5 + draw()), now => { sendOther(keys, durationMs, now, tries + 1, returns) })
       },
       onRejected (rejectedAt) {
-        if (returns < MAX_RETURNS) schedule(rejectedAt + RETURN_MS * (1 + draw() / 2), now => { sendOther(fingerprint, durationMs, now, tries, returns + 1) })
+        attempt.isRejected = true
+        if (returns < MAX_RETURNS) schedule(rejectedAt + RETURN_MS * (1 + draw() / 2), now => { sendOther(keys, durationMs, now, tries, returns + 1) })
         else outcome.rejected++
       }
     })
   }
 
+  /** Lets a run with a crashing part crash its endpoint. */
+  const crashWithPart = (part: number, run: VirtualRun, endpoint: VirtualEndpoint, sentAt: number): void => {
+    sendsOfPart.set(part, [...sendsOfPart.get(part) ?? [], sentAt])
+    schedule(sentAt + draw() * scenario.queueMs + scenario.crashMs * (0.5 + draw()), now => {
+      if (run.isOver) return
+      crashesOfPart.set(part, [...crashesOfPart.get(part) ?? [], now])
+      crash(endpoint, now)
+    })
+  }
+
+  /** Returns the parts of the prompt of a sound request. */
+  const toSoundParts = (at: number): string[] => {
+    if (scenario.badParts === 0) return []
+    const topic = `topic-${Math.floor(draw() * TOPICS)}`
+    if (at < BAD_FROM_MS && draw() < scenario.turnsBadShare) return scenario.isFirst ? ['bad-0'] : ['root', 'bad-0']
+    if (scenario.hasNeighbours && at > BAD_FROM_MS + NEIGHBOURS_FROM_MS && draw() < 0.1) return scenario.isFirst ? ['neighbour'] : ['root', 'neighbour']
+    return scenario.isFirst ? [topic] : ['root', topic]
+  }
+
+  const toBadParts = (part: number): string[] => {
+    const rest = scenario.hasNeighbours ? ['neighbour'] : draw() < 0.5 ? [`topic-${Math.floor(draw() * TOPICS)}`] : []
+    return scenario.isFirst ? [`bad-${part}`, ...rest] : ['root', `bad-${part}`, ...rest]
+  }
+
+  let badCount = 0
+  const sendBad = (part: number, at: number): void => {
+    send(toKeys(`with-part-${badCount++}`, toBadParts(part)), random.pick(draw, instances), at, {
+      onSent (run, endpoint, sentAt) { crashWithPart(part, run, endpoint, sentAt) },
+      onLost () {},
+      onRejected () {}
+    })
+    const next = at - Math.log(1 - draw()) * 1000 / scenario.badPerS
+    if (next < BAD_TO_MS) schedule(next, now => { sendBad(part, now) })
+  }
+
   const startOthers = (at: number): void => {
     outcome.others++
     const fingerprint = draw() < scenario.popularShare ? 'popular' : `other-${outcome.others}`
-    sendOther(fingerprint, scenario.meanMs * (0.3 - Math.log(1 - draw())), at, 0, 0)
+    sendOther(toKeys(fingerprint, toSoundParts(at)), scenario.meanMs * (0.3 - Math.log(1 - draw())), at, 0, 0)
     schedule(at - Math.log(1 - draw()) * 1000 / scenario.rate, startOthers)
   }
 
@@ -236,11 +332,22 @@
   for (let i = 0; i < scenario.crashing; i++) {
     for (let copy = 0; copy < scenario.copies; copy++) schedule(2000 + draw() * 1000, at => { sendCrashing(`crashing-${i}`, at) })
   }
+  for (let part = 0; part < scenario.badParts; part++) schedule(BAD_FROM_MS + draw() * 1000, at => { sendBad(part, at) })
   while (true) {
     const next = events.pop()
     if (next === undefined || next.at > END_MS) break
     clock = next.at
     next.run(next.at)
   }
-  return { ...outcome, lateSends: Math.max(0, ...lateSendsOf.values()) }
+  const fifths = [...crashesOfPart].map(([part, list]) => ({ part, at: list[PART_CRASHES - 1] ?? Infinity, last: list[PART_CRASHES - 1] ?? list[list.length - 1] }))
+  const settledAt = Math.max(BAD_FROM_MS, ...fifths.map(item => item.last)) + 2 * GRACE_MS
+  const settled = firstAttempts.filter(item => item.at > settledAt && item.at < BAD_TO_MS)
+  return {
+    ...outcome,
+    lateSends: Math.max(0, ...lateSendsOf.values()),
+    partCrashes: Math.max(0, ...[...crashesOfPart.values()].map(list => list.length)),
+    latePartSends: Math.max(0, ...fifths.map(({ part, at }) => (sendsOfPart.get(part) ?? []).filter(sentAt => sentAt > at + GRACE_MS).length)),
+    settled: settled.length,
+    settledRejected: settled.filter(item => item.isRejected).length
+  }
 }
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -72,7 +72,7 @@
   await timers.setTimeout(helper.SETTLE_MS)
   fleet[42].gossip.sendCrashReports([crashReports.toCrashReport('x', { crashed: ['e1', 'e2', 'e3'] })])
   await timers.setTimeout(50)
-  t.is(fleet.filter(item => item !== fleet[42] && !item.quarantine.isQuarantined('x', performance.now())).length, 0)
+  t.is(fleet.filter(item => item !== fleet[42] && !item.quarantine.isQuarantined(['x'], performance.now())).length, 0)
 })
 
 // A cycle of relays would add the same loads again in each round.
--- a/packages/forwarding/__tests__/survivedCrashes.test.ts
+++ b/packages/forwarding/__tests__/survivedCrashes.test.ts
@@ -37,7 +37,7 @@
     other,
     reports,
     stall (endpoint) {
-      quarantine.startRun('x', endpoint, at).end('lost', at)
+      quarantine.startRun(['x'], endpoint, at).end('lost', at)
       quarantine.confirmDown(endpoint, at, 'silent')
     },
     respond (endpoint) { quarantine.confirmUp(endpoint, at, at) },
@@ -59,7 +59,7 @@
 test('a request that was lost at stalled endpoints is not quarantined', t => {
   const setup = createSetup()
   stallAll(setup)
-  t.false(setup.quarantine.isQuarantined('x', setup.now()))
+  t.false(setup.quarantine.isQuarantined(['x'], setup.now()))
 })
 
 // Guards against a repeated report of an instance that has not heard of the response.
@@ -67,9 +67,9 @@
   const setup = createSetup()
   const { other } = setup
   stallAll(setup)
-  t.false(other.isQuarantined('x', setup.now()))
+  t.false(other.isQuarantined(['x'], setup.now()))
   other.merge(setup.reports.filter(item => item.crashed.length > 0).map(item => ({ ...item, agoMs: ENDPOINTS.length * PAUSE_MS })), setup.now(), 'late')
-  t.false(other.isQuarantined('x', setup.now()))
+  t.false(other.isQuarantined(['x'], setup.now()))
 })
 
 // Guards against an endpoint that restarts under its id and responds before its new start is announced.
@@ -83,9 +83,9 @@
     for (const instance of [quarantine, other]) instance.confirmDown(endpoint, now(), 'restarted')
     wait(PAUSE_MS)
   }
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
   other.merge(quarantine.toReports(now()), now(), 'first')
-  t.true(other.isQuarantined('x', now()), 'by the reports that are repeated')
+  t.true(other.isQuarantined(['x'], now()), 'by the reports that are repeated')
 })
 
 // Guards against taking a response that was under way for one after the crash.
@@ -98,31 +98,31 @@
     quarantine.confirmUp(endpoint, sentAt, now())
     wait(PAUSE_MS)
   }
-  t.true(quarantine.isQuarantined('x', now()))
+  t.true(quarantine.isQuarantined(['x'], now()))
 })
 
 // Guards against a response that broke off, after which the request succeeded, and a crash of its endpoint seconds later.
 test('a loss before a completed run does not become a crash', t => {
   const { quarantine, wait, now } = createSetup()
   for (const endpoint of ENDPOINTS) {
-    quarantine.startRun('x', endpoint, now()).end('lost', now())
+    quarantine.startRun(['x'], endpoint, now()).end('lost', now())
     wait(STALL_MS)
-    quarantine.startRun('x', 'e4', now()).end('completed', now())
+    quarantine.startRun(['x'], 'e4', now()).end('completed', now())
     wait(STALL_MS)
     quarantine.confirmDown(endpoint, now(), 'refused')
     wait(PAUSE_MS)
   }
-  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
 })
 
 test('a loss on a lost path does not become a crash', t => {
   const { quarantine, wait, now } = createSetup()
   for (const endpoint of ENDPOINTS) {
-    quarantine.startRun('x', endpoint, now()).end('lost', now())
+    quarantine.startRun(['x'], endpoint, now()).end('lost', now())
     quarantine.excuse(endpoint)
     wait(STALL_MS)
     quarantine.confirmDown(endpoint, now(), 'restarted')
     wait(PAUSE_MS)
   }
-  t.false(quarantine.isQuarantined('x', now()))
+  t.false(quarantine.isQuarantined(['x'], now()))
 })
--- a/packages/forwarding/__tests__/trialPermits.test.ts
+++ b/packages/forwarding/__tests__/trialPermits.test.ts
@@ -43,7 +43,7 @@
   at = STARTED_MS
   for (let i = 0; i < crashEvidences.QUARANTINE_CRASHES; i++) {
     at += crashEvidences.COINCIDENCE_MS * 2
-    for (const fingerprint of ['x', 'beside']) instances[i].quarantine.startRun(fingerprint, `e${i}`, at).end('lost', at)
+    for (const fingerprint of ['x', 'beside']) instances[i].quarantine.startRun([fingerprint], `e${i}`, at).end('lost', at)
     instances[i].quarantine.confirmDown(`e${i}`, at, 'refused')
   }
   return { instances, wait (ms) { at += ms }, now, cut () { isCut = true } }
@@ -51,8 +51,8 @@
 
 async function countPermitted ({ instances, now }: Fleet): Promise<number> {
   const results = await Promise.all(instances.map(async ({ permits, quarantine }) => {
-    const maySend = await permits.maySend('x')
-    if (maySend) quarantine.startRun('x', 'e10', now())
+    const maySend = await permits.maySend(['x'])
+    if (maySend) quarantine.startRun(['x'], 'e10', now())
     return maySend
   }))
   return results.filter(Boolean).length
@@ -72,8 +72,8 @@
   const fleet = startFleet()
   const [{ quarantine, permits }] = fleet.instances
   fleet.wait(HOUR_MS)
-  t.true(await permits.maySend('x'))
-  quarantine.startRun('x', 'e10', fleet.now()).end('completed', fleet.now())
+  t.true(await permits.maySend(['x']))
+  quarantine.startRun(['x'], 'e10', fleet.now()).end('completed', fleet.now())
   t.is(await countPermitted(fleet), INSTANCES)
 })
 
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -2,7 +2,6 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as links from '@kingcupdeck/links'
-import * as endpointDialers from '../paths/endpointDialer.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as brittleLimiters from '../placement/brittleLimiter.js'
@@ -33,7 +32,7 @@
   /** The attempt was aborted by its signal before a response; the endpoint may have run the request if it was sent. */
   | { kind: 'aborted', isSent: boolean, why: string }
   /** The response headers were received; the body follows. */
-  | { kind: 'response', res: http.IncomingMessage, abort: () => void, /** Whether the connection failed, for example by a reset. */ isBroken: () => boolean }
+  | { kind: 'response', res: http.IncomingMessage, abort: () => void, /** Whether the connection failed, for example by a reset. */ isBroken: () => boolean, /** Whether only the end of the connection ends the body. */ isUnframed: boolean }
 
 /** A response whose body was not read yet. */
 export type OpenResponse = Extract<AttemptResult, { kind: 'response' }>
@@ -116,8 +115,7 @@
       res = received
       // Without a listener, an error of the response after this point would be uncaught.
       received.on('error', () => {})
-      // An instance that is killed closes its tunnels in order, so the end of one proves nothing.
-      if (isUnframed(received)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) || endpointDialers.findHelper(received.socket) !== undefined })
+      if (isUnframed(received)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) })
       if (isSettled) {
         req.destroy()
         return
@@ -173,7 +171,7 @@
     discard()
     return { kind: 'lost', why: 'the response has a content encoding, which was not requested' }
   }
-  return { kind: 'response', res, abort: () => { req.destroy() }, isBroken }
+  return { kind: 'response', res, abort: () => { req.destroy() }, isBroken, isUnframed: isUnframed(res) }
 }
 
 /** Discards a body so that its connection can be reused, or closes the connection if the body is long or slow. */
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -22,6 +22,8 @@
   /** Time at which it was sent, on the monotonic clock. */
   sentAt: number
   run: runTrackers.Run
+  /** Whether the run ends later than the request, when it is known whether the endpoint outlived the response. */
+  keepsRun: boolean
   /** Inner address of the entry instance that it passed through, undefined for a direct connection. */
   via?: string
   /** Whether the endpoint was found silent while a response was due. */
@@ -135,7 +137,7 @@
 
 /** Records a complete response. */
 export function recordCompleteResponse (call: clientCalls.ClientCall, sent: SentRequest, status: number): void {
-  sent.run.end(status < 500 ? 'completed' : 'inconclusive', call.ctx.now())
+  sent.run.end(status < 300 ? 'completed' : 'inconclusive', call.ctx.now())
 }
 
 function markReachable (ctx: entryContexts.EntryContext, { endpoint, sentAt }: SentRequest, response: string): void {
@@ -153,6 +155,11 @@
   if (wasDue) recordMissed(call, sent)
 }
 
+/** Logs that a response was lost or broke off. */
+export function logLost (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint): void {
+  call.ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id, parts: promptParts.toLoggedParts(call.sharedParts) })
+}
+
 /**
  * Records a response that was lost or broke off. It counts against the endpoint unless the path to the endpoint turns out to be lost.
  * @returns when it is known whether the endpoint is down, if this crash may quarantine the request
@@ -162,13 +169,13 @@
   const { endpoint, run } = sent
   // The idle connections to the endpoint are probably broken too.
   ctx.pool.closeIdleConnections(endpoint)
-  ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id, parts: promptParts.toLoggedParts(call.sharedParts) })
+  logLost(call, endpoint)
   run.end('lost', ctx.now())
   // Probing immediately confirms a crash before further requests are sent to the endpoint.
   const probe = endpointProbes.probeAfterLoss(endpoint, async failure => await recordUnreachable(ctx, endpoint, failure))
     .then(verdict => { if (verdict !== 'lost') recordMissed(call, sent) })
   // If this crash may quarantine the request, it must not be retried before.
-  if (ctx.quarantine.isSuspected(call.fingerprint)) await probe
+  if (ctx.quarantine.isSuspected(call.suspects)) await probe
 }
 
 /** Records a response that is missing or incomplete. The instance that the request passed through may have lost it. */
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -27,6 +27,8 @@
   body: Buffer
   /** Identifies the request across the attempts of its client. */
   fingerprint: string
+  /** Keys of what may crash endpoints: the request and the shared parts of its prompt. */
+  suspects: readonly string[]
   /** Ids of the parts of its prompt that other requests may share. */
   sharedParts: readonly string[]
   /** When the request headers were received. */
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -12,11 +12,11 @@
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
 import * as crashEvidences from '../quarantine/crashEvidence.js'
-import * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as openAttempts from './openAttempt.js'
 import * as priorities from '../admission/priority.js'
 import * as queueDelays from '../placement/queueDelay.js'
+import * as quarantineReasons from '../quarantine/quarantineReason.js'
 import * as requestStates from './requestState.js'
 import * as retryBudgets from './retryBudget.js'
 import * as selectEndpoints from '../placement/selectEndpoint.js'
@@ -57,7 +57,7 @@
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
   // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
-  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return failQuarantined(call)
+  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.suspects, ctx.now())) return failQuarantined(call)
   if (requestStates.isOver(call)) return { kind: 'fail', why: 'the deadline has passed' }
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
@@ -76,7 +76,7 @@
   const { ctx, route } = call
   if (requestStates.isOver(call) || state.sends + open >= selectEndpoints.MAX_SENDS || !requestStates.mayRun(route, state.runs + open)) return undefined
   // The silent endpoint may have crashed because of the request.
-  if (ctx.quarantine.isSuspected(call.fingerprint) || ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return undefined
+  if (ctx.quarantine.isSuspected(call.suspects) || ctx.quarantine.isQuarantined(call.suspects, ctx.now())) return undefined
   const selected = selectEndpoints.selectResponsive(call, state.tried, toDelayLimitMs(call))
   if (selected === undefined || !requestStates.trySpendRetry(call, retryBudgets.HEDGE_SHARE)) return undefined
   return createAttempt(call, state, selected)
@@ -95,10 +95,10 @@
 }
 
 function failQuarantined (call: clientCalls.ClientCall): attemptOutcomes.Next {
-  const why = crashQuarantines.QUARANTINED_WHY
-  if (call.mayHaveRun) return { kind: 'fail', why }
   const now = call.ctx.now()
-  const verdict = call.ctx.quarantine.judge(call.fingerprint, now)
+  const verdict = call.ctx.quarantine.judge(call.suspects, now)
+  const why = quarantineReasons.toQuarantineReason(verdict)
+  if (call.mayHaveRun) return { kind: 'fail', why }
   const delayMs = verdict.kind === 'quarantined' ? verdict.until - now : crashEvidences.TRIAL_INTERVAL_MS
   return { kind: 'done', outcome: clientResponses.sendRefusal(call, { kind: 'unavailable', why, cause: { kind: 'quarantined', delayMs } }) }
 }
--- a/packages/forwarding/src/attempts/headerNames.ts
+++ b/packages/forwarding/src/attempts/headerNames.ts
@@ -20,6 +20,8 @@
   brittle: string
   /** Parts of the prompt in order, as comma-separated `id:tokens`. */
   promptParts: string
+  /** Model that is to run the request. */
+  model: string
   /** Address of an endpoint from whose KV cache the receiver may import missing prompt parts. */
   fetchFrom: string
   /** Id of the last stream event that was received. */
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -10,6 +10,7 @@
 import * as outgoingRequests from './outgoingRequest.js'
 import type * as requestStates from './requestState.js'
 import type * as selectEndpoints from '../placement/selectEndpoint.js'
+import * as unframedEnds from './unframedEnd.js'
 import * as streamReaders from '../streams/streamReader.js'
 
 /** Maximum size of a response that is not a stream. */
@@ -21,7 +22,7 @@
 /** Result of {@link openAttempt}. */
 export type OpenResult =
   | Exclude<attempts.AttemptResult, attempts.OpenResponse>
-  | { kind: 'complete', response: clientResponses.BufferedResponse }
+  | { kind: 'complete', source: attempts.OpenResponse, response: clientResponses.BufferedResponse }
   | { kind: 'stream', source: StreamSource }
 
 /** Options of {@link openAttempt}. */
@@ -75,14 +76,20 @@
   const timer = setTimeout(() => { if (isOtherOpen()) sent.abort(`no event within ${MAX_OVERLAP_MS} ms of the response headers`) }, MAX_OVERLAP_MS)
   const first = await reader.first
   clearTimeout(timer)
-  if (first.kind !== 'broken') return { kind: 'stream', source: { sent, response, reader } }
+  if (first.kind !== 'broken') {
+    sent.run.begin(call.ctx.now())
+    return { kind: 'stream', source: { sent, response, reader } }
+  }
   return await recordBroken(call, sent, first.why)
 }
 
 async function readComplete ({ call, sent }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
+  sent.run.begin(call.ctx.now())
   const buffered = await attempts.readBody(response, sent.signal, MAX_BUFFERED_BYTES)
   if (buffered.kind === 'broken') return await recordBroken(call, sent, buffered.why)
-  return { kind: 'complete', response: { res: response.res, body: buffered.body } }
+  const why = await unframedEnds.findCut(call, sent, response)
+  if (why !== undefined) return await recordBroken(call, sent, why)
+  return { kind: 'complete', source: response, response: { res: response.res, body: buffered.body } }
 }
 
 async function recordBroken (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, why: string): Promise<OpenResult> {
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -48,10 +48,10 @@
  * Returns whether a request may be sent with regard to the crashes that it was in flight at. A permit for a trial is valid until an
  * endpoint was connected to.
  */
-export async function maySend ({ ctx, fingerprint }: clientCalls.ClientCall, state: RequestState): Promise<boolean> {
+export async function maySend ({ ctx, suspects }: clientCalls.ClientCall, state: RequestState): Promise<boolean> {
   if (state.holdsTrialPermit) return true
-  const isTrial = ctx.quarantine.judge(fingerprint, ctx.now()).kind === 'trial'
-  const isPermitted = await ctx.trialPermits.maySend(fingerprint)
+  const isTrial = ctx.quarantine.judge(suspects, ctx.now()).kind === 'trial'
+  const isPermitted = await ctx.trialPermits.maySend(suspects)
   state.holdsTrialPermit = isTrial && isPermitted
   return isPermitted
 }
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -5,12 +5,12 @@
 import * as links from '@kingcupdeck/links'
 import * as admission from '../admission/admission.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as crashReports from '../quarantine/crashReport.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
 import * as promptParts from '../attempts/promptParts.js'
 import * as requestReaders from './requestReader.js'
+import * as suspectKeys from '../quarantine/suspectKey.js'
 import * as routeTables from '../admission/routeTable.js'
 
 /** HTTP server for clients. */
@@ -162,20 +162,24 @@
   const run = async (req: http.IncomingMessage, res: http.ServerResponse, startedAt: number, table: routeTables.CompiledTable, result: Extract<admission.Admission, { kind: 'admitted' }>, body: Buffer): Promise<void> => {
     const { route, account, allowedRegions } = result
     const waitMs = Math.min(route.timeoutMs, result.clientDeadlineMs ?? Infinity)
+    const service = routeTables.pickService(route, Math.random())
+    const fingerprint = suspectKeys.toRequestKey(account?.name, req.method ?? '', req.url ?? '', body)
+    const sharedParts = promptParts.toSharedParts(req.rawHeaders, ctx.names.promptParts)
     const call: clientCalls.ClientCall = {
       req,
       res,
       ctx,
       route,
       table,
-      service: routeTables.pickService(route, Math.random()),
+      service,
       account: account?.name,
       accountRank: account?.rank ?? null,
       allowedRegions,
       attemptId: result.attemptId,
       body,
-      fingerprint: crashReports.toFingerprint(account?.name, req.method ?? '', req.url ?? '', body),
-      sharedParts: promptParts.toSharedParts(req.rawHeaders, ctx.names.promptParts),
+      fingerprint,
+      sharedParts,
+      suspects: [fingerprint, ...suspectKeys.toPartKeys(service, admission.findHeader(req.rawHeaders, ctx.names.model), sharedParts)],
       startedAt,
       deadlineAt: startedAt + waitMs,
       aborter: new AbortController(),
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -84,18 +84,19 @@
   tried.add(endpoint.id)
   endpoint.inFlight++
   if (selected.isLimited) ctx.coldLimiter.recordSend(endpoint.id, sentAt)
-  const run = ctx.quarantine.startRun(call.fingerprint, endpointPools.toIncarnation(endpoint), sentAt)
+  const run = ctx.quarantine.startRun(call.suspects, endpointPools.toIncarnation(endpoint), sentAt)
   const aborter = new AbortController()
   // Not AbortSignal.any: a combined signal with a listener is never collected.
   const onAbort = (): void => { aborter.abort(call.aborter.signal.reason) }
   call.aborter.signal.addEventListener('abort', onAbort)
   if (call.aborter.signal.aborted) onAbort()
   let isReleased = false
-  return {
+  const sent: attemptRecorders.SentRequest = {
     endpoint,
     sentAt,
     run,
     isSilent: false,
+    keepsRun: false,
     signal: aborter.signal,
     abort (why) { aborter.abort(why) },
     release () {
@@ -103,9 +104,10 @@
       isReleased = true
       call.aborter.signal.removeEventListener('abort', onAbort)
       endpoint.inFlight--
-      run.end('abandoned', ctx.now())
+      if (!sent.keepsRun) run.end('abandoned', ctx.now())
     }
   }
+  return sent
 }
 
 /**
--- a/packages/forwarding/src/quarantine/crashReport.ts
+++ b/packages/forwarding/src/quarantine/crashReport.ts
@@ -1,37 +1,44 @@
-/** What entry instances tell each other about requests that are suspected of crashing endpoints. */
+/** What entry instances tell each other about suspects: requests and parts of prompts that may crash endpoints. */
 import * as z from 'zod'
-import * as contracts from '@kingcupdeck/contracts'
 
-/** Report about one request; all fields but the first two are absent from reports of earlier versions. */
+/** Report about suspects that were in the same run; all fields but the first two are absent from reports of earlier versions. */
 export const crashReport = z.object({
+  /** Key of a suspect. */
   fingerprint: z.string(),
-  /** Incarnations of the endpoints that went down with the request in flight. */
+  /** Keys of further suspects that the other fields hold for too. */
+  others: z.array(z.string()).default([]),
+  /** Incarnations of the endpoints that went down with the suspect in flight; if it is cleared, those that no longer count. */
   crashed: z.array(z.string()),
   /** Time since then, in milliseconds. */
   agoMs: z.number().default(0),
   /** Time for which the request had been at the endpoint then, in milliseconds. */
   ranMs: z.number().default(0),
-  /** Incarnations of endpoints that were taken for crashed and have responded since; concerns all requests that they lost. */
+  /** Incarnations of endpoints that were taken for crashed and have responded since; concerns all suspects that they lost. */
   survived: z.array(z.string()).default([]),
-  /** Whether the request completed a run, so that its crashes no longer count. */
+  /** Whether the suspect completed a run, so that its crashes no longer count. */
   isCleared: z.boolean().default(false),
-  /** Whether the request is in flight at other endpoints since before the crashes. */
+  /** Whether the suspect is in flight at other endpoints, in a way that speaks for it. */
   hasSurvivors: z.boolean().default(false),
-  /** Whether the request completed a run before the crashes. */
+  /** Whether it was sent as a trial. */
+  isTrial: z.boolean().default(false),
+  /** Whether the suspect completed a run before the crashes. */
   hasSucceeded: z.boolean().default(false)
 })
-/** Report about one request. */
+/** Report about suspects that were in the same run. */
 export type CrashReport = z.infer<typeof crashReport>
 
 /** Returns a report with the given fields and defaults for the others. */
-export function toCrashReport (fingerprint: string, fields: Partial<CrashReport>): CrashReport {
-  return { fingerprint, crashed: [], survived: [], agoMs: 0, ranMs: 0, isCleared: false, hasSurvivors: false, hasSucceeded: false, ...fields }
+export function toCrashReport (key: string, fields: Partial<CrashReport>): CrashReport {
+  return { fingerprint: key, others: [], crashed: [], survived: [], agoMs: 0, ranMs: 0, isCleared: false, hasSurvivors: false, isTrial: false, hasSucceeded: false, ...fields }
 }
 
-/**
- * Returns a hash that identifies a request across retries: client account, method, path and body.
- * @param account undefined for a request without a client account
- */
-export function toFingerprint (account: string | undefined, method: string, url: string, body: Uint8Array): string {
-  return contracts.sha256(Buffer.concat([Buffer.from(`${account ?? ''}\n${method}\n${url}\n`), body])).slice(0, 24)
+/** Returns the keys of the suspects that a report is about. */
+export function toKeys ({ fingerprint, others }: CrashReport): string[] {
+  return [fingerprint, ...others]
+}
+
+/** Returns one report about several suspects, or none without suspects. */
+export function toSharedReports (keys: readonly string[], fields: Partial<CrashReport>): CrashReport[] {
+  const [first, ...others] = keys
+  return first === undefined ? [] : [toCrashReport(first, { ...fields, others })]
 }
--- a/packages/forwarding/src/quarantine/quarantineRecords.ts
+++ b/packages/forwarding/src/quarantine/quarantineRecords.ts
@@ -1,9 +1,10 @@
 /**
- * Quarantined requests in the records of entry instances. Control instances keep these records, so that entry instances that are all
+ * Quarantined requests and parts of prompts in the records of entry instances. Control instances keep these records, so that entry instances that are all
  * restarted at once learn the requests from the records of their last start.
  */
 import * as contracts from '@kingcupdeck/contracts'
 import type * as discovery from '@kingcupdeck/discovery'
+import * as crashEvidences from './crashEvidence.js'
 import type * as crashQuarantines from './crashQuarantine.js'
 import * as crashReports from './crashReport.js'
 
@@ -22,6 +23,8 @@
 /** Requests in one record, and crashes of each that are named. */
 const MAX_REQUESTS = 10
 const MAX_CRASHES = 5
+/** Records do not tell when the crashes were. Assumed so far apart, they do not pass for one outage. */
+const CRASH_INTERVAL_MS = 2 * crashEvidences.COINCIDENCE_MS
 
 /** Returns those of the quarantined requests that this instance announces. If they are too many, each is left to fewer instances. */
 export function selectAnnounced (quarantined: readonly discovery.QuarantinedRequest[], opts: AnnouncementOptions): discovery.QuarantinedRequest[] {
@@ -40,7 +43,9 @@
 export function applyRecords (records: readonly discovery.Record[], quarantine: crashQuarantines.CrashQuarantine, now: number): void {
   for (const record of records) {
     if (record.kind !== 'entry') continue
-    const reports = [...record.quarantined ?? [], ...record.inherited ?? []].map(({ fingerprint, crashed }) => crashReports.toCrashReport(fingerprint, { crashed }))
+    const reports = [...record.quarantined ?? [], ...record.inherited ?? []].flatMap(({ fingerprint, crashed }) => crashed.map((endpoint, i) => {
+      return crashReports.toCrashReport(fingerprint, { crashed: [endpoint], agoMs: (crashed.length - i) * CRASH_INTERVAL_MS })
+    }))
     quarantine.merge(reports, now, `record of ${record.id}`)
   }
 }
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -1,6 +1,7 @@
 /**
- * Runs of requests at endpoints, to tell which of them were lost because their endpoint went down. An endpoint is identified by its
- * incarnation, so that a later start of it is another one.
+ * Runs of requests at endpoints, to tell which of them were lost because their endpoint went down. A run has the keys of all suspects
+ * that it carries: the request and the parts of its prompt. An endpoint is identified by its incarnation, so that a later start of it is
+ * another one.
  */
 import type * as crashEvidences from './crashEvidence.js'
 
@@ -12,6 +13,8 @@
 
 /** A request that was sent to an endpoint. */
 export interface Run {
+  /** Records that the endpoint has begun to respond; before that, the request may have been waiting. */
+  begin (now: number): void
   /** Records how the run ended; only the first call counts. */
   end (how: RunEnd, now: number): void
 }
@@ -21,7 +24,8 @@
 
 /** Runs that are in flight, and those that may turn out to be lost in a crash. */
 export interface RunTracker {
-  startRun (fingerprint: string, endpoint: string, now: number): Run
+  /** @param tried those of the keys for which the run is a trial */
+  startRun (keys: readonly string[], endpoint: string, now: number, tried?: readonly string[]): Run
   /** Records that an endpoint is down; the runs that it lost become crashes. */
   confirmDown (endpoint: string, now: number, reason: DownReason): void
   /**
@@ -35,20 +39,27 @@
    * Returns the endpoints that are not known to be down and have a request in flight.
    * @param before start of the runs that are considered, on the monotonic clock
    */
-  endpointsOf (fingerprint: string, before: number): Set<string>
+  endpointsOf (key: string, before: number): Set<string>
+  /**
+   * Returns whether an endpoint that is not known to be down has begun to respond to the suspect and has been responding for a while.
+   * @param after start of the runs that are considered, on the monotonic clock
+   */
+  hasResponding (key: string, after: number, now: number): boolean
   /** Forgets what is too old to matter. */
   prune (now: number): void
 }
 
 /** Options of {@link createRunTracker}. */
 export interface RunTrackerOptions {
-  onCompleted: (fingerprint: string, now: number) => void
-  /** Called for each request that was in flight at a crash. */
-  onCrash: (fingerprint: string, crash: crashEvidences.Crash, now: number) => void
+  onCompleted: (keys: readonly string[], startedAt: number, now: number) => void
+  /** Called for each run that was in flight at a crash. */
+  onCrash: (keys: readonly string[], tried: readonly string[], crash: crashEvidences.Crash, now: number) => void
 }
 
 /** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
 const UNREACHABLE_MS = 3000
+/** A response that has lasted for this time shows that its beginning crashed nothing. */
+const RESPONDING_MS = 250
 /** A run counts as lost in a crash if a later start of its endpoint is announced within this time. */
 const RESTARTED_MS = 15_000
 /** Time for which an endpoint is known to be down. */
@@ -56,41 +67,53 @@
 /** Lost runs of an endpoint that are kept. */
 const MAX_LOST_RUNS = 1000
 
-interface RunState { endpoint: string, startedAt: number }
-interface LostRun { fingerprint: string, how: 'lost' | 'abandoned', startedAt: number, at: number }
+interface RunState { endpoint: string, startedAt: number, begunAt: number }
+interface LostRun { keys: readonly string[], tried: readonly string[], how: 'lost' | 'abandoned', startedAt: number, at: number }
 
 /** Creates an empty tracker. */
 export function createRunTracker ({ onCompleted, onCrash }: RunTrackerOptions): RunTracker {
+  /** By key. */
   const runs = new Map<string, Set<RunState>>()
   const lostRuns = new Map<string, LostRun[]>()
   const downs = new Map<string, { at: number, reason: DownReason }>()
   /** Runs that became crashes, which are lost runs again if their endpoint turns out to be up. */
   const crashedRuns = new Map<string, LostRun[]>()
 
+  const add = (key: string, run: RunState): void => {
+    const list = runs.get(key)
+    if (list === undefined) runs.set(key, new Set([run]))
+    else list.add(run)
+  }
+
+  const remove = (key: string, run: RunState): void => {
+    const list = runs.get(key)
+    list?.delete(run)
+    if (list?.size === 0) runs.delete(key)
+  }
+
   const recordLost = (endpoint: string, run: LostRun): void => {
     const down = downs.get(endpoint)
     if (down !== undefined && isCrash(run, run.at - down.at, down.reason)) {
       push(crashedRuns, endpoint, run)
-      onCrash(run.fingerprint, toCrash(endpoint, run), run.at)
+      onCrash(run.keys, run.tried, toCrash(endpoint, run), run.at)
     } else push(lostRuns, endpoint, run)
   }
 
   return {
-    startRun (fingerprint, endpoint, now) {
-      const run: RunState = { endpoint, startedAt: now }
-      const sameRequest = runs.get(fingerprint) ?? new Set()
-      runs.set(fingerprint, sameRequest.add(run))
+    startRun (keys, endpoint, now, tried = []) {
+      const run: RunState = { endpoint, startedAt: now, begunAt: Infinity }
+      for (const key of keys) add(key, run)
       let isEnded = false
       return {
+        begin (at) { run.begunAt = Math.min(run.begunAt, at) },
         end (how, at) {
           if (isEnded) return
           isEnded = true
-          sameRequest.delete(run)
-          if (sameRequest.size === 0 && runs.get(fingerprint) === sameRequest) runs.delete(fingerprint)
+          for (const key of keys) remove(key, run)
           switch (how) {
-            case 'completed': onCompleted(fingerprint, at); break
+            case 'completed': onCompleted(keys, now, at); break
             case 'lost':
-            case 'abandoned': recordLost(endpoint, { fingerprint, how, startedAt: now, at }); break
+            case 'abandoned': recordLost(endpoint, { keys, tried, how, startedAt: now, at }); break
             case 'inconclusive': break
           }
         }
@@ -104,7 +127,7 @@
       lostRuns.set(endpoint, lost.filter(run => !crashed.includes(run)))
       for (const run of crashed) {
         push(crashedRuns, endpoint, run)
-        onCrash(run.fingerprint, toCrash(endpoint, run), now)
+        onCrash(run.keys, run.tried, toCrash(endpoint, run), now)
       }
     },
     confirmUp (endpoint, sentAt) {
@@ -116,10 +139,13 @@
       crashedRuns.delete(endpoint)
     },
     excuse (endpoint) { lostRuns.delete(endpoint) },
-    endpointsOf (fingerprint, before) {
-      const list = [...runs.get(fingerprint) ?? []].filter(run => run.startedAt < before && !downs.has(run.endpoint))
+    endpointsOf (key, before) {
+      const list = [...runs.get(key) ?? []].filter(run => run.startedAt < before && !downs.has(run.endpoint))
       return new Set(list.map(run => run.endpoint))
     },
+    hasResponding (key, after, now) {
+      return [...runs.get(key) ?? []].some(run => run.startedAt > after && now - run.begunAt > RESPONDING_MS && !downs.has(run.endpoint))
+    },
     prune (now) {
       for (const [endpoint, { at }] of downs) if (now - at > DOWN_RETENTION_MS) downs.delete(endpoint)
       for (const runs of [lostRuns, crashedRuns]) {
--- a/packages/forwarding/src/quarantine/suspectEvidence.ts
+++ b/packages/forwarding/src/quarantine/suspectEvidence.ts
@@ -1,21 +1,23 @@
-/** Collects what is known about the crashes of a suspected request, and about the requests that were lost in them too. */
+/** Collects what is known about the crashes of a suspect, and about the suspects that were lost in them too. */
 import * as crashEvidences from './crashEvidence.js'
 import type * as runTrackers from './runTracker.js'
+import * as suspectKeys from './suspectKey.js'
 import * as suspectTables from './suspectTable.js'
 
 /** Options of {@link createSuspectEvidence}. */
 export interface SuspectEvidenceOptions {
   suspects: suspectTables.SuspectTable
-  tracker: Pick<runTrackers.RunTracker, 'endpointsOf'>
-  /** Returns whether a request has completed a run before. */
-  hasSucceeded: (fingerprint: string) => boolean
+  tracker: Pick<runTrackers.RunTracker, 'endpointsOf' | 'hasResponding'>
+  /** Returns whether a suspect has completed a run before. */
+  hasSucceeded: (key: string) => boolean
 }
 
-/** What is known about suspected requests. */
+/** What is known about suspects. */
 export interface SuspectEvidence {
-  collect (fingerprint: string, suspect: suspectTables.Suspect, now: number): crashEvidences.Evidence
-  /** Returns whether a run of this instance that began before a time is still in flight at an endpoint that is not known to have crashed. */
-  hasOwnSurvivors (fingerprint: string, suspect: suspectTables.Suspect, at: number): boolean
+  /** @param carried keys of the request that is to be sent; none of these explains the crashes of another one */
+  collect (key: string, suspect: suspectTables.Suspect, carried: ReadonlySet<string>, now: number): crashEvidences.Evidence
+  /** Returns whether runs of this instance at endpoints that are not known to have crashed speak for the suspect. */
+  hasOwnSurvivors (key: string, suspect: suspectTables.Suspect, now: number): boolean
 }
 
 /**
@@ -32,24 +34,27 @@
 
 /** Creates a view on the suspects of an instance. */
 export function createSuspectEvidence ({ suspects, tracker, hasSucceeded }: SuspectEvidenceOptions): SuspectEvidence {
-  const hasOwnSurvivors = (fingerprint: string, suspect: suspectTables.Suspect, at: number): boolean => {
-    return [...tracker.endpointsOf(fingerprint, at)].some(endpoint => !suspect.crashes.has(endpoint))
+  /** @param at time of the crash: a request survives if it began before, a part if it goes on in responses that began later */
+  const survives = (key: string, suspect: suspectTables.Suspect, at: number, now: number): boolean => {
+    if (suspectKeys.isPartKey(key)) return tracker.hasResponding(key, at, now)
+    return [...tracker.endpointsOf(key, at)].some(endpoint => !suspect.crashes.has(endpoint))
   }
 
-  const hasSurvivors = (fingerprint: string, suspect: suspectTables.Suspect, at: number, now: number): boolean => {
-    return suspect.survivorsUntil > now || hasOwnSurvivors(fingerprint, suspect, at)
+  const hasSurvivors = (key: string, suspect: suspectTables.Suspect, at: number, now: number): boolean => {
+    return suspect.survivorsUntil > now || survives(key, suspect, at, now)
   }
 
-  /** Returns the other requests that were lost in a crash. */
-  const findOthers = (fingerprint: string, endpoint: string): Array<[fingerprint: string, suspect: suspectTables.Suspect]> => {
+  /** Returns the other suspects that were lost in a crash and are not carried by the same request. */
+  const findOthers = (key: string, carried: ReadonlySet<string>, endpoint: string): Array<[key: string, suspect: suspectTables.Suspect]> => {
     return [...suspects.atCrash(endpoint)].flatMap(other => {
       const suspect = suspects.get(other)
-      return other === fingerprint || suspect === undefined ? [] : [[other, suspect]]
+      return other === key || carried.has(other) || suspect === undefined ? [] : [[other, suspect]]
     })
   }
 
-  const isOutlasted = (fingerprint: string, { endpoint, startedAt }: crashEvidences.Crash): boolean => {
-    const others = findOthers(fingerprint, endpoint)
+  const isOutlasted = (key: string, carried: ReadonlySet<string>, { endpoint, startedAt }: crashEvidences.Crash): boolean => {
+    if (suspectKeys.isPartKey(key)) return false
+    const others = findOthers(key, carried, endpoint).filter(([other]) => !suspectKeys.isPartKey(other))
     const later = others.filter(([, { crashes }]) => {
       const crash = crashes.get(endpoint)
       return crashes.size >= MIN_LATER_CRASHES && crash?.isCleared === false && crash.startedAt > startedAt
@@ -57,32 +62,40 @@
     return later.length >= Math.max(MIN_LATER, MIN_LATER_SHARE * (others.length + 1))
   }
 
-  /** Returns whether another request was lost in the same crashes and is no less suspicious. */
-  const hasRival = (fingerprint: string, crashes: readonly crashEvidences.Crash[], now: number): boolean => {
-    return findOthers(fingerprint, crashes[0].endpoint).some(([other, suspect]) => {
-      return crashes.every(item => suspect.crashes.get(item.endpoint)?.isCleared === false) && !hasSurvivors(other, suspect, crashes[0].at, now)
+  /** Returns whether another suspect is a better explanation than one that has never succeeded. */
+  const isNoLessSuspicious = (other: string, key: string): boolean => hasSucceeded(key) || !hasSucceeded(other)
+
+  /** Returns whether another suspect was lost in the same crashes and is no less suspicious. */
+  const hasRival = (key: string, carried: ReadonlySet<string>, crashes: readonly crashEvidences.Crash[], now: number): boolean => {
+    return findOthers(key, carried, crashes[0].endpoint).some(([other, suspect]) => {
+      return isNoLessSuspicious(other, key) && crashes.every(item => suspect.crashes.get(item.endpoint)?.isCleared === false) && !hasSurvivors(other, suspect, crashes[0].at, now)
     })
   }
 
-  /** Returns whether each of the crashes is explained by a request that has crashed enough other endpoints too. */
-  const areAllExplained = (fingerprint: string, crashes: readonly crashEvidences.Crash[]): boolean => {
-    return crashes.every(({ endpoint }) => findOthers(fingerprint, endpoint).some(([, other]) => {
-      const further = suspectTables.toOpenCrashes(other).filter(item => crashes.every(crash => crash.endpoint !== item.endpoint))
-      return further.length >= crashEvidences.QUARANTINE_CRASHES
+  /** Returns whether each of the crashes is explained by a suspect that has crashed enough other endpoints too. */
+  const areAllExplained = (key: string, carried: ReadonlySet<string>, crashes: readonly crashEvidences.Crash[]): boolean => {
+    return crashes.every(({ endpoint }) => findOthers(key, carried, endpoint).some(([other, suspect]) => {
+      const further = suspectTables.toOpenCrashes(suspect).filter(item => crashes.every(crash => crash.endpoint !== item.endpoint))
+      return further.length >= crashEvidences.QUARANTINE_CRASHES && isNoLessSuspicious(other, key)
     }))
   }
 
   return {
-    hasOwnSurvivors,
-    collect (fingerprint, suspect, now) {
+    hasOwnSurvivors: (key, suspect, now) => {
+      const [first] = suspectTables.toOpenCrashes(suspect)
+      return survives(key, suspect, suspectKeys.isPartKey(key) ? first?.at ?? now : suspect.lastCrashAt, now)
+    },
+    collect (key, suspect, carried, now) {
       const crashes = suspectTables.toOpenCrashes(suspect)
+      const { kind } = suspectKeys.parseKey(key)
       return {
+        kind,
         crashes,
-        hasSucceeded: hasSucceeded(fingerprint),
-        hasSurvivors: ({ at }) => hasSurvivors(fingerprint, suspect, at, now),
-        isOutlasted: crash => isOutlasted(fingerprint, crash),
-        isContested: () => hasRival(fingerprint, crashes, now) || areAllExplained(fingerprint, crashes),
-        pendingTrials: toPendingTrials(suspect.trials.filter(at => now - at < TRIAL_TTL_MS), crashEvidences.toFailedTrials(crashes))
+        hasSucceeded: hasSucceeded(key),
+        hasSurvivors: ({ at }) => hasSurvivors(key, suspect, at, now),
+        isOutlasted: crash => isOutlasted(key, carried, crash),
+        isContested: () => hasRival(key, carried, crashes, now) || areAllExplained(key, carried, crashes),
+        pendingTrials: toPendingTrials(suspect.trials.filter(at => now - at < TRIAL_TTL_MS), crashEvidences.toFailedTrials(kind, crashes))
       }
     }
   }
--- /dev/null
+++ b/packages/forwarding/src/quarantine/suspectLog.ts
@@ -0,0 +1,59 @@
+/** Log lines about suspects, bounded in number: a crash concerns all parts of all prompts that were in flight. */
+import type * as telemetry from '@kingcupdeck/telemetry'
+import * as crashEvidences from './crashEvidence.js'
+import * as suspectKeys from './suspectKey.js'
+
+/** Parts that are named in one line. */
+const MAX_NAMED_PARTS = 16
+
+/** Log lines about suspects. */
+export interface SuspectLog {
+  /** Logs a crash at which suspects were in flight, with the crashes of each that count. */
+  suspected (suspects: ReadonlyArray<{ key: string, crashes: number }>, endpoint: string, from: string, isOwn: boolean): void
+  retracted (endpoint: string, requests: number, from: string, why: string | undefined): void
+  cleared (suspects: ReadonlyArray<{ key: string, crashed: readonly string[] }>, from: string): void
+  quarantined (key: string, evidence: crashEvidences.Evidence, forMs: number): void
+  /** @param isTrial whether it would have been held back otherwise */
+  sent (key: string, evidence: crashEvidences.Evidence, to: string, isTrial: boolean): void
+}
+
+/** Creates the log lines of an instance. */
+export function createSuspectLog (log: telemetry.Log | undefined): SuspectLog {
+  return {
+    suspected (suspects, endpoint, from, isOwn) {
+      // Many suspects are lost once in an outage; the instance that lost them logs it.
+      const requests = suspects.filter(({ key, crashes }) => !suspectKeys.isPartKey(key) && (isOwn || crashes > 1))
+      for (const { key, crashes } of requests) log?.event('requestSuspected', { ...suspectKeys.toLogFields(key), endpoint, crashes, from })
+      const parts = suspects.filter(({ key, crashes }) => suspectKeys.isPartKey(key) && crashes > 1).sort((a, b) => b.crashes - a.crashes)
+      if (parts.length > 0) log?.event('requestSuspected', { parts: toNames(parts.map(({ key, crashes }) => `${toName(key)}: ${crashes}`)), endpoint, crashes: parts[0].crashes, from })
+    },
+    retracted (endpoint, requests, from, why) { log?.event('crashRetracted', { endpoint, requests, from, why }) },
+    cleared (suspects, from) {
+      for (const { key, crashed } of suspects) if (!suspectKeys.isPartKey(key)) log?.event('requestCleared', { ...suspectKeys.toLogFields(key), crashes: crashed.length, from })
+      const parts = suspects.filter(({ key, crashed }) => suspectKeys.isPartKey(key) && crashed.length > 1)
+      if (parts.length > 0) log?.event('requestCleared', { parts: toNames(parts.map(({ key, crashed }) => `${toName(key)}: ${crashed.length}`)), from })
+    },
+    quarantined (key, evidence, forMs) {
+      const { kind, crashes, pendingTrials } = evidence
+      log?.event('requestQuarantined', { ...suspectKeys.toLogFields(key), crashes: crashes.length, trials: crashEvidences.toFailedTrials(kind, crashes).length + pendingTrials.length, forMs: Math.round(forMs), ...toFavour(evidence), endpoints: crashes.map(item => item.endpoint).join(' ') })
+    },
+    sent (key, evidence, to, isTrial) {
+      log?.event('suspectSent', { ...suspectKeys.toLogFields(key), to, crashes: evidence.crashes.length, isTrial, ...toFavour(evidence) })
+    }
+  }
+}
+
+/** Returns what speaks for a suspect. */
+function toFavour ({ hasSucceeded, hasSurvivors, crashes, isContested }: crashEvidences.Evidence): { hasSucceeded: boolean, hasSurvivors: boolean, isContested: boolean } {
+  return { hasSucceeded, hasSurvivors: hasSurvivors(crashes[0]), isContested: isContested() }
+}
+
+function toName (key: string): string {
+  const id = suspectKeys.parseKey(key)
+  return id.kind === 'part' ? id.part : id.fingerprint
+}
+
+function toNames (names: readonly string[]): string {
+  const rest = names.length - MAX_NAMED_PARTS
+  return `${names.slice(0, MAX_NAMED_PARTS).join(', ')}${rest > 0 ? ` and ${rest} more` : ''}`
+}
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -1,22 +1,24 @@
-/** Requests that were in flight at crashes of endpoints, and the crashes of each. */
+/** Suspects: requests and parts of prompts that were in flight at crashes of endpoints, and the crashes of each. */
 import type * as crashEvidences from './crashEvidence.js'
 
-/** A crash at which a request was in flight. */
+/** A crash at which a suspect was in flight. */
 export interface KnownCrash extends crashEvidences.Crash {
-  /** Whether the request completed a run since then. */
+  /** Whether the suspect completed a run since then. */
   isCleared: boolean
   /** When this instance learned of it, on the monotonic clock. */
   knownAt: number
+  /** Whether it was lost in a trial. */
+  isTrial: boolean
 }
 
-/** A request that is suspected of crashing endpoints. */
+/** What is known of a suspect. */
 export interface Suspect {
   /** By incarnation of the endpoint. */
   crashes: Map<string, KnownCrash>
   lastCrashAt: number
-  /** Whether the request completed a run before, at any instance. */
+  /** Whether it completed a run before, at any instance. */
   hasSucceeded: boolean
-  /** Until when another instance reports that the request survives. */
+  /** Until when another instance reports that it survives. */
   survivorsUntil: number
   /** When survivors of this instance were reported last. */
   survivorsReportedAt: number
@@ -30,18 +32,20 @@
 
 /** The suspects known to an instance. */
 export interface SuspectTable {
-  get (fingerprint: string): Suspect | undefined
-  entries (): Array<[fingerprint: string, suspect: Suspect]>
-  /** Returns the requests that were in flight at a crash. */
+  get (key: string): Suspect | undefined
+  entries (): Array<[key: string, suspect: Suspect]>
+  /** Returns the suspects that were in flight at a crash. */
   atCrash (endpoint: string): ReadonlySet<string>
-  /** Adds a crash. @returns the suspect, or undefined if the crash was known */
-  add (fingerprint: string, crash: Omit<KnownCrash, 'isCleared'>): Suspect | undefined
-  /** Removes crashes of an endpoint. @returns the requests concerned */
+  /** Adds a crash, or that it was a trial. @returns the suspect, or undefined if that was known */
+  add (key: string, crash: Omit<KnownCrash, 'isCleared'>): Suspect | undefined
+  /** Removes crashes of an endpoint. @returns the suspects concerned */
   retract (endpoint: string, isRetracted: (crash: KnownCrash) => boolean): string[]
-  delete (fingerprint: string): void
+  delete (key: string): void
 }
 
 const MAX_SUSPECTS = 5000
+/** Crashes of one suspect that are kept; cleared ones are dropped first. */
+const MAX_CRASHES = 60
 const NONE: ReadonlySet<string> = new Set()
 
 /** Returns the crashes of a suspect since its last completed run, oldest first. */
@@ -49,58 +53,81 @@
   return [...suspect.crashes.values()].filter(item => !item.isCleared).sort((a, b) => a.at - b.at)
 }
 
+/** Returns how many crashes of a suspect count. */
+export function countOpenCrashes (suspect: Suspect): number {
+  let count = 0
+  for (const { isCleared } of suspect.crashes.values()) if (!isCleared) count++
+  return count
+}
+
 /** Creates an empty table. */
 export function createSuspectTable (): SuspectTable {
   const suspects = new Map<string, Suspect>()
-  const fingerprintsByCrash = new Map<string, Set<string>>()
+  const keysByCrash = new Map<string, Set<string>>()
 
-  const remove = (fingerprint: string): void => {
-    for (const endpoint of suspects.get(fingerprint)?.crashes.keys() ?? []) {
-      const others = fingerprintsByCrash.get(endpoint)
-      others?.delete(fingerprint)
-      if (others?.size === 0) fingerprintsByCrash.delete(endpoint)
-    }
-    suspects.delete(fingerprint)
+  const removeFromCrash = (key: string, endpoint: string): void => {
+    const others = keysByCrash.get(endpoint)
+    others?.delete(key)
+    if (others?.size === 0) keysByCrash.delete(endpoint)
+  }
+
+  const remove = (key: string): void => {
+    for (const endpoint of suspects.get(key)?.crashes.keys() ?? []) removeFromCrash(key, endpoint)
+    suspects.delete(key)
+  }
+
+  const forgetOne = (key: string, suspect: Suspect): void => {
+    const crashes = [...suspect.crashes.values()]
+    const { endpoint } = crashes.find(item => item.isCleared) ?? crashes[0]
+    suspect.crashes.delete(endpoint)
+    removeFromCrash(key, endpoint)
   }
 
-  /** Removes the oldest request that was lost once, which is the least conclusive. */
+  /** Removes the least suspected: the oldest one with at most one crash that counts, or the one with the fewest. */
   const removeOne = (): void => {
-    for (const [fingerprint, suspect] of suspects) {
-      if (suspect.crashes.size !== 1) continue
-      remove(fingerprint)
-      return
+    let least: { key: string, count: number } | undefined
+    for (const [key, suspect] of suspects) {
+      const count = countOpenCrashes(suspect)
+      if (least === undefined || count < least.count) least = { key, count }
+      if (count <= 1) break
     }
-    const [oldest] = suspects.keys()
-    remove(oldest)
+    if (least !== undefined) remove(least.key)
   }
 
   return {
-    get: fingerprint => suspects.get(fingerprint),
+    get: key => suspects.get(key),
     entries: () => [...suspects],
-    atCrash: endpoint => fingerprintsByCrash.get(endpoint) ?? NONE,
-    add (fingerprint, crash) {
+    atCrash: endpoint => keysByCrash.get(endpoint) ?? NONE,
+    add (key, crash) {
       const { endpoint, at } = crash
-      const known = suspects.get(fingerprint)
-      if (known?.crashes.has(endpoint) === true) return undefined
+      const known = suspects.get(key)
+      const same = known?.crashes.get(endpoint)
+      if (same !== undefined) {
+        // Several runs of a part may be lost in one crash; the last one to start tells whether it was a trial.
+        same.startedAt = Math.max(same.startedAt, crash.startedAt)
+        if (same.isTrial || !crash.isTrial) return undefined
+        same.isTrial = true
+        return known
+      }
       if (known === undefined && suspects.size >= MAX_SUSPECTS) removeOne()
       const suspect: Suspect = known ?? { crashes: new Map(), lastCrashAt: at, hasSucceeded: false, survivorsUntil: -Infinity, survivorsReportedAt: -Infinity, crashesReportedAt: -Infinity, trials: [], isQuarantined: false }
+      if (suspect.crashes.size >= MAX_CRASHES) forgetOne(key, suspect)
       suspect.crashes.set(endpoint, { ...crash, isCleared: false })
       suspect.lastCrashAt = Math.max(suspect.lastCrashAt, at)
-      suspects.set(fingerprint, suspect)
-      fingerprintsByCrash.set(endpoint, (fingerprintsByCrash.get(endpoint) ?? new Set()).add(fingerprint))
+      suspects.set(key, suspect)
+      keysByCrash.set(endpoint, (keysByCrash.get(endpoint) ?? new Set()).add(key))
       return suspect
     },
     retract (endpoint, isRetracted) {
-      const retracted = [...fingerprintsByCrash.get(endpoint) ?? []].filter(fingerprint => {
-        const crash = suspects.get(fingerprint)?.crashes.get(endpoint)
+      const retracted = [...keysByCrash.get(endpoint) ?? []].filter(key => {
+        const crash = suspects.get(key)?.crashes.get(endpoint)
         return crash !== undefined && isRetracted(crash)
       })
-      for (const fingerprint of retracted) {
-        suspects.get(fingerprint)?.crashes.delete(endpoint)
-        if (suspects.get(fingerprint)?.crashes.size === 0) suspects.delete(fingerprint)
-        fingerprintsByCrash.get(endpoint)?.delete(fingerprint)
+      for (const key of retracted) {
+        suspects.get(key)?.crashes.delete(endpoint)
+        if (suspects.get(key)?.crashes.size === 0) suspects.delete(key)
+        removeFromCrash(key, endpoint)
       }
-      if (fingerprintsByCrash.get(endpoint)?.size === 0) fingerprintsByCrash.delete(endpoint)
       return retracted
     },
     delete: remove
--- a/packages/forwarding/src/quarantine/trialPermits.ts
+++ b/packages/forwarding/src/quarantine/trialPermits.ts
@@ -1,6 +1,7 @@
 /**
- * Permits for trials of requests that may crash endpoints. One instance decides for each request, so that all of them together send it
- * no more often than one would; an instance that does not reach it rejects the request.
+ * Permits for trials of suspects. One instance decides for each request, and one for all parts that the same service and model run, so
+ * that all instances together send a suspect no more often than one would, and a request with many suspected parts needs two permits at
+ * most. An instance that does not reach the one that decides rejects the request.
  */
 import * as z from 'zod'
 import * as contracts from '@kingcupdeck/contracts'
@@ -8,20 +9,31 @@
 import type * as telemetry from '@kingcupdeck/telemetry'
 import type * as crashQuarantines from './crashQuarantine.js'
 import * as crashReports from './crashReport.js'
+import * as suspectKeys from './suspectKey.js'
 
-/** Crashes of one request that are told when a permit is asked for. */
+/** Crashes and suspects that are told when a permit is asked for. */
 const MAX_TOLD_CRASHES = 16
+const MAX_TOLD_SUSPECTS = 64
 /** Time for a reply. */
 const REPLY_TIMEOUT_MS = 250
-/** Time for which an instance whose request was not permitted does not ask again, and requests for which that is remembered. */
+/** Time for which an instance whose trial was not permitted does not ask again, and suspects for which that is remembered. */
 const DENIAL_MS = 500
 const MAX_DENIALS = 1000
 /** Time after its start in which an instance permits no trials, because it does not know yet which ones others run. */
 const LEARNING_MS = 3000
 
-/** Asks an entry instance for a permit, and tells what is known of the request. */
-export const trialCall = z.object({ t: z.literal('trial'), fingerprint: z.string(), reports: z.array(crashReports.crashReport).max(MAX_TOLD_CRASHES) })
-/** Asks an entry instance for a permit, and tells what is known of the request. */
+/** Asks an entry instance for a permit, and tells what is known of the suspects. All fields but the first three are absent from calls of earlier versions. */
+export const trialCall = z.object({
+  t: z.literal('trial'),
+  /** Key of a suspect that is to be tried. */
+  fingerprint: z.string(),
+  reports: z.array(crashReports.crashReport).max(MAX_TOLD_CRASHES),
+  /** Keys of further suspects that are to be tried with the same request. */
+  others: z.array(z.string()).max(MAX_TOLD_SUSPECTS).default([]),
+  /** Keys of all suspects of the request. */
+  carried: z.array(z.string()).max(MAX_TOLD_SUSPECTS).default([])
+})
+/** Asks an entry instance for a permit, and tells what is known of the suspects. */
 export type TrialCall = z.infer<typeof trialCall>
 
 /** Whether the trial may be run. */
@@ -44,8 +56,11 @@
 
 /** Permits of an instance. */
 export interface TrialPermits {
-  /** Returns whether a request may be sent now; asks for a permit if it may only be sent as a trial. */
-  maySend (fingerprint: string): Promise<boolean>
+  /**
+   * Returns whether a request may be sent now; asks for permits if it may only be sent as a trial.
+   * @param keys those of the request and of the parts of its prompt
+   */
+  maySend (keys: readonly string[]): Promise<boolean>
   /** Decides on behalf of another instance. */
   answer (call: TrialCall, from: string): TrialReply
 }
@@ -54,49 +69,65 @@
 export function createTrialPermits (opts: TrialPermitOptions): TrialPermits {
   const { self, quarantine, log, now } = opts
   const startedAt = now()
-  /** Until when no permit is asked for, by fingerprint. */
+  /** Until when no permit is asked for, by key. */
   const deniedUntil = new Map<string, number>()
 
   const isLearning = (): boolean => opts.others().length > 0 && now() - startedAt < LEARNING_MS
 
-  const ask = async (arbiter: string, fingerprint: string): Promise<boolean> => {
-    const call: TrialCall = { t: 'trial', fingerprint, reports: quarantine.toReportsOf(fingerprint, now()).slice(-MAX_TOLD_CRASHES) }
+  const ask = async (arbiter: string, keys: readonly string[], carried: readonly string[]): Promise<boolean> => {
+    const [fingerprint, ...others] = keys
+    const call: TrialCall = { t: 'trial', fingerprint, others, carried: carried.slice(0, MAX_TOLD_SUSPECTS), reports: quarantine.toReportsOf(keys, now()).slice(-MAX_TOLD_CRASHES) }
     try {
       const link = await opts.connect(arbiter)
       return trialReply.parse(await link.call(call, REPLY_TIMEOUT_MS)).isGranted
     } catch (err) {
-      log.event('trialUnanswered', { fingerprint, arbiter, why: err instanceof Error ? err.message : String(err) })
+      log.event('trialUnanswered', { ...suspectKeys.toLogFields(fingerprint), arbiter, why: err instanceof Error ? err.message : String(err) })
       return false
     }
   }
 
-  const recordDenial = (fingerprint: string): void => {
-    deniedUntil.delete(fingerprint)
-    deniedUntil.set(fingerprint, now() + DENIAL_MS)
+  const recordDenial = (key: string): void => {
+    deniedUntil.delete(key)
+    deniedUntil.set(key, now() + DENIAL_MS)
     if (deniedUntil.size > MAX_DENIALS) deniedUntil.delete(deniedUntil.keys().next().value as string)
   }
 
-  const requestPermit = async (fingerprint: string): Promise<boolean> => {
-    const [arbiter] = contracts.toRendezvousOrder(fingerprint, [self, ...opts.others()], address => address)
-    if (arbiter === self) return !isLearning() && quarantine.grantTrial(fingerprint, now(), self)
-    if (now() < (deniedUntil.get(fingerprint) ?? -Infinity)) return false
-    const isGranted = await ask(arbiter, fingerprint)
-    if (!isGranted) recordDenial(fingerprint)
-    // It may have crashed another endpoint while the permit was asked for.
-    return isGranted && !quarantine.isQuarantined(fingerprint, now())
+  /** Groups keys by the instance that decides about them. */
+  const toArbiters = (keys: readonly string[]): Map<string, string[]> => {
+    const instances = [self, ...opts.others()]
+    const groups = new Map<string, string[]>()
+    for (const key of keys) {
+      const [arbiter] = contracts.toRendezvousOrder(suspectKeys.toArbiterKey(key), instances, address => address)
+      groups.set(arbiter, [...groups.get(arbiter) ?? [], key])
+    }
+    return groups
+  }
+
+  const requestPermit = async (arbiter: string, keys: readonly string[], carried: readonly string[]): Promise<boolean> => {
+    if (arbiter === self) return !isLearning() && quarantine.grantTrial(keys, carried, now(), self)
+    if (keys.length > MAX_TOLD_SUSPECTS || keys.some(key => now() < (deniedUntil.get(key) ?? -Infinity))) return false
+    const isGranted = await ask(arbiter, keys, carried)
+    if (!isGranted) keys.forEach(recordDenial)
+    // They may have crashed another endpoint while the permit was asked for.
+    return isGranted && !quarantine.isQuarantined(keys, now(), carried)
   }
 
   return {
-    async maySend (fingerprint) {
-      switch (quarantine.judge(fingerprint, now()).kind) {
+    async maySend (keys) {
+      const verdict = quarantine.judge(keys, now())
+      switch (verdict.kind) {
         case 'allowed': return true
         case 'quarantined': return false
-        case 'trial': return await requestPermit(fingerprint)
+        case 'trial': {
+          const carried = quarantine.selectSuspects(keys)
+          for (const [arbiter, group] of toArbiters(verdict.keys)) if (!await requestPermit(arbiter, group, carried)) return false
+          return true
+        }
       }
     },
-    answer ({ fingerprint, reports }, from) {
+    answer ({ fingerprint, others, carried, reports }, from) {
       quarantine.merge(reports, now(), from)
-      return { isGranted: !isLearning() && quarantine.grantTrial(fingerprint, now(), from) }
+      return { isGranted: !isLearning() && quarantine.grantTrial([fingerprint, ...others], carried, now(), from) }
     }
   }
 }
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -17,6 +17,7 @@
 import type * as openAttempts from '../attempts/openAttempt.js'
 import * as silenceTimers from './silenceTimer.js'
 import type * as streamReaders from './streamReader.js'
+import * as unframedEnds from '../attempts/unframedEnd.js'
 
 /** Result of resuming a stream at another endpoint. */
 export type ResumeResult =
@@ -185,16 +186,17 @@
       return undefined
     }
     batcher.flush()
-    if (part.kind === 'end') {
-      attemptRecorders.recordCompleteResponse(call, source.sent, source.response.res.statusCode ?? 0)
+    const why = part.kind === 'broken' ? part.why : await unframedEnds.findCut(call, source.sent, source.response)
+    if (why === undefined) {
+      void unframedEnds.recordComplete(call, source.sent, source.response)
       if (!isStarted) start()
       res.end()
       return hasResumed ? '200 resumed' : '200'
     }
-    brokenWhy = part.why
-    source.reader.abort(part.why)
+    brokenWhy = why
+    source.reader.abort(why)
     await attemptRecorders.recordLoss(call, source.sent)
-    if (!mayResume()) return breakOff(`broken: ${part.why}; the stream is not resumable`, 'endpoint')
+    if (!mayResume()) return breakOff(`broken: ${why}; the stream is not resumable`, 'endpoint')
     startResumption()
     return undefined
   }
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -1,7 +1,7 @@
 /** Resumption of a stream at another endpoint. */
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
-import * as crashQuarantines from '../quarantine/crashQuarantine.js'
+import * as quarantineReasons from '../quarantine/quarantineReason.js'
 import * as openAttempts from '../attempts/openAttempt.js'
 import type * as relayStreams from './relayStream.js'
 import * as requestStates from '../attempts/requestState.js'
@@ -22,7 +22,7 @@
       if (!opts.isSourceOpen() && await requestStates.awaitVerdicts(call, state)) continue
       return { kind: 'none', why: 'no further endpoint is available' }
     }
-    if (!await requestStates.maySend(call, state)) return { kind: 'none', why: crashQuarantines.QUARANTINED_WHY }
+    if (!await requestStates.maySend(call, state)) return { kind: 'none', why: toQuarantineReason(call) }
     if (!requestStates.trySpendRetry(call, opts.isSourceOpen() ? retryBudgets.HEDGE_SHARE : 1)) return { kind: 'none', why: 'the retry budget is exhausted' }
     sends++
     const result = await attempt(call, state, selected, opts)
@@ -36,12 +36,16 @@
   const { ctx, route } = call
   if (opts.signal.aborted) return String(opts.signal.reason)
   if (requestStates.isOver(call)) return 'the deadline has passed'
-  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.fingerprint, ctx.now())) return crashQuarantines.QUARANTINED_WHY
+  if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.suspects, ctx.now())) return toQuarantineReason(call)
   // The silent endpoint may have crashed because of the request.
-  if (opts.isSourceOpen() && ctx.quarantine.isSuspected(call.fingerprint)) return 'the request is suspected of crashing endpoints'
+  if (opts.isSourceOpen() && ctx.quarantine.isSuspected(call.suspects)) return 'the request is suspected of crashing endpoints'
   return requestStates.mayRun(route, state.runs) ? undefined : 'no further attempt is allowed'
 }
 
+function toQuarantineReason ({ ctx, suspects }: clientCalls.ClientCall): string {
+  return quarantineReasons.toQuarantineReason(ctx.quarantine.judge(suspects, ctx.now()))
+}
+
 /** While the source is only silent, an endpoint is selected only if it is responsive. */
 function select (call: clientCalls.ClientCall, state: requestStates.RequestState, isSourceOpen: boolean): selectEndpoints.SelectedEndpoint | undefined {
   if (isSourceOpen) return selectEndpoints.selectResponsive(call, state.tried, Infinity)
