--- a/packages/state/__tests__/fileStorage.test.ts
+++ b/packages/state/__tests__/fileStorage.test.ts
@@ -157,3 +157,33 @@
   t.deepEqual(loaded.entries.map(item => item.index), [1, 2, 3, 4, 5, 6, 7])
   t.is(loaded.tornBytes, 0)
 })
+
+const SNAPSHOT: state.Snapshot = { lastIndex: 150, lastTerm: 2, lastAtMs: 150, voters: [{ name: 'a', incarnation: 'one' }], state: Buffer.from('state') }
+
+/** Leaves what a process leaves that is killed after it has replaced the snapshot of a lagging replica, and before it has replaced the log. */
+async function interruptSnapshot (t: ava.ExecutionContext, folder: string): Promise<void> {
+  const source = createFolder(t)
+  const disk = await state.createFileStorage(source)
+  await disk.load()
+  await disk.saveMeta(META)
+  await disk.saveSnapshot(SNAPSHOT, SNAPSHOT.lastIndex + 1)
+  await disk.close()
+  fs.copyFileSync(path.join(source, 'snapshot'), path.join(folder, 'snapshot'))
+}
+
+for (const [name, count] of [['ends before the snapshot', 5], ['has another term at its end', 152]] as const) {
+  // Guards against taking a log for damaged because it still holds entries that a snapshot had replaced.
+  test(`a log that ${name} is replaced after an interrupted snapshot`, async t => {
+    const folder = createFolder(t)
+    await writeEntries(folder, count)
+    await interruptSnapshot(t, folder)
+    const next = { index: SNAPSHOT.lastIndex + 1, term: 2, body: { kind: 'command' as const, atMs: 151, command: 'next' } }
+    const disk = await state.createFileStorage(folder)
+    const loaded = await disk.load()
+    t.deepEqual(loaded.kind === 'found' ? loaded.entries : undefined, [])
+    await disk.append([next])
+    await disk.close()
+    const again = await load(folder)
+    t.deepEqual(again.kind === 'found' ? again.entries : again, [next])
+  })
+}
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -94,6 +94,11 @@
     commitIndex = stored.commitIndex
     ends = stored.ends
     size = log.length
+    if (stored.isLogReplaced) {
+      // The process ended between the snapshot and the log. An entry behind the old ones would leave a gap.
+      await rewriteLog([])
+      return stored
+    }
     // What was not marked as synced may be lost at the next power loss although it can be read, also after a later sync of the same
     // file: a failed sync drops the changes of a file.
     if (size > stored.syncedEnd || stored.syncedEnd === 0) await rewriteLog(stored.entries)
--- a/packages/state/src/storedFiles.ts
+++ b/packages/state/src/storedFiles.ts
@@ -14,6 +14,8 @@
 
 /** Stored state with the positions of the entries in the log file. */
 export interface FoundFiles extends Extract<storage.LoadResult, { kind: 'found' }> {
+  /** Whether the log file holds entries that a later snapshot has replaced, and that a new entry would not continue. */
+  isLogReplaced: boolean
   /** End offset of each entry. */
   ends: Array<{ index: number, end: number }>
   /** Offset up to which the log is known to be synced. */
@@ -37,8 +39,10 @@
       return hasLeftover ? { kind: 'damaged', detail: 'file meta is missing, but other files of an earlier state exist' } : { kind: 'empty' }
     }
     if (log.validBytes < mark) return { kind: 'damaged', detail: `log is valid up to byte ${log.validBytes}, but was synced up to byte ${mark}` }
-    const list = log.values.filter(isEntry).map(value => entries.entry.parse(value))
+    const logged = log.values.filter(isEntry).map(value => entries.entry.parse(value))
     const snapshot = rawSnapshot === undefined ? undefined : entries.snapshot.parse(rawSnapshot)
+    const isLogReplaced = snapshot !== undefined && logged.length > 0 && !reaches(logged, snapshot)
+    const list = isLogReplaced ? [] : logged
     const gap = findGap(list, snapshot)
     if (gap !== undefined) return { kind: 'damaged', detail: gap }
     // Besides entries the log contains numbers: the commit index at the time of the next append.
@@ -49,6 +53,7 @@
       meta: entries.meta.parse(rawMeta),
       snapshot,
       entries: list,
+      isLogReplaced,
       tornBytes: files.log.length - log.validBytes,
       commitIndex: Math.max(committed, ...commitRecords),
       ends: list.map((item, i) => ({ index: item.index, end: entryEnds[i] })),
@@ -76,6 +81,12 @@
   return typeof value !== 'number'
 }
 
+/** Returns whether a log contains the last entry of a snapshot, or begins right behind it. */
+function reaches (list: readonly entries.Entry[], { lastIndex, lastTerm }: entries.Snapshot): boolean {
+  if (list[0].index > lastIndex) return true
+  return list.some(item => item.index === lastIndex && item.term === lastTerm)
+}
+
 function findGap (list: readonly entries.Entry[], snapshot: entries.Snapshot | undefined): string | undefined {
   const first = list[0]
   if (first !== undefined && first.index > (snapshot?.lastIndex ?? 0) + 1) return `gap in the log: the first entry is ${first.index}, but the snapshot ends at ${snapshot?.lastIndex ?? 0}`
