fix(streams): a stream goes on after a batch that reaches the high-water mark

Cause: the relay stored that a write had asked to wait for `drain`, and waited when the next event came. The kernel often takes the bytes at once; then the event was emitted before. The response itself is asked now whether it has to drain. Elsewhere, by search: the only other wait for `drain` (the stand-in of the trials) asks right after its write.

The new test of streams failed before.

--- a/packages/forwarding/__tests__/streams.test.ts
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -191,3 +191,28 @@
   t.is(second.requests.length, 1)
   t.deepEqual(entry.outliers.takeDeltas(performance.now()).find(item => item[0] === 'e2'), ['e2', 1, 1])
 })
+
+// Guards against waiting for a drain event that was emitted before anybody waited for it.
+test('a stream goes on after a batch of events that reaches the high-water mark', async t => {
+  const BURST_EVENTS = 80
+  const data = 'x'.repeat(360)
+  const endpoint = await helper.startEndpoint('e1', (req, res) => {
+    helper.beginStream(req, res)
+    const write = (from: number, to: number): void => { for (let i = from; i <= to; i++) res.write(`id: ${i}\ndata: ${data}\n\n`) }
+    write(1, 2)
+    setTimeout(() => { write(3, BURST_EVENTS) }, 200)
+    setTimeout(() => { write(BURST_EVENTS + 1, BURST_EVENTS + 2) }, 600)
+    setTimeout(() => {
+      write(BURST_EVENTS + 3, BURST_EVENTS + 3)
+      res.end()
+    }, 800)
+  })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', maxAttempts: 1, ...LONG_TIMEOUTS, timeoutMs: 8000 })], [endpoint])
+  t.teardown(() => {
+    entry.close()
+    endpoint.close()
+  })
+  const response = await entry.send({ headers: LONG_DEADLINE })
+  t.true(response.isComplete)
+  t.is(response.body.split('\n\n').length - 1, BURST_EVENTS + 3)
+})
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -75,9 +75,8 @@
     res.writeHead(first.statusCode ?? 200, headers)
   }
 
-  let needsDrain = false
   const batcher = eventBatchers.createEventBatcher({
-    write (bytes) { needsDrain = !res.write(bytes) },
+    write (bytes) { res.write(bytes) },
     schedule (run, ms) {
       const timer = setTimeout(run, ms)
       return () => { clearTimeout(timer) }
@@ -96,7 +95,6 @@
     silence.stop()
     source.reader.pause()
     if (!res.destroyed) await waitForDrain(res, call.aborter.signal)
-    needsDrain = false
     source.reader.resume()
     silence.restart()
   }
@@ -182,7 +180,7 @@
     if (part.kind === 'events') {
       noteProgress()
       for (const item of part.events) relayEvent(item)
-      if (needsDrain) await drain()
+      if (res.writableNeedDrain) await drain()
       return undefined
     }
     batcher.flush()
