fix(placement): the shares of a brittle endpoint's slots add up to its slots

Cause: each of N instances had ceil(slots / N) requests at an endpoint; with more instances than slots these are up to twice the slots. Class: a limit that is divided by rounding each share up. The slots of all endpoints of a service are dealt out in turn now, in the order of their addresses and of the instances' ids, so that the shares add up to the slots and no instance has two more than another. The known load is no input any more: it was a guard against shares that are too large, and late.

Tests: the fleet on virtual time keeps its bounds (rejections, and half of the capacity served); its delayed loads are gone since nothing reads them. Elsewhere, by reading: limits of cold endpoints (`toColdShare`) and of connections divide by rounding down; retry budgets are shares of what was measured.

--- a/packages/forwarding/__tests__/brittleEndpoints.test.ts
+++ b/packages/forwarding/__tests__/brittleEndpoints.test.ts
@@ -66,26 +66,22 @@
 const INSTANCES = 9
 const FLEET_SLOTS = 6
 const FLEET_QUEUE = 4
-const GOSSIP_MS = 320
 const RUN_MS = 25
 const STEP_MS = 1
 const DURATION_MS = 10_000
 
 // Guards against instances that each find an endpoint free by loads that are late.
 test('the instances of a fleet together keep to the limit of a brittle endpoint', t => {
-  const limiters = Array.from({ length: INSTANCES }, () => brittleLimiters.createBrittleLimiter(() => INSTANCES))
+  const instanceIds = Array.from({ length: INSTANCES }, (_, i) => `i${i}`)
+  const limiters = instanceIds.map(self => brittleLimiters.createBrittleLimiter({ self, instanceIds: () => instanceIds, endpointsOf: () => [{ id: 'e', address: 'a', slots: FLEET_SLOTS }] }))
   for (const limiter of limiters) limiter.record('svc', 'e', LIMIT, false, 0)
   const endsAt = limiters.map((): number[] => [])
-  let known = limiters.map(() => 0)
   let rejectedAt: number[] = []
   let served = 0
   for (let now = 0; now < DURATION_MS; now += STEP_MS) {
     for (const list of endsAt) while (list.length > 0 && list[0] <= now) list.shift()
-    if (now % GOSSIP_MS === 0) known = endsAt.map(list => list.length)
     for (const [i, limiter] of limiters.entries()) {
-      const peers = known.reduce((sum, load, k) => k === i ? sum : sum + load, 0)
-      const ownInFlight = endsAt[i].length
-      if (!limiter.maySend('svc', { id: 'e', load: ownInFlight + peers, ownInFlight, slots: FLEET_SLOTS }, now)) continue
+      if (!limiter.maySend('svc', { id: 'e', ownInFlight: endsAt[i].length }, now)) continue
       const isRejected = endsAt.flat().length >= FLEET_SLOTS + FLEET_QUEUE
       limiter.record('svc', 'e', LIMIT, isRejected, now)
       if (isRejected) rejectedAt = [...rejectedAt.filter(at => now - at < WINDOW_MS), now]
@@ -97,6 +93,18 @@
   t.true(served > 0.5 * FLEET_SLOTS * DURATION_MS / RUN_MS, `${served} served`)
 })
 
+// Guards against shares of an endpoint's slots that add up to more than the slots.
+test('the shares of all instances add up to the slots of each brittle endpoint', t => {
+  for (const count of [1, 2, 5, 9, 12, 40]) {
+    const instanceIds = Array.from({ length: count }, (_, i) => `i${i}`)
+    const endpoints = [6, 6, 1, 17].map((slots, i) => ({ id: `e${i}`, address: `a${i}`, slots }))
+    const shares = instanceIds.map(self => brittleLimiters.toSlotShares(self, instanceIds, endpoints))
+    for (const { id, slots } of endpoints) t.is(shares.reduce((sum, item) => sum + (item.get(id) ?? 0), 0), slots, `${count} instances`)
+    const totals = shares.map(item => [...item.values()].reduce((sum, share) => sum + share, 0))
+    t.true(Math.max(...totals) - Math.min(...totals) <= 1, `${count} instances`)
+  }
+})
+
 test('an endpoint that always rejects receives few requests of the whole fleet', t => {
   const limit = 6
   const pauseMs = brittleLimiters.toPauseMs(limit, INSTANCES)
@@ -105,8 +113,8 @@
 
 // Guards against endpoints that stay limited when they are no longer brittle.
 test('a response without the announcement ends the limits', t => {
-  const limiter = brittleLimiters.createBrittleLimiter(() => 1)
-  const endpoint = { id: 'e', load: 9, ownInFlight: 9, slots: 2 }
+  const limiter = brittleLimiters.createBrittleLimiter({ self: 'i0', instanceIds: () => ['i0'], endpointsOf: () => [{ id: 'e', address: 'a', slots: 2 }] })
+  const endpoint = { id: 'e', ownInFlight: 9 }
   limiter.record('svc', 'e', LIMIT, true, 0)
   t.false(limiter.maySend('svc', endpoint, 1))
   limiter.record('svc', 'e', undefined, false, 2)
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -176,7 +176,7 @@
     describeDocumentSources: () => '',
     retryBudget: () => budget,
     coldLimiter: coldLimiters.createColdLimiter({ self: 'self', instanceIds: () => opts.instanceIds ?? ['self'] }),
-    brittleLimiter: brittleLimiters.createBrittleLimiter(() => 1),
+    brittleLimiter: brittleLimiters.createBrittleLimiter({ self: 'self', instanceIds: () => ['self'], endpointsOf: () => pool.all().map(item => item.record) }),
     coldBound: { excess: 1.5, slack: 5 },
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -180,6 +180,9 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && isResponsive(item.lastSeenAt))
     .map(item => item.record)
 
+  /** Returns the ids of the instances that may send requests. */
+  const senderIds = (): string[] => table.entries().filter(item => item.record.state !== 'gone').map(item => item.record.id)
+
   const gossip = loadGossips.createGossip({
     self: { inner: opts.inner, zone: opts.zone },
     peers: otherEntries,
@@ -228,8 +231,8 @@
       budgetByService.set(service, created)
       return created
     },
-    coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: () => table.entries().filter(item => item.record.state !== 'gone').map(item => item.record.id) }),
-    brittleLimiter: brittleLimiters.createBrittleLimiter(() => gossip.instanceCount()),
+    coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: senderIds }),
+    brittleLimiter: brittleLimiters.createBrittleLimiter({ self: opts.id, instanceIds: senderIds, endpointsOf: service => endpoints.all().filter(item => item.record.service === service).map(item => item.record) }),
     coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
     isDraining: () => drainStartedAt !== undefined,
     isAccepted: waitMs => drainStartedAt === undefined || draining.isAccepted({ elapsedMs: now() - drainStartedAt, graceMs: opts.graceMs, waitMs }),
