fix(attempts): an unsafe request is not sent again once its client has left

A request that may run only once isn't aborted when its client leaves, and the check before a further send asked only whether it was aborted. It asks whether the response can still be delivered now; a run that has begun goes on. The new test of attempts counts sends after a late rejection.

--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -1,4 +1,5 @@
 /** Retries of attempts, and the responses to the client. */
+import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as helper from './helpers/testEntry.js'
 
@@ -255,3 +256,17 @@
   endpoints.forEach(item => { item.close() })
   await Promise.allSettled(responses)
 })
+
+// Guards against work for a client that has left: a request that may run only once is not aborted, but not sent again either.
+test('a request whose client left is not sent to another endpoint after a rejection', async t => {
+  const lateRejection: helper.Behaviour = (req, res, count) => { setTimeout(() => { full(req, res, count) }, 300) }
+  const endpoints = [await helper.startEndpoint('e1', lateRejection), await helper.startEndpoint('e2', lateRejection)]
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', maxAttempts: 1 })], endpoints)
+  t.teardown(() => {
+    entry.close()
+    endpoints.forEach(item => { item.close() })
+  })
+  await t.throwsAsync(entry.send({ method: 'POST', body: 'pay', disconnectAfterMs: 100 }))
+  await timers.setTimeout(1000)
+  t.is(endpoints[0].requests.length + endpoints[1].requests.length, 1)
+})
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -58,7 +58,7 @@
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
   // Also before a retry: the request may have crashed further endpoints meanwhile, here or at another instance.
   if (!state.holdsTrialPermit && ctx.quarantine.isQuarantined(call.suspects, ctx.now())) return failQuarantined(call)
-  if (requestStates.isOver(call)) return { kind: 'fail', why: 'the deadline has passed' }
+  if (requestStates.isOver(call)) return { kind: 'fail', why: call.res.destroyed ? clientCalls.CLIENT_LEFT : 'the deadline has passed' }
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
   if (selected.kind === 'none') return await requestStates.awaitVerdicts(call, state) ? { kind: 'retry' } : { kind: 'fail', why: toUnavailableReason(call, state) }
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -30,9 +30,9 @@
   return runs === 0 || (runs < route.maxAttempts && routeTables.isRepeatable(route))
 }
 
-/** Returns whether the client has left or too little time remains for an attempt. */
+/** Returns whether the client has left or too little time remains for an attempt. A run that has begun may go on without the client. */
 export function isOver (call: clientCalls.ClientCall): boolean {
-  return call.aborter.signal.aborted || call.deadlineAt - call.ctx.now() < clientResponses.MIN_REMAINING_MS
+  return call.aborter.signal.aborted || call.res.destroyed || call.deadlineAt - call.ctx.now() < clientResponses.MIN_REMAINING_MS
 }
 
 /**
