fix(state): a replica that cannot apply an entry stops before the next one

No input is known that makes `apply` throw. The index is advanced afterwards now, and the error ends the replica, as failed writes do.

--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -160,7 +160,13 @@
       const newIndex = Math.min(index, log.lastIndex())
       if (newIndex <= core.commitIndex) return
       core.commitIndex = newIndex
-      while (core.appliedIndex < core.commitIndex) applyNext()
+      try {
+        while (core.appliedIndex < core.commitIndex) applyNext()
+      } catch (err) {
+        // Going on behind an entry that was not applied would leave another state than the other replicas have.
+        core.fail(err)
+        throw err
+      }
       core.saveCommitIndex()
       core.maybeSnapshot()
     },
@@ -270,7 +276,6 @@
   const applyNext = (): void => {
     const item = log.at(core.appliedIndex + 1)
     if (item === undefined) throw new Error(`entry ${core.appliedIndex + 1} is committed but not in the log`)
-    core.appliedIndex = item.index
     let result: unknown
     if (item.body.kind === 'membership') {
       const voters = item.body.voters.map(entries.toMemberId).join(' ')
@@ -280,6 +285,7 @@
       core.lastAtMs = item.body.atMs
       result = opts.stateMachine.apply(item.body.command, { index: item.index, atMs: item.body.atMs })
     }
+    core.appliedIndex = item.index
     const { role } = core
     if (role.kind !== 'leader') return
     const proposal = role.leadership.pendingProposals.get(item.index)
