--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -188,7 +188,7 @@
     const collected = evidence.collect(key, suspect, carried, now)
     const verdict = crashEvidences.toVerdict(collected, now)
     const isQuarantined = verdict.kind === 'quarantined'
-    if (isQuarantined && !suspect.isQuarantined) log.quarantined(key, collected, verdict.until - now)
+    if (isQuarantined && !suspect.isQuarantined) log.quarantined(key, collected, verdict.until - now, now)
     suspect.isQuarantined = isQuarantined
     return verdict
   }
@@ -220,7 +220,7 @@
       // A part that is not held back is sent with much of the traffic; these sends are bounded by what lets it pass.
       if (!isTrial && suspectKeys.isPartKey(key)) return false
       const collected = evidence.collect(key, suspect, carried, now)
-      log.sent(key, collected, to, isTrial)
+      log.sent(key, collected, to, isTrial, now)
       // It was recorded when it was permitted.
       if (now - (collected.pendingTrials.at(-1) ?? -Infinity) >= crashEvidences.TRIAL_INTERVAL_MS) suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
       return isTrial
--- a/packages/forwarding/src/quarantine/suspectLog.ts
+++ b/packages/forwarding/src/quarantine/suspectLog.ts
@@ -3,8 +3,10 @@
 import * as crashEvidences from './crashEvidence.js'
 import * as suspectKeys from './suspectKey.js'
 
-/** Parts that are named in one line. */
+/** Parts that are named in one line, and lines about single parts in a second. */
 const MAX_NAMED_PARTS = 16
+const MAX_PART_LINES = 20
+const SECOND_MS = 1000
 
 /** Log lines about suspects. */
 export interface SuspectLog {
@@ -12,13 +14,25 @@
   suspected (suspects: ReadonlyArray<{ key: string, crashes: number }>, endpoint: string, from: string, isOwn: boolean): void
   retracted (endpoint: string, requests: number, from: string, why: string | undefined): void
   cleared (suspects: ReadonlyArray<{ key: string, crashed: readonly string[] }>, from: string): void
-  quarantined (key: string, evidence: crashEvidences.Evidence, forMs: number): void
+  quarantined (key: string, evidence: crashEvidences.Evidence, forMs: number, now: number): void
   /** @param isTrial whether it would have been held back otherwise */
-  sent (key: string, evidence: crashEvidences.Evidence, to: string, isTrial: boolean): void
+  sent (key: string, evidence: crashEvidences.Evidence, to: string, isTrial: boolean, now: number): void
 }
 
 /** Creates the log lines of an instance. */
 export function createSuspectLog (log: telemetry.Log | undefined): SuspectLog {
+  let lines = 0
+  let linesSince = -Infinity
+
+  const mayLog = (key: string, now: number): boolean => {
+    if (!suspectKeys.isPartKey(key)) return true
+    if (now - linesSince > SECOND_MS) {
+      linesSince = now
+      lines = 0
+    }
+    return ++lines <= MAX_PART_LINES
+  }
+
   return {
     suspected (suspects, endpoint, from, isOwn) {
       // Many suspects are lost once in an outage; the instance that lost them logs it.
@@ -33,12 +47,13 @@
       const parts = suspects.filter(({ key, crashed }) => suspectKeys.isPartKey(key) && crashed.length > 1)
       if (parts.length > 0) log?.event('requestCleared', { parts: toNames(parts.map(({ key, crashed }) => `${toName(key)}: ${crashed.length}`)), from })
     },
-    quarantined (key, evidence, forMs) {
+    quarantined (key, evidence, forMs, now) {
+      if (!mayLog(key, now)) return
       const { kind, crashes, pendingTrials } = evidence
       log?.event('requestQuarantined', { ...suspectKeys.toLogFields(key), crashes: crashes.length, trials: crashEvidences.toFailedTrials(kind, crashes).length + pendingTrials.length, forMs: Math.round(forMs), ...toFavour(evidence), endpoints: crashes.map(item => item.endpoint).join(' ') })
     },
-    sent (key, evidence, to, isTrial) {
-      log?.event('suspectSent', { ...suspectKeys.toLogFields(key), to, crashes: evidence.crashes.length, isTrial, ...toFavour(evidence) })
+    sent (key, evidence, to, isTrial, now) {
+      if (mayLog(key, now)) log?.event('suspectSent', { ...suspectKeys.toLogFields(key), to, crashes: evidence.crashes.length, isTrial, ...toFavour(evidence) })
     }
   }
 }
