perf(quarantine): recent completions in two generations; no work for requests without a suspect

A request with 300 parts cost 6.2 ms of processor time: each of its keys was moved to the end of a map of recent completions, and the oldest key of a map from which many were deleted is found by passing over the deletions. Entries are kept in two generations now, and a request of which no part has had three crashes is judged without building sets.

--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -7,6 +7,7 @@
 import type * as telemetry from '@kingcupdeck/telemetry'
 import * as crashEvidences from './crashEvidence.js'
 import * as crashReports from './crashReport.js'
+import * as recentMaps from './recentMap.js'
 import * as runTrackers from './runTracker.js'
 import * as suspectEvidences from './suspectEvidence.js'
 import * as suspectKeys from './suspectKey.js'
@@ -72,7 +73,7 @@
 const QUARANTINE_RETENTION_MS = 86_400_000
 const PRUNE_INTERVAL_MS = 1000
 /** Recent requests and parts of which it is known that they have succeeded. */
-const MAX_COMPLETIONS = 20_000
+const MIN_COMPLETIONS = 10_000
 /** Time for which the report of another instance that a suspect survives is valid. */
 const SURVIVORS_TTL_MS = 3000
 /** Minimum interval between reports of the same kind about one suspect. */
@@ -92,7 +93,7 @@
   const log = suspectLogs.createSuspectLog(opts.log)
   const suspects = suspectTables.createSuspectTable()
   /** Up to when crashes of a suspect are refuted by its own completed runs, by key. */
-  const completions = new Map<string, number>()
+  const completions = recentMaps.createRecentMap<number>(MIN_COMPLETIONS)
   /** When endpoints that were taken for crashed have responded; earlier crashes of them do not count. */
   const survivedAt = new Map<string, number>()
   let prunedAt = -Infinity
@@ -115,10 +116,7 @@
   const reports = suspectReports.createSuspectReports({ suspects, evidence, hasSucceeded })
 
   const recordCompletion = (key: string, refutedUntil: number): void => {
-    const known = completions.get(key) ?? -Infinity
-    completions.delete(key)
-    completions.set(key, Math.max(known, refutedUntil))
-    if (completions.size > MAX_COMPLETIONS) completions.delete(completions.keys().next().value as string)
+    completions.set(key, Math.max(completions.get(key) ?? -Infinity, refutedUntil))
   }
 
   const prune = (now: number): void => {
@@ -161,6 +159,10 @@
     const retracted = suspects.retract(endpoint, crash => (from === SELF ? crash.knownAt : crash.at) < at)
     if (retracted.length === 0 && from === SELF) return retracted
     survivedAt.set(endpoint, Math.max(at, survivedAt.get(endpoint) ?? -Infinity))
+    for (const key of retracted) {
+      const suspect = suspects.get(key)
+      if (suspect !== undefined) suspect.isQuarantined = false
+    }
     if (retracted.length > 0) log.retracted(endpoint, retracted.length, from, why)
     return retracted
   }
@@ -182,6 +184,15 @@
     return cleared
   }
 
+  /** Returns those of the keys that have had enough crashes for a quarantine. */
+  const selectConclusive = (keys: readonly string[]): string[] => {
+    if (suspects.size() === 0) return []
+    return keys.filter(key => {
+      const suspect = suspects.get(key)
+      return suspect !== undefined && suspectTables.countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES
+    })
+  }
+
   const judgeOne = (key: string, carried: ReadonlySet<string>, now: number): crashEvidences.Verdict => {
     const suspect = suspects.get(key)
     if (suspect === undefined || suspectTables.countOpenCrashes(suspect) < crashEvidences.QUARANTINE_CRASHES) return { kind: 'allowed' }
@@ -194,10 +205,12 @@
   }
 
   const judge = (keys: readonly string[], now: number, carried: readonly string[] = keys): RequestVerdict => {
+    const conclusive = selectConclusive(keys)
+    if (conclusive.length === 0) return { kind: 'allowed' }
     let held: Extract<RequestVerdict, { kind: 'quarantined' }> | undefined
     const trials: string[] = []
     const all = new Set(carried)
-    for (const key of keys) {
+    for (const key of conclusive) {
       const verdict = judgeOne(key, all, now)
       if (verdict.kind === 'trial') trials.push(key)
       if (verdict.kind === 'quarantined' && (held === undefined || verdict.until > held.until)) held = { ...verdict, key }
@@ -212,14 +225,17 @@
    * @param to endpoint, or what the request is sent by, for the log
    * @returns those for which this is a trial
    */
-  const recordTrials = (keys: readonly string[], carried: ReadonlySet<string>, now: number, to: string): string[] => {
-    return keys.filter(key => {
+  const recordTrials = (keys: readonly string[], carried: readonly string[], now: number, to: string): string[] => {
+    const conclusive = selectConclusive(keys)
+    if (conclusive.length === 0) return []
+    const all = new Set(carried)
+    return conclusive.filter(key => {
       const suspect = suspects.get(key)
-      if (suspect === undefined || suspectTables.countOpenCrashes(suspect) < crashEvidences.QUARANTINE_CRASHES) return false
-      const isTrial = judgeOne(key, carried, now).kind !== 'allowed'
+      if (suspect === undefined) return false
+      const isTrial = judgeOne(key, all, now).kind !== 'allowed'
       // A part that is not held back is sent with much of the traffic; these sends are bounded by what lets it pass.
       if (!isTrial && suspectKeys.isPartKey(key)) return false
-      const collected = evidence.collect(key, suspect, carried, now)
+      const collected = evidence.collect(key, suspect, all, now)
       log.sent(key, collected, to, isTrial, now)
       // It was recorded when it was permitted.
       if (now - (collected.pendingTrials.at(-1) ?? -Infinity) >= crashEvidences.TRIAL_INTERVAL_MS) suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
@@ -277,7 +293,7 @@
 
   return {
     startRun (keys, endpoint, now) {
-      return tracker.startRun(keys, endpoint, now, recordTrials(keys, new Set(keys), now, endpoint))
+      return tracker.startRun(keys, endpoint, now, recordTrials(keys, keys, now, endpoint))
     },
     excuse: tracker.excuse,
     confirmDown (endpoint, now, reason) {
@@ -306,7 +322,7 @@
     grantTrial (keys, carried, now, by) {
       const all = new Set([...keys, ...carried])
       const isGranted = keys.every(key => judgeOne(key, all, now).kind !== 'quarantined')
-      if (isGranted) recordTrials(keys, all, now, by)
+      if (isGranted) recordTrials(keys, [...all], now, by)
       return isGranted
     },
     toReportsOf: (keys, now) => keys.flatMap(key => reports.ofSuspect(key, now)),
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -32,6 +32,7 @@
 
 /** The suspects known to an instance. */
 export interface SuspectTable {
+  size (): number
   get (key: string): Suspect | undefined
   entries (): Array<[key: string, suspect: Suspect]>
   /** Returns the suspects that were in flight at a crash. */
@@ -95,6 +96,7 @@
   }
 
   return {
+    size: () => suspects.size,
     get: key => suspects.get(key),
     entries: () => [...suspects],
     atCrash: endpoint => keysByCrash.get(endpoint) ?? NONE,
