--- a/packages/forwarding/src/attempts/retryBudget.ts
+++ b/packages/forwarding/src/attempts/retryBudget.ts
@@ -63,3 +63,15 @@
     }
   }
 }
+
+/** Returns a function that finds the budget of a service, and creates it if there is none yet. */
+export function createRetryBudgets (opts: RetryBudgetOptions): (service: string) => RetryBudget {
+  const budgets = new Map<string, RetryBudget>()
+  return service => {
+    const known = budgets.get(service)
+    if (known !== undefined) return known
+    const created = createRetryBudget(opts)
+    budgets.set(service, created)
+    return created
+  }
+}
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -67,7 +67,6 @@
   let evacuations = discovery.NO_EVACUATIONS
   let drainStartedAt: number | undefined
   let seq = 0
-  const budgetByService = new Map<string, retryBudgets.RetryBudget>()
 
   const self = (): discovery.EntryRecord => ({
     kind: 'entry',
@@ -151,7 +150,6 @@
   })
 
   const connectDirectly = opts.connectEndpoint ?? endpointDialers.connectDirectly
-
   const paths = lostPaths.createLostPaths({
     zone: opts.zone,
     region: opts.region,
@@ -180,7 +178,6 @@
     .filter(item => item.record.id !== opts.id && item.record.state !== 'gone' && isResponsive(item.lastSeenAt))
     .map(item => item.record)
 
-  /** Returns the ids of the instances that may send requests. */
   const senderIds = (): string[] => table.entries().filter(item => item.record.state !== 'gone').map(item => item.record.id)
 
   const gossip = loadGossips.createGossip({
@@ -224,13 +221,7 @@
     newestDocument: () => subscriber.newestVersion(),
     describeDocumentSources: () => subscriber.describeSubscriptions(),
     documentWaiters: waiters,
-    retryBudget (service) {
-      const known = budgetByService.get(service)
-      if (known !== undefined) return known
-      const created = retryBudgets.createRetryBudget(opts.retryBudget)
-      budgetByService.set(service, created)
-      return created
-    },
+    retryBudget: retryBudgets.createRetryBudgets(opts.retryBudget),
     coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: senderIds }),
     brittleLimiter: brittleLimiters.createBrittleLimiter({ self: opts.id, instanceIds: senderIds, endpointsOf: service => endpoints.all().filter(item => item.record.service === service).map(item => item.record) }),
     coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -6,8 +6,8 @@
 import type * as discovery from '@kingcupdeck/discovery'
 import type * as telemetry from '@kingcupdeck/telemetry'
 import * as crashEvidences from './crashEvidence.js'
+import * as crashLedgers from './crashLedger.js'
 import * as crashReports from './crashReport.js'
-import * as recentMaps from './recentMap.js'
 import * as runTrackers from './runTracker.js'
 import * as suspectEvidences from './suspectEvidence.js'
 import * as suspectKeys from './suspectKey.js'
@@ -68,12 +68,7 @@
   checkEndpoint?: (endpoint: string) => void
 }
 
-/** Time for which suspicions are kept after the last crash, and the same for a suspect that is sent only as a trial. */
-const RETENTION_MS = 600_000
-const QUARANTINE_RETENTION_MS = 86_400_000
 const PRUNE_INTERVAL_MS = 1000
-/** Recent requests and parts of which it is known that they have succeeded. */
-const MIN_COMPLETIONS = 10_000
 /** Time for which the report of another instance that a suspect survives is valid. */
 const SURVIVORS_TTL_MS = 3000
 /** Minimum interval between reports of the same kind about one suspect. */
@@ -84,7 +79,6 @@
 const PART_ANNOUNCED_AFTER_MS = 1500
 /** Trials of a suspect that are remembered. */
 const MAX_KNOWN_TRIALS = 20
-const SELF = 'self'
 const NOTHING: ReadonlySet<string> = new Set()
 
 /** Creates an empty quarantine. */
@@ -92,96 +86,38 @@
   const { send = () => {}, checkEndpoint = () => {} } = opts
   const log = suspectLogs.createSuspectLog(opts.log)
   const suspects = suspectTables.createSuspectTable()
-  /** Up to when crashes of a suspect are refuted by its own completed runs, by key. */
-  const completions = recentMaps.createRecentMap<number>(MIN_COMPLETIONS)
-  /** When endpoints that were taken for crashed have responded; earlier crashes of them do not count. */
-  const survivedAt = new Map<string, number>()
+  const ledger = crashLedgers.createCrashLedger({ suspects, log })
+  const { hasSucceeded } = ledger
   let prunedAt = -Infinity
 
   const tracker = runTrackers.createRunTracker({
     onCompleted (keys, startedAt, now) {
-      for (const key of keys) recordCompletion(key, toRefutedUntil(key, startedAt, now))
-      const cleared = clear(keys, (key, crash) => crash.at <= toRefutedUntil(key, startedAt, now), SELF)
-      send(cleared.flatMap(({ key, crashed }) => [crashReports.toCrashReport(key, { crashed, isCleared: true, hasSucceeded: true })]))
+      send(ledger.complete(keys, startedAt, now).map(({ key, crashed }) => crashReports.toCrashReport(key, { crashed, isCleared: true, hasSucceeded: true })))
     },
     onCrash (keys, tried, crash, now) {
-      const added = addCrash(keys, tried, { ...crash, knownAt: now }, SELF)
+      const added = addCrash(keys, tried, { ...crash, knownAt: now }, crashLedgers.SELF)
       if (added.length > 0) send(reports.ofCrash(added, crash, now, tried))
     }
   })
 
-  const hasSucceeded = (key: string): boolean => completions.has(key) || suspects.get(key)?.hasSucceeded === true
-
   const evidence = suspectEvidences.createSuspectEvidence({ suspects, tracker, hasSucceeded })
   const reports = suspectReports.createSuspectReports({ suspects, evidence, hasSucceeded })
 
-  const recordCompletion = (key: string, refutedUntil: number): void => {
-    completions.set(key, Math.max(completions.get(key) ?? -Infinity, refutedUntil))
-  }
-
   const prune = (now: number): void => {
     if (now - prunedAt < PRUNE_INTERVAL_MS) return
     prunedAt = now
     tracker.prune(now)
-    for (const [endpoint, at] of survivedAt) if (now - at > RETENTION_MS) survivedAt.delete(endpoint)
-    for (const [key, suspect] of suspects.entries()) {
-      const isConclusive = suspectTables.countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES
-      if (now - suspect.lastCrashAt > (isConclusive ? QUARANTINE_RETENTION_MS : RETENTION_MS)) suspects.delete(key)
-    }
+    ledger.prune(now)
   }
 
-  /** @returns the suspects for which the crash was not known */
-  const addCrash = (keys: readonly string[], tried: readonly string[], crash: Omit<suspectTables.KnownCrash, 'isCleared' | 'isTrial'>, from: string): string[] => {
-    const { endpoint } = crash
-    if (crash.at <= (survivedAt.get(endpoint) ?? -Infinity)) return []
-    const added = keys.flatMap(key => {
-      // What was lost before a completed run is cleared, also if its endpoint goes down only now.
-      if (crash.at < (completions.get(key) ?? -Infinity)) return []
-      const suspect = suspects.add(key, { ...crash, isTrial: tried.includes(key) })
-      return suspect === undefined ? [] : [{ key, suspect, crashes: suspectTables.countOpenCrashes(suspect) }]
-    })
-    log.suspected(added, endpoint, from, from === SELF)
-    for (const { key, suspect } of added) {
+  const addCrash: crashLedgers.CrashLedger['add'] = (keys, tried, crash, from) => {
+    const added = ledger.add(keys, tried, crash, from)
+    for (const key of added) {
       // A run that is still in flight speaks for the request only if its endpoint is not down unnoticed.
-      if (suspect.crashes.size >= crashEvidences.QUARANTINE_CRASHES && !suspectKeys.isPartKey(key)) tracker.endpointsOf(key, Infinity).forEach(checkEndpoint)
-    }
-    return added.map(({ key }) => key)
-  }
-
-  /**
-   * Takes back the crashes of an endpoint that has responded under the same start: it stalled, or the path to it was lost.
-   * @param at when it was up, on the monotonic clock
-   * @param why what it responded, for the log
-   * @returns the suspects that were lost at it
-   */
-  const retract = (endpoint: string, at: number, from: string, why?: string): string[] => {
-    // A response that was under way when this instance learned of the crash does not excuse the endpoint.
-    const retracted = suspects.retract(endpoint, crash => (from === SELF ? crash.knownAt : crash.at) < at)
-    if (retracted.length === 0 && from === SELF) return retracted
-    survivedAt.set(endpoint, Math.max(at, survivedAt.get(endpoint) ?? -Infinity))
-    for (const key of retracted) {
-      const suspect = suspects.get(key)
-      if (suspect !== undefined) suspect.isQuarantined = false
+      const isConclusive = (suspects.get(key)?.crashes.size ?? 0) >= crashEvidences.QUARANTINE_CRASHES
+      if (isConclusive && !suspectKeys.isPartKey(key)) tracker.endpointsOf(key, Infinity).forEach(checkEndpoint)
     }
-    if (retracted.length > 0) log.retracted(endpoint, retracted.length, from, why)
-    return retracted
-  }
-
-  /** @returns the suspects that were cleared, and the crashes that no longer count */
-  const clear = (keys: readonly string[], isRefuted: (key: string, crash: suspectTables.KnownCrash) => boolean, from: string): Array<{ key: string, crashed: string[] }> => {
-    const cleared = keys.flatMap(key => {
-      const suspect = suspects.get(key)
-      const crashes = suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect).filter(crash => isRefuted(key, crash))
-      if (suspect === undefined || crashes.length === 0) return []
-      for (const crash of crashes) crash.isCleared = true
-      if (suspectTables.countOpenCrashes(suspect) < crashEvidences.QUARANTINE_CRASHES) {
-        suspect.trials = []
-        suspect.isQuarantined = false
-      }
-      return [{ key, crashed: crashes.map(({ endpoint }) => endpoint) }]
-    })
-    log.cleared(cleared, from)
-    return cleared
+    return added
   }
 
   /** Returns those of the keys that have had enough crashes for a quarantine. */
@@ -256,19 +192,10 @@
     }
   }
 
-  const mergeCleared = (report: crashReports.CrashReport, now: number, from: string): crashReports.CrashReport | undefined => {
-    const keys = crashReports.toKeys(report)
-    for (const key of keys) recordCompletion(key, toRefutedUntil(key, -Infinity, now))
-    const { crashed } = report
-    // Reports of earlier versions do not name the crashes.
-    const cleared = clear(keys, (key, crash) => !suspectKeys.isPartKey(key) || crashed.length === 0 || crashed.includes(crash.endpoint), from)
-    return cleared.length > 0 ? report : undefined
-  }
-
   /** @returns what of the report was not known, undefined if nothing */
   const mergeReport = (report: crashReports.CrashReport, now: number, from: string): crashReports.CrashReport | undefined => {
-    if (report.isCleared) return mergeCleared(report, now, from)
-    for (const endpoint of report.survived) retract(endpoint, now - report.agoMs, from)
+    if (report.isCleared) return ledger.clear(crashReports.toKeys(report), report.crashed, now, from).length > 0 ? report : undefined
+    for (const endpoint of report.survived) ledger.retract(endpoint, now - report.agoMs, from)
     const keys = crashReports.toKeys(report)
     const at = now - report.agoMs
     const added = new Set<string>()
@@ -299,13 +226,13 @@
     confirmDown (endpoint, now, reason) {
       prune(now)
       // The response came from the later start.
-      if (reason === 'restarted') survivedAt.delete(endpoint)
+      if (reason === 'restarted') ledger.forgetResponse(endpoint)
       tracker.confirmDown(endpoint, now, reason)
     },
     confirmUp (endpoint, sentAt, now, response) {
       tracker.confirmUp(endpoint, sentAt)
       if (suspects.atCrash(endpoint).size === 0) return
-      const [key] = retract(endpoint, sentAt, SELF, response)
+      const [key] = ledger.retract(endpoint, sentAt, crashLedgers.SELF, response)
       if (key !== undefined) send([crashReports.toCrashReport(key, { hasSucceeded: hasSucceeded(key), survived: [endpoint], agoMs: Math.max(0, Math.round(now - sentAt)) })])
     },
     merge (list, now, from) {
@@ -340,11 +267,3 @@
     }
   }
 }
-
-/**
- * Returns up to when crashes are refuted by a completed run. A request that completes a run crashes nothing; a part may have turned bad
- * during the run.
- */
-function toRefutedUntil (key: string, startedAt: number, endedAt: number): number {
-  return suspectKeys.isPartKey(key) ? startedAt : endedAt
-}
