fix(quarantine): early trials that other causes crash hold back no popular request for an hour

Traced in its log: in flight at three crashes within 0.7 s, its trials were lost to causes that were not known yet or ended without a result, and three of them used up what a crashing request may have (hold 600 to 3600 s).

Trials of what has succeeded before count from 2.5 s after the crash on from which the number of sends is limited, the third of a request as the fifth of a part, and then two are made. What never succeeded keeps three trials in all. The bound keeps its slack: two late sends.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -148,3 +148,23 @@
   const others = [['b', 'GET', '/x', ''], ['a', 'POST', '/x', ''], ['a', 'GET', '/y', ''], ['a', 'GET', '/x', 'body']]
   for (const [account, method, url, body] of others) t.not(suspectKeys.toRequestKey(account, method, url, Buffer.from(body)), same)
 })
+
+// Guards against holding back a popular request for an hour because its first trials were lost in crashes of another request.
+test('trials of a request that has succeeded before count once other causes had time to become known', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  quarantine.startRun(['x'], 'up', now()).end('completed', now())
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    wait(400)
+    crash(endpoint, ['x'])
+  }
+  const thirdAt = now()
+  const trialsAt: number[] = []
+  while (now() < thirdAt + 60_000) {
+    wait(50)
+    if (quarantine.isQuarantined(['x'], now())) continue
+    crash(`later-${trialsAt.length}`, ['x'])
+    trialsAt.push(now() - thirdAt)
+  }
+  t.true(trialsAt.filter(at => at <= 2500).length >= 2)
+  t.is(trialsAt.filter(at => at > 2500).length, 2)
+})
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -68,7 +68,10 @@
 /** Crashes of a part up to which responses that go on speak for it, and for how long they do after the last of these. */
 const RESPONDING_CRASHES = 5
 const RESPONDING_MS = 2000
-/** Time after that crash within which trials of a part that has succeeded before are limited in frequency only, and the number after it. */
+/**
+ * Time after the crash from which on the number of sends is limited, within which trials of a suspect that has succeeded before are
+ * limited in frequency only; and the number of trials after it.
+ */
 const SETTLING_MS = 2500
 const MAX_SETTLED_TRIALS = 2
 /** Minimum time between two trials while the first one has neither completed nor crashed. */
@@ -111,13 +114,14 @@
 }
 
 /**
- * Returns whether no further trial may be made for long. Trials of a part that is widely used are often lost to another suspect that is
+ * Returns whether no further trial may be made for long. Trials of a suspect that is widely used are often lost to another one that is
  * not known yet; they count once the crashes of that have had time to become known.
  */
 function areTrialsUsedUp ({ kind, crashes, hasSucceeded, pendingTrials }: Evidence): boolean {
   const startedAt = [...toFailedTrials(kind, crashes).map(item => item.startedAt), ...pendingTrials]
-  if (kind === 'request' || !hasSucceeded) return startedAt.length >= MAX_TRIALS
-  const settledAt = (crashes[RESPONDING_CRASHES - 1]?.at ?? Infinity) + SETTLING_MS
+  if (!hasSucceeded) return startedAt.length >= MAX_TRIALS
+  const limitedFrom = kind === 'part' ? RESPONDING_CRASHES : QUARANTINE_CRASHES
+  const settledAt = (crashes[limitedFrom - 1]?.at ?? Infinity) + SETTLING_MS
   return startedAt.filter(at => at > settledAt).length >= MAX_SETTLED_TRIALS
 }
 
