--- a/packages/forwarding/__tests__/attempts.test.ts
+++ b/packages/forwarding/__tests__/attempts.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as helper from './helpers/testEntry.js'
+import * as endpointDialers from '../src/paths/endpointDialer.js'
 
 const test = ava.default
 
@@ -270,3 +271,24 @@
   await timers.setTimeout(1000)
   t.is(endpoints[0].requests.length + endpoints[1].requests.length, 1)
 })
+
+// The endpoint closes the connection after a response to HEAD, so that each request has its own.
+for (const [name, method, status, expected] of [['a status without a body', 'GET', 204, 1], ['a HEAD request', 'HEAD', 200, 3]] as const) {
+  // Guards against taking every response without a length for one that the end of its connection delimits.
+  test(`a response without a body is complete without another connection: ${name}`, async t => {
+    let dials = 0
+    const endpoint = await helper.startEndpoint('e1', (req, res) => { res.writeHead(status, { 'x-attempt': req.headers['x-attempt'] as string, 'x-seal': 's' }).end() })
+    const connect: endpointDialers.Connect = address => {
+      dials++
+      return endpointDialers.connectDirectly(address)
+    }
+    const entry = await helper.startEntry([helper.toRoute()], [endpoint], { connect })
+    t.teardown(() => {
+      entry.close()
+      endpoint.close()
+    })
+    for (let i = 0; i < 3; i++) t.is((await entry.send({ method })).status, status)
+    await timers.setTimeout(300)
+    t.is(dials, expected)
+  })
+}
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -115,7 +115,7 @@
       res = received
       // Without a listener, an error of the response after this point would be uncaught.
       received.on('error', () => {})
-      if (isUnframed(received)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) })
+      if (isUnframed(received, request.method)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) })
       if (isSettled) {
         req.destroy()
         return
@@ -131,8 +131,12 @@
   })
 }
 
+/** Statuses of responses that have no body. */
+const BODILESS_STATUSES = [204, 304]
+
 /** Returns whether the end of the connection delimits the body. */
-function isUnframed (res: http.IncomingMessage): boolean {
+function isUnframed (res: http.IncomingMessage, method: string): boolean {
+  if (method === 'HEAD' || BODILESS_STATUSES.includes(res.statusCode ?? 0)) return false
   return res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
 }
 
@@ -171,7 +175,7 @@
     discard()
     return { kind: 'lost', why: 'the response has a content encoding, which was not requested' }
   }
-  return { kind: 'response', res, abort: () => { req.destroy() }, isBroken, isUnframed: isUnframed(res) }
+  return { kind: 'response', res, abort: () => { req.destroy() }, isBroken, isUnframed: isUnframed(res, request.method) }
 }
 
 /** Discards a body so that its connection can be reused, or closes the connection if the body is long or slow. */
