--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -31,9 +31,9 @@
 /** An endpoint: one process of a service. */
 export type EndpointRecord = z.infer<typeof endpointRecord>
 
-/** A request that crashes endpoints, and the starts of endpoints that it crashed, as announced by an entry instance. */
+/** A request or a part of prompts that crashes endpoints, by its key, and the starts of endpoints that it crashed, as announced by an entry instance. */
 export const quarantinedRequest = z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })
-/** A request that crashes endpoints, and the starts of endpoints that it crashed, as announced by an entry instance. */
+/** A request or a part of prompts that crashes endpoints, by its key, and the starts of endpoints that it crashed, as announced by an entry instance. */
 export type QuarantinedRequest = z.infer<typeof quarantinedRequest>
 
 /** An entry instance: accepts requests of callers. */
@@ -47,7 +47,7 @@
   inner: z.string(),
   /** Whether it has lost its own paths to most endpoints of a service and reaches them through other instances; absent if not. */
   isImpaired: z.boolean().optional(),
-  /** Requests that no instance may send, so that they are known after a restart of all entry instances; absent until there are some. */
+  /** Requests and parts of prompts that no instance may send, so that they are known after a restart of all entry instances; absent until there are some. */
   quarantined: z.array(quarantinedRequest).optional(),
   /** What earlier starts had announced as `quarantined`, until this start announces its own. */
   inherited: z.array(quarantinedRequest).optional()
