--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -103,7 +103,7 @@
   print(step('demo, short', 'node', ['packages/trials/dist/src/demo.js'], { DEMO_SECONDS: '12' }).lastLine)
   print(step('soak, short', 'node', ['packages/trials/dist/src/soak.js', '--seed', '11', '--seconds', '20']).lastLine)
   print(step('soak of the platform\'s programs, short', 'node', ['platform/dist/soak/main.js', '--seed', '2', '--seconds', '12']).lastLine)
-  print(step('soak with a crashing part of prompts, short', 'node', ['platform/dist/soak/main.js', '--seed', '3', '--seconds', '6', '--parts', '1']).lastLine)
+  print(step('soak with a crashing part of prompts, short', 'node', ['platform/dist/soak/main.js', '--seed', '3', '--seconds', '12', '--parts', '1']).lastLine)
 }
 print(`${passed} passed, ${failed} failed`)
 process.exit(failed === 0 ? 0 : 1)
