--- a/packages/forwarding/__tests__/crashQuarantine.test.ts
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -1,6 +1,7 @@
 /** Quarantine of requests that crash endpoints, and service of requests that were only in flight beside them. */
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
+import * as crashBehaviours from './helpers/crashBehaviours.js'
 import * as helper from './helpers/testEntry.js'
 import type * as routeTables from '../src/admission/routeTable.js'
 
@@ -14,23 +15,8 @@
 const DEADLINE = { 'x-deadline-ms': '20000' }
 const CRASHING = '/a/crashing'
 
-/** How an endpoint responds before it crashes. */
-type Crash = (req: Parameters<helper.Behaviour>[0], res: Parameters<helper.Behaviour>[1], crash: () => void) => void
-
-const beforeResponse: Crash = (req, res, crash) => { crash() }
-const afterHeaders: Crash = (req, res, crash) => {
-  helper.beginStream(req, res)
-  res.flushHeaders()
-  setTimeout(crash, 20)
-}
-const afterEvent: Crash = (req, res, crash) => {
-  helper.beginStream(req, res)
-  res.write('id: 1\ndata: event 1\n\n')
-  setTimeout(crash, 20)
-}
-
 /** Starts endpoints that crash with the request {@link CRASHING} and keep all others in flight. */
-async function startEndpoints (t: ava.ExecutionContext, crash: Crash, opts: { acceptsForMs?: number, /** Whether it accepts connections again at once. */ isRestarted?: boolean } = {}): Promise<helper.TestEndpoint[]> {
+async function startEndpoints (t: ava.ExecutionContext, crash: crashBehaviours.Crash, opts: { acceptsForMs?: number, /** Whether it accepts connections again at once. */ isRestarted?: boolean } = {}): Promise<helper.TestEndpoint[]> {
   const endpoints: helper.TestEndpoint[] = []
   for (let i = 0; i < (ENDPOINTS); i++) {
     endpoints.push(await helper.startEndpoint(`e${i}`, (req, res) => {
@@ -73,17 +59,17 @@
   t.true(Number(last?.headers['retry-after']) >= 10)
 }
 
-const CRASHING_ROUTES: Array<[name: string, crash: Crash, change: Partial<routeTables.Route>]> = [
-  ['buffered, one attempt', beforeResponse, { maxAttempts: 1 }],
-  ['buffered, two attempts', beforeResponse, { maxAttempts: 2 }],
-  ['may run once', beforeResponse, { kind: 'once', maxAttempts: 1 }],
-  ['stream, not resumable, before the headers', beforeResponse, { kind: 'stream', maxAttempts: 1 }],
-  ['stream, not resumable, before the first event', afterHeaders, { kind: 'stream', maxAttempts: 1 }],
-  ['stream, not resumable, after an event', afterEvent, { kind: 'stream', maxAttempts: 1 }],
-  ['stream, resumable, before the headers', beforeResponse, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
-  ['stream, resumable, before the first event', afterHeaders, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
-  ['stream, resumable, after an event', afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
-  ['stream, resumable, more attempts than crashes', afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 6 }]
+const CRASHING_ROUTES: Array<[name: string, crash: crashBehaviours.Crash, change: Partial<routeTables.Route>]> = [
+  ['buffered, one attempt', crashBehaviours.beforeResponse, { maxAttempts: 1 }],
+  ['buffered, two attempts', crashBehaviours.beforeResponse, { maxAttempts: 2 }],
+  ['may run once', crashBehaviours.beforeResponse, { kind: 'once', maxAttempts: 1 }],
+  ['stream, not resumable, before the headers', crashBehaviours.beforeResponse, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, not resumable, before the first event', crashBehaviours.afterHeaders, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, not resumable, after an event', crashBehaviours.afterEvent, { kind: 'stream', maxAttempts: 1 }],
+  ['stream, resumable, before the headers', crashBehaviours.beforeResponse, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, before the first event', crashBehaviours.afterHeaders, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, after an event', crashBehaviours.afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 2 }],
+  ['stream, resumable, more attempts than crashes', crashBehaviours.afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 6 }]
 ]
 
 for (const [name, crash, change] of CRASHING_ROUTES) {
@@ -96,13 +82,13 @@
 
 // Guards against a crash that goes unnoticed because the port still accepts connections right after it.
 test('a crash is found out if the port accepts connections for a while longer', async t => {
-  const endpoints = await startEndpoints(t, beforeResponse, { acceptsForMs: 100 })
+  const endpoints = await startEndpoints(t, crashBehaviours.beforeResponse, { acceptsForMs: 100 })
   await checkCrashing(t, endpoints, await startEntry(t, endpoints, { maxAttempts: 1 }))
 })
 
 // Guards against a crash that goes unnoticed because the endpoint is back before it is probed.
 test('a crash is found out by the next start of its endpoint', async t => {
-  const endpoints = await startEndpoints(t, afterEvent, { isRestarted: true })
+  const endpoints = await startEndpoints(t, crashBehaviours.afterEvent, { isRestarted: true })
   const entry = await startEntry(t, endpoints, { kind: 'stream', maxAttempts: 1 })
   const starts = new Map(endpoints.map(item => [item, 0]))
   for (let i = 0; i < SENDS; i++) {
@@ -119,7 +105,7 @@
 
 // Guards against requests beside the crashing one that take the blame, or hide it.
 test('a crashing request is quarantined beside many others, which are not', async t => {
-  const endpoints = await startEndpoints(t, afterEvent)
+  const endpoints = await startEndpoints(t, crashBehaviours.afterEvent)
   const entry = await startEntry(t, endpoints, { kind: 'stream', maxAttempts: 1 })
   const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
   // One request is in flight at all endpoints, so it is lost in each crash.
@@ -136,7 +122,7 @@
   const name = [change.kind ?? 'idempotent', change.isResumable === true ? ', resumable' : ''].join('')
   // Guards against rejecting a request that was in flight everywhere when endpoints were lost for another reason.
   test(`a popular request is served after four endpoints are lost at once: ${name}`, async t => {
-    const endpoints = await startEndpoints(t, beforeResponse)
+    const endpoints = await startEndpoints(t, crashBehaviours.beforeResponse)
     const entry = await startEntry(t, endpoints, change)
     const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
     const popular = Array.from({ length: 4 * ENDPOINTS }, async () => await entry.send({ method: 'POST', path: '/a/popular', body: 'popular', headers: DEADLINE }).catch(() => undefined))
--- a/packages/forwarding/__tests__/crashingParts.test.ts
+++ b/packages/forwarding/__tests__/crashingParts.test.ts
@@ -1,6 +1,8 @@
 /** Parts of prompts that crash endpoints, in requests of which no two are alike, and the requests beside them. */
+import type * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
+import * as crashBehaviours from './helpers/crashBehaviours.js'
 import * as helper from './helpers/testEntry.js'
 import type * as routeTables from '../src/admission/routeTable.js'
 
@@ -14,36 +16,17 @@
 const DEADLINE = { 'x-deadline-ms': '20000' }
 const BAD = 'bad'
 
-type Res = Parameters<helper.Behaviour>[1]
-type Req = Parameters<helper.Behaviour>[0]
-/** How an endpoint responds before it crashes. */
-type Crash = (req: Req, res: Res, crash: () => void) => void
-
-const beforeResponse: Crash = (req, res, crash) => { crash() }
-const afterEvent: Crash = (req, res, crash) => {
-  helper.beginStream(req, res)
-  res.write('id: 1\ndata: event 1\n\n')
-  setTimeout(crash, 20)
-}
-/** The end of the connection looks like that of the answer. */
-const insideUnframed: Crash = (req, res, crash) => {
-  res.useChunkedEncodingByDefault = false
-  res.shouldKeepAlive = false
-  res.writeHead(200, { 'x-attempt': req.headers['x-attempt'] as string, 'x-seal': 's' })
-  res.write('part of an answer')
-  setTimeout(crash, 20)
-}
-
-function toParts (req: Req): string[] {
-  return String(req.headers['x-parts'] ?? '').split(',').map(item => item.split(':')[0]).slice(0, -1)
+/** Returns whether a request has the part {@link BAD}, not as its last one. */
+function isBad ({ headers }: { headers: http.IncomingHttpHeaders }): boolean {
+  return String(headers['x-parts'] ?? '').split(',').map(item => item.split(':')[0]).slice(0, -1).includes(BAD)
 }
 
 /** Starts endpoints that crash with requests that have the part {@link BAD}, and serve all others. */
-async function startEndpoints (t: ava.ExecutionContext, crash: Crash): Promise<helper.TestEndpoint[]> {
+async function startEndpoints (t: ava.ExecutionContext, crash: crashBehaviours.Crash): Promise<helper.TestEndpoint[]> {
   const endpoints: helper.TestEndpoint[] = []
   for (let i = 0; i < ENDPOINTS; i++) {
     endpoints.push(await helper.startEndpoint(`e${i}`, (req, res, count) => {
-      if (toParts(req).includes(BAD)) crash(req, res, () => { endpoints[i].close() })
+      if (isBad(req)) crash(req, res, () => { endpoints[i].close() })
       else helper.healthy(req, res, count)
     }))
   }
@@ -65,19 +48,19 @@
 }
 
 function countCrashed (endpoints: helper.TestEndpoint[]): number {
-  return endpoints.filter(item => item.requests.some(({ headers }) => String(headers['x-parts']).split(',').slice(0, -1).some(part => part.startsWith(`${BAD}:`)))).length
+  return endpoints.filter(item => item.requests.some(isBad)).length
 }
 
-const CASES: Array<[name: string, crash: Crash, change: Partial<routeTables.Route>, toPrompt: (i: number) => string[]]> = [
-  ['buffered', beforeResponse, {}, () => ['root', BAD]],
-  ['may run once', beforeResponse, { kind: 'once', maxAttempts: 1 }, () => ['root', BAD]],
-  ['route without prompts', beforeResponse, { hasPrompt: false }, () => ['root', BAD]],
-  ['stream that is not resumable', afterEvent, { kind: 'stream', maxAttempts: 1 }, () => ['root', BAD]],
-  ['resumable stream', afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 2 }, () => ['root', BAD]],
-  ['neither length nor chunks', insideUnframed, { maxAttempts: 1 }, () => ['root', BAD]],
-  ['first part', beforeResponse, {}, i => [BAD, `topic-${i % 3}`]],
-  ['with changing neighbours', beforeResponse, {}, i => ['root', `before-${i}`, BAD, `after-${i}`]],
-  ['one of hundreds', beforeResponse, {}, () => ['root', ...Array.from({ length: 300 }, (_, i) => `turn-${i}`), BAD]]
+const CASES: Array<[name: string, crash: crashBehaviours.Crash, change: Partial<routeTables.Route>, toPrompt: (i: number) => string[]]> = [
+  ['buffered', crashBehaviours.beforeResponse, {}, () => ['root', BAD]],
+  ['may run once', crashBehaviours.beforeResponse, { kind: 'once', maxAttempts: 1 }, () => ['root', BAD]],
+  ['route without prompts', crashBehaviours.beforeResponse, { hasPrompt: false }, () => ['root', BAD]],
+  ['stream that is not resumable', crashBehaviours.afterEvent, { kind: 'stream', maxAttempts: 1 }, () => ['root', BAD]],
+  ['resumable stream', crashBehaviours.afterEvent, { kind: 'stream', isResumable: true, maxAttempts: 2 }, () => ['root', BAD]],
+  ['neither length nor chunks', crashBehaviours.insideUnframed, { maxAttempts: 1 }, () => ['root', BAD]],
+  ['first part', crashBehaviours.beforeResponse, {}, i => [BAD, `topic-${i % 3}`]],
+  ['with changing neighbours', crashBehaviours.beforeResponse, {}, i => ['root', `before-${i}`, BAD, `after-${i}`]],
+  ['one of hundreds', crashBehaviours.beforeResponse, {}, () => ['root', ...Array.from({ length: 300 }, (_, i) => `turn-${i}`), BAD]]
 ]
 
 for (const [name, crash, change, toPrompt] of CASES) {
@@ -100,7 +83,7 @@
 
 // Guards against a sound part that is held back because it was only seen beside the crashing one.
 test('a part that only came with a crashing one is served without it', async t => {
-  const endpoints = await startEndpoints(t, beforeResponse)
+  const endpoints = await startEndpoints(t, crashBehaviours.beforeResponse)
   const entry = await startEntry(t, endpoints, {})
   for (let i = 0; i < SENDS; i++) {
     await send(entry, ['rare', BAD])
@@ -114,18 +97,18 @@
 
 // Guards against a part that is trusted because of runs that it completed before it began to crash endpoints.
 test('a part that turns bad is sent at most three times more than a new one', async t => {
-  let isBad = false
+  let hasTurned = false
   const endpoints: helper.TestEndpoint[] = []
   for (let i = 0; i < ENDPOINTS; i++) {
     endpoints.push(await helper.startEndpoint(`e${i}`, (req, res, count) => {
-      if (isBad && toParts(req).includes(BAD)) endpoints[i].close()
+      if (hasTurned && isBad(req)) endpoints[i].close()
       else helper.healthy(req, res, count)
     }))
   }
   t.teardown(() => { endpoints.forEach(item => { item.close() }) })
   const entry = await startEntry(t, endpoints, {})
   for (let i = 0; i < 10; i++) t.is((await send(entry, ['root', BAD])).status, 200)
-  isBad = true
+  hasTurned = true
   let crashed = 0
   for (let i = 0; i < 40; i++) {
     const { status } = await send(entry, ['root', BAD])
@@ -138,7 +121,7 @@
 
 // Guards against a crash that is taken for the end of an answer, and then speaks for what caused it.
 test('an answer without a length that a crash cut off is not passed for whole', async t => {
-  const endpoints = await startEndpoints(t, insideUnframed)
+  const endpoints = await startEndpoints(t, crashBehaviours.insideUnframed)
   const entry = await startEntry(t, endpoints, { maxAttempts: 1 })
   const response = await send(entry, ['root', BAD])
   t.true(response.status === 502 || !response.isComplete)
--- a/packages/forwarding/__tests__/crashingPartsFleet.test.ts
+++ b/packages/forwarding/__tests__/crashingPartsFleet.test.ts
@@ -1,6 +1,7 @@
 /** Parts of prompts that crash endpoints, in a fleet of instances, and the requests beside them; on virtual time. */
 import * as ava from 'ava'
 import * as virtualFleets from './helpers/virtualFleet.js'
+import * as virtualScenarios from './helpers/virtualScenario.js'
 
 const test = ava.default
 const SEEDS = [1, 2, 3, 4]
@@ -9,7 +10,7 @@
 /** Share of the other requests that may be rejected at their first attempt once the part is quarantined. */
 const MAX_REJECTED_SHARE = 0.02
 
-const SCENARIOS: Array<[name: string, change: Partial<virtualFleets.Scenario>]> = [
+const SCENARIOS: Array<[name: string, change: Partial<virtualScenarios.Scenario>]> = [
   ['one', {}],
   ['one that comes first', { isFirst: true }],
   ['one that comes rarely', { badPerS: 0.5 }],
@@ -32,10 +33,10 @@
 ]
 
 /** Runs a scenario with each seed; both tests of it look at the same outcomes. */
-function createRuns (change: Partial<virtualFleets.Scenario>): () => Array<{ seed: number, outcome: virtualFleets.Outcome }> {
-  let runs: Array<{ seed: number, outcome: virtualFleets.Outcome }> | undefined
+function createRuns (change: Partial<virtualScenarios.Scenario>): () => Array<{ seed: number, outcome: virtualScenarios.Outcome }> {
+  let runs: Array<{ seed: number, outcome: virtualScenarios.Outcome }> | undefined
   return () => {
-    runs ??= SEEDS.map(seed => ({ seed, outcome: virtualFleets.runScenario({ ...virtualFleets.QUIET, crashing: 0, badParts: 1, ...change, seed }) }))
+    runs ??= SEEDS.map(seed => ({ seed, outcome: virtualFleets.runScenario({ ...virtualScenarios.QUIET, crashing: 0, badParts: 1, ...change, seed }) }))
     return runs
   }
 }
--- a/packages/forwarding/__tests__/crashingRequests.test.ts
+++ b/packages/forwarding/__tests__/crashingRequests.test.ts
@@ -1,6 +1,7 @@
 /** Several requests that crash endpoints at the same time, and the requests beside them; on virtual time. */
 import * as ava from 'ava'
 import * as virtualFleets from './helpers/virtualFleet.js'
+import * as virtualScenarios from './helpers/virtualScenario.js'
 
 const test = ava.default
 const SEEDS = [1, 2, 3, 4]
@@ -10,7 +11,7 @@
 /** Share of the other requests that may end with a rejection, in the worst case of a crash each 0.2 s. */
 const MAX_REJECTED_SHARE = 0.01
 
-const SCENARIOS: Array<[name: string, change: Partial<virtualFleets.Scenario>]> = [
+const SCENARIOS: Array<[name: string, change: Partial<virtualScenarios.Scenario>]> = [
   ['one', {}],
   ['one that waits in queues', { copies: 8, queueMs: 700 }],
   ['two', { crashing: 2 }],
@@ -30,7 +31,7 @@
   // Guards against crashing requests that explain each other's crashes and are sent on without end.
   test(`crashing requests at once are sent at most three times after their third crash: ${name}`, t => {
     for (const seed of SEEDS) {
-      const { lateSends } = virtualFleets.runScenario({ ...virtualFleets.QUIET, ...change, seed })
+      const { lateSends } = virtualFleets.runScenario({ ...virtualScenarios.QUIET, ...change, seed })
       t.true(lateSends <= MAX_LATE_SENDS, `${lateSends} late sends, seed ${seed}`)
     }
   })
@@ -38,7 +39,7 @@
   // Guards against holding back what was only in flight beside crashing requests.
   test(`requests beside crashing ones are served: ${name}`, t => {
     for (const seed of SEEDS) {
-      const { others, rejected } = virtualFleets.runScenario({ ...virtualFleets.QUIET, ...change, seed })
+      const { others, rejected } = virtualFleets.runScenario({ ...virtualScenarios.QUIET, ...change, seed })
       t.true(rejected <= others * MAX_REJECTED_SHARE, `${rejected} of ${others} rejected, seed ${seed}`)
     }
   })
--- a/packages/forwarding/__tests__/helpers/virtualFleet.ts
+++ b/packages/forwarding/__tests__/helpers/virtualFleet.ts
@@ -1,62 +1,11 @@
 /** Entry instances and endpoints on virtual time: requests and parts of prompts that crash what runs them, and others beside them. */
-import * as contracts from '@kingcupdeck/contracts'
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as crashReports from '../../src/quarantine/crashReport.js'
 import type * as runTrackers from '../../src/quarantine/runTracker.js'
 import * as suspectKeys from '../../src/quarantine/suspectKey.js'
+import * as trialPermits from '../../src/quarantine/trialPermits.js'
 import * as random from './random.js'
-
-/** What happens in a run of the model. */
-export interface Scenario {
-  seed: number
-  instances: number
-  endpoints: number
-  /** Crashing requests, and clients that send each of them. */
-  crashing: number
-  copies: number
-  /** Time from the start of a run to the crash. */
-  crashMs: number
-  /** Time for which a run waits in the queue of its endpoint at most. */
-  queueMs: number
-  /** Other requests in a second, their mean duration, and the share of them that are the same request. */
-  rate: number
-  meanMs: number
-  popularShare: number
-  /** Maximum delay of a message between instances. */
-  gossipMs: number
-  /** Share of the messages between instances that are lost. */
-  lossShare: number
-  /** Interval at which an instance is replaced by one that has just started; never if undefined. */
-  restartMs?: number
-  /** Parts of prompts that crash endpoints, and new requests with each of them in a second. */
-  badParts: number
-  badPerS: number
-  /** Whether the part is the first one of its prompts; otherwise it follows a root that all prompts share. */
-  isFirst: boolean
-  /** Share of the other requests that have such a part before it turns bad. */
-  turnsBadShare: number
-  /** Other parts that come only with a crashing one until a moment after it has crashed endpoints. */
-  hasNeighbours: boolean
-}
-
-/** What was seen in a run of the model. */
-export interface Outcome {
-  crashes: number
-  /** The most sends of a crashing request later than {@link GRACE_MS} after its third crash. */
-  lateSends: number
-  /** Other requests that were asked for, and those that ended with a rejection. */
-  others: number
-  rejected: number
-  /** The most crashes of a part, and the most sends of one later than {@link GRACE_MS} after its fifth crash. */
-  partCrashes: number
-  latePartSends: number
-  /** Other requests from twice {@link GRACE_MS} after the last fifth crash on, and those rejected at the first attempt. */
-  settled: number
-  settledRejected: number
-}
-
-/** Defaults of a scenario. */
-export const QUIET: Omit<Scenario, 'seed'> = { instances: 8, endpoints: 12, crashing: 1, copies: 1, crashMs: 70, queueMs: 0, rate: 60, meanMs: 800, popularShare: 0, gossipMs: 10, lossShare: 0, badParts: 0, badPerS: 3, isFirst: false, turnsBadShare: 0, hasNeighbours: false }
+import type * as virtualScenarios from './virtualScenario.js'
 
 const END_MS = 40_000
 const CRASHES = 3
@@ -91,7 +40,7 @@
 interface VirtualEndpoint { id: string, start: number, upAt: number, runs: Set<VirtualRun> }
 
 /** Runs the model. */
-export function runScenario (scenario: Scenario): Outcome {
+export function runScenario (scenario: virtualScenarios.Scenario): virtualScenarios.Outcome {
   const draw = random.createRandom(scenario.seed)
   /** Latest first; of those at the same time the one scheduled last. */
   const events: Array<{ at: number, run: (at: number) => void }> = []
@@ -164,12 +113,7 @@
       proceed(verdict.kind === 'allowed', at)
       return
     }
-    const groups = new Map<VirtualInstance, string[]>()
-    for (const key of verdict.keys) {
-      const [arbiter] = contracts.toRendezvousOrder(suspectKeys.toArbiterKey(key), instances, item => `i${item.place}`)
-      groups.set(arbiter, [...groups.get(arbiter) ?? [], key])
-    }
-    askArbiters(keys, instance, [...groups], at, proceed)
+    askArbiters(keys, instance, [...trialPermits.groupByArbiter(verdict.keys, instances, item => `i${item.place}`)], at, proceed)
   }
 
   const askArbiters = (carried: readonly string[], instance: VirtualInstance, groups: Array<[arbiter: VirtualInstance, keys: string[]]>, at: number, proceed: (isAllowed: boolean, at: number) => void): void => {
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -6,7 +6,7 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import type * as entryContexts from '../instance/entryContext.js'
-import * as promptParts from './promptParts.js'
+import * as nameLists from '../quarantine/nameList.js'
 import * as requestStates from './requestState.js'
 import type * as lostPaths from '../paths/lostPaths.js'
 import type * as runTrackers from '../quarantine/runTracker.js'
@@ -157,7 +157,7 @@
 
 /** Logs that a response was lost or broke off. */
 export function logLost (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint): void {
-  call.ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id, parts: promptParts.toLoggedParts(call.sharedParts) })
+  call.ctx.log.event('responseLost', { request: call.attemptId, fingerprint: call.fingerprint, endpoint: endpoint.id, parts: call.sharedParts.length === 0 ? undefined : nameLists.toNameList(call.sharedParts, ' ') })
 }
 
 /**
--- a/packages/forwarding/src/attempts/promptParts.ts
+++ b/packages/forwarding/src/attempts/promptParts.ts
@@ -1,8 +1,5 @@
 /** Parts of the prompt of a request, as its header lists them. */
 
-/** Parts of a prompt that are named in a log line. */
-const MAX_LOGGED_PARTS = 16
-
 /**
  * Returns the ids of the parts that the prompt of a request shares with other requests: all but the last one.
  * @param raw alternating names and values of headers
@@ -17,10 +14,3 @@
   }
   return [...new Set(ids.slice(0, -1))]
 }
-
-/** Returns the parts for a log line, undefined if there are none. */
-export function toLoggedParts (parts: readonly string[]): string | undefined {
-  if (parts.length === 0) return undefined
-  const rest = parts.length - MAX_LOGGED_PARTS
-  return `${parts.slice(0, MAX_LOGGED_PARTS).join(' ')}${rest > 0 ? ` and ${rest} more` : ''}`
-}
--- a/packages/forwarding/src/quarantine/crashLedger.ts
+++ b/packages/forwarding/src/quarantine/crashLedger.ts
@@ -1,5 +1,4 @@
 /** Crashes that count against suspects, and what refutes them: a completed run, or a response of the endpoint under the same start. */
-import * as crashEvidences from './crashEvidence.js'
 import * as recentMaps from './recentMap.js'
 import * as suspectKeys from './suspectKey.js'
 import type * as suspectLogs from './suspectLog.js'
@@ -70,7 +69,7 @@
       const crashes = suspect === undefined ? [] : suspectTables.toOpenCrashes(suspect).filter(crash => isRefuted(key, crash))
       if (suspect === undefined || crashes.length === 0) return []
       for (const crash of crashes) crash.isCleared = true
-      if (suspectTables.countOpenCrashes(suspect) < crashEvidences.QUARANTINE_CRASHES) {
+      if (!suspectTables.isConclusive(suspect)) {
         suspect.trials = []
         suspect.isQuarantined = false
       }
@@ -119,8 +118,7 @@
     prune (now) {
       for (const [endpoint, at] of respondedAt) if (now - at > RETENTION_MS) respondedAt.delete(endpoint)
       for (const [key, suspect] of suspects.entries()) {
-        const isConclusive = suspectTables.countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES
-        if (now - suspect.lastCrashAt > (isConclusive ? QUARANTINE_RETENTION_MS : RETENTION_MS)) suspects.delete(key)
+        if (now - suspect.lastCrashAt > (suspectTables.isConclusive(suspect) ? QUARANTINE_RETENTION_MS : RETENTION_MS)) suspects.delete(key)
       }
     }
   }
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -125,13 +125,13 @@
     if (suspects.size() === 0) return []
     return keys.filter(key => {
       const suspect = suspects.get(key)
-      return suspect !== undefined && suspectTables.countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES
+      return suspect !== undefined && suspectTables.isConclusive(suspect)
     })
   }
 
   const judgeOne = (key: string, carried: ReadonlySet<string>, now: number): crashEvidences.Verdict => {
     const suspect = suspects.get(key)
-    if (suspect === undefined || suspectTables.countOpenCrashes(suspect) < crashEvidences.QUARANTINE_CRASHES) return { kind: 'allowed' }
+    if (suspect === undefined || !suspectTables.isConclusive(suspect)) return { kind: 'allowed' }
     const collected = evidence.collect(key, suspect, carried, now)
     const verdict = crashEvidences.toVerdict(collected, now)
     const isQuarantined = verdict.kind === 'quarantined'
@@ -181,7 +181,7 @@
 
   /** Tells the other instances what the sender of a new crash report seems not to know. */
   const respond = (key: string, suspect: suspectTables.Suspect, now: number): void => {
-    if (suspectKeys.isPartKey(key) && !suspectReports.isNearQuarantine(suspect)) return
+    if (suspectKeys.isPartKey(key) && !suspectTables.isNearQuarantine(suspect)) return
     if (now - suspect.survivorsReportedAt > REPORT_INTERVAL_MS && evidence.hasOwnSurvivors(key, suspect, now)) {
       suspect.survivorsReportedAt = now
       send([reports.ofSurvivors(key)])
@@ -241,7 +241,7 @@
     },
     isSuspected: keys => keys.some(key => {
       const suspect = suspects.get(key)
-      return suspect !== undefined && suspectReports.isNearQuarantine(suspect)
+      return suspect !== undefined && suspectTables.isNearQuarantine(suspect)
     }),
     selectSuspects: keys => keys.filter(key => suspects.get(key) !== undefined),
     judge,
--- a/packages/forwarding/src/quarantine/suspectKey.ts
+++ b/packages/forwarding/src/quarantine/suspectKey.ts
@@ -9,7 +9,8 @@
   | { kind: 'request', fingerprint: string }
   | { kind: 'part', /** Hash of the service and the model that run the part. */ scope: string, part: string }
 
-const PART_KEY = /^part:([^:]+):(.+)$/
+const PART_PREFIX = 'part:'
+const PART_KEY = new RegExp(`^${PART_PREFIX}([^:]+):(.+)$`)
 /** Ids of parts that keys contain as they are; others are hashed. */
 const PLAIN_PART = /^[\w.-]{1,64}$/
 const HASH_CHARS = 24
@@ -24,7 +25,7 @@
 export function toPartKeys (service: string, model: string | undefined, parts: readonly string[]): string[] {
   if (parts.length === 0) return []
   const scope = contracts.sha256(Buffer.from(`${service}\n${model ?? ''}`)).slice(0, SCOPE_CHARS)
-  return parts.map(part => `part:${scope}:${PLAIN_PART.test(part) ? part.toLowerCase() : contracts.sha256(Buffer.from(part)).slice(0, HASH_CHARS)}`)
+  return parts.map(part => `${PART_PREFIX}${scope}:${PLAIN_PART.test(part) ? part.toLowerCase() : contracts.sha256(Buffer.from(part)).slice(0, HASH_CHARS)}`)
 }
 
 /** Returns what a key stands for. */
@@ -35,7 +36,7 @@
 
 /** Returns whether a key is that of a part. */
 export function isPartKey (key: string): boolean {
-  return key.startsWith('part:')
+  return key.startsWith(PART_PREFIX)
 }
 
 /** Returns what the instance that permits trials is chosen by: parts that come together must not need a permit of many instances. */
--- a/packages/forwarding/src/quarantine/suspectLog.ts
+++ b/packages/forwarding/src/quarantine/suspectLog.ts
@@ -1,10 +1,10 @@
 /** Log lines about suspects, bounded in number: a crash concerns all parts of all prompts that were in flight. */
 import type * as telemetry from '@kingcupdeck/telemetry'
 import * as crashEvidences from './crashEvidence.js'
+import * as nameLists from './nameList.js'
 import * as suspectKeys from './suspectKey.js'
 
-/** Parts that are named in one line, and lines about single parts in a second. */
-const MAX_NAMED_PARTS = 16
+/** Lines about single parts in a second. */
 const MAX_PART_LINES = 20
 const SECOND_MS = 1000
 
@@ -39,13 +39,13 @@
       const requests = suspects.filter(({ key, crashes }) => !suspectKeys.isPartKey(key) && (isOwn || crashes > 1))
       for (const { key, crashes } of requests) log?.event('requestSuspected', { ...suspectKeys.toLogFields(key), endpoint, crashes, from })
       const parts = suspects.filter(({ key, crashes }) => suspectKeys.isPartKey(key) && crashes > 1).sort((a, b) => b.crashes - a.crashes)
-      if (parts.length > 0) log?.event('requestSuspected', { parts: toNames(parts.map(({ key, crashes }) => `${toName(key)}: ${crashes}`)), endpoint, crashes: parts[0].crashes, from })
+      if (parts.length > 0) log?.event('requestSuspected', { parts: nameLists.toNameList(parts.map(({ key, crashes }) => `${toName(key)}: ${crashes}`), ', '), endpoint, crashes: parts[0].crashes, from })
     },
     retracted (endpoint, requests, from, why) { log?.event('crashRetracted', { endpoint, requests, from, why }) },
     cleared (suspects, from) {
       for (const { key, crashed } of suspects) if (!suspectKeys.isPartKey(key)) log?.event('requestCleared', { ...suspectKeys.toLogFields(key), crashes: crashed.length, from })
       const parts = suspects.filter(({ key, crashed }) => suspectKeys.isPartKey(key) && crashed.length > 1)
-      if (parts.length > 0) log?.event('requestCleared', { parts: toNames(parts.map(({ key, crashed }) => `${toName(key)}: ${crashed.length}`)), from })
+      if (parts.length > 0) log?.event('requestCleared', { parts: nameLists.toNameList(parts.map(({ key, crashed }) => `${toName(key)}: ${crashed.length}`), ', '), from })
     },
     quarantined (key, evidence, forMs, now) {
       if (!mayLog(key, now)) return
@@ -67,8 +67,3 @@
   const id = suspectKeys.parseKey(key)
   return id.kind === 'part' ? id.part : id.fingerprint
 }
-
-function toNames (names: readonly string[]): string {
-  const rest = names.length - MAX_NAMED_PARTS
-  return `${names.slice(0, MAX_NAMED_PARTS).join(', ')}${rest > 0 ? ` and ${rest} more` : ''}`
-}
--- a/packages/forwarding/src/quarantine/suspectReports.ts
+++ b/packages/forwarding/src/quarantine/suspectReports.ts
@@ -1,5 +1,5 @@
 /** Reports of an instance about its suspects. */
-import * as crashEvidences from './crashEvidence.js'
+import type * as crashEvidences from './crashEvidence.js'
 import * as crashReports from './crashReport.js'
 import type * as suspectEvidences from './suspectEvidence.js'
 import * as suspectTables from './suspectTable.js'
@@ -26,11 +26,6 @@
 
 const MAX_REPORTED_SUSPECTS = 30
 
-/** Returns whether one more crash may quarantine a suspect, or some have. */
-export function isNearQuarantine (suspect: suspectTables.Suspect): boolean {
-  return suspectTables.countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES - 1
-}
-
 /** Creates a builder of reports. */
 export function createSuspectReports ({ suspects, evidence, hasSucceeded }: SuspectReportOptions): SuspectReports {
   const ofCrash: SuspectReports['ofCrash'] = (keys, { endpoint, at, startedAt }, now, tried) => {
@@ -56,7 +51,7 @@
     ofSuspect,
     ofSurvivors,
     ofMostSuspected: now => suspects.entries()
-      .filter(([, suspect]) => isNearQuarantine(suspect))
+      .filter(([, suspect]) => suspectTables.isNearQuarantine(suspect))
       .sort(([, a], [, b]) => suspectTables.countOpenCrashes(b) - suspectTables.countOpenCrashes(a))
       .slice(0, MAX_REPORTED_SUSPECTS)
       .flatMap(([key, suspect]) => evidence.hasOwnSurvivors(key, suspect, now) ? [...ofSuspect(key, now), ofSurvivors(key)] : ofSuspect(key, now))
--- a/packages/forwarding/src/quarantine/suspectTable.ts
+++ b/packages/forwarding/src/quarantine/suspectTable.ts
@@ -1,5 +1,5 @@
 /** Suspects: requests and parts of prompts that were in flight at crashes of endpoints, and the crashes of each. */
-import type * as crashEvidences from './crashEvidence.js'
+import * as crashEvidences from './crashEvidence.js'
 
 /** A crash at which a suspect was in flight. */
 export interface KnownCrash extends crashEvidences.Crash {
@@ -61,6 +61,16 @@
   return count
 }
 
+/** Returns whether a suspect has had enough crashes for a quarantine. */
+export function isConclusive (suspect: Suspect): boolean {
+  return countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES
+}
+
+/** Returns whether one more crash may quarantine a suspect, or some have. */
+export function isNearQuarantine (suspect: Suspect): boolean {
+  return countOpenCrashes(suspect) >= crashEvidences.QUARANTINE_CRASHES - 1
+}
+
 /** Creates an empty table. */
 export function createSuspectTable (): SuspectTable {
   const suspects = new Map<string, Suspect>()
--- a/packages/forwarding/src/quarantine/trialPermits.ts
+++ b/packages/forwarding/src/quarantine/trialPermits.ts
@@ -65,6 +65,16 @@
   answer (call: TrialCall, from: string): TrialReply
 }
 
+/** Groups keys by the instance that decides about them. */
+export function groupByArbiter<T> (keys: readonly string[], instances: readonly T[], toId: (instance: T) => string): Map<T, string[]> {
+  const groups = new Map<T, string[]>()
+  for (const key of keys) {
+    const [arbiter] = contracts.toRendezvousOrder(suspectKeys.toArbiterKey(key), instances, toId)
+    groups.set(arbiter, [...groups.get(arbiter) ?? [], key])
+  }
+  return groups
+}
+
 /** Creates the permits of an instance that has just started. */
 export function createTrialPermits (opts: TrialPermitOptions): TrialPermits {
   const { self, quarantine, log, now } = opts
@@ -92,17 +102,6 @@
     if (deniedUntil.size > MAX_DENIALS) deniedUntil.delete(deniedUntil.keys().next().value as string)
   }
 
-  /** Groups keys by the instance that decides about them. */
-  const toArbiters = (keys: readonly string[]): Map<string, string[]> => {
-    const instances = [self, ...opts.others()]
-    const groups = new Map<string, string[]>()
-    for (const key of keys) {
-      const [arbiter] = contracts.toRendezvousOrder(suspectKeys.toArbiterKey(key), instances, address => address)
-      groups.set(arbiter, [...groups.get(arbiter) ?? [], key])
-    }
-    return groups
-  }
-
   const requestPermit = async (arbiter: string, keys: readonly string[], carried: readonly string[]): Promise<boolean> => {
     if (arbiter === self) return !isLearning() && quarantine.grantTrial(keys, carried, now(), self)
     if (keys.some(key => now() < (deniedUntil.get(key) ?? -Infinity))) return false
@@ -120,7 +119,7 @@
         case 'quarantined': return false
         case 'trial': {
           const carried = quarantine.selectSuspects(keys)
-          for (const [arbiter, group] of toArbiters(verdict.keys)) if (!await requestPermit(arbiter, group, carried)) return false
+          for (const [arbiter, group] of groupByArbiter(verdict.keys, [self, ...opts.others()], address => address)) if (!await requestPermit(arbiter, group, carried)) return false
           return true
         }
       }
