fix(quarantine): a sound part is not held back for the crashes of a request that carried it

A crash that the request explains counted against the part in full. Evidence: each quarantine of the part had hasSucceeded=true, and two or three of its three crashes were those of the quarantined request. Change: up to the fifth crash, those explained by a request that has never succeeded and has three crashes itself do not count against a part that has succeeded before. From the fifth crash on the part is held whatever explains the earlier ones, so the bound of five and three more is as before. Measured: two of the three new tests failed before.

--- a/packages/forwarding/__tests__/suspectParts.test.ts
+++ b/packages/forwarding/__tests__/suspectParts.test.ts
@@ -67,6 +67,34 @@
   t.false(isHeld(toKeys('new', 'popular')))
 })
 
+// Guards against holding back a sound part for a request that carried it in each of its crashes, when little else with it was running.
+test('a part that only a crashing request was lost with is served without that request', t => {
+  const { crash, complete, isHeld } = createSetup()
+  complete(toKeys('r0', 'shared'))
+  for (const i of [1, 2, 3]) crash(`e${i}`, toKeys('crashing', 'shared'))
+  t.true(isHeld(toKeys('crashing', 'shared')))
+  t.false(isHeld(toKeys('new', 'shared')))
+})
+
+// Guards against adding up crashes of a part that have different causes.
+test('a part is served after the crashes of a request that carried it and another one', t => {
+  const { crash, complete, isHeld } = createSetup()
+  complete(toKeys('r0', 'shared'))
+  crash('e0', ['crashing'])
+  for (const i of [1, 2]) crash(`e${i}`, toKeys('crashing', 'shared'))
+  crash('e3', toKeys('other', 'shared'))
+  t.false(isHeld(toKeys('new', 'shared')))
+})
+
+// Guards against a part that turned bad and is sent on because requests with it that were repeated explain its crashes.
+test('a part is held back from its fifth crash on, whatever explains the earlier ones', t => {
+  const { crash, complete, isHeld } = createSetup()
+  complete(toKeys('r0', 'bad'))
+  for (const i of [1, 2, 3]) crash(`e${i}`, toKeys('repeated', 'bad'))
+  for (const i of [4, 5]) crash(`e${i}`, toKeys(`repeated-${i}`, 'bad'))
+  t.true(isHeld(toKeys('new', 'bad')))
+})
+
 test('a part is held back for the service and model that ran it only', t => {
   const { crash, isHeld } = createSetup()
   for (const i of [1, 2, 3]) crash(`e${i}`, toKeys(`x${i}`, 'bad'))
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -15,7 +15,8 @@
  *   apart.
  *
  * A part that is shared by much of the traffic is lost in nearly every crash. Up to five crashes, and for a moment after them, it is
- * not held back while responses with it go on that began after the first of them.
+ * not held back while responses with it go on that began after the first of them. Up to the fifth crash, those do not count against a
+ * part that has succeeded before that are explained by a request which has not.
  */
 
 import type * as suspectKeys from './suspectKey.js'
@@ -44,6 +45,8 @@
   hasSurvivors: (crash: Crash) => boolean
   /** Returns whether several other requests that were lost in a crash had begun later. */
   isOutlasted: (crash: Crash) => boolean
+  /** Returns whether another request that was lost in a crash has never succeeded and was lost in enough of them to be quarantined. */
+  isExplained: (crash: Crash) => boolean
   /** Whether it completed a run before. */
   hasSucceeded: boolean
   /** Returns whether the crashes as a whole have another explanation. */
@@ -65,8 +68,9 @@
 export const COINCIDENCE_MS = 300
 /** Time within which it is found out that an outage has another cause than the suspect. */
 const OUTAGE_MS = 3000
-/** Crashes of a part up to which responses that go on speak for it, and for how long they do after the last of these. */
-const RESPONDING_CRASHES = 5
+/** Crashes of a part up to which other causes of them are considered. */
+const PART_CRASHES = 5
+/** Time after the last of these for which responses that go on speak for the part. */
 const RESPONDING_MS = 2000
 /**
  * Time after the crash from which on the number of sends is limited, within which trials of a suspect that has succeeded before are
@@ -109,10 +113,15 @@
 /** Returns whether a part that much of the traffic shares was probably only beside what crashed the endpoints. */
 function isResponding ({ kind, crashes, hasSurvivors }: Evidence, now: number): boolean {
   if (kind === 'request') return false
-  const last = crashes[RESPONDING_CRASHES - 1]
+  const last = crashes[PART_CRASHES - 1]
   return (last === undefined || now - last.at < RESPONDING_MS) && hasSurvivors(crashes[0])
 }
 
+/** Returns whether a part that has succeeded was lost in too few crashes that are not explained by a request. */
+function isExplainedByRequests ({ kind, crashes, hasSucceeded, isExplained }: Evidence): boolean {
+  return kind === 'part' && hasSucceeded && crashes.length < PART_CRASHES && crashes.filter(item => !isExplained(item)).length < QUARANTINE_CRASHES
+}
+
 /**
  * Returns whether no further trial may be made for long. Trials of a suspect that is widely used are often lost to another one that is
  * not known yet; they count once the crashes of that have had time to become known.
@@ -120,7 +129,7 @@
 function areTrialsUsedUp ({ kind, crashes, hasSucceeded, pendingTrials }: Evidence): boolean {
   const startedAt = [...toFailedTrials(kind, crashes).map(item => item.startedAt), ...pendingTrials]
   if (!hasSucceeded) return startedAt.length >= MAX_TRIALS
-  const limitedFrom = kind === 'part' ? RESPONDING_CRASHES : QUARANTINE_CRASHES
+  const limitedFrom = kind === 'part' ? PART_CRASHES : QUARANTINE_CRASHES
   const settledAt = (crashes[limitedFrom - 1]?.at ?? Infinity) + SETTLING_MS
   return startedAt.filter(at => at > settledAt).length >= MAX_SETTLED_TRIALS
 }
@@ -128,7 +137,7 @@
 /** Decides what may be done with a suspect. */
 export function toVerdict (evidence: Evidence, now: number): Verdict {
   const { kind, crashes, isOutlasted, pendingTrials } = evidence
-  if (crashes.length < QUARANTINE_CRASHES || isOutage(evidence, now) || isResponding(evidence, now)) return { kind: 'allowed' }
+  if (crashes.length < QUARANTINE_CRASHES || isOutage(evidence, now) || isResponding(evidence, now) || isExplainedByRequests(evidence)) return { kind: 'allowed' }
   const failed = toFailedTrials(kind, crashes).length
   const isDoubtful = (): boolean => crashes.filter(item => !isOutlasted(item)).length < QUARANTINE_CRASHES ||
     ((kind === 'part' || crashes.length < CONTESTED_CRASHES) && evidence.isContested())
--- a/packages/forwarding/src/quarantine/suspectEvidence.ts
+++ b/packages/forwarding/src/quarantine/suspectEvidence.ts
@@ -80,6 +80,12 @@
     }))
   }
 
+  const isExplained = (key: string, carried: ReadonlySet<string>, endpoint: string): boolean => {
+    return findOthers(key, carried, endpoint).some(([other, suspect]) => {
+      return !suspectKeys.isPartKey(other) && suspectTables.isConclusive(suspect) && suspect.crashes.get(endpoint)?.isCleared === false && !hasSucceeded(other)
+    })
+  }
+
   return {
     hasOwnSurvivors: (key, suspect, now) => {
       const [first] = suspectTables.toOpenCrashes(suspect)
@@ -94,6 +100,7 @@
         hasSucceeded: hasSucceeded(key),
         hasSurvivors: ({ at }) => hasSurvivors(key, suspect, at, now),
         isOutlasted: crash => isOutlasted(key, carried, crash),
+        isExplained: crash => isExplained(key, carried, crash.endpoint),
         isContested: () => hasRival(key, carried, crashes, now) || areAllExplained(key, carried, crashes),
         pendingTrials: toPendingTrials(suspect.trials.filter(at => now - at < TRIAL_TTL_MS), crashEvidences.toFailedTrials(kind, crashes))
       }
