fix(attempts): an endpoint is selected and counted without a wait in between

Each attempt waited for the permit of a trial, also if none was needed, between the selection of its endpoint and the moment when that counts it; what resumed in the same turn of the event loop selected by the same counts. That holds for each limit that counts attempts: cold and brittle endpoints, connections, loads. Resumptions waited there too. Change: a permit is only waited for if there is a trial, and the endpoint is selected again after it.

--- a/packages/forwarding/__tests__/coldLimiter.test.ts
+++ b/packages/forwarding/__tests__/coldLimiter.test.ts
@@ -1,10 +1,13 @@
 /** The limit of the requests to endpoints that are warming up. */
+import * as net from 'node:net'
 import * as ava from 'ava'
 import * as coldLimiters from '../src/placement/coldLimiter.js'
+import * as endpointDialers from '../src/paths/endpointDialer.js'
 import * as randoms from './helpers/random.js'
 import * as helper from './helpers/testEntry.js'
 
 const test = ava.default
+const REQUESTS = 40
 const FLEET_SIZES = [1, 3, 9, 63, 191, 380]
 const MAX_PER_SECOND = coldLimiters.toMaxPerSecond(11, { excess: 1.5, slack: 5 })
 
@@ -95,6 +98,27 @@
   cold.close()
 })
 
+// Guards against requests that all select a cold endpoint before one of them is counted.
+test('requests that lose their endpoint at the same moment stay within the limit of a cold one', async t => {
+  const warm = await helper.startEndpoint('warm', helper.healthy)
+  const cold = await helper.startEndpoint('cold', helper.healthy)
+  const dials: net.Socket[] = []
+  const connect: endpointDialers.Connect = address => {
+    if (address !== warm.address) return endpointDialers.connectDirectly(address)
+    const socket = new net.Socket()
+    dials.push(socket)
+    if (dials.length === REQUESTS) for (const item of dials) item.destroy(new Error('refused'))
+    return socket
+  }
+  const entry = await helper.startEntry([helper.toRoute()], [warm, cold], { service: { coldPerSecond: 11, coldStartMs: 3000 }, connect })
+  entry.announce(cold, { coldMs: 3000 })
+  await Promise.all(Array.from({ length: REQUESTS }, async () => await entry.send()))
+  t.true(cold.requests.length <= MAX_PER_SECOND, `${cold.requests.length} requests`)
+  t.true(cold.requests.length > 0)
+  entry.close()
+  for (const endpoint of [cold, warm]) endpoint.close()
+})
+
 // The end of an evacuation may arrive before the announcements of endpoints that became cold meanwhile.
 test('endpoints of a zone that was evacuated count as cold at first', async t => {
   const endpoint = await helper.startEndpoint('e1', helper.healthy)
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -52,7 +52,7 @@
   }
 }
 
-/** Selects an endpoint and begins an attempt. */
+/** Selects an endpoint and begins an attempt. Nothing is waited for in between: the limits of the endpoint count the attempts that have begun. */
 async function beginAttempt (call: clientCalls.ClientCall, state: requestStates.RequestState): Promise<attemptOutcomes.Attempt | attemptOutcomes.Next> {
   const { ctx, route } = call
   if (!requestStates.mayRun(route, state.runs)) return { kind: 'fail', why: 'no further attempt is allowed' }
@@ -62,7 +62,8 @@
   const selected = selectEndpoints.selectEndpoint(call, state.tried, toDelayLimitMs(call))
   if (selected.kind === 'busy') return { kind: 'fail', why: `the endpoints are overloaded, the queue delay is ${Math.round(selected.delayMs)} ms`, delayMs: selected.delayMs }
   if (selected.kind === 'none') return await requestStates.awaitVerdicts(call, state) ? { kind: 'retry' } : { kind: 'fail', why: toUnavailableReason(call, state) }
-  if (!await requestStates.maySend(call, state)) return failQuarantined(call)
+  // The permit is waited for, and limits and loads change meanwhile: the endpoint is selected again.
+  if (requestStates.needsTrialPermit(call, state)) return await requestStates.requestTrialPermit(call, state) ? { kind: 'retry' } : failQuarantined(call)
   // Every send after the first one is charged to the retry budget: retries during an outage must not overload the other endpoints.
   if (state.sends > 0 && !requestStates.trySpendRetry(call)) return { kind: 'fail', why: 'the retry budget is exhausted' }
   return createAttempt(call, state, selected)
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -44,16 +44,15 @@
   return ctx.retryBudget(service).trySpend(ctx.now(), ctx.gossip.instanceCount(), share)
 }
 
-/**
- * Returns whether a request may be sent with regard to the crashes that it was in flight at. A permit for a trial is valid until an
- * endpoint was connected to.
- */
-export async function maySend ({ ctx, suspects }: clientCalls.ClientCall, state: RequestState): Promise<boolean> {
-  if (state.holdsTrialPermit) return true
-  const isTrial = ctx.quarantine.judge(suspects, ctx.now()).kind === 'trial'
-  const isPermitted = await ctx.trialPermits.maySend(suspects)
-  state.holdsTrialPermit = isTrial && isPermitted
-  return isPermitted
+/** Returns whether a request may only be sent once a trial of its suspects is permitted. */
+export function needsTrialPermit ({ ctx, suspects }: clientCalls.ClientCall, state: RequestState): boolean {
+  return !state.holdsTrialPermit && ctx.quarantine.judge(suspects, ctx.now()).kind === 'trial'
+}
+
+/** Asks for the permit of a trial, which is valid until an endpoint was connected to. @returns whether it was granted */
+export async function requestTrialPermit ({ ctx, suspects }: clientCalls.ClientCall, state: RequestState): Promise<boolean> {
+  state.holdsTrialPermit = await ctx.trialPermits.maySend(suspects)
+  return state.holdsTrialPermit
 }
 
 /** Records that an endpoint may have run a request. From then on it must not be reported as not run. */
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -22,7 +22,11 @@
       if (!opts.isSourceOpen() && await requestStates.awaitVerdicts(call, state)) continue
       return { kind: 'none', why: 'no further endpoint is available' }
     }
-    if (!await requestStates.maySend(call, state)) return { kind: 'none', why: toQuarantineReason(call) }
+    if (requestStates.needsTrialPermit(call, state)) {
+      if (!await requestStates.requestTrialPermit(call, state)) return { kind: 'none', why: toQuarantineReason(call) }
+      // Limits and loads have changed meanwhile.
+      continue
+    }
     if (!requestStates.trySpendRetry(call, opts.isSourceOpen() ? retryBudgets.HEDGE_SHARE : 1)) return { kind: 'none', why: 'the retry budget is exhausted' }
     sends++
     const result = await attempt(call, state, selected, opts)
