fix(quarantine): a response that was lost before its endpoint answered again is not lost in a later crash

Change: a lost response that its endpoint outlived, since it answered a request that was sent afterwards, is not part of a crash, unless the endpoint turns out to have been restarted: then a later start answered. Measured: the new test failed before; 73 tests of the quarantine pass.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -77,6 +77,28 @@
 })
 
 // Guards against a crashing request that is not found out because its client leaves first.
+// Guards against counting a response that broke off by itself as lost in a crash that the endpoint had a moment later.
+test('a response that was lost before its endpoint answered again is not lost in a later crash', t => {
+  const { quarantine, wait, now } = createSetup()
+  const loseThenAnswer = (endpoint: string): void => {
+    quarantine.startRun(['x'], endpoint, now()).end('lost', now())
+    wait(400)
+    quarantine.confirmUp(endpoint, now() - 100, now())
+    wait(400)
+  }
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    loseThenAnswer(endpoint)
+    quarantine.confirmDown(endpoint, now(), 'refused')
+  }
+  t.false(quarantine.isSuspected(['x']))
+  // What answered was a later start.
+  for (const endpoint of ['e4', 'e5', 'e6']) {
+    loseThenAnswer(endpoint)
+    quarantine.confirmDown(endpoint, now(), 'restarted')
+  }
+  t.true(quarantine.isQuarantined(['x'], now()))
+})
+
 test('a client that leaves an endpoint that crashes counts', t => {
   const { quarantine, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) {
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -68,7 +68,15 @@
 const MAX_LOST_RUNS = 1000
 
 interface RunState { endpoint: string, startedAt: number, begunAt: number }
-interface LostRun { keys: readonly string[], tried: readonly string[], how: 'lost' | 'abandoned', startedAt: number, at: number }
+interface LostRun {
+  keys: readonly string[]
+  tried: readonly string[]
+  how: 'lost' | 'abandoned'
+  startedAt: number
+  at: number
+  /** Whether the endpoint, or a later start of it, has responded to a request that was sent afterwards. */
+  isOutlived: boolean
+}
 
 /** Creates an empty tracker. */
 export function createRunTracker ({ onCompleted, onCrash }: RunTrackerOptions): RunTracker {
@@ -113,7 +121,7 @@
           switch (how) {
             case 'completed': onCompleted(keys, now, at); break
             case 'lost':
-            case 'abandoned': recordLost(endpoint, { keys, tried, how, startedAt: now, at }); break
+            case 'abandoned': recordLost(endpoint, { keys, tried, how, startedAt: now, at, isOutlived: false }); break
             case 'inconclusive': break
           }
         }
@@ -131,6 +139,7 @@
       }
     },
     confirmUp (endpoint, sentAt) {
+      for (const run of lostRuns.get(endpoint) ?? []) if (run.at < sentAt) run.isOutlived = true
       const down = downs.get(endpoint)
       if (down === undefined || down.at >= sentAt) return
       downs.delete(endpoint)
@@ -171,11 +180,12 @@
  * Returns whether a run was lost because its endpoint went down.
  * @param apartMs time between the two, in milliseconds
  */
-function isCrash ({ how }: LostRun, apartMs: number, reason: DownReason): boolean {
+function isCrash ({ how, isOutlived }: LostRun, apartMs: number, reason: DownReason): boolean {
   switch (reason) {
-    case 'refused': return apartMs < UNREACHABLE_MS
+    case 'refused': return !isOutlived && apartMs < UNREACHABLE_MS
     // An overloaded endpoint does not answer either, and then clients leave.
-    case 'silent': return how === 'lost' && apartMs < UNREACHABLE_MS
+    case 'silent': return !isOutlived && how === 'lost' && apartMs < UNREACHABLE_MS
+    // The response came from the later start.
     case 'restarted': return apartMs < RESTARTED_MS
   }
 }
