fix(quarantine): sound suspects are cleared everywhere, and by what explains their crashes

Now what was cleared is remembered by name, and whoever is told of a crash that it knows to be refuted says so. - A popular request lost in three crashes within a second, of which another request explains two, was held for half a second. Now explained crashes do not count against a request that has succeeded for 2.5 s after its third crash, the time in which sends are not limited. - After a restart of all instances none knows what has succeeded, so that sound parts that crash three times beside others were held for two minutes. Now a part is tried once after 2 s while the instance has run for less than 30 s. - The root of all prompts was held while its trials lasted, beside several crashing parts and long responses. Now a response that began after its last crash and has gone on for a second clears a part whose crashes all have another explanation; trials of a part with responses that go on may be half a second apart, but not more of them. The bounds stay: from its fifth crash on a part is only tried, three times at most; a request from its third on, 2.5 s later.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -77,6 +77,21 @@
 })
 
 // Guards against a crashing request that is not found out because its client leaves first.
+// Guards against holding back a popular request for crashes that another request and an outage caused.
+test('a request that has succeeded is served after the crashes of another one and one more', t => {
+  const { quarantine, crash, wait, now } = createSetup()
+  quarantine.startRun(['popular'], 'up', now()).end('completed', now())
+  wait(1000)
+  for (const [endpoint, lost] of [['e1', ['x']], ['e2', ['x', 'popular']], ['e3', ['popular']], ['e4', ['x', 'popular']]] as const) {
+    crash(endpoint, [...lost])
+    wait(400)
+  }
+  t.is(quarantine.judge(['popular'], now()).kind, 'allowed')
+  t.true(quarantine.isQuarantined(['x'], now()))
+  wait(2500)
+  t.is(quarantine.judge(['popular'], now()).kind, 'trial')
+})
+
 // Guards against counting a response that broke off by itself as lost in a crash that the endpoint had a moment later.
 test('a response that was lost before its endpoint answered again is not lost in a later crash', t => {
   const { quarantine, wait, now } = createSetup()
--- a/packages/forwarding/__tests__/helpers/virtualFleet.ts
+++ b/packages/forwarding/__tests__/helpers/virtualFleet.ts
@@ -77,6 +77,7 @@
       place,
       startedAt,
       quarantine: crashQuarantines.createCrashQuarantine({
+        startedAt,
         send (reports) { for (let to = 0; to < scenario.instances; to++) if (to !== place) deliver(instance, to, reports) }
       })
     }
--- a/packages/forwarding/__tests__/suspectParts.test.ts
+++ b/packages/forwarding/__tests__/suspectParts.test.ts
@@ -95,6 +95,68 @@
   t.true(isHeld(toKeys('new', 'bad')))
 })
 
+// Guards against holding back the root of all prompts for as long as its trials last, when other parts explain its crashes.
+test('a response that goes on clears a part if other parts explain its crashes', t => {
+  for (const isExplained of [true, false]) {
+    const { quarantine, crash, complete, isHeld, now } = createSetup()
+    complete(toKeys('r0', 'root'))
+    for (const i of [1, 2, 3, 4, 5, 6]) crash(`e${i}`, toKeys(`x${i}`, 'root', ...isExplained ? [`bad-${i % 2}`] : []))
+    const startedAt = now() + 3000
+    const run = quarantine.startRun(toKeys('trial', 'root'), 'up', startedAt)
+    run.begin(startedAt + 100)
+    quarantine.toReports(startedAt + 900)
+    t.true(isHeld(toKeys('r1', 'root')))
+    quarantine.toReports(startedAt + 1200)
+    t.is(isHeld(toKeys('r1', 'root')), !isExplained)
+    t.true(isHeld(toKeys('r2', 'root', 'bad-0')) || !isExplained)
+  }
+})
+
+// Guards against holding back sound parts for minutes after a restart of all instances, of which none knows what has succeeded.
+test('a part that crashed endpoints just after the start of the instance is tried soon, once', t => {
+  const { crash, isHeld, quarantine, now } = createSetup({ startedAt: 0 })
+  for (const i of [1, 2, 3]) crash(`e${i}`, toKeys(`x${i}`, 'part'))
+  const keys = toKeys('r', 'part')
+  t.true(isHeld(keys))
+  t.is(quarantine.judge(keys, now() + 1900).kind, 'quarantined')
+  t.is(quarantine.judge(keys, now() + 2000).kind, 'trial')
+  const run = quarantine.startRun(keys, 'e4', now() + 2000)
+  run.end('lost', now() + 2100)
+  quarantine.confirmDown('e4', now() + 2100, 'refused')
+  t.is(quarantine.judge(keys, now() + 60_000).kind, 'quarantined')
+})
+
+// Guards against reports that arrive in another order than they were sent, as after a pause of the instance.
+test('a report of a crash that arrives after another instance has cleared it does not count', t => {
+  const crashes = ['e1', 'e2', 'e3']
+  for (const key of toKeys('r', 'shared')) {
+    const { quarantine, isHeld } = createSetup()
+    quarantine.merge([crashReports.toCrashReport(key, { crashed: crashes, isCleared: true })], 10_000, 'i1')
+    quarantine.merge(crashes.map((endpoint, i) => crashReports.toCrashReport(key, { crashed: [endpoint], agoMs: 500 * (i + 1) })), 10_000, 'i2')
+    t.false(isHeld([key]))
+  }
+})
+
+// Guards against an instance that keeps crashes of which it never heard that they were cleared.
+test('an instance that has cleared a crash tells one that reports it', t => {
+  for (const key of toKeys('r', 'shared')) {
+    const sent: crashReports.CrashReport[] = []
+    const { quarantine, complete, now } = createSetup({ send: list => { sent.push(...list) } })
+    complete([key])
+    const early = crashReports.toCrashReport(key, { crashed: ['e1'], agoMs: 200 })
+    quarantine.merge([early], now(), 'i1')
+    quarantine.merge([early], now(), 'i1')
+    const [cleared, ...others] = sent
+    t.deepEqual(others, [])
+    t.true(cleared.isCleared)
+    // What was lost after the completed run still counts.
+    const other = createSetup()
+    for (const endpoint of ['e2', 'e3', 'e4']) other.crash(endpoint, [key])
+    other.quarantine.merge([{ ...cleared, agoMs: other.now() }], other.now(), 'i1')
+    t.true(other.isHeld([key]))
+  }
+})
+
 test('a part is held back for the service and model that ran it only', t => {
   const { crash, isHeld } = createSetup()
   for (const i of [1, 2, 3]) crash(`e${i}`, toKeys(`x${i}`, 'bad'))
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -57,7 +57,7 @@
   const { log } = opts
   const now = (): number => performance.now()
   const table = discovery.createRecordTable()
-  const quarantine = crashQuarantines.createCrashQuarantine({ log, send: reports => { gossip.sendCrashReports(reports) }, checkEndpoint: incarnation => { attemptRecorders.checkEndpoint(ctx, incarnation) } })
+  const quarantine = crashQuarantines.createCrashQuarantine({ startedAt: now(), log, send: reports => { gossip.sendCrashReports(reports) }, checkEndpoint: incarnation => { attemptRecorders.checkEndpoint(ctx, incarnation) } })
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -15,8 +15,11 @@
  *   apart.
  *
  * A part that is shared by much of the traffic is lost in nearly every crash. Up to five crashes, and for a moment after them, it is
- * not held back while responses with it go on that began after the first of them. Up to the fifth crash, those do not count against a
- * part that has succeeded before that are explained by a request which has not.
+ * not held back while responses with it go on that began after the first of them.
+ *
+ * Crashes do not count against a suspect that has succeeded before if they are explained by another one which has not: against a part up
+ * to its fifth crash, against a request for a moment after its third one. If all crashes of a part are explained so, a response that goes
+ * on for long clears it like a complete one.
  */
 
 import type * as suspectKeys from './suspectKey.js'
@@ -45,10 +48,12 @@
   hasSurvivors: (crash: Crash) => boolean
   /** Returns whether several other requests that were lost in a crash had begun later. */
   isOutlasted: (crash: Crash) => boolean
-  /** Returns whether another request that was lost in a crash has never succeeded and was lost in enough of them to be quarantined. */
+  /** Returns whether another suspect that was lost in a crash has never succeeded and was lost in enough of them to be quarantined. */
   isExplained: (crash: Crash) => boolean
   /** Whether it completed a run before. */
   hasSucceeded: boolean
+  /** Whether that would be known, since this instance has been running for long enough. */
+  knowsHistory: boolean
   /** Returns whether the crashes as a whole have another explanation. */
   isContested: () => boolean
   /** When it was sent in spite of its crashes, oldest first, without runs whose crash is known. */
@@ -80,11 +85,15 @@
 const MAX_SETTLED_TRIALS = 2
 /** Minimum time between two trials while the first one has neither completed nor crashed. */
 export const TRIAL_INTERVAL_MS = 2000
+/** The same for a part while a response with it goes on. */
+export const MIN_TRIAL_INTERVAL_MS = 500
 
 /** Time after the last crash after which a suspect that has succeeded before is tried; doubled with each trial that crashes. */
 const PROVEN_HOLD_MS = 500
 const MAX_PROVEN_HOLD_MS = 4000
 const HOLD_MS = 120_000
+/** Time after the last crash of a part after which it is tried for the first time, if it is not known what has succeeded. */
+const UNKNOWN_PART_HOLD_MS = 2000
 /** A suspect whose trial crashes an endpoint is quarantined this many times longer. */
 const HOLD_GROWTH = 5
 const MAX_HOLD_MS = 3_600_000
@@ -99,7 +108,8 @@
 }
 
 /** Returns for how long a suspect is quarantined after its last crash if nothing speaks for it. */
-function toHoldMs (failedTrials: number): number {
+function toHoldMs ({ kind, knowsHistory }: Evidence, failedTrials: number): number {
+  if (kind === 'part' && !knowsHistory && failedTrials === 0) return UNKNOWN_PART_HOLD_MS
   return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
 }
 
@@ -117,9 +127,11 @@
   return (last === undefined || now - last.at < RESPONDING_MS) && hasSurvivors(crashes[0])
 }
 
-/** Returns whether a part that has succeeded was lost in too few crashes that are not explained by a request. */
-function isExplainedByRequests ({ kind, crashes, hasSucceeded, isExplained }: Evidence): boolean {
-  return kind === 'part' && hasSucceeded && crashes.length < PART_CRASHES && crashes.filter(item => !isExplained(item)).length < QUARANTINE_CRASHES
+/** Returns whether a suspect that has succeeded was lost in too few crashes that are not explained by others. */
+function isExplainedByOthers ({ kind, crashes, hasSucceeded, isExplained }: Evidence, now: number): boolean {
+  if (!hasSucceeded || crashes.length >= PART_CRASHES) return false
+  if (kind === 'request' && now - crashes[QUARANTINE_CRASHES - 1].at > SETTLING_MS) return false
+  return crashes.filter(item => !isExplained(item)).length < QUARANTINE_CRASHES
 }
 
 /**
@@ -134,19 +146,24 @@
   return startedAt.filter(at => at > settledAt).length >= MAX_SETTLED_TRIALS
 }
 
+/** Returns the minimum time between two trials. A part with a response that goes on is tried again sooner, but not more often in all. */
+function toTrialIntervalMs ({ kind, crashes, hasSurvivors }: Evidence): number {
+  return kind === 'part' && hasSurvivors(crashes[crashes.length - 1]) ? MIN_TRIAL_INTERVAL_MS : TRIAL_INTERVAL_MS
+}
+
 /** Decides what may be done with a suspect. */
 export function toVerdict (evidence: Evidence, now: number): Verdict {
   const { kind, crashes, isOutlasted, pendingTrials } = evidence
-  if (crashes.length < QUARANTINE_CRASHES || isOutage(evidence, now) || isResponding(evidence, now) || isExplainedByRequests(evidence)) return { kind: 'allowed' }
+  if (crashes.length < QUARANTINE_CRASHES || isOutage(evidence, now) || isResponding(evidence, now) || isExplainedByOthers(evidence, now)) return { kind: 'allowed' }
   const failed = toFailedTrials(kind, crashes).length
   const isDoubtful = (): boolean => crashes.filter(item => !isOutlasted(item)).length < QUARANTINE_CRASHES ||
     ((kind === 'part' || crashes.length < CONTESTED_CRASHES) && evidence.isContested())
   const toHold = (): number => {
-    if (areTrialsUsedUp(evidence)) return toHoldMs(failed)
+    if (areTrialsUsedUp(evidence)) return toHoldMs({ ...evidence, knowsHistory: true }, failed)
     if (evidence.hasSucceeded) return Math.min(MAX_PROVEN_HOLD_MS, PROVEN_HOLD_MS * 2 ** failed)
-    return isDoubtful() ? 0 : toHoldMs(failed)
+    return isDoubtful() ? 0 : toHoldMs(evidence, failed)
   }
-  const trialAt = (pendingTrials.at(-1) ?? -Infinity) + TRIAL_INTERVAL_MS
+  const trialAt = (pendingTrials.at(-1) ?? -Infinity) + toTrialIntervalMs(evidence)
   const until = Math.max(trialAt, crashes[crashes.length - 1].at + toHold())
   return now >= until ? { kind: 'trial' } : { kind: 'quarantined', until }
 }
--- a/packages/forwarding/src/quarantine/crashLedger.ts
+++ b/packages/forwarding/src/quarantine/crashLedger.ts
@@ -29,13 +29,18 @@
   retract (endpoint: string, at: number, from: string, why?: string): string[]
   /** Counts crashes of an endpoint again, although it has responded: the response came from a later start. */
   forgetResponse (endpoint: string): void
+  /** Returns up to when the crashes of a suspect are refuted by its completed runs, on the monotonic clock; -Infinity without one. */
+  refutedUntil (key: string): number
+  /** Returns whether a crash does not count against a suspect, because it has completed a run since then. */
+  isRefuted (key: string, endpoint: string, at: number): boolean
   /** Records a run that was completed here. */
   complete (keys: readonly string[], startedAt: number, now: number): Cleared[]
   /**
    * Records that another instance has cleared suspects.
    * @param crashed the crashes that it cleared; empty in reports of earlier versions, which do not name them
+   * @param at when they were cleared, on the monotonic clock
    */
-  clear (keys: readonly string[], crashed: readonly string[], now: number, from: string): Cleared[]
+  clear (keys: readonly string[], crashed: readonly string[], at: number, from: string): Cleared[]
   /** Forgets what is too old to matter. */
   prune (now: number): void
 }
@@ -51,11 +56,15 @@
 const QUARANTINE_RETENTION_MS = 86_400_000
 /** Recent requests and parts of which it is known that they have succeeded. */
 const MIN_COMPLETIONS = 10_000
+/** Latest crashes of a part of which it is remembered that they were cleared. */
+const MAX_CLEARED_CRASHES = 60
 
 /** Creates an empty ledger. */
 export function createCrashLedger ({ suspects, log }: CrashLedgerOptions): CrashLedger {
   /** Up to when crashes of a suspect are refuted by its completed runs, by key. */
   const completions = recentMaps.createRecentMap<number>(MIN_COMPLETIONS)
+  /** Crashes of parts that other instances have cleared: what they report of a crash may arrive after that. */
+  const clearedCrashes = recentMaps.createRecentMap<ReadonlySet<string>>(MIN_COMPLETIONS)
   /** When endpoints that were taken for crashed have responded; earlier crashes of them do not count. */
   const respondedAt = new Map<string, number>()
 
@@ -63,6 +72,10 @@
     completions.set(key, Math.max(completions.get(key) ?? -Infinity, refutedUntil))
   }
 
+  const isRefuted = (key: string, endpoint: string, at: number): boolean => {
+    return at < (completions.get(key) ?? -Infinity) || clearedCrashes.get(key)?.has(endpoint) === true
+  }
+
   const clear = (keys: readonly string[], isRefuted: (key: string, crash: suspectTables.KnownCrash) => boolean, from: string): Cleared[] => {
     const cleared = keys.flatMap(key => {
       const suspect = suspects.get(key)
@@ -86,7 +99,7 @@
       if (at <= (respondedAt.get(endpoint) ?? -Infinity)) return []
       const added = keys.flatMap(key => {
         // What was lost before a completed run is cleared, also if its endpoint goes down only now.
-        if (at < (completions.get(key) ?? -Infinity)) return []
+        if (isRefuted(key, endpoint, at)) return []
         const suspect = suspects.add(key, { ...crash, isTrial: tried.includes(key) })
         return suspect === undefined ? [] : [{ key, crashes: suspectTables.countOpenCrashes(suspect) }]
       })
@@ -106,14 +119,19 @@
       return retracted
     },
     forgetResponse (endpoint) { respondedAt.delete(endpoint) },
+    refutedUntil: key => completions.get(key) ?? -Infinity,
+    isRefuted,
     complete (keys, startedAt, now) {
       for (const key of keys) recordCompletion(key, toRefutedUntil(key, startedAt, now))
       if (suspects.size() === 0) return []
       return clear(keys, (key, crash) => crash.at <= toRefutedUntil(key, startedAt, now), SELF)
     },
-    clear (keys, crashed, now, from) {
-      for (const key of keys) recordCompletion(key, toRefutedUntil(key, -Infinity, now))
-      return clear(keys, (key, crash) => !suspectKeys.isPartKey(key) || crashed.length === 0 || crashed.includes(crash.endpoint), from)
+    clear (keys, crashed, at, from) {
+      for (const key of keys) {
+        recordCompletion(key, toRefutedUntil(key, -Infinity, at))
+        if (suspectKeys.isPartKey(key) && crashed.length > 0) clearedCrashes.set(key, new Set([...clearedCrashes.get(key) ?? [], ...crashed].slice(-MAX_CLEARED_CRASHES)))
+      }
+      return clear(keys, (key, crash) => crashed.includes(crash.endpoint) || (suspectKeys.isPartKey(key) ? crashed.length === 0 : crash.at <= at), from)
     },
     prune (now) {
       for (const [endpoint, at] of respondedAt) if (now - at > RETENTION_MS) respondedAt.delete(endpoint)
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -8,6 +8,7 @@
 import * as crashEvidences from './crashEvidence.js'
 import * as crashLedgers from './crashLedger.js'
 import * as crashReports from './crashReport.js'
+import * as recentMaps from './recentMap.js'
 import * as runTrackers from './runTracker.js'
 import * as suspectEvidences from './suspectEvidence.js'
 import * as suspectKeys from './suspectKey.js'
@@ -55,12 +56,14 @@
   toReportsOf (keys: readonly string[], now: number): crashReports.CrashReport[]
   /** Returns the suspects that are quarantined for a while, the most suspected last. */
   quarantined (now: number): discovery.QuarantinedRequest[]
-  /** Returns reports of the suspects with most crashes, for instances that may have missed them. */
+  /** Returns reports of the suspects with most crashes, for instances that may have missed them. To be called regularly: it also looks for lasting responses. */
   toReports (now: number): crashReports.CrashReport[]
 }
 
 /** Options of {@link createCrashQuarantine}. */
 export interface CrashQuarantineOptions {
+  /** When this instance started, on the monotonic clock; long ago by default. */
+  startedAt?: number
   log?: telemetry.Log
   /** Sends reports to the other instances. */
   send?: (reports: crashReports.CrashReport[]) => void
@@ -79,6 +82,8 @@
 const PART_ANNOUNCED_AFTER_MS = 1500
 /** Trials of a suspect that are remembered. */
 const MAX_KNOWN_TRIALS = 20
+/** Suspects of which it is remembered when the other instances were told that their crashes do not count. */
+const MIN_REFUTED_REPORTS = 1000
 const NOTHING: ReadonlySet<string> = new Set()
 
 /** Creates an empty quarantine. */
@@ -88,20 +93,24 @@
   const suspects = suspectTables.createSuspectTable()
   const ledger = crashLedgers.createCrashLedger({ suspects, log })
   const { hasSucceeded } = ledger
+  /** When the other instances were told last that crashes of a suspect do not count, by key. */
+  const refutedReportedAt = recentMaps.createRecentMap<number>(MIN_REFUTED_REPORTS)
   let prunedAt = -Infinity
 
+  const complete = (keys: readonly string[], startedAt: number, now: number): void => {
+    send(ledger.complete(keys, startedAt, now).map(({ key, crashed }) => reports.ofRefuted(key, crashed, now)))
+  }
+
   const tracker = runTrackers.createRunTracker({
-    onCompleted (keys, startedAt, now) {
-      send(ledger.complete(keys, startedAt, now).map(({ key, crashed }) => crashReports.toCrashReport(key, { crashed, isCleared: true, hasSucceeded: true })))
-    },
+    onCompleted: complete,
     onCrash (keys, tried, crash, now) {
       const added = addCrash(keys, tried, { ...crash, knownAt: now }, crashLedgers.SELF)
       if (added.length > 0) send(reports.ofCrash(added, crash, now, tried))
     }
   })
 
-  const evidence = suspectEvidences.createSuspectEvidence({ suspects, tracker, hasSucceeded })
-  const reports = suspectReports.createSuspectReports({ suspects, evidence, hasSucceeded })
+  const evidence = suspectEvidences.createSuspectEvidence({ suspects, tracker, hasSucceeded, startedAt: opts.startedAt ?? -Infinity })
+  const reports = suspectReports.createSuspectReports({ suspects, evidence, hasSucceeded, refutedUntil: ledger.refutedUntil })
 
   const prune = (now: number): void => {
     if (now - prunedAt < PRUNE_INTERVAL_MS) return
@@ -174,7 +183,7 @@
       const collected = evidence.collect(key, suspect, all, now)
       log.sent(key, collected, to, isTrial, now)
       // It was recorded when it was permitted.
-      if (now - (collected.pendingTrials.at(-1) ?? -Infinity) >= crashEvidences.TRIAL_INTERVAL_MS) suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
+      if (now - (collected.pendingTrials.at(-1) ?? -Infinity) >= crashEvidences.MIN_TRIAL_INTERVAL_MS) suspect.trials = [...suspect.trials.slice(-MAX_KNOWN_TRIALS), now]
       return isTrial
     })
   }
@@ -192,9 +201,16 @@
     }
   }
 
+  /** Tells the other instances that reported crashes of a suspect do not count: they have missed what cleared them. */
+  const tellRefuted = (key: string, crashed: readonly string[], now: number): void => {
+    if (crashed.length === 0 || now - (refutedReportedAt.get(key) ?? -Infinity) < REPORT_INTERVAL_MS) return
+    refutedReportedAt.set(key, now)
+    send([reports.ofRefuted(key, crashed, now)])
+  }
+
   /** @returns what of the report was not known, undefined if nothing */
   const mergeReport = (report: crashReports.CrashReport, now: number, from: string): crashReports.CrashReport | undefined => {
-    if (report.isCleared) return ledger.clear(crashReports.toKeys(report), report.crashed, now, from).length > 0 ? report : undefined
+    if (report.isCleared) return ledger.clear(crashReports.toKeys(report), report.crashed, now - report.agoMs, from).length > 0 ? report : undefined
     for (const endpoint of report.survived) ledger.retract(endpoint, now - report.agoMs, from)
     const keys = crashReports.toKeys(report)
     const at = now - report.agoMs
@@ -204,6 +220,7 @@
       for (const key of news) added.add(key)
       return news.length > 0
     })
+    for (const key of keys) tellRefuted(key, report.crashed.filter(endpoint => ledger.isRefuted(key, endpoint, at)), now)
     let isSurvivalNew = false
     for (const key of keys) {
       const suspect = suspects.get(key)
@@ -263,6 +280,7 @@
     }).sort((a, b) => a.crashed.length - b.crashed.length),
     toReports (now) {
       prune(now)
+      for (const [key, startedAt] of evidence.findRefuted(now)) complete([key], startedAt, now)
       return reports.ofMostSuspected(now)
     }
   }
--- a/packages/forwarding/src/quarantine/crashReport.ts
+++ b/packages/forwarding/src/quarantine/crashReport.ts
@@ -9,7 +9,7 @@
   others: z.array(z.string()).default([]),
   /** Incarnations of the endpoints that went down with the suspect in flight; if it is cleared, those that no longer count. */
   crashed: z.array(z.string()),
-  /** Time since then, in milliseconds. */
+  /** Time since then, or since the suspect was cleared, in milliseconds. */
   agoMs: z.number().default(0),
   /** Time for which the request had been at the endpoint then, in milliseconds. */
   ranMs: z.number().default(0),
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -41,10 +41,11 @@
    */
   endpointsOf (key: string, before: number): Set<string>
   /**
-   * Returns whether an endpoint that is not known to be down has begun to respond to the suspect and has been responding for a while.
-   * @param after start of the runs that are considered, on the monotonic clock
+   * Returns the start of the latest run of a suspect to which an endpoint that is not known to be down responds.
+   * @param forMs time for which it has been responding at least, in milliseconds
+   * @returns on the monotonic clock; -Infinity without such a run
    */
-  hasResponding (key: string, after: number, now: number): boolean
+  lastResponding (key: string, forMs: number, now: number): number
   /** Forgets what is too old to matter. */
   prune (now: number): void
 }
@@ -58,8 +59,6 @@
 
 /** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
 const UNREACHABLE_MS = 3000
-/** A response that has lasted for this time shows that its beginning crashed nothing. */
-const RESPONDING_MS = 250
 /** A run counts as lost in a crash if a later start of its endpoint is announced within this time. */
 const RESTARTED_MS = 15_000
 /** Time for which an endpoint is known to be down. */
@@ -152,8 +151,10 @@
       const list = [...runs.get(key) ?? []].filter(run => run.startedAt < before && !downs.has(run.endpoint))
       return new Set(list.map(run => run.endpoint))
     },
-    hasResponding (key, after, now) {
-      return [...runs.get(key) ?? []].some(run => run.startedAt > after && now - run.begunAt > RESPONDING_MS && !downs.has(run.endpoint))
+    lastResponding (key, forMs, now) {
+      let latest = -Infinity
+      for (const run of runs.get(key) ?? []) if (now - run.begunAt > forMs && !downs.has(run.endpoint)) latest = Math.max(latest, run.startedAt)
+      return latest
     },
     prune (now) {
       for (const [endpoint, { at }] of downs) if (now - at > DOWN_RETENTION_MS) downs.delete(endpoint)
--- a/packages/forwarding/src/quarantine/suspectEvidence.ts
+++ b/packages/forwarding/src/quarantine/suspectEvidence.ts
@@ -7,9 +7,11 @@
 /** Options of {@link createSuspectEvidence}. */
 export interface SuspectEvidenceOptions {
   suspects: suspectTables.SuspectTable
-  tracker: Pick<runTrackers.RunTracker, 'endpointsOf' | 'hasResponding'>
+  tracker: Pick<runTrackers.RunTracker, 'endpointsOf' | 'lastResponding'>
   /** Returns whether a suspect has completed a run before. */
   hasSucceeded: (key: string) => boolean
+  /** When this instance started, on the monotonic clock. */
+  startedAt: number
 }
 
 /** What is known about suspects. */
@@ -18,8 +20,17 @@
   collect (key: string, suspect: suspectTables.Suspect, carried: ReadonlySet<string>, now: number): crashEvidences.Evidence
   /** Returns whether runs of this instance at endpoints that are not known to have crashed speak for the suspect. */
   hasOwnSurvivors (key: string, suspect: suspectTables.Suspect, now: number): boolean
+  /**
+   * Returns the parts whose crashes are all explained by others, and to which an endpoint has been responding here since the last of
+   * them, with the start of that run.
+   */
+  findRefuted (now: number): Array<[key: string, startedAt: number]>
 }
 
+/** A response that has lasted for this time shows that its beginning crashed nothing. */
+const RESPONDING_MS = 250
+/** A response that has lasted for this time refutes the crashes of a part that others explain, as a complete one does. */
+const LASTING_MS = 1000
 /**
  * A crash is probably due to a request that began later if at least this many, and this share of those lost in it, did, each with
  * so many crashes.
@@ -32,11 +43,15 @@
 /** Maximum difference between the start of a trial and what a report says of it. */
 const TRIAL_MATCH_MS = 500
 
+/** Time after its start after which an instance has seen responses with most parts that are in use. */
+const HISTORY_MS = 30_000
+const NOTHING: ReadonlySet<string> = new Set()
+
 /** Creates a view on the suspects of an instance. */
-export function createSuspectEvidence ({ suspects, tracker, hasSucceeded }: SuspectEvidenceOptions): SuspectEvidence {
+export function createSuspectEvidence ({ suspects, tracker, hasSucceeded, startedAt: instanceStartedAt }: SuspectEvidenceOptions): SuspectEvidence {
   /** @param at time of the crash: a request survives if it began before, a part if it goes on in responses that began later */
   const survives = (key: string, suspect: suspectTables.Suspect, at: number, now: number): boolean => {
-    if (suspectKeys.isPartKey(key)) return tracker.hasResponding(key, at, now)
+    if (suspectKeys.isPartKey(key)) return tracker.lastResponding(key, RESPONDING_MS, now) > at
     return [...tracker.endpointsOf(key, at)].some(endpoint => !suspect.crashes.has(endpoint))
   }
 
@@ -82,7 +97,7 @@
 
   const isExplained = (key: string, carried: ReadonlySet<string>, endpoint: string): boolean => {
     return findOthers(key, carried, endpoint).some(([other, suspect]) => {
-      return !suspectKeys.isPartKey(other) && suspectTables.isConclusive(suspect) && suspect.crashes.get(endpoint)?.isCleared === false && !hasSucceeded(other)
+      return suspectTables.isConclusive(suspect) && suspect.crashes.get(endpoint)?.isCleared === false && !hasSucceeded(other)
     })
   }
 
@@ -91,6 +106,12 @@
       const [first] = suspectTables.toOpenCrashes(suspect)
       return survives(key, suspect, suspectKeys.isPartKey(key) ? first?.at ?? now : suspect.lastCrashAt, now)
     },
+    findRefuted: now => suspects.entries().flatMap(([key, suspect]) => {
+      if (!suspectKeys.isPartKey(key) || !suspectTables.isConclusive(suspect) || !hasSucceeded(key)) return []
+      const startedAt = tracker.lastResponding(key, LASTING_MS, now)
+      const crashes = suspectTables.toOpenCrashes(suspect)
+      return crashes.every(({ endpoint, at }) => at < startedAt && isExplained(key, NOTHING, endpoint)) ? [[key, startedAt]] : []
+    }),
     collect (key, suspect, carried, now) {
       const crashes = suspectTables.toOpenCrashes(suspect)
       const { kind } = suspectKeys.parseKey(key)
@@ -98,6 +119,7 @@
         kind,
         crashes,
         hasSucceeded: hasSucceeded(key),
+        knowsHistory: now - instanceStartedAt > HISTORY_MS,
         hasSurvivors: ({ at }) => hasSurvivors(key, suspect, at, now),
         isOutlasted: crash => isOutlasted(key, carried, crash),
         isExplained: crash => isExplained(key, carried, crash.endpoint),
--- a/packages/forwarding/src/quarantine/suspectReports.ts
+++ b/packages/forwarding/src/quarantine/suspectReports.ts
@@ -10,6 +10,8 @@
   evidence: Pick<suspectEvidences.SuspectEvidence, 'hasOwnSurvivors'>
   /** Returns whether a suspect has completed a run before. */
   hasSucceeded: (key: string) => boolean
+  /** Returns up to when the crashes of a suspect are refuted, on the monotonic clock. */
+  refutedUntil: (key: string) => number
 }
 
 /** Builds reports. */
@@ -20,14 +22,21 @@
   ofSuspect (key: string, now: number): crashReports.CrashReport[]
   /** Returns a report that runs of this instance speak for a suspect. */
   ofSurvivors (key: string): crashReports.CrashReport
+  /** Returns a report that crashes do not count against a suspect. */
+  ofRefuted (key: string, crashed: readonly string[], now: number): crashReports.CrashReport
   /** Returns reports of the suspects with most crashes. */
   ofMostSuspected (now: number): crashReports.CrashReport[]
 }
 
 const MAX_REPORTED_SUSPECTS = 30
 
+/** Returns the age of a time on the monotonic clock in milliseconds, 0 if there is none. */
+function toAgeMs (at: number, now: number): number {
+  return Number.isFinite(at) ? Math.max(0, Math.round(now - at)) : 0
+}
+
 /** Creates a builder of reports. */
-export function createSuspectReports ({ suspects, evidence, hasSucceeded }: SuspectReportOptions): SuspectReports {
+export function createSuspectReports ({ suspects, evidence, hasSucceeded, refutedUntil }: SuspectReportOptions): SuspectReports {
   const ofCrash: SuspectReports['ofCrash'] = (keys, { endpoint, at, startedAt }, now, tried) => {
     const fields = { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)), ranMs: Math.max(0, Math.round(at - startedAt)) }
     // Suspects that were in the same run are told together, as far as the same holds for them.
@@ -50,6 +59,7 @@
     ofCrash,
     ofSuspect,
     ofSurvivors,
+    ofRefuted: (key, crashed, now) => crashReports.toCrashReport(key, { crashed: [...crashed], isCleared: true, hasSucceeded: true, agoMs: toAgeMs(refutedUntil(key), now) }),
     ofMostSuspected: now => suspects.entries()
       .filter(([, suspect]) => suspectTables.isNearQuarantine(suspect))
       .sort(([, a], [, b]) => suspectTables.countOpenCrashes(b) - suspectTables.countOpenCrashes(a))
