fix(quarantine): an endpoint that is about to end does not excuse a crash by a last response

Change: only a response to a request that was sent 0.4 s after the loss shows that the endpoint has outlived it.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -95,25 +95,39 @@
 // Guards against counting a response that broke off by itself as lost in a crash that the endpoint had a moment later.
 test('a response that was lost before its endpoint answered again is not lost in a later crash', t => {
   const { quarantine, wait, now } = createSetup()
-  const loseThenAnswer = (endpoint: string): void => {
+  const loseThenAnswer = (endpoint: string, afterMs: number): void => {
     quarantine.startRun(['x'], endpoint, now()).end('lost', now())
-    wait(400)
-    quarantine.confirmUp(endpoint, now() - 100, now())
+    wait(afterMs)
+    quarantine.confirmUp(endpoint, now(), now())
     wait(400)
   }
   for (const endpoint of ['e1', 'e2', 'e3']) {
-    loseThenAnswer(endpoint)
+    loseThenAnswer(endpoint, 500)
     quarantine.confirmDown(endpoint, now(), 'refused')
   }
   t.false(quarantine.isSuspected(['x']))
   // What answered was a later start.
   for (const endpoint of ['e4', 'e5', 'e6']) {
-    loseThenAnswer(endpoint)
+    loseThenAnswer(endpoint, 500)
     quarantine.confirmDown(endpoint, now(), 'restarted')
   }
   t.true(quarantine.isQuarantined(['x'], now()))
 })
 
+// Guards against a crash that is not counted because the process still responded while it ended.
+test('a response of an endpoint that is about to end does not excuse a crash', t => {
+  const { quarantine, wait, now } = createSetup()
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    quarantine.startRun(['x'], endpoint, now()).end('lost', now())
+    wait(100)
+    quarantine.confirmUp(endpoint, now(), now())
+    wait(50)
+    quarantine.confirmDown(endpoint, now(), 'refused')
+    wait(1000)
+  }
+  t.true(quarantine.isQuarantined(['x'], now()))
+})
+
 test('a client that leaves an endpoint that crashes counts', t => {
   const { quarantine, now } = createSetup()
   for (const endpoint of ['e1', 'e2', 'e3']) {
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -59,6 +59,8 @@
 
 /** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
 const UNREACHABLE_MS = 3000
+/** A process that ends may respond for this time after it lost a run. */
+const ENDING_MS = 400
 /** A run counts as lost in a crash if a later start of its endpoint is announced within this time. */
 const RESTARTED_MS = 15_000
 /** Time for which an endpoint is known to be down. */
@@ -73,7 +75,7 @@
   how: 'lost' | 'abandoned'
   startedAt: number
   at: number
-  /** Whether the endpoint, or a later start of it, has responded to a request that was sent afterwards. */
+  /** Whether the endpoint, or a later start of it, has responded to a request that was sent a while afterwards. */
   isOutlived: boolean
 }
 
@@ -138,7 +140,7 @@
       }
     },
     confirmUp (endpoint, sentAt) {
-      for (const run of lostRuns.get(endpoint) ?? []) if (run.at < sentAt) run.isOutlived = true
+      for (const run of lostRuns.get(endpoint) ?? []) if (run.at + ENDING_MS < sentAt) run.isOutlived = true
       const down = downs.get(endpoint)
       if (down === undefined || down.at >= sentAt) return
       downs.delete(endpoint)
