--- a/packages/forwarding/src/quarantine/suspectEvidence.ts
+++ b/packages/forwarding/src/quarantine/suspectEvidence.ts
@@ -44,7 +44,7 @@
 const TRIAL_MATCH_MS = 500
 
 /** Time after its start after which an instance has seen responses with most parts that are in use. */
-const HISTORY_MS = 30_000
+const HISTORY_MS = 10_000
 const NOTHING: ReadonlySet<string> = new Set()
 
 /** Creates a view on the suspects of an instance. */
