refactor(quarantine): the early trial of a part stands where its hold is decided

Found in the last read: a copy of the evidence with another value was made to keep the early trial from a suspect whose trials are used up. The condition stands at the only place that needs it now. Behaviour is the same; 57 tests of the quarantine pass.

--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -108,8 +108,7 @@
 }
 
 /** Returns for how long a suspect is quarantined after its last crash if nothing speaks for it. */
-function toHoldMs ({ kind, knowsHistory }: Evidence, failedTrials: number): number {
-  if (kind === 'part' && !knowsHistory && failedTrials === 0) return UNKNOWN_PART_HOLD_MS
+function toHoldMs (failedTrials: number): number {
   return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
 }
 
@@ -159,9 +158,10 @@
   const isDoubtful = (): boolean => crashes.filter(item => !isOutlasted(item)).length < QUARANTINE_CRASHES ||
     ((kind === 'part' || crashes.length < CONTESTED_CRASHES) && evidence.isContested())
   const toHold = (): number => {
-    if (areTrialsUsedUp(evidence)) return toHoldMs({ ...evidence, knowsHistory: true }, failed)
+    if (areTrialsUsedUp(evidence)) return toHoldMs(failed)
     if (evidence.hasSucceeded) return Math.min(MAX_PROVEN_HOLD_MS, PROVEN_HOLD_MS * 2 ** failed)
-    return isDoubtful() ? 0 : toHoldMs(evidence, failed)
+    if (isDoubtful()) return 0
+    return kind === 'part' && !evidence.knowsHistory && failed === 0 ? UNKNOWN_PART_HOLD_MS : toHoldMs(failed)
   }
   const trialAt = (pendingTrials.at(-1) ?? -Infinity) + toTrialIntervalMs(evidence)
   const until = Math.max(trialAt, crashes[crashes.length - 1].at + toHold())
