--- a/packages/state/__tests__/powerLoss.test.ts
+++ b/packages/state/__tests__/powerLoss.test.ts
@@ -8,11 +8,12 @@
 
 const test = ava.default
 const RUNS = 400
+const SEED = 20261208
 const FOLDER = '/data/document'
 const META: state.Meta = { incarnation: 'x', term: 1, votedFor: null, founding: [] }
 
-function toEntry (index: number, command = 'x'.repeat(40)): state.Entry {
-  return { index, term: 1, body: { kind: 'command', atMs: index, command } }
+function toEntry (index: number, command = 'x'.repeat(40), term = 1): state.Entry {
+  return { index, term, body: { kind: 'command', atMs: index, command } }
 }
 
 /** A machine whose process uses the storage until the power is lost before one of its file operations. */
@@ -44,45 +45,87 @@
 /** State that a storage has acknowledged. */
 interface Acknowledged { meta: state.Meta | undefined, lastIndex: number, snapshotIndex: number, /** The highest commit index that was passed to the storage. */ commitIndex: number }
 
-type Operation = 'append' | 'appendMany' | 'truncate' | 'meta' | 'snapshot' | 'commit' | 'wipe'
+/** Position of the last entry of a log. */
+interface Position { lastIndex: number, term: number }
 
-async function perform (storage: state.Storage, operation: Operation, lastIndex: number, acknowledged: Acknowledged): Promise<number> {
+/** Snapshots that a leader sends: far beyond the own log, inside it, or with a later term at the index of an own entry. */
+type LeaderSnapshot = 'snapshotBeyond' | 'laterSnapshotBeyond' | 'snapshotInside' | 'conflictingSnapshot'
+
+type Operation = 'append' | 'appendMany' | 'truncate' | 'meta' | 'snapshot' | LeaderSnapshot | 'commit' | 'wipe'
+
+/** Entries that a replica has missed when it gets a snapshot of its leader. */
+const MISSED_ENTRIES = 50
+const BEFORE_END = 2
+
+/** Returns the position at the end of a snapshot of the leader, undefined if the leader would not send it. */
+function toSnapshotEnd (operation: LeaderSnapshot, { lastIndex, term }: Position, acknowledged: Acknowledged): Position | undefined {
+  switch (operation) {
+    case 'snapshotBeyond': return { lastIndex: lastIndex + MISSED_ENTRIES, term }
+    case 'laterSnapshotBeyond': return { lastIndex: lastIndex + MISSED_ENTRIES, term: term + 1 }
+    case 'snapshotInside':
+    case 'conflictingSnapshot': {
+      const end = { lastIndex: lastIndex - BEFORE_END, term: operation === 'snapshotInside' ? term : term + 1 }
+      return end.lastIndex > Math.max(acknowledged.snapshotIndex, acknowledged.commitIndex) ? end : undefined
+    }
+  }
+}
+
+/** Stores a snapshot of the leader, as a replica does. @returns the end of the log */
+async function storeLeaderSnapshot (storage: state.Storage, operation: LeaderSnapshot, position: Position, acknowledged: Acknowledged): Promise<Position> {
+  const end = toSnapshotEnd(operation, position, acknowledged)
+  if (end === undefined) return position
+  const hasSuffix = operation === 'snapshotInside'
+  // While the outcome is open, either end is right.
+  acknowledged.lastIndex = Math.min(acknowledged.lastIndex, end.lastIndex)
+  await storage.saveSnapshot({ lastIndex: end.lastIndex, lastTerm: end.term, lastAtMs: 0, voters: [], state: Buffer.alloc(200, 's') }, hasSuffix ? end.lastIndex + 1 : Number.MAX_SAFE_INTEGER)
+  const last = hasSuffix ? position : end
+  Object.assign(acknowledged, { lastIndex: last.lastIndex, snapshotIndex: end.lastIndex })
+  return last
+}
+
+async function perform (storage: state.Storage, operation: Operation, position: Position, acknowledged: Acknowledged): Promise<Position> {
+  const { lastIndex, term } = position
   switch (operation) {
     case 'append':
     case 'appendMany': {
-      const list = Array.from({ length: operation === 'append' ? 1 : 6 }, (_, i) => toEntry(lastIndex + 1 + i, 'x'.repeat(30 + 20 * i)))
+      const list = Array.from({ length: operation === 'append' ? 1 : 6 }, (_, i) => toEntry(lastIndex + 1 + i, 'x'.repeat(30 + 20 * i), term))
       await storage.append(list)
       acknowledged.lastIndex = lastIndex + list.length
-      return lastIndex + list.length
+      return { lastIndex: lastIndex + list.length, term }
     }
     case 'truncate':
-      if (lastIndex <= acknowledged.snapshotIndex + 1) return lastIndex
+      if (lastIndex <= acknowledged.snapshotIndex + 1) return position
       // While the outcome is open, either end is right.
       acknowledged.lastIndex = Math.min(acknowledged.lastIndex, lastIndex - 1)
       await storage.truncateFrom(lastIndex)
-      return lastIndex - 1
+      return { lastIndex: lastIndex - 1, term }
     case 'meta': {
       const meta = { ...META, term: (acknowledged.meta?.term ?? 0) + 1, votedFor: `x#${lastIndex}` }
       await storage.saveMeta(meta)
       acknowledged.meta = meta
-      return lastIndex
+      return position
     }
     case 'snapshot':
-      if (lastIndex === 0) return lastIndex
-      await storage.saveSnapshot({ lastIndex, lastTerm: 1, lastAtMs: 0, voters: [], state: Buffer.alloc(200, 's') }, Math.max(1, lastIndex - 3))
+      if (lastIndex === 0) return position
+      await storage.saveSnapshot({ lastIndex, lastTerm: term, lastAtMs: 0, voters: [], state: Buffer.alloc(200, 's') }, Math.max(1, lastIndex - 3))
       acknowledged.snapshotIndex = lastIndex
-      return lastIndex
+      return position
+    case 'snapshotBeyond':
+    case 'laterSnapshotBeyond':
+    case 'snapshotInside':
+    case 'conflictingSnapshot':
+      return await storeLeaderSnapshot(storage, operation, position, acknowledged)
     case 'commit':
       acknowledged.commitIndex = Math.max(acknowledged.commitIndex, lastIndex)
       storage.saveCommitIndex?.(lastIndex)
-      return lastIndex
+      return position
     case 'wipe':
       // While the outcome is open, either state is right.
       Object.assign(acknowledged, { meta: undefined, lastIndex: 0, snapshotIndex: 0 })
       await storage.wipe()
       await storage.saveMeta(META)
       Object.assign(acknowledged, { meta: META, commitIndex: 0 })
-      return 0
+      return { lastIndex: 0, term: 1 }
   }
 }
 
@@ -94,6 +137,8 @@
   const lastIndex = Math.max(loaded.entries.at(-1)?.index ?? 0, loaded.snapshot?.lastIndex ?? 0)
   if (lastIndex < acknowledged.lastIndex) return `entries up to ${lastIndex}, acknowledged up to ${acknowledged.lastIndex}`
   if ((loaded.snapshot?.lastIndex ?? 0) < acknowledged.snapshotIndex) return `a snapshot up to ${loaded.snapshot?.lastIndex ?? 0}, acknowledged up to ${acknowledged.snapshotIndex}`
+  const replaced = loaded.entries.find(item => loaded.snapshot !== undefined && item.index > loaded.snapshot.lastIndex && item.term < loaded.snapshot.lastTerm)
+  if (replaced !== undefined) return `entry ${replaced.index} of term ${replaced.term}, which a snapshot has replaced`
   const { term, votedFor, incarnation } = loaded.meta
   if (term < acknowledged.meta.term) return `term ${term}, acknowledged ${acknowledged.meta.term}`
   if (term === acknowledged.meta.term && votedFor !== acknowledged.meta.votedFor) return `a vote for ${votedFor}, acknowledged for ${acknowledged.meta.votedFor}`
@@ -158,10 +203,19 @@
   }
 })
 
+/** Returns the end of the stored log. */
+function toPosition (loaded: state.LoadResult): Position {
+  if (loaded.kind !== 'found') return { lastIndex: 0, term: 1 }
+  const last = loaded.entries.at(-1)
+  const { snapshot } = loaded
+  if (last !== undefined && last.index >= (snapshot?.lastIndex ?? 0)) return { lastIndex: last.index, term: last.term }
+  return { lastIndex: snapshot?.lastIndex ?? 0, term: snapshot?.lastTerm ?? 1 }
+}
+
 // Guards against a replica that does not start any more, or gives up its log and its vote, after a power loss.
 test('what was acknowledged is found after any power loss', async t => {
   const step = fc.record({
-    operation: fc.constantFrom<Operation>('append', 'append', 'appendMany', 'truncate', 'meta', 'snapshot', 'commit', 'wipe'),
+    operation: fc.constantFrom<Operation>('append', 'append', 'appendMany', 'truncate', 'meta', 'snapshot', 'snapshotBeyond', 'laterSnapshotBeyond', 'snapshotInside', 'conflictingSnapshot', 'commit', 'wipe'),
     operationsBeforeLoss: fc.oneof({ weight: 2, arbitrary: fc.constant(Infinity) }, { weight: 1, arbitrary: fc.integer({ min: 0, max: 25 }) }),
     loss: fc.constantFrom<powerLossDisks.PowerLoss>('drawn', 'drawn', 'syncedOnly')
   })
@@ -169,7 +223,7 @@
     const machine = new Machine(seededRandom.createRandom(seed))
     const acknowledged: Acknowledged = { meta: undefined, lastIndex: 0, snapshotIndex: 0, commitIndex: 0 }
     let storage: state.Storage | undefined
-    let lastIndex = 0
+    let position: Position = { lastIndex: 0, term: 1 }
     for (const { operation, operationsBeforeLoss, loss } of steps) {
       const hasEnded = await machine.run(async () => {
         if (storage === undefined) {
@@ -177,9 +231,8 @@
           const missing = findMissing(opened.loaded, acknowledged)
           if (missing !== undefined) throw new Error(missing)
           if (opened.loaded.kind === 'damaged') await opened.storage.wipe()
-          if (opened.loaded.kind === 'found') lastIndex = Math.max(opened.loaded.entries.at(-1)?.index ?? 0, opened.loaded.snapshot?.lastIndex ?? 0)
-          else lastIndex = 0
-          Object.assign(acknowledged, { lastIndex, snapshotIndex: opened.loaded.kind === 'found' ? opened.loaded.snapshot?.lastIndex ?? 0 : 0 })
+          position = toPosition(opened.loaded)
+          Object.assign(acknowledged, { lastIndex: position.lastIndex, snapshotIndex: opened.loaded.kind === 'found' ? opened.loaded.snapshot?.lastIndex ?? 0 : 0 })
           // A replica writes what it has found again before it acknowledges anything.
           const meta = opened.loaded.kind === 'found' ? opened.loaded.meta : META
           await opened.storage.saveMeta(meta)
@@ -187,7 +240,7 @@
           if (opened.loaded.kind !== 'found') acknowledged.commitIndex = 0
           storage = opened.storage
         }
-        lastIndex = await perform(storage, operation, lastIndex, acknowledged)
+        position = await perform(storage, operation, position, acknowledged)
       }, operationsBeforeLoss)
       if (hasEnded && operationsBeforeLoss === Infinity) continue
       machine.disk.losePower(loss)
@@ -197,5 +250,5 @@
       const { loaded } = await machine.open()
       t.is(findMissing(loaded, acknowledged), undefined)
     }, Infinity)
-  }), { seed: 20261208, numRuns: RUNS, endOnFailure: true, includeErrorInReport: true })
+  }), { seed: SEED, numRuns: RUNS, endOnFailure: true, includeErrorInReport: true })
 })
