test(forwarding): instances of a test listen on a loopback host of their own

Ports are counted now, on a host of 127.0.0.0/8 that follows from the process id. Connections of others come from 127.0.0.1, and cannot take them. No assertion was changed.

--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -1,6 +1,5 @@
 /** In-process entry instances with control instances that a test controls. */
 import * as http from 'node:http'
-import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
@@ -15,6 +14,9 @@
 const SECRET = 'test-secret-of-16'
 const WAIT_MS = 10_000
 const TICK_MS = 250
+/** Loopback host of this process. Connections of other processes come from another one, and cannot take its ports. */
+const HOST = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}.1`
+let nextPort = 20_000
 
 export interface TestControl {
   inner: string
@@ -34,7 +36,7 @@
 export type ControlGroup = Set<discovery.Publisher>
 
 export async function startControl (group: ControlGroup = new Set()): Promise<TestControl> {
-  const inner = await freeAddress()
+  const inner = freeAddress()
   let stored: contracts.VersionedText | undefined
   let isBlocking = false
   const blocked: Array<() => void> = []
@@ -106,7 +108,7 @@
 
 /** Starts an entry instance and waits until it is ready. */
 export async function startInstance (id: string, seeds: string[], opts: Partial<entryOptions.EntryInstanceOptions> = {}): Promise<TestInstance> {
-  const front = await freeAddress()
+  const front = freeAddress()
   const instance = await entryInstances.startEntryInstance({
     id,
     startedAt: 1,
@@ -114,7 +116,7 @@
     region: 'r',
     regionOf: () => 'r',
     front,
-    inner: await freeAddress(),
+    inner: freeAddress(),
     seeds: () => seeds,
     secret: SECRET,
     usesHandouts: false,
@@ -157,10 +159,6 @@
   }
 }
 
-async function freeAddress (): Promise<string> {
-  const server = net.createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as net.AddressInfo
-  await new Promise(resolve => { server.close(resolve) })
-  return `127.0.0.1:${port}`
+function freeAddress (): string {
+  return `${HOST}:${nextPort++}`
 }
