fix(links): a tunnel passes on a reset that arrives with the last bytes

The path of direct connections told the two apart, the tunnel did not.

Cause and change: one check, isReset, serves both now.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -115,7 +115,7 @@
       res = received
       // Without a listener, an error of the response after this point would be uncaught.
       received.on('error', () => {})
-      if (isUnframed(received, request.method)) received.socket.prependListener('end', () => { isBroken ||= isReset(received.socket) })
+      if (isUnframed(received, request.method)) received.socket.prependListener('end', () => { isBroken ||= links.isReset(received.socket) })
       if (isSettled) {
         req.destroy()
         return
@@ -140,14 +140,6 @@
   return res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
 }
 
-/**
- * Distinguishes a reset from an orderly close. If the last bytes and the reset arrive together, the event loop reports the end of the
- * stream without an error; only the missing remote address of the socket shows the reset.
- */
-function isReset (socket: net.Socket): boolean {
-  return socket.remoteAddress === undefined
-}
-
 function toResult (res: http.IncomingMessage, req: http.ClientRequest, opts: AttemptOptions, isBroken: () => boolean): AttemptResult {
   const { names, request } = opts
   const discard = (): void => {
--- a/packages/links/src/tunnel.ts
+++ b/packages/links/src/tunnel.ts
@@ -50,14 +50,23 @@
   return frames.encodeFrame([frames.FrameKind.event, 0, reply])
 }
 
+/**
+ * Distinguishes a reset from an orderly close at the end of what a connection received. If the last bytes and the reset arrive together, the
+ * event loop reports the end without an error; only the missing remote address of the socket shows the reset.
+ */
+export function isReset (socket: net.Socket): boolean {
+  return socket.remoteAddress === undefined
+}
+
 /** Passes bytes on in both directions until either side ends. */
 function join (near: net.Socket, target: net.Socket): void {
   for (const [from, to] of [[near, target], [target, near]]) {
     from.setNoDelay(true)
     from.setKeepAlive(true, KEEP_ALIVE_DELAY_MS)
     from.on('error', () => {})
-    from.pipe(to)
     // A reset must not look like the end of a response that has no length.
+    from.once('end', () => { if (isReset(from)) to.resetAndDestroy() })
+    from.pipe(to)
     from.on('close', hadError => {
       if (hadError) to.resetAndDestroy()
       else if (from === near) to.destroy()
