fix(paths): a response without a length is not lost because another instance helps too

Callers of an instance that had lost its path to the endpoints got 502 for requests that may run only once, although the response had arrived whole (LOST). Such a response ends with its connection, and one that passed through another instance counted as complete only if the next connection happened to be opened through the same one of several.

--- a/packages/forwarding/__tests__/lostPaths.test.ts
+++ b/packages/forwarding/__tests__/lostPaths.test.ts
@@ -111,6 +111,18 @@
   })
 }
 
+// Guards against taking an instance that helps for gone because another one helps too.
+test('responses with neither a length nor chunks that pass through other instances are complete', async t => {
+  const unframed: helper.Behaviour = req => {
+    req.socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${req.headers['x-attempt'] as string}\r\nX-Seal: s\r\n\r\nok`)
+  }
+  const scene = await startScene(t, { others: 3, behave: unframed, route: { kind: 'once', maxAttempts: 1 } })
+  scene.path.cut('refused', scene.addresses)
+  await findOut(scene)
+  const statuses = await Promise.all(Array.from({ length: 20 }, async () => (await scene.cut.send('/a/x')).status))
+  t.deepEqual(statuses, statuses.map(() => 200))
+})
+
 // Guards against requests that are passed round while no instance has a path.
 test('a request that no instance can serve is rejected at once, for the true reason', async t => {
   const path = cutPaths.createCutPath()
--- a/packages/forwarding/src/attempts/unframedEnd.ts
+++ b/packages/forwarding/src/attempts/unframedEnd.ts
@@ -6,7 +6,6 @@
 import * as attemptRecorders from './attemptRecorder.js'
 import type * as attempts from './attempt.js'
 import type * as clientCalls from './clientCall.js'
-import * as endpointDialers from '../paths/endpointDialer.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 
 /** A process that ends may accept connections until it is gone, and what it sent may arrive. */
@@ -20,15 +19,15 @@
 export async function findCut (call: clientCalls.ClientCall, { endpoint, via }: attemptRecorders.SentRequest, response: attempts.OpenResponse): Promise<string | undefined> {
   if (!response.isUnframed) return undefined
   try {
-    const socket = await endpoint.dial()
-    const helper = endpointDialers.findHelper(socket)
+    const socket = await endpoint.dial(via)
     socket.on('error', () => {}).destroy()
-    // An instance that is killed closes its tunnels in order.
-    return via === undefined || via === helper ? undefined : 'the instance that the response passed through is gone'
+    return undefined
   } catch (err) {
     const failure = endpointProbes.toFailure(err)
+    // An instance that is killed closes its tunnels in order.
+    if (via !== undefined) return `the instance that the response passed through, or the endpoint, is gone: ${failure.why}`
     void attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
-    return failure.isSilent && via === undefined ? undefined : `the endpoint is down at the end of the response: ${failure.why}`
+    return failure.isSilent ? undefined : `the endpoint is down at the end of the response: ${failure.why}`
   }
 }
 
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -17,8 +17,12 @@
   readonly id: string
   record: discovery.EndpointRecord
   agent: http.Agent
-  /** Opens a connection to it. @throws DialError when that fails */
-  dial: () => Promise<net.Socket>
+  /**
+   * Opens a connection to it.
+   * @param helper inner address of the entry instance to connect through, by default the present path
+   * @throws DialError when that fails
+   */
+  dial: (helper?: string) => Promise<net.Socket>
   /** Inner addresses of the entry instances through which it is reached; undefined while this instance has a path of its own. */
   helpers: readonly string[] | undefined
   /** When this instance last received a response of it, on the monotonic clock; -Infinity if never. */
@@ -107,7 +111,7 @@
   unresponsiveMs: number
   log: telemetry.Log
   /** Opens a connection to an endpoint, a direct one by default. @throws DialError when that fails */
-  dial?: (endpoint: Endpoint) => Promise<net.Socket>
+  dial?: (endpoint: Endpoint, helper?: string) => Promise<net.Socket>
   /** Returns whether a connection may be used for a further request; true by default. */
   mayReuse?: (socket: net.Socket) => boolean
   /** Returns milliseconds on the monotonic clock. */
@@ -160,7 +164,7 @@
       id: record.id,
       record,
       agent: endpointAgents.createAgent({ dial: async () => await endpoint.dial(), mayReuse: opts.mayReuse }),
-      dial: async () => await dial(endpoint),
+      dial: async helper => await dial(endpoint, helper),
       helpers: undefined,
       answeredAt: -Infinity,
       acceptedAt: -Infinity,
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -143,7 +143,7 @@
     onAnswer (endpoint) { outages.recordAnswer(endpoint.record.zone) },
     isZoneAvoided: outages.isAvoided,
     evacuatedZones: () => evacuations.zones,
-    dial: async endpoint => await paths.dial(endpoint),
+    dial: async (endpoint, helper) => await paths.dial(endpoint, helper),
     mayReuse: socket => paths.mayReuse(socket),
     unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
     log
--- a/packages/forwarding/src/paths/lostPaths.ts
+++ b/packages/forwarding/src/paths/lostPaths.ts
@@ -23,8 +23,12 @@
 export interface LostPaths {
   /** Finds out whether the path to an endpoint is lost after a connection to it failed. */
   check (endpoint: endpointPools.Endpoint, failure: endpointProbes.ProbeFailure): Promise<PathVerdict>
-  /** Opens a connection to an endpoint. @throws endpointDialers.DialError */
-  dial (endpoint: endpointPools.Endpoint): Promise<net.Socket>
+  /**
+   * Opens a connection to an endpoint.
+   * @param helper inner address of the entry instance to connect through, by default any if the own path is lost
+   * @throws endpointDialers.DialError
+   */
+  dial (endpoint: endpointPools.Endpoint, helper?: string): Promise<net.Socket>
   /** Applies changed records: connections through an instance that is leaving are not used for further requests. */
   update (list: readonly discovery.Record[]): void
   /** Returns whether a connection may be used for a further request. */
@@ -194,26 +198,34 @@
     return cost(second) < cost(first) ? second : first
   }
 
+  const dialHelper = async (endpoint: endpointPools.Endpoint, helper: string): Promise<net.Socket> => {
+    try {
+      const socket = endpointDialers.markTunnel(await opts.openTunnel(helper, reachMessages.toTarget(endpoint)), helper)
+      loads.set(helper, (loads.get(helper) ?? 0) + 1)
+      return socket
+    } catch (err) {
+      throw new endpointDialers.DialError(`through another instance: ${err instanceof Error ? err.message : String(err)}`, err instanceof links.TunnelError && err.isSilent)
+    }
+  }
+
   const dialThrough = async (endpoint: endpointPools.Endpoint): Promise<net.Socket> => {
     let cause: unknown
     for (let tries = 0; tries < MAX_HELPERS_TRIED && endpoint.helpers !== undefined && endpoint.helpers.length > 0; tries++) {
       const helper = chooseHelper(endpoint.helpers)
       try {
-        const socket = endpointDialers.markTunnel(await opts.openTunnel(helper, reachMessages.toTarget(endpoint)), helper)
-        loads.set(helper, (loads.get(helper) ?? 0) + 1)
-        return socket
+        return await dialHelper(endpoint, helper)
       } catch (err) {
         cause = err
         endpoint.helpers = endpoint.helpers?.filter(item => item !== helper)
       }
     }
-    const why = cause instanceof Error ? cause.message : 'no instance that reaches the endpoint is known'
-    throw new endpointDialers.DialError(`through another instance: ${why}`, cause instanceof links.TunnelError && cause.isSilent)
+    throw cause ?? new endpointDialers.DialError('through another instance: no instance that reaches the endpoint is known', false)
   }
 
   return {
     check,
-    async dial (endpoint) {
+    async dial (endpoint, helper) {
+      if (helper !== undefined) return await dialHelper(endpoint, helper)
       if (endpoint.helpers !== undefined) return await dialThrough(endpoint)
       return await endpointDialers.dial(opts.connectDirectly, endpoint.record.address)
     },
