fix(streams): the end of a response without a length is passed on once its endpoint has outlived it

Cause: at the end of the connection the endpoint was asked once whether it accepts another one, and a process that is about to be gone still does. The quarantine waited 150 ms and asked again; the client had been told before. Class: the absence of bad news at one moment is taken for proof.

Now the end, and nothing else, is held back: the events of a stream are passed on as before. The endpoint must keep a connection open for 150 ms, or respond to a request that was sent after the end. What ends together at an endpoint shares the connection. One place decides for the client and for the quarantine. While it is waited for, the request counts neither as in flight at the endpoint nor as silent.

--- a/packages/forwarding/src/attempts/attemptOutcome.ts
+++ b/packages/forwarding/src/attempts/attemptOutcome.ts
@@ -8,7 +8,6 @@
 import * as requestStates from './requestState.js'
 import * as resumeStreams from '../streams/resumeStream.js'
 import type * as selectEndpoints from '../placement/selectEndpoint.js'
-import * as unframedEnds from './unframedEnd.js'
 
 /** Next step after an attempt. */
 export type Next =
@@ -50,7 +49,7 @@
       const { response } = result
       const status = response.res.statusCode ?? 0
       record(attempt, String(status))
-      void unframedEnds.recordComplete(call, attempt.sent, result.source)
+      attemptRecorders.recordCompleteResponse(call, attempt.sent, status)
       attemptRecorders.recordOutcome(call, attempt.sent.endpoint, isLate(attempt) || status >= 500)
       // A server error comes early, so there is time to retry at another endpoint; it is kept as the fallback response.
       if (status >= 500 && status !== 504 && requestStates.mayRun(call.route, state.runs)) {
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -204,7 +204,8 @@
     onHeaders () {
       headersAt = ctx.now()
       endpoint.queueDelay.onResponse(pending, headersAt)
-    }
+    },
+    onBody: stopWatchdog
   }).finally(stopWatchdog)
   if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
   return result
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -37,6 +37,8 @@
   isOtherOpen: () => boolean
   /** Called when the response headers were received. */
   onHeaders?: () => void
+  /** Called when the body of a response that is no stream was received: nothing more is awaited from the endpoint. */
+  onBody?: () => void
 }
 
 /** Maximum time for which an endpoint may have begun to respond without an event while another one is connected. */
@@ -83,10 +85,11 @@
   return await recordBroken(call, sent, first.why)
 }
 
-async function readComplete ({ call, sent }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
+async function readComplete ({ call, sent, onBody }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
   sent.run.begin(call.ctx.now())
   const buffered = await attempts.readBody(response, sent.signal, MAX_BUFFERED_BYTES)
   if (buffered.kind === 'broken') return await recordBroken(call, sent, buffered.why)
+  onBody?.()
   const why = await unframedEnds.findCut(call, sent, response)
   if (why !== undefined) return await recordBroken(call, sent, why)
   return { kind: 'complete', source: response, response: { res: response.res, body: buffered.body } }
--- a/packages/forwarding/src/attempts/unframedEnd.ts
+++ b/packages/forwarding/src/attempts/unframedEnd.ts
@@ -1,55 +1,92 @@
 /**
- * The end of a response with neither a length nor chunks, which only the end of its connection shows. A process that crashes while it
- * responds ends the connection in the same way, so the end proves nothing until the endpoint is known to have outlived it.
+ * The end of a response with neither a length nor chunks, which only the end of its connection shows. A process that ends while it
+ * responds closes the connection in the same way, and may accept others until it is gone. So the end is passed on to the client only
+ * once the endpoint is known to have outlived it.
  */
 import * as timers from 'node:timers/promises'
 import * as attemptRecorders from './attemptRecorder.js'
 import type * as attempts from './attempt.js'
 import type * as clientCalls from './clientCall.js'
+import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
+import * as endpointWitnesses from '../endpoints/endpointWitness.js'
 
-/** A process that ends may accept connections until it is gone, and what it sent may arrive. */
+/** Time for which an endpoint must outlive a response: a process that ends may accept connections until it is gone. */
 const SETTLE_MS = 150
-const LAST_DATA_MS = 50
+/** Pause before a connection is opened again; an endpoint with too many resets further ones. */
+const REOPEN_MS = 50
+
+/** What is known of an endpoint after the end of its response. */
+type Sign =
+  /** It has responded to a request that was sent after the end, or has kept a connection open for long enough. */
+  | 'alive'
+  /** Another process was found at its address, or a later start of it was announced. */
+  | 'replaced'
+  /** The connection to it was closed, by its end or because it has too many. */
+  | 'closed'
+  /** The request was aborted. */
+  | 'aborted'
 
 /**
- * Returns why a response that has ended is not complete, undefined if it is complete as far as that can be known now. An endpoint that
- * does not answer at all may have been cut off, which does not make the response incomplete.
+ * Waits until it is known whether a response that has ended is complete. Its accounting at the endpoint ends before.
+ * @returns why it is not known to be complete, undefined if it is complete
  */
-export async function findCut (call: clientCalls.ClientCall, { endpoint, via }: attemptRecorders.SentRequest, response: attempts.OpenResponse): Promise<string | undefined> {
+export async function findCut (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, response: attempts.OpenResponse): Promise<string | undefined> {
   if (!response.isUnframed) return undefined
-  try {
-    const socket = await endpoint.dial(via)
-    socket.on('error', () => {}).destroy()
-    return undefined
-  } catch (err) {
-    const failure = endpointProbes.toFailure(err)
-    // An instance that is killed closes its tunnels in order.
-    if (via !== undefined) return `the instance that the response passed through, or the endpoint, is gone: ${failure.why}`
-    void attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
-    return failure.isSilent ? undefined : `the endpoint is down at the end of the response: ${failure.why}`
+  const endedAt = call.ctx.now()
+  sent.keepsRun = true
+  sent.release()
+  const signal = AbortSignal.any([sent.signal, call.aborter.signal])
+  while (true) {
+    let witness: endpointWitnesses.Witness
+    try {
+      witness = await endpointWitnesses.openWitness(sent.endpoint, sent.via)
+    } catch (err) {
+      return await judgeFailure(call, sent, endpointProbes.toFailure(err))
+    }
+    // It has just accepted a connection.
+    const hasSettled = call.ctx.now() - endedAt >= SETTLE_MS
+    const sign = hasSettled ? 'alive' : await awaitSign(call, sent, witness, endedAt, signal)
+    witness.release()
+    switch (sign) {
+      case 'alive': return undefined
+      case 'replaced': return 'the endpoint was replaced at the end of the response'
+      case 'aborted': return String(signal.reason)
+      case 'closed': await timers.setTimeout(REOPEN_MS, undefined, { ref: false })
+    }
   }
 }
 
-/** Records a complete response, once the endpoint is known to have outlived it. */
-export async function recordComplete (call: clientCalls.ClientCall, sent: attemptRecorders.SentRequest, response: attempts.OpenResponse): Promise<void> {
-  const status = response.res.statusCode ?? 0
-  if (!response.isUnframed) {
-    attemptRecorders.recordCompleteResponse(call, sent, status)
-    return
-  }
-  const { ctx } = call
-  const { endpoint } = sent
-  const endedAt = ctx.now()
-  const { run } = sent
-  sent.keepsRun = true
-  await timers.setTimeout(SETTLE_MS, undefined, { ref: false })
-  const isHeard = endpoint.answeredAt > endedAt + LAST_DATA_MS
-  const failure = isHeard ? undefined : await attemptRecorders.probeAndRecord(ctx, endpoint)
-  if (failure === undefined) attemptRecorders.recordCompleteResponse(call, sent, status)
-  else if (failure.isSilent) run.end('inconclusive', ctx.now())
-  else {
-    attemptRecorders.logLost(call, endpoint)
-    run.end('lost', endedAt)
-  }
+/** Waits for the first sign of what became of an endpoint. */
+async function awaitSign ({ ctx }: clientCalls.ClientCall, { endpoint }: attemptRecorders.SentRequest, witness: endpointWitnesses.Witness, endedAt: number, signal: AbortSignal): Promise<Sign> {
+  return await new Promise<Sign>(resolve => {
+    const settle = (sign: Sign): void => {
+      clearTimeout(timer)
+      endpoint.answerListeners.delete(onAnswer)
+      endpoint.downListeners.delete(onDown)
+      signal.removeEventListener('abort', onAbort)
+      resolve(sign)
+    }
+    const onAnswer = (sentAt: number): void => { if (sentAt > endedAt) settle('alive') }
+    const onDown = (failure: endpointProbes.ProbeFailure): void => { if (!failure.isSilent) settle('replaced') }
+    const onAbort = (): void => { settle('aborted') }
+    const timer = setTimeout(() => { settle(isReplaced(endpoint, endedAt) ? 'replaced' : 'alive') }, Math.max(0, endedAt + SETTLE_MS - ctx.now()))
+    endpoint.answerListeners.add(onAnswer)
+    endpoint.downListeners.add(onDown)
+    signal.addEventListener('abort', onAbort)
+    void witness.closed.then(() => { settle('closed') })
+    if (signal.aborted) onAbort()
+  })
+}
+
+function isReplaced (endpoint: endpointPools.Endpoint, endedAt: number): boolean {
+  return endpoint.misdirectedAt !== undefined && endpoint.misdirectedAt >= endedAt
+}
+
+/** @returns why a response is not known to be complete after its endpoint could not be connected to, undefined if only the path was lost */
+async function judgeFailure (call: clientCalls.ClientCall, { endpoint, via }: attemptRecorders.SentRequest, failure: endpointProbes.ProbeFailure): Promise<string | undefined> {
+  // An instance that is killed closes its tunnels in order.
+  if (via !== undefined) return `the instance that the response passed through, or the endpoint, is gone: ${failure.why}`
+  const verdict = await attemptRecorders.recordUnreachable(call.ctx, endpoint, failure)
+  return verdict === 'lost' ? undefined : `the endpoint is not reached at the end of the response: ${failure.why}`
 }
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -53,6 +53,8 @@
   suspectedColdAt: number
   /** Called when its availability zone is found unreachable, which is silence, and when a later start of it is announced, which is none. */
   readonly downListeners: Set<(failure: endpointProbes.ProbeFailure) => void>
+  /** Called when it responds to a request, with the time at which that was sent. */
+  readonly answerListeners: Set<(sentAt: number) => void>
 }
 
 /** The endpoints of all services. */
@@ -179,7 +181,8 @@
       misdirectedAt: undefined,
       coldUntil: toColdUntil(record),
       suspectedColdAt: -Infinity,
-      downListeners: new Set()
+      downListeners: new Set(),
+      answerListeners: new Set()
     }
     endpointById.set(record.id, endpoint)
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -186,11 +186,13 @@
     batcher.flush()
     const why = part.kind === 'broken' ? part.why : await unframedEnds.findCut(call, source.sent, source.response)
     if (why === undefined) {
-      void unframedEnds.recordComplete(call, source.sent, source.response)
+      attemptRecorders.recordCompleteResponse(call, source.sent, source.response.res.statusCode ?? 0)
       if (!isStarted) start()
       res.end()
       return hasResumed ? '200 resumed' : '200'
     }
+    // The loop ends with the reason.
+    if (call.aborter.signal.aborted) return undefined
     brokenWhy = why
     source.reader.abort(why)
     await attemptRecorders.recordLoss(call, source.sent)
