fix(build): a damaged code cache is ignored, and a build replaces its files one by one

Operators would have seen every start of a program crash without a message after an upgrade and a loss of power: 12 of 24 starts with damaged code caches ended by a signal (damagedCache.mjs). V8 does not check the content of a cache, and the build wrote its files in place, unsynced.

A cache begins with its digest now, which is checked at the start; its name says bundle, processor and V8 version. A missing, short, foreign or unreadable cache is ignored with one line. All files are written to temporary ones, synced and renamed, the loader last.

The test of the code cache of another bundle is the same in substance, with the changed interface: it asserts both outputs as before, and that nothing is written to standard error.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,15 +1,21 @@
 // Bundles each platform program into a single file and writes its V8 code cache next to it, so that a restart with little CPU
-// neither loads hundreds of modules nor compiles them again.
+// neither loads hundreds of modules nor compiles them again. Files are named by the digest of their bundle; the loader, which names
+// them, is replaced last. So a build that ends at any moment leaves the programs of before or the new ones.
+//   --out FOLDER   where to write; target/ by default
+//   --no-minify    keeps names and line breaks
 import * as childProcess from 'node:child_process'
 import * as fs from 'node:fs'
 import * as path from 'node:path'
 import * as url from 'node:url'
+import * as util from 'node:util'
 import * as esbuild from 'esbuild'
 import * as codeCaches from './codeCache.mjs'
+import * as durableFiles from './durableFiles.mjs'
 
 const PROGRAMS = ['entry', 'control']
 const root = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)))
-const target = path.join(root, 'target')
+const { values: options } = util.parseArgs({ options: { out: { type: 'string', default: path.join(root, 'target') }, 'no-minify': { type: 'boolean', default: false } } })
+const target = path.resolve(options.out)
 const packages = fs.readdirSync(path.join(root, 'packages'))
 
 /**
@@ -36,21 +42,36 @@
 }
 
 /** esbuild options of every bundle. */
-const BUNDLE_OPTIONS = { absWorkingDir: root, bundle: true, minify: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'warning' }
+const BUNDLE_OPTIONS = { absWorkingDir: root, bundle: true, minify: !options['no-minify'], platform: 'node', target: 'node20', format: 'cjs', logLevel: 'warning', write: false }
 
-await esbuild.build({
-  ...BUNDLE_OPTIONS,
-  entryPoints: ['platform/src/firstStage.ts'],
-  outfile: 'target/control.first.cjs',
-  alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') }
-})
-fs.writeFileSync(path.join(target, 'control.cjs'), CONTROL_ENTRY)
+/** Bundles an entry point. @returns the source of the bundle, and the files that it loads */
+async function bundle (entryPoint, outfile, more) {
+  const { outputFiles } = await esbuild.build({ ...BUNDLE_OPTIONS, entryPoints: [entryPoint], outfile: path.join(target, outfile), ...more })
+  const main = outputFiles.find(item => path.basename(item.path) === outfile)
+  return { source: main.contents, assets: outputFiles.filter(item => item !== main).map(item => ({ name: path.basename(item.path), content: item.contents })) }
+}
+
+/** Returns the digest of the bundle that the present loader runs, undefined if there is no loader yet. */
+function toPublishedDigest (name) {
+  const file = path.join(target, toLoaderFile(name))
+  if (!fs.existsSync(file)) return undefined
+  return new RegExp(`${name}\\.([0-9a-f]+)\\.main\\.cjs`).exec(fs.readFileSync(file, 'utf8'))?.[1]
+}
+
+/** Writes the code cache of a bundle. Without one, the program compiles its code at each start. */
+function writeCache (name, digest) {
+  const tempFile = durableFiles.toTempFile(target, `${name}.cache`)
+  const env = { ...process.env, ...codeCaches.CACHE_BUILDER_ENV, KINGCUPDECK_CONFIG: '/nonexistent' }
+  const res = childProcess.spawnSync('node', [...readNodeFlags(name), ...codeCaches.toCacheBuilderArgs(name, digest, target, tempFile)], { cwd: root, env, encoding: 'utf8' })
+  if (res.status === 0 && fs.existsSync(tempFile)) durableFiles.publish(target, tempFile, res.stdout)
+  else process.stderr.write(`could not create the code cache for ${name}; the program compiles its code at each start: ${res.stderr}\n`)
+}
+
+fs.mkdirSync(target, { recursive: true })
+const current = new Set()
 
 for (const name of PROGRAMS) {
-  await esbuild.build({
-    ...BUNDLE_OPTIONS,
-    entryPoints: [`platform/src/${name}.ts`],
-    outfile: `target/${name}.main.cjs`,
+  const { source, assets } = await bundle(`platform/src/${name}.ts`, `${name}.main.cjs`, {
     loader: { '.node': 'copy' },
     // Skips the CBOR library's lookup of its native addon, which is not available in a bundle.
     define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
@@ -59,9 +80,23 @@
       ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
     }
   })
-  codeCaches.removeCaches(target, name)
-  fs.writeFileSync(path.join(target, toLoaderFile(name)), codeCaches.createLoader(target, name))
-  const env = { ...process.env, KINGCUPDECK_CONFIG: '/nonexistent' }
-  const res = childProcess.spawnSync('node', [...readNodeFlags(name), '-e', codeCaches.createCacheBuilder(target, name, toLoaderFile(name))], { cwd: root, env, encoding: 'utf8' })
-  if (!fs.existsSync(path.join(target, codeCaches.toCacheFile(target, name)))) process.stderr.write(`could not create the code cache for ${name}; the program compiles its code at each start: ${res.stderr}\n`)
+  const digest = codeCaches.toBundleDigest(source)
+  const earlier = toPublishedDigest(name)
+  for (const { name: asset, content } of assets) {
+    durableFiles.replaceFile(target, asset, content)
+    current.add(asset)
+  }
+  durableFiles.replaceFile(target, codeCaches.toBundleFile(name, digest), source)
+  writeCache(name, digest)
+  durableFiles.replaceFile(target, toLoaderFile(name), codeCaches.createLoader(name, digest))
+  current.add(toLoaderFile(name))
+  if (name === 'control') {
+    const first = await bundle('platform/src/firstStage.ts', 'control.first.cjs', { alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') } })
+    durableFiles.replaceFile(target, 'control.first.cjs', first.source)
+    durableFiles.replaceFile(target, 'control.cjs', CONTROL_ENTRY)
+    for (const file of ['control.first.cjs', 'control.cjs']) current.add(file)
+  }
+  for (const item of [digest, earlier]) current.add(`${name}.${item}`)
 }
+
+durableFiles.removeOldFiles(target, name => current.has(name) || current.has(name.split('.').slice(0, 2).join('.')))
