test(forwarding): a client leaves once its request has reached an endpoint

'an endpoint learns through a tunnel that the client left' stands in KNOWN-RED: the request had not reached an endpoint (0 instead of 1). Cause: the client left after 100 ms, whether its request had reached an endpoint or not.

It leaves now once an endpoint has received the request. The checks are the same: one request, and the endpoint learns within 500 ms.

--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -99,7 +99,7 @@
 
 export interface TestInstance {
   /** Sends a request. @returns its status, Retry-After and body */
-  send: (path: string, method?: string, /** Disconnects after this time. */ disconnectAfterMs?: number) => Promise<{ status: number, retryAfter: string | undefined, body: string }>
+  send: (path: string, method?: string, /** Disconnects once this resolves. */ disconnect?: Promise<unknown>) => Promise<{ status: number, retryAfter: string | undefined, body: string }>
   /** Returns the addresses for a client of the zone of all instances. */
   addresses: () => string[]
   front: string
@@ -136,7 +136,7 @@
     front,
     stop: instance.stop,
     addresses: () => instance.addresses({ zone: 'z', region: 'r' }),
-    send: async (path, method = 'GET', disconnectAfterMs) => await new Promise((resolve, reject) => {
+    send: async (path, method = 'GET', disconnect) => await new Promise((resolve, reject) => {
       const req = http.request({ host, port, agent: false, method, path, headers: { host: 'test.example', 'x-attempt': `${id}-${++attempts}`, 'x-deadline-ms': '2000' } }, res => {
         let body = ''
         res.on('data', chunk => { body += String(chunk) })
@@ -145,7 +145,7 @@
       })
       req.on('error', reject)
       req.end()
-      if (disconnectAfterMs !== undefined) setTimeout(() => { req.destroy(new Error('the client left')) }, disconnectAfterMs)
+      disconnect?.then(() => { req.destroy(new Error('the client left')) }, reject)
     })
   }
 }
