test(forwarding): loads are awaited, and clients leave, independently of the machine's speed

Causes, by reading: a hundred instances in one process, waited for by the wall clock while the process got no processor; a response later than 150 ms, for which a probe is due, which the test counted as a connection; a client that left before its request had reached an endpoint.

The checks and their bounds are the same.

--- a/packages/forwarding/__tests__/helpers/stallClock.ts
+++ b/packages/forwarding/__tests__/helpers/stallClock.ts
@@ -1,4 +1,5 @@
 /** Clock that stands still while the machine stalls, for bounds that must not rest on its speed. */
+import * as timers from 'node:timers/promises'
 
 const TICK_MS = 10
 /** A longer tick is a stall. */
@@ -10,6 +11,13 @@
   stop: () => void
 }
 
+/** Waits for a time on such a clock. */
+export async function sleep (ms: number): Promise<void> {
+  const clock = startStallClock()
+  while (clock.now() < ms) await timers.setTimeout(TICK_MS)
+  clock.stop()
+}
+
 /** Starts a clock. */
 export function startStallClock (): StallClock {
   let elapsed = 0
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -131,7 +131,7 @@
   lines: Array<{ event: string } & { [field: string]: unknown }>
   announce: (endpoint: TestEndpoint, change?: Partial<discovery.EndpointRecord>) => void
   /** Sends a request over a new connection. */
-  send: (opts?: { method?: string, path?: string, headers?: http.OutgoingHttpHeaders, body?: string, /** Disconnects after this time. */ disconnectAfterMs?: number }) => Promise<TestResponse>
+  send: (opts?: { method?: string, path?: string, headers?: http.OutgoingHttpHeaders, body?: string, /** Disconnects after this time. */ disconnectAfterMs?: number, /** Disconnects once this resolves. */ disconnect?: Promise<unknown> }) => Promise<TestResponse>
   /** Publishes the document, if the entry started without one. */
   publishDocument: () => void
   /** Starts draining, with or without accepting further requests. */
@@ -211,6 +211,7 @@
         })
         outgoing.on('error', reject)
         outgoing.end(req.body)
+        req.disconnect?.then(() => { outgoing.destroy(new Error('the client left')) }, reject)
         if (req.disconnectAfterMs !== undefined) setTimeout(() => { outgoing.destroy(new Error('the client left')) }, req.disconnectAfterMs)
       })
     },
