--- a/packages/forwarding/__tests__/streams.test.ts
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -69,8 +69,8 @@
     })
   }
   const endpoint = await helper.startEndpoint('e1', behave)
-  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream' })], [endpoint])
-  const response = await entry.send({ method: 'POST', body: 'q' })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream', ...LONG_TIMEOUTS })], [endpoint])
+  const response = await entry.send({ method: 'POST', body: 'q', headers: LONG_DEADLINE })
   t.false(response.isComplete)
   t.is(response.body, toEvents(1, 2))
   entry.close()
