--- a/packages/forwarding/__tests__/pathQueries.test.ts
+++ b/packages/forwarding/__tests__/pathQueries.test.ts
@@ -1,5 +1,7 @@
 /** Questions about lost paths, and who helps, without sockets. */
+import * as fs from 'node:fs'
 import * as net from 'node:net'
+import * as url from 'node:url'
 import * as ava from 'ava'
 import type * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
@@ -11,6 +13,8 @@
 
 const test = ava.default
 const MAX_ASKED = 8
+/** Longer than replies are waited for. */
+const STALL_MS = 400
 
 function toEndpoint (id: string, change: object = {}): endpointPools.Endpoint {
   return { id, record: { address: `10.0.0.${id.slice(1)}:80` }, answeredAt: -Infinity, helpers: undefined, dial: async () => new net.Socket(), ...change } as unknown as endpointPools.Endpoint
@@ -49,6 +53,23 @@
   t.true(calls.some(item => item.peer === 'n1' || Number(item.peer.slice(1)) % 20 === 1), 'some of the same zone')
 })
 
+// Guards against endpoints that are taken for down because the process that asked stalled until its deadline.
+test('a reply that arrived during a stall of the process counts', async t => {
+  const connect = async (): Promise<links.Link> => ({
+    async call (body: unknown) {
+      // The status is read by another thread, as a reply is received by the kernel.
+      const reply = fs.promises.stat(url.fileURLToPath(import.meta.url))
+      const end = performance.now() + STALL_MS
+      while (performance.now() < end);
+      await reply
+      const { endpoints } = reachMessages.reachCall.parse(body)
+      return { reached: endpoints.map(([id]) => id), load: 1 }
+    }
+  }) as unknown as links.Link
+  const find = reachQueries.createReachQuery({ zone: 'z1', region: 'r', peers: () => [toPeer(1)], connect, onLoad: () => {} })
+  t.deepEqual((await find(toEndpoint('e1'), 0)).helpers, ['n1'])
+})
+
 // Guards against requests that leave the region to which they are bound.
 test('instances of other regions are asked only if there is none in the same region', async t => {
   const far = toPeer(1, { region: 'other' })
--- a/packages/forwarding/src/paths/reachQuery.ts
+++ b/packages/forwarding/src/paths/reachQuery.ts
@@ -1,7 +1,7 @@
 /** Asks other entry instances whether they reach endpoints that this one does not reach. */
 import * as timers from 'node:timers/promises'
 import * as discovery from '@kingcupdeck/discovery'
-import type * as links from '@kingcupdeck/links'
+import * as links from '@kingcupdeck/links'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as reachMessages from './reachMessages.js'
 
@@ -75,8 +75,11 @@
       const part = questions.slice(at, at + reachMessages.MAX_ASKED_ENDPOINTS)
       // An instance that is down or of an earlier version does not reply: that is no statement about the endpoint.
       const replies = Promise.allSettled(peers.map(async helper => { await ask(helper, part) }))
-      void Promise.race([replies, timers.setTimeout(REPLY_TIMEOUT_MS, undefined, { ref: false })]).then(() => {
-        for (const question of part) question.settle(question)
+      const settle = (): void => { for (const question of part) question.settle(question) }
+      const cancelDeadline = links.setDeadline(REPLY_TIMEOUT_MS, settle)
+      void replies.then(() => {
+        cancelDeadline()
+        settle()
       })
     }
   }
--- a/packages/links/src/endpointClient.ts
+++ b/packages/links/src/endpointClient.ts
@@ -4,7 +4,7 @@
  */
 import * as net from 'node:net'
 import * as undici from 'undici'
-import * as connectDeadlines from './connectDeadline.js'
+import * as deadlines from './deadline.js'
 
 /** A connection acquired for one request. */
 export interface EndpointConnection {
@@ -65,7 +65,7 @@
   const connect = async (): Promise<undici.Client> => {
     const socket = net.connect(toHostPort(origin))
     await new Promise<void>((resolve, reject) => {
-      connectDeadlines.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { socket.destroy(new Error(`no connection to ${origin} within ${CONNECT_TIMEOUT_MS} ms`)) })
+      deadlines.setConnectDeadline(socket, CONNECT_TIMEOUT_MS, () => { socket.destroy(new Error(`no connection to ${origin} within ${CONNECT_TIMEOUT_MS} ms`)) })
       socket.once('connect', resolve)
       socket.once('error', reject)
     })
--- a/packages/links/src/link.ts
+++ b/packages/links/src/link.ts
@@ -3,6 +3,7 @@
 import * as timers from 'node:timers/promises'
 import * as contracts from '@kingcupdeck/contracts'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as deadlines from './deadline.js'
 import * as frames from './frames.js'
 import * as handshake from './handshake.js'
 import * as linkMonitor from './linkMonitor.js'
@@ -122,13 +123,13 @@
       if (!link.isOpen()) throw new CallError('closed', `link to ${peer.id} is closed`)
       const call = nextCall++
       return await new Promise((resolve, reject) => {
-        const timer = setTimeout(() => {
+        const cancelDeadline = deadlines.setDeadline(timeoutMs, () => {
           pending.delete(call)
           reject(new CallError('timeout', `${peer.id} did not reply within ${timeoutMs} ms`))
-        }, timeoutMs)
+        })
         pending.set(call, {
-          resolve: reply => { clearTimeout(timer); resolve(reply) },
-          reject: err => { clearTimeout(timer); reject(err) }
+          resolve: reply => { cancelDeadline(); resolve(reply) },
+          reject: err => { cancelDeadline(); reject(err) }
         })
         write([frames.FrameKind.call, call, body])
       })
--- a/packages/links/src/peerDialer.ts
+++ b/packages/links/src/peerDialer.ts
@@ -1,4 +1,5 @@
 /** Dialling of peers with a timeout and a backoff after failures. */
+import * as deadlines from './deadline.js'
 import * as links from './link.js'
 import type * as peerLinks from './peerLinks.js'
 
@@ -50,9 +51,9 @@
  * @throws Error on a timeout
  */
 export async function withTimeout<T> (work: Promise<T>, ms: number, missing: string): Promise<T> {
-  let timer: NodeJS.Timeout | undefined
+  let cancelDeadline = (): void => {}
   const timeout = new Promise<never>((resolve, reject) => {
-    timer = setTimeout(() => { reject(new Error(`${missing} within ${Math.round(ms)} ms`)) }, ms)
+    cancelDeadline = deadlines.setDeadline(ms, () => { reject(new Error(`${missing} within ${Math.round(ms)} ms`)) })
   })
-  return await Promise.race([work, timeout]).finally(() => { clearTimeout(timer) })
+  return await Promise.race([work, timeout]).finally(() => { cancelDeadline() })
 }
