fix(streams): a stall of this process is no time that an endpoint has lived

A response with neither a length nor chunks that its endpoint cut off could still reach the client as whole (MIXED) if the instance itself stalled for 150 ms after it: due timers run before what has arrived is read, so the proof was taken for given with the end of the watched connection in the buffer.

The wait ends by setDeadline, the end of the connection counts as soon as it is read, and a connection that took long to open proves nothing by itself any more. An endpoint that closes eight connections in a row leaves the response unproven.

--- a/packages/forwarding/src/attempts/unframedEnd.ts
+++ b/packages/forwarding/src/attempts/unframedEnd.ts
@@ -4,6 +4,7 @@
  * once the endpoint is known to have outlived it.
  */
 import * as timers from 'node:timers/promises'
+import * as links from '@kingcupdeck/links'
 import * as attemptRecorders from './attemptRecorder.js'
 import type * as attempts from './attempt.js'
 import type * as clientCalls from './clientCall.js'
@@ -15,6 +16,8 @@
 const SETTLE_MS = 150
 /** Pause before a connection is opened again; an endpoint with too many resets further ones. */
 const REOPEN_MS = 50
+/** Connections that are opened for one response, if the endpoint closes them. */
+const MAX_OPENED = 8
 
 /** What is known of an endpoint after the end of its response. */
 type Sign =
@@ -37,16 +40,14 @@
   sent.keepsRun = true
   sent.release()
   const signal = AbortSignal.any([sent.signal, call.aborter.signal])
-  while (true) {
+  for (let opened = 0; opened < MAX_OPENED; opened++) {
     let witness: endpointWitnesses.Witness
     try {
       witness = await endpointWitnesses.openWitness(sent.endpoint, sent.via)
     } catch (err) {
       return await judgeFailure(call, sent, endpointProbes.toFailure(err))
     }
-    // It has just accepted a connection.
-    const hasSettled = call.ctx.now() - endedAt >= SETTLE_MS
-    const sign = hasSettled ? 'alive' : await awaitSign(call, sent, witness, endedAt, signal)
+    const sign = await awaitSign(call, sent, witness, endedAt, signal)
     witness.release()
     switch (sign) {
       case 'alive': return undefined
@@ -55,13 +56,14 @@
       case 'closed': await timers.setTimeout(REOPEN_MS, undefined, { ref: false })
     }
   }
+  return 'the endpoint closes all connections at the end of the response'
 }
 
 /** Waits for the first sign of what became of an endpoint. */
 async function awaitSign ({ ctx }: clientCalls.ClientCall, { endpoint }: attemptRecorders.SentRequest, witness: endpointWitnesses.Witness, endedAt: number, signal: AbortSignal): Promise<Sign> {
   return await new Promise<Sign>(resolve => {
     const settle = (sign: Sign): void => {
-      clearTimeout(timer)
+      cancelDeadline()
       endpoint.answerListeners.delete(onAnswer)
       endpoint.downListeners.delete(onDown)
       signal.removeEventListener('abort', onAbort)
@@ -70,7 +72,7 @@
     const onAnswer = (sentAt: number): void => { if (sentAt > endedAt) settle('alive') }
     const onDown = (failure: endpointProbes.ProbeFailure): void => { if (!failure.isSilent) settle('replaced') }
     const onAbort = (): void => { settle('aborted') }
-    const timer = setTimeout(() => { settle(isReplaced(endpoint, endedAt) ? 'replaced' : 'alive') }, Math.max(0, endedAt + SETTLE_MS - ctx.now()))
+    const cancelDeadline = links.setDeadline(Math.max(0, endedAt + SETTLE_MS - ctx.now()), () => { settle(isReplaced(endpoint, endedAt) ? 'replaced' : 'alive') })
     endpoint.answerListeners.add(onAnswer)
     endpoint.downListeners.add(onDown)
     signal.addEventListener('abort', onAbort)
--- a/packages/forwarding/src/endpoints/endpointWitness.ts
+++ b/packages/forwarding/src/endpoints/endpointWitness.ts
@@ -54,9 +54,9 @@
 
 async function awaitClose (socket: net.Socket): Promise<void> {
   await new Promise<void>(resolve => {
-    socket.on('error', () => {})
-    socket.once('close', () => { resolve() })
-    // The end of a connection is only seen by reading.
+    const settle = (): void => { resolve() }
+    // The end is known a turn of the event loop before the socket is closed, and it is only seen by reading.
+    for (const event of ['end', 'error', 'close']) socket.on(event, settle)
     socket.resume()
   })
 }
