--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -99,4 +99,10 @@
   for (const item of [digest, earlier]) current.add(`${name}.${item}`)
 }
 
-durableFiles.removeOldFiles(target, name => current.has(name) || current.has(name.split('.').slice(0, 2).join('.')))
+/** Returns whether a file was written by an earlier build than the last two; other files in the folder are not touched. */
+function isOld (name) {
+  const [program, digest] = name.split('.')
+  return PROGRAMS.includes(program) && !current.has(name) && !current.has(`${program}.${digest}`)
+}
+
+durableFiles.removeOldFiles(target, isOld)
--- a/scripts/durableFiles.mjs
+++ b/scripts/durableFiles.mjs
@@ -33,12 +33,11 @@
   syncFolder(folder)
 }
 
-/** Removes files of earlier builds. @param isCurrent returns whether a file belongs to the build that was published, or to the one before it */
-export function removeOldFiles (folder, isCurrent) {
-  for (const name of fs.readdirSync(folder)) {
-    if (isCurrent(name)) continue
+/** Removes files of earlier builds. @param isOld returns whether a file belongs to a build before the last two */
+export function removeOldFiles (folder, isOld) {
+  for (const name of fs.readdirSync(folder).filter(isOld)) {
     const file = path.join(folder, name)
     const stats = fs.statSync(file, { throwIfNoEntry: false })
-    if (stats !== undefined && Date.now() - stats.mtimeMs > RETENTION_MS) fs.rmSync(file, { force: true, recursive: true })
+    if (stats !== undefined && Date.now() - stats.mtimeMs > RETENTION_MS) fs.rmSync(file, { force: true })
   }
 }
