fix(endpoints): a connection that watches an endpoint is closed if anything arrives on it

By reading: an endpoint in trouble that sends without end on a connection without requests would have been read for as long as responses of it were waited for.

--- a/packages/forwarding/src/endpoints/endpointWitness.ts
+++ b/packages/forwarding/src/endpoints/endpointWitness.ts
@@ -55,9 +55,10 @@
 async function awaitClose (socket: net.Socket): Promise<void> {
   await new Promise<void>(resolve => {
     const settle = (): void => { resolve() }
-    // The end is known a turn of the event loop before the socket is closed, and it is only seen by reading.
+    // The end is known a turn of the event loop before the socket is closed.
     for (const event of ['end', 'error', 'close']) socket.on(event, settle)
-    socket.resume()
+    // The end is only seen by reading. What arrives belongs to no request, and may come without end.
+    socket.on('data', () => { socket.destroy() })
   })
 }
 
