--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -82,7 +82,7 @@
       ctx.brittleLimiter.record(call.service, endpoint.id, brittleLimiters.parseBrittleLimit(result.res.headers[ctx.names.brittle]), false, ctx.now())
       requestStates.recordRun(call, state)
       markReachable(ctx, sent, String(result.res.statusCode))
-      for (const listener of [...endpoint.answerListeners]) listener(sent.sentAt)
+      for (const listener of endpoint.answerListeners) listener(sent.sentAt)
   }
 }
 
--- a/packages/state/__tests__/powerLoss.test.ts
+++ b/packages/state/__tests__/powerLoss.test.ts
@@ -55,6 +55,7 @@
 
 /** Entries that a replica has missed when it gets a snapshot of its leader. */
 const MISSED_ENTRIES = 50
+/** Own entries behind the end of a snapshot that lies inside the log. */
 const BEFORE_END = 2
 
 /** Returns the position at the end of a snapshot of the leader, undefined if the leader would not send it. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -68,6 +68,7 @@
 }
 
 fs.mkdirSync(target, { recursive: true })
+/** Files of this build, and the beginnings of the names of those of this build and of the one before. */
 const current = new Set()
 
 for (const name of PROGRAMS) {
@@ -82,10 +83,7 @@
   })
   const digest = codeCaches.toBundleDigest(source)
   const earlier = toPublishedDigest(name)
-  for (const { name: asset, content } of assets) {
-    durableFiles.replaceFile(target, asset, content)
-    current.add(asset)
-  }
+  for (const { name: asset, content } of assets) durableFiles.replaceFile(target, asset, content)
   durableFiles.replaceFile(target, codeCaches.toBundleFile(name, digest), source)
   writeCache(name, digest)
   durableFiles.replaceFile(target, toLoaderFile(name), codeCaches.createLoader(name, digest))
@@ -96,7 +94,8 @@
     durableFiles.replaceFile(target, 'control.cjs', CONTROL_ENTRY)
     for (const file of ['control.first.cjs', 'control.cjs']) current.add(file)
   }
-  for (const item of [digest, earlier]) current.add(`${name}.${item}`)
+  current.add(`${name}.${digest}`)
+  if (earlier !== undefined) current.add(`${name}.${earlier}`)
 }
 
 /** Returns whether a file was written by an earlier build than the last two; other files in the folder are not touched. */
