fix(router): announcements and bodies of the chat fleet are bounded and checked

Callers: an engine whose id holds a line break or letters outside Latin-1 was accepted, and each of its responses failed in writeHead (x-engine), since the id is sent as a header. A host that is no IPv4 address was accepted and failed at each request. Cause: the schema knew types only; bodies were parsed at any depth. Change: the schema is built from contracts.input; JSON of callers, endpoints and operators is scanned for depth and number of values before it is parsed.

--- a/packages/contracts/src/announcements.ts
+++ b/packages/contracts/src/announcements.ts
@@ -1,16 +1,23 @@
 /** Messages between endpoints and router instances: announcements, their replies, and orders to engines. */
 import * as z from 'zod'
+import * as input from './input.js'
+
+/** Part of a model's name; an engine without an adapter sends an empty one. */
+const modelText = z.string().max(input.MAX_NAME_LENGTH)
 
 /** A model version that an engine serves. */
-export const servedModel = z.object({ model: z.string(), adapter: z.string(), version: z.string() })
+export const servedModel = z.object({ model: modelText, adapter: modelText, version: modelText })
+
+/** The largest number of models that an engine serves. */
+const MAX_MODELS = 1000
 
 /** The body of `POST /v1/announcements`. */
 export const announcement = z.object({
-  endpoint: z.string().min(1).max(200),
-  service: z.string(),
-  zone: z.string(),
-  /** IP address on which the endpoint listens. */
-  host: z.string(),
+  endpoint: input.headerId.max(200),
+  service: input.name,
+  zone: input.name,
+  /** IPv4 address on which the endpoint listens. */
+  host: z.ipv4(),
   port: z.int().min(1).max(65535),
   /** Identifies the endpoint's process; higher after each restart. */
   boot: z.int().nonnegative(),
@@ -22,12 +29,12 @@
   weight: z.number().positive().max(100).default(1),
   /** Running and queued requests as counted by the endpoint; may lag behind the owner's count. */
   load: z.int().nonnegative(),
-  carries: z.array(servedModel).default([]),
+  carries: z.array(servedModel).max(MAX_MODELS).default([]),
   checksFencing: z.boolean().default(false),
   /** Highest fencing number of an order that was applied. */
   fence: z.int().nonnegative().default(0),
   /** Cache events since the last acknowledged announcement; sequence numbers may have gaps. */
-  cacheEvents: z.array(z.object({ seq: z.int(), op: z.enum(['stored', 'evicted']), chat: z.string() })).max(1000).default([])
+  cacheEvents: z.array(z.object({ seq: z.int(), op: z.enum(['stored', 'evicted']), chat: z.string().max(input.MAX_NAME_LENGTH) })).max(1000).default([])
 })
 /** State that an endpoint reports about itself. */
 export type Announcement = z.infer<typeof announcement>
--- a/packages/control/src/operatorServer.ts
+++ b/packages/control/src/operatorServer.ts
@@ -28,6 +28,7 @@
 const REQUEST_TIMEOUT_MS = 30_000
 const HEADERS_TIMEOUT_MS = 10_000
 const MAX_OPERATION_ID_LENGTH = 100
+const DOCUMENT_LIMITS: contracts.input.JsonLimits = { maxBytes: contracts.MAX_DOCUMENT_BYTES, maxDepth: 32, maxValues: 1_000_000 }
 
 /**
  * Starts the operator server.
@@ -115,11 +116,9 @@
     if (size > contracts.MAX_DOCUMENT_BYTES) throw new contracts.FailureError({ kind: 'body_too_large', limitBytes: contracts.MAX_DOCUMENT_BYTES })
     parts.push(part as Buffer)
   }
-  try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8'))
-  } catch (err) {
-    throw new contracts.FailureError({ kind: 'bad_request', detail: `The document is not valid JSON: ${err instanceof Error ? err.message : String(err)}` })
-  }
+  const parsed = contracts.input.parseJson(Buffer.concat(parts), DOCUMENT_LIMITS)
+  if (parsed.kind === 'invalid') throw new contracts.FailureError({ kind: 'bad_request', detail: `The document cannot be read: ${parsed.message}` })
+  return parsed.value
 }
 
 async function getDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/packages/router/src/http.ts
+++ b/packages/router/src/http.ts
@@ -2,6 +2,9 @@
 import * as http from 'node:http'
 import * as contracts from '@kingcupdeck/contracts'
 
+/** Limits of the bodies of callers and endpoints; how many bytes are read is the limit of each call. */
+const JSON_LIMITS: contracts.input.JsonLimits = { maxBytes: Infinity, maxDepth: 100, maxValues: 200_000 }
+
 /** A request and its response. */
 export interface Exchange {
   req: http.IncomingMessage
@@ -32,11 +35,9 @@
  * @throws FailureError `bad_request`
  */
 export function parseJson (body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'))
-  } catch (err) {
-    throw new contracts.FailureError({ kind: 'bad_request', detail: `The body is not valid JSON: ${err instanceof Error ? err.message : String(err)}` })
-  }
+  const parsed = contracts.input.parseJson(body, JSON_LIMITS)
+  if (parsed.kind === 'invalid') throw new contracts.FailureError({ kind: 'bad_request', detail: `The body cannot be read: ${parsed.message}` })
+  return parsed.value
 }
 
 /**
