--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -88,6 +88,8 @@
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it, or a part of its prompt, was in flight at enough crashes for a quarantine'),
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
+  callRefused: spec(1611, 'warn', 'call of an interface of this instance was refused before it was handled', 'Check who sends such calls; bodies are limited by the kind of call.'),
+  callFailed: spec(1612, 'warn', 'call of an interface of this instance failed', 'Expected when callers leave early. Otherwise report the error.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/contracts/src/input.ts
+++ b/packages/contracts/src/input.ts
@@ -71,7 +71,7 @@
 const CLOSE_OBJECT = 0x7d
 
 /** Returns which limit a JSON text exceeds; a text that is not valid JSON need not exceed any. */
-function findExcess (bytes: Uint8Array, limits: JsonLimits): string | undefined {
+export function findExcess (bytes: Uint8Array, limits: JsonLimits): string | undefined {
   if (bytes.length > limits.maxBytes) return `longer than ${limits.maxBytes} bytes`
   let depth = 0
   let values = 0
