fix(links): a start waits for its addresses

Callers saw a process that ended at its start (FAULT): listen was tried once, and EADDRINUSE (the process before had not ended) or EADDRNOTAVAIL (the network was not up) ended it. An error of a listening server, as a lack of file descriptors (EMFILE), had no handler after the first one.

Before: 'cannot listen' did not exist; a start beside a process with its address failed (EADDRINUSE, in the tests of lost paths too).

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -88,6 +88,8 @@
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it, or a part of its prompt, was in flight at enough crashes for a quarantine'),
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
+  listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
+  acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -210,14 +210,10 @@
   })
   server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { onClientError(err, socket, ctx) })
   server.on('dropRequest', (req, socket) => { socket.destroy() })
-  const { host, port } = links.parseAddress(opts.front)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host, port, backlog: 1024 }, resolve)
-  })
+  await links.startListening(server, opts.front, { backlog: 1024, log: ctx.log })
 
   return {
-    address: `${host}:${(server.address() as net.AddressInfo).port}`,
+    address: `${links.parseAddress(opts.front).host}:${(server.address() as net.AddressInfo).port}`,
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -5,6 +5,7 @@
 import * as frames from './frames.js'
 import * as handshake from './handshake.js'
 import * as links from './link.js'
+import * as listening from './startListening.js'
 import * as tunnels from './tunnel.js'
 
 /** Settings of the links of a process. */
@@ -22,12 +23,6 @@
 const HANDSHAKE_MAX_BYTES = 1024
 const HANDSHAKE_TIMEOUT_MS = 3000
 
-/** Splits an address `ip:port` or `[ip]:port`. */
-export function parseAddress (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
-
 /**
  * Opens a link to an address. A dial that fails or times out leaves no connection behind.
  * @param timeoutMs time for the connection and the handshake together
@@ -61,7 +56,7 @@
 
 /** Connects and authenticates both sides; closes the connection if that or the rest of the work fails. */
 async function dialSocket<T> (address: string, cfg: LinkSettings, timeoutMs: number, target: string | undefined, complete: (dialled: Dialled) => Promise<T>): Promise<T> {
-  const socket = net.connect({ ...parseAddress(address) })
+  const socket = net.connect({ ...listening.parseAddress(address) })
   const pipe = createHandshakePipe(socket, timeoutMs)
   try {
     const nonce = handshake.createNonce()
@@ -92,6 +87,7 @@
  * Listens for links.
  * @param address IP address and port; port 0 selects a free one
  * @param onLink receives each link, once both sides are authenticated
+ * @throws Error when the address is not available; see {@link listening.startListening}
  */
 export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void): Promise<LinkServer> {
   const sockets = new Set<net.Socket>()
@@ -101,10 +97,7 @@
     socket.on('error', () => {})
     accept(socket, cfg).then(link => { if (link !== undefined) onLink(link) }, () => { socket.destroy() })
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(parseAddress(address), resolve)
-  })
+  await listening.startListening(server, address, { log: cfg.log })
   return {
     port: (server.address() as net.AddressInfo).port,
     close: async () => {
