fix(coordination): an instance listens before it opens its data folder, and calls wait while it starts

Callers saw a call of another control instance that failed with "Cannot access 'publisher' before initialization"; an event at that time threw the same within the link, which was closed without a line in the log. Cause: the replica dials the others before the rest of the instance exists.

The instance listens first, since the address is free only once the process before, which may still write to the data folder, has ended. Calls wait until all parts exist; events are dropped, what they say follows with the comparison of records.

Before: both new tests failed (the data folder was opened while another process had the address; CallError with the text above). Run: packages/coordination/__tests__/controlInstance.test.ts, all pass.

--- a/packages/coordination/__tests__/controlInstance.test.ts
+++ b/packages/coordination/__tests__/controlInstance.test.ts
@@ -1,5 +1,6 @@
 /** Control instances over loopback, with data folders on disk. */
 import * as ava from 'ava'
+import * as childProcess from 'node:child_process'
 import * as fs from 'node:fs/promises'
 import * as net from 'node:net'
 import * as os from 'node:os'
@@ -7,6 +8,7 @@
 import * as timers from 'node:timers/promises'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coordination from '../src/index.js'
 
@@ -135,3 +137,45 @@
   await stopAll([alone], false)
   for (const item of instances) await fs.rm(item.folder, { recursive: true, force: true })
 })
+
+// Two processes must not write to one data folder, and a restart must not fail because it is quicker than the end of the process before.
+test('a start waits for the address of the process before, and then opens the data folder', async t => {
+  const inner = await findFreeAddress()
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const before = net.createServer()
+  await new Promise<void>(resolve => { before.listen({ ...links.parseAddress(inner) }, resolve) })
+  const starting = start(inner, [inner], folder, true)
+  starting.catch(() => {})
+  await timers.setTimeout(300)
+  t.deepEqual(await fs.readdir(folder), [])
+  before.close()
+  const instance = await starting
+  await stopAll([instance])
+})
+
+// Guards against "Cannot access 'publisher' before initialization".
+test('calls and events of other instances during the start break nothing', async t => {
+  const [inner, other] = await Promise.all([findFreeAddress(), findFreeAddress()])
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const records = path.join(folder, 'records')
+  childProcess.execFileSync('mkfifo', [records])
+  const log = telemetry.createLog({ instance: other, level: 'silent' })
+  const replies: Array<Promise<unknown>> = []
+  const lost: links.CloseReason[] = []
+  const cfg: links.LinkSettings = { identity: { role: 'control', id: other }, secret: 'test', log, handlers: { onEvent () {}, async onCall () { throw new Error('not a member yet') }, onClose: (link, reason) => { lost.push(reason) } } }
+  const talk = (link: links.Link): void => {
+    replies.push(link.call({ t: 'fetch', version: 0 } satisfies discovery.DiscoveryCall, WAIT_MS))
+    link.send({ t: 'signs', signs: [] } satisfies discovery.DiscoveryEvent)
+  }
+  const peer = await links.listen(other, cfg, talk)
+  const starting = start(inner, [inner, other], folder, false)
+  await links.dial(inner, cfg).then(talk, () => {})
+  await timers.setTimeout(300)
+  await fs.writeFile(records, '')
+  const instance = await starting
+  await until('the other instance was called', () => replies.length > 0)
+  for (const reply of await Promise.all(replies)) t.is(discovery.discoveryReply.parse(reply).version, 0)
+  t.deepEqual(lost, [])
+  await stopAll([instance])
+  await peer.close()
+})
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -49,6 +49,9 @@
 
 const DIAL_TIMEOUT_MS = 1000
 
+/** What calls and events of other instances are handed to. */
+interface Parts { store: documentStores.DocumentStore, publisher: discovery.Publisher }
+
 /** Starts a control instance, which may still have to join the group when this resolves. */
 export async function startControlInstance (opts: ControlInstanceOptions): Promise<ControlInstance> {
   const { log } = opts
@@ -57,12 +60,15 @@
   let onDocumentChange = (): void => {}
   let onEvacuations = (): void => {}
 
+  // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
+  const starting = createPendingParts()
   const handlers: links.LinkHandlers = {
     onEvent (body) {
       const event = discovery.discoveryEvent.safeParse(body)
-      if (event.success) publisher.onEvent(event.data)
+      if (event.success) starting.peek()?.publisher.onEvent(event.data)
     },
     async onCall (body, link) {
+      const { store, publisher } = await starting.get()
       if (documentCalls.isDocumentCall(body)) return await store.onCall(documentCalls.documentCall.parse(body))
       return await publisher.onCall(discovery.discoveryCall.parse(body), link)
     }
@@ -71,6 +77,13 @@
   const peerLinks = links.createPeerLinks(linkCfg)
   const getPeerLink = links.createPeerDialer(peerLinks, { dialTimeoutMs: DIAL_TIMEOUT_MS, backoffMs: contracts.HEARTBEAT_INTERVAL_MS }).get
 
+  // First: the address is free only once the process before has ended, which may still write to the same data folder.
+  const server = await links.listen(opts.inner, linkCfg, link => {
+    if (link.peer.role === 'control') peerLinks.add(link)
+  })
+  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
+  for (const record of await recordFile.load()) table.merge(record, performance.now())
+
   const store = await documentStores.startDocumentStore({
     self: opts.inner,
     founders: opts.founders,
@@ -84,11 +97,11 @@
     onEvacuations: () => { onEvacuations() },
     log,
     invariants: opts.invariants
+  }).catch(async err => {
+    await server.close()
+    throw err
   })
 
-  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
-  for (const record of await recordFile.load()) table.merge(record, performance.now())
-
   const version = (): number => store.latest()?.version ?? 0
   let lastReport = ''
 
@@ -139,9 +152,7 @@
     handoutFile.save()
   }
 
-  const server = await links.listen(opts.inner, linkCfg, link => {
-    if (link.peer.role === 'control') peerLinks.add(link)
-  })
+  starting.complete({ store, publisher })
   const timer = setInterval(() => { publisher.tick() }, discovery.TICK_INTERVAL_MS)
   publisher.tick()
 
@@ -162,3 +173,18 @@
     }
   }
 }
+
+/** Holds the parts of an instance while it starts. */
+function createPendingParts (): { complete: (parts: Parts) => void, get: () => Promise<Parts>, peek: () => Parts | undefined } {
+  let complete: (parts: Parts) => void = () => {}
+  let known: Parts | undefined
+  const completed = new Promise<Parts>(resolve => { complete = resolve })
+  return {
+    complete (parts) {
+      known = parts
+      complete(parts)
+    },
+    get: async () => known ?? await completed,
+    peek: () => known
+  }
+}
