--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -90,6 +90,8 @@
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
   callRefused: spec(1611, 'warn', 'call of an interface of this instance was refused before it was handled', 'Check who sends such calls; bodies are limited by the kind of call.'),
   callFailed: spec(1612, 'warn', 'call of an interface of this instance failed', 'Expected when callers leave early. Otherwise report the error.'),
+  listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
+  acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
