feat(forwarding): each connection that closes before its response is complete is counted by its cause

Callers reported requests that ended without an answer. Only streams that broke off were counted, and neither a metric nor a log line told an exception, bytes that are no request, or a stop of the instance from a client that left; a body that broke off left no line at all.

Now one place counts: the close of a response that was not written, with the cause that whoever closes it notes before (endpoint, client, deadline, malformed, stopping, error). Causes that no other line of the request tells get `responseCut` (K1631). `dropRequest` is never emitted without a limit of requests for each connection, so its handler goes. The server's file is split: an admitted request, and bytes that are no request, have files of their own.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -88,6 +88,7 @@
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it, or a part of its prompt, was in flight at enough crashes for a quarantine'),
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
+  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "malformed" check the client, for "stopping" the grace period; for "error" report it together with the event "uncaught" before it.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -127,6 +127,7 @@
   quarantine: crashQuarantines.CrashQuarantine
   outliers: outlierDetectors.OutlierDetector
   server: entryServers.EntryServer
+  metrics: entryMetrics.EntryMetrics
   /** Log events. */
   lines: Array<{ event: string } & { [field: string]: unknown }>
   announce: (endpoint: TestEndpoint, change?: Partial<discovery.EndpointRecord>) => void
@@ -198,6 +199,7 @@
     quarantine,
     outliers,
     server,
+    metrics: ctx.metrics,
     lines,
     announce,
     async send (req = {}) {
--- a/packages/forwarding/src/instance/entryMetrics.ts
+++ b/packages/forwarding/src/instance/entryMetrics.ts
@@ -7,9 +7,6 @@
 const MAX_ACCOUNT_LABELS = 100
 const MAX_ROUTE_LABELS = 100
 
-/** Why a client received a response in part: its endpoint broke it off, the client left, or its deadline passed. */
-export type BrokenCause = 'endpoint' | 'client' | 'deadline'
-
 export interface EntryMetrics {
   registry: prom.Registry
   /** Time from the request to the response headers. */
@@ -18,7 +15,7 @@
   duration: prom.Histogram<'account' | 'route'>
   requests: prom.Counter<'route' | 'outcome'>
   attempts: prom.Counter<'service' | 'outcome'>
-  /** Responses that the client received in part, by cause. */
+  /** Requests whose connection was closed before their response was complete, by cause. */
   broken: prom.Counter<'route' | 'cause'>
   /** Silent streams, by whether the endpoint continued or another one did. */
   silences: prom.Counter<'outcome'>
@@ -56,7 +53,7 @@
     duration: new prom.Histogram({ name: 'kingcupdeck_forward_seconds', help: 'From the request to its end, per client account and route', labelNames: ['account', 'route'], buckets: DURATION_BUCKETS_S, registers }),
     requests: new prom.Counter({ name: 'kingcupdeck_forward_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers }),
     attempts: new prom.Counter({ name: 'kingcupdeck_forward_attempts_total', help: 'Sends to endpoints by service and outcome', labelNames: ['service', 'outcome'], registers }),
-    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Responses that clients received in part, by route and cause: endpoint, client or deadline', labelNames: ['route', 'cause'], registers }),
+    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Requests whose connection was closed before their response was complete, by route and cause: endpoint, client, deadline, malformed, stopping or error', labelNames: ['route', 'cause'], registers }),
     silences: new prom.Counter({ name: 'kingcupdeck_forward_silences_total', help: 'Streams whose endpoint was silent, by outcome: continued by it, or moved to another one', labelNames: ['outcome'], registers }),
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -4,13 +4,13 @@
 import * as timers from 'node:timers/promises'
 import * as links from '@kingcupdeck/links'
 import * as admission from '../admission/admission.js'
+import * as admittedRequests from './admittedRequest.js'
+import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
-import * as forwards from '../attempts/forward.js'
-import * as promptParts from '../attempts/promptParts.js'
 import * as requestReaders from './requestReader.js'
-import * as suspectKeys from '../quarantine/suspectKey.js'
 import * as routeTables from '../admission/routeTable.js'
 
 /** HTTP server for clients. */
@@ -36,6 +36,9 @@
   ctx: entryContexts.EntryContext
 }
 
+/** A request, for the log and the metrics. */
+interface Exchange { attemptId: string | undefined, /** Name of its route, once it is admitted. */ route: string | undefined }
+
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
 
@@ -52,6 +55,7 @@
 export async function startEntryServer (opts: EntryServerOptions): Promise<EntryServer> {
   const { ctx } = opts
   const sockets = new Set<net.Socket>()
+  const responses = new Set<http.ServerResponse>()
   let open = 0
 
   const server = http.createServer({
@@ -62,16 +66,26 @@
     noDelay: true
   }, (req, res) => {
     open++
-    serve(req, res).catch(err => {
+    responses.add(res)
+    const exchange: Exchange = { attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId), route: undefined }
+    brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
+    res.once('close', () => responses.delete(res))
+    serve(req, res, exchange).catch(err => {
       // An error in one request must not end the process; the broken connection marks the response as incomplete.
       ctx.log.event('uncaught', { step: 'request', detail: err instanceof Error ? err.stack ?? err.message : String(err) })
+      brokenResponses.noteCause(res, 'error')
       res.destroy()
     }).finally(() => { open-- })
   })
 
-  const serve = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+  const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
+    ctx.metrics.broken.inc({ route: route === undefined ? 'none' : ctx.metrics.toRouteLabel(route), cause })
+    if (brokenResponses.needsLine(cause)) ctx.log.event('responseCut', { request: attemptId, route, cause })
+  }
+
+  const serve = async (req: http.IncomingMessage, res: http.ServerResponse, exchange: Exchange): Promise<void> => {
     const startedAt = ctx.now()
-    const attemptId = admission.findHeader(req.rawHeaders, ctx.names.attemptId)
+    const { attemptId } = exchange
     const refuse = (refusal: clientCalls.Refusal): void => {
       clientCalls.writeRefusal({ req, res, attemptId }, refusal, ctx.names.attemptId)
       ctx.metrics.requests.inc({ route: 'none', outcome: String(clientCalls.toStatus(refusal)) })
@@ -80,6 +94,8 @@
     res.on('error', () => {})
     if (res.socket === null && !await requestReaders.waitForTurn(req, res)) {
       ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
+      responses.delete(res)
+      recordBroken(exchange, 'client')
       return
     }
     if (ctx.isDraining()) res.setHeader('Connection', 'close')
@@ -103,6 +119,7 @@
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
       case 'broken':
+        ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the connection closed before the body of the request was read', path: req.url?.slice(0, 80), document: table.version })
         res.destroy()
         return
       case 'complete':
@@ -113,7 +130,8 @@
           ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its request was read', path: req.url?.slice(0, 80), document: table.version })
           return
         }
-        await run(req, res, startedAt, table, result, body.body)
+        exchange.route = result.route.name
+        await admittedRequests.runAdmitted({ req, res, ctx, startedAt, table, admitted: result, body: body.body })
     }
   }
 
@@ -159,57 +177,12 @@
     return ctx.table()
   }
 
-  const run = async (req: http.IncomingMessage, res: http.ServerResponse, startedAt: number, table: routeTables.CompiledTable, result: Extract<admission.Admission, { kind: 'admitted' }>, body: Buffer): Promise<void> => {
-    const { route, account, allowedRegions } = result
-    const waitMs = Math.min(route.timeoutMs, result.clientDeadlineMs ?? Infinity)
-    const service = routeTables.pickService(route, Math.random())
-    const fingerprint = suspectKeys.toRequestKey(account?.name, req.method ?? '', req.url ?? '', body)
-    const sharedParts = promptParts.toSharedParts(req.rawHeaders, ctx.names.promptParts)
-    const call: clientCalls.ClientCall = {
-      req,
-      res,
-      ctx,
-      route,
-      table,
-      service,
-      account: account?.name,
-      accountRank: account?.rank ?? null,
-      allowedRegions,
-      attemptId: result.attemptId,
-      body,
-      fingerprint,
-      sharedParts,
-      suspects: [fingerprint, ...suspectKeys.toPartKeys(service, admission.findHeader(req.rawHeaders, ctx.names.model), sharedParts)],
-      startedAt,
-      deadlineAt: startedAt + waitMs,
-      aborter: new AbortController(),
-      attempts: [],
-      mayHaveRun: false,
-      firstByteAt: undefined
-    }
-    const timer = setTimeout(() => { call.aborter.abort('the deadline has passed') }, Math.max(0, call.deadlineAt - ctx.now()))
-    const onClose = (): void => {
-      // A request that may run only once is not aborted, because it cannot be retried.
-      if (!res.writableFinished && route.kind !== 'once') call.aborter.abort(clientCalls.CLIENT_LEFT)
-    }
-    res.on('close', onClose)
-    ctx.metrics.open.inc()
-    try {
-      const outcome = await forwards.forward(call)
-      logEnd(call, outcome)
-    } finally {
-      clearTimeout(timer)
-      ctx.metrics.open.dec()
-    }
-  }
-
   server.keepAliveTimeout = 0
   server.on('connection', (socket: net.Socket) => {
     sockets.add(socket)
     socket.on('close', () => sockets.delete(socket))
   })
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { onClientError(err, socket, ctx) })
-  server.on('dropRequest', (req, socket) => { socket.destroy() })
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, ctx) })
   const { host, port } = links.parseAddress(opts.front)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -229,56 +202,13 @@
       server.closeIdleConnections()
     },
     destroy () {
+      for (const res of responses) brokenResponses.noteCause(res, 'stopping')
       for (const socket of sockets) socket.destroy()
     }
   }
 }
 
-/** Responds to a malformed request, or closes the connection if a response is in progress on it. */
-function onClientError (err: NodeJS.ErrnoException, socket: net.Socket, ctx: entryContexts.EntryContext): void {
-  const status = toClientErrorStatus(err.code)
-  const isBusy = (socket as net.Socket & { _httpMessage?: unknown })._httpMessage != null
-  if (err.code !== 'ECONNRESET') ctx.log.event('requestRefused', { status, why: err.code ?? err.message, isBusy })
-  if (!socket.writable || isBusy || err.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-}
-
 /** Returns whether a refusal could be different with a newer document. */
 function restsOnDocument (refusal: clientCalls.Refusal): boolean {
   return admission.dependsOnDocument(refusal) || (refusal.kind === 'unavailable' && refusal.cause.kind === 'outdated')
 }
-
-function toClientErrorStatus (code: string | undefined): number {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW': return 431
-    case 'ERR_HTTP_REQUEST_TIMEOUT': return 408
-    default: return 400
-  }
-}
-
-function logEnd (call: clientCalls.ClientCall, outcome: string): void {
-  const { ctx, route } = call
-  const now = ctx.now()
-  const labels = { account: ctx.metrics.toAccountLabel(call.account ?? ''), route: ctx.metrics.toRouteLabel(route.name) }
-  if (call.firstByteAt !== undefined) ctx.metrics.firstByte.observe(labels, (call.firstByteAt - call.startedAt) / 1000)
-  ctx.metrics.duration.observe(labels, (now - call.startedAt) / 1000)
-  ctx.metrics.requests.inc({ route: labels.route, outcome: outcome.slice(0, 3) })
-  ctx.log.event('requestEnded', {
-    request: call.attemptId,
-    fingerprint: call.fingerprint,
-    route: route.name,
-    account: call.account,
-    service: call.service,
-    outcome,
-    document: call.table.version,
-    waitMs: Math.round(call.deadlineAt - call.startedAt),
-    firstMs: call.firstByteAt === undefined ? undefined : Math.round(call.firstByteAt - call.startedAt),
-    totalMs: Math.round(now - call.startedAt),
-    // Tells endpoints that this instance does not reach from endpoints that are busy.
-    reach: outcome.startsWith('50') ? ctx.pool.describeReach(call.service, now) : undefined,
-    attempts: call.attempts.map(item => `${item.endpoint} (${item.why}) ${item.outcome} ${item.ms}`).join('; ')
-  })
-}
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -11,7 +11,7 @@
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
 import type * as endpointProbes from '../endpoints/endpointProbe.js'
-import type * as entryMetrics from '../instance/entryMetrics.js'
+import * as brokenResponses from '../instance/brokenResponses.js'
 import * as eventBatchers from './eventBatcher.js'
 import * as forwardHeaders from '../attempts/forwardHeaders.js'
 import type * as openAttempts from '../attempts/openAttempt.js'
@@ -168,8 +168,8 @@
     listen()
   }
 
-  const breakOff = (why: string, cause: entryMetrics.BrokenCause): string => {
-    ctx.metrics.broken.inc({ route: ctx.metrics.toRouteLabel(route.name), cause })
+  const breakOff = (why: string, cause: brokenResponses.BrokenCause): string => {
+    brokenResponses.noteCause(res, cause)
     batcher.flush()
     abortResponses.abortResponse(res)
     return why
