fix(forwarding): an exception in one request costs its client no answer

The value was thrown at in `http.request` (`ERR_INVALID_CHAR`), the exception went up to the server, which logged `uncaught` and closed the connection. Whatever else threw, in admission, quarantine or placement, ended alike.

Any other exception ends the request with an answer that is true: 503 if nothing was sent, 502 if something was, and a response that has begun is broken off. A stream whose last event id no header can carry is not resumed. The queue delay of an endpoint no longer keeps a request whose attempt threw.

--- a/packages/forwarding/src/admission/retryAfter.ts
+++ b/packages/forwarding/src/admission/retryAfter.ts
@@ -16,6 +16,8 @@
   | { kind: 'noRoom' }
   /** All eligible endpoints exceed the maximum queue delay; `delayMs` is the lowest delay, in milliseconds. */
   | { kind: 'busy', delayMs: number }
+  /** An unexpected error; another endpoint or instance may serve the request. */
+  | { kind: 'error' }
   /** The request is quarantined; `delayMs` is the time until it may be tried, in milliseconds. */
   | { kind: 'quarantined', delayMs: number }
 
@@ -29,6 +31,7 @@
 const NO_ENDPOINT_MS = 700
 /** A connection becomes free as soon as one of many running requests ends. */
 const NO_ROOM_MS = 150
+const ERROR_MS = 300
 /** Multiple of the queue delay after which the client of a rejected request retries: queues of overloaded endpoints shrink slowly. */
 const BUSY_DELAY_FACTOR = 5
 /** A quarantined request may be tried soon, because a trial of it is running or something speaks for it. */
@@ -54,6 +57,7 @@
     case 'outdated': return OUTDATED_MS
     case 'noEndpoint': return NO_ENDPOINT_MS
     case 'noRoom': return NO_ROOM_MS
+    case 'error': return ERROR_MS
     case 'busy': return BUSY_DELAY_FACTOR * cause.delayMs
     case 'quarantined': return Math.min(MAX_QUARANTINED_MS, Math.max(MIN_QUARANTINED_MS, cause.delayMs))
   }
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -23,6 +23,8 @@
 
 /** Result of an attempt. */
 export type AttemptResult =
+  /** A value of the endpoint or of the request cannot be sent; nothing was sent. */
+  | { kind: 'unsendable', why: string }
   /** The connection failed; nothing was sent. */
   | { kind: 'unreachable', why: string, /** Whether nothing was received within the connect timeout. */ isSilent: boolean }
   /** The endpoint reported that it did not run the request. */
--- a/packages/forwarding/src/attempts/attemptOutcome.ts
+++ b/packages/forwarding/src/attempts/attemptOutcome.ts
@@ -30,8 +30,9 @@
 export function handleResult (attempt: Attempt, result: Exclude<openAttempts.OpenResult, { kind: 'stream' }>): Next {
   const { call, state } = attempt
   switch (result.kind) {
+    case 'unsendable':
     case 'unreachable':
-      record(attempt, `unreachable: ${result.why}`)
+      record(attempt, `${result.kind}: ${result.why}`)
       return { kind: 'retry' }
     case 'notRun':
       record(attempt, `notRun ${result.status}`)
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -49,8 +49,12 @@
 export async function recordResult (call: clientCalls.ClientCall, state: requestStates.RequestState, sent: SentRequest, result: attempts.AttemptResult): Promise<void> {
   const { ctx } = call
   const { endpoint, run } = sent
-  if (result.kind !== 'unreachable') state.holdsTrialPermit = false
+  if (result.kind !== 'unreachable' && result.kind !== 'unsendable') state.holdsTrialPermit = false
   switch (result.kind) {
+    case 'unsendable':
+      run.end('inconclusive', ctx.now())
+      state.unsendable++
+      break
     case 'unreachable':
       run.end('inconclusive', ctx.now())
       await recordConnectionFailure(ctx, state, endpoint, result)
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -38,6 +38,8 @@
   /** Aborted when the deadline is over or the client disconnects; the reason says which. */
   aborter: AbortController
   attempts: AttemptRecord[]
+  /** Whether a connection to an endpoint was given the request: from then on it must not be reported as not run after an exception. */
+  isSent: boolean
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean
   firstByteAt: number | undefined
@@ -57,6 +59,7 @@
 /** Sends an error response, or breaks the connection if a response has already started. */
 export function writeRefusal (call: { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }, refusal: Refusal, attemptHeader: string): void {
   const { res } = call
+  if (res.writableEnded) return
   if (res.headersSent || res.destroyed) {
     // The response headers were sent: only a broken connection marks the response as incomplete.
     res.destroy()
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -47,7 +47,7 @@
       case 'done': return next.outcome
       case 'fail': return clientResponses.sendFailure(call, state.fallback, next.why, next.delayMs)
       case 'retry':
-        if (state.sends >= selectEndpoints.MAX_SENDS) return clientResponses.sendFailure(call, state.fallback, 'no endpoint accepted the request')
+        if (state.sends + state.unsendable >= selectEndpoints.MAX_SENDS) return clientResponses.sendFailure(call, state.fallback, 'no endpoint accepted the request')
     }
   }
 }
@@ -195,20 +195,23 @@
     onEnded: sent.abort,
     now: ctx.now
   })
-  const result = await openAttempts.openAttempt({
-    call,
-    state,
-    selected,
-    sent,
-    isOtherOpen,
-    onHeaders () {
-      headersAt = ctx.now()
-      endpoint.queueDelay.onResponse(pending, headersAt)
-    },
-    onBody: stopWatchdog
-  }).finally(stopWatchdog)
-  if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
-  return result
+  try {
+    return await openAttempts.openAttempt({
+      call,
+      state,
+      selected,
+      sent,
+      isOtherOpen,
+      onHeaders () {
+        headersAt = ctx.now()
+        endpoint.queueDelay.onResponse(pending, headersAt)
+      },
+      onBody: stopWatchdog
+    })
+  } finally {
+    stopWatchdog()
+    if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
+  }
 }
 
 function toResponseTimeoutMs (call: clientCalls.ClientCall, remainingMs: number): number {
--- a/packages/forwarding/src/attempts/forwardHeaders.ts
+++ b/packages/forwarding/src/attempts/forwardHeaders.ts
@@ -1,4 +1,5 @@
 /** Header forwarding in both directions, and the headers that the fleet sets. */
+import * as http from 'node:http'
 import * as headerNames from './headerNames.js'
 
 /** Hop-by-hop headers. */
@@ -18,6 +19,16 @@
   return names
 }
 
+/** Returns whether a text can be sent as the value of a header. */
+export function isValue (text: string): boolean {
+  try {
+    http.validateHeaderValue('x', text)
+    return true
+  } catch {
+    return false
+  }
+}
+
 /** Values of the headers that the fleet sets on a request. */
 export interface RequestAdditions {
   remainingMs: number
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -46,23 +46,40 @@
 
 /** Makes an attempt and records its result. */
 export async function openAttempt (opts: OpenAttemptOptions): Promise<OpenResult> {
-  const { call, state, selected, sent, lastEventId } = opts
-  const { endpoint } = selected
+  const { call, state, sent } = opts
+  const { endpoint } = sent
   const onExcess = (what: string): void => { call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what }) }
-  const result = await attempts.sendAttempt({
-    endpoint,
-    request: outgoingRequests.toOutgoingRequest(call, selected, call.deadlineAt - call.ctx.now(), lastEventId),
-    names: call.ctx.names,
-    signal: sent.signal,
-    onConnection: socket => { sent.via = endpointDialers.findHelper(socket) },
-    onExcess
-  })
+  const result = await send(opts, onExcess)
   if (result.kind === 'response') opts.onHeaders?.()
   await attemptRecorders.recordResult(call, state, sent, result)
   if (result.kind !== 'response') return result
   return outgoingRequests.isEventStream(result.res) ? await openStream(opts, result, onExcess) : await readComplete(opts, result)
 }
 
+/** Sends the request. An exception before anything was sent concerns this attempt alone. */
+async function send ({ call, selected, sent, lastEventId }: OpenAttemptOptions, onExcess: (what: string) => void): Promise<attempts.AttemptResult> {
+  let isConnected = false
+  try {
+    return await attempts.sendAttempt({
+      endpoint: selected.endpoint,
+      request: outgoingRequests.toOutgoingRequest(call, selected, call.deadlineAt - call.ctx.now(), lastEventId),
+      names: call.ctx.names,
+      signal: sent.signal,
+      onConnection (socket) {
+        isConnected = true
+        call.isSent = true
+        sent.via = endpointDialers.findHelper(socket)
+      },
+      onExcess
+    })
+  } catch (err) {
+    if (isConnected) throw err
+    const why = err instanceof Error ? err.message : String(err)
+    call.ctx.log.event('requestUnsendable', { request: call.attemptId, endpoint: selected.endpoint.id, why })
+    return { kind: 'unsendable', why }
+  }
+}
+
 /** Waits for the first event of a stream. */
 async function openStream ({ call, sent, lastEventId, isOtherOpen }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
   const { endpoint, signal } = sent
--- a/packages/forwarding/src/attempts/requestState.ts
+++ b/packages/forwarding/src/attempts/requestState.ts
@@ -9,6 +9,8 @@
   readonly tried: Set<string>
   /** Number of endpoints that received the request, whether they ran it or not. */
   sends: number
+  /** Number of endpoints that it could not be sent to because of a value of theirs, or of its own. */
+  unsendable: number
   /** Number of endpoints that may have run it. */
   runs: number
   /** Ids of the endpoints that may be tried again, because only the path to them was lost; each once. */
@@ -22,7 +24,7 @@
 }
 
 export function createRequestState (): RequestState {
-  return { tried: new Set(), sends: 0, runs: 0, excused: new Set(), verdicts: new Set(), holdsTrialPermit: false, fallback: undefined }
+  return { tried: new Set(), sends: 0, unsendable: 0, runs: 0, excused: new Set(), verdicts: new Set(), holdsTrialPermit: false, fallback: undefined }
 }
 
 /** Returns whether one more endpoint may run a request. */
--- a/packages/forwarding/src/instance/admittedRequest.ts
+++ b/packages/forwarding/src/instance/admittedRequest.ts
@@ -7,6 +7,7 @@
 import * as promptParts from '../attempts/promptParts.js'
 import * as routeTables from '../admission/routeTable.js'
 import * as suspectKeys from '../quarantine/suspectKey.js'
+import * as unexpectedErrors from './unexpectedError.js'
 
 /** An admitted request whose body was read. */
 export interface AdmittedRequest {
@@ -48,6 +49,7 @@
     deadlineAt: startedAt + waitMs,
     aborter: new AbortController(),
     attempts: [],
+    isSent: false,
     mayHaveRun: false,
     firstByteAt: undefined
   }
@@ -59,7 +61,7 @@
   res.on('close', onClose)
   ctx.metrics.open.inc()
   try {
-    const outcome = await forwards.forward(call)
+    const outcome = await forwards.forward(call).catch(err => unexpectedErrors.endWithError(call, err))
     logEnd(call, outcome)
   } finally {
     clearTimeout(timer)
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -11,6 +11,7 @@
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as requestReaders from './requestReader.js'
+import * as unexpectedErrors from './unexpectedError.js'
 import * as routeTables from '../admission/routeTable.js'
 
 /** HTTP server for clients. */
@@ -71,8 +72,10 @@
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
     res.once('close', () => responses.delete(res))
     serve(req, res, exchange).catch(err => {
-      // An error in one request must not end the process; the broken connection marks the response as incomplete.
-      ctx.log.event('uncaught', { step: 'request', detail: err instanceof Error ? err.stack ?? err.message : String(err) })
+      const outcome = unexpectedErrors.refuseWithError({ req, res, attemptId: exchange.attemptId }, ctx, err)
+      ctx.metrics.requests.inc({ route: 'none', outcome: outcome.slice(0, 3) })
+      ctx.log.event('requestRefused', { request: exchange.attemptId, status: res.statusCode, why: outcome, path: req.url?.slice(0, 80) })
+    }).catch(() => {
       brokenResponses.noteCause(res, 'error')
       res.destroy()
     }).finally(() => { open-- })
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -121,8 +121,8 @@
     void attemptRecorders.probeAndRecord(ctx, sent.endpoint)
   }
 
-  /** Without an id of the last event, the client would get the same events again. */
-  const mayResume = (): boolean => route.isResumable && (lastId !== undefined || !isStarted)
+  /** Without an id of the last event that can be sent, the client would get the same events again. */
+  const mayResume = (): boolean => route.isResumable && (lastId !== undefined ? forwardHeaders.isValue(lastId) : !isStarted)
 
   const startResumption = (): void => {
     if (resumption !== undefined || !mayResume()) return
--- a/packages/forwarding/src/streams/resumeStream.ts
+++ b/packages/forwarding/src/streams/resumeStream.ts
@@ -83,6 +83,7 @@
     case 'notRun':
       attemptRecorders.recordAttempt(call, sent, `notRun ${result.status}`)
       break
+    case 'unsendable':
     case 'unreachable':
     case 'lost':
     case 'aborted':
