fix(platform): announcements have ranges, lengths and limits

What callers saw: an id with a control character or outside Latin-1 was acknowledged, and 22 to 31 of 100 requests ended without an answer (the id throws when it is set as a header). An announcement of a living endpoint with `born` 2^53 - 1 stopped it from being followed; ports and hosts out of range were tried, slots of 1e15 drew work, and unreadable bodies of a DELETE counted as departures.

Cause: the schema knew types but no ranges, and a body had no limit but that of all calls.

Fix: id, address, names, slots, warm-up, number and start are checked against contracts.input and stated bounds, after limits of bytes, depth and values. What is refused gets 400 with the reason, one log line a minute for each kind, and kingcupdeck_input_refused_total.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -44,6 +44,8 @@
   subscriberCount: () => number
   /** Returns the number of records without a recent heartbeat. */
   lateCount: () => number
+  /** Counts refused input. */
+  refusals: discovery.Refusals
   stop: () => Promise<void>
 }
 
@@ -53,6 +55,7 @@
 export async function startControlInstance (opts: ControlInstanceOptions): Promise<ControlInstance> {
   const { log } = opts
   const table = discovery.createRecordTable()
+  const refusals = discovery.createRefusals(log)
   let isStopping = false
   let onDocumentChange = (): void => {}
   let onEvacuations = (): void => {}
@@ -151,6 +154,7 @@
     announce: async record => { await publisher.announce(record) },
     subscriberCount: publisher.subscriberCount,
     lateCount: publisher.lateCount,
+    refusals,
     async stop () {
       isStopping = true
       clearInterval(timer)
--- a/packages/coordination/src/controlMetrics.ts
+++ b/packages/coordination/src/controlMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of a control instance of the forwarding fleet. */
 import * as prom from 'prom-client'
+import type * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
 import type * as controlInstances from './controlInstance.js'
 
@@ -32,8 +33,22 @@
   gauge('kingcupdeck_subscribers', 'Entry instances that are subscribed here', instance.subscriberCount)
   gauge('kingcupdeck_records_late', 'Records without a recent heartbeat', instance.lateCount)
   gauge('kingcupdeck_log_lines_dropped', 'Log lines that were left out to stay within bounds', droppedLines)
+  createRefusedCounter(instance.refusals, registers)
   return {
     registry,
     calls: new prom.Histogram({ name: 'kingcupdeck_control_call_seconds', help: 'Calls of operators and endpoints, by kind and status', labelNames: ['call', 'status'], buckets: BUCKETS_SECONDS, registers })
   }
 }
+
+function createRefusedCounter (refusals: discovery.Refusals, registers: prom.Registry[]): void {
+  const counter = new prom.Counter({
+    name: 'kingcupdeck_input_refused_total',
+    help: 'Refused announcements, records and heartbeats, by kind',
+    labelNames: ['kind'],
+    registers,
+    collect () {
+      counter.reset()
+      for (const [kind, count] of refusals.counts()) counter.inc({ kind }, count)
+    }
+  })
+}
--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -1,5 +1,14 @@
 /** Schemas of the records that endpoints and entry instances announce. */
 import * as z from 'zod'
+import * as contracts from '@kingcupdeck/contracts'
+
+/** A name that may be empty. */
+export const optionalName = contracts.input.name.or(z.literal(''))
+
+/** More requests than a process can run concurrently at one address: each needs a port of a connection. */
+const MAX_SLOTS = 65_535
+/** Number of requests that an endpoint runs concurrently. */
+export const slots = z.int().positive().max(MAX_SLOTS)
 
 /** Lifecycle of an announced process: not ready yet, accepts work, accepts no new work, ended. */
 export const recordState = z.enum(['starting', 'ready', 'leaving', 'gone'])
