fix(discovery): one bad record costs none of the others

What callers saw: nothing yet on a fleet of one version; beside an instance that lets an odd record through, a whole batch of changes was discarded, the link it came on was closed (a subscription ended, again at each new one), a subscription failed, and a control instance with such a record in its file did not start.

Cause: lists of records were parsed as a whole, and what was thrown in the handling of an event ended the read of its link.

Fix: the schema of a record has ranges and lengths, and records, heartbeats, late ids and addresses of others and of files are checked one by one; what does not match is dropped, counted by kind and logged once a minute (K1601). Packed records unpack to 16 MB at most. The file of records never fails a start (K1602). A record that is dropped is acknowledged, so an earlier version does not send it again, and is not resent.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -72,6 +72,8 @@
   endpointSetAside: spec(1409, 'warn', 'share of an endpoint was reduced because it performs worse than the others of its service, or was restored', 'Check the endpoint: it announces itself as ready.'),
   handoutTaken: spec(1316, 'info', 'document and records of a starting control instance applied'),
   handoutRefused: spec(1317, 'warn', 'fetching the document and records of a starting control instance failed', 'Expected while machines are down. Otherwise check that all instances use the same fleet secret.'),
+  recordsRefused: spec(1601, 'warn', 'records, heartbeats or addresses that another instance sent or a file holds were dropped because they are invalid', 'Expected while instances of an earlier version run. Otherwise check the instance that is named as the sender.'),
+  recordFileUnreadable: spec(1602, 'warn', 'file of records is not readable and was ignored', 'None: records come from the other control instances and new announcements.'),
   announcementRefused: spec(1408, 'warn', 'announcement rejected', 'Check the endpoint token and the service name at the endpoint.'),
   requestQuarantined: spec(1501, 'warn', 'request, or a part of prompts, was in flight during repeated endpoint crashes and is quarantined', 'Run "kingcupdeck explain" with the request id and inspect the request.'),
   streamSilent: spec(1502, 'warn', 'stream from an engine is unresponsive; resuming over a new connection', 'If it repeats for the same endpoint, check that endpoint.'),
--- a/packages/coordination/__tests__/recordFile.test.ts
+++ b/packages/coordination/__tests__/recordFile.test.ts
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs/promises'
 import * as os from 'node:os'
 import * as path from 'node:path'
+import * as contracts from '@kingcupdeck/contracts'
 import type * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as recordFiles from '../src/recordFile.js'
@@ -24,6 +25,19 @@
   await fs.rm(folder, { recursive: true })
 })
 
+// Guards against a control instance that cannot start because an earlier version wrote an odd record.
+test('a file of odd records is read without them, and one that is no list as empty', async t => {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const odd = [7, null, { ...records[0], id: 'a\n' }, { ...records[0], slots: 1e15 }, { ...records[0], startedAt: Number.MAX_SAFE_INTEGER }]
+  const load = async (text: string): Promise<discovery.Record[]> => {
+    await fs.writeFile(path.join(folder, 'records'), `${contracts.sha256(text)}\n${text}`)
+    return await recordFiles.createRecordFile(folder, () => [], log).load()
+  }
+  t.deepEqual(await load(JSON.stringify([...odd, ...records])), records)
+  for (const text of ['{"a":1}', '7', 'null', '[', '', '['.repeat(100_000)]) t.deepEqual(await load(text), [], text.slice(0, 20))
+  await fs.rm(folder, { recursive: true })
+})
+
 // A stopped instance must not write while its successor uses the same disk.
 test('nothing is written after the stop', async t => {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -89,7 +89,7 @@
     invariants: opts.invariants
   })
 
-  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
+  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log, discovery.createIntake(refusals))
   for (const record of await recordFile.load()) table.merge(record, performance.now())
 
   const version = (): number => store.latest()?.version ?? 0
@@ -124,7 +124,8 @@
       recordFile.save()
       handoutFile.save()
     },
-    log
+    log,
+    refusals
   })
 
   const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.latest() === null ? undefined : publisher.toFullReply(), log)
--- a/packages/coordination/src/recordFile.ts
+++ b/packages/coordination/src/recordFile.ts
@@ -13,7 +13,7 @@
 
 /** The file of records. */
 export interface RecordFile extends writeBehindFiles.WriteBehindFile {
-  /** Reads the records; returns none if the file is missing or damaged. */
+  /** Reads the records that match the schema; returns none if the file is missing or damaged. Never rejects. */
   load: () => Promise<discovery.Record[]>
 }
 
@@ -21,8 +21,9 @@
  * Creates the file of records.
  * @param folder the instance's data folder
  * @param list returns the records to write
+ * @param intake checks the records that are read
  */
-export function createRecordFile (folder: string, list: () => discovery.Record[], log: telemetry.Log): RecordFile {
+export function createRecordFile (folder: string, list: () => discovery.Record[], log: telemetry.Log, intake = discovery.createIntake(discovery.createRefusals(log))): RecordFile {
   const content = (): string => {
     const text = JSON.stringify(list())
     return `${contracts.sha256(text)}\n${text}`
@@ -32,7 +33,12 @@
     async load () {
       const [digest, text] = (await fs.readFile(path.join(folder, FILE_NAME), 'utf8').catch(() => '')).split('\n')
       if (text === undefined || contracts.sha256(text) !== digest) return []
-      return discovery.record.array().parse(JSON.parse(text))
+      try {
+        return intake.records(JSON.parse(text), FILE_NAME)
+      } catch (err) {
+        log.event('recordFileUnreadable', { detail: err instanceof Error ? err.message : String(err) })
+        return []
+      }
     }
   }
 }
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -1,4 +1,7 @@
-/** Messages between control instances and entry instances about records and documents. */
+/**
+ * Messages between control instances and entry instances about records and documents. Items of their lists are unchecked:
+ * {@link createIntake} checks them one by one, so that an item from an instance of another version costs none of the others.
+ */
 import * as zlib from 'node:zlib'
 import * as cbor from 'cbor-x'
 import * as z from 'zod'
@@ -12,14 +15,14 @@
   z.object({
     /** Subscribes an entry instance to all changes. */
     t: z.literal('subscribe'),
-    self: records.record,
+    self: z.unknown(),
     /** Version of the caller's document. */
     version: z.number(),
     /** Whether the caller accepts packed changes, and changes of liveness instead of every heartbeat. */
     isCompact: z.boolean().default(false)
   }),
   /** Changed records, to be acknowledged. */
-  z.object({ t: z.literal('records'), list: z.array(records.record) }),
+  z.object({ t: z.literal('records'), list: z.array(z.unknown()) }),
   /** All records of another control instance, for anti-entropy. */
   z.object({ t: z.literal('compare'), records: contracts.bytes }),
   /** Fetches the latest document; `version` is the version of the caller's document. */
@@ -33,9 +36,9 @@
   /** All records of the sender, packed; null in replies that are only about the document. */
   records: contracts.bytes.nullable(),
   /** Addresses of all control instances. */
-  controls: z.array(z.string()),
+  controls: z.array(z.unknown()),
   /** Ids of records without a recent heartbeat, in the reply to a compact subscription. */
-  late: z.array(z.string()).optional(),
+  late: z.array(z.unknown()).optional(),
   /** Version of the sender's document, 0 without one. */
   version: z.number(),
   /** The document, if the caller's is older and it was fetched or is small enough to be included. */
@@ -53,7 +56,7 @@
 /** Events, in either direction. */
 export const discoveryEvent = z.discriminatedUnion('t', [
   /** Records that changed. */
-  z.object({ t: z.literal('news'), list: z.array(records.record) }),
+  z.object({ t: z.literal('news'), list: z.array(z.unknown()) }),
   /** Records that changed, packed. */
   z.object({ t: z.literal('packedNews'), records: contracts.bytes }),
   /** A newer document can be fetched from the sender. */
@@ -67,16 +70,16 @@
     /** Version of the sender's document. */
     version: z.number(),
     /** Heartbeats; to a compact subscription only those of records that are no longer late. */
-    signs: z.array(records.heartbeat),
+    signs: z.array(z.unknown()),
     /** Ids of records that have become late since the last tick, to a compact subscription. */
-    late: z.array(z.string()).optional(),
+    late: z.array(z.unknown()).optional(),
     /** Addresses of the control instances. */
-    controls: z.array(z.string()),
+    controls: z.array(z.unknown()),
     /** Absent before the first evacuation. */
     evacuations: evacuations.evacuations.optional()
   }),
   /** Heartbeats that a control instance forwards to the others. */
-  z.object({ t: z.literal('signs'), signs: z.array(records.heartbeat) })
+  z.object({ t: z.literal('signs'), signs: z.array(z.unknown()) })
 ])
 /** Events, in either direction. */
 export type DiscoveryEvent = z.infer<typeof discoveryEvent>
@@ -99,12 +102,15 @@
   return zlib.deflateRawSync(codec.encode(list), { level: 1 })
 }
 
+/** The longest encoded list of records: several times that of the fleet to design for. */
+const MAX_UNPACKED_BYTES = 16 * 1024 * 1024
+
 /**
- * Reverses {@link packRecords}.
- * @throws Error when the bytes are not valid records
+ * Reverses {@link packRecords}; the records are unchecked.
+ * @throws Error when the bytes are no packed value, or a longer one than {@link MAX_UNPACKED_BYTES}
  */
-export function unpackRecords (bytes: Uint8Array): records.Record[] {
-  return z.array(records.record).parse(codec.decode(zlib.inflateRawSync(bytes)))
+export function unpackRecords (bytes: Uint8Array): unknown {
+  return codec.decode(zlib.inflateRawSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES }))
 }
 
 /** Encodes a reply for the handout file. */
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -6,12 +6,14 @@
 import type * as contracts from '@kingcupdeck/contracts'
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as intakes from './intake.js'
 import * as livenesses from './liveness.js'
 import * as evacuations from './evacuations.js'
 import * as messages from './messages.js'
 import * as peerReplications from './peerReplication.js'
 import * as recordTables from './recordTable.js'
-import * as records from './records.js'
+import type * as records from './records.js'
+import * as refusals from './refusals.js'
 import * as sendBudgets from './sendBudget.js'
 
 /** Options of {@link createPublisher}. */
@@ -36,6 +38,8 @@
   /** Called when a record changed. */
   onChange?: () => void
   log: telemetry.Log
+  /** Counts refused input; by default nobody reads the counts. */
+  refusals?: refusals.Refusals
   now?: () => number
 }
 
@@ -84,6 +88,7 @@
   const { table } = opts
   const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
   const now = opts.now ?? (() => performance.now())
+  const intake = intakes.createIntake(opts.refusals ?? refusals.createRefusals(opts.log, now))
   const toEvacuations = opts.evacuations ?? (() => evacuations.NO_EVACUATIONS)
   /** Subscribers that expect every heartbeat. */
   const subscribers = new Set<links.Link>()
@@ -175,7 +180,7 @@
   const compare = async (address: string): Promise<void> => {
     const link = await opts.getPeerLink(address)
     const reply = messages.discoveryReply.parse(await link.call({ t: 'compare', records: messages.packRecords(table.all()) } satisfies messages.DiscoveryCall, 2 * messages.TICK_INTERVAL_MS))
-    if (reply.records !== null) await queueChanges(mergeAll(messages.unpackRecords(reply.records), false), false)
+    await queueChanges(mergeAll(intake.packedRecords(reply.records, address), false), false)
   }
 
   const packTable = (): Uint8Array => {
@@ -215,16 +220,17 @@
           const group = call.isCompact === true ? compactSubscribers : subscribers
           group.add(link)
           void link.closed.then(() => { group.delete(link) })
-          liveness.noteHeard(call.self.id, now())
-          void queueChanges(mergeAll([call.self], false), true)
+          const self = intake.records([call.self], 'subscriber')
+          for (const { id } of self) liveness.noteHeard(id, now())
+          void queueChanges(mergeAll(self, false), true)
           const document = opts.packDocumentSince(call.version)
           return { ...toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null), late: liveness.late() }
         }
         case 'records':
-          void queueChanges(mergeAll(call.list, true), false)
+          void queueChanges(mergeAll(intake.records(call.list, 'control instance'), true), false)
           return toReply(false, null)
         case 'compare':
-          void queueChanges(mergeAll(messages.unpackRecords(call.records), false), false)
+          void queueChanges(mergeAll(intake.packedRecords(call.records, 'control instance'), false), false)
           return toReply(true, null)
         case 'fetch':
           return { ...toReply(false, null), isCurrent: opts.isCurrent(), ...messages.toDocumentReply(opts.packDocumentSince(call.version), budget, now()) }
@@ -233,19 +239,19 @@
     onEvent (event) {
       switch (event.t) {
         case 'packedNews':
-          void queueChanges(mergeAll(messages.unpackRecords(event.records), true), true)
+          void queueChanges(mergeAll(intake.packedRecords(event.records, 'subscriber'), true), true)
           break
         case 'news':
-          void queueChanges(mergeAll(event.list, true), true)
+          void queueChanges(mergeAll(intake.records(event.list, 'subscriber'), true), true)
           break
         case 'signs':
-          for (const heartbeat of event.signs) {
+          for (const heartbeat of intake.heartbeats(event.signs, 'control instance')) {
             if (applyHeartbeat(heartbeat)) forwardedHeartbeats.set(heartbeat[0], heartbeat)
           }
           break
         case 'tick':
           // The heartbeat of a subscribed entry instance.
-          for (const heartbeat of event.signs) {
+          for (const heartbeat of intake.heartbeats(event.signs, 'subscriber')) {
             if (applyHeartbeat(heartbeat)) ownHeartbeats.set(heartbeat[0], heartbeat)
           }
           break
--- a/packages/discovery/src/records.ts
+++ b/packages/discovery/src/records.ts
@@ -16,12 +16,12 @@
 export type RecordState = z.infer<typeof recordState>
 
 const common = {
-  id: z.string().min(1),
+  id: contracts.input.name,
   /** Start of the process, Unix milliseconds of its own clock. A later start under the same id is a new incarnation. */
-  startedAt: z.number(),
+  startedAt: contracts.input.count,
   /** Increases with each announcement of one incarnation. */
-  seq: z.number(),
-  zone: z.string(),
+  seq: contracts.input.count,
+  zone: optionalName,
   state: recordState
 }
 
@@ -29,19 +29,30 @@
 export const endpointRecord = z.object({
   kind: z.literal('endpoint'),
   ...common,
-  service: z.string(),
+  id: contracts.input.headerId,
+  service: optionalName,
   /** IP address and port for requests. */
-  address: z.string(),
+  address: contracts.input.address.or(z.literal('')),
   /** Number of requests that it runs concurrently. */
-  slots: z.number(),
+  slots,
   /** Remaining warm-up time, milliseconds. */
-  coldMs: z.number()
-})
+  coldMs: contracts.input.durationMs
+}).refine(isComplete, 'must have a service and an address unless it is gone')
 /** An endpoint: one process of a service. */
 export type EndpointRecord = z.infer<typeof endpointRecord>
 
+/** Returns whether a record names what is needed to use the endpoint; one that ended before it was known may lack it. */
+function isComplete ({ state, service, address }: { state: RecordState, service: string, address: string }): boolean {
+  return state === 'gone' || (service !== '' && address !== '')
+}
+
+/** The longest key of a quarantined request, characters: a key may hold a part that a client named in a header. */
+const MAX_KEY_LENGTH = 64 * 1024
+/** More quarantined requests in a record, or crashes of one, than all instances of a fleet together announce. */
+const MAX_QUARANTINED = 10_000
+
 /** A request or a part of prompts that crashes endpoints, by its key, and the starts of endpoints that it crashed, as announced by an entry instance. */
-export const quarantinedRequest = z.object({ fingerprint: z.string(), crashed: z.array(z.string()) })
+export const quarantinedRequest = z.object({ fingerprint: z.string().max(MAX_KEY_LENGTH), crashed: z.array(z.string().max(MAX_KEY_LENGTH)).max(MAX_QUARANTINED) })
 /** A request or a part of prompts that crashes endpoints, by its key, and the starts of endpoints that it crashed, as announced by an entry instance. */
 export type QuarantinedRequest = z.infer<typeof quarantinedRequest>
 
@@ -49,17 +60,17 @@
 export const entryRecord = z.object({
   kind: z.literal('entry'),
   ...common,
-  region: z.string(),
+  region: optionalName,
   /** IP address and port for callers. */
-  front: z.string(),
+  front: contracts.input.address,
   /** IP address and port for the other instances. */
-  inner: z.string(),
+  inner: contracts.input.address,
   /** Whether it has lost its own paths to most endpoints of a service and reaches them through other instances; absent if not. */
   isImpaired: z.boolean().optional(),
   /** Requests and parts of prompts that no instance may send, so that they are known after a restart of all entry instances; absent until there are some. */
-  quarantined: z.array(quarantinedRequest).optional(),
+  quarantined: z.array(quarantinedRequest).max(MAX_QUARANTINED).optional(),
   /** What earlier starts had announced as `quarantined`, until this start announces its own. */
-  inherited: z.array(quarantinedRequest).optional()
+  inherited: z.array(quarantinedRequest).max(MAX_QUARANTINED).optional()
 })
 /** An entry instance: accepts requests of callers. */
 export type EntryRecord = z.infer<typeof entryRecord>
@@ -70,6 +81,6 @@
 export type Record = z.infer<typeof record>
 
 /** A heartbeat of an announced process: `id`, `startedAt` and `seq` of its latest announcement. */
-export const heartbeat = z.tuple([z.string(), z.number(), z.number()])
+export const heartbeat = z.tuple([contracts.input.name, contracts.input.count, contracts.input.count])
 /** A heartbeat of an announced process: `id`, `startedAt` and `seq` of its latest announcement. */
 export type Heartbeat = z.infer<typeof heartbeat>
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -9,10 +9,12 @@
 import * as documentFetchers from './documentFetcher.js'
 import type * as evacuations from './evacuations.js'
 import * as handoutPollers from './handoutPoller.js'
+import * as intakes from './intake.js'
 import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
-import * as records from './records.js'
+import type * as records from './records.js'
+import * as refusals from './refusals.js'
 import * as sendBudgets from './sendBudget.js'
 import type * as subscriberOptions from './subscriberOptions.js'
 import * as subscriptions from './subscription.js'
@@ -37,6 +39,7 @@
 /** Starts subscribing to control instances. */
 export function startSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
   const now = opts.now ?? (() => performance.now())
+  const intake = intakes.createIntake(refusals.createRefusals(opts.log, now))
   const open = new Set<subscriptions.Subscription>()
   const backoff = dialBackoffs.createDialBackoff(now)
   let controls: string[] = []
@@ -158,11 +161,11 @@
       sub.isEstablished = true
       opts.log.event('controlFound', { address, subscriptions: open.size })
       if (reply.records !== null) {
-        const list = messages.unpackRecords(reply.records)
+        const list = intake.packedRecords(reply.records, address)
         mergeRecords(list)
-        if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, reply.late)
+        if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, intake.ids(reply.late, address))
       }
-      if (controls.length === 0) controls = reply.controls
+      if (controls.length === 0) controls = intake.addresses(reply.controls, address)
       noteEvacuations(reply.evacuations, address)
       documents.accept(reply.document, address)
       noteVersion(sub, reply.version)
@@ -208,8 +211,8 @@
       onReply (reply, address) {
         if (documents.version() > 0) return
         opts.log.event('handoutTaken', { address, version: reply.version })
-        if (reply.records !== null) mergeRecords(messages.unpackRecords(reply.records))
-        if (controls.length === 0) controls = reply.controls
+        mergeRecords(intake.packedRecords(reply.records, address))
+        if (controls.length === 0) controls = intake.addresses(reply.controls, address)
         noteEvacuations(reply.evacuations, address)
         documents.accept(reply.document, address)
       },
@@ -239,18 +242,16 @@
       sub.lastSeenAt = now()
       switch (event.t) {
         case 'news':
-          mergeRecords(event.list)
-          sub.live?.addRecords(event.list)
-          break
         case 'packedNews': {
-          const list = messages.unpackRecords(event.records)
+          const list = event.t === 'news' ? intake.records(event.list, sub.address) : intake.packedRecords(event.records, sub.address)
           mergeRecords(list)
           sub.live?.addRecords(list)
           break
         }
         case 'version': noteVersion(sub, event.version); break
         case 'evacuations': noteEvacuations(event.evacuations, sub.address); break
-        case 'tick':
+        case 'tick': {
+          const signs = intake.heartbeats(event.signs, sub.address)
           sub.lastTickAt = now()
           sub.isCurrent = event.isCurrent
           if (event.isCurrent) {
@@ -259,14 +260,15 @@
             backoff.noteSuccess(sub.address)
           }
           // A control instance without a quorum may know former members only.
-          if (event.isCurrent || controls.length === 0) controls = event.controls
+          if (event.isCurrent || controls.length === 0) controls = intake.addresses(event.controls, sub.address)
           noteEvacuations(event.evacuations, sub.address)
-          for (const heartbeat of event.signs) opts.table.applyHeartbeat(heartbeat, now())
-          sub.live?.applyChanges({ late: event.late ?? [], revived: event.signs })
+          for (const heartbeat of signs) opts.table.applyHeartbeat(heartbeat, now())
+          sub.live?.applyChanges({ late: intake.ids(event.late ?? [], sub.address), revived: signs })
           sub.live?.refresh(opts.table, now())
           // Covers versions that were announced before this subscription, or while no link was open to fetch them.
           noteVersion(sub, event.version)
           break
+        }
         case 'signs': break
       }
     },
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -58,12 +58,12 @@
     onEvent (body) {
       const event = discovery.discoveryEvent.parse(body)
       publisher.onEvent(event)
-      if (event.t === 'news') broadcast(event.list)
+      if (event.t === 'news') broadcast(event.list as discovery.Record[])
       if (event.t === 'tick') for (const other of group) other.onEvent({ t: 'signs', signs: event.signs })
     },
     async onCall (body, link) {
       const call = discovery.discoveryCall.parse(body)
-      if (call.t === 'subscribe') broadcast([call.self])
+      if (call.t === 'subscribe') broadcast([call.self as discovery.Record])
       if (call.t === 'fetch' && isBlocking) await new Promise<void>(resolve => { blocked.push(resolve) })
       const reply = await publisher.onCall(call, link)
       return isBlocking ? { ...reply, document: null } : reply
