fix(discovery): an endpoint that counts below another writer's number is alive

What callers saw: an announcement of another writer with the id and start of a living endpoint and a high number, which a check of ranges cannot tell from its own, made all its later announcements stale: it counted as silent and got no requests (its departure was followed).

Cause: the highest number that was ever received decided what is a sign of life.

Fix: announcements of the same start and state below the known number are signs of life if they go on counting, 0.2 to 5 s apart. Delayed heartbeats that arrive together are not. What is known of the endpoint stays.

--- a/packages/discovery/__tests__/oddRecords.test.ts
+++ b/packages/discovery/__tests__/oddRecords.test.ts
@@ -22,10 +22,10 @@
 const BAD = [toRecord({ id: 'b\r\n' }), toRecord({ id: 'b2', address: '10.0.0.1:99999' }), toRecord({ id: 'b3', startedAt: Number.MAX_SAFE_INTEGER }), toRecord({ id: 'b4', seq: 1e308 }), 7, null] as discovery.Record[]
 const MIXED = [...BAD, toRecord()]
 
-function createPublisher (): { publisher: discovery.Publisher, table: discovery.RecordTable, refusals: discovery.Refusals, call: (body: unknown) => Promise<discovery.DiscoveryReply>, send: (body: unknown) => void } {
+function createPublisher (now?: () => number): { publisher: discovery.Publisher, table: discovery.RecordTable, refusals: discovery.Refusals, call: (body: unknown) => Promise<discovery.DiscoveryReply>, send: (body: unknown) => void } {
   const table = discovery.createRecordTable()
   const refusals = discovery.createRefusals(log)
-  const publisher = discovery.createPublisher({ self: '10.0.0.9:1', table, peerAddresses: () => [], getPeerLink: async () => { throw new Error('none') }, version: () => 0, packDocumentSince: () => null, isCurrent: () => true, log, refusals })
+  const publisher = discovery.createPublisher({ self: '10.0.0.9:1', table, peerAddresses: () => [], getPeerLink: async () => { throw new Error('none') }, version: () => 0, packDocumentSince: () => null, isCurrent: () => true, log, refusals, now })
   return {
     publisher,
     table,
@@ -76,6 +76,33 @@
   t.is(table.get('e1')?.lastSeenSeq, 3)
 })
 
+// Guards against a living endpoint that gets no requests because of an announcement that was not its own.
+test('an endpoint that goes on counting below a number of another writer is alive', async t => {
+  let at = 0
+  const created = [createPublisher(() => at), createPublisher(() => at)]
+  const [heard, told] = created
+  for (const { table } of created) table.merge(toRecord({ seq: 4 }), 0)
+  for (let second = 1; second <= 20; second++) {
+    at = second * 1000
+    if (second % 3 === 1) await heard.publisher.announce(toRecord({ seq: 9000 }))
+    await heard.publisher.announce(toRecord({ seq: 4 + second }))
+    told.send({ t: 'signs', signs: [['e1', 1, 9000], ['e1', 1, 4 + second]] })
+    for (const { publisher } of created) publisher.tick()
+    if (second > 2) for (const { publisher } of created) t.is(publisher.lateCount(), 0, `second ${second}`)
+  }
+  await heard.publisher.announce(toRecord({ seq: 25, state: 'leaving' }))
+  t.is(heard.table.get('e1')?.record.state, 'leaving')
+})
+
+// Heartbeats of an endpoint that crashed, delayed by a partition.
+test('delayed heartbeats that arrive together do not count as alive', t => {
+  const table = discovery.createRecordTable()
+  table.merge(toRecord({ seq: 20 }), 0)
+  for (let seq = 5; seq < 15; seq++) t.false(table.applyHeartbeat(['e1', 1, seq], 1000 + seq))
+  t.is(table.get('e1')?.lastSeenAt, 0)
+  t.false(table.applyHeartbeat(['e1', 1, 3], 2000))
+})
+
 interface TestSubscriber { table: discovery.RecordTable, dialed: string[], send: (body: unknown) => void, isSubscribed: () => boolean, stop: () => void }
 
 /** Starts a subscriber of a control instance that gives one reply. */
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -201,7 +201,11 @@
   return {
     async announce (record) {
       switch (merge(record, true)) {
-        case 'stale': return
+        case 'stale': {
+          const heartbeat: records.Heartbeat = [record.id, record.startedAt, record.seq]
+          if (record.state === table.get(record.id)?.record.state && applyHeartbeat(heartbeat)) ownHeartbeats.set(record.id, heartbeat)
+          return
+        }
         case 'refreshed':
           ownHeartbeats.set(record.id, [record.id, record.startedAt, record.seq])
           return
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -14,6 +14,8 @@
   lastSeenAt: number
   /** Number of the latest known announcement, which may be newer than `record`. */
   lastSeenSeq: number
+  /** Latest heartbeat below `lastSeenSeq`. */
+  low?: { seq: number, at: number }
   /** End of the announced warm-up of an endpoint on the local monotonic clock, 0 without one. */
   coldUntil: number
 }
@@ -22,7 +24,10 @@
 export interface RecordTable {
   /** The record may be supplemented: {@link RecordTable.get} returns the result. */
   merge (record: records.Record, now: number): MergeResult
-  /** Applies a heartbeat. @returns whether it was newer than the last one */
+  /**
+   * Applies a heartbeat.
+   * @returns whether its process is alive: it was newer than the last one, or the process goes on counting below a number that was not its own
+   */
   applyHeartbeat (heartbeat: records.Heartbeat, now: number): boolean
   /** Notes that the process of a record was heard at a time, without the number of its announcement. */
   noteSeen (id: string, at: number): void
@@ -40,6 +45,11 @@
 /** A warm-up that ends this much later than announced before is a new one, not a delayed announcement. */
 const COLD_AGAIN_MS = 500
 
+/** Heartbeats of a process that arrive closer together may have been delayed, and say nothing about it now. */
+const MIN_HEARTBEAT_INTERVAL_MS = 200
+/** Heartbeats of a process that goes on counting are at most this far apart. */
+const MAX_HEARTBEAT_INTERVAL_MS = 5000
+
 /** Returns whether a merge changed the content of the known record. */
 export function isContentChanged (result: MergeResult): boolean {
   return result === 'changed' || result === 'supplemented'
@@ -85,11 +95,24 @@
     return isUnchanged ? 'refreshed' : 'changed'
   }
 
+  /** The known number may be another writer's; a delayed heartbeat is followed by none that is a heartbeat's interval later and higher. */
+  const noteLow = (known: KnownRecord, seq: number, now: number): boolean => {
+    const { low } = known
+    if (seq === known.lastSeenSeq) return false
+    const isOverdue = low === undefined || now - low.at > MAX_HEARTBEAT_INTERVAL_MS
+    if (!isOverdue && seq <= low.seq) return false
+    known.low = { seq, at: now }
+    if (isOverdue || now - low.at < MIN_HEARTBEAT_INTERVAL_MS) return false
+    known.lastSeenAt = now
+    return true
+  }
+
   return {
     merge,
     applyHeartbeat ([id, startedAt, seq], now) {
       const known = knownById.get(id)
-      if (known === undefined || known.record.startedAt !== startedAt || seq <= known.lastSeenSeq) return false
+      if (known === undefined || known.record.startedAt !== startedAt) return false
+      if (seq <= known.lastSeenSeq) return noteLow(known, seq, now)
       // `record.seq` stays: a heartbeat carries no content, so an announcement with a lower number may still hold a change
       // that was not received yet, such as "leaving".
       known.lastSeenSeq = seq
