--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -90,6 +90,7 @@
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
   callRefused: spec(1611, 'warn', 'call of an interface of this instance was refused before it was handled', 'Check who sends such calls; bodies are limited by the kind of call.'),
   callFailed: spec(1612, 'warn', 'call of an interface of this instance failed', 'Expected when callers leave early. Otherwise report the error.'),
+  accountsUnusable: spec(1613, 'warn', 'names of client accounts in the configuration document cannot be sent as a header; their requests are rejected', 'Rename the accounts; new documents with such names are refused.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/admission/routeTable.ts
+++ b/packages/forwarding/src/admission/routeTable.ts
@@ -1,5 +1,6 @@
 /** Configuration document of the forwarding fleet: routes, services, client accounts and limits. */
 import * as z from 'zod'
+import * as headerTexts from '../attempts/headerText.js'
 import * as priorities from './priority.js'
 
 /**
@@ -142,6 +143,11 @@
   for (const account of table.accounts ?? []) {
     for (const key of account.keys) accountByKey.set(key, account)
   }
+  // Clients send a key outside ASCII as UTF-8, which the HTTP library reads as one character a byte.
+  for (const [key, account] of [...accountByKey]) {
+    const sent = headerTexts.toHeaderText(key)
+    if (!accountByKey.has(sent)) accountByKey.set(sent, account)
+  }
   return {
     version: table.version,
     limits: table.limits,
--- a/packages/forwarding/src/attempts/forwardHeaders.ts
+++ b/packages/forwarding/src/attempts/forwardHeaders.ts
@@ -1,5 +1,6 @@
 /** Header forwarding in both directions, and the headers that the fleet sets. */
 import * as headerNames from './headerNames.js'
+import * as headerTexts from './headerText.js'
 
 /** Hop-by-hop headers. */
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'])
@@ -49,7 +50,7 @@
   }
   headers.push(names.deadlineMs, String(Math.max(1, Math.floor(additions.remainingMs))))
   headers.push(names.expectEndpoint, additions.endpointId)
-  if (additions.account !== undefined) headers.push(names.account, additions.account)
+  if (additions.account !== undefined) headers.push(names.account, headerTexts.toHeaderText(additions.account))
   if (additions.lastEventId !== undefined) headers.push(names.lastEventId, additions.lastEventId)
   if (additions.fetchFrom !== undefined) headers.push(names.fetchFrom, additions.fetchFrom)
   if (additions.hasBody) headers.push('Content-Length', String(additions.bodyBytes))
