fix(discovery): a damaged document costs none of what came with it, and unpacks within a bound

Callers would see (not reported; found by reading): an instance whose subscription ends again and again, with all records that came in the same reply, because the document in it is damaged; a few damaged bytes that unpack to more than memory holds; eight retained versions of a large document that take a sixth of the memory.

Cause: unpackText throws through the subscription, inflate and deltas have no bound, the history is bounded by versions only.

A damaged document has a line in the log (K1614) and is fetched from another instance. Texts unpack to 32 MB at most; retained versions take 8 MB at most, the latest one apart.

--- a/packages/contracts/__tests__/versionedText.test.ts
+++ b/packages/contracts/__tests__/versionedText.test.ts
@@ -1,4 +1,5 @@
 /** Encoding of versioned texts in full and as deltas. */
+import * as zlib from 'node:zlib'
 import * as ava from 'ava'
 import * as fc from 'fast-check'
 import * as contracts from '../src/index.js'
@@ -58,3 +59,12 @@
   const packed = contracts.packFull(contracts.toVersionedText(1, toText([1, 2])))
   t.throws(() => contracts.unpackText({ ...packed, digest: contracts.sha256('other') }, null), { message: /digest/ })
 })
+
+// Guards against a few damaged bytes that unpack to more than memory holds.
+test('a packed text that unpacks to hundreds of megabytes is an error', t => {
+  const from = contracts.toVersionedText(1, toText(entries))
+  const whole = { version: 2, digest: 'x', base: '', body: zlib.deflateRawSync(Buffer.alloc(300 * 1024 * 1024), { level: 1 }) }
+  t.throws(() => contracts.unpackText(whole, from))
+  const steps = JSON.stringify(new Array(100_000).fill([0, 2000]))
+  t.throws(() => contracts.unpackText({ version: 2, digest: 'x', base: from.digest, body: zlib.deflateRawSync(steps) }, from), { message: /longer than/ })
+})
--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -91,6 +91,7 @@
   callRefused: spec(1611, 'warn', 'call of an interface of this instance was refused before it was handled', 'Check who sends such calls; bodies are limited by the kind of call.'),
   callFailed: spec(1612, 'warn', 'call of an interface of this instance failed', 'Expected when callers leave early. Otherwise report the error.'),
   accountsUnusable: spec(1613, 'warn', 'names of client accounts in the configuration document cannot be sent as a header; their requests are rejected', 'Rename the accounts; new documents with such names are refused.'),
+  documentDamaged: spec(1614, 'warn', 'configuration document that an instance sent is damaged; it is fetched from another one', 'Check that instance and its disk.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/contracts/src/versionedText.ts
+++ b/packages/contracts/src/versionedText.ts
@@ -25,6 +25,8 @@
 
 /** Texts resemble themselves so much that a higher level saves a hundredth of the bytes for twice the time. */
 const DEFLATE_LEVEL = 3
+/** Far above any document that is accepted; damaged bytes must not unpack to more than memory holds. */
+const MAX_TEXT_BYTES = 32 * 1024 * 1024
 /** Ends an entry of a JSON list of objects. Texts are split after it; a text without it is a single piece. */
 const ENTRY_END = '},'
 
@@ -59,7 +61,7 @@
  */
 export function unpackText (packed: PackedText, current: VersionedText | null): VersionedText | undefined {
   if (packed.base !== '' && packed.base !== current?.digest) return undefined
-  const bytes = zlib.inflateRawSync(packed.body)
+  const bytes = zlib.inflateRawSync(packed.body, { maxOutputLength: MAX_TEXT_BYTES })
   const text = packed.base === '' || current === null ? bytes : patch(splitText(current.text), deltaSteps.parse(JSON.parse(bytes.toString('latin1'))))
   // A delta applied to the wrong base may still yield a parseable text.
   if (digest.sha256(text) !== packed.digest) throw new Error(`text of version ${packed.version} does not match its digest ${packed.digest}`)
@@ -107,7 +109,15 @@
 }
 
 function patch (from: readonly string[], steps: DeltaSteps): Buffer {
-  const pieces = steps.flatMap(step => typeof step === 'string' ? splitString(step) : from.slice(step[0], step[0] + step[1]))
+  const pieces: string[] = []
+  let bytes = 0
+  for (const step of steps) {
+    for (const piece of typeof step === 'string' ? splitString(step) : from.slice(step[0], step[0] + step[1])) {
+      bytes += piece.length
+      if (bytes > MAX_TEXT_BYTES) throw new Error(`text is longer than ${MAX_TEXT_BYTES} bytes`)
+      pieces.push(piece)
+    }
+  }
   const text = Buffer.from(pieces.join(''), 'latin1')
   // A base's last piece that was copied before others is not a piece of the new text: such pieces must not be cached.
   if (pieces.slice(0, -1).every(piece => piece.endsWith(ENTRY_END))) latest = { text, pieces }
--- a/packages/discovery/src/documentFetcher.ts
+++ b/packages/discovery/src/documentFetcher.ts
@@ -109,9 +109,19 @@
     if (reportedVersion > version()) opts.log.event('documentReported', { version: reportedVersion, from, held: version() })
   }
 
+  /** Returns undefined for a damaged document: what came with it holds, and the document is fetched from another instance. */
+  const unpack = (packed: contracts.PackedText, from: string): contracts.VersionedText | undefined => {
+    try {
+      return contracts.unpackText(packed, latest)
+    } catch (err) {
+      opts.log.event('documentDamaged', { version: packed.version, from, bytes: packed.body.length, detail: err instanceof Error ? err.message : String(err) })
+      return undefined
+    }
+  }
+
   const accept = (packed: contracts.PackedText | null, from: string): void => {
     if (packed === null || packed.version <= version()) return
-    const document = contracts.unpackText(packed, latest)
+    const document = unpack(packed, from)
     // A delta from a version that was replaced while the reply was in flight; the next fetch sends the current version.
     if (document === undefined) return
     latest = document
--- a/packages/discovery/src/documentHistory.ts
+++ b/packages/discovery/src/documentHistory.ts
@@ -16,8 +16,10 @@
   packSince (version: number): contracts.PackedText | null
 }
 
-/** Readers of older versions receive the full document. The retained versions of the largest document planned for take 8 MB. */
+/** Readers of older versions receive the full document. */
 const MAX_VERSIONS = 8
+/** Bound of the retained versions; the latest one is always retained. */
+const MAX_RETAINED_BYTES = 8 * 1024 * 1024
 
 /** Creates an empty history. */
 export function createDocumentHistory (): DocumentHistory {
@@ -31,7 +33,8 @@
       const base = packed === undefined || packed.base === '' ? undefined : versions.find(item => item.digest === packed.base)
       if (base !== undefined && packed !== undefined) packedByBase.set(base.version, packed)
       versions.push(document)
-      if (versions.length > MAX_VERSIONS) versions.shift()
+      let bytes = versions.reduce((sum, item) => sum + item.text.length, 0)
+      while (versions.length > 1 && (versions.length > MAX_VERSIONS || bytes > MAX_RETAINED_BYTES)) bytes -= versions.shift()?.text.length ?? 0
     },
     packSince (version) {
       const latest = versions.at(-1)
