fix(forwarding): all parts of an entry instance exist before anything can reach it

Callers saw "Cannot access 'subscriber' before initialization" at a start. Cause: the links and the server for clients listened before the subscriber existed, and handlers and requests use it.

The server and the subscriber are created first; then the links listen, then the server, and the subscriber starts last, so that clients are not sent to an instance that does not listen yet. A start that fails closes its links.

--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -113,7 +113,7 @@
     onEvent (body, link) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) },
     async onCall () { throw new Error('unexpected call to an entry instance') }
   }
-  const subscriber = discovery.startSubscriber({
+  const subscriber = discovery.createSubscriber({
     id,
     seeds: () => seeds,
     table: discovery.createRecordTable(),
@@ -125,6 +125,7 @@
     now,
     fetchHandout
   })
+  subscriber.start()
   return { documents, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
 }
 
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -34,8 +34,8 @@
 const SECONDARY_FETCH_DELAY_MS = 100
 const CHECK_TIMEOUT_MS = 500
 
-/** Starts subscribing to control instances. */
-export function startSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
+/** Creates a subscriber without subscriptions, which answers calls until it is started. */
+export function createSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
   const now = opts.now ?? (() => performance.now())
   const open = new Set<subscriptions.Subscription>()
   const backoff = dialBackoffs.createDialBackoff(now)
@@ -231,8 +231,8 @@
     }
   }
 
-  void run()
   return {
+    start () { void run() },
     onEvent (event, link) {
       const sub = find(link)
       if (sub === undefined) return
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -8,7 +8,7 @@
 import type * as records from './records.js'
 import type * as sendBudgets from './sendBudget.js'
 
-/** Options of `startSubscriber`. */
+/** Options of `createSubscriber`. */
 export interface SubscriberOptions {
   /** Id of this instance. */
   id: string
@@ -43,6 +43,8 @@
 
 /** Maintains subscriptions. */
 export interface Subscriber {
+  /** Starts subscribing to control instances. */
+  start (): void
   /** Handles an event of a control instance. */
   onEvent (event: messages.DiscoveryEvent, link: links.Link): void
   /** Answers a call of another entry instance. */
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -182,7 +182,8 @@
     isAccepted: () => isAccepting,
     now
   }
-  const server = await entryServers.startEntryServer({ front: '127.0.0.1:0', ctx })
+  const server = entryServers.createEntryServer(ctx)
+  const address = await server.listen('127.0.0.1:0')
   server.applyLimits(limits)
   let seq = 0
   const announce: TestEntry['announce'] = (endpoint, change = {}) => {
@@ -193,7 +194,7 @@
   for (const endpoint of endpoints) announce(endpoint)
   let attempts = 0
   return {
-    address: server.address,
+    address,
     pool,
     quarantine,
     outliers,
@@ -201,7 +202,7 @@
     lines,
     announce,
     async send (req = {}) {
-      const [host, port] = server.address.split(':')
+      const [host, port] = address.split(':')
       return await new Promise((resolve, reject) => {
         const outgoing = http.request({ host, port, agent: false, method: req.method ?? 'GET', path: req.path ?? '/a/x', headers: { host: 'test.example', 'x-attempt': `t${++attempts}`, 'x-deadline-ms': '2000', ...req.headers } }, res => {
           let body = ''
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -11,7 +11,7 @@
 import * as helper from './testEntry.js'
 
 const log = telemetry.createLog({ instance: 'test', level: 'silent' })
-const SECRET = 'test-secret-of-16'
+export const SECRET = 'test-secret-of-16'
 const WAIT_MS = 10_000
 const TICK_MS = 250
 /** Loopback host of this process. Connections of other processes come from another one, and cannot take its ports. */
@@ -159,6 +159,7 @@
   }
 }
 
-function freeAddress (): string {
+/** Returns an address that nothing else uses. */
+export function freeAddress (): string {
   return `${HOST}:${nextPort++}`
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -231,9 +231,8 @@
   }
 
   const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, now })
-  const innerServer = await links.listen(opts.inner, linkSettings, link => { peerLinks.add(link) })
-  const server = await entryServers.startEntryServer({ front: opts.front, ctx })
-  const subscriber = discovery.startSubscriber({
+  const server = entryServers.createEntryServer(ctx)
+  const subscriber = discovery.createSubscriber({
     id: opts.id,
     seeds: opts.seeds,
     table,
@@ -252,6 +251,10 @@
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     log
   })
+  // All parts exist before anything can arrive, and clients are served before other instances learn of this one.
+  const innerServer = await links.listen(opts.inner, linkSettings, link => { peerLinks.add(link) })
+  await server.listen(opts.front).catch(async err => { await innerServer.close(); throw err })
+  subscriber.start()
   gossip.start()
   changes.start()
   const pruner = setInterval(() => {
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -17,8 +17,13 @@
 export interface EntryServer {
   /** Applies the limits of the document in force. */
   applyLimits (limits: routeTables.ClientLimits): void
-  /** IP address and port that the server listens on. */
-  readonly address: string
+  /**
+   * Starts accepting connections.
+   * @param front IP address and port for clients
+   * @returns the address, with the port that was selected for port 0
+   * @throws Error when the address is not available; see {@link links.startListening}
+   */
+  listen (front: string): Promise<string>
   /** Number of requests without a complete response. */
   openRequests (): number
   /** Number of client connections. */
@@ -29,13 +34,6 @@
   destroy (): void
 }
 
-/** Options of {@link startEntryServer}. */
-export interface EntryServerOptions {
-  /** IP address and port for clients. */
-  front: string
-  ctx: entryContexts.EntryContext
-}
-
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
 
@@ -48,9 +46,8 @@
 /** Added to the idle timeout, because the client measures it from the receipt of the last byte. */
 const IDLE_MARGIN_MS = 1500
 
-/** Starts the server. */
-export async function startEntryServer (opts: EntryServerOptions): Promise<EntryServer> {
-  const { ctx } = opts
+/** Creates the server, which does not listen yet. */
+export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
   const sockets = new Set<net.Socket>()
   let open = 0
 
@@ -210,10 +207,12 @@
   })
   server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { onClientError(err, socket, ctx) })
   server.on('dropRequest', (req, socket) => { socket.destroy() })
-  await links.startListening(server, opts.front, { backlog: 1024, log: ctx.log })
 
   return {
-    address: `${links.parseAddress(opts.front).host}:${(server.address() as net.AddressInfo).port}`,
+    async listen (front) {
+      await links.startListening(server, front, { backlog: 1024, log: ctx.log })
+      return `${links.parseAddress(front).host}:${(server.address() as net.AddressInfo).port}`
+    },
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
