feat(platform): the next process says how the one before ended, and memory that gets short is logged

Logs did not tell a start that failed, a kill, an end for lack of memory and a stop by the platform apart: a process that is killed or out of memory writes nothing.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -90,6 +90,8 @@
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
+  previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
+  memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
