--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -88,10 +88,15 @@
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it, or a part of its prompt, was in flight at enough crashes for a quarantine'),
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
+  callRefused: spec(1611, 'warn', 'call of an interface of this instance was refused before it was handled', 'Check who sends such calls; bodies are limited by the kind of call.'),
+  callFailed: spec(1612, 'warn', 'call of an interface of this instance failed', 'Expected when callers leave early. Otherwise report the error.'),
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
   memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
+  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "malformed" check the client, for "stopping" the grace period; for "error" report it together with the event "uncaught" before it.'),
+  requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
+  endpointUnusable: spec(1633, 'warn', 'record of an endpoint has an id or an address that cannot be used; it is ignored', 'Find out who writes such records: "id" and "address" as announced.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
