fix(forwarding): endpoints whose id or address cannot be used are not chosen

Each request that chose an endpoint with such an id or address first spent an attempt on it. The pool now ignores their records, by the checks of `contracts.input`, whoever let them through (an older control instance during an upgrade); each is logged once (`endpointUnusable`, K1633), 200 at most.

--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -11,6 +11,7 @@
 import * as endpointDialers from '../paths/endpointDialer.js'
 import type * as endpointProbes from './endpointProbe.js'
 import * as queueDelays from '../placement/queueDelay.js'
+import * as usableRecords from './usableRecord.js'
 
 /** State of an endpoint at this instance. */
 export interface Endpoint {
@@ -144,6 +145,8 @@
   const now = opts.now ?? (() => performance.now())
   const dial = opts.dial ?? (async endpoint => await endpointDialers.dial(endpointDialers.connectDirectly, endpoint.record.address))
 
+  const isUsable = usableRecords.createRecordCheck(opts.log)
+
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
   const applyRecord = (record: discovery.EndpointRecord): void => {
@@ -229,7 +232,7 @@
   return {
     update (list) {
       for (const record of list) {
-        if (record.kind === 'endpoint') applyRecord(record)
+        if (record.kind === 'endpoint' && isUsable(record)) applyRecord(record)
       }
     },
     get: id => endpointById.get(id),
