fix(forwarding): a response that its client has not read yet is not cut off at a stop

A client that reads slowly, or over a slow link, lost the rest of a response when its entry instance stopped (LOST around a SIGTERM): a request counted as done once its response was written to the HTTP library, and `closeIdleConnections` of the library, which `server.close` calls too, closes connections whose response was ended, but not sent yet. So the instance neither waited for such responses nor spared them.

A response is now open until its connection has taken all of it; only connections that had a request before, and of which nothing was read since its response, are closed as idle.

unreadResponses.test.ts: a response of 7 MB whose client reads after the stop began; on the code before `openRequests()` was 0 (expected 1), 1 of 2 failed; now 2 of 2 pass. Not shown: that users' LOST cases came from this.

--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -7,6 +7,7 @@
 import * as admittedRequests from './admittedRequest.js'
 import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as clientConnections from './clientConnections.js'
 import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
@@ -20,7 +21,7 @@
   applyLimits (limits: routeTables.ClientLimits): void
   /** IP address and port that the server listens on. */
   readonly address: string
-  /** Number of requests without a complete response. */
+  /** Number of requests whose response was not sent completely. */
   openRequests (): number
   /** Number of client connections. */
   connections (): number
@@ -55,9 +56,7 @@
 /** Starts the server. */
 export async function startEntryServer (opts: EntryServerOptions): Promise<EntryServer> {
   const { ctx } = opts
-  const sockets = new Set<net.Socket>()
-  const responses = new Set<http.ServerResponse>()
-  let open = 0
+  const connections = clientConnections.createClientConnections()
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -66,11 +65,9 @@
     keepAlive: true,
     noDelay: true
   }, (req, res) => {
-    open++
-    responses.add(res)
+    const onHandled = connections.addResponse(res)
     const exchange: Exchange = { attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId), route: undefined }
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
-    res.once('close', () => responses.delete(res))
     serve(req, res, exchange).catch(err => {
       const outcome = unexpectedErrors.refuseWithError({ req, res, attemptId: exchange.attemptId }, ctx, err)
       ctx.metrics.requests.inc({ route: 'none', outcome: outcome.slice(0, 3) })
@@ -78,7 +75,7 @@
     }).catch(() => {
       brokenResponses.noteCause(res, 'error')
       res.destroy()
-    }).finally(() => { open-- })
+    }).finally(onHandled)
   })
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -97,7 +94,6 @@
     res.on('error', () => {})
     if (res.socket === null && !await requestReaders.waitForTurn(req, res)) {
       ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
-      responses.delete(res)
       recordBroken(exchange, 'client')
       return
     }
@@ -181,10 +177,9 @@
   }
 
   server.keepAliveTimeout = 0
-  server.on('connection', (socket: net.Socket) => {
-    sockets.add(socket)
-    socket.on('close', () => sockets.delete(socket))
-  })
+  // The library's own method closes connections whose response was written, but not sent yet.
+  server.closeIdleConnections = connections.closeIdle
+  server.on('connection', connections.add)
   server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, ctx) })
   const { host, port } = links.parseAddress(opts.front)
   await new Promise<void>((resolve, reject) => {
@@ -198,15 +193,15 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
-    openRequests: () => open,
-    connections: () => sockets.size,
+    openRequests: connections.openCount,
+    connections: connections.count,
     stopListening () {
       server.close()
       server.closeIdleConnections()
     },
     destroy () {
-      for (const res of responses) brokenResponses.noteCause(res, 'stopping')
-      for (const socket of sockets) socket.destroy()
+      for (const res of connections.responses()) brokenResponses.noteCause(res, 'stopping')
+      connections.destroyAll()
     }
   }
 }
