fix(forwarding): a stream that breaks off before its first event is answered

The connection of the client was reset instead of an answer (LOST): the relay of a stream broke a response off by its connection also when nothing of it had been sent, as after a stream without length and events whose endpoint is gone, or at a deadline between the head of the stream and its first event. It now gives the answer of a request that may have run: 502, or 504 at the deadline.

streams.test.ts: the new test got no byte on the code before, and now a complete 502.

--- a/packages/forwarding/__tests__/streams.test.ts
+++ b/packages/forwarding/__tests__/streams.test.ts
@@ -216,3 +216,20 @@
   t.true(response.isComplete)
   t.is(response.body.split('\n\n').length - 1, BURST_EVENTS + 3)
 })
+
+// Guards against a connection that is reset instead of an answer when a stream ends before its first event.
+test('a stream that breaks off before its first event is answered with 502', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => {
+    res.useChunkedEncodingByDefault = false
+    res.writeHead(200, { 'x-attempt': req.headers['x-attempt'] as string, 'x-seal': 's', 'content-type': 'text/event-stream', connection: 'close' })
+    res.flushHeaders()
+    endpoint.stopListening()
+    setTimeout(() => { res.end() }, 50)
+  })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'stream' })], [endpoint])
+  const res = await entry.send()
+  t.is(res.status, 502)
+  t.true(res.isComplete)
+  entry.close()
+  endpoint.close()
+})
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -10,6 +10,7 @@
 import * as abortResponses from './abortResponse.js'
 import * as attemptRecorders from '../attempts/attemptRecorder.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as clientResponses from '../attempts/clientResponse.js'
 import type * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as brokenResponses from '../instance/brokenResponses.js'
 import * as eventBatchers from './eventBatcher.js'
@@ -169,6 +170,7 @@
   }
 
   const breakOff = (why: string, cause: brokenResponses.BrokenCause): string => {
+    if (!isStarted) return clientResponses.sendFailure(call, undefined, why)
     brokenResponses.noteCause(res, cause)
     batcher.flush()
     abortResponses.abortResponse(res)
