fix(forwarding): bytes that are no request do not cost the requests before them their answers

A client that sent malformed bytes, half a request, or CONNECT after a request got that request's connection closed without an answer, although it had been passed on to an endpoint (LOST, at any time). A body with malformed chunks, and CONNECT, ended without an answer too.

The requests before are now answered, the last of them with `Connection: close`; a body that is malformed gets 400 and CONNECT 501 if they are not passed on. A client that closes its side is still found to have left.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -88,7 +88,7 @@
   responseOversized: spec(1515, 'warn', 'endpoint sent more data than a response may have; its connection was closed', 'Check the endpoint: it sends data without end.'),
   suspectSent: spec(1516, 'info', 'request was sent, or another instance was permitted to send it, although it, or a part of its prompt, was in flight at enough crashes for a quarantine'),
   trialUnanswered: spec(1517, 'info', 'instance that permits trials of a suspected request did not reply; the request is not sent', 'If it repeats for the same instance, check the links to it.'),
-  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "malformed" check the client, for "stopping" the grace period; for "error" report it together with the event "uncaught" before it.'),
+  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "stopping" check the grace period; for "error" report it together with the event "uncaught" before it.'),
   requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
   endpointUnusable: spec(1633, 'warn', 'record of an endpoint has an id or an address that cannot be used; it is ignored', 'Find out who writes such records: "id" and "address" as announced.'),
   requestFailed: spec(1504, 'info', 'request failed')
--- a/packages/forwarding/src/instance/brokenResponses.ts
+++ b/packages/forwarding/src/instance/brokenResponses.ts
@@ -9,8 +9,6 @@
   | 'client'
   /** The deadline passed after the response had begun. */
   | 'deadline'
-  /** The client sent bytes that are no request. */
-  | 'malformed'
   /** This instance stopped. */
   | 'stopping'
   /** The handling of the request threw an error after the response had begun. */
@@ -36,7 +34,6 @@
 /** Returns whether a cause is told by no other log line of the request. */
 export function needsLine (cause: BrokenCause): boolean {
   switch (cause) {
-    case 'malformed':
     case 'stopping':
     case 'error': return true
     case 'endpoint':
--- a/packages/forwarding/src/instance/clientConnections.ts
+++ b/packages/forwarding/src/instance/clientConnections.ts
@@ -8,6 +8,8 @@
   /** Adds a response. @returns a function to be called when its request was handled */
   addResponse (res: http.ServerResponse): () => void
   responses (): Iterable<http.ServerResponse>
+  /** Returns the open responses of a connection, in order. */
+  responsesOn (socket: net.Socket): http.ServerResponse[]
   /** Number of connections. */
   count (): number
   /** Number of responses that are open. */
@@ -44,6 +46,7 @@
       }
     },
     responses: () => responses,
+    responsesOn: socket => [...responses].filter(res => res.req.socket === socket),
     count: () => sockets.size,
     openCount: () => responses.size,
     closeIdle () {
--- a/packages/forwarding/src/instance/entryMetrics.ts
+++ b/packages/forwarding/src/instance/entryMetrics.ts
@@ -53,7 +53,7 @@
     duration: new prom.Histogram({ name: 'kingcupdeck_forward_seconds', help: 'From the request to its end, per client account and route', labelNames: ['account', 'route'], buckets: DURATION_BUCKETS_S, registers }),
     requests: new prom.Counter({ name: 'kingcupdeck_forward_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers }),
     attempts: new prom.Counter({ name: 'kingcupdeck_forward_attempts_total', help: 'Sends to endpoints by service and outcome', labelNames: ['service', 'outcome'], registers }),
-    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Requests whose connection was closed before their response was complete, by route and cause: endpoint, client, deadline, malformed, stopping or error', labelNames: ['route', 'cause'], registers }),
+    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Requests whose connection was closed before their response was complete, by route and cause: endpoint, client, deadline, stopping or error', labelNames: ['route', 'cause'], registers }),
     silences: new prom.Counter({ name: 'kingcupdeck_forward_silences_total', help: 'Streams whose endpoint was silent, by outcome: continued by it, or moved to another one', labelNames: ['outcome'], registers }),
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -118,6 +118,8 @@
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
       case 'broken':
+        // A malformed body was answered.
+        if (res.writableEnded) return
         ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the connection closed before the body of the request was read', path: req.url?.slice(0, 80), document: table.version })
         res.destroy()
         return
@@ -180,7 +182,8 @@
   // The library's own method closes connections whose response was written, but not sent yet.
   server.closeIdleConnections = connections.closeIdle
   server.on('connection', connections.add)
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, ctx) })
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, connections, ctx) })
+  server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
   const { host, port } = links.parseAddress(opts.front)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
