--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -7,6 +7,7 @@
 import * as admittedRequests from './admittedRequest.js'
 import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as clientConnections from './clientConnections.js'
 import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
@@ -25,7 +26,7 @@
    * @throws Error when the address is not available; see {@link links.startListening}
    */
   listen (front: string): Promise<string>
-  /** Number of requests without a complete response. */
+  /** Number of requests whose response was not sent completely. */
   openRequests (): number
   /** Number of client connections. */
   connections (): number
@@ -52,9 +53,7 @@
 
 /** Creates the server, which does not listen yet. */
 export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
-  const sockets = new Set<net.Socket>()
-  const responses = new Set<http.ServerResponse>()
-  let open = 0
+  const connections = clientConnections.createClientConnections()
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -63,11 +62,9 @@
     keepAlive: true,
     noDelay: true
   }, (req, res) => {
-    open++
-    responses.add(res)
+    const onHandled = connections.addResponse(res)
     const exchange: Exchange = { attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId), route: undefined }
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
-    res.once('close', () => responses.delete(res))
     serve(req, res, exchange).catch(err => {
       const outcome = unexpectedErrors.refuseWithError({ req, res, attemptId: exchange.attemptId }, ctx, err)
       ctx.metrics.requests.inc({ route: 'none', outcome: outcome.slice(0, 3) })
@@ -75,7 +72,7 @@
     }).catch(() => {
       brokenResponses.noteCause(res, 'error')
       res.destroy()
-    }).finally(() => { open-- })
+    }).finally(onHandled)
   })
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -94,7 +91,6 @@
     res.on('error', () => {})
     if (res.socket === null && !await requestReaders.waitForTurn(req, res)) {
       ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
-      responses.delete(res)
       recordBroken(exchange, 'client')
       return
     }
@@ -119,6 +115,8 @@
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
       case 'broken':
+        // A malformed body was answered.
+        if (res.writableEnded) return
         ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the connection closed before the body of the request was read', path: req.url?.slice(0, 80), document: table.version })
         res.destroy()
         return
@@ -178,11 +176,11 @@
   }
 
   server.keepAliveTimeout = 0
-  server.on('connection', (socket: net.Socket) => {
-    sockets.add(socket)
-    socket.on('close', () => sockets.delete(socket))
-  })
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, ctx) })
+  // The library's own method closes connections whose response was written, but not sent yet.
+  server.closeIdleConnections = connections.closeIdle
+  server.on('connection', connections.add)
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, connections, ctx) })
+  server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
 
   return {
     async listen (front) {
@@ -193,15 +191,15 @@
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
-    openRequests: () => open,
-    connections: () => sockets.size,
+    openRequests: connections.openCount,
+    connections: connections.count,
     stopListening () {
       server.close()
       server.closeIdleConnections()
     },
     destroy () {
-      for (const res of responses) brokenResponses.noteCause(res, 'stopping')
-      for (const socket of sockets) socket.destroy()
+      for (const res of connections.responses()) brokenResponses.noteCause(res, 'stopping')
+      connections.destroyAll()
     }
   }
 }
