fix(discovery): a table of records has a bound

What callers saw: 400 announcements of unknown endpoints were taken in each 0.3 s by each control instance and copied to all instances, with no limit but memory.

Cause: unknown processes were always added.

Fix: a table holds 32,768 records and 4 MB of names, more than twice a fleet of 12,000 endpoints and 380 entry instances, and fits into one message. Known processes are followed as before.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -74,6 +74,7 @@
   handoutRefused: spec(1317, 'warn', 'fetching the document and records of a starting control instance failed', 'Expected while machines are down. Otherwise check that all instances use the same fleet secret.'),
   recordsRefused: spec(1601, 'warn', 'records, heartbeats or addresses that another instance sent or a file holds were dropped because they are invalid', 'Expected while instances of an earlier version run. Otherwise check the instance that is named as the sender.'),
   recordFileUnreadable: spec(1602, 'warn', 'file of records is not readable and was ignored', 'None: records come from the other control instances and new announcements.'),
+  recordsFull: spec(1603, 'warn', 'record of an unknown process was refused because the table of records is full', 'Find the writer of the announcements: the table holds several times the largest fleet.'),
   announcementRefused: spec(1408, 'warn', 'announcement rejected', 'Check the endpoint token and the service name at the endpoint.'),
   requestQuarantined: spec(1501, 'warn', 'request, or a part of prompts, was in flight during repeated endpoint crashes and is quarantined', 'Run "kingcupdeck explain" with the request id and inspect the request.'),
   streamSilent: spec(1502, 'warn', 'stream from an engine is unresponsive; resuming over a new connection', 'If it repeats for the same endpoint, check that endpoint.'),
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -39,7 +39,7 @@
   store: documentStores.DocumentStore
   table: discovery.RecordTable
   /** Accepts an announcement. See {@link discovery.Publisher.announce}. */
-  announce: (record: discovery.Record) => Promise<void>
+  announce: (record: discovery.Record) => Promise<boolean>
   /** Returns the number of subscribed entry instances. */
   subscriberCount: () => number
   /** Returns the number of records without a recent heartbeat. */
@@ -152,7 +152,7 @@
   return {
     store,
     table,
-    announce: async record => { await publisher.announce(record) },
+    announce: publisher.announce,
     subscriberCount: publisher.subscriberCount,
     lateCount: publisher.lateCount,
     refusals,
--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -86,6 +86,39 @@
   t.is(table.merge({ ...record, seq: 4, coldMs: 2900 }, 2700), 'changed')
 })
 
+// Guards against memory that records of many unknown processes exhaust, and against the loss of those that are used.
+test('a full table removes records of ended processes, then of silent ones, and refuses unknown ones otherwise', t => {
+  const table = discovery.createRecordTable(4)
+  for (const [id, at] of [['ended', 50_000], ['silent', 0], ['longSilent', -1], ['living', 50_000]] as const) {
+    table.merge(toRecord({ id, state: id === 'ended' ? 'gone' : 'ready' }), at)
+  }
+  const merged = Array.from({ length: 6 }, (_, i) => table.merge(toRecord({ id: `new${i}` }), 51_000 + i * 2000))
+  t.deepEqual(merged, ['changed', 'changed', 'changed', 'full', 'full', 'full'])
+  t.deepEqual(table.all().map(item => item.id).sort(), ['living', 'new0', 'new1', 'new2'])
+  t.is(table.merge(toRecord({ id: 'living', seq: 2, state: 'leaving' }), 60_000), 'changed')
+})
+
+// Guards against tables that do not fit into a message any more.
+test('names as long as they may be do not fill a table beyond its bytes', t => {
+  const table = discovery.createRecordTable()
+  const service = 'ก'.repeat(256)
+  const merged = Array.from({ length: 12_000 }, (_, i) => table.merge(toRecord({ id: `${i}-`.padEnd(256, 'x'), service, zone: service }), 0))
+  t.is(merged.at(-1), 'full')
+  t.true(table.all().length > 2000)
+  t.true(discovery.packRecords(table.all()).length < 8 * 1024 * 1024)
+  t.is(table.merge(toRecord({ id: '0-'.padEnd(256, 'x'), seq: 2, state: 'leaving' }), 1), 'changed')
+})
+
+// Guards against processor time that a full table costs for each refused record.
+test('a full table looks for room at most once a second', t => {
+  const table = discovery.createRecordTable(2)
+  for (const id of ['e1', 'e2']) table.merge(toRecord({ id }), 0)
+  t.is(table.merge(toRecord({ id: 'e3' }), 100), 'full')
+  table.merge(toRecord({ id: 'e1', seq: 2, state: 'gone' }), 150)
+  t.is(table.merge(toRecord({ id: 'e3' }), 200), 'full')
+  t.is(table.merge(toRecord({ id: 'e3' }), 1100), 'changed')
+})
+
 function toEntry (change: Partial<discovery.EntryRecord> = {}): discovery.EntryRecord {
   return { kind: 'entry', id: 'r1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', region: 'r', front: '10.0.0.2:80', inner: '10.0.0.2:81', ...change }
 }
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -48,8 +48,9 @@
   /**
    * Accepts an announcement. Resolves once every reachable control instance has acknowledged a change, or after
    * {@link peerReplications.REPLICATION_TIMEOUT_MS}.
+   * @returns whether there is room for it in the table
    */
-  announce (record: records.Record): Promise<void>
+  announce (record: records.Record): Promise<boolean>
   /** Answers a call of another instance. */
   onCall (call: messages.DiscoveryCall, link: links.Link): Promise<messages.DiscoveryReply>
   /** Handles an event of another instance. */
@@ -88,7 +89,8 @@
   const { table } = opts
   const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
   const now = opts.now ?? (() => performance.now())
-  const intake = intakes.createIntake(opts.refusals ?? refusals.createRefusals(opts.log, now))
+  const refused = opts.refusals ?? refusals.createRefusals(opts.log, now)
+  const intake = intakes.createIntake(refused)
   const toEvacuations = opts.evacuations ?? (() => evacuations.NO_EVACUATIONS)
   /** Subscribers that expect every heartbeat. */
   const subscribers = new Set<links.Link>()
@@ -167,6 +169,7 @@
 
   const merge = (item: records.Record, isHeard: boolean): recordTables.MergeResult => {
     const result = table.merge(item, now())
+    if (result === 'full') refused.note('recordsFull', 'record.full', { id: item.id })
     if (isHeard && (result === 'changed' || result === 'refreshed')) liveness.noteHeard(item.id, now())
     if (recordTables.isContentChanged(result)) reportChange(item)
     return result
@@ -200,18 +203,21 @@
 
   return {
     async announce (record) {
-      switch (merge(record, true)) {
+      const result = merge(record, true)
+      switch (result) {
+        case 'full': return false
         case 'stale': {
           const heartbeat: records.Heartbeat = [record.id, record.startedAt, record.seq]
           if (record.state === table.get(record.id)?.record.state && applyHeartbeat(heartbeat)) ownHeartbeats.set(record.id, heartbeat)
-          return
+          return true
         }
         case 'refreshed':
           ownHeartbeats.set(record.id, [record.id, record.startedAt, record.seq])
-          return
+          return true
         case 'changed':
         case 'supplemented':
           await queueChanges([recordTables.toKnownRecord(table, record)], true)
+          return true
       }
     },
     async onCall (call, link) {
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -2,10 +2,10 @@
 import * as records from './records.js'
 
 /**
- * Result of a merge: the content changed, only the heartbeat advanced, the record was older than the known one but supplemented it, or
- * it was older.
+ * Result of a merge: the content changed, only the heartbeat advanced, the record was older than the known one but supplemented it,
+ * it was older, or it was of an unknown process and the table is full.
  */
-export type MergeResult = 'changed' | 'refreshed' | 'supplemented' | 'stale'
+export type MergeResult = 'changed' | 'refreshed' | 'supplemented' | 'stale' | 'full'
 
 /** A record with the last heartbeat of its process. */
 export interface KnownRecord<T extends records.Record = records.Record> {
@@ -45,6 +45,20 @@
 /** A warm-up that ends this much later than announced before is a new one, not a delayed announcement. */
 const COLD_AGAIN_MS = 500
 
+/**
+ * Records of a table: more than twice the endpoints and entry instances of the fleet to design for, since after an update of all of
+ * them those that are gone are retained.
+ */
+export const MAX_RECORDS = 32_768
+/** Bytes of the names of a table, several times those of the same fleet. All records must fit into one message. */
+const MAX_NAME_BYTES = 4 * 1024 * 1024
+/** A full table makes room for a part of its records at once, since it examines all of them. */
+const ROOM_RATIO = 1 / 64
+/** A process that was not heard for this long receives no requests, and may leave a full table. */
+const MIN_SILENCE_MS = 30_000
+/** Time between two attempts to make room in a full table. */
+const MAKE_ROOM_INTERVAL_MS = 1000
+
 /** Heartbeats of a process that arrive closer together may have been delayed, and say nothing about it now. */
 const MIN_HEARTBEAT_INTERVAL_MS = 200
 /** Heartbeats of a process that goes on counting are at most this far apart. */
@@ -60,9 +74,34 @@
   return table.get(record.id)?.record ?? record
 }
 
-/** Creates an empty table. */
-export function createRecordTable (): RecordTable {
+/**
+ * Creates an empty table.
+ * @param maxRecords number of records from which on unknown processes are refused
+ */
+export function createRecordTable (maxRecords = MAX_RECORDS): RecordTable {
   const knownById = new Map<string, KnownRecord>()
+  let nameBytes = 0
+  let madeRoomAt = -Infinity
+
+  const isFull = (): boolean => knownById.size >= maxRecords || nameBytes >= MAX_NAME_BYTES
+
+  const remove = (id: string): void => {
+    const known = knownById.get(id)
+    if (known !== undefined && knownById.delete(id)) nameBytes -= toNameBytes(known.record)
+  }
+
+  /** Removes records of processes that ended, then of silent ones, the longest silent first. @returns whether there is room */
+  const makeRoom = (now: number): boolean => {
+    if (!isFull()) return true
+    if (now - madeRoomAt < MAKE_ROOM_INTERVAL_MS) return false
+    madeRoomAt = now
+    const removable = [...knownById]
+      .map(([id, { record, lastSeenAt }]) => ({ id, isGone: record.state === 'gone', silentMs: now - lastSeenAt }))
+      .filter(item => item.isGone || item.silentMs > MIN_SILENCE_MS)
+      .sort((a, b) => Number(b.isGone) - Number(a.isGone) || b.silentMs - a.silentMs)
+    for (const { id } of removable.slice(0, Math.ceil(maxRecords * ROOM_RATIO))) remove(id)
+    return !isFull()
+  }
 
   const mergeStale = (known: KnownRecord, record: records.Record): MergeResult => {
     const supplemented = inherit(known.record, record)
@@ -75,6 +114,8 @@
     const known = knownById.get(received.id)
     const record = known === undefined ? received : inherit(received, known.record)
     if (known === undefined) {
+      if (!makeRoom(now)) return 'full'
+      nameBytes += toNameBytes(record)
       knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq, coldUntil: toColdUntil(record, now) })
       return 'changed'
     }
@@ -85,6 +126,9 @@
     if (isSameIncarnation && isLater(known.record.state, record.state)) return mergeStale(known, record)
     const isAdvanced = isSameIncarnation && isLater(record.state, known.record.state)
     if (isSameIncarnation && !isAdvanced && record.seq <= known.record.seq) return mergeStale(known, record)
+    const addedBytes = toNameBytes(record) - toNameBytes(known.record)
+    if (addedBytes > 0 && !makeRoom(now)) return 'full'
+    nameBytes += addedBytes
     const coldUntil = toColdUntil(record, now)
     const isColdAgain = coldUntil > known.coldUntil + COLD_AGAIN_MS
     const isUnchanged = isSameIncarnation && !isColdAgain && toContent(record) === toContent(known.record)
@@ -129,7 +173,7 @@
     all: () => [...knownById.values()].map(item => item.record),
     prune (now) {
       for (const [id, item] of knownById) {
-        if (now - item.lastSeenAt > RETENTION_MS) knownById.delete(id)
+        if (now - item.lastSeenAt > RETENTION_MS) remove(id)
       }
     }
   }
@@ -156,6 +200,13 @@
   return requests.size === knownCount ? record : { ...record, inherited: [...requests.values()] }
 }
 
+function toNameBytes (record: records.Record): number {
+  switch (record.kind) {
+    case 'endpoint': return Buffer.byteLength(record.id) + Buffer.byteLength(record.zone) + Buffer.byteLength(record.service)
+    case 'entry': return Buffer.byteLength(record.id)
+  }
+}
+
 function toColdUntil (record: records.Record, now: number): number {
   return record.kind === 'endpoint' && record.coldMs > 0 ? now + record.coldMs : 0
 }
