fix(links): a message that cannot be handled costs itself, and a long one may follow the handshake at once

Seen: an exception in the handling of an event (a record that does not match, a part that does not exist yet) closed the link without a line in the log. And an instance that was busy, which read the end of a handshake and a first message of more than 1 KB at once, refused the link: the limit of the handshake was applied to the message. A frame of 16 MB was copied once for each chunk that arrived.

The handshake takes its own frames only, pauses a peer that sends on without end, and leaves the rest to the link. A frame is copied once.

Before: both tests failed (link refused; link closed, no line). The drawn test of odd frames passed before too: cbor-x bounds lengths by the bytes that are there, and nesting ends in an error that closes the link; 8 MB of empty arrays in one frame still end a process (200 MB heap), which only an authenticated instance can send. Run: packages/links/__tests__, all pass.

--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -22,6 +22,8 @@
 /** Frame size limit for a peer that is not yet authenticated. */
 const HANDSHAKE_MAX_BYTES = 1024
 const HANDSHAKE_TIMEOUT_MS = 3000
+/** Bytes of such a peer that are held; more than a frame, so that reading goes on until it is complete. */
+const MAX_PENDING_BYTES = 64 * 1024
 
 /**
  * Opens a link to an address. A dial that fails or times out leaves no connection behind.
@@ -134,11 +136,10 @@
   return await onTunnel(target)
 }
 
-/** Exchanges single frames during the handshake, then hands over the reader and the remaining frames. */
+/** Exchanges single frames during the handshake, then hands over the reader with what was received since. */
 function createHandshakePipe (socket: net.Socket, timeoutMs: number) {
   let maxBytes = HANDSHAKE_MAX_BYTES
   const reader = frames.createFrameReader(() => maxBytes)
-  const earlyFrames: frames.ReceivedFrame[] = []
   let wake: () => void = () => {}
   let failure: Error | undefined
   const fail = (err: Error): void => {
@@ -146,11 +147,9 @@
     wake()
   }
   const onData = (chunk: Buffer): void => {
-    try {
-      earlyFrames.push(...reader.push(chunk))
-    } catch (err) {
-      fail(err as Error)
-    }
+    reader.add(chunk)
+    // What follows the handshake may be long, and what does not belong to one may have no end.
+    if (reader.pendingBytes() > MAX_PENDING_BYTES) socket.pause()
     wake()
   }
   const onClose = (): void => { fail(new Error('connection closed during the handshake')) }
@@ -164,22 +163,23 @@
     },
     async next (): Promise<unknown> {
       while (true) {
-        const received = earlyFrames.shift()
+        const received = reader.take()
         if (received !== undefined) return received.frame[2]
         if (failure !== undefined) {
           clearTimeout(timer)
           throw failure
         }
+        socket.resume()
         await new Promise<void>(resolve => { wake = resolve })
       }
     },
-    finish (): { reader: frames.FrameReader, earlyFrames: frames.ReceivedFrame[] } {
+    finish (): { reader: frames.FrameReader } {
       clearTimeout(timer)
       maxBytes = contracts.MAX_FRAME_BYTES
       socket.off('data', onData)
       socket.off('close', onClose)
       socket.pause()
-      return { reader, earlyFrames }
+      return { reader }
     }
   }
 }
--- a/packages/links/src/frames.ts
+++ b/packages/links/src/frames.ts
@@ -27,47 +27,68 @@
 
 /** Incremental decoder of a byte stream. */
 export interface FrameReader {
+  /** Adds the next bytes of the stream. */
+  add (chunk: Buffer): void
+  /**
+   * Returns the next frame, undefined if it is not complete yet.
+   * @throws FrameError when the frame is too large or malformed
+   */
+  take (): ReceivedFrame | undefined
   /**
    * Adds the next bytes of the stream.
    * @returns the frames completed by them
    * @throws FrameError when a frame is too large or malformed
    */
   push (chunk: Buffer): ReceivedFrame[]
+  /** Number of bytes that were added and not taken. */
+  pendingBytes (): number
 }
 
 /**
- * Creates a frame reader.
+ * Creates a frame reader. Its cost is linear in the number of bytes, however many chunks a frame has.
  * @param maxBytes size limit, evaluated for each frame so that it can be raised after the handshake
  */
 export function createFrameReader (maxBytes: () => number): FrameReader {
   let pending: Buffer[] = []
   let pendingBytes = 0
-  const drain = (): Buffer => {
-    const all = pending.length === 1 ? pending[0] : Buffer.concat(pending)
-    pending = []
-    pendingBytes = 0
-    return all
+  /** Bytes without which the next frame, or its length, is not complete. */
+  let neededBytes = LENGTH_BYTES
+
+  const keep = (rest: Buffer, needed: number): void => {
+    pending = rest.length > 0 ? [rest] : []
+    pendingBytes = rest.length
+    neededBytes = needed
+  }
+
+  const take = (): ReceivedFrame | undefined => {
+    if (pendingBytes < neededBytes) return undefined
+    const all = pending.length === 1 ? pending[0] : Buffer.concat(pending, pendingBytes)
+    const length = all.readUInt32BE(0)
+    if (length > maxBytes()) throw new FrameError(`frame of ${length} bytes exceeds the limit of ${maxBytes()} bytes`)
+    const end = LENGTH_BYTES + length
+    if (all.length < end) {
+      keep(all, end)
+      return undefined
+    }
+    keep(all.subarray(end), LENGTH_BYTES)
+    return { frame: decodeFrame(all.subarray(LENGTH_BYTES, end)), bytes: end }
+  }
+
+  const add = (chunk: Buffer): void => {
+    pending.push(chunk)
+    pendingBytes += chunk.length
   }
+
   return {
+    add,
+    take,
     push (chunk) {
-      pending.push(chunk)
-      pendingBytes += chunk.length
+      add(chunk)
       const frames: ReceivedFrame[] = []
-      if (pendingBytes < LENGTH_BYTES) return frames
-      let all = drain()
-      while (all.length >= LENGTH_BYTES) {
-        const length = all.readUInt32BE(0)
-        if (length > maxBytes()) throw new FrameError(`frame of ${length} bytes exceeds the limit of ${maxBytes()} bytes`)
-        if (all.length < LENGTH_BYTES + length) break
-        frames.push({ frame: decodeFrame(all.subarray(LENGTH_BYTES, LENGTH_BYTES + length)), bytes: LENGTH_BYTES + length })
-        all = all.subarray(LENGTH_BYTES + length)
-      }
-      if (all.length > 0) {
-        pending.push(all)
-        pendingBytes = all.length
-      }
+      for (let item = take(); item !== undefined; item = take()) frames.push(item)
       return frames
-    }
+    },
+    pendingBytes: () => pendingBytes
   }
 }
 
--- a/packages/links/src/link.ts
+++ b/packages/links/src/link.ts
@@ -74,9 +74,8 @@
 export interface LinkOptions {
   socket: net.Socket
   peer: handshake.Identity
+  /** Holds what was received together with the last frame of the handshake. */
   reader: frames.FrameReader
-  /** Frames received together with the last frame of the handshake. */
-  earlyFrames: frames.ReceivedFrame[]
   handlers: LinkHandlers
   log: telemetry.Log
   countBytes?: CountBytes
@@ -85,6 +84,9 @@
 /** Size of the send buffer above which {@link Link.drained} waits. */
 const HIGH_WATER_MARK_BYTES = 1024 * 1024
 const DRAIN_POLL_MS = 5
+/** Events that could not be handled are logged once in this time. */
+const FAILURE_LOG_INTERVAL_MS = 10_000
+const MAX_DETAIL_LENGTH = 1000
 
 /** Creates a link over an authenticated socket and starts reading from it. */
 export function createLink (opts: LinkOptions): Link {
@@ -95,6 +97,8 @@
   let busyCount = 0
   let lastReceivedAt = performance.now()
   let pingSentAt: number | undefined
+  let failureLoggedAt = -Infinity
+  let unloggedFailures = 0
   let closeReason: CloseReason = 'ended'
   let resolveClosed: (reason: CloseReason) => void = () => {}
   const closed = new Promise<CloseReason>(resolve => { resolveClosed = resolve })
@@ -157,11 +161,27 @@
     }
   }
 
+  /** An event that cannot be handled costs itself only. */
+  const handleEvent = (body: unknown): void => {
+    try {
+      handlers.onEvent(body, link)
+    } catch (err) {
+      const now = performance.now()
+      if (now - failureLoggedAt < FAILURE_LOG_INTERVAL_MS) {
+        unloggedFailures++
+        return
+      }
+      log.event('messageFailed', { peer: peer.id, unlogged: unloggedFailures, detail: (err instanceof Error ? err.stack ?? err.message : String(err)).slice(0, MAX_DETAIL_LENGTH) })
+      failureLoggedAt = now
+      unloggedFailures = 0
+    }
+  }
+
   const receive = (item: frames.ReceivedFrame): void => {
     const [kind, call, body] = item.frame
     countBytes('in', item.bytes, body)
     switch (kind) {
-      case frames.FrameKind.event: handlers.onEvent(body, link); break
+      case frames.FrameKind.event: handleEvent(body); break
       case frames.FrameKind.call: void answer(call, body); break
       case frames.FrameKind.reply: takePending(call)?.resolve(body); break
       case frames.FrameKind.callFailed: takePending(call)?.reject(new CallError('failed', String(body))); break
@@ -170,6 +190,10 @@
     }
   }
 
+  const receiveAll = (): void => {
+    for (let item = opts.reader.take(); item !== undefined; item = opts.reader.take()) receive(item)
+  }
+
   const takePending = (call: number) => {
     const waiter = pending.get(call)
     pending.delete(call)
@@ -178,13 +202,15 @@
 
   const read = async (): Promise<void> => {
     try {
-      for (const item of opts.earlyFrames) receive(item)
+      receiveAll()
       for await (const chunk of socket) {
         lastReceivedAt = performance.now()
         pingSentAt = undefined
-        for (const item of opts.reader.push(chunk as Buffer)) receive(item)
+        opts.reader.add(chunk as Buffer)
+        receiveAll()
       }
     } catch (err) {
+      // Other errors are those of the connection.
       if (err instanceof frames.FrameError) {
         log.event('frameInvalid', { peer: peer.id, detail: err.message })
         closeReason = 'invalid'
