--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -93,6 +93,7 @@
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
+  metricsUnavailable: spec(1626, 'warn', 'metrics cannot be served; trying again', 'Check which process has the address of the metrics.'),
   previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
   memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
   responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "malformed" check the client, for "stopping" the grace period; for "error" report it together with the event "uncaught" before it.'),
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -99,7 +99,7 @@
     invariants: opts.invariants
   }).catch(async err => {
     await server.close()
-    throw err
+    throw new Error(`replica of the document cannot be started: ${err instanceof Error ? err.message : String(err)}`, { cause: err })
   })
 
   const version = (): number => store.latest()?.version ?? 0
