fix(forwarding): each request ends shortly after its deadline, whatever keeps it

An exception in a callback, outside the promises of a request, does not end the process, but what the request waits for may then never come; by reading, several waits before and after the send (the confirmation of a document, a permit, a verdict about a path, the body of a slow client) rest on their own deadlines alone. Such a request held its client until that gave up, and counted as open for ever.

A guard now ends a request that is still open 200 ms after its deadline (10 s for the admission): 503 if it was not sent, and it is not sent any more; 504 if it was; a response that has begun is broken off. Delays of timers that are computed from deadlines and targets are bounded (`contracts.input.toTimerMs`), since a timer with a longer one fires at once. The watchdog of an aborted attempt stops by itself.

overdueRequests.test.ts: four steps; without the guard's timer 4 of 4 get no byte in 4 s, with it 4 of 4 pass.

--- a/packages/contracts/src/input.ts
+++ b/packages/contracts/src/input.ts
@@ -28,6 +28,11 @@
 /** A duration that a timer can wait for, milliseconds. */
 export const durationMs = z.number().nonnegative().max(MAX_TIMER_MS)
 
+/** Returns a delay that a timer can wait for, from one that was computed from input: a timer with a longer one fires at once. */
+export function toTimerMs (ms: number): number {
+  return ms > 0 ? Math.min(ms, MAX_TIMER_MS) : 0
+}
+
 /** Returns whether a text is an IPv4 address and a port that can be connected to. */
 function isAddress (text: string): boolean {
   const [host, port, ...rest] = text.split(':')
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -128,6 +128,7 @@
   outliers: outlierDetectors.OutlierDetector
   server: entryServers.EntryServer
   metrics: entryMetrics.EntryMetrics
+  ctx: entryContexts.EntryContext
   /** Log events. */
   lines: Array<{ event: string } & { [field: string]: unknown }>
   announce: (endpoint: TestEndpoint, change?: Partial<discovery.EndpointRecord>) => void
@@ -200,6 +201,7 @@
     outliers,
     server,
     metrics: ctx.metrics,
+    ctx,
     lines,
     announce,
     async send (req = {}) {
--- a/packages/forwarding/src/attempts/attemptWatchdog.ts
+++ b/packages/forwarding/src/attempts/attemptWatchdog.ts
@@ -2,6 +2,7 @@
  * Watchdog for attempts without a response. It detects endpoints that are silent, so that the request can be sent to another one
  * before it times out. Silence is no proof of a loss, so the attempt continues; a later start of the endpoint is one.
  */
+import * as contracts from '@kingcupdeck/contracts'
 import type * as attemptRecorders from './attemptRecorder.js'
 import type * as endpointProbes from '../endpoints/endpointProbe.js'
 
@@ -35,7 +36,7 @@
  * @returns milliseconds
  */
 export function toProbeDelayMs (targetMs: number): number {
-  return Math.max(MIN_PROBE_DELAY_MS, PROBE_DELAY_SHARE * targetMs)
+  return Math.max(MIN_PROBE_DELAY_MS, contracts.input.toTimerMs(PROBE_DELAY_SHARE * targetMs))
 }
 
 /** Watches an attempt. Returns a function that stops the watchdog. */
@@ -58,6 +59,7 @@
   }
 
   const check = (): void => {
+    if (sent.signal.aborted) return
     const isUnreachable = unreachableAt !== undefined && endpoint.answeredAt < unreachableAt
     if (isUnreachable || opts.isOverdue()) reportSilence()
     timer = setTimeout(check, RECHECK_MS)
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -56,8 +56,11 @@
   /** The deadline is over; an endpoint may have run the request. */
   | { kind: 'timeout', why: string }
 
+/** What an error response needs of a request. */
+export interface RefusableRequest { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }
+
 /** Sends an error response, or breaks the connection if a response has already started. */
-export function writeRefusal (call: { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }, refusal: Refusal, attemptHeader: string): void {
+export function writeRefusal (call: RefusableRequest, refusal: Refusal, attemptHeader: string): void {
   const { res } = call
   if (res.writableEnded) return
   if (res.headersSent || res.destroyed) {
--- a/packages/forwarding/src/instance/admittedRequest.ts
+++ b/packages/forwarding/src/instance/admittedRequest.ts
@@ -1,18 +1,18 @@
 /** Runs an admitted request from its admission to the end of its response. */
-import type * as http from 'node:http'
+import * as contracts from '@kingcupdeck/contracts'
 import * as admission from '../admission/admission.js'
 import * as clientCalls from '../attempts/clientCall.js'
 import type * as entryContexts from './entryContext.js'
 import * as forwards from '../attempts/forward.js'
 import * as promptParts from '../attempts/promptParts.js'
 import * as routeTables from '../admission/routeTable.js'
+import type * as requestGuards from './requestGuard.js'
 import * as suspectKeys from '../quarantine/suspectKey.js'
 import * as unexpectedErrors from './unexpectedError.js'
 
 /** An admitted request whose body was read. */
 export interface AdmittedRequest {
-  req: http.IncomingMessage
-  res: http.ServerResponse
+  request: requestGuards.GuardedRequest
   ctx: entryContexts.EntryContext
   /** When the request headers were received. */
   startedAt: number
@@ -24,7 +24,8 @@
 
 /** Forwards a request. Resolves when its response was written, or its client has left. */
 export async function runAdmitted (opts: AdmittedRequest): Promise<void> {
-  const { req, res, ctx, table, admitted, body, startedAt } = opts
+  const { request, ctx, table, admitted, body, startedAt } = opts
+  const { req, res } = request
   const { route, account, allowedRegions } = admitted
   const waitMs = Math.min(route.timeoutMs, admitted.clientDeadlineMs ?? Infinity)
   const service = routeTables.pickService(route, Math.random())
@@ -53,7 +54,8 @@
     mayHaveRun: false,
     firstByteAt: undefined
   }
-  const timer = setTimeout(() => { call.aborter.abort('the deadline has passed') }, Math.max(0, call.deadlineAt - ctx.now()))
+  request.call = call
+  const timer = setTimeout(() => { call.aborter.abort('the deadline has passed') }, contracts.input.toTimerMs(call.deadlineAt - ctx.now()))
   const onClose = (): void => {
     // A request that may run only once is not aborted, because it cannot be retried.
     if (!res.writableFinished && route.kind !== 'once') call.aborter.abort(clientCalls.CLIENT_LEFT)
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -11,6 +11,7 @@
 import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
+import * as requestGuards from './requestGuard.js'
 import * as requestReaders from './requestReader.js'
 import * as unexpectedErrors from './unexpectedError.js'
 import * as routeTables from '../admission/routeTable.js'
@@ -38,8 +39,8 @@
   ctx: entryContexts.EntryContext
 }
 
-/** A request, for the log and the metrics. */
-interface Exchange { attemptId: string | undefined, /** Name of its route, once it is admitted. */ route: string | undefined }
+/** A request that is being handled. */
+interface Exchange extends requestGuards.GuardedRequest { /** Name of its route, once it is admitted. */ route?: string, guard: requestGuards.RequestGuard }
 
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
@@ -48,6 +49,8 @@
 const PARSER_HEADER_BYTES = 64 * 1024
 /** Interval of the checks for clients that exceed a timeout. */
 const CHECK_MS = 500
+/** Time for the admission of a request, longer than all that it waits for. */
+const MAX_ADMISSION_MS = 10_000
 /** Turns of the event loop after which data that arrived together with a request was read. */
 const READ_TURNS = 2
 /** Added to the idle timeout, because the client measures it from the receipt of the last byte. */
@@ -66,16 +69,20 @@
     noDelay: true
   }, (req, res) => {
     const onHandled = connections.addResponse(res)
-    const exchange: Exchange = { attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId), route: undefined }
+    const request: requestGuards.GuardedRequest = { req, res, attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId) }
+    const exchange: Exchange = Object.assign(request, { guard: requestGuards.createGuard(request, ctx) })
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
-    serve(req, res, exchange).catch(err => {
-      const outcome = unexpectedErrors.refuseWithError({ req, res, attemptId: exchange.attemptId }, ctx, err)
+    serve(exchange).catch(err => {
+      const outcome = unexpectedErrors.refuseWithError(exchange, ctx, err)
       ctx.metrics.requests.inc({ route: 'none', outcome: outcome.slice(0, 3) })
       ctx.log.event('requestRefused', { request: exchange.attemptId, status: res.statusCode, why: outcome, path: req.url?.slice(0, 80) })
     }).catch(() => {
       brokenResponses.noteCause(res, 'error')
       res.destroy()
-    }).finally(onHandled)
+    }).finally(() => {
+      exchange.guard.stop()
+      onHandled()
+    })
   })
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -83,9 +90,9 @@
     if (brokenResponses.needsLine(cause)) ctx.log.event('responseCut', { request: attemptId, route, cause })
   }
 
-  const serve = async (req: http.IncomingMessage, res: http.ServerResponse, exchange: Exchange): Promise<void> => {
+  const serve = async (exchange: Exchange): Promise<void> => {
     const startedAt = ctx.now()
-    const { attemptId } = exchange
+    const { req, res, attemptId, guard } = exchange
     const refuse = (refusal: clientCalls.Refusal): void => {
       clientCalls.writeRefusal({ req, res, attemptId }, refusal, ctx.names.attemptId)
       ctx.metrics.requests.inc({ route: 'none', outcome: String(clientCalls.toStatus(refusal)) })
@@ -98,8 +105,9 @@
       return
     }
     if (ctx.isDraining()) res.setHeader('Connection', 'close')
+    guard.setDeadline(Math.min(admission.toClientDeadlineMs(req.rawHeaders, ctx.names) ?? Infinity, MAX_ADMISSION_MS))
     const { table, result } = await admit(req, res)
-    if (res.destroyed) return
+    if (res.destroyed || res.writableEnded) return
     if (table === undefined) {
       refuse({ kind: 'unavailable', why: 'this instance has no configuration document yet', cause: { kind: 'starting', uptimeMs: ctx.now() } })
       return
@@ -108,10 +116,13 @@
       refuse(result.refusal)
       return
     }
-    if (!ctx.isAccepted(Math.min(result.route.timeoutMs, result.clientDeadlineMs ?? Infinity))) {
+    const waitMs = Math.min(result.route.timeoutMs, result.clientDeadlineMs ?? Infinity)
+    if (!ctx.isAccepted(waitMs)) {
       refuse({ kind: 'unavailable', why: 'this instance is stopping', cause: { kind: 'stopping' } })
       return
     }
+    exchange.route = result.route.name
+    guard.setDeadline(startedAt + waitMs - ctx.now())
     const body = await requestReaders.readBody(req, table.limits.maxBodyBytes)
     switch (body.kind) {
       case 'tooLarge':
@@ -127,12 +138,12 @@
         // The client may have disconnected before its request was read; the end of the connection is then read in a later turn of the
         // event loop. Such a request must not be forwarded.
         for (let turn = 0; turn < READ_TURNS; turn++) await timers.setImmediate()
+        if (res.writableEnded) return
         if (res.destroyed || res.socket?.readableEnded !== false) {
           ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its request was read', path: req.url?.slice(0, 80), document: table.version })
           return
         }
-        exchange.route = result.route.name
-        await admittedRequests.runAdmitted({ req, res, ctx, startedAt, table, admitted: result, body: body.body })
+        await admittedRequests.runAdmitted({ request: exchange, ctx, startedAt, table, admitted: result, body: body.body })
     }
   }
 
--- a/packages/forwarding/src/instance/unexpectedError.ts
+++ b/packages/forwarding/src/instance/unexpectedError.ts
@@ -1,5 +1,4 @@
 /** Unexpected errors in the handling of a request: they end this request alone, and its client gets an answer that is true. */
-import type * as http from 'node:http'
 import * as abortResponses from '../streams/abortResponse.js'
 import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
@@ -17,7 +16,7 @@
  * Ends a request that was not sent to an endpoint after an error.
  * @returns the outcome for the log
  */
-export function refuseWithError (request: { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }, ctx: entryContexts.EntryContext, err: unknown): string {
+export function refuseWithError (request: clientCalls.RefusableRequest, ctx: entryContexts.EntryContext, err: unknown): string {
   return writeError(request, toNotRun(), ctx, err)
 }
 
@@ -25,7 +24,7 @@
   return { kind: 'unavailable', why: MESSAGE, cause: { kind: 'error' } }
 }
 
-function writeError (request: Parameters<typeof clientCalls.writeRefusal>[0], refusal: clientCalls.Refusal, ctx: entryContexts.EntryContext, err: unknown): string {
+function writeError (request: clientCalls.RefusableRequest, refusal: clientCalls.Refusal, ctx: entryContexts.EntryContext, err: unknown): string {
   const { res, attemptId } = request
   ctx.log.event('uncaught', { step: 'request', request: attemptId, detail: toDetail(err) })
   const why = err instanceof Error ? err.message : String(err)
