--- a/scripts/codeCache.mjs
+++ b/scripts/codeCache.mjs
@@ -25,7 +25,11 @@
 const toDigest = bytes => crypto.createHash('sha256').update(bytes).digest()
 const warn = (name, why) => {
   const effect = 'code cache of ' + name + ' is not used, and the program is compiled at its start: ' + why
-  process.stderr.write(effect + '; run node scripts/bundle.mjs to create it again\\n')
+  try {
+    fs.writeSync(2, effect + '; run node scripts/bundle.mjs to create it again\\n')
+  } catch {
+    // A closed output must not end the process.
+  }
 }
 const readCache = (name, digest) => {
   try {
