--- a/packages/forwarding/src/attempts/forwardHeaders.ts
+++ b/packages/forwarding/src/attempts/forwardHeaders.ts
@@ -1,6 +1,7 @@
 /** Header forwarding in both directions, and the headers that the fleet sets. */
 import * as http from 'node:http'
 import * as headerNames from './headerNames.js'
+import * as headerTexts from './headerText.js'
 
 /** Hop-by-hop headers. */
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'])
@@ -60,7 +61,7 @@
   }
   headers.push(names.deadlineMs, String(Math.max(1, Math.floor(additions.remainingMs))))
   headers.push(names.expectEndpoint, additions.endpointId)
-  if (additions.account !== undefined) headers.push(names.account, additions.account)
+  if (additions.account !== undefined) headers.push(names.account, headerTexts.toHeaderText(additions.account))
   if (additions.lastEventId !== undefined) headers.push(names.lastEventId, additions.lastEventId)
   if (additions.fetchFrom !== undefined) headers.push(names.fetchFrom, additions.fetchFrom)
   if (additions.hasBody) headers.push('Content-Length', String(additions.bodyBytes))
