fix(coordination): a replica that cannot read its files is started again within the process

A control instance whose replica could not open or read a file of its own (anything but a full or failing disk: a folder in place of a file, no permission, too many open files) ended, and ended again at each start.

Damage that can be read is wiped as before (docs/STATE.md).

Before: the drawn test of the replica's files failed after 5 runs (meta replaced by a folder: EISDIR). The one of the other files (records, handout, what an earlier write left: missing, empty, cut, zeros, random, right digest with odd content, a folder) passed, with recordFile.load as it is now. Run: packages/coordination/__tests__/damagedFiles.test.ts and documentStore.test.ts pass.

--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -92,11 +92,13 @@
 /** Log entries between snapshots. A starting replica applies up to this many before its document is available. */
 const SNAPSHOT_ENTRIES = 30
 
-/** Codes of system errors that a disk may recover from. */
+/** Codes of disk failures that may be reported without the system call. */
 const DISK_FAILURES: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT', 'EIO'])
 
+/** Returns whether an error is one of the disk or its files, so that the replica can be started again later. */
 function isDiskFailure (err: unknown): boolean {
-  return DISK_FAILURES.has((err as NodeJS.ErrnoException | undefined)?.code)
+  const { code, syscall } = (err ?? {}) as NodeJS.ErrnoException
+  return typeof syscall === 'string' || DISK_FAILURES.has(code)
 }
 
 /** Starts the replica, and restarts it after disk failures until the store is stopped. */
@@ -149,14 +151,19 @@
     const failedReplica = replica
     replica = undefined
     await failedReplica?.stop().catch(err => { opts.log.event('replicaRestarted', { step: 'stop', detail: String(err) }) })
+    let loggedDetail: string | undefined
     while (!stopped.signal.aborted) {
       await timers.setTimeout(RESTART_PAUSE_MS)
       try {
-        replica = await create()
+        const created = await create()
+        if (stopped.signal.aborted) return await created.stop()
+        replica = created
         opts.log.event('replicaRestarted', { step: 'started' })
         return
       } catch (err) {
-        opts.log.event('replicaRestarted', { step: 'failed', detail: err instanceof Error ? err.message : String(err) })
+        const detail = err instanceof Error ? err.message : String(err)
+        if (detail !== loggedDetail) opts.log.event('replicaRestarted', { step: 'failed', detail })
+        loggedDetail = detail
       }
     }
   }
