--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -11,6 +11,7 @@
 import * as links from '@kingcupdeck/links'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as diskFailures from './diskFailure.js'
 import * as documentCalls from './documentCall.js'
 import * as documentMachines from './documentMachine.js'
 import * as evacuationOrders from './evacuationOrders.js'
@@ -92,15 +93,6 @@
 /** Log entries between snapshots. A starting replica applies up to this many before its document is available. */
 const SNAPSHOT_ENTRIES = 30
 
-/** Codes of disk failures that may be reported without the system call. */
-const DISK_FAILURES: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT', 'EIO'])
-
-/** Returns whether an error is one of the disk or its files, so that the replica can be started again later. */
-function isDiskFailure (err: unknown): boolean {
-  const { code, syscall } = (err ?? {}) as NodeJS.ErrnoException
-  return typeof syscall === 'string' || DISK_FAILURES.has(code)
-}
-
 /** Starts the replica, and restarts it after disk failures until the store is stopped. */
 export async function startDocumentStore (opts: DocumentStoreOptions): Promise<DocumentStore> {
   const stopped = new AbortController()
@@ -242,7 +234,7 @@
   try {
     replica = await create(opts.ownsProcess === true ? state.PROCESS_STARTED_AT_MS : undefined)
   } catch (err) {
-    if (!isDiskFailure(err)) throw err
+    if (!diskFailures.isDiskFailure(err)) throw err
     opts.log.event('replicaRestarted', { step: 'failed', detail: String(err) })
     void restart()
   }
