--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -11,6 +11,7 @@
 import * as links from '@kingcupdeck/links'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as diskFailures from './diskFailure.js'
 import * as documentCalls from './documentCall.js'
 import * as documentMachines from './documentMachine.js'
 import * as evacuationOrders from './evacuationOrders.js'
@@ -92,13 +93,6 @@
 /** Log entries between snapshots. A starting replica applies up to this many before its document is available. */
 const SNAPSHOT_ENTRIES = 30
 
-/** Codes of system errors that a disk may recover from. */
-const DISK_FAILURES: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT', 'EIO'])
-
-function isDiskFailure (err: unknown): boolean {
-  return DISK_FAILURES.has((err as NodeJS.ErrnoException | undefined)?.code)
-}
-
 /** Starts the replica, and restarts it after disk failures until the store is stopped. */
 export async function startDocumentStore (opts: DocumentStoreOptions): Promise<DocumentStore> {
   const stopped = new AbortController()
@@ -149,14 +143,19 @@
     const failedReplica = replica
     replica = undefined
     await failedReplica?.stop().catch(err => { opts.log.event('replicaRestarted', { step: 'stop', detail: String(err) }) })
+    let loggedDetail: string | undefined
     while (!stopped.signal.aborted) {
       await timers.setTimeout(RESTART_PAUSE_MS)
       try {
-        replica = await create()
+        const created = await create()
+        if (stopped.signal.aborted) return await created.stop()
+        replica = created
         opts.log.event('replicaRestarted', { step: 'started' })
         return
       } catch (err) {
-        opts.log.event('replicaRestarted', { step: 'failed', detail: err instanceof Error ? err.message : String(err) })
+        const detail = err instanceof Error ? err.message : String(err)
+        if (detail !== loggedDetail) opts.log.event('replicaRestarted', { step: 'failed', detail })
+        loggedDetail = detail
       }
     }
   }
@@ -235,7 +234,7 @@
   try {
     replica = await create(opts.ownsProcess === true ? state.PROCESS_STARTED_AT_MS : undefined)
   } catch (err) {
-    if (!isDiskFailure(err)) throw err
+    if (!diskFailures.isDiskFailure(err)) throw err
     opts.log.event('replicaRestarted', { step: 'failed', detail: String(err) })
     void restart()
   }
