fix(contracts): a delta removes an entry that is called like a member of every object

Operators would see (by a drawn test): an entry of the chat fleet's document with the id "constructor" is removed, and stays in force at the instances that receive the change as a delta.

Cause: `in` and plain assignment see what objects inherit.

Evidence: documentDelta.test.ts failed on the code before and passes now.

--- a/packages/contracts/src/documentDelta.ts
+++ b/packages/contracts/src/documentDelta.ts
@@ -24,10 +24,10 @@
     const before: Record<string, unknown> = from[part]
     const after: Record<string, unknown> = to[part]
     for (const key of Object.keys(after)) {
-      if (!isEqual(before[key], after[key])) changes.push({ op: 'set', part, id: key, value: after[key] })
+      if (!Object.hasOwn(before, key) || !isEqual(before[key], after[key])) changes.push({ op: 'set', part, id: key, value: after[key] })
     }
     for (const key of Object.keys(before)) {
-      if (!(key in after)) changes.push({ op: 'remove', part, id: key })
+      if (!Object.hasOwn(after, key)) changes.push({ op: 'remove', part, id: key })
     }
   }
   return changes
@@ -40,13 +40,18 @@
   for (const item of changes) {
     switch (item.op) {
       case 'replace': to[item.part] = item.value; break
-      case 'set': (to[item.part] as Record<string, unknown>)[item.id] = item.value; break
+      case 'set': setEntry(to[item.part] as Record<string, unknown>, item.id, item.value); break
       case 'remove': delete (to[item.part] as Record<string, unknown>)[item.id]; break
     }
   }
   return to as doc.Document
 }
 
+/** Sets an entry of any name, also one that objects inherit. */
+function setEntry (part: Record<string, unknown>, id: string, value: unknown): void {
+  Object.defineProperty(part, id, { value, writable: true, enumerable: true, configurable: true })
+}
+
 function isEqual (left: unknown, right: unknown): boolean {
   return JSON.stringify(left) === JSON.stringify(right)
 }
