--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -39,11 +39,13 @@
   store: documentStores.DocumentStore
   table: discovery.RecordTable
   /** Accepts an announcement. See {@link discovery.Publisher.announce}. */
-  announce: (record: discovery.Record) => Promise<void>
+  announce: (record: discovery.Record) => Promise<boolean>
   /** Returns the number of subscribed entry instances. */
   subscriberCount: () => number
   /** Returns the number of records without a recent heartbeat. */
   lateCount: () => number
+  /** Counts refused input. */
+  refusals: discovery.Refusals
   stop: () => Promise<void>
 }
 
@@ -56,6 +58,7 @@
 export async function startControlInstance (opts: ControlInstanceOptions): Promise<ControlInstance> {
   const { log } = opts
   const table = discovery.createRecordTable()
+  const refusals = discovery.createRefusals(log)
   let isStopping = false
   let onDocumentChange = (): void => {}
   let onEvacuations = (): void => {}
@@ -81,7 +84,7 @@
   const server = await links.listen(opts.inner, linkCfg, link => {
     if (link.peer.role === 'control') peerLinks.add(link)
   })
-  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
+  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log, discovery.createIntake(refusals))
   for (const record of await recordFile.load()) table.merge(record, performance.now())
 
   const store = await documentStores.startDocumentStore({
@@ -134,7 +137,8 @@
       recordFile.save()
       handoutFile.save()
     },
-    log
+    log,
+    refusals
   })
 
   const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.latest() === null ? undefined : publisher.toFullReply(), log)
@@ -159,9 +163,10 @@
   return {
     store,
     table,
-    announce: async record => { await publisher.announce(record) },
+    announce: publisher.announce,
     subscriberCount: publisher.subscriberCount,
     lateCount: publisher.lateCount,
+    refusals,
     async stop () {
       isStopping = true
       clearInterval(timer)
