fix(discovery): an endpoint never replaces an entry instance of the same id

What callers saw: nothing; an announcement, or a DELETE, with the id of an entry instance removed that instance from the tables, and with it from the addresses that callers resolve and from the instances that share what they know.

Cause: records of both kinds are kept by id, and the later start won.

--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -123,6 +123,17 @@
   return { kind: 'entry', id: 'r1', startedAt: 1, seq: 1, zone: 'z', state: 'ready', region: 'r', front: '10.0.0.2:80', inner: '10.0.0.2:81', ...change }
 }
 
+// Guards against an entry instance that is lost to callers because an endpoint bears its id.
+test('an entry instance is known whatever endpoint bears its id, in any order', t => {
+  const entry = toEntry({ id: 'e1' })
+  const endpoint = toRecord({ startedAt: 9, seq: 9 })
+  for (const list of [[entry, endpoint], [endpoint, entry]]) {
+    const table = discovery.createRecordTable()
+    t.deepEqual(list.map(item => table.merge(item, 0)), ['changed', list[0] === entry ? 'stale' : 'changed'])
+    t.deepEqual(table.all(), [entry])
+  }
+})
+
 const QUARANTINED = [{ fingerprint: 'f1', crashed: ['e1@1', 'e2@1', 'e3@1'] }]
 
 // Guards against the loss of quarantined requests when an instance announces its next start before it has learned them.
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -22,7 +22,7 @@
 
 /** The records known to a process. */
 export interface RecordTable {
-  /** The record may be supplemented: {@link RecordTable.get} returns the result. */
+  /** The record may be supplemented: {@link RecordTable.get} returns the result. An endpoint never replaces an entry instance of the same id. */
   merge (record: records.Record, now: number): MergeResult
   /**
    * Applies a heartbeat.
@@ -119,6 +119,11 @@
       knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq, coldUntil: toColdUntil(record, now) })
       return 'changed'
     }
+    if (record.kind !== known.record.kind) {
+      if (record.kind === 'endpoint') return 'stale'
+      remove(record.id)
+      return merge(record, now)
+    }
     if (record.startedAt < known.record.startedAt) return mergeStale(known, record)
     const isSameIncarnation = record.startedAt === known.record.startedAt
     // The state takes precedence over `seq`: within an incarnation it only advances, and the control instance that assigns
