--- a/packages/coordination/__tests__/recordFile.test.ts
+++ b/packages/coordination/__tests__/recordFile.test.ts
@@ -1,5 +1,6 @@
 /** The file of records after power losses and stops. */
 import * as ava from 'ava'
+import * as fc from 'fast-check'
 import * as fs from 'node:fs/promises'
 import * as os from 'node:os'
 import * as path from 'node:path'
@@ -38,6 +39,19 @@
   await fs.rm(folder, { recursive: true })
 })
 
+test('drawn content of a file never fails a start, and the good records are read', async t => {
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
+  const fields = ['id', 'startedAt', 'seq', 'zone', 'state', 'service', 'address', 'slots', 'coldMs', 'kind', '__proto__']
+  const odd = fc.oneof(fc.json(), fc.tuple(fc.constantFrom(...fields), fc.json()).map(([field, value]) => JSON.stringify({ ...records[0], id: 'odd' }).replace(/}$/, () => `,"${field}":${value}}`)))
+  await fc.assert(fc.asyncProperty(fc.array(odd, { minLength: 1, maxLength: 4 }), fc.boolean(), async (items, isCut) => {
+    const text = `[${[...items, JSON.stringify(records[0])].join()}${isCut ? '' : ']'}`
+    await fs.writeFile(path.join(folder, 'records'), `${contracts.sha256(text)}\n${text}`)
+    const loaded = await recordFiles.createRecordFile(folder, () => [], log).load()
+    t.deepEqual(loaded.filter(item => item.id === 'e1').slice(-1), isCut ? [] : records)
+  }), { seed: 67, numRuns: 200 })
+  await fs.rm(folder, { recursive: true })
+})
+
 // A stopped instance must not write while its successor uses the same disk.
 test('nothing is written after the stop', async t => {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
