fix(coordination): an event that does not match is counted and logged

It was dropped without a line, so that an instance whose events are all refused could not be told from a silent one.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -66,9 +66,10 @@
   // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
   const starting = createPendingParts()
   const handlers: links.LinkHandlers = {
-    onEvent (body) {
+    onEvent (body, link) {
       const event = discovery.discoveryEvent.safeParse(body)
       if (event.success) starting.peek()?.publisher.onEvent(event.data)
+      else refusals.note('recordsRefused', 'event', { from: link.peer.id, why: event.error.message })
     },
     async onCall (body, link) {
       const { store, publisher } = await starting.get()
