perf(discovery): known records need no check

The schema of a record with ranges took 62 to 130 ms for 12,380 records where that without took 13 to 56 ms (this machine at load 8 to 10), at each comparison of tables. Records of endpoints that hold nothing newer than the known ones, which are most, are now replaced by these before the check, and an address is checked by one expression: 12,380 known records are unpacked and compared in 35 to 37 ms, where unpacking and the former schema took 48 to 100 ms. A first subscription, where all are new, takes 110 to 198 ms for them.

--- a/packages/contracts/src/input.ts
+++ b/packages/contracts/src/input.ts
@@ -2,7 +2,6 @@
  * Bounds and checks of input: of everything that endpoints, operators, clients, files and other instances send. Schemas of input are
  * built from these, so that a value that passed its schema can be used in a header, an address or a timer as it is.
  */
-import * as net from 'node:net'
 import * as z from 'zod'
 
 /** The longest delay of a timer, milliseconds: a longer one fires at once. */
@@ -12,6 +11,8 @@
 /** The highest first octet of an address that can be connected to; multicast, reserved and broadcast addresses are above. */
 const MAX_FIRST_OCTET = 223
 const MAX_PORT = 65_535
+/** First octet and port of an address; records of a whole fleet are checked at once, which is slow with several calls for each. */
+const ADDRESS = /^([1-9]\d{0,2})(?:\.(?:\d|[1-9]\d|1\d\d|2[0-4]\d|25[0-5])){3}:([1-9]\d{0,4})$/
 
 /** A name: no control characters, at least one character. */
 export const name = z.string().min(1).max(MAX_NAME_LENGTH).regex(/^\P{Cc}+$/u, 'must not contain control characters')
@@ -30,10 +31,8 @@
 
 /** Returns whether a text is an IPv4 address and a port that can be connected to. */
 function isAddress (text: string): boolean {
-  const [host, port, ...rest] = text.split(':')
-  if (port === undefined || rest.length > 0 || !net.isIPv4(host)) return false
-  const firstOctet = Number(host.split('.')[0])
-  return firstOctet >= 1 && firstOctet <= MAX_FIRST_OCTET && /^[1-9]\d{0,4}$/.test(port) && Number(port) <= MAX_PORT
+  const match = ADDRESS.exec(text)
+  return match !== null && Number(match[1]) <= MAX_FIRST_OCTET && Number(match[2]) <= MAX_PORT
 }
 
 /** Limits of a JSON text. */
--- a/packages/discovery/__tests__/oddRecords.test.ts
+++ b/packages/discovery/__tests__/oddRecords.test.ts
@@ -156,6 +156,19 @@
   t.true(record.coldMs >= 0 && record.coldMs < 2 ** 31)
 }
 
+test('a record for which the known one stands in is one that a merge finds stale', t => {
+  fc.assert(fc.property(fc.array(oddRecords.properRecord, { maxLength: 8 }), oddRecords.oddRecord, oddRecords.properRecord, (list, odd, proper) => {
+    const table = discovery.createRecordTable()
+    for (const item of list) table.merge(item, 0)
+    for (const item of [odd, proper]) {
+      const known = table.findKnown(item)
+      if (known === undefined) continue
+      t.is(known, table.get(known.id)?.record as discovery.EndpointRecord)
+      t.is(table.merge({ ...known, ...item as object } as discovery.Record, 1), 'stale')
+    }
+  }), { seed: 67, numRuns: 1000 })
+})
+
 test('drawn records with one odd field are refused or can be used, and the others hold', t => {
   const messages = fc.tuple(fc.array(oddRecords.oddRecord, { minLength: 1, maxLength: 5 }), fc.boolean())
   fc.assert(fc.property(messages, ([list, isPacked]) => {
--- a/packages/discovery/src/intake.ts
+++ b/packages/discovery/src/intake.ts
@@ -4,13 +4,17 @@
 import * as messages from './messages.js'
 import * as recordBounds from './recordBounds.js'
 import * as records from './records.js'
+import type * as recordTables from './recordTable.js'
 import type * as refusals from './refusals.js'
 
 /** Checks received lists; `from` names the sender for the log. */
 export interface Intake {
   records (list: unknown, from: string): records.Record[]
-  /** Unpacks and checks records; bytes that cannot be unpacked count as one refused item. */
-  packedRecords (bytes: Uint8Array | null, from: string): records.Record[]
+  /**
+   * Unpacks and checks records; bytes that cannot be unpacked count as one refused item.
+   * @param table its records stand in for those that hold nothing newer, which need no check: most records of a fleet are known
+   */
+  packedRecords (bytes: Uint8Array | null, from: string, table: Pick<recordTables.RecordTable, 'findKnown'>): records.Record[]
   heartbeats (list: unknown, from: string): records.Heartbeat[]
   ids (list: unknown, from: string): string[]
   addresses (list: unknown, from: string): string[]
@@ -32,7 +36,7 @@
 
   const intake: Intake = {
     records: (list, from) => readEach('record', records.record, list, from).filter(item => isPlausible('record', item, item.id, from)),
-    packedRecords (bytes, from) {
+    packedRecords (bytes, from, table) {
       if (bytes === null) return []
       let list: unknown
       try {
@@ -41,7 +45,14 @@
         refused.note('recordsRefused', 'records.packed', { from, why: err instanceof Error ? err.message : String(err) })
         return []
       }
-      return intake.records(list, from)
+      if (!Array.isArray(list)) return intake.records(list, from)
+      const known: records.Record[] = []
+      const others = list.filter(item => {
+        const found = table.findKnown(item)
+        if (found !== undefined) known.push(found)
+        return found === undefined
+      })
+      return [...known, ...intake.records(others, from)]
     },
     heartbeats: (list, from) => readEach('heartbeat', records.heartbeat, list, from).filter(([id, startedAt, seq]) => isPlausible('heartbeat', { startedAt, seq }, id, from)),
     ids: (list, from) => readEach('id', contracts.input.name, list, from),
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -183,7 +183,7 @@
   const compare = async (address: string): Promise<void> => {
     const link = await opts.getPeerLink(address)
     const reply = messages.discoveryReply.parse(await link.call({ t: 'compare', records: messages.packRecords(table.all()) } satisfies messages.DiscoveryCall, 2 * messages.TICK_INTERVAL_MS))
-    await queueChanges(mergeAll(intake.packedRecords(reply.records, address), false), false)
+    await queueChanges(mergeAll(intake.packedRecords(reply.records, address, table), false), false)
   }
 
   const packTable = (): Uint8Array => {
@@ -240,7 +240,7 @@
           void queueChanges(mergeAll(intake.records(call.list, 'control instance'), true), false)
           return toReply(false, null)
         case 'compare':
-          void queueChanges(mergeAll(intake.packedRecords(call.records, 'control instance'), false), false)
+          void queueChanges(mergeAll(intake.packedRecords(call.records, 'control instance', table), false), false)
           return toReply(true, null)
         case 'fetch':
           return { ...toReply(false, null), isCurrent: opts.isCurrent(), ...messages.toDocumentReply(opts.packDocumentSince(call.version), budget, now()) }
@@ -249,7 +249,7 @@
     onEvent (event) {
       switch (event.t) {
         case 'packedNews':
-          void queueChanges(mergeAll(intake.packedRecords(event.records, 'subscriber'), true), true)
+          void queueChanges(mergeAll(intake.packedRecords(event.records, 'subscriber', table), true), true)
           break
         case 'news':
           void queueChanges(mergeAll(intake.records(event.list, 'subscriber'), true), true)
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -24,6 +24,8 @@
 export interface RecordTable {
   /** The record may be supplemented: {@link RecordTable.get} returns the result. An endpoint never replaces an entry instance of the same id. */
   merge (record: records.Record, now: number): MergeResult
+  /** Returns the known record if an unchecked one is of an endpoint and holds nothing newer. */
+  findKnown (candidate: unknown): records.EndpointRecord | undefined
   /**
    * Applies a heartbeat.
    * @returns whether its process is alive: it was newer than the last one, or the process goes on counting below a number that was not its own
@@ -158,6 +160,12 @@
 
   return {
     merge,
+    findKnown (candidate) {
+      const { id, startedAt, seq, state } = (candidate ?? {}) as { [key in 'id' | 'startedAt' | 'seq' | 'state']?: unknown }
+      const known = typeof id === 'string' ? knownById.get(id)?.record : undefined
+      if (known?.kind !== 'endpoint' || known.startedAt !== startedAt || known.state !== state) return undefined
+      return typeof seq === 'number' && seq <= known.seq ? known : undefined
+    },
     applyHeartbeat ([id, startedAt, seq], now) {
       const known = knownById.get(id)
       if (known === undefined || known.record.startedAt !== startedAt) return false
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -161,7 +161,7 @@
       sub.isEstablished = true
       opts.log.event('controlFound', { address, subscriptions: open.size })
       if (reply.records !== null) {
-        const list = intake.packedRecords(reply.records, address)
+        const list = intake.packedRecords(reply.records, address, opts.table)
         mergeRecords(list)
         if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, intake.ids(reply.late, address))
       }
@@ -211,7 +211,7 @@
       onReply (reply, address) {
         if (documents.version() > 0) return
         opts.log.event('handoutTaken', { address, version: reply.version })
-        mergeRecords(intake.packedRecords(reply.records, address))
+        mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
         noteEvacuations(reply.evacuations, address)
         documents.accept(reply.document, address)
@@ -243,7 +243,7 @@
       switch (event.t) {
         case 'news':
         case 'packedNews': {
-          const list = event.t === 'news' ? intake.records(event.list, sub.address) : intake.packedRecords(event.records, sub.address)
+          const list = event.t === 'news' ? intake.records(event.list, sub.address) : intake.packedRecords(event.records, sub.address, opts.table)
           mergeRecords(list)
           sub.live?.addRecords(list)
           break
