--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -97,7 +97,11 @@
   documentDamaged: spec(1614, 'warn', 'configuration document that an instance sent is damaged; it is fetched from another one', 'Check that instance and its disk.'),
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
-  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "malformed" check the client, for "stopping" the grace period; for "error" report it together with the event "uncaught" before it.'),
+  messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
+  metricsUnavailable: spec(1626, 'warn', 'metrics cannot be served; trying again', 'Check which process has the address of the metrics.'),
+  previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
+  memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
+  responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "stopping" check the grace period; for "error" report it together with the event "uncaught" before it.'),
   requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
   endpointUnusable: spec(1633, 'warn', 'record of an endpoint has an id or an address that cannot be used; it is ignored', 'Find out who writes such records: "id" and "address" as announced.'),
   requestFailed: spec(1504, 'info', 'request failed')
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -7,6 +7,7 @@
 import * as admittedRequests from './admittedRequest.js'
 import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
+import * as clientConnections from './clientConnections.js'
 import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
@@ -18,9 +19,14 @@
 export interface EntryServer {
   /** Applies the limits of the document in force. */
   applyLimits (limits: routeTables.ClientLimits): void
-  /** IP address and port that the server listens on. */
-  readonly address: string
-  /** Number of requests without a complete response. */
+  /**
+   * Starts accepting connections.
+   * @param front IP address and port for clients
+   * @returns the address, with the port that was selected for port 0
+   * @throws Error when the address is not available; see {@link links.startListening}
+   */
+  listen (front: string): Promise<string>
+  /** Number of requests whose response was not sent completely. */
   openRequests (): number
   /** Number of client connections. */
   connections (): number
@@ -30,13 +36,6 @@
   destroy (): void
 }
 
-/** Options of {@link startEntryServer}. */
-export interface EntryServerOptions {
-  /** IP address and port for clients. */
-  front: string
-  ctx: entryContexts.EntryContext
-}
-
 /** A request, for the log and the metrics. */
 interface Exchange { attemptId: string | undefined, /** Name of its route, once it is admitted. */ route: string | undefined }
 
@@ -52,12 +51,9 @@
 /** Added to the idle timeout, because the client measures it from the receipt of the last byte. */
 const IDLE_MARGIN_MS = 1500
 
-/** Starts the server. */
-export async function startEntryServer (opts: EntryServerOptions): Promise<EntryServer> {
-  const { ctx } = opts
-  const sockets = new Set<net.Socket>()
-  const responses = new Set<http.ServerResponse>()
-  let open = 0
+/** Creates the server, which does not listen yet. */
+export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
+  const connections = clientConnections.createClientConnections()
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -66,11 +62,9 @@
     keepAlive: true,
     noDelay: true
   }, (req, res) => {
-    open++
-    responses.add(res)
+    const onHandled = connections.addResponse(res)
     const exchange: Exchange = { attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId), route: undefined }
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
-    res.once('close', () => responses.delete(res))
     serve(req, res, exchange).catch(err => {
       const outcome = unexpectedErrors.refuseWithError({ req, res, attemptId: exchange.attemptId }, ctx, err)
       ctx.metrics.requests.inc({ route: 'none', outcome: outcome.slice(0, 3) })
@@ -78,7 +72,7 @@
     }).catch(() => {
       brokenResponses.noteCause(res, 'error')
       res.destroy()
-    }).finally(() => { open-- })
+    }).finally(onHandled)
   })
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -97,7 +91,6 @@
     res.on('error', () => {})
     if (res.socket === null && !await requestReaders.waitForTurn(req, res)) {
       ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the client left before its pipelined request was read', path: req.url?.slice(0, 80) })
-      responses.delete(res)
       recordBroken(exchange, 'client')
       return
     }
@@ -122,6 +115,8 @@
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
       case 'broken':
+        // A malformed body was answered.
+        if (res.writableEnded) return
         ctx.log.event('requestRefused', { request: attemptId, status: 0, why: 'the connection closed before the body of the request was read', path: req.url?.slice(0, 80), document: table.version })
         res.destroy()
         return
@@ -181,28 +176,30 @@
   }
 
   server.keepAliveTimeout = 0
-  server.on('connection', (socket: net.Socket) => {
-    sockets.add(socket)
-    socket.on('close', () => sockets.delete(socket))
-  })
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, ctx) })
-  await links.startListening(server, opts.front, { backlog: 1024, log: ctx.log })
+  // The library's own method closes connections whose response was written, but not sent yet.
+  server.closeIdleConnections = connections.closeIdle
+  server.on('connection', connections.add)
+  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, connections, ctx) })
+  server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
 
   return {
-    address: `${links.parseAddress(opts.front).host}:${(server.address() as net.AddressInfo).port}`,
+    async listen (front) {
+      await links.startListening(server, front, { backlog: 1024, log: ctx.log })
+      return `${links.parseAddress(front).host}:${(server.address() as net.AddressInfo).port}`
+    },
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     },
-    openRequests: () => open,
-    connections: () => sockets.size,
+    openRequests: connections.openCount,
+    connections: connections.count,
     stopListening () {
       server.close()
       server.closeIdleConnections()
     },
     destroy () {
-      for (const res of responses) brokenResponses.noteCause(res, 'stopping')
-      for (const socket of sockets) socket.destroy()
+      for (const res of connections.responses()) brokenResponses.noteCause(res, 'stopping')
+      connections.destroyAll()
     }
   }
 }
