fix(forwarding): headers of a response that cannot be sent are left out, instead of failing the response

The HTTP parser accepts names of response headers that may not be sent (empty, or with a space); `writeHead` then threw, and the client lost the endpoint's answer: its connection was closed at first, and it got 502 since exceptions are answered. Such headers are now left out of responses and streams, with a line (`headersInvalid`, K1635).

Found by drawnHeads.test.ts, which draws heads of requests and of responses with odd values (numbers, encodings, lengths, framing, statuses, informational responses, methods, paths) and asks for one property: a complete response or a lawful break-off, no exception, and the next request is served.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -100,6 +100,7 @@
   requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
   endpointUnusable: spec(1633, 'warn', 'record of an endpoint has an id or an address that cannot be used; it is ignored', 'Find out who writes such records: "id" and "address" as announced.'),
   requestOverdue: spec(1634, 'warn', 'request was still being handled after its deadline and was ended', 'Report it together with the event "uncaught" before it; for the step "body" the client sends its body too slowly.'),
+  headersInvalid: spec(1635, 'warn', 'headers of the response of an endpoint cannot be sent and were left out', 'Check the endpoint, which the event "requestEnded" of the same request names: the names of its headers are invalid.'),
   requestFailed: spec(1504, 'info', 'request failed')
 } as const satisfies Record<string, EventSpec>
 
--- a/packages/forwarding/src/attempts/clientResponse.ts
+++ b/packages/forwarding/src/attempts/clientResponse.ts
@@ -9,13 +9,18 @@
 /** A completely received response of an endpoint. */
 export interface BufferedResponse { res: http.IncomingMessage, body: Buffer }
 
+/** Logs headers of a response that cannot be sent. */
+export function logInvalidHeaders ({ ctx, attemptId }: clientCalls.ClientCall, names: string): void {
+  ctx.log.event('headersInvalid', { request: attemptId, names })
+}
+
 /** Sends the response of an endpoint to the client and returns the outcome for the log. */
 export function sendResponse (call: clientCalls.ClientCall, response: BufferedResponse): string {
   const { res, ctx } = call
   if (res.destroyed) return 'the client left'
   call.firstByteAt ??= ctx.now()
   const status = response.res.statusCode ?? 502
-  const headers = forwardHeaders.toResponseHeaders(response.res.rawHeaders)
+  const headers = forwardHeaders.toResponseHeaders(response.res.rawHeaders, names => { logInvalidHeaders(call, names) })
   if (call.req.method !== 'HEAD' && status !== 204 && status !== 304) headers.push('Content-Length', String(response.body.length))
   if (ctx.isDraining()) headers.push('Connection', 'close')
   res.writeHead(status, headers)
--- a/packages/forwarding/src/attempts/forwardHeaders.ts
+++ b/packages/forwarding/src/attempts/forwardHeaders.ts
@@ -1,8 +1,10 @@
 /** Header forwarding in both directions, and the headers that the fleet sets. */
-import * as http from 'node:http'
 import * as headerNames from './headerNames.js'
 import * as headerTexts from './headerText.js'
 
+/** Characters of the names of headers that are logged. */
+const MAX_LOGGED_CHARS = 200
+
 /** Hop-by-hop headers. */
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'])
 
@@ -20,14 +22,12 @@
   return names
 }
 
+const NAME = /^[\w!#$%&'*+.^`|~-]+$/
+const VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
+
 /** Returns whether a text can be sent as the value of a header. */
 export function isValue (text: string): boolean {
-  try {
-    http.validateHeaderValue('x', text)
-    return true
-  } catch {
-    return false
-  }
+  return VALUE.test(text)
 }
 
 /** Values of the headers that the fleet sets on a request. */
@@ -72,15 +72,19 @@
 /**
  * Builds the headers of a response to a client.
  * @param raw the endpoint's headers, alternating names and values
+ * @param onInvalid called with the names of headers that cannot be sent and are left out: the parser accepts more than may be sent
  * @returns alternating names and values, without Content-Length
  */
-export function toResponseHeaders (raw: readonly string[]): string[] {
+export function toResponseHeaders (raw: readonly string[], onInvalid: (names: string) => void): string[] {
   const hopByHop = listHopByHopHeaders(raw)
   const headers: string[] = []
+  const invalid: string[] = []
   for (let i = 0; i < raw.length; i += 2) {
     const name = raw[i].toLowerCase()
     if (CONNECTION_HEADERS.has(name) || hopByHop.has(name) || name === 'content-length') continue
-    headers.push(raw[i], raw[i + 1])
+    if (NAME.test(name) && VALUE.test(raw[i + 1])) headers.push(raw[i], raw[i + 1])
+    else invalid.push(name)
   }
+  if (invalid.length > 0) onInvalid(invalid.join(' ').slice(0, MAX_LOGGED_CHARS))
   return headers
 }
--- a/packages/forwarding/src/streams/relayStream.ts
+++ b/packages/forwarding/src/streams/relayStream.ts
@@ -71,7 +71,7 @@
 
   const start = (): void => {
     isStarted = true
-    const headers = forwardHeaders.toResponseHeaders(first.rawHeaders)
+    const headers = forwardHeaders.toResponseHeaders(first.rawHeaders, names => { clientResponses.logInvalidHeaders(call, names) })
     if (ctx.isDraining()) headers.push('Connection', 'close')
     res.writeHead(first.statusCode ?? 200, headers)
   }
