fix(forwarding): a response with a head of up to 64 KB is passed on

An endpoint's answer whose head is longer than 16 KB, the default of the HTTP library for responses, was lost: the client got 502 after the endpoint had run the request. Heads of responses may now have the 64 KB that those of requests may have at the parser.

drawnHeads.test.ts: "a response with a long head is passed on" (30 KB) failed without the option, and passes with it.

--- a/packages/forwarding/__tests__/drawnHeads.test.ts
+++ b/packages/forwarding/__tests__/drawnHeads.test.ts
@@ -1,4 +1,5 @@
 /** Heads of requests and responses with odd values, drawn: each request gets a complete response or is lawfully broken off, and the next one is served. */
+import * as http from 'node:http'
 import * as ava from 'ava'
 import * as fc from 'fast-check'
 import * as net from 'node:net'
@@ -110,3 +111,21 @@
   odd.close()
   endpoint.close()
 })
+
+// Guards against answers that are lost because their heads are longer than the HTTP library allows by default.
+test('a response with a long head is passed on', async t => {
+  const endpoint = await helper.startEndpoint('e1', (req, res) => {
+    res.setHeader('x-long', 'y'.repeat(30_000))
+    helper.healthy(req, res, 1)
+  })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once' })], [endpoint])
+  const [host, port] = entry.address.split(':')
+  const res = await new Promise<http.IncomingMessage>((resolve, reject) => {
+    http.get({ host, port, agent: false, path: '/a/x', maxHeaderSize: 65_536, headers: { host: 'test.example', 'x-attempt': 'r1' } }, resolve).on('error', reject)
+  })
+  res.resume()
+  t.is(res.statusCode, 200)
+  t.is(res.headers['x-long']?.length, 30_000)
+  entry.close()
+  endpoint.close()
+})
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -54,6 +54,8 @@
 
 /** Informational responses before the response to a request; an endpoint that sends more is faulty. */
 const MAX_INFORMATIONAL_RESPONSES = 16
+/** Size of the head of a response. */
+const MAX_HEAD_BYTES = 64 * 1024
 /** Size of a discarded body up to which its connection is kept. */
 const MAX_DISCARDED_BYTES = 16 * 1024
 /** Time for a discarded body to end. */
@@ -98,6 +100,7 @@
       method: request.method,
       path: request.url,
       headers: request.headers,
+      maxHeaderSize: MAX_HEAD_BYTES,
       setHost: false
     })
     req.on('socket', (socket: net.Socket) => {
