fix(forwarding): a bad value in a message of another entry instance costs itself alone

One odd value of an instance that is damaged or of an earlier version, in a load, an outcome, a suspect or a holder, discarded the whole update; numbers out of range were taken: a negative load drew all requests to an endpoint, 1e308 hid it, a negative age made a crash that never ends, and lists of suspects and crashes of any length were multiplied with each other in one turn of the event loop.

--- a/packages/forwarding/src/gossip/gossipTypes.ts
+++ b/packages/forwarding/src/gossip/gossipTypes.ts
@@ -1,6 +1,8 @@
 /** Messages, options and interface of the gossip between entry instances. */
 import * as z from 'zod'
+import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
+import * as boundedLists from './boundedList.js'
 import type * as links from '@kingcupdeck/links'
 import type * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import * as crashReports from '../quarantine/crashReport.js'
@@ -8,24 +10,27 @@
 import type * as outlierDetectors from '../placement/outlierDetector.js'
 import type * as relayChoices from './relayChoice.js'
 
+/** Holders of a document that are read from an update. */
+const MAX_HOLDERS = 64
+
 /** Gossip update of an entry instance. */
 export const gossipUpdate = z.object({
   t: z.literal('peer'),
   /** Endpoint id, requests in flight, and queue delay in milliseconds or null if unknown. */
-  loads: z.array(z.tuple([z.string(), z.number(), z.number().nullable()])),
-  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  crashes: z.array(crashReports.crashReport),
+  loads: boundedLists.loads,
+  outcomes: boundedLists.outcomes,
+  crashes: crashReports.crashReports,
   /** Whether the sender has started recently and asks for all suspected requests. */
   asksForCrashes: z.boolean().default(false),
   /** Document version of the sender. */
-  document: z.number().default(0),
+  document: contracts.input.count.default(0),
   /**
    * What the update covers: the sender alone, the sender and the instances that it relays for, a whole zone, or the whole fleet. Only
    * `instance` is used in small fleets.
    */
   scope: z.enum(['instance', 'members', 'zone', 'fleet']).default('instance'),
   /** Inner addresses of other instances that have the document. */
-  holders: z.array(z.string()).default([]),
+  holders: boundedLists.keyList(MAX_HOLDERS).default([]),
   /** Evacuated zones as known to the sender; absent before the first evacuation. */
   evacuations: discovery.evacuations.optional()
 })
--- a/packages/forwarding/src/quarantine/trialPermits.ts
+++ b/packages/forwarding/src/quarantine/trialPermits.ts
@@ -7,13 +7,13 @@
 import * as contracts from '@kingcupdeck/contracts'
 import type * as links from '@kingcupdeck/links'
 import type * as telemetry from '@kingcupdeck/telemetry'
+import * as boundedLists from '../gossip/boundedList.js'
 import type * as crashQuarantines from './crashQuarantine.js'
 import * as crashReports from './crashReport.js'
 import * as suspectKeys from './suspectKey.js'
 
-/** Crashes that are told when a permit is asked for, and suspects: more than the headers of a request can name. */
+/** Crashes that are told when a permit is asked for. */
 const MAX_TOLD_CRASHES = 16
-const MAX_TOLD_SUSPECTS = 20_000
 /** Time for a reply. */
 const REPLY_TIMEOUT_MS = 250
 /** Time for which an instance whose trial was not permitted does not ask again, and suspects for which that is remembered. */
@@ -26,12 +26,12 @@
 export const trialCall = z.object({
   t: z.literal('trial'),
   /** Key of a suspect that is to be tried. */
-  fingerprint: z.string(),
-  reports: z.array(crashReports.crashReport).max(MAX_TOLD_CRASHES),
+  fingerprint: boundedLists.key,
+  reports: boundedLists.boundedList(crashReports.crashReport, MAX_TOLD_CRASHES),
   /** Keys of further suspects that are to be tried with the same request. */
-  others: z.array(z.string()).max(MAX_TOLD_SUSPECTS).default([]),
+  others: boundedLists.keyList(crashReports.MAX_SUSPECTS).default([]),
   /** Keys of all suspects of the request. */
-  carried: z.array(z.string()).max(MAX_TOLD_SUSPECTS).default([])
+  carried: boundedLists.keyList(crashReports.MAX_SUSPECTS).default([])
 })
 /** Asks an entry instance for a permit, and tells what is known of the suspects. */
 export type TrialCall = z.infer<typeof trialCall>
