--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -39,7 +39,7 @@
   store: documentStores.DocumentStore
   table: discovery.RecordTable
   /** Accepts an announcement. See {@link discovery.Publisher.announce}. */
-  announce: (record: discovery.Record) => Promise<void>
+  announce: (record: discovery.Record) => Promise<boolean>
   /** Returns the number of subscribed entry instances. */
   subscriberCount: () => number
   /** Returns the number of records without a recent heartbeat. */
@@ -102,7 +102,7 @@
     invariants: opts.invariants
   }).catch(async err => {
     await server.close()
-    throw err
+    throw new Error(`replica of the document cannot be started: ${err instanceof Error ? err.message : String(err)}`, { cause: err })
   })
 
   const version = (): number => store.latest()?.version ?? 0
@@ -163,7 +163,7 @@
   return {
     store,
     table,
-    announce: async record => { await publisher.announce(record) },
+    announce: publisher.announce,
     subscriberCount: publisher.subscriberCount,
     lateCount: publisher.lateCount,
     refusals,
--- a/packages/discovery/__tests__/oddRecords.test.ts
+++ b/packages/discovery/__tests__/oddRecords.test.ts
@@ -110,7 +110,7 @@
   const table = discovery.createRecordTable()
   const dialed: string[] = []
   const link = { call: async () => ({ records: null, controls: [], version: 0, document: null, ...reply }), send () {}, close () {}, closed: new Promise(() => {}) } as unknown as links.Link
-  const subscriber = discovery.startSubscriber({
+  const subscriber = discovery.createSubscriber({
     id: 'r1',
     seeds: () => ['10.0.0.9:1'],
     table,
@@ -123,6 +123,7 @@
     onRecords () {},
     log
   })
+  subscriber.start()
   for (let i = 0; i < 500 && subscriber.describeSubscriptions() === ''; i++) await new Promise(resolve => { setTimeout(resolve, 10) })
   return { table, dialed, send (body) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) }, isSubscribed: () => subscriber.describeSubscriptions() !== '', stop: subscriber.stop }
 }
