fix(state): odd messages of another replica are rejected before they change anything

The class of odd input, between processes: schemas knew types but hardly ranges, and what a damaged or other version's replica says was trusted.

--- a/packages/coordination/src/documentMachine.ts
+++ b/packages/coordination/src/documentMachine.ts
@@ -34,8 +34,11 @@
 /** Result of an evacuation command. */
 export type EvacuationResult = z.infer<typeof evacuationResult>
 
-/** Snapshot with evacuations. Before the first one, a snapshot is the packed document alone, as in earlier releases. */
-interface SavedState { document: contracts.PackedText | null, evacuations: discovery.Evacuations }
+/** Snapshot with evacuations. */
+const savedState = z.object({ document: contracts.packedText.nullable(), evacuations: discovery.evacuations })
+type SavedState = z.infer<typeof savedState>
+/** Before the first evacuation, a snapshot is the packed document alone, as in earlier releases. */
+const anySavedState = z.union([savedState, contracts.packedText.nullable().transform(document => ({ document, evacuations: discovery.NO_EVACUATIONS }))])
 
 /** The state machine, with read access to its state. */
 export interface DocumentMachine extends state.StateMachine {
@@ -93,9 +96,10 @@
       return codec.encode(evacuations.revision === 0 ? document : { document, evacuations } satisfies SavedState)
     },
     restore (bytes) {
-      const decoded = codec.decode(bytes) as contracts.PackedText | SavedState | null
-      const saved = decoded !== null && 'evacuations' in decoded ? decoded : { document: decoded, evacuations: discovery.NO_EVACUATIONS }
-      latest = saved.document === null ? null : contracts.unpackText(saved.document, null) ?? null
+      const saved = anySavedState.parse(codec.decode(bytes))
+      const document = saved.document === null ? null : contracts.unpackText(saved.document, null)
+      if (document === undefined) throw new Error('the document of a snapshot must be a full one')
+      latest = document
       evacuations = saved.evacuations
       onChange()
       onEvacuations()
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -163,7 +163,7 @@
   // Guards the leader's lease: no other candidate may win while the lease can be valid. A replica whose process just started may
   // have acknowledged a leader before, so it waits as long.
   if (!msg.isTransfer && isLeaderAlive(core)) return reject()
-  if (msg.term < core.meta.term) return reject()
+  if (msg.term < core.meta.term || msg.term - core.meta.term > replicaCore.MAX_TERM_GAP) return reject()
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
   if (msg.t === 'preVote') {
     const isGranted = isUpToDate && msg.term > core.meta.term && !hasJustVotedForAnother(core, msg.candidate) && yieldsTo(core, msg)
--- a/packages/state/src/entries.ts
+++ b/packages/state/src/entries.ts
@@ -11,10 +11,15 @@
   return `${replica.name}#${replica.incarnation}`
 }
 
+/** Highest term and index; the next ones are still safe integers. */
+const MAX_POSITION = 2 ** 52
+/** A term, or an index of the log. */
+const position = z.int().nonnegative().max(MAX_POSITION)
+
 /** An entry of the replicated log. */
 export const entry = z.object({
-  index: z.int().positive(),
-  term: z.int().nonnegative(),
+  index: position.positive(),
+  term: position,
   body: z.discriminatedUnion('kind', [
     z.object({ kind: z.literal('noop') }),
     z.object({ kind: z.literal('membership'), voters: z.array(member) }),
@@ -35,15 +40,15 @@
 
 /** State of the state machine after `lastIndex`, with the log position to continue from. */
 export const snapshot = z.object({
-  lastIndex: z.int().nonnegative(),
-  lastTerm: z.int().nonnegative(),
+  lastIndex: position,
+  lastTerm: position,
   lastAtMs: z.number(),
   voters: z.array(member),
   state: contracts.bytes
 })
 export type Snapshot = z.infer<typeof snapshot>
 
-const ballot = { term: z.int(), candidate: member, lastIndex: z.int(), lastTerm: z.int(), isTransfer: z.boolean() }
+const ballot = { term: position, candidate: member, lastIndex: position, lastTerm: position, isTransfer: z.boolean() }
 
 /** Calls between replicas. */
 export const rpc = z.discriminatedUnion('t', [
@@ -53,19 +58,19 @@
   z.object({ t: z.literal('vote'), ...ballot }),
   z.object({
     t: z.literal('append'),
-    term: z.int(),
+    term: position,
     leader: member,
-    prevIndex: z.int(),
-    prevTerm: z.int(),
+    prevIndex: position,
+    prevTerm: position,
     entries: z.array(entry),
-    commit: z.int(),
+    commit: position,
     /** Time since the leader sent the latest append that a quorum has acknowledged, milliseconds; absent from earlier versions. */
     quorumAgeMs: z.number().optional()
   }),
   /** Sent while a reply to entries is pending; it is answered without waiting for the disk. */
-  z.object({ t: z.literal('heartbeat'), term: z.int(), leader: member, commit: z.int(), quorumAgeMs: z.number() }),
-  z.object({ t: z.literal('snapshot'), term: z.int(), leader: member, lastIndex: z.int(), lastTerm: z.int(), lastAtMs: z.number(), voters: z.array(member), offset: z.int(), total: z.int(), data: contracts.bytes }),
-  z.object({ t: z.literal('takeOver'), term: z.int(), leader: member })
+  z.object({ t: z.literal('heartbeat'), term: position, leader: member, commit: position, quorumAgeMs: z.number() }),
+  z.object({ t: z.literal('snapshot'), term: position, leader: member, lastIndex: position, lastTerm: position, lastAtMs: z.number(), voters: z.array(member), offset: position, total: position, data: contracts.bytes }),
+  z.object({ t: z.literal('takeOver'), term: position, leader: member })
 ])
 export type Rpc = z.infer<typeof rpc>
 
@@ -73,8 +78,8 @@
 export const rpcReply = z.discriminatedUnion('t', [
   z.object({ t: z.literal('hello'), from: member, founding: z.array(member).nullable() }),
   z.object({ t: z.literal('join'), from: member, leader: z.string().nullable(), isVoter: z.boolean() }),
-  z.object({ t: z.literal('ballot'), from: member, term: z.int(), isGranted: z.boolean() }),
-  z.object({ t: z.literal('append'), from: member, term: z.int(), isOk: z.boolean(), match: z.int(), tryNext: z.int() }),
+  z.object({ t: z.literal('ballot'), from: member, term: position, isGranted: z.boolean() }),
+  z.object({ t: z.literal('append'), from: member, term: position, isOk: z.boolean(), match: position, tryNext: position }),
   z.object({ t: z.literal('takeOver'), from: member })
 ])
 export type RpcReply = z.infer<typeof rpcReply>
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -11,6 +11,8 @@
 /** Lease duration as a fraction of the minimum election timeout; the margin covers clock drift. */
 const LEASE_FRACTION = 0.8
 const DEFAULT_SNAPSHOT_ENTRIES = 500
+/** No replica is that many elections behind another one; a higher term is damage, and would leave no terms to elect in. */
+export const MAX_TERM_GAP = 2 ** 32
 /** Number of entries retained before a snapshot, so that slightly lagging followers need no snapshot. */
 const RETAINED_ENTRIES = 100
 
@@ -81,9 +83,9 @@
       await core.lastWrite
     },
 
-    /** Adopts a higher term, in which this replica has not voted. */
+    /** Adopts a higher term, in which this replica has not voted; ignores one that no elections can have led to. */
     async observeTerm (term: number): Promise<void> {
-      if (term > core.meta.term) await core.saveVote(term, null)
+      if (term > core.meta.term && term - core.meta.term <= MAX_TERM_GAP) await core.saveVote(term, null)
     },
 
     /** Persists a vote, together with its term if that is a higher one. */
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -1,10 +1,13 @@
 /** Log replication: appending entries, transferring snapshots and checking the leader's lease. */
+import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
 import * as replicaCore from './replicaCore.js'
 import type * as roles from './roles.js'
 
 const MAX_ENTRIES = 256
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024
+/** Larger than any state: a document and the evacuations. */
+const MAX_SNAPSHOT_BYTES = 4 * contracts.MAX_DOCUMENT_BYTES
 /** Sent as the age of the contact with a quorum if there was none. */
 const MAX_QUORUM_AGE_MS = 3_600_000
 
@@ -101,6 +104,7 @@
     progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.tryNext))
     return true
   }
+  if (reply.match > prevIndex + batch.length) throw new Error(`${progress.member.name} acknowledged entry ${reply.match}, which it was not sent`)
   progress.matchIndex = Math.max(progress.matchIndex, reply.match)
   progress.nextIndex = progress.matchIndex + 1
   return true
@@ -167,6 +171,7 @@
 export async function onAppend (core: replicaCore.Core, msg: Append): Promise<entries.RpcReply> {
   const reply = (isOk: boolean, match: number, tryNext: number): entries.RpcReply => toReply(core, msg, isOk, match, tryNext)
   const receivedAt = core.opts.clock.now()
+  if (!isConsistent(msg)) throw new Error(`append rejected: its entries do not continue entry ${msg.prevIndex} of term ${msg.prevTerm}`)
   if (!await follow(core, msg)) return reply(false, 0, 0)
   core.leaderCommitIndex = msg.commit
   const { log } = core
@@ -182,6 +187,9 @@
   if (firstMissing >= 0) {
     const from = uncompacted[firstMissing].index
     const isConflict = from <= log.lastIndex()
+    const isCommitted = from <= core.commitIndex
+    core.opts.invariants.check('commitNeverReverts', !isCommitted, () => `the leader of term ${msg.term} has another entry ${from}, but entries up to ${core.commitIndex} are committed`)
+    if (isCommitted) throw new Error(`append rejected: entry ${from} is committed with another term`)
     const truncation = isConflict ? core.truncateFrom(from) : undefined
     log.append(uncompacted.slice(firstMissing))
     await truncation
@@ -193,11 +201,22 @@
   return reply(true, matchIndex, matchIndex + 1)
 }
 
+/** Returns whether the entries of a message continue the one before them, and none is of a later term than the leader. */
+function isConsistent (msg: Append): boolean {
+  let { prevIndex: index, prevTerm: term } = msg
+  for (const item of msg.entries) {
+    if (item.index !== index + 1 || item.term < term || item.term > msg.term) return false
+    index = item.index
+    term = item.term
+  }
+  return true
+}
+
 /** Notes that all that was committed when a message was sent is applied. */
 function noteCurrency (core: replicaCore.Core, msg: Append | Heartbeat, receivedAt: number): void {
   // Only an entry of its own term tells a leader, and its followers, what is committed.
   if (core.commitIndex < msg.commit || core.log.termAt(msg.commit) !== msg.term) return
-  core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - (msg.quorumAgeMs ?? 0))
+  core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - Math.max(0, msg.quorumAgeMs ?? 0))
 }
 
 /** Acknowledges a leader without acknowledging any entry. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
@@ -241,6 +260,7 @@
 export async function onSnapshotChunk (core: replicaCore.Core, assembly: SnapshotAssembly, msg: SnapshotChunk): Promise<entries.RpcReply> {
   const reply = (isOk: boolean): entries.RpcReply => toReply(core, msg, isOk)
   if (!await follow(core, msg)) return reply(false)
+  if (msg.total > MAX_SNAPSHOT_BYTES) throw new Error(`snapshot of ${msg.total} bytes rejected: it exceeds ${MAX_SNAPSHOT_BYTES} bytes`)
   if (msg.offset === 0) Object.assign(assembly, { lastIndex: msg.lastIndex, lastTerm: msg.lastTerm, chunks: [], bytes: 0 })
   if (msg.lastIndex !== assembly.lastIndex || msg.lastTerm !== assembly.lastTerm || msg.offset !== assembly.bytes) return reply(false)
   assembly.chunks.push(msg.data)
@@ -254,6 +274,8 @@
 
 async function installSnapshot (core: replicaCore.Core, snapshot: entries.Snapshot): Promise<void> {
   const { log } = core
+  // First: a state that cannot be read changes nothing.
+  core.opts.stateMachine.restore(snapshot.state)
   const hasSuffix = log.termAt(snapshot.lastIndex) === snapshot.lastTerm
   if (hasSuffix) {
     log.compactTo(snapshot.lastIndex)
@@ -263,7 +285,7 @@
     core.queuedIndex = snapshot.lastIndex
     core.syncedIndex = Math.min(core.syncedIndex, core.commitIndex)
   }
-  restoreSnapshot(core, snapshot)
+  adoptPosition(core, snapshot)
   core.opts.log.event('snapshotInstalled', { group: core.opts.group, replica: core.opts.name, index: snapshot.lastIndex })
   await core.saveInstalledSnapshot(snapshot, hasSuffix ? snapshot.lastIndex + 1 : Number.MAX_SAFE_INTEGER)
 }
@@ -274,6 +296,10 @@
  */
 export function restoreSnapshot (core: replicaCore.Core, snapshot: entries.Snapshot): void {
   core.opts.stateMachine.restore(snapshot.state)
+  adoptPosition(core, snapshot)
+}
+
+function adoptPosition (core: replicaCore.Core, snapshot: entries.Snapshot): void {
   core.lastSnapshot = snapshot
   core.snapshotIndex = snapshot.lastIndex
   core.snapshotVoters = snapshot.voters
