--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -11,7 +11,6 @@
 import * as links from '@kingcupdeck/links'
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
-import * as diskFailures from './diskFailure.js'
 import * as documentCalls from './documentCall.js'
 import * as documentMachines from './documentMachine.js'
 import * as evacuationOrders from './evacuationOrders.js'
@@ -234,7 +233,7 @@
   try {
     replica = await create(opts.ownsProcess === true ? state.PROCESS_STARTED_AT_MS : undefined)
   } catch (err) {
-    if (!diskFailures.isDiskFailure(err)) throw err
+    // A process that ended here would end at each start.
     opts.log.event('replicaRestarted', { step: 'failed', detail: String(err) })
     void restart()
   }
