fix(telemetry): a check of the memory without a free file descriptor is left out

Run with 64 descriptors and 300 connections each to control and entry: the processes lived, but each check of the memory threw (EMFILE), counted as an unexpected error. It is logged once a minute instead (K1627).

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -100,6 +100,7 @@
   messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
   metricsUnavailable: spec(1626, 'warn', 'metrics cannot be served; trying again', 'Check which process has the address of the metrics.'),
   previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
+  memoryUnknown: spec(1627, 'warn', 'use of memory could not be read', 'Check the limit of open files of the process.'),
   memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
   responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "stopping" check the grace period; for "error" report it together with the event "uncaught" before it.'),
   requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
--- a/packages/telemetry/__tests__/memoryWatch.test.ts
+++ b/packages/telemetry/__tests__/memoryWatch.test.ts
@@ -29,3 +29,10 @@
   t.is(levels.length, 5)
   t.is(watch.peakShare('heap'), 0.975)
 })
+
+test('memory that cannot be read costs one line, and no error', t => {
+  const lines: string[] = []
+  const watch = telemetry.createMemoryWatch({ machineLimit: () => 400, log: { event (name) { lines.push(name) } }, read () { throw new Error('EMFILE: too many open files') } })
+  for (let i = 0; i < 5; i++) watch.check()
+  t.deepEqual(lines, ['memoryUnknown'])
+})
--- a/packages/telemetry/src/memoryWatch.ts
+++ b/packages/telemetry/src/memoryWatch.ts
@@ -46,6 +46,20 @@
   const peaks: Record<MemoryLimit, number> = { heap: 0, machine: 0 }
   /** When each level was logged last, by limit. */
   const loggedAt: Record<MemoryLimit, number[]> = { heap: [], machine: [] }
+  let failureLoggedAt = -Infinity
+
+  /** Reading takes a file descriptor, and a process may have none left. */
+  const tryRead = (): MemoryUse | undefined => {
+    try {
+      return read()
+    } catch (err) {
+      if (now() - failureLoggedAt >= LOG_INTERVAL_MS) {
+        failureLoggedAt = now()
+        opts.log.event('memoryUnknown', { detail: err instanceof Error ? err.message : String(err) })
+      }
+      return undefined
+    }
+  }
 
   const note = (of: MemoryLimit, share: number, use: MemoryUse): void => {
     peaks[of] = Math.max(peaks[of], share)
@@ -59,7 +73,8 @@
 
   return {
     check () {
-      const use = read()
+      const use = tryRead()
+      if (use === undefined) return
       note('heap', use.heap / use.heapLimit, use)
       if (opts.machineLimit() > 0) note('machine', use.rss / opts.machineLimit(), use)
     },
