--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -39,30 +39,40 @@
   store: documentStores.DocumentStore
   table: discovery.RecordTable
   /** Accepts an announcement. See {@link discovery.Publisher.announce}. */
-  announce: (record: discovery.Record) => Promise<void>
+  announce: (record: discovery.Record) => Promise<boolean>
   /** Returns the number of subscribed entry instances. */
   subscriberCount: () => number
   /** Returns the number of records without a recent heartbeat. */
   lateCount: () => number
+  /** Counts refused input. */
+  refusals: discovery.Refusals
   stop: () => Promise<void>
 }
 
 const DIAL_TIMEOUT_MS = 1000
 
+/** What calls and events of other instances are handed to. */
+interface Parts { store: documentStores.DocumentStore, publisher: discovery.Publisher }
+
 /** Starts a control instance, which may still have to join the group when this resolves. */
 export async function startControlInstance (opts: ControlInstanceOptions): Promise<ControlInstance> {
   const { log } = opts
   const table = discovery.createRecordTable()
+  const refusals = discovery.createRefusals(log)
   let isStopping = false
   let onDocumentChange = (): void => {}
   let onEvacuations = (): void => {}
 
+  // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
+  const starting = createPendingParts()
   const handlers: links.LinkHandlers = {
-    onEvent (body) {
+    onEvent (body, link) {
       const event = discovery.discoveryEvent.safeParse(body)
-      if (event.success) publisher.onEvent(event.data)
+      if (event.success) starting.peek()?.publisher.onEvent(event.data)
+      else refusals.note('recordsRefused', 'event', { from: link.peer.id, why: event.error.message })
     },
     async onCall (body, link) {
+      const { store, publisher } = await starting.get()
       if (documentCalls.isDocumentCall(body)) return await store.onCall(documentCalls.documentCall.parse(body))
       return await publisher.onCall(discovery.discoveryCall.parse(body), link)
     }
@@ -71,6 +81,13 @@
   const peerLinks = links.createPeerLinks(linkCfg)
   const getPeerLink = links.createPeerDialer(peerLinks, { dialTimeoutMs: DIAL_TIMEOUT_MS, backoffMs: contracts.HEARTBEAT_INTERVAL_MS }).get
 
+  // First: the address is free only once the process before has ended, which may still write to the same data folder.
+  const server = await links.listen(opts.inner, linkCfg, link => {
+    if (link.peer.role === 'control') peerLinks.add(link)
+  })
+  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log, discovery.createIntake(refusals))
+  for (const record of await recordFile.load()) table.merge(record, performance.now())
+
   const store = await documentStores.startDocumentStore({
     self: opts.inner,
     founders: opts.founders,
@@ -84,11 +101,11 @@
     onEvacuations: () => { onEvacuations() },
     log,
     invariants: opts.invariants
+  }).catch(async err => {
+    await server.close()
+    throw new Error(`replica of the document cannot be started: ${err instanceof Error ? err.message : String(err)}`, { cause: err })
   })
 
-  const recordFile = recordFiles.createRecordFile(opts.dataFolder, () => table.all(), log)
-  for (const record of await recordFile.load()) table.merge(record, performance.now())
-
   const version = (): number => store.latest()?.version ?? 0
   let lastReport = ''
 
@@ -121,7 +138,8 @@
       recordFile.save()
       handoutFile.save()
     },
-    log
+    log,
+    refusals
   })
 
   const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.latest() === null ? undefined : publisher.toFullReply(), log)
@@ -139,18 +157,17 @@
     handoutFile.save()
   }
 
-  const server = await links.listen(opts.inner, linkCfg, link => {
-    if (link.peer.role === 'control') peerLinks.add(link)
-  })
+  starting.complete({ store, publisher })
   const timer = setInterval(() => { publisher.tick() }, discovery.TICK_INTERVAL_MS)
   publisher.tick()
 
   return {
     store,
     table,
-    announce: async record => { await publisher.announce(record) },
+    announce: publisher.announce,
     subscriberCount: publisher.subscriberCount,
     lateCount: publisher.lateCount,
+    refusals,
     async stop () {
       isStopping = true
       clearInterval(timer)
@@ -162,3 +179,18 @@
     }
   }
 }
+
+/** Holds the parts of an instance while it starts. */
+function createPendingParts (): { complete: (parts: Parts) => void, get: () => Promise<Parts>, peek: () => Parts | undefined } {
+  let complete: (parts: Parts) => void = () => {}
+  let known: Parts | undefined
+  const completed = new Promise<Parts>(resolve => { complete = resolve })
+  return {
+    complete (parts) {
+      known = parts
+      complete(parts)
+    },
+    get: async () => known ?? await completed,
+    peek: () => known
+  }
+}
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -11,7 +11,7 @@
 import * as helper from './testEntry.js'
 
 const log = telemetry.createLog({ instance: 'test', level: 'silent' })
-const SECRET = 'test-secret-of-16'
+export const SECRET = 'test-secret-of-16'
 const WAIT_MS = 10_000
 const TICK_MS = 250
 /** Loopback host of this process. Connections of other processes come from another one, and cannot take its ports. */
@@ -58,12 +58,12 @@
     onEvent (body) {
       const event = discovery.discoveryEvent.parse(body)
       publisher.onEvent(event)
-      if (event.t === 'news') broadcast(event.list)
+      if (event.t === 'news') broadcast(event.list as discovery.Record[])
       if (event.t === 'tick') for (const other of group) other.onEvent({ t: 'signs', signs: event.signs })
     },
     async onCall (body, link) {
       const call = discovery.discoveryCall.parse(body)
-      if (call.t === 'subscribe') broadcast([call.self])
+      if (call.t === 'subscribe') broadcast([call.self as discovery.Record])
       if (call.t === 'fetch' && isBlocking) await new Promise<void>(resolve => { blocked.push(resolve) })
       const reply = await publisher.onCall(call, link)
       return isBlocking ? { ...reply, document: null } : reply
@@ -159,6 +159,7 @@
   }
 }
 
-function freeAddress (): string {
+/** Returns an address that nothing else uses. */
+export function freeAddress (): string {
   return `${HOST}:${nextPort++}`
 }
--- a/packages/forwarding/src/attempts/clientCall.ts
+++ b/packages/forwarding/src/attempts/clientCall.ts
@@ -38,6 +38,8 @@
   /** Aborted when the deadline is over or the client disconnects; the reason says which. */
   aborter: AbortController
   attempts: AttemptRecord[]
+  /** Whether a connection to an endpoint was given the request: from then on it must not be reported as not run after an exception. */
+  isSent: boolean
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean
   firstByteAt: number | undefined
@@ -54,9 +56,13 @@
   /** The deadline is over; an endpoint may have run the request. */
   | { kind: 'timeout', why: string }
 
+/** What an error response needs of a request. */
+export interface RefusableRequest { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }
+
 /** Sends an error response, or breaks the connection if a response has already started. */
-export function writeRefusal (call: { req: http.IncomingMessage, res: http.ServerResponse, attemptId: string | undefined }, refusal: Refusal, attemptHeader: string): void {
+export function writeRefusal (call: RefusableRequest, refusal: Refusal, attemptHeader: string): void {
   const { res } = call
+  if (res.writableEnded) return
   if (res.headersSent || res.destroyed) {
     // The response headers were sent: only a broken connection marks the response as incomplete.
     res.destroy()
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -5,6 +5,7 @@
 import * as frames from './frames.js'
 import * as handshake from './handshake.js'
 import * as links from './link.js'
+import * as listening from './startListening.js'
 import * as tunnels from './tunnel.js'
 
 /** Settings of the links of a process. */
@@ -21,12 +22,8 @@
 /** Frame size limit for a peer that is not yet authenticated. */
 const HANDSHAKE_MAX_BYTES = 1024
 const HANDSHAKE_TIMEOUT_MS = 3000
-
-/** Splits an address `ip:port` or `[ip]:port`. */
-export function parseAddress (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
+/** Bytes of such a peer that are held; more than a frame, so that reading goes on until it is complete. */
+const MAX_PENDING_BYTES = 64 * 1024
 
 /**
  * Opens a link to an address. A dial that fails or times out leaves no connection behind.
@@ -61,7 +58,7 @@
 
 /** Connects and authenticates both sides; closes the connection if that or the rest of the work fails. */
 async function dialSocket<T> (address: string, cfg: LinkSettings, timeoutMs: number, target: string | undefined, complete: (dialled: Dialled) => Promise<T>): Promise<T> {
-  const socket = net.connect({ ...parseAddress(address) })
+  const socket = net.connect({ ...listening.parseAddress(address) })
   const pipe = createHandshakePipe(socket, timeoutMs)
   try {
     const nonce = handshake.createNonce()
@@ -92,6 +89,7 @@
  * Listens for links.
  * @param address IP address and port; port 0 selects a free one
  * @param onLink receives each link, once both sides are authenticated
+ * @throws Error when the address is not available; see {@link listening.startListening}
  */
 export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void): Promise<LinkServer> {
   const sockets = new Set<net.Socket>()
@@ -101,10 +99,7 @@
     socket.on('error', () => {})
     accept(socket, cfg).then(link => { if (link !== undefined) onLink(link) }, () => { socket.destroy() })
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(parseAddress(address), resolve)
-  })
+  await listening.startListening(server, address, { log: cfg.log })
   return {
     port: (server.address() as net.AddressInfo).port,
     close: async () => {
@@ -141,11 +136,10 @@
   return await onTunnel(target)
 }
 
-/** Exchanges single frames during the handshake, then hands over the reader and the remaining frames. */
+/** Exchanges single frames during the handshake, then hands over the reader with what was received since. */
 function createHandshakePipe (socket: net.Socket, timeoutMs: number) {
   let maxBytes = HANDSHAKE_MAX_BYTES
   const reader = frames.createFrameReader(() => maxBytes)
-  const earlyFrames: frames.ReceivedFrame[] = []
   let wake: () => void = () => {}
   let failure: Error | undefined
   const fail = (err: Error): void => {
@@ -153,11 +147,9 @@
     wake()
   }
   const onData = (chunk: Buffer): void => {
-    try {
-      earlyFrames.push(...reader.push(chunk))
-    } catch (err) {
-      fail(err as Error)
-    }
+    reader.add(chunk)
+    // What follows the handshake may be long, and what does not belong to one may have no end.
+    if (reader.pendingBytes() > MAX_PENDING_BYTES) socket.pause()
     wake()
   }
   const onClose = (): void => { fail(new Error('connection closed during the handshake')) }
@@ -171,22 +163,23 @@
     },
     async next (): Promise<unknown> {
       while (true) {
-        const received = earlyFrames.shift()
+        const received = reader.take()
         if (received !== undefined) return received.frame[2]
         if (failure !== undefined) {
           clearTimeout(timer)
           throw failure
         }
+        socket.resume()
         await new Promise<void>(resolve => { wake = resolve })
       }
     },
-    finish (): { reader: frames.FrameReader, earlyFrames: frames.ReceivedFrame[] } {
+    finish (): { reader: frames.FrameReader } {
       clearTimeout(timer)
       maxBytes = contracts.MAX_FRAME_BYTES
       socket.off('data', onData)
       socket.off('close', onClose)
       socket.pause()
-      return { reader, earlyFrames }
+      return { reader }
     }
   }
 }
