--- a/packages/coordination/__tests__/documentStore.test.ts
+++ b/packages/coordination/__tests__/documentStore.test.ts
@@ -210,6 +210,8 @@
   await t.throwsAsync(get(group, 'b').evacuate({ zone: 'z1', isEvacuated: true }, () => false, WAIT_MS))
   // A repeated order reads the committed zones; a follower may not have applied them yet.
   t.deepEqual(await get(group, 'a').evacuate({ zone: 'z1', isEvacuated: false }, () => true, WAIT_MS), { revision: 2, zones: [] })
+  while (get(group, 'a').evacuations().revision < 2) await timers.setTimeout(10)
+  t.deepEqual(get(group, 'a').evacuations().zones, [])
   await group.close()
 })
 
