perf(forwarding): keep the cost of a record and a request independent of other endpoints

Seen: an entry instance stopped for seconds while records of an odd writer arrived.

Cause: the pool went through all endpoints for each new record to find those at its address, and for each request to find those of its service.

Fix: an index by service, and the starts at each address in a list whose last is the earliest. A later start removes from its end, so each start is compared a bounded number of times in any order of arrival.

--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -9,8 +9,10 @@
 import * as endpointAgents from './endpointAgent.js'
 import * as endpointBackoffs from './endpointBackoff.js'
 import * as endpointDialers from '../paths/endpointDialer.js'
+import * as endpointIndexes from './endpointIndex.js'
 import type * as endpointProbes from './endpointProbe.js'
-import * as queueDelays from '../placement/queueDelay.js'
+import * as newEndpoints from './newEndpoint.js'
+import type * as queueDelays from '../placement/queueDelay.js'
 import * as usableRecords from './usableRecord.js'
 
 /** State of an endpoint at this instance. */
@@ -139,7 +141,7 @@
 
 /** Creates an empty pool. */
 export function createEndpointPool (opts: EndpointPoolOptions): EndpointPool {
-  const endpointById = new Map<string, Endpoint>()
+  const index = endpointIndexes.createEndpointIndex()
   const evacuatedZones = opts.evacuatedZones ?? (() => [])
   const isZoneAvoided = opts.isZoneAvoided ?? (() => false)
   const now = opts.now ?? (() => performance.now())
@@ -150,51 +152,29 @@
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
   const applyRecord = (record: discovery.EndpointRecord): void => {
-    const known = endpointById.get(record.id)
+    const known = index.get(record.id)
     if (record.state === 'gone') {
       if (known !== undefined) endpointAgents.release(known.agent)
-      endpointById.delete(record.id)
+      index.remove(record.id)
       return
     }
     if (known !== undefined && known.record.startedAt === record.startedAt && known.record.address === record.address) {
       known.record = record
       known.coldUntil = toColdUntil(record)
+      index.put(known)
       return
     }
     if (known !== undefined) {
       noteRestart(known, record)
       endpointAgents.release(known.agent)
     }
-    const endpoint: Endpoint = {
-      id: record.id,
-      record,
-      agent: endpointAgents.createAgent({ dial: async () => await endpoint.dial(), mayReuse: opts.mayReuse }),
-      dial: async helper => await dial(endpoint, helper),
-      helpers: undefined,
-      answeredAt: -Infinity,
-      acceptedAt: -Infinity,
-      inFlight: 0,
-      peerInFlight: 0,
-      queueDelay: queueDelays.createQueueDelayEstimator(),
-      peerQueueDelayMs: undefined,
-      backoffUntil: 0,
-      failures: 0,
-      loggedFailures: 0,
-      suspectedColdBefore: -Infinity,
-      misdirectedAt: undefined,
-      coldUntil: toColdUntil(record),
-      suspectedColdAt: -Infinity,
-      downListeners: new Set(),
-      answerListeners: new Set()
-    }
-    endpointById.set(record.id, endpoint)
+    const endpoint = newEndpoints.createEndpoint(record, { dial, mayReuse: opts.mayReuse, coldUntil: toColdUntil(record) })
+    index.put(endpoint)
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
-    for (const other of endpointById.values()) {
-      if (other.id !== record.id && other.record.address === record.address && other.record.startedAt < record.startedAt) {
-        noteRestart(other, record)
-        endpointAgents.release(other.agent)
-        endpointById.delete(other.id)
-      }
+    for (const earlier of index.addStart(endpoint)) {
+      noteRestart(earlier, record)
+      endpointAgents.release(earlier.agent)
+      index.remove(earlier.id)
     }
   }
 
@@ -225,7 +205,7 @@
 
   const toServiceEndpoints = (service: string): Endpoint[] => {
     const list: Endpoint[] = []
-    for (const item of endpointById.values()) if (item.record.service === service && !isMisdirected(item)) list.push(item)
+    for (const item of index.ofService(service)) if (!isMisdirected(item)) list.push(item)
     return list
   }
 
@@ -235,7 +215,7 @@
         if (record.kind === 'endpoint' && isUsable(record)) applyRecord(record)
       }
     },
-    get: id => endpointById.get(id),
+    get: id => index.get(id),
     usable (service, now) {
       const zones = evacuatedZones()
       const isUnresponsive = createUnresponsiveCheck()
@@ -255,7 +235,7 @@
       const isUnresponsive = createUnresponsiveCheck()
       return toServiceEndpoints(service).filter(item => isReachable(item, now) && !isUnresponsive(item))
     },
-    all: () => [...endpointById.values()],
+    all: () => [...index.all()],
     describeReach (service, now) {
       const known = toServiceEndpoints(service)
       const reached = known.filter(item => now - item.answeredAt < REACHED_MAX_AGE_MS).length
@@ -288,7 +268,7 @@
       endpointBackoffs.resetFailures(endpoint)
     },
     suspectCold (zone, now) {
-      for (const endpoint of endpointById.values()) {
+      for (const endpoint of index.all()) {
         if (endpoint.record.zone === zone) endpoint.suspectedColdAt = now
       }
     },
@@ -298,11 +278,12 @@
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address' })
     },
     prune () {
-      for (const [id, endpoint] of endpointById) {
-        if (opts.table.get(id) !== undefined || endpoint.inFlight > 0) continue
+      for (const endpoint of index.all()) {
+        if (opts.table.get(endpoint.id) !== undefined || endpoint.inFlight > 0) continue
         endpointAgents.release(endpoint.agent)
-        endpointById.delete(id)
+        index.remove(endpoint.id)
       }
+      index.pruneStarts()
     },
     closeIdleConnections: ({ agent }, helper) => { endpointAgents.closeIdleConnections(agent, helper) }
   }
