fix(discovery): records with long names keep out no others

Seen: 2,723 entries with names of 256 Thai letters filled a table by its 4 MB of names. A new endpoint got 503, a new entry instance was `full`, and the ended endpoints were forgotten first, though they hardly count.

Cause: one budget of bytes for all records, whatever their size, and for entry instances too.

Fix: records with more than 192 bytes of names share 4 MB; 2.5 MB are left for the others, which 12,000 endpoints with names of 192 bytes do not reach. If only the long ones are full, room is made among them only. Entry instances, which are announced by themselves only, are always admitted.

Not covered: a table filled by its number of records, with short names that another writer announces again and again.

Run: both new tests fail before.

--- a/packages/discovery/__tests__/recordTable.test.ts
+++ b/packages/discovery/__tests__/recordTable.test.ts
@@ -109,6 +109,27 @@
   t.is(table.merge(toRecord({ id: '0-'.padEnd(256, 'x'), seq: 2, state: 'leaving' }), 1), 'changed')
 })
 
+// Guards against endpoints and entry instances that are refused, and departures that are forgotten, because of long names of another writer.
+test('records with long names keep out no others', t => {
+  const table = discovery.createRecordTable()
+  const service = 'ก'.repeat(256)
+  for (let i = 0; i < 50; i++) table.merge(toRecord({ id: `gone${i}`, state: 'gone' }), 0)
+  for (let i = 0; i < 3000; i++) table.merge(toRecord({ id: `${i}-`.padEnd(256, 'x'), service, zone: service }), i * 10)
+  t.is(table.merge(toRecord({ id: 'long', service, zone: service }), 30_000), 'full')
+  for (let i = 0; i < 50; i++) t.is(table.get(`gone${i}`)?.record.state, 'gone')
+  const suffix = 'x'.repeat(160)
+  const merged = Array.from({ length: 12_000 }, (_, i) => table.merge(toRecord({ id: `${i}-${suffix}`, service: 'service-of-a-fleet', address: '100.100.100.100:65535' }), 30_000))
+  t.true(merged.every(result => result === 'changed'))
+  t.true(Array.isArray(discovery.unpackRecords(discovery.packRecords(table.all()))), 'they fit into one message')
+})
+
+test('a full table admits entry instances', t => {
+  const table = discovery.createRecordTable(2)
+  for (const id of ['e1', 'e2']) table.merge(toRecord({ id }), 0)
+  t.is(table.merge(toEntry(), 100), 'changed')
+  t.is(table.merge(toRecord({ id: 'e3' }), 100), 'full')
+})
+
 // Guards against processor time that a full table costs for each refused record.
 test('a full table looks for room at most once a second', t => {
   const table = discovery.createRecordTable(2)
--- a/packages/discovery/src/recordTable.ts
+++ b/packages/discovery/src/recordTable.ts
@@ -52,8 +52,12 @@
  * them those that are gone are retained.
  */
 export const MAX_RECORDS = 32_768
-/** Bytes of the names of a table, several times those of the same fleet. All records must fit into one message. */
-const MAX_NAME_BYTES = 4 * 1024 * 1024
+/** Bytes of the names of a record above which it counts as one with long names, several times those of a proper one. */
+const LONG_NAME_BYTES = 192
+/** Bytes of the names of records with long names: the rest is for the others, and holds the same fleet. */
+const MAX_LONG_NAME_BYTES = 4 * 1024 * 1024
+/** Bytes of the names of a table. All records must fit into one message. */
+const MAX_NAME_BYTES = 6.5 * 1024 * 1024
 /** A full table makes room for a part of its records at once, since it examines all of them. */
 const ROOM_RATIO = 1 / 64
 /** A process that was not heard for this long receives no requests, and may leave a full table. */
@@ -83,26 +87,36 @@
 export function createRecordTable (maxRecords = MAX_RECORDS): RecordTable {
   const knownById = new Map<string, KnownRecord>()
   let nameBytes = 0
+  let longNameBytes = 0
   let madeRoomAt = -Infinity
 
-  const isFull = (): boolean => knownById.size >= maxRecords || nameBytes >= MAX_NAME_BYTES
+  const isFullForAll = (): boolean => knownById.size >= maxRecords || nameBytes >= MAX_NAME_BYTES
+  const isFull = (added: records.Record): boolean => isFullForAll() || (toLongNameBytes(added) > 0 && longNameBytes >= MAX_LONG_NAME_BYTES)
+
+  const count = (added: records.Record | undefined, removed: records.Record | undefined): void => {
+    nameBytes += toNameBytes(added) - toNameBytes(removed)
+    longNameBytes += toLongNameBytes(added) - toLongNameBytes(removed)
+  }
 
   const remove = (id: string): void => {
     const known = knownById.get(id)
-    if (known !== undefined && knownById.delete(id)) nameBytes -= toNameBytes(known.record)
+    if (known !== undefined && knownById.delete(id)) count(undefined, known.record)
   }
 
   /** Removes records of processes that ended, then of silent ones, the longest silent first. @returns whether there is room */
-  const makeRoom = (now: number): boolean => {
-    if (!isFull()) return true
+  const makeRoom = (added: records.Record, now: number): boolean => {
+    // Entry instances are few, and announced by themselves only.
+    if (added.kind === 'entry' || !isFull(added)) return true
     if (now - madeRoomAt < MAKE_ROOM_INTERVAL_MS) return false
     madeRoomAt = now
+    const isFullOfLong = !isFullForAll()
     const removable = [...knownById]
+      .filter(([, { record }]) => !isFullOfLong || toLongNameBytes(record) > 0)
       .map(([id, { record, lastSeenAt }]) => ({ id, isGone: record.state === 'gone', silentMs: now - lastSeenAt }))
       .filter(item => item.isGone || item.silentMs > MIN_SILENCE_MS)
       .sort((a, b) => Number(b.isGone) - Number(a.isGone) || b.silentMs - a.silentMs)
     for (const { id } of removable.slice(0, Math.ceil(maxRecords * ROOM_RATIO))) remove(id)
-    return !isFull()
+    return !isFull(added)
   }
 
   const mergeStale = (known: KnownRecord, record: records.Record): MergeResult => {
@@ -116,8 +130,8 @@
     const known = knownById.get(received.id)
     const record = known === undefined ? received : inherit(received, known.record)
     if (known === undefined) {
-      if (!makeRoom(now)) return 'full'
-      nameBytes += toNameBytes(record)
+      if (!makeRoom(record, now)) return 'full'
+      count(record, undefined)
       knownById.set(record.id, { record, lastSeenAt: now, lastSeenSeq: record.seq, coldUntil: toColdUntil(record, now) })
       return 'changed'
     }
@@ -133,9 +147,8 @@
     if (isSameIncarnation && isLater(known.record.state, record.state)) return mergeStale(known, record)
     const isAdvanced = isSameIncarnation && isLater(record.state, known.record.state)
     if (isSameIncarnation && !isAdvanced && record.seq <= known.record.seq) return mergeStale(known, record)
-    const addedBytes = toNameBytes(record) - toNameBytes(known.record)
-    if (addedBytes > 0 && !makeRoom(now)) return 'full'
-    nameBytes += addedBytes
+    if (toNameBytes(record) > toNameBytes(known.record) && !makeRoom(record, now)) return 'full'
+    count(record, known.record)
     const coldUntil = toColdUntil(record, now)
     const isColdAgain = coldUntil > known.coldUntil + COLD_AGAIN_MS
     const isUnchanged = isSameIncarnation && !isColdAgain && toContent(record) === toContent(known.record)
@@ -213,8 +226,15 @@
   return requests.size === knownCount ? record : { ...record, inherited: [...requests.values()] }
 }
 
-function toNameBytes (record: records.Record): number {
-  switch (record.kind) {
+/** Returns the bytes of the names of a record with long ones, otherwise 0. */
+function toLongNameBytes (record: records.Record | undefined): number {
+  const bytes = toNameBytes(record)
+  return bytes > LONG_NAME_BYTES ? bytes : 0
+}
+
+function toNameBytes (record: records.Record | undefined): number {
+  switch (record?.kind) {
+    case undefined: return 0
     case 'endpoint': return Buffer.byteLength(record.id) + Buffer.byteLength(record.zone) + Buffer.byteLength(record.service)
     case 'entry': return Buffer.byteLength(record.id)
   }
