fix(forwarding): use an endpoint again that goes on being heard after a later start at its address

Seen: one entry of an odd writer with the address of a living endpoint, another id, an unknown service and a later start hid that endpoint for good; its service lost the endpoint with no end seen (300 s in the test).

Cause: the pool deleted the earlier endpoint. Its heartbeats change no content, so the pool was not told of it again. A delayed announcement that did change content, such as a warm-up, brought a replaced one back at once.

Fix: an earlier start is set aside instead. It is used again once the table heard it more than LATE_AFTER_MS plus a tick after the later start was announced; silence beyond the unresponsive time starts that period anew. A restored endpoint is not superseded again, so odd entries that keep coming hide it once. The 421 of the process at the address still decides if the earlier one has ended. Requests cause an examination of those set aside at most every 500 ms.

Limit: a lone heartbeat that arrives later than LATE_AFTER_MS plus a tick but before the endpoint counts as unresponsive brings a replaced endpoint back; a request to it then costs an attempt that ends in 421 or a backoff.

Evidence: supersededEndpoints.test.ts; 7 of its 9 tests fail with the pool before: the first 3 because the endpoint stays hidden, 4 because a delayed announcement brings it back. With the fix all hold: the endpoint is hidden for 3 heartbeats of 1.2 s.

--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -13,6 +13,7 @@
 import type * as endpointProbes from './endpointProbe.js'
 import * as newEndpoints from './newEndpoint.js'
 import type * as queueDelays from '../placement/queueDelay.js'
+import * as supersededEndpoints from './supersededEndpoints.js'
 import * as usableRecords from './usableRecord.js'
 
 /** State of an endpoint at this instance. */
@@ -152,6 +153,7 @@
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
   const applyRecord = (record: discovery.EndpointRecord): void => {
+    if (superseded.has(record)) return
     const known = index.get(record.id)
     if (record.state === 'gone') {
       if (known !== undefined) endpointAgents.release(known.agent)
@@ -175,9 +177,15 @@
       noteRestart(earlier, record)
       endpointAgents.release(earlier.agent)
       index.remove(earlier.id)
+      superseded.add(earlier.record)
     }
   }
 
+  /** Uses endpoints again that went on being heard. Their starts are not noted: no further one at their address supersedes them. */
+  const restore = (heard: ReadonlyArray<discovery.KnownRecord<discovery.EndpointRecord>>): void => {
+    for (const { record, coldUntil } of heard) index.put(newEndpoints.createEndpoint(record, { dial, mayReuse: opts.mayReuse, coldUntil }))
+  }
+
   const noteRestart = (endpoint: Endpoint, later: discovery.EndpointRecord): void => {
     if (later.startedAt <= endpoint.record.startedAt) return
     for (const listener of [...endpoint.downListeners]) listener({ why: 'a later start of the endpoint was announced', isSilent: false })
@@ -195,18 +203,18 @@
   }
 
   /** Returns a check of endpoints for one request. */
-  const createUnresponsiveCheck = (): (endpoint: Endpoint) => boolean => {
+  const createUnresponsiveCheck = (): (id: string) => boolean => {
     const lastQuorumAt = opts.lastQuorumAt()
     // After an outage of the control instances all announcements are old. The time is counted from when updates resumed, so that not
     // all endpoints are considered unresponsive.
     const quorumSince = opts.quorumSince()
-    return endpoint => lastQuorumAt - Math.max(opts.table.get(endpoint.id)?.lastSeenAt ?? -Infinity, quorumSince) > opts.unresponsiveMs
+    return id => lastQuorumAt - Math.max(opts.table.get(id)?.lastSeenAt ?? -Infinity, quorumSince) > opts.unresponsiveMs
   }
 
+  const superseded = supersededEndpoints.createSupersededEndpoints({ table: opts.table, createUnresponsiveCheck, now })
   const toServiceEndpoints = (service: string): Endpoint[] => {
-    const list: Endpoint[] = []
-    for (const item of index.ofService(service)) if (!isMisdirected(item)) list.push(item)
-    return list
+    restore(superseded.takeHeardAtInterval())
+    return [...index.ofService(service)].filter(item => !isMisdirected(item))
   }
 
   return {
@@ -219,7 +227,7 @@
     usable (service, now) {
       const zones = evacuatedZones()
       const isUnresponsive = createUnresponsiveCheck()
-      const ready = toServiceEndpoints(service).filter(item => item.record.state === 'ready' && !zones.includes(item.record.zone) && !isUnresponsive(item))
+      const ready = toServiceEndpoints(service).filter(item => item.record.state === 'ready' && !zones.includes(item.record.zone) && !isUnresponsive(item.id))
       const reachable = ready.filter(item => isReachable(item, now))
       if (reachable.length > 0) return reachable
       // If no endpoint is reachable, those whose backoff is nearly over are used.
@@ -229,11 +237,11 @@
       const zones = evacuatedZones()
       if (zones.length === 0) return []
       const isUnresponsive = createUnresponsiveCheck()
-      return toServiceEndpoints(service).filter(item => zones.includes(item.record.zone) && item.record.state === 'ready' && item.backoffUntil <= now && !isUnresponsive(item))
+      return toServiceEndpoints(service).filter(item => zones.includes(item.record.zone) && item.record.state === 'ready' && item.backoffUntil <= now && !isUnresponsive(item.id))
     },
     reachable (service, now) {
       const isUnresponsive = createUnresponsiveCheck()
-      return toServiceEndpoints(service).filter(item => isReachable(item, now) && !isUnresponsive(item))
+      return toServiceEndpoints(service).filter(item => isReachable(item, now) && !isUnresponsive(item.id))
     },
     all: () => [...index.all()],
     describeReach (service, now) {
@@ -284,6 +292,7 @@
         index.remove(endpoint.id)
       }
       index.pruneStarts()
+      restore(superseded.takeHeard())
     },
     closeIdleConnections: ({ agent }, helper) => { endpointAgents.closeIdleConnections(agent, helper) }
   }
