--- a/packages/forwarding/src/admission/routeTable.ts
+++ b/packages/forwarding/src/admission/routeTable.ts
@@ -103,11 +103,26 @@
   routesByHost: ReadonlyMap<string, readonly Route[]>
 }
 
+/** Items that are checked without a break: on a small share of a processor, a large document would stop the process for seconds. */
+const ITEMS_PER_SLICE = 200
+
+/** Returns a function that is given the number of items that were checked, and returns whether it is time for a break. */
+export function createSlicer (): (items: number) => boolean {
+  let left = ITEMS_PER_SLICE
+  return items => {
+    left -= items
+    if (left > 0) return false
+    left = ITEMS_PER_SLICE
+    return true
+  }
+}
+
 /**
- * Checks the references between the fields of a document.
+ * Checks the references between the fields of a document; yields after each slice of it.
  * @returns what to correct, or undefined if the document is valid
  */
-export function findTableError (table: RouteTable): string | undefined {
+export function * findTableError (table: RouteTable): Generator<undefined, string | undefined> {
+  const isSliceEnd = createSlicer()
   const services = new Set(table.services.map(item => item.name))
   const matches = new Set<string>()
   for (const item of table.routes) {
@@ -117,6 +132,7 @@
     const unknown = item.split.find(share => !services.has(share.service))
     if (unknown !== undefined) return `route "${item.name}" names the unknown service "${unknown.service}": add the service or correct the route`
     if (item.split.reduce((sum, share) => sum + share.weight, 0) <= 0) return `the weights of route "${item.name}" add up to 0: give one a weight above 0`
+    if (isSliceEnd(1 + item.split.length)) yield
   }
   const keys = new Map<string, string>()
   for (const account of table.accounts ?? []) {
@@ -125,6 +141,7 @@
       if (owner !== undefined && owner !== account.name) return `the accounts "${owner}" and "${account.name}" share a key: give each its own`
       keys.set(key, account.name)
     }
+    if (isSliceEnd(1 + account.keys.length)) yield
   }
   return undefined
 }
