fix(forwarding): a crash report with too many pairs costs itself alone

The pairs of a report that is dropped since it has too many also counted, so that all later reports of its message were dropped, too. Only those of accepted reports count now. The test failed before: a report with 20,000 suspects and 100 endpoints hid a sound one after it.

--- a/packages/forwarding/__tests__/oddMessages.test.ts
+++ b/packages/forwarding/__tests__/oddMessages.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava'
 import * as fc from 'fast-check'
 import * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
+import * as crashReports from '../src/quarantine/crashReport.js'
 import * as gossipTypes from '../src/gossip/gossipTypes.js'
 import * as loadSums from '../src/gossip/loadSums.js'
 import * as outlierDetectors from '../src/placement/outlierDetector.js'
@@ -53,3 +54,10 @@
     t.true(trial.success && trial.data.reports.length > 0 && trial.data.others.includes('o'))
   }), RUNS)
 })
+
+// Guards against sound reports that are lost because of one with too many pairs.
+test('a crash report with too many pairs costs itself alone', t => {
+  const odd = crashReports.toCrashReport('odd', { others: Array.from({ length: 20_000 }, (_, i) => `s${i}`), crashed: Array.from({ length: 100 }, (_, i) => `e${i}`) })
+  const sound = crashReports.toCrashReport('sound', { crashed: ['e1'] })
+  t.deepEqual(crashReports.crashReports.parse([odd, sound]).map(item => item.fingerprint), ['sound'])
+})
--- a/packages/forwarding/src/quarantine/crashReport.ts
+++ b/packages/forwarding/src/quarantine/crashReport.ts
@@ -40,7 +40,12 @@
 /** The reports of a message. */
 export const crashReports = boundedLists.boundedList(crashReport, MAX_REPORTS).transform(list => {
   let pairs = 0
-  return list.filter(item => (pairs += toKeys(item).length * (item.crashed.length + 1)) <= MAX_PAIRS)
+  return list.filter(item => {
+    const own = toKeys(item).length * (item.crashed.length + 1)
+    if (pairs + own > MAX_PAIRS) return false
+    pairs += own
+    return true
+  })
 })
 
 /** Returns a report with the given fields and defaults for the others. */
