fix(platform): a key that is another account's key once it is sent is refused

With the key `ké` of one account and `kÃ©` of another, requests with the first, sent as UTF-8, ran under the name of the second: shared keys were looked for only in the form in which the document has them.

--- a/packages/forwarding/src/admission/routeTable.ts
+++ b/packages/forwarding/src/admission/routeTable.ts
@@ -146,6 +146,26 @@
   return undefined
 }
 
+/**
+ * Finds two accounts of which one has a key that is the other's once it is sent, as UTF-8; yields after each slice of the table.
+ * @returns what to correct, or undefined
+ */
+export function * findSentKeyError (table: RouteTable): Generator<undefined, string | undefined> {
+  const isSliceEnd = createSlicer()
+  const owners = new Map<string, string>()
+  for (const account of table.accounts ?? []) {
+    for (const key of account.keys) {
+      for (const sent of new Set([key, headerTexts.toHeaderText(key)])) {
+        const owner = owners.get(sent)
+        if (owner !== undefined && owner !== account.name) return `the accounts "${owner}" and "${account.name}" share a key in the form in which clients send it: give each its own`
+        owners.set(sent, account.name)
+      }
+    }
+    if (isSliceEnd(1 + account.keys.length)) yield
+  }
+  return undefined
+}
+
 /** Indexes a valid document for request routing. */
 export function compileTable (table: RouteTable): CompiledTable {
   const routesByHost = new Map<string, Route[]>()
