fix(router): a body may hold a prompt as a long list of token ids

A body with more than 200,000 values got a 400, so a prompt given as a list of token ids was refused far below the limit of bytes. The bound is 2,000,000 now, which 4 MB of numbers of one digit reach.

--- a/packages/router/src/http.ts
+++ b/packages/router/src/http.ts
@@ -2,8 +2,8 @@
 import * as http from 'node:http'
 import * as contracts from '@kingcupdeck/contracts'
 
-/** Limits of the bodies of callers and endpoints; how many bytes are read is the limit of each call. */
-const JSON_LIMITS: contracts.input.JsonLimits = { maxBytes: Infinity, maxDepth: 100, maxValues: 200_000 }
+/** Limits of the bodies of callers and endpoints; how many bytes are read is the limit of each call. A prompt may be a list of token ids. */
+const JSON_LIMITS: contracts.input.JsonLimits = { maxBytes: Infinity, maxDepth: 100, maxValues: 2_000_000 }
 
 /** A request and its response. */
 export interface Exchange {
