feat(telemetry): the revision that an entry instance serves by, and how long no quorum has confirmed it

handoutTaken has the revision of the evacuations; kingcupdeck_evacuation_revision and kingcupdeck_quorum_age_seconds tell an instance with an old handout from one whose control instance is stale. No behaviour changes.

--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -210,7 +210,7 @@
       fetch: opts.fetchHandout,
       onReply (reply, address) {
         if (documents.version() > 0) return
-        opts.log.event('handoutTaken', { address, version: reply.version })
+        opts.log.event('handoutTaken', { address, version: reply.version, evacuations: reply.evacuations?.revision ?? 0 })
         mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
         noteEvacuations(reply.evacuations, address)
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -61,7 +61,7 @@
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
-  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
+  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
   let evacuations = discovery.NO_EVACUATIONS
@@ -121,6 +121,7 @@
     evacuations = received
     for (const zone of restored) endpoints.suspectCold(zone, now())
     metrics.evacuatedZones.set(evacuations.zones.length)
+    metrics.evacuationRevision.set(evacuations.revision)
     log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuations.zones.join(' '), from })
   }
 
--- a/packages/forwarding/src/instance/entryMetrics.ts
+++ b/packages/forwarding/src/instance/entryMetrics.ts
@@ -22,14 +22,17 @@
   open: prom.Gauge
   documentVersion: prom.Gauge
   evacuatedZones: prom.Gauge
+  evacuationRevision: prom.Gauge
   subscriptions: prom.Gauge
   droppedLines: prom.Gauge
   toAccountLabel: (account: string) => string
   toRouteLabel: (route: string) => string
 }
 
-/** Counts that are read when the metrics are collected. */
-export interface PathCounts {
+/** Figures that are read when the metrics are collected. */
+export interface CollectedFigures {
+  /** Time since a control instance with a quorum was heard last, milliseconds; Infinity before the first. */
+  quorumAgeMs: () => number
   /** Endpoints that are reached through other instances only. */
   lostPaths: () => number
   /** Connections to endpoints that are open on behalf of other instances. */
@@ -37,7 +40,7 @@
 }
 
 /** Creates the metrics. */
-export function createEntryMetrics (droppedLines: () => number = () => 0, counts: PathCounts = { lostPaths: () => 0, tunnels: () => 0 }): EntryMetrics {
+export function createEntryMetrics (droppedLines: () => number = () => 0, collected: CollectedFigures = { quorumAgeMs: () => Infinity, lostPaths: () => 0, tunnels: () => 0 }): EntryMetrics {
   const registry = new prom.Registry()
   const registers = [registry]
   const gauge = (name: string, help: string, read: () => number): void => {
@@ -45,8 +48,9 @@
   }
   gauge('kingcupdeck_links_open', 'Open links to other instances', links.openLinkCount)
   gauge('kingcupdeck_sockets_open', 'Open TCP connections of this process, of all kinds', links.openSocketCount)
-  gauge('kingcupdeck_lost_paths', 'Endpoints that are reached through other entry instances only', counts.lostPaths)
-  gauge('kingcupdeck_tunnels_open', 'Connections to endpoints that are open on behalf of other entry instances', counts.tunnels)
+  gauge('kingcupdeck_lost_paths', 'Endpoints that are reached through other entry instances only', collected.lostPaths)
+  gauge('kingcupdeck_tunnels_open', 'Connections to endpoints that are open on behalf of other entry instances', collected.tunnels)
+  gauge('kingcupdeck_quorum_age_seconds', 'Time since a control instance with a quorum was heard last; meanwhile the instance serves by what it knew before, or by handouts', () => collected.quorumAgeMs() / 1000)
   return {
     registry,
     firstByte: new prom.Histogram({ name: 'kingcupdeck_forward_first_byte_seconds', help: 'From the request to the head of its answer, per client account and route', labelNames: ['account', 'route'], buckets: DURATION_BUCKETS_S, registers }),
@@ -58,6 +62,7 @@
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
     evacuatedZones: new prom.Gauge({ name: 'kingcupdeck_evacuated_zones', help: 'Evacuated availability zones in force here', registers }),
+    evacuationRevision: new prom.Gauge({ name: 'kingcupdeck_evacuation_revision', help: 'Revision of the evacuated availability zones in force here', registers }),
     subscriptions: new prom.Gauge({ name: 'kingcupdeck_control_subscriptions', help: 'Control instances that tell this instance news', registers }),
     droppedLines: new prom.Gauge({ name: 'kingcupdeck_log_lines_dropped', help: 'Log lines that were left out to stay within bounds', registers, collect () { this.set(droppedLines()) } }),
     toAccountLabel: telemetry.createBoundedLabels(MAX_ACCOUNT_LABELS),
