fix(coordination): what evacuations were acknowledged is known from a start on

Callers saw requests served in a zone whose evacuation was acknowledged, after a loss of all processes, until the first leader: up to 16 s after the acknowledgment on a starved machine (5 s allowed).

Cause: the order is acknowledged once it is in the logs of a majority, but what is served at a start is an older copy: the handout file, written 250 ms after a change, and what the control instance knows to be committed, which lags behind its log. Entry instances took one handout and asked no other instance.

Change: control instances report evacuations in their log that may not be committed as pending, and write them to a file of their own before they acknowledge the entry; the first stage serves it. Entry instances ask all starting control instances, and count pending evacuations until one with a quorum decides; pending orders never leave an instance without any zone.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -71,6 +71,7 @@
   orderRefused: spec(1407, 'warn', 'engine rejected an order', 'The engine has received a newer order. If it repeats, two fleets control the same engine.'),
   endpointSetAside: spec(1409, 'warn', 'share of an endpoint was reduced because it performs worse than the others of its service, or was restored', 'Check the endpoint: it announces itself as ready.'),
   handoutTaken: spec(1316, 'info', 'document and records of a starting control instance applied'),
+  handoutEvacuations: spec(1325, 'info', 'evacuations that a starting control instance has in its log'),
   handoutRefused: spec(1317, 'warn', 'fetching the document and records of a starting control instance failed', 'Expected while machines are down. Otherwise check that all instances use the same fleet secret.'),
   recordsRefused: spec(1601, 'warn', 'records, heartbeats or addresses that another instance sent or a file holds were dropped because they are invalid', 'Expected while instances of an earlier version run. Otherwise check the instance that is named as the sender.'),
   recordFileUnreadable: spec(1602, 'warn', 'file of records is not readable and was ignored', 'None: records come from the other control instances and new announcements.'),
--- a/packages/coordination/__tests__/acknowledgedEvacuations.test.ts
+++ b/packages/coordination/__tests__/acknowledgedEvacuations.test.ts
@@ -103,3 +103,23 @@
   for (const [i, copy] of copies.entries()) if (await isKnownAlone(fleet, i, copy, 'z1')) known++
   t.true(known >= 2, `known to ${known} of 3`)
 })
+
+// What is served before the log is read was written a quarter of a second after the acknowledgment.
+test('an acknowledged evacuation is in the files that a majority of the control instances serve at once', async t => {
+  const fleet = await startFleet(t)
+  for (const [i, zone] of ['z1', 'z2', 'z3'].entries()) {
+    await fleet.controls[i].store.evacuate({ zone, isEvacuated: true }, () => true, 5000)
+    const reports = fleet.copyDisks().map(folder => discovery.decodeEvacuations(discovery.readHandout(folder, discovery.EVACUATIONS_FILE) ?? new Uint8Array()))
+    t.true(reports.filter(item => [...item.zones, ...item.pending ?? []].includes(zone)).length >= 2, JSON.stringify(reports))
+  }
+  await fleet.stop()
+})
+
+// An evacuation that has ended must not come back from the log of an instance that was down meanwhile.
+test('orders that were decided are no longer pending', async t => {
+  const fleet = await startFleet(t)
+  for (const isEvacuated of [true, false, true, false]) await fleet.controls[0].store.evacuate({ zone: 'z1', isEvacuated }, () => true, 5000)
+  t.true(await until(() => fleet.controls.every(item => item.store.evacuations().revision === 4), WAIT_MS))
+  for (const item of fleet.controls) t.deepEqual(item.store.evacuationReport(), { revision: 4, zones: [] })
+  await fleet.stop()
+})
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -131,7 +131,7 @@
     getPeerLink,
     version,
     packDocumentSince: store.packSince,
-    evacuations: store.evacuations,
+    evacuations: store.evacuationReport,
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     isCurrent,
     onChange () {
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -13,7 +13,9 @@
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentCalls from './documentCall.js'
 import * as documentMachines from './documentMachine.js'
+import * as evacuationFiles from './evacuationFile.js'
 import * as evacuationOrders from './evacuationOrders.js'
+import * as loggedEvacuations from './loggedEvacuations.js'
 
 const readReply = z.object({ packed: contracts.packedText.nullable(), isSame: z.boolean() })
 type ReadReply = z.infer<typeof readReply>
@@ -61,6 +63,8 @@
   read (timeoutMs: number): Promise<contracts.VersionedText | null>
   /** Returns the evacuated zones as applied locally, which may be stale. */
   evacuations (): discovery.Evacuations
+  /** Returns the evacuated zones as applied locally, with those of orders in the log that may not be committed yet. */
+  evacuationReport (): discovery.EvacuationReport
   /** See {@link evacuationOrders.EvacuationOrders.execute}. */
   evacuate (order: evacuationOrders.EvacuationOrder, isWanted: () => boolean, timeoutMs: number): Promise<discovery.Evacuations>
   /** Answers a call of another control instance. */
@@ -106,6 +110,13 @@
   let isNotificationPending = false
   /** The newest evacuations applied by any incarnation of the replica in this process. */
   let latestEvacuations = discovery.NO_EVACUATIONS
+  let logged: loggedEvacuations.LoggedEvacuations | undefined
+
+  const evacuationReport = (): discovery.EvacuationReport => logged?.toReport(latestEvacuations) ?? latestEvacuations
+
+  const evacuationFile = evacuationFiles.createEvacuationFile(opts.dataFolder, evacuationReport, opts.log)
+  /** A failure is logged, and repeated later: the log has the orders too. */
+  const saveEvacuations = async (): Promise<void> => { await evacuationFile.saveNow() }
 
   const onChange = (packed?: contracts.PackedText): void => {
     const applied = machine.latest()
@@ -126,6 +137,7 @@
     const applied = machine.evacuations()
     if (applied.revision <= latestEvacuations.revision) return
     latestEvacuations = applied
+    evacuationFile.save()
     opts.onEvacuations()
   }
 
@@ -161,6 +173,7 @@
 
   const create = async (startedAt?: number): Promise<state.Replica> => {
     machine = documentMachines.createDocumentMachine(onChange, onEvacuations)
+    logged = loggedEvacuations.createLoggedEvacuations(await state.createFileStorage(path.join(opts.dataFolder, GROUP)), saveEvacuations)
     return await state.createReplica({
       group: GROUP,
       name: opts.self,
@@ -170,7 +183,7 @@
       isDynamic: true,
       timing: TIMING,
       minVoters: Math.max(3, 2 * opts.maxFailedDisks + 1),
-      storage: await state.createFileStorage(path.join(opts.dataFolder, GROUP)),
+      storage: logged.storage,
       transport,
       stateMachine: machine,
       clock: state.systemClock,
@@ -258,6 +271,7 @@
       })
     },
     evacuations: () => latestEvacuations,
+    evacuationReport,
     evacuate: orders.execute,
     async onCall (call) {
       switch (call.t) {
@@ -291,6 +305,7 @@
     async stop () {
       stopped.abort()
       await replica?.stop()
+      await evacuationFile.close()
     }
   }
 }
--- a/packages/coordination/src/writeBehindFile.ts
+++ b/packages/coordination/src/writeBehindFile.ts
@@ -24,6 +24,11 @@
 export interface WriteBehindFile {
   /** Schedules a write of the current content. */
   save: () => void
+  /**
+   * Writes the current content.
+   * @returns whether it is on disk; a failed write is logged and repeated
+   */
+  saveNow: () => Promise<boolean>
   /** Ignores further calls of `save` and waits for the scheduled write. */
   close: () => Promise<void>
 }
@@ -33,6 +38,8 @@
   const closing = new AbortController()
   let isWriteScheduled = false
   let pendingWrite: Promise<void> | undefined
+  /** Callers whose content the next write includes. */
+  let waiting: Array<(isSaved: boolean) => void> = []
 
   const write = async (): Promise<void> => {
     const content = opts.content()
@@ -44,9 +51,13 @@
     while (isWriteScheduled) {
       if (opts.batchDelayMs > 0) await timers.setTimeout(opts.batchDelayMs)
       isWriteScheduled = false
+      const included = waiting
+      waiting = []
       try {
         await write()
+        for (const resolve of included) resolve(true)
       } catch (err) {
+        for (const resolve of included) resolve(false)
         opts.log.event('recordsNotKept', { file: opts.name, detail: err instanceof Error ? err.message : String(err) })
         if (closing.signal.aborted) return
         isWriteScheduled = true
@@ -56,11 +67,19 @@
     }
   }
 
+  const save = (): void => {
+    if (closing.signal.aborted) return
+    isWriteScheduled = true
+    pendingWrite ??= runWrites().finally(() => { pendingWrite = undefined })
+  }
+
   return {
-    save () {
-      if (closing.signal.aborted) return
-      isWriteScheduled = true
-      pendingWrite ??= runWrites().finally(() => { pendingWrite = undefined })
+    save,
+    async saveNow () {
+      if (closing.signal.aborted) return false
+      const saved = new Promise<boolean>(resolve => { waiting.push(resolve) })
+      save()
+      return await saved
     },
     async close () {
       closing.abort()
--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -21,9 +21,9 @@
   return `127.0.0.1:${port - 1}`
 }
 
-async function serve (t: ava.ExecutionContext, inner: string, body: Buffer, maxTotalBytes = Infinity): Promise<discovery.HandoutServer> {
+async function serve (t: ava.ExecutionContext, inner: string, body: Buffer, maxTotalBytes = Infinity, evacuations = Buffer.alloc(0)): Promise<discovery.HandoutServer> {
   return await new Promise((resolve, reject) => {
-    const server = discovery.startHandoutServer({ address: discovery.toHandoutAddress(inner), secret: SECRET, body, maxTotalBytes }, () => { resolve(server) }, reject)
+    const server = discovery.startHandoutServer({ address: discovery.toHandoutAddress(inner), secret: SECRET, handout: { body, evacuations }, maxTotalBytes }, () => { resolve(server) }, reject)
     t.teardown(() => { server.close() })
   })
 }
@@ -38,7 +38,7 @@
   const inner = await findInnerAddress()
   const body = crypto.randomBytes(300_000)
   const server = await serve(t, inner, body)
-  t.true((await discovery.fetchHandout(discovery.toHandoutAddress(inner), SECRET)).equals(body))
+  t.true((await discovery.fetchHandout(discovery.toHandoutAddress(inner), SECRET)).body.equals(body))
   await t.throwsAsync(discovery.fetchHandout(discovery.toHandoutAddress(inner), 'another-secret-of'))
   await helper.until('all connections are closed', () => !server.activity().isBusy)
 })
@@ -83,7 +83,7 @@
   await serve(t, inner, Buffer.from(discovery.encodeReply(toReply(4))))
   const control = await helper.startControl({ isTicking: true })
   const seeds = [inner]
-  const entry = helper.startEntry('i1', seeds, undefined, async address => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET))
+  const entry = helper.startEntry('i1', seeds, undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
   t.teardown(async () => {
     entry.stop()
     await control.close()
@@ -117,3 +117,20 @@
   await helper.until('the entry instance is subscribed', () => entry.quorumSince() > 0)
   t.deepEqual(entry.documents.map(item => item.version), [5])
 })
+
+// The first handout was that of the only instance that had missed the order, and no other was asked.
+test('evacuations are taken from all control instances that are starting, not only from the first', async t => {
+  const body = Buffer.from(discovery.encodeReply({ ...toReply(4), controls: [] }))
+  const report = Buffer.from(discovery.encodeEvacuations({ revision: 2, zones: ['z1'], pending: ['z2'] }))
+  const [stale, knowing] = [await findInnerAddress(), await findInnerAddress()]
+  await serve(t, stale, body)
+  const seeds = [stale]
+  const entry = helper.startEntry('i1', seeds, undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
+  t.teardown(entry.stop)
+  await helper.until('the entry instance has the document', () => entry.documents.length === 1)
+  t.deepEqual(entry.evacuatedZones(), [])
+  await serve(t, knowing, body, 0, report)
+  seeds.push(knowing)
+  await helper.until('the entry instance knows the evacuations', () => entry.evacuatedZones().join() === 'z1,z2')
+  t.pass()
+})
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -42,7 +42,7 @@
   /** Version to report, regardless of the document. */
   reportedVersion?: number
   /** Evacuated zones that it reports; none by default. */
-  evacuations?: discovery.Evacuations
+  evacuations?: discovery.EvacuationReport
   /** Capacity of its link, bytes per millisecond; unlimited by default. */
   bytesPerMs?: number
 }
@@ -110,9 +110,9 @@
 export interface TestEntry { documents: contracts.VersionedText[], evacuatedZones: () => string[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, confirmDocument: () => Promise<boolean>, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
-export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: (address: string) => Promise<Uint8Array>, dialTimeoutMs?: number): TestEntry {
+export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: discovery.SubscriberOptions['fetchHandout'], dialTimeoutMs?: number): TestEntry {
   const documents: contracts.VersionedText[] = []
-  let evacuated = discovery.NO_EVACUATIONS
+  let evacuatedZones: string[] = []
   const handlers: links.LinkHandlers = {
     onEvent (body, link) { subscriber.onEvent(discovery.discoveryEvent.parse(body), link) },
     async onCall () { throw new Error('unexpected call to an entry instance') }
@@ -124,14 +124,14 @@
     dial: async address => await links.dial(address, { identity: { role: 'router', id }, secret: SECRET, log, handlers }, dialTimeoutMs),
     self: () => ({ kind: 'entry', id, startedAt: 1, seq: 1, zone: 'z', region: 'r', front: '127.0.0.1:1', inner: '127.0.0.1:2', state: 'ready' }),
     onDocument: document => { documents.push(document) },
-    onEvacuations (received) { if (received.revision >= evacuated.revision) evacuated = received },
+    onEvacuations (assumed) { evacuatedZones = assumed.zones },
     onRecords: () => {},
     log,
     now,
     fetchHandout
   })
   subscriber.start()
-  return { documents, evacuatedZones: () => evacuated.zones, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
+  return { documents, evacuatedZones: () => evacuatedZones, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
 }
 
 /** Waits until a condition holds. */
--- a/packages/discovery/src/evacuations.ts
+++ b/packages/discovery/src/evacuations.ts
@@ -10,12 +10,20 @@
 /** The evacuated availability zones, as of one revision. */
 export type Evacuations = z.infer<typeof evacuations>
 
+/** Evacuations as a control instance reports them. */
+export const evacuationReport = evacuations.extend({
+  /** Zones that orders in its log evacuate of which it does not know whether they are committed; absent without such orders. */
+  pending: z.array(z.string()).optional()
+})
+/** Evacuations as a control instance reports them. */
+export type EvacuationReport = z.infer<typeof evacuationReport>
+
 /** No zone was ever evacuated. */
 export const NO_EVACUATIONS: Evacuations = { revision: 0, zones: [] }
 
-/** Returns the evacuations for a message; undefined before the first one, which keeps messages short. */
-export function toEvacuationField (held: Evacuations): Evacuations | undefined {
-  return held.revision > 0 ? held : undefined
+/** Returns the evacuations for a message; undefined before the first order, which keeps messages short. */
+export function toEvacuationField<T extends EvacuationReport> (held: T): T | undefined {
+  return held.revision > 0 || held.pending !== undefined ? held : undefined
 }
 
 /**
--- a/packages/discovery/src/handout.ts
+++ b/packages/discovery/src/handout.ts
@@ -2,7 +2,8 @@
  * The handout: the last document and records that a control instance wrote to its disk, served while the instance is still
  * starting, so that entry instances need not wait for it after a restart of the whole fleet.
  *
- * The handout may be out of date. Entry instances replace it once they are subscribed, and never go back to an older document.
+ * Document and records may be out of date. Entry instances replace them once they are subscribed, and never go back to an older
+ * document. The evacuations are those of the instance's log: they are written before it acknowledges an order.
  *
  * This module may import built-in modules only: it is loaded before the rest of the program.
  */
@@ -11,12 +12,16 @@
 import * as net from 'node:net'
 import * as path from 'node:path'
 
-/** Name of the file in an instance's data folder. */
+/** Name of the file with document and records in an instance's data folder. */
 export const HANDOUT_FILE = 'handout'
+/** Name of the file with the evacuations in an instance's data folder. */
+export const EVACUATIONS_FILE = 'evacuations'
 /** Added to the port for links. */
 const PORT_OFFSET = 1
 const NONCE_BYTES = 16
 const PROOF_BYTES = 32
+/** The length of the evacuations precedes them in a response. */
+const LENGTH_BYTES = 4
 /** Must exceed the time that a full document takes on a link of a few Mbit/s. */
 const FETCH_TIMEOUT_MS = 800
 const CONNECT_TIMEOUT_MS = 300
@@ -32,18 +37,29 @@
   return { host: inner.slice(0, at), port: Number(inner.slice(at + 1)) + PORT_OFFSET }
 }
 
-/** Returns the content of the handout file: the SHA-256 digest of the body, then the body. */
+/** What a control instance serves while it starts. */
+export interface Handout {
+  /** Encoded document and records; empty if only the evacuations were fetched. */
+  body: Buffer
+  /** Encoded evacuations; empty if the instance has logged no order. */
+  evacuations: Buffer
+}
+
+/** What is fetched: everything, or the evacuations alone, which are short. */
+export type HandoutPart = 'all' | 'evacuations'
+
+/** Returns the content of a file of the handout: the SHA-256 digest of the body, then the body. */
 export function packHandout (body: Uint8Array): Buffer {
   return Buffer.concat([crypto.createHash('sha256').update(body).digest(), body])
 }
 
 /**
- * Reads the handout file.
+ * Reads a file of the handout.
  * @param folder the instance's data folder
  * @returns the body, or undefined if the file is missing or does not match its digest
  */
-export function readHandout (folder: string): Buffer | undefined {
-  const file = path.join(folder, HANDOUT_FILE)
+export function readHandout (folder: string, name: string = HANDOUT_FILE): Buffer | undefined {
+  const file = path.join(folder, name)
   if (!fs.existsSync(file)) return undefined
   const content = fs.readFileSync(file)
   const body = content.subarray(PROOF_BYTES)
@@ -56,8 +72,8 @@
   address: { host: string, port: number }
   /** Secret shared by all instances of the fleet. */
   secret: string
-  body: Buffer
-  /** Bytes that may be sent in total. Later requests are rejected, to keep the link free for other traffic. */
+  handout: Handout
+  /** Bytes of whole handouts that may be sent in total. Later requests for one are rejected, to keep the link free for other traffic. */
   maxTotalBytes: number
 }
 
@@ -78,6 +94,10 @@
   const sockets = new Set<net.Socket>()
   let lastConnectionAt = performance.now()
   let sentBytes = 0
+  const { body, evacuations } = opts.handout
+  const length = Buffer.alloc(LENGTH_BYTES)
+  length.writeUInt32BE(evacuations.length)
+  const payloads: Record<HandoutPart, Buffer> = { all: Buffer.concat([length, evacuations, body]), evacuations: Buffer.concat([length, evacuations]) }
   const server = net.createServer(socket => {
     sockets.add(socket)
     lastConnectionAt = performance.now()
@@ -92,12 +112,13 @@
       received = Buffer.concat([received, chunk])
       if (received.length < PROOF_BYTES) return
       socket.removeAllListeners('data')
-      sentBytes += opts.body.length
-      if (sentBytes > opts.maxTotalBytes || !isEqual(received, createProof(opts.secret, 'takes', nonce, Buffer.alloc(0)))) {
+      const part = (['all', 'evacuations'] as const).find(item => isEqual(received, createProof(opts.secret, toRequest(item), nonce, Buffer.alloc(0))))
+      if (part === 'all') sentBytes += payloads.all.length
+      if (part === undefined || (part === 'all' && sentBytes > opts.maxTotalBytes)) {
         socket.destroy()
         return
       }
-      socket.end(Buffer.concat([createProof(opts.secret, 'gives', nonce, opts.body), opts.body]))
+      socket.end(Buffer.concat([createProof(opts.secret, 'gives', nonce, payloads[part]), payloads[part]]))
     })
   })
   server.on('error', onError)
@@ -115,7 +136,7 @@
  * @param secret secret shared by all instances of the fleet
  * @throws Error when there is no server, it does not answer in time, or it does not prove the secret
  */
-export async function fetchHandout (address: { host: string, port: number }, secret: string): Promise<Buffer> {
+export async function fetchHandout (address: { host: string, port: number }, secret: string, part: HandoutPart = 'all'): Promise<Handout> {
   return await new Promise((resolve, reject) => {
     const socket = net.connect(address)
     const chunks: Buffer[] = []
@@ -137,23 +158,28 @@
       if (receivedBytes > MAX_RESPONSE_BYTES) fail(new Error(`handout exceeds ${MAX_RESPONSE_BYTES} bytes`))
       if (nonce !== undefined || receivedBytes < NONCE_BYTES) return
       nonce = Buffer.concat(chunks).subarray(0, NONCE_BYTES)
-      socket.write(createProof(secret, 'takes', nonce, Buffer.alloc(0)))
+      socket.write(createProof(secret, toRequest(part), nonce, Buffer.alloc(0)))
     })
     socket.on('end', () => {
       const response = Buffer.concat(chunks).subarray(NONCE_BYTES)
-      const body = response.subarray(PROOF_BYTES)
-      if (nonce === undefined || !isEqual(response.subarray(0, PROOF_BYTES), createProof(secret, 'gives', nonce, body))) {
+      const payload = response.subarray(PROOF_BYTES)
+      if (nonce === undefined || payload.length < LENGTH_BYTES || !isEqual(response.subarray(0, PROOF_BYTES), createProof(secret, 'gives', nonce, payload))) {
         fail(new Error(`handout of ${response.length} bytes has no valid proof of the fleet secret, or was truncated`))
         return
       }
       clearTimeout(timer)
       socket.destroy()
-      resolve(body)
+      const bodyStart = LENGTH_BYTES + payload.readUInt32BE(0)
+      resolve({ evacuations: payload.subarray(LENGTH_BYTES, bodyStart), body: payload.subarray(bodyStart) })
     })
   })
 }
 
-function createProof (secret: string, side: 'takes' | 'gives', nonce: Buffer, body: Buffer): Buffer {
+function toRequest (part: HandoutPart): string {
+  return part === 'all' ? 'takes all' : 'takes evacuations'
+}
+
+function createProof (secret: string, side: string, nonce: Buffer, body: Buffer): Buffer {
   return crypto.createHmac('sha256', secret).update(side).update(nonce).update(body).digest()
 }
 
--- a/packages/discovery/src/index.ts
+++ b/packages/discovery/src/index.ts
@@ -1,6 +1,7 @@
 /** Public API of discovery: records of endpoints and entry instances, and the subscriptions that distribute them. */
 export * from './documentHistory.js'
 export * from './evacuations.js'
+export * from './evacuationTracker.js'
 export * from './handout.js'
 export { toShuffled } from './handoutPoller.js'
 export * from './intake.js'
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -48,7 +48,7 @@
   /** Whether the document is withheld because the sender's link is busy. */
   isBusy: z.boolean().optional(),
   /** Absent before the first evacuation. */
-  evacuations: evacuations.evacuations.optional()
+  evacuations: evacuations.evacuationReport.optional()
 })
 /** Reply to a {@link DiscoveryCall}. */
 export type DiscoveryReply = z.infer<typeof discoveryReply>
@@ -62,7 +62,7 @@
   /** A newer document can be fetched from the sender. */
   z.object({ t: z.literal('version'), version: z.number() }),
   /** The evacuated zones changed. */
-  z.object({ t: z.literal('evacuations'), evacuations: evacuations.evacuations }),
+  z.object({ t: z.literal('evacuations'), evacuations: evacuations.evacuationReport }),
   z.object({
     t: z.literal('tick'),
     /** Whether the sender had applied everything that was committed a short time ago. */
@@ -76,7 +76,7 @@
     /** Addresses of the control instances. */
     controls: z.array(z.unknown()),
     /** Absent before the first evacuation. */
-    evacuations: evacuations.evacuations.optional()
+    evacuations: evacuations.evacuationReport.optional()
   }),
   /** Heartbeats that a control instance forwards to the others. */
   z.object({ t: z.literal('signs'), signs: z.array(z.unknown()) })
@@ -126,6 +126,19 @@
   return discoveryReply.parse(codec.decode(bytes))
 }
 
+/** Encodes evacuations for their file; empty before the first order. */
+export function encodeEvacuations (report: evacuations.EvacuationReport): Uint8Array {
+  return evacuations.toEvacuationField(report) === undefined ? new Uint8Array() : codec.encode(report)
+}
+
+/**
+ * Reverses {@link encodeEvacuations}.
+ * @throws Error when the bytes are not a valid report
+ */
+export function decodeEvacuations (bytes: Uint8Array): evacuations.EvacuationReport {
+  return bytes.length === 0 ? evacuations.NO_EVACUATIONS : evacuations.evacuationReport.parse(codec.decode(bytes))
+}
+
 /**
  * Returns the document fields of a reply; withholds the document if the budget is exhausted.
  * @param document the document, or null if the caller already has the latest one
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -30,7 +30,7 @@
   /** Packs the local document for a reader of a version of it; null if the reader has the latest. */
   packDocumentSince: (version: number) => contracts.PackedText | null
   /** Returns the evacuated zones as known locally; none by default. */
-  evacuations?: () => evacuations.Evacuations
+  evacuations?: () => evacuations.EvacuationReport
   /** Limits the documents that are sent; unlimited by default. */
   budget?: sendBudgets.SendBudget
   /** Returns whether this instance had applied everything that was committed a short time ago. */
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -7,7 +7,8 @@
 import * as dialBackoffs from './dialBackoff.js'
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
-import type * as evacuations from './evacuations.js'
+import * as evacuations from './evacuations.js'
+import * as evacuationTrackers from './evacuationTracker.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as intakes from './intake.js'
 import * as livenesses from './liveness.js'
@@ -58,8 +59,14 @@
     if (changed.length > 0) opts.onRecords(changed)
   }
 
-  const noteEvacuations = (received: evacuations.Evacuations | undefined, from: string): void => {
-    if (received !== undefined) opts.onEvacuations?.(received, from)
+  const evacuationTracker = evacuationTrackers.createEvacuationTracker((assumed, from) => { opts.onEvacuations?.(assumed, from) })
+
+  /** Returns whether a control instance with a quorum is heard. */
+  const hasQuorum = (): boolean => [...open].some(sub => sub.lastTickAt !== undefined && sub.isCurrent)
+
+  /** @param report undefined if the sender knows of no order */
+  const noteEvacuations = (report: evacuations.EvacuationReport | undefined, from: string): void => {
+    evacuationTracker.note(report ?? evacuations.NO_EVACUATIONS, from, hasQuorum())
   }
 
   /**
@@ -203,27 +210,35 @@
     void subscribe(candidates[0])
   }
 
-  const fetchHandouts = opts.fetchHandout === undefined
-    ? () => {}
+  const handoutPoller = opts.fetchHandout === undefined
+    ? undefined
     : handoutPollers.createHandoutPoller({
-      seeds: opts.seeds,
       fetch: opts.fetchHandout,
       onReply (reply, address) {
         if (documents.version() > 0) return
-        opts.log.event('handoutTaken', { address, version: reply.version, evacuations: reply.evacuations?.revision ?? 0 })
+        opts.log.event('handoutTaken', { address, version: reply.version })
         mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
-        noteEvacuations(reply.evacuations, address)
         documents.accept(reply.document, address)
       },
-      log: opts.log
+      onEvacuations (report, address) {
+        opts.log.event('handoutEvacuations', { address, revision: report.revision, zones: report.zones.join(' '), pending: report.pending?.join(' ') })
+        noteEvacuations(report, address)
+      },
+      log: opts.log,
+      now
     })
 
+  const pollHandouts = (): void => {
+    if (documents.version() === 0) handoutPoller?.poll(opts.seeds())
+    else if (isBeforeContact()) handoutPoller?.pollEvacuations([...new Set([...controls, ...opts.seeds()])])
+  }
+
   const run = async (): Promise<void> => {
     let lastTickAt = now()
     while (!stopped.signal.aborted) {
       updateSubscriptions()
-      if (documents.version() === 0) fetchHandouts()
+      pollHandouts()
       if (now() - lastTickAt >= messages.TICK_INTERVAL_MS) {
         lastTickAt = now()
         const self = opts.self()
@@ -281,6 +296,7 @@
       if (version > documents.version()) documents.scheduleFetch(SECONDARY_FETCH_DELAY_MS)
     },
     version: documents.version,
+    noteEvacuations,
     newestVersion: documents.newestVersion,
     confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
     describeSubscriptions: () => [...open].filter(sub => sub.isEstablished).map(sub => subscriptions.describeSubscription(sub, now())).join('; '),
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -3,6 +3,8 @@
 import type * as links from '@kingcupdeck/links'
 import type * as telemetry from '@kingcupdeck/telemetry'
 import type * as evacuations from './evacuations.js'
+import type * as evacuationTrackers from './evacuationTracker.js'
+import type * as handouts from './handout.js'
 import type * as messages from './messages.js'
 import type * as recordTables from './recordTable.js'
 import type * as records from './records.js'
@@ -17,8 +19,8 @@
   table: recordTables.RecordTable
   /** Opens a link to a control instance, whose events go to {@link Subscriber.onEvent}. */
   dial: (address: string) => Promise<links.Link>
-  /** Fetches the handout of a control instance that is still starting; absent if handouts are not used. */
-  fetchHandout?: (address: string) => Promise<Uint8Array>
+  /** Fetches from the handout of a control instance that is still starting; absent if handouts are not used. */
+  fetchHandout?: (address: string, part: handouts.HandoutPart) => Promise<handouts.Handout>
   /** Returns the record that this instance announces. */
   self: () => records.EntryRecord
   /**
@@ -27,8 +29,11 @@
    * @param from the instance that sent it
    */
   onDocument: (document: contracts.VersionedText, waitedMs: number, from: string) => void
-  /** Called with the evacuated zones whenever an instance reports them, also repeatedly and with older ones. */
-  onEvacuations?: (received: evacuations.Evacuations, from: string) => void
+  /**
+   * Called when the evacuated zones that this instance assumes change.
+   * @param from the instance whose report changed them
+   */
+  onEvacuations?: (assumed: evacuationTrackers.AssumedEvacuations, from: string) => void
   /** Inner addresses of the other entry instances, in random order; none by default. */
   peerAddresses?: () => readonly string[]
   /** Returns a link to another entry instance. */
@@ -51,6 +56,8 @@
   onCall (call: messages.DiscoveryCall): messages.DiscoveryReply
   /** Records the version of the document that another entry instance reported. */
   notePeerVersion (address: string, version: number): void
+  /** Records the evacuations that another entry instance reported. */
+  noteEvacuations (report: evacuations.EvacuationReport, from: string): void
   /** Returns the version of the local document, 0 without one. */
   version (): number
   /** Returns the newest version that any instance reported. */
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -64,7 +64,9 @@
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
-  let evacuations = discovery.NO_EVACUATIONS
+  let evacuations: discovery.AssumedEvacuations = { ...discovery.NO_EVACUATIONS, committed: [] }
+  /** The evacuated zones in force. */
+  let evacuatedZones: readonly string[] = []
   let drainStartedAt: number | undefined
   let seq = 0
 
@@ -115,14 +117,21 @@
     if (seq > 0 && document !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
   }
 
-  const applyEvacuations = (received: discovery.Evacuations, from: string): void => {
-    if (received.revision <= evacuations.revision) return
-    const restored = evacuations.zones.filter(zone => !received.zones.includes(zone))
-    evacuations = received
-    for (const zone of restored) endpoints.suspectCold(zone, now())
-    metrics.evacuatedZones.set(evacuations.zones.length)
+  const applyEvacuations = (assumed: discovery.AssumedEvacuations, from: string): void => {
+    evacuations = assumed
+    updateEvacuatedZones()
     metrics.evacuationRevision.set(evacuations.revision)
-    log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuations.zones.join(' '), from })
+    log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuatedZones.join(' '), committed: evacuations.committed.join(' '), from })
+  }
+
+  const updateEvacuatedZones = (): void => {
+    const isZoneLeft = endpoints.all().some(item => !evacuations.zones.includes(item.record.zone))
+    // Orders that may never have been acknowledged must not leave clients without any endpoint.
+    const latest = isZoneLeft ? evacuations.zones : evacuations.committed
+    const restored = evacuatedZones.filter(zone => !latest.includes(zone))
+    evacuatedZones = latest
+    for (const zone of restored) endpoints.suspectCold(zone, now())
+    metrics.evacuatedZones.set(evacuatedZones.length)
   }
 
   const announce = (): void => {
@@ -143,7 +152,7 @@
     onRestart (endpoint) { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') },
     onAnswer (endpoint) { outages.recordAnswer(endpoint.record.zone) },
     isZoneAvoided: outages.isAvoided,
-    evacuatedZones: () => evacuations.zones,
+    evacuatedZones: () => evacuatedZones,
     dial: async (endpoint, helper) => await paths.dial(endpoint, helper),
     mayReuse: socket => paths.mayReuse(socket),
     unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
@@ -190,8 +199,8 @@
     quarantine,
     outliers,
     documentVersion: () => subscriber.version(),
-    evacuations: () => evacuations,
-    onEvacuations: applyEvacuations,
+    evacuations: () => ({ revision: evacuations.revision, zones: evacuations.committed }),
+    onEvacuations: (received, from) => { subscriber.noteEvacuations(received, from) },
     onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) }
   })
 
@@ -238,12 +247,13 @@
     seeds: opts.seeds,
     table,
     dial: async address => await links.dial(address, linkSettings, CONTROL_DIAL_TIMEOUT_MS),
-    fetchHandout: opts.usesHandouts ? async address => await discovery.fetchHandout(discovery.toHandoutAddress(address), opts.secret) : undefined,
+    fetchHandout: opts.usesHandouts ? async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), opts.secret, part) : undefined,
     self,
     onDocument: applyDocument,
     onEvacuations: applyEvacuations,
     onRecords (list) {
       endpoints.update(list)
+      updateEvacuatedZones()
       paths.update(list)
       quarantineRecords.applyRecords(list, quarantine, now())
     },
