fix(forwarding): a stopping instance accepts only what it can complete, and answers what it cannot

Callers saw requests cut with no response at the end of the grace period of a planned stop, among them such that may not be repeated.

Cause: every request was accepted in the first 36% of the grace period whatever its timeout, and open requests were closed without a response.

Change: a request is accepted if its deadline fits, or, if it may be sent again or is a stream, if nearly all recent requests of its route ended well within the time that is left. Requests without a response near the end are answered 502 or, if not sent, 503. A stopping instance opens no tunnels for others.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -106,6 +106,7 @@
   responseCut: spec(1631, 'warn', 'connection of a client was closed by this instance before the response was complete', 'For "stopping" check the grace period; for "error" report it together with the event "uncaught" before it.'),
   requestUnsendable: spec(1632, 'warn', 'request could not be sent to an endpoint because of a value of the endpoint or of the request; another endpoint is tried', 'Check the record of the endpoint, and the name of the client account.'),
   endpointUnusable: spec(1633, 'warn', 'record of an endpoint has an id or an address that cannot be used; it is ignored', 'Find out who writes such records: "id" and "address" as announced.'),
+  requestStopped: spec(1636, 'warn', 'request without a response was ended because this instance stops', 'Expected for requests that run longer than the grace period. If there are many, lengthen it, or shorten the timeouts of the routes.'),
   requestOverdue: spec(1634, 'warn', 'request was still being handled after its deadline and was ended', 'Report it together with the event "uncaught" before it; for the step "body" the client sends its body too slowly.'),
   headersInvalid: spec(1635, 'warn', 'headers of the response of an endpoint cannot be sent and were left out', 'Check the endpoint, which the event "requestEnded" of the same request names: the names of its headers are invalid.'),
   requestFailed: spec(1504, 'info', 'request failed')
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -15,6 +15,7 @@
 import type * as headerNames from '../../src/attempts/headerNames.js'
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 import * as retryBudgets from '../../src/attempts/retryBudget.js'
+import * as routeDurations from '../../src/admission/routeDurations.js'
 import * as routeTables from '../../src/admission/routeTable.js'
 import * as trialPermits from '../../src/quarantine/trialPermits.js'
 
@@ -182,6 +183,7 @@
     coldBound: { excess: 1.5, slack: 5 },
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
+    durations: routeDurations.createRouteDurations(now),
     now
   }
   const server = entryServers.createEntryServer(ctx)
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -92,8 +92,13 @@
 
 /** Returns a document with one route for each path prefix. */
 export function toDocument (version: number, prefixes: string[], change: Partial<routeTables.Route> = {}): contracts.VersionedText {
+  return toDocumentOf(version, prefixes.map(pathPrefix => helper.toRoute({ name: pathPrefix, pathPrefix, ...change })))
+}
+
+/** Returns a document with the given routes. */
+export function toDocumentOf (version: number, routes: routeTables.Route[]): contracts.VersionedText {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000 }
-  const table: routeTables.RouteTable = { version, routes: prefixes.map(pathPrefix => helper.toRoute({ name: pathPrefix, pathPrefix, ...change })), services: [{ name: 'svc', maxConnections: 100, canFetch: false, coldPerSecond: 0, coldStartMs: 0 }], accounts: null, limits }
+  const table: routeTables.RouteTable = { version, routes, services: [{ name: 'svc', maxConnections: 100, canFetch: false, coldPerSecond: 0, coldStartMs: 0 }], accounts: null, limits }
   return contracts.toVersionedText(version, Buffer.from(JSON.stringify(table)))
 }
 
--- /dev/null
+++ b/packages/forwarding/__tests__/plannedStop.test.ts
@@ -0,0 +1,64 @@
+/** Requests at an instance that stops as planned. */
+import * as http from 'node:http'
+import * as timers from 'node:timers/promises'
+import * as ava from 'ava'
+import * as helper from './helpers/testEntry.js'
+import * as fleet from './helpers/testFleet.js'
+import * as routeTables from '../src/admission/routeTable.js'
+
+const test = ava.default
+const GRACE_MS = 3000
+
+interface Stopping { /** Sends a request. @returns its status, or why there is none */ send: (path: string, deadlineMs: number) => Promise<number | string>, stop: () => Promise<void> }
+
+/** Starts an instance with routes of all kinds whose requests may last as long as given. */
+async function start (t: ava.ExecutionContext, timeoutMs: number, respond: helper.Behaviour): Promise<Stopping> {
+  const endpoint = await helper.startEndpoint('e1', respond)
+  const control = await fleet.startControl()
+  const routes = routeTables.requestKind.options.map(kind => helper.toRoute({ timeoutMs, kind, name: kind, pathPrefix: `/${kind}/` }))
+  control.put(fleet.toDocumentOf(1, routes))
+  const instance = await fleet.startInstance('i1', [control.inner], { graceMs: GRACE_MS })
+  await control.announce(endpoint)
+  t.teardown(async () => {
+    endpoint.close()
+    await control.close()
+  })
+  const [host, port] = instance.front.split(':')
+  const agent = new http.Agent({ keepAlive: true })
+  let attempts = 0
+  const send: Stopping['send'] = async (path, deadlineMs) => await new Promise(resolve => {
+    const req = http.request({ host, port, agent, method: 'POST', path, headers: { host: 'test.example', 'x-attempt': `a-${++attempts}`, 'x-deadline-ms': String(deadlineMs) } }, res => {
+      res.resume()
+      res.on('end', () => { resolve(res.statusCode ?? 0) })
+      res.on('error', err => { resolve(err.message) })
+    })
+    req.on('error', err => { resolve(err.message) })
+    req.end()
+  })
+  await fleet.until('the instance serves', async () => await send('/idempotent/first', 2000) === 200)
+  return { send, stop: instance.stop }
+}
+
+// Requests were accepted whatever their timeout, and cut at the end of the grace period.
+test('a stopping instance accepts no request that may outlast its grace period', async t => {
+  const { send, stop } = await start(t, 6000, helper.healthy)
+  const stopped = stop()
+  await timers.setTimeout(100)
+  for (const kind of routeTables.requestKind.options) t.is(await send(`/${kind}/long`, 6000), 503)
+  t.is(await send('/once/short', 1500), 200)
+  await stopped
+})
+
+// At the end of the grace period the connections of requests were closed without a response.
+test('a request without a response at the end of the grace period is answered, and never as not run', async t => {
+  let arrived = 0
+  const { send, stop } = await start(t, 20_000, (req, res, count) => {
+    if (req.url?.endsWith('/first') === true) helper.healthy(req, res, count)
+    else arrived++
+  })
+  const responses = routeTables.requestKind.options.map(async kind => await send(`/${kind}/endless`, 20_000))
+  await fleet.until('all reached the endpoint', () => arrived === 3)
+  await stop()
+  t.deepEqual(await Promise.all(responses), [502, 502, 502])
+  t.is(arrived, 3)
+})
--- a/packages/forwarding/src/instance/admittedRequest.ts
+++ b/packages/forwarding/src/instance/admittedRequest.ts
@@ -62,11 +62,14 @@
   }
   res.on('close', onClose)
   ctx.metrics.open.inc()
+  const recordEnd = ctx.durations.recordStart(route.name)
+  let outcome = 'error'
   try {
-    const outcome = await forwards.forward(call).catch(err => unexpectedErrors.endWithError(call, err))
+    outcome = await forwards.forward(call).catch(err => unexpectedErrors.endWithError(call, err))
     logEnd(call, outcome)
   } finally {
     clearTimeout(timer)
+    recordEnd(outcome.startsWith('2'))
     ctx.metrics.open.dec()
   }
 }
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -11,6 +11,7 @@
 import type * as lostPaths from '../paths/lostPaths.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
+import type * as routeDurations from '../admission/routeDurations.js'
 import * as routeTables from '../admission/routeTable.js'
 import type * as trialPermits from '../quarantine/trialPermits.js'
 
@@ -45,7 +46,8 @@
   coldBound: coldLimiters.ColdBound
   /** Returns whether this instance is draining. */
   isDraining: () => boolean
-  /** Returns whether a request with this maximum duration is accepted. */
-  isAccepted: (waitMs: number) => boolean
+  /** Returns whether a request of a route with this maximum duration, in milliseconds, is accepted. */
+  isAccepted: (route: routeTables.Route, waitMs: number) => boolean
+  durations: routeDurations.RouteDurations
   now: () => number
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -29,6 +29,7 @@
 import * as tunnelServers from '../paths/tunnelServer.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
+import * as routeDurations from '../admission/routeDurations.js'
 import * as routeTables from '../admission/routeTable.js'
 import * as zoneOutages from '../endpoints/zoneOutage.js'
 import * as zoneProbers from '../endpoints/zoneProber.js'
@@ -62,6 +63,7 @@
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
+  const durations = routeDurations.createRouteDurations(now)
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
   let evacuations: discovery.AssumedEvacuations = { ...discovery.NO_EVACUATIONS, committed: [] }
@@ -177,7 +179,7 @@
     pool: endpoints,
     dialDirectly: async address => await endpointDialers.dial(connectDirectly, address),
     // How long a tunnel is needed is not known.
-    isAccepting: () => ctx.isAccepted(Infinity),
+    isAccepting: () => drainStartedAt === undefined,
     isDraining: () => drainStartedAt !== undefined,
     openRequests: () => server.openRequests(),
     log,
@@ -236,7 +238,14 @@
     brittleLimiter: brittleLimiters.createBrittleLimiter({ self: opts.id, instanceIds: senderIds, endpointsOf: service => endpoints.all().filter(item => item.record.service === service).map(item => item.record) }),
     coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
     isDraining: () => drainStartedAt !== undefined,
-    isAccepted: waitMs => drainStartedAt === undefined || draining.isAccepted({ elapsedMs: now() - drainStartedAt, graceMs: opts.graceMs, waitMs }),
+    isAccepted: (route, waitMs) => drainStartedAt === undefined || draining.isAccepted({
+      elapsedMs: now() - drainStartedAt,
+      graceMs: opts.graceMs,
+      waitMs,
+      // If it were cut nevertheless, a request that may run only once could not be sent again.
+      isExpectedWithin: ms => route.kind !== 'once' && durations.isNearlySure(route.name, ms)
+    }),
+    durations,
     now
   }
 
@@ -289,7 +298,7 @@
       drainStartedAt = now()
       log.event('stopping', { open: server.openRequests(), connections: server.connections() })
       announce()
-      const ms = await drainWorks.drainWork({ graceMs: opts.graceMs, openWork: () => server.openRequests() + tunnels.count(), stopListening: server.stopListening, now })
+      const ms = await drainWorks.drainWork({ graceMs: opts.graceMs, openWork: () => server.openRequests() + tunnels.count(), stopListening: server.stopListening, answerOpen: server.answerOpen, now })
       log.event('stopped', { ms, open: server.openRequests() })
       clearInterval(pruner)
       changes.stop()
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -33,6 +33,8 @@
   connections (): number
   /** Stops accepting connections and closes idle ones. */
   stopListening (): void
+  /** Ends all requests that have no response yet, with one that says whether they may have run. */
+  answerOpen (): void
   /** Destroys all connections. */
   destroy (): void
 }
@@ -57,6 +59,7 @@
 /** Creates the server, which does not listen yet. */
 export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
   const connections = clientConnections.createClientConnections()
+  const exchanges = new Set<Exchange>()
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -68,6 +71,7 @@
     const onHandled = connections.addResponse(res)
     const request: requestGuards.GuardedRequest = { req, res, attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId) }
     const exchange: Exchange = Object.assign(request, { guard: requestGuards.createGuard(request, ctx) })
+    exchanges.add(exchange)
     brokenResponses.watch(res, cause => { recordBroken(exchange, cause) })
     serve(exchange).catch(err => {
       const outcome = unexpectedErrors.refuseWithError(exchange, ctx, err)
@@ -77,6 +81,7 @@
       brokenResponses.noteCause(res, 'error')
       res.destroy()
     }).finally(() => {
+      exchanges.delete(exchange)
       exchange.guard.stop()
       onHandled()
     })
@@ -114,7 +119,7 @@
       return
     }
     const waitMs = Math.min(result.route.timeoutMs, result.clientDeadlineMs ?? Infinity)
-    if (!ctx.isAccepted(waitMs)) {
+    if (!ctx.isAccepted(result.route, waitMs)) {
       refuse({ kind: 'unavailable', why: 'this instance is stopping', cause: { kind: 'stopping' } })
       return
     }
@@ -208,6 +213,9 @@
       server.close()
       server.closeIdleConnections()
     },
+    answerOpen () {
+      for (const exchange of exchanges) requestGuards.endStopping(exchange, ctx)
+    },
     destroy () {
       for (const res of connections.responses()) brokenResponses.noteCause(res, 'stopping')
       connections.destroyAll()
--- a/packages/forwarding/src/instance/requestGuard.ts
+++ b/packages/forwarding/src/instance/requestGuard.ts
@@ -23,6 +23,7 @@
 
 /** Added to the deadline, at which the handling of the request ends by itself. */
 const MARGIN_MS = 200
+const STOPPING = 'this instance is stopping'
 
 /** Starts a guard, without a deadline. */
 export function createGuard (request: GuardedRequest, ctx: entryContexts.EntryContext): RequestGuard {
@@ -50,6 +51,16 @@
   clientCalls.writeRefusal(request, call?.isSent === true ? { kind: 'timeout', why: 'the deadline has passed' } : { kind: 'unavailable', why: 'the deadline has passed', cause: { kind: 'error' } }, ctx.names.attemptId)
 }
 
+/** Ends a request that has no response yet because this instance stops. A response that has begun may still be completed. */
+export function endStopping (request: GuardedRequest, ctx: entryContexts.EntryContext): void {
+  const { call, res } = request
+  if (res.writableEnded || res.destroyed || res.headersSent) return
+  ctx.log.event('requestStopped', { request: request.attemptId, route: call?.route.name, step: toStep(request), attempts: call?.attempts.length })
+  call?.aborter.abort(STOPPING)
+  // A response that waits for its turn on the connection is sent with the earlier ones.
+  clientCalls.writeRefusal(request, call?.isSent === true ? { kind: 'lost', why: `${STOPPING}; the request may have run` } : { kind: 'unavailable', why: STOPPING, cause: { kind: 'stopping' } }, ctx.names.attemptId)
+}
+
 function toStep ({ call, req, res }: GuardedRequest): string {
   if (res.headersSent) return 'response'
   if (call !== undefined) return call.isSent ? 'sent' : 'not sent'
