fix(discovery): an entry instance serves once it knows the evacuations of a majority

Cause: an entry instance served by the first report, which may come from one of the minority that has missed the order; on starved processes the next report takes seconds.

Change: after a start an entry instance asks the control instances, over their handouts or links, and serves once a majority has reported, one with a quorum is heard, or 4 s have passed with a document. Replies to subscriptions say whether their sender has a quorum, so that a restart in calm waits for nothing.

The new tests of handout.test.ts need the change (no areEvacuationsKnown before).

--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -4,6 +4,7 @@
 import * as net from 'node:net'
 import * as os from 'node:os'
 import * as path from 'node:path'
+import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '../src/index.js'
@@ -118,19 +119,40 @@
   t.deepEqual(entry.documents.map(item => item.version), [5])
 })
 
-// The first handout was that of the only instance that had missed the order, and no other was asked.
-test('evacuations are taken from all control instances that are starting, not only from the first', async t => {
-  const body = Buffer.from(discovery.encodeReply({ ...toReply(4), controls: [] }))
-  const report = Buffer.from(discovery.encodeEvacuations({ revision: 2, zones: ['z1'], pending: ['z2'] }))
-  const [stale, knowing] = [await findInnerAddress(), await findInnerAddress()]
+// An instance served by the first handout, that of a control instance which had missed the order.
+test('an instance serves once the evacuations of a majority of the control instances are known', async t => {
+  const [stale, knowing, down] = [await findInnerAddress(), await findInnerAddress(), await findInnerAddress()]
+  const body = Buffer.from(discovery.encodeReply({ ...toReply(4), controls: [stale, knowing, down] }))
   await serve(t, stale, body)
-  const seeds = [stale]
-  const entry = helper.startEntry('i1', seeds, undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
+  const entry = helper.startEntry('i1', [stale], undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
   t.teardown(entry.stop)
   await helper.until('the entry instance has the document', () => entry.documents.length === 1)
-  t.deepEqual(entry.evacuatedZones(), [])
-  await serve(t, knowing, body, 0, report)
-  seeds.push(knowing)
-  await helper.until('the entry instance knows the evacuations', () => entry.evacuatedZones().join() === 'z1,z2')
-  t.pass()
+  await timers.setTimeout(300)
+  t.false(entry.areEvacuationsKnown())
+  await serve(t, knowing, body, 0, Buffer.from(discovery.encodeEvacuations({ revision: 2, zones: ['z1'], pending: ['z2'] })))
+  await helper.until('the evacuations are known', entry.areEvacuationsKnown)
+  t.deepEqual(entry.evacuatedZones(), ['z1', 'z2'])
+})
+
+// While most control instances are lost, an instance that restarts must serve some time.
+test('an instance serves although too few control instances report', async t => {
+  const [inner, down, lost] = [await findInnerAddress(), await findInnerAddress(), await findInnerAddress()]
+  await serve(t, inner, Buffer.from(discovery.encodeReply({ ...toReply(4), controls: [inner, down, lost] })))
+  const entry = helper.startEntry('i1', [inner], undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
+  t.teardown(entry.stop)
+  await helper.until('it serves', entry.areEvacuationsKnown)
+  t.is(entry.documents.length, 1)
+})
+
+test('an instance that reaches a control instance with a quorum serves at once', async t => {
+  const control = await helper.startControl({ peerAddresses: [await findInnerAddress(), await findInnerAddress()] })
+  control.put(contracts.toVersionedText(5, Buffer.from('{}')))
+  const entry = helper.startEntry('i1', [control.address])
+  t.teardown(async () => {
+    entry.stop()
+    await control.close()
+  })
+  // The control instance does not tick.
+  await helper.until('it serves', entry.areEvacuationsKnown)
+  t.is(entry.quorumSince(), -Infinity)
 })
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -107,7 +107,7 @@
 }
 
 /** An entry instance under test. */
-export interface TestEntry { documents: contracts.VersionedText[], evacuatedZones: () => string[], seeds: string[], subscriptionCount: () => number, quorumSince: () => number, confirmDocument: () => Promise<boolean>, stop: () => void }
+export interface TestEntry { documents: contracts.VersionedText[], evacuatedZones: () => string[], areEvacuationsKnown: () => boolean, seeds: string[], subscriptionCount: () => number, quorumSince: () => number, confirmDocument: () => Promise<boolean>, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
 export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: discovery.SubscriberOptions['fetchHandout'], dialTimeoutMs?: number): TestEntry {
@@ -131,7 +131,7 @@
     fetchHandout
   })
   subscriber.start()
-  return { documents, evacuatedZones: () => evacuatedZones, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
+  return { documents, evacuatedZones: () => evacuatedZones, areEvacuationsKnown: subscriber.areEvacuationsKnown, seeds, subscriptionCount: subscriber.subscriptionCount, quorumSince: subscriber.quorumSince, confirmDocument: subscriber.confirmDocument, stop: subscriber.stop }
 }
 
 /** Waits until a condition holds. */
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -234,7 +234,7 @@
           for (const { id } of self) liveness.noteHeard(id, now())
           void queueChanges(mergeAll(self, false), true)
           const document = opts.packDocumentSince(call.version)
-          return { ...toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null), late: liveness.late() }
+          return { ...toReply(true, document !== null && document.body.length <= MAX_INLINE_BYTES ? document : null), isCurrent: opts.isCurrent(), late: liveness.late() }
         }
         case 'records':
           void queueChanges(mergeAll(intake.records(call.list, 'control instance'), true), false)
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -8,6 +8,7 @@
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
 import * as evacuations from './evacuations.js'
+import * as evacuationSurveys from './evacuationSurvey.js'
 import * as evacuationTrackers from './evacuationTracker.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as intakes from './intake.js'
@@ -36,6 +37,11 @@
 /** How long a new version that is not reported by the primary subscription waits for it: half a heartbeat of control instances. */
 const SECONDARY_FETCH_DELAY_MS = 100
 const CHECK_TIMEOUT_MS = 500
+/**
+ * How long an instance with a document waits for the evacuations of a majority of the control instances. Longer than these need to
+ * start; if most of them are lost, the instance serves by what the others know.
+ */
+const MAX_SURVEY_MS = 4000
 
 /** Creates a subscriber without subscriptions, which answers calls until it is started. */
 export function createSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
@@ -61,14 +67,34 @@
 
   const evacuationTracker = evacuationTrackers.createEvacuationTracker((assumed, from) => { opts.onEvacuations?.(assumed, from) })
 
+  /** Whether this instance has heard of all evacuations that were acknowledged before its start. */
+  let areEvacuationsKnown = false
+  let surveyStartedAt: number | undefined
+
   /** Returns whether a control instance with a quorum is heard. */
-  const hasQuorum = (): boolean => [...open].some(sub => sub.lastTickAt !== undefined && sub.isCurrent)
+  const hasQuorum = (): boolean => [...open].some(sub => sub.hasReported && sub.isCurrent)
 
   /** @param report undefined if the sender knows of no order */
   const noteEvacuations = (report: evacuations.EvacuationReport | undefined, from: string): void => {
     evacuationTracker.note(report ?? evacuations.NO_EVACUATIONS, from, hasQuorum())
   }
 
+  const noteControlEvacuations = (report: evacuations.EvacuationReport | undefined, address: string): void => {
+    noteEvacuations(report, address)
+    survey.noteReport(address)
+    surveyEvacuations()
+  }
+
+  const survey = evacuationSurveys.createEvacuationSurvey({
+    fetchHandout: opts.fetchHandout,
+    dial: opts.dial,
+    onReport (report, address) {
+      opts.log.event('evacuationsReported', { address, revision: report?.revision ?? 0, zones: report?.zones.join(' '), pending: report?.pending?.join(' ') })
+      noteControlEvacuations(report, address)
+    },
+    now
+  })
+
   /**
    * Records the version that a control instance reported. Fetches at once only if the instance is the primary (oldest)
    * subscription, so that the leader, which reports a new version first, does not receive fetches of all its subscribers at once.
@@ -149,7 +175,7 @@
   }
 
   const subscribe = async (address: string): Promise<void> => {
-    const sub: subscriptions.Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, live: undefined, lastSeenAt: now(), lastTickAt: undefined, isCurrent: true, lastQuorumAt: now(), version: 0 }
+    const sub: subscriptions.Subscription = { address, startedAt: now(), link: undefined, isEstablished: false, hasReported: false, live: undefined, lastSeenAt: now(), lastTickAt: undefined, isCurrent: true, lastQuorumAt: now(), version: 0 }
     open.add(sub)
     try {
       const link = await opts.dial(address)
@@ -173,8 +199,13 @@
         if (reply.late !== undefined) sub.live = livenesses.createLiveRecords(list, intake.ids(reply.late, address))
       }
       if (controls.length === 0) controls = intake.addresses(reply.controls, address)
-      noteEvacuations(reply.evacuations, address)
+      if (reply.isCurrent !== undefined) {
+        sub.hasReported = true
+        sub.isCurrent = reply.isCurrent
+      }
+      noteControlEvacuations(reply.evacuations, address)
       documents.accept(reply.document, address)
+      surveyEvacuations()
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
     } catch (err) {
@@ -210,35 +241,46 @@
     void subscribe(candidates[0])
   }
 
-  const handoutPoller = opts.fetchHandout === undefined
-    ? undefined
+  const fetchHandouts = opts.fetchHandout === undefined
+    ? () => {}
     : handoutPollers.createHandoutPoller({
+      seeds: opts.seeds,
       fetch: opts.fetchHandout,
-      onReply (reply, address) {
+      onReply (reply, report, address) {
+        noteControlEvacuations(report, address)
         if (documents.version() > 0) return
         opts.log.event('handoutTaken', { address, version: reply.version })
         mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
         documents.accept(reply.document, address)
+        surveyEvacuations()
       },
-      onEvacuations (report, address) {
-        opts.log.event('handoutEvacuations', { address, revision: report.revision, zones: report.zones.join(' '), pending: report.pending?.join(' ') })
-        noteEvacuations(report, address)
-      },
-      log: opts.log,
-      now
+      log: opts.log
     })
 
-  const pollHandouts = (): void => {
-    if (documents.version() === 0) handoutPoller?.poll(opts.seeds())
-    else if (isBeforeContact()) handoutPoller?.pollEvacuations([...new Set([...controls, ...opts.seeds()])])
+  /** Asks for the evacuations while it is not known which ones are in force, for a limited time. */
+  const surveyEvacuations = (): void => {
+    if (areEvacuationsKnown || documents.version() === 0) return
+    surveyStartedAt ??= now()
+    const all = controls.length > 0 ? controls : opts.seeds()
+    const isOver = now() - surveyStartedAt > MAX_SURVEY_MS
+    if (hasQuorum() || survey.isComplete(all) || isOver) {
+      areEvacuationsKnown = true
+      opts.log.event('evacuationsKnown', { ms: Math.round(now() - surveyStartedAt), isSettled: !isOver })
+      opts.onEvacuationsKnown?.()
+      return
+    }
+    // Those with a subscription report by themselves.
+    const subscribed = new Set([...open].filter(sub => sub.isEstablished).map(sub => sub.address))
+    survey.poll(handoutPollers.toShuffled(all.filter(address => !subscribed.has(address))))
   }
 
   const run = async (): Promise<void> => {
     let lastTickAt = now()
     while (!stopped.signal.aborted) {
       updateSubscriptions()
-      pollHandouts()
+      if (documents.version() === 0) fetchHandouts()
+      surveyEvacuations()
       if (now() - lastTickAt >= messages.TICK_INTERVAL_MS) {
         lastTickAt = now()
         const self = opts.self()
@@ -264,10 +306,11 @@
           break
         }
         case 'version': noteVersion(sub, event.version); break
-        case 'evacuations': noteEvacuations(event.evacuations, sub.address); break
+        case 'evacuations': noteControlEvacuations(event.evacuations, sub.address); break
         case 'tick': {
           const signs = intake.heartbeats(event.signs, sub.address)
           sub.lastTickAt = now()
+          sub.hasReported = true
           sub.isCurrent = event.isCurrent
           if (event.isCurrent) {
             if (now() - lastQuorumAt > MAX_TICK_GAP_MS) quorumSince = now()
@@ -276,7 +319,7 @@
           }
           // A control instance without a quorum may know former members only.
           if (event.isCurrent || controls.length === 0) controls = intake.addresses(event.controls, sub.address)
-          noteEvacuations(event.evacuations, sub.address)
+          noteControlEvacuations(event.evacuations, sub.address)
           for (const heartbeat of signs) opts.table.applyHeartbeat(heartbeat, now())
           sub.live?.applyChanges({ late: intake.ids(event.late ?? [], sub.address), revived: signs })
           sub.live?.refresh(opts.table, now())
@@ -297,6 +340,7 @@
     },
     version: documents.version,
     noteEvacuations,
+    areEvacuationsKnown: () => areEvacuationsKnown,
     newestVersion: documents.newestVersion,
     confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
     describeSubscriptions: () => [...open].filter(sub => sub.isEstablished).map(sub => subscriptions.describeSubscription(sub, now())).join('; '),
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -34,6 +34,8 @@
    * @param from the instance whose report changed them
    */
   onEvacuations?: (assumed: evacuationTrackers.AssumedEvacuations, from: string) => void
+  /** Called once {@link Subscriber.areEvacuationsKnown}. */
+  onEvacuationsKnown?: () => void
   /** Inner addresses of the other entry instances, in random order; none by default. */
   peerAddresses?: () => readonly string[]
   /** Returns a link to another entry instance. */
@@ -56,6 +58,11 @@
   onCall (call: messages.DiscoveryCall): messages.DiscoveryReply
   /** Records the version of the document that another entry instance reported. */
   notePeerVersion (address: string, version: number): void
+  /**
+   * Returns whether the evacuations in force are known: a control instance with a quorum was heard, or a majority reported; also true
+   * when too few reported in time.
+   */
+  areEvacuationsKnown (): boolean
   /** Records the evacuations that another entry instance reported. */
   noteEvacuations (report: evacuations.EvacuationReport, from: string): void
   /** Returns the version of the local document, 0 without one. */
--- a/packages/discovery/src/subscription.ts
+++ b/packages/discovery/src/subscription.ts
@@ -10,6 +10,8 @@
   live: livenesses.LiveRecords | undefined
   /** Time of the last event. */
   lastSeenAt: number
+  /** Whether the control instance has said if it has a quorum. */
+  hasReported: boolean
   /** Time of the last tick, undefined before the first. */
   lastTickAt: number | undefined
   /** Time of the last tick with a quorum, at first that of the subscription. */
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -81,7 +81,7 @@
     region: opts.region,
     front: opts.front,
     inner: opts.inner,
-    state: drainStartedAt !== undefined ? 'leaving' : document === undefined ? 'starting' : 'ready',
+    state: drainStartedAt !== undefined ? 'leaving' : servedDocument() === undefined ? 'starting' : 'ready',
     ...changes.fields()
   })
 
@@ -111,12 +111,12 @@
       document = routeTables.compileTable(opts.readDocument(received.text))
       server.applyLimits(document.limits)
       metrics.documentVersion.set(document.version)
-      waiters.releaseAll()
+      if (subscriber.areEvacuationsKnown()) waiters.releaseAll()
       log.event('documentInForce', { version: document.version, from, waitedMs: Math.round(waitedMs), routes: [...document.routesByHost.values()].reduce((sum, list) => sum + list.length, 0) })
     } catch (err) {
       log.event('documentUnreadable', { version: received.version, detail: err instanceof Error ? err.message : String(err) })
     }
-    if (seq > 0 && document !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
+    announceIfReady()
   }
 
   const applyEvacuations = (assumed: discovery.AssumedEvacuations, from: string): void => {
@@ -136,6 +136,13 @@
     metrics.evacuatedZones.set(evacuatedZones.length)
   }
 
+  /** Returns the document in force; none before it is known where requests may be sent. */
+  const servedDocument = (): routeTables.CompiledTable | undefined => subscriber.areEvacuationsKnown() ? document : undefined
+
+  const announceIfReady = (): void => {
+    if (seq > 0 && servedDocument() !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
+  }
+
   const announce = (): void => {
     table.merge(self(), now())
     subscriber.announce()
@@ -227,7 +234,7 @@
     gossip,
     metrics,
     log,
-    table: () => document,
+    table: servedDocument,
     // A document that cannot be read here is the subscriber's latest, but not in force.
     confirmDocument: async () => await subscriber.confirmDocument() && document?.version === subscriber.version(),
     newestDocument: () => subscriber.newestVersion(),
@@ -260,6 +267,10 @@
     self,
     onDocument: applyDocument,
     onEvacuations: applyEvacuations,
+    onEvacuationsKnown () {
+      waiters.releaseAll()
+      announceIfReady()
+    },
     onRecords (list) {
       endpoints.update(list)
       updateEvacuatedZones()
@@ -286,9 +297,9 @@
 
   return {
     metrics,
-    isReady: () => drainStartedAt === undefined && document !== undefined,
+    isReady: () => drainStartedAt === undefined && servedDocument() !== undefined,
     addresses (client) {
-      const isSelfReady = drainStartedAt === undefined && document !== undefined
+      const isSelfReady = drainStartedAt === undefined && servedDocument() !== undefined
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isResponsive(item.lastSeenAt))
         .map(item => item.record)
