fix(forwarding): one account of held bytes, and a shared pace, for responses without end

Callers saw requests without an answer, also of services whose endpoints are proper, and instances whose memory exceeded their machine's, while the endpoints of a service answered with bytes without end.

Cause: each response had a bound, all together had none; what is read in vain takes the event loop; comments were passed on one by one without a bound; and nothing kept the next request from the endpoint that had just sent too much.

Change: an account of held bytes (15% of the memory) that ends what holds most, a shared rate beyond 256 KB of a response, comments coalesced and bounded, lengths above 8 MB refused at the head, endpoints set aside after two such responses without a complete one.

--- a/packages/forwarding/__tests__/endlessBytes.test.ts
+++ b/packages/forwarding/__tests__/endlessBytes.test.ts
@@ -62,6 +62,7 @@
   { name: 'an event', start: req => toHead(req, '200 OK', STREAM), repeated: toChunk('data: ' + 'x'.repeat(4096)), status: 502, maxBytes: 16 * 1024 * 1024 },
   { name: 'a body', start: req => toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`), repeated: toChunk('x'.repeat(4096)), status: 502, maxBytes: 32 * 1024 * 1024 },
   { name: 'a body of another request', start: () => `HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Seal: s\r\n${CHUNKED}\r\n`, repeated: toChunk('x'.repeat(4096)), status: 502, maxBytes: 8 * 1024 * 1024 },
+  { name: 'comments', start: req => toHead(req, '200 OK', STREAM), repeated: toChunk(':\n\n'), status: 200, maxBytes: 8 * 1024 * 1024 },
   { name: 'a chunk extension', start: req => `${toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`)}4;`, repeated: 'x', status: 502, maxBytes: 8 * 1024 * 1024 },
   { name: 'trailers', start: req => `${toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`)}0\r\n`, repeated: 'X-Trailer: y\r\n', status: 502, maxBytes: 8 * 1024 * 1024 }
 ]
@@ -176,3 +177,73 @@
   const many = Math.min(...Array.from({ length: 3 }, () => measure(40_000)))
   t.true(many < 40 * few, `${many.toFixed(2)} ms for ten times the chunks of ${few.toFixed(2)} ms`)
 })
+
+// Guards against giving every request to endpoints that answer without end, when all of a service do.
+test('an endpoint whose responses are ended for their length one after the other is set aside', async t => {
+  const sent: Sent[] = []
+  const endpoint = await helper.startEndpoint('e1', endless(req => toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`), toChunk('x'.repeat(4096)), sent))
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', ...LONG })], [endpoint])
+  t.teardown(() => {
+    entry.close()
+    endpoint.close()
+  })
+  const statuses: number[] = []
+  for (let i = 0; i < 4; i++) statuses.push((await entry.send({ method: 'POST', body: 'q', headers: DEADLINE })).status)
+  t.deepEqual(statuses, [502, 502, 503, 503])
+})
+
+// One client that asks for too long responses must not take an endpoint from the others.
+test('an endpoint that also responds properly is not set aside for responses that are too long', async t => {
+  const sent: Sent[] = []
+  const flood = endless(req => toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`), toChunk('x'.repeat(4096)), sent)
+  const endpoint = await helper.startEndpoint('e1', (req, res, count) => { (req.url === '/a/long' ? flood : helper.healthy)(req, res, count) })
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', ...LONG })], [endpoint])
+  t.teardown(() => {
+    entry.close()
+    endpoint.close()
+  })
+  for (let i = 0; i < 4; i++) {
+    t.is((await entry.send({ method: 'POST', path: '/a/long', body: 'q', headers: DEADLINE })).status, 502)
+    t.is((await entry.send({ method: 'POST', path: '/a/short', body: 'q', headers: DEADLINE })).status, 200)
+  }
+})
+
+test('a response whose length says too much is not read', async t => {
+  const sent: Sent[] = []
+  const endpoint = await helper.startEndpoint('e1', endless(req => toHead(req, '200 OK', 'X-Seal: s\r\nContent-Length: 99999999\r\n'), 'x', sent, { delayMs: 500 }))
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', ...LONG })], [endpoint])
+  t.teardown(() => {
+    entry.close()
+    endpoint.close()
+  })
+  t.is((await entry.send({ method: 'POST', body: 'q', headers: DEADLINE })).status, 502)
+  t.true(sent[0].bytes === 0, `${sent[0].bytes} bytes were sent before the response was ended`)
+})
+
+// Each response had a bound, all of them together had none.
+test('responses without end hold no more than their limit together, and others are served beside them', async t => {
+  const HELD_LIMIT = 4 * 1024 * 1024
+  const sent: Sent[] = []
+  const flood = endless(req => toHead(req, '200 OK', `X-Seal: s\r\n${CHUNKED}`), toChunk('x'.repeat(4096)), sent)
+  const endpoints = [await helper.startEndpoint('e1', flood), await helper.startEndpoint('e2', helper.healthy)]
+  const entry = await helper.startEntry([helper.toRoute({ kind: 'once', ...LONG })], [], { heldLimit: HELD_LIMIT })
+  t.teardown(() => {
+    entry.close()
+    endpoints.forEach(item => { item.close() })
+  })
+  entry.announce(endpoints[0])
+  const pending = Array.from({ length: 20 }, async () => await entry.send({ method: 'POST', body: 'q', headers: DEADLINE }))
+  for (let i = 0; i < 100 && sent.length < 20; i++) await timers.setTimeout(10)
+  entry.announce(endpoints[0], { state: 'leaving' })
+  entry.announce(endpoints[1])
+  let most = 0
+  const timer = setInterval(() => { most = Math.max(most, entry.ctx.heldBytes.total()) }, 1)
+  const others = await Promise.all(Array.from({ length: 20 }, async () => (await entry.send({ method: 'POST', body: 'q', headers: DEADLINE })).status))
+  const statuses = (await Promise.all(pending)).map(item => item.status)
+  clearInterval(timer)
+  // Those that found the endpoint set aside were not sent.
+  t.true(statuses.includes(502) && statuses.every(status => status === 502 || status === 503), statuses.join(' '))
+  t.true(others.every(status => status === 200), others.join(' '))
+  t.true(most <= HELD_LIMIT, `${most} bytes were held`)
+  t.is(entry.ctx.heldBytes.total(), 0)
+})
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -12,6 +12,8 @@
 import * as entryContexts from '../../src/instance/entryContext.js'
 import * as entryMetrics from '../../src/instance/entryMetrics.js'
 import * as entryServers from '../../src/instance/entryServer.js'
+import * as heldBytes from '../../src/instance/heldBytes.js'
+import * as readPacers from '../../src/attempts/readPacer.js'
 import type * as headerNames from '../../src/attempts/headerNames.js'
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 import * as retryBudgets from '../../src/attempts/retryBudget.js'
@@ -145,7 +147,7 @@
 /** A response as received by the client. */
 export interface TestResponse { status: number, headers: http.IncomingHttpHeaders, body: string, /** Whether the body is complete. */ isComplete: boolean }
 
-export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccountInput[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, regionByZone?: { [zone: string]: string }, /** Opens connections to endpoints; direct ones by default. */ connect?: endpointDialers.Connect, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
+export async function startEntry (routes: routeTables.Route[], endpoints: TestEndpoint[], opts: { accounts?: routeTables.ClientAccountInput[], retrySlack?: number, limits?: Partial<routeTables.ClientLimits>, /** Ids of all entry instances, this one is 'self'. */ instanceIds?: string[], service?: Partial<routeTables.ServiceInput>, regionByZone?: { [zone: string]: string }, /** Opens connections to endpoints; direct ones by default. */ connect?: endpointDialers.Connect, /** Bytes that may be held for requests and responses. */ heldLimit?: number, /** Whether the entry has no document until {@link TestEntry.publishDocument}. */ startsWithoutDocument?: boolean } = {}): Promise<TestEntry> {
   const lines: TestEntry['lines'] = []
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
@@ -184,6 +186,8 @@
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
     durations: routeDurations.createRouteDurations(now),
+    heldBytes: heldBytes.createHeldBytes(opts.heldLimit ?? heldBytes.toHeldLimit(undefined)),
+    readPacer: readPacers.createReadPacer(now),
     now
   }
   const server = entryServers.createEntryServer(ctx)
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -6,6 +6,8 @@
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as brittleLimiters from '../placement/brittleLimiter.js'
 import type * as headerNames from './headerNames.js'
+import * as heldBytes from '../instance/heldBytes.js'
+import * as readPacers from './readPacer.js'
 
 /** Status of the response of a process that is not the endpoint that the request names; it did not run the request. */
 export const MISDIRECTED_STATUS = 421
@@ -201,22 +203,56 @@
   return response.res.complete && !response.isBroken()
 }
 
+/** Options of {@link readBody}. */
+export interface BodyOptions {
+  signal: AbortSignal
+  /** Size from which on the body is not read. */
+  maxBytes: number
+  pace: readPacers.Pace
+  /** Account of the bytes, released by the caller. */
+  holder: heldBytes.Holder
+  /** Called when the endpoint sends more than it may. */
+  onExcess: (what: string) => void
+}
+
+/** Overhead of a chunk that is held, bytes. */
+const CHUNK_OVERHEAD_BYTES = 128
+
 /** Reads a body to its end. */
-export async function readBody (response: OpenResponse, signal: AbortSignal, maxBytes: number): Promise<BodyResult> {
+export async function readBody (response: OpenResponse, opts: BodyOptions): Promise<BodyResult> {
   const { res } = response
+  const { signal, maxBytes, holder } = opts
   return await new Promise(resolve => {
-    const chunks: Buffer[] = []
+    let chunks: Buffer[] = []
     let bytes = 0
+    let isSettled = false
+    const gate = readPacers.createPauseGate(res)
     const settle = (outcome: BodyResult): void => {
+      if (isSettled) return
+      isSettled = true
+      holder.onExcess = undefined
       signal.removeEventListener('abort', onAbort)
+      gate.stop()
+      chunks = []
       resolve(outcome)
       if (outcome.kind === 'broken') res.destroy()
     }
+    const exceed = (why: string): void => {
+      if (isSettled) return
+      opts.onExcess(why)
+      settle({ kind: 'broken', why })
+    }
+    holder.onExcess = () => { exceed(heldBytes.EXCESS) }
     const onAbort = (): void => { settle({ kind: 'broken', why: String(signal.reason) }) }
     res.on('data', (chunk: Buffer) => {
+      if (isSettled) return
       chunks.push(chunk)
       bytes += chunk.length
-      if (bytes > maxBytes) settle({ kind: 'broken', why: `the response is larger than ${maxBytes} bytes` })
+      if (bytes > maxBytes) exceed(`the response is larger than ${maxBytes} bytes`)
+      else {
+        holder.add(chunk.length + CHUNK_OVERHEAD_BYTES)
+        gate.pauseFor(opts.pace.charge(chunk.length, 1))
+      }
     })
     res.on('end', () => {
       settle(isComplete(response) ? { kind: 'complete', body: Buffer.concat(chunks, bytes) } : { kind: 'broken', why: 'the response body is truncated' })
@@ -225,5 +261,6 @@
     res.on('close', () => { settle({ kind: 'broken', why: 'the connection closed' }) })
     signal.addEventListener('abort', onAbort, { once: true })
     if (signal.aborted) onAbort()
+    else if (Number(res.headers['content-length'] ?? 0) > maxBytes) exceed(`the response is larger than ${maxBytes} bytes`)
   })
 }
--- a/packages/forwarding/src/attempts/attemptRecorder.ts
+++ b/packages/forwarding/src/attempts/attemptRecorder.ts
@@ -143,6 +143,7 @@
 /** Records a complete response. */
 export function recordCompleteResponse (call: clientCalls.ClientCall, sent: SentRequest, status: number): void {
   sent.run.end(status < 300 ? 'completed' : 'inconclusive', call.ctx.now())
+  sent.endpoint.excesses = 0
 }
 
 function markReachable (ctx: entryContexts.EntryContext, { endpoint, sentAt }: SentRequest, response: string): void {
--- a/packages/forwarding/src/attempts/clientResponse.ts
+++ b/packages/forwarding/src/attempts/clientResponse.ts
@@ -2,6 +2,9 @@
 import * as http from 'node:http'
 import * as clientCalls from './clientCall.js'
 import * as forwardHeaders from './forwardHeaders.js'
+import * as abortResponses from '../streams/abortResponse.js'
+import * as brokenResponses from '../instance/brokenResponses.js'
+import type * as heldBytes from '../instance/heldBytes.js'
 
 /** With less time until the deadline, no further attempt is made, in milliseconds. */
 export const MIN_REMAINING_MS = 10
@@ -14,6 +17,20 @@
   ctx.log.event('headersInvalid', { request: attemptId, names })
 }
 
+/** Keeps a response in the account of held bytes until the client has it. A client that reads slowly is disconnected if it holds most. */
+export function holdUntilSent ({ res }: clientCalls.ClientCall, holder: heldBytes.Holder): void {
+  if (res.closed) {
+    holder.release()
+    return
+  }
+  res.once('close', holder.release)
+  holder.onExcess = () => {
+    if (!res.headersSent) return
+    brokenResponses.noteCause(res, 'memory')
+    abortResponses.abortResponse(res)
+  }
+}
+
 /** Sends the response of an endpoint to the client and returns the outcome for the log. */
 export function sendResponse (call: clientCalls.ClientCall, response: BufferedResponse): string {
   const { res, ctx } = call
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -5,7 +5,7 @@
 import * as attempts from './attempt.js'
 import * as attemptRecorders from './attemptRecorder.js'
 import type * as clientCalls from './clientCall.js'
-import type * as clientResponses from './clientResponse.js'
+import * as clientResponses from './clientResponse.js'
 import * as endpointDialers from '../paths/endpointDialer.js'
 import * as outgoingRequests from './outgoingRequest.js'
 import type * as requestStates from './requestState.js'
@@ -48,12 +48,15 @@
 export async function openAttempt (opts: OpenAttemptOptions): Promise<OpenResult> {
   const { call, state, sent } = opts
   const { endpoint } = sent
-  const onExcess = (what: string): void => { call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what }) }
+  const onExcess = (what: string): void => {
+    call.ctx.log.event('responseOversized', { request: call.attemptId, endpoint: endpoint.id, what })
+    call.ctx.pool.recordExcess(endpoint, call.ctx.now())
+  }
   const result = await send(opts, onExcess)
   if (result.kind === 'response') opts.onHeaders?.()
   await attemptRecorders.recordResult(call, state, sent, result)
   if (result.kind !== 'response') return result
-  return outgoingRequests.isEventStream(result.res) ? await openStream(opts, result, onExcess) : await readComplete(opts, result)
+  return outgoingRequests.isEventStream(result.res) ? await openStream(opts, result, onExcess) : await readComplete(opts, result, onExcess)
 }
 
 /** Sends the request. An exception before anything was sent concerns this attempt alone. */
@@ -86,6 +89,8 @@
   const reader = streamReaders.createStreamReader({
     response,
     lastEventId,
+    pace: call.ctx.readPacer.open(),
+    holder: call.ctx.heldBytes.open(),
     onData () { endpoint.answeredAt = call.ctx.now() },
     onExcess
   })
@@ -102,10 +107,16 @@
   return await recordBroken(call, sent, first.why)
 }
 
-async function readComplete ({ call, sent, onBody }: OpenAttemptOptions, response: attempts.OpenResponse): Promise<OpenResult> {
-  sent.run.begin(call.ctx.now())
-  const buffered = await attempts.readBody(response, sent.signal, MAX_BUFFERED_BYTES)
-  if (buffered.kind === 'broken') return await recordBroken(call, sent, buffered.why)
+async function readComplete ({ call, sent, onBody }: OpenAttemptOptions, response: attempts.OpenResponse, onExcess: (what: string) => void): Promise<OpenResult> {
+  const { ctx } = call
+  sent.run.begin(ctx.now())
+  const holder = ctx.heldBytes.open()
+  const buffered = await attempts.readBody(response, { signal: sent.signal, maxBytes: MAX_BUFFERED_BYTES, pace: ctx.readPacer.open(), holder, onExcess })
+  if (buffered.kind === 'broken') {
+    holder.release()
+    return await recordBroken(call, sent, buffered.why)
+  }
+  clientResponses.holdUntilSent(call, holder)
   onBody?.()
   const why = await unframedEnds.findCut(call, sent, response)
   if (why !== undefined) return await recordBroken(call, sent, why)
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -49,6 +49,10 @@
   loggedFailures: number
   /** The value of `suspectedColdAt` before the first of them. */
   suspectedColdBefore: number
+  /** Consecutive responses that were ended for their length. */
+  excesses: number
+  /** Not used before this time, after several of them. */
+  excessUntil: number
   /** When another process was found at its address. */
   misdirectedAt: number | undefined
   /** End of the warm-up that it announced, 0 if it is warm. */
@@ -83,6 +87,8 @@
   clearBackoff (endpoint: Endpoint): void
   /** Records a response; ends the backoff period. */
   markReachable (endpoint: Endpoint, now: number): void
+  /** Records a response that was ended for its length; repeated ones set the endpoint aside for a time. */
+  recordExcess (endpoint: Endpoint, now: number): void
   /** Records that the endpoints of a zone may have become cold, which their announcements will confirm later or not. */
   suspectCold (zone: string, now: number): void
   /** Records that another process answered at the address of the endpoint; it is not used until its next announcement. */
@@ -227,7 +233,7 @@
     usable (service, now) {
       const zones = evacuatedZones()
       const isUnresponsive = createUnresponsiveCheck()
-      const ready = toServiceEndpoints(service).filter(item => item.record.state === 'ready' && !zones.includes(item.record.zone) && !isUnresponsive(item.id))
+      const ready = toServiceEndpoints(service).filter(item => item.record.state === 'ready' && !zones.includes(item.record.zone) && item.excessUntil <= now && !isUnresponsive(item.id))
       const reachable = ready.filter(item => isReachable(item, now))
       if (reachable.length > 0) return reachable
       // If no endpoint is reachable, those whose backoff is nearly over are used.
@@ -275,6 +281,7 @@
       if (endpoint.failures > 0) endpoint.suspectedColdAt = now
       endpointBackoffs.resetFailures(endpoint)
     },
+    recordExcess: endpointBackoffs.recordExcess,
     suspectCold (zone, now) {
       for (const endpoint of index.all()) {
         if (endpoint.record.zone === zone) endpoint.suspectedColdAt = now
--- a/packages/forwarding/src/endpoints/newEndpoint.ts
+++ b/packages/forwarding/src/endpoints/newEndpoint.ts
@@ -33,6 +33,8 @@
     failures: 0,
     loggedFailures: 0,
     suspectedColdBefore: -Infinity,
+    excesses: 0,
+    excessUntil: -Infinity,
     misdirectedAt: undefined,
     coldUntil,
     suspectedColdAt: -Infinity,
--- a/packages/forwarding/src/instance/brokenResponses.ts
+++ b/packages/forwarding/src/instance/brokenResponses.ts
@@ -11,6 +11,8 @@
   | 'deadline'
   /** This instance stopped. */
   | 'stopping'
+  /** This instance held too many bytes, most of them for this response. */
+  | 'memory'
   /** The handling of the request threw an error after the response had begun. */
   | 'error'
 
@@ -35,6 +37,7 @@
 export function needsLine (cause: BrokenCause): boolean {
   switch (cause) {
     case 'stopping':
+    case 'memory':
     case 'error': return true
     case 'endpoint':
     case 'client':
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -8,6 +8,8 @@
 import * as entryMetrics from './entryMetrics.js'
 import * as headerNames from '../attempts/headerNames.js'
 import type * as gossipTypes from '../gossip/gossipTypes.js'
+import type * as heldBytes from './heldBytes.js'
+import type * as readPacers from '../attempts/readPacer.js'
 import type * as lostPaths from '../paths/lostPaths.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
 import * as retryBudgets from '../attempts/retryBudget.js'
@@ -49,5 +51,7 @@
   /** Returns whether a request of a route with this maximum duration, in milliseconds, is accepted. */
   isAccepted: (route: routeTables.Route, waitMs: number) => boolean
   durations: routeDurations.RouteDurations
+  heldBytes: heldBytes.HeldBytes
+  readPacer: readPacers.ReadPacer
   now: () => number
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -14,6 +14,8 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as addresses from './addresses.js'
 import * as changeAnnouncers from './changeAnnouncer.js'
+import * as heldBytes from './heldBytes.js'
+import * as readPacers from '../attempts/readPacer.js'
 import * as drainWorks from './drainWork.js'
 import * as entryContexts from './entryContext.js'
 import * as entryMetrics from './entryMetrics.js'
@@ -62,7 +64,8 @@
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
-  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
+  const held = heldBytes.createHeldBytes(heldBytes.toHeldLimit(opts.memoryBytes))
+  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), heldBytes: held.total, lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
   const durations = routeDurations.createRouteDurations(now)
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
@@ -253,6 +256,8 @@
       isExpectedWithin: ms => route.kind !== 'once' && durations.isNearlySure(route.name, ms)
     }),
     durations,
+    heldBytes: held,
+    readPacer: readPacers.createReadPacer(now),
     now
   }
 
--- a/packages/forwarding/src/instance/entryMetrics.ts
+++ b/packages/forwarding/src/instance/entryMetrics.ts
@@ -33,6 +33,8 @@
 export interface CollectedFigures {
   /** Time since a control instance with a quorum was heard last, milliseconds; Infinity before the first. */
   quorumAgeMs: () => number
+  /** Bytes that are held for requests and responses. */
+  heldBytes: () => number
   /** Endpoints that are reached through other instances only. */
   lostPaths: () => number
   /** Connections to endpoints that are open on behalf of other instances. */
@@ -40,7 +42,7 @@
 }
 
 /** Creates the metrics. */
-export function createEntryMetrics (droppedLines: () => number = () => 0, collected: CollectedFigures = { quorumAgeMs: () => Infinity, lostPaths: () => 0, tunnels: () => 0 }): EntryMetrics {
+export function createEntryMetrics (droppedLines: () => number = () => 0, collected: CollectedFigures = { quorumAgeMs: () => Infinity, heldBytes: () => 0, lostPaths: () => 0, tunnels: () => 0 }): EntryMetrics {
   const registry = new prom.Registry()
   const registers = [registry]
   const gauge = (name: string, help: string, read: () => number): void => {
@@ -50,6 +52,7 @@
   gauge('kingcupdeck_sockets_open', 'Open TCP connections of this process, of all kinds', links.openSocketCount)
   gauge('kingcupdeck_lost_paths', 'Endpoints that are reached through other entry instances only', collected.lostPaths)
   gauge('kingcupdeck_tunnels_open', 'Connections to endpoints that are open on behalf of other entry instances', collected.tunnels)
+  gauge('kingcupdeck_held_bytes', 'Bytes that are held for requests and responses', collected.heldBytes)
   gauge('kingcupdeck_quorum_age_seconds', 'Time since a control instance with a quorum was heard last; meanwhile the instance serves by what it knew before, or by handouts', () => collected.quorumAgeMs() / 1000)
   return {
     registry,
@@ -57,7 +60,7 @@
     duration: new prom.Histogram({ name: 'kingcupdeck_forward_seconds', help: 'From the request to its end, per client account and route', labelNames: ['account', 'route'], buckets: DURATION_BUCKETS_S, registers }),
     requests: new prom.Counter({ name: 'kingcupdeck_forward_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers }),
     attempts: new prom.Counter({ name: 'kingcupdeck_forward_attempts_total', help: 'Sends to endpoints by service and outcome', labelNames: ['service', 'outcome'], registers }),
-    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Requests whose connection was closed before their response was complete, by route and cause: endpoint, client, deadline, stopping or error', labelNames: ['route', 'cause'], registers }),
+    broken: new prom.Counter({ name: 'kingcupdeck_forward_broken_total', help: 'Requests whose connection was closed before their response was complete, by route and cause: endpoint, client, deadline, stopping, memory or error', labelNames: ['route', 'cause'], registers }),
     silences: new prom.Counter({ name: 'kingcupdeck_forward_silences_total', help: 'Streams whose endpoint was silent, by outcome: continued by it, or moved to another one', labelNames: ['outcome'], registers }),
     open: new prom.Gauge({ name: 'kingcupdeck_forward_open', help: 'Requests that run now', registers }),
     documentVersion: new prom.Gauge({ name: 'kingcupdeck_document_version', help: 'Version of the document in force here', registers }),
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -42,6 +42,8 @@
   droppedLines: () => number
   /** Opens a TCP connection to the address of an endpoint; `net.connect` by default. */
   connectEndpoint?: (address: string) => net.Socket
+  /** Memory of this machine in bytes, undefined if unknown. */
+  memoryBytes?: number
   /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
   linkBytesPerMs?: number
 }
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -11,6 +11,7 @@
 import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
+import * as heldBytes from './heldBytes.js'
 import * as requestGuards from './requestGuard.js'
 import * as requestReaders from './requestReader.js'
 import * as unexpectedErrors from './unexpectedError.js'
@@ -125,8 +126,13 @@
     }
     exchange.route = result.route.name
     guard.setDeadline(startedAt + waitMs - ctx.now())
-    const body = await requestReaders.readBody(req, table.limits.maxBodyBytes)
+    const holder = ctx.heldBytes.open()
+    res.once('close', holder.release)
+    const body = await requestReaders.readBody(req, table.limits.maxBodyBytes, holder)
     switch (body.kind) {
+      case 'noRoom':
+        refuse({ kind: 'unavailable', why: heldBytes.EXCESS, cause: { kind: 'error' } })
+        return
       case 'tooLarge':
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
--- /dev/null
+++ b/packages/forwarding/src/instance/heldBytes.ts
@@ -0,0 +1,89 @@
+/**
+ * One account of the bytes that an instance holds for requests and responses. Each of them has a bound of its own; the sum is bounded here, by
+ * the memory of the machine. When it is exceeded, what holds most is ended.
+ */
+
+/** Bytes that one request or response holds. */
+export interface Holder {
+  /** Sets the number of bytes that it holds. */
+  set (bytes: number): void
+  add (bytes: number): void
+  /** Sets what is called when it is ended because it holds most; undefined if it must not be ended. */
+  onExcess: (() => void) | undefined
+  /** Ends the holding; only the first call counts. */
+  release (): void
+}
+
+/** The account. */
+export interface HeldBytes {
+  /** Creates a holder without bytes, which must not be ended yet. */
+  open (): Holder
+  /** Returns the sum. */
+  total (): number
+}
+
+/** Share of the memory that may be held: the rest is for the program itself, and for what was released and not collected yet. */
+const MEMORY_SHARE = 0.15
+/** Why a request or response is ended when the limit is exceeded. */
+export const EXCESS = 'this instance holds too many bytes, and most of them for this request'
+/** Limit if the memory of the machine is not known. */
+const DEFAULT_LIMIT_BYTES = 48 * 2 ** 20
+
+/**
+ * Returns the limit of the sum.
+ * @param memoryBytes memory of the machine, undefined if unknown
+ */
+export function toHeldLimit (memoryBytes: number | undefined): number {
+  return memoryBytes === undefined ? DEFAULT_LIMIT_BYTES : MEMORY_SHARE * memoryBytes
+}
+
+/** Creates an account without holders. */
+export function createHeldBytes (limitBytes: number): HeldBytes {
+  /** Bytes of each holder. */
+  const holders = new Map<Holder, number>()
+  let total = 0
+
+  const findLargest = (): Holder | undefined => {
+    let largest: Holder | undefined
+    let largestBytes = 0
+    for (const [holder, bytes] of holders) {
+      if (holder.onExcess === undefined || bytes <= largestBytes) continue
+      largest = holder
+      largestBytes = bytes
+    }
+    return largest
+  }
+
+  const enforce = (): void => {
+    if (total <= limitBytes) return
+    const largest = findLargest()
+    if (largest === undefined) return
+    const { onExcess } = largest
+    largest.release()
+    onExcess?.()
+    enforce()
+  }
+
+  return {
+    open () {
+      const holder: Holder = {
+        onExcess: undefined,
+        set (bytes) {
+          const before = holders.get(holder)
+          if (before === undefined) return
+          holders.set(holder, bytes)
+          total += bytes - before
+          enforce()
+        },
+        add (bytes) { holder.set((holders.get(holder) ?? 0) + bytes) },
+        release () {
+          total -= holders.get(holder) ?? 0
+          holders.delete(holder)
+        }
+      }
+      holders.set(holder, 0)
+      return holder
+    },
+    total: () => total
+  }
+}
--- a/packages/forwarding/src/streams/streamReader.ts
+++ b/packages/forwarding/src/streams/streamReader.ts
@@ -4,6 +4,8 @@
  */
 import * as links from '@kingcupdeck/links'
 import * as attempts from '../attempts/attempt.js'
+import * as heldBytes from '../instance/heldBytes.js'
+import * as readPacers from '../attempts/readPacer.js'
 
 /** A part of a stream. */
 export type StreamPart =
@@ -28,6 +30,9 @@
   response: attempts.OpenResponse
   /** Last event that the client has; this and earlier ones are left out. */
   lastEventId: string | undefined
+  pace: readPacers.Pace
+  /** Account of the bytes that are held, released at the end of the stream. */
+  holder: heldBytes.Holder
   /** Called when data arrives. */
   onData: () => void
   /** Called when the endpoint sent more than it may without a new event. */
@@ -39,10 +44,12 @@
 
 /** Creates a reader. */
 export function createStreamReader (opts: StreamReaderOptions): StreamReader {
-  const { response, lastEventId } = opts
+  const { response, lastEventId, holder } = opts
   const { res } = response
   const splitter = links.createEventSplitter()
+  const gate = readPacers.createPauseGate(res)
   const queued: StreamPart[] = []
+  let queuedBytes = 0
   /** Events without an id that precede the first new one. */
   let held: links.StreamEvent[] = []
   let hasNew = lastEventId === undefined
@@ -59,7 +66,10 @@
     }
     queued.push(part)
     markFirst(part)
-    if (part.kind === 'events') res.pause()
+    if (part.kind === 'events') {
+      queuedBytes += part.events.reduce((sum, item) => sum + item.bytes.length, 0)
+      gate.set('receiver', true)
+    }
   }
 
   const putEvents = (events: links.StreamEvent[]): void => {
@@ -68,12 +78,26 @@
 
   const end = (part: StreamPart): void => {
     if (isEnded) return
-    isEnded = true
+    stop()
     putEvents(held)
     held = []
     put(part)
   }
 
+  const stop = (): void => {
+    isEnded = true
+    gate.stop()
+    holder.release()
+  }
+
+  const exceed = (why: string): void => {
+    opts.onExcess?.(why)
+    end({ kind: 'broken', why })
+    response.abort()
+  }
+
+  holder.onExcess = () => { exceed(heldBytes.EXCESS) }
+
   /** Returns the events to pass on now. */
   const select = (events: links.StreamEvent[]): links.StreamEvent[] => {
     if (lastEventId === undefined) return events
@@ -87,14 +111,18 @@
   res.on('data', (chunk: Buffer) => {
     if (isEnded) return
     opts.onData()
-    const events = select(splitter.push(chunk))
-    bytesWithoutEvent = events.length > 0 ? splitter.pendingBytes() : bytesWithoutEvent + chunk.length
+    const all = splitter.push(chunk)
+    const events = select(all)
+    // Comments may be sent to keep a connection open, but not instead of events.
+    const hasEvent = events.some(event => !event.isComment)
+    bytesWithoutEvent = hasEvent ? splitter.pendingBytes() : bytesWithoutEvent + chunk.length
     putEvents(events)
-    if (bytesWithoutEvent <= MAX_BYTES_WITHOUT_EVENT) return
-    const why = `no new event within ${MAX_BYTES_WITHOUT_EVENT} bytes of a stream`
-    opts.onExcess?.(why)
-    end({ kind: 'broken', why })
-    response.abort()
+    if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+      exceed(`no new event within ${MAX_BYTES_WITHOUT_EVENT} bytes of a stream`)
+      return
+    }
+    holder.set(splitter.pendingBytes() + queuedBytes)
+    gate.pauseFor(opts.pace.charge(chunk.length, all.length))
   })
   res.on('end', () => {
     if (!attempts.isComplete(response)) end({ kind: 'broken', why: 'the connection closed' })
@@ -109,12 +137,13 @@
     start (listener) {
       onPart = listener
       queued.splice(0).forEach(listener)
-      res.resume()
+      queuedBytes = 0
+      gate.set('receiver', false)
     },
-    pause () { res.pause() },
-    resume () { res.resume() },
+    pause () { gate.set('receiver', true) },
+    resume () { gate.set('receiver', false) },
     abort (why) {
-      isEnded = true
+      stop()
       onPart = undefined
       queued.length = 0
       markFirst({ kind: 'broken', why })
--- a/packages/links/src/eventStream.ts
+++ b/packages/links/src/eventStream.ts
@@ -1,7 +1,7 @@
 /** Splits an event stream into complete events. */
 
-/** A complete event: its bytes including the blank line, and its id. */
-export interface StreamEvent { bytes: Buffer, id: string | undefined }
+/** A complete event: its bytes including the blank line, and its id; or consecutive ones that consist of comments alone. */
+export interface StreamEvent { bytes: Buffer, id: string | undefined, isComment: boolean }
 
 export interface EventSplitter {
   /** Adds bytes. @returns the events that are complete now */
@@ -12,8 +12,37 @@
 
 const LF = 10
 const CR = 13
+const COLON = 58
 const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/
 
+/** Returns whether all lines are comments or blank. */
+function isComment (bytes: Buffer): boolean {
+  for (let at = 0; at < bytes.length;) {
+    if (bytes[at] !== COLON && bytes[at] !== LF && bytes[at] !== CR) return false
+    const next = bytes.indexOf(LF, at)
+    at = next < 0 ? bytes.length : next + 1
+  }
+  return true
+}
+
+/**
+ * Skips events that consist of comments alone: a stream may have thousands of them in one chunk.
+ * @param from start of an event
+ * @returns the end of the last of them, or `from` if there is none
+ */
+function skipComments (chunk: Buffer, from: number): number {
+  let end = from
+  let at = from
+  while (at < chunk.length && (chunk[at] === COLON || at > from)) {
+    if (chunk[at] === CR && chunk[at + 1] === LF) at++
+    if (chunk[at] === LF) end = at + 1
+    else if (chunk[at] !== COLON) return end
+    while (at < chunk.length && chunk[at] !== LF) at++
+    at++
+  }
+  return end
+}
+
 /** Creates a splitter. Its cost is linear in the number of bytes, however many chunks an event has. */
 export function createEventSplitter (): EventSplitter {
   /** Chunks of the incomplete event. */
@@ -29,7 +58,8 @@
     pendingBytes = 0
     hasLineEnded = false
     hasReturn = false
-    return { bytes, id: ID_LINE.exec(bytes.toString('latin1'))?.[1] }
+    if (isComment(bytes)) return { bytes, id: undefined, isComment: true }
+    return { bytes, isComment: false, id: ID_LINE.exec(bytes.toString('latin1'))?.[1] }
   }
 
   /** Returns the index after the blank line that ends the event, or 0 if the event is incomplete. */
@@ -54,10 +84,19 @@
     push (chunk) {
       const events: StreamEvent[] = []
       let from = 0
+
+      const takeComments = (): void => {
+        const end = pending.length === 0 ? skipComments(chunk, from) : from
+        if (end > from) events.push({ bytes: chunk.subarray(from, end), id: undefined, isComment: true })
+        from = end
+      }
+
+      takeComments()
       let end = findEnd(chunk, from)
       while (end > 0) {
         events.push(take(chunk.subarray(from, end)))
         from = end
+        takeComments()
         end = findEnd(chunk, from)
       }
       if (from < chunk.length) {
