--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -247,11 +247,14 @@
       seeds: opts.seeds,
       fetch: opts.fetchHandout,
       onReply (reply, report, address) {
-        noteControlEvacuations(report, address)
-        if (documents.version() > 0) return
-        opts.log.event('handoutTaken', { address, version: reply.version })
+        if (documents.version() > 0) {
+          noteControlEvacuations(report, address)
+          return
+        }
+        opts.log.event('handoutTaken', { address, version: reply.version, evacuations: report.revision, pending: report.pending?.join(' ') })
         mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
+        noteControlEvacuations(report, address)
         documents.accept(reply.document, address)
         surveyEvacuations()
       },
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -72,6 +72,7 @@
   let evacuations: discovery.AssumedEvacuations = { ...discovery.NO_EVACUATIONS, committed: [] }
   /** The evacuated zones in force. */
   let evacuatedZones: readonly string[] = []
+  let loggedEvacuations = `${evacuations.revision} `
   let drainStartedAt: number | undefined
   let seq = 0
 
@@ -124,12 +125,12 @@
 
   const applyEvacuations = (assumed: discovery.AssumedEvacuations, from: string): void => {
     evacuations = assumed
-    updateEvacuatedZones()
     metrics.evacuationRevision.set(evacuations.revision)
-    log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuatedZones.join(' '), committed: evacuations.committed.join(' '), from })
+    updateEvacuatedZones(from)
   }
 
-  const updateEvacuatedZones = (): void => {
+  /** @param from the instance whose report changed them; undefined if the endpoints have changed */
+  const updateEvacuatedZones = (from?: string): void => {
     const isZoneLeft = endpoints.all().some(item => !evacuations.zones.includes(item.record.zone))
     // Orders that may never have been acknowledged must not leave clients without any endpoint.
     const latest = isZoneLeft ? evacuations.zones : evacuations.committed
@@ -137,6 +138,10 @@
     evacuatedZones = latest
     for (const zone of restored) endpoints.suspectCold(zone, now())
     metrics.evacuatedZones.set(evacuatedZones.length)
+    const state = `${evacuations.revision} ${evacuatedZones.join()}`
+    if (state === loggedEvacuations) return
+    loggedEvacuations = state
+    log.event('evacuationsInForce', { revision: evacuations.revision, zones: evacuatedZones.join(' '), committed: evacuations.committed.join(' '), from })
   }
 
   /** Returns the document in force; none before it is known where requests may be sent. */
@@ -278,7 +283,7 @@
     },
     onRecords (list) {
       endpoints.update(list)
-      updateEvacuatedZones()
+      if (evacuations.zones.length > 0) updateEvacuatedZones()
       paths.update(list)
       quarantineRecords.applyRecords(list, quarantine, now())
     },
