--- /dev/null
+++ b/packages/discovery/src/evacuationState.ts
@@ -0,0 +1,84 @@
+/** What an entry instance knows of the evacuations: which zones it assumes to be evacuated, and whether that is enough to serve. */
+import type * as telemetry from '@kingcupdeck/telemetry'
+import * as evacuations from './evacuations.js'
+import * as evacuationSurveys from './evacuationSurvey.js'
+import * as evacuationTrackers from './evacuationTracker.js'
+
+/** Options of {@link createEvacuationState}. */
+export interface EvacuationStateOptions extends Pick<evacuationSurveys.EvacuationSurveyOptions, 'fetchHandout' | 'dial' | 'now'> {
+  /** Returns whether this instance has a document; before, it serves nobody. */
+  hasDocument: () => boolean
+  /** Returns whether a control instance with a quorum is heard. */
+  hasQuorum: () => boolean
+  /** Returns the addresses of the control instances. */
+  controls: () => readonly string[]
+  /** Returns the addresses of those that report by themselves. */
+  subscribed: () => ReadonlySet<string>
+  /** Called when the assumed evacuations change. */
+  onChange: (assumed: evacuationTrackers.AssumedEvacuations, from: string) => void
+  /** Called once {@link EvacuationState.isComplete}. */
+  onComplete: () => void
+  log: telemetry.Log
+}
+
+/** What an entry instance knows of the evacuations. */
+export interface EvacuationState {
+  /** Records the report of another entry instance; undefined if it knows of no order. */
+  note (report: evacuations.EvacuationReport | undefined, from: string): void
+  /** Records the report of a control instance; undefined if it knows of no order. */
+  noteControl (report: evacuations.EvacuationReport | undefined, address: string): void
+  /** Asks control instances until enough is known; to be called periodically. */
+  update (): void
+  /** Returns whether this instance knows all evacuations that were acknowledged before its start, or has asked for them for long enough. */
+  isComplete (): boolean
+}
+
+/**
+ * How long an instance with a document waits for the evacuations of a majority of the control instances. Longer than these need to
+ * start; if most of them are lost, the instance serves by what the others know.
+ */
+const MAX_SURVEY_MS = 4000
+
+/** Creates the state of an instance that has just started. */
+export function createEvacuationState (opts: EvacuationStateOptions): EvacuationState {
+  let isComplete = false
+  let startedAt: number | undefined
+
+  const tracker = evacuationTrackers.createEvacuationTracker(opts.onChange)
+
+  const note: EvacuationState['note'] = (report, from) => { tracker.note(report ?? evacuations.NO_EVACUATIONS, from, opts.hasQuorum()) }
+
+  const noteControl: EvacuationState['noteControl'] = (report, address) => {
+    note(report, address)
+    survey.noteReport(address)
+    update()
+  }
+
+  const survey = evacuationSurveys.createEvacuationSurvey({
+    fetchHandout: opts.fetchHandout,
+    dial: opts.dial,
+    onReport (report, address) {
+      opts.log.event('evacuationsReported', { address, revision: report?.revision ?? 0, zones: report?.zones.join(' '), pending: report?.pending?.join(' ') })
+      noteControl(report, address)
+    },
+    now: opts.now
+  })
+
+  const update = (): void => {
+    if (isComplete || !opts.hasDocument()) return
+    startedAt ??= opts.now()
+    const controls = opts.controls()
+    const isSettled = opts.hasQuorum() || survey.isComplete(controls)
+    const ms = opts.now() - startedAt
+    if (isSettled || ms > MAX_SURVEY_MS) {
+      isComplete = true
+      opts.log.event('evacuationsKnown', { ms: Math.round(ms), isSettled })
+      opts.onComplete()
+      return
+    }
+    const subscribed = opts.subscribed()
+    survey.poll(controls.filter(address => !subscribed.has(address)))
+  }
+
+  return { note, noteControl, update, isComplete: () => isComplete }
+}
--- a/packages/discovery/src/evacuationSurvey.ts
+++ b/packages/discovery/src/evacuationSurvey.ts
@@ -5,6 +5,7 @@
 import * as links from '@kingcupdeck/links'
 import type * as evacuations from './evacuations.js'
 import type * as handouts from './handout.js'
+import * as handoutPollers from './handoutPoller.js'
 import * as messages from './messages.js'
 
 /** Options of {@link createEvacuationSurvey}. */
@@ -78,7 +79,7 @@
     noteReport (address) { reported.add(address) },
     isComplete: addresses => addresses.length > 0 && addresses.filter(item => reported.has(item)).length > addresses.length / 2,
     poll (addresses) {
-      for (const address of addresses) {
+      for (const address of handoutPollers.toShuffled(addresses)) {
         if (pending.size >= MAX_CONCURRENT_QUESTIONS) return
         if (reported.has(address) || pending.has(address) || opts.now() < (retryAt.get(address) ?? -Infinity)) continue
         pending.add(address)
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -7,11 +7,9 @@
 import * as dialBackoffs from './dialBackoff.js'
 import * as documentChecks from './documentCheck.js'
 import * as documentFetchers from './documentFetcher.js'
-import * as evacuations from './evacuations.js'
-import * as evacuationSurveys from './evacuationSurvey.js'
-import * as evacuationTrackers from './evacuationTracker.js'
 import * as handoutPollers from './handoutPoller.js'
 import * as intakes from './intake.js'
+import * as evacuationStates from './evacuationState.js'
 import * as livenesses from './liveness.js'
 import * as messages from './messages.js'
 import * as recordTables from './recordTable.js'
@@ -37,11 +35,6 @@
 /** How long a new version that is not reported by the primary subscription waits for it: half a heartbeat of control instances. */
 const SECONDARY_FETCH_DELAY_MS = 100
 const CHECK_TIMEOUT_MS = 500
-/**
- * How long an instance with a document waits for the evacuations of a majority of the control instances. Longer than these need to
- * start; if most of them are lost, the instance serves by what the others know.
- */
-const MAX_SURVEY_MS = 4000
 
 /** Creates a subscriber without subscriptions, which answers calls until it is started. */
 export function createSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
@@ -65,33 +58,19 @@
     if (changed.length > 0) opts.onRecords(changed)
   }
 
-  const evacuationTracker = evacuationTrackers.createEvacuationTracker((assumed, from) => { opts.onEvacuations?.(assumed, from) })
-
-  /** Whether this instance has heard of all evacuations that were acknowledged before its start. */
-  let areEvacuationsKnown = false
-  let surveyStartedAt: number | undefined
-
   /** Returns whether a control instance with a quorum is heard. */
   const hasQuorum = (): boolean => [...open].some(sub => sub.hasReported && sub.isCurrent)
 
-  /** @param report undefined if the sender knows of no order */
-  const noteEvacuations = (report: evacuations.EvacuationReport | undefined, from: string): void => {
-    evacuationTracker.note(report ?? evacuations.NO_EVACUATIONS, from, hasQuorum())
-  }
-
-  const noteControlEvacuations = (report: evacuations.EvacuationReport | undefined, address: string): void => {
-    noteEvacuations(report, address)
-    survey.noteReport(address)
-    surveyEvacuations()
-  }
-
-  const survey = evacuationSurveys.createEvacuationSurvey({
+  const evacuationState = evacuationStates.createEvacuationState({
     fetchHandout: opts.fetchHandout,
     dial: opts.dial,
-    onReport (report, address) {
-      opts.log.event('evacuationsReported', { address, revision: report?.revision ?? 0, zones: report?.zones.join(' '), pending: report?.pending?.join(' ') })
-      noteControlEvacuations(report, address)
-    },
+    hasDocument: () => documents.version() > 0,
+    hasQuorum,
+    controls: () => controls.length > 0 ? controls : opts.seeds(),
+    subscribed: () => new Set([...open].filter(sub => sub.isEstablished).map(sub => sub.address)),
+    onChange: (assumed, from) => { opts.onEvacuations?.(assumed, from) },
+    onComplete: () => { opts.onEvacuationsKnown?.() },
+    log: opts.log,
     now
   })
 
@@ -203,9 +182,9 @@
         sub.hasReported = true
         sub.isCurrent = reply.isCurrent
       }
-      noteControlEvacuations(reply.evacuations, address)
+      evacuationState.noteControl(reply.evacuations, address)
       documents.accept(reply.document, address)
-      surveyEvacuations()
+      evacuationState.update()
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
     } catch (err) {
@@ -248,42 +227,25 @@
       fetch: opts.fetchHandout,
       onReply (reply, report, address) {
         if (documents.version() > 0) {
-          noteControlEvacuations(report, address)
+          evacuationState.noteControl(report, address)
           return
         }
         opts.log.event('handoutTaken', { address, version: reply.version, evacuations: report.revision, pending: report.pending?.join(' ') })
         mergeRecords(intake.packedRecords(reply.records, address, opts.table))
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
-        noteControlEvacuations(report, address)
+        evacuationState.noteControl(report, address)
         documents.accept(reply.document, address)
-        surveyEvacuations()
+        evacuationState.update()
       },
       log: opts.log
     })
 
-  /** Asks for the evacuations while it is not known which ones are in force, for a limited time. */
-  const surveyEvacuations = (): void => {
-    if (areEvacuationsKnown || documents.version() === 0) return
-    surveyStartedAt ??= now()
-    const all = controls.length > 0 ? controls : opts.seeds()
-    const isOver = now() - surveyStartedAt > MAX_SURVEY_MS
-    if (hasQuorum() || survey.isComplete(all) || isOver) {
-      areEvacuationsKnown = true
-      opts.log.event('evacuationsKnown', { ms: Math.round(now() - surveyStartedAt), isSettled: !isOver })
-      opts.onEvacuationsKnown?.()
-      return
-    }
-    // Those with a subscription report by themselves.
-    const subscribed = new Set([...open].filter(sub => sub.isEstablished).map(sub => sub.address))
-    survey.poll(handoutPollers.toShuffled(all.filter(address => !subscribed.has(address))))
-  }
-
   const run = async (): Promise<void> => {
     let lastTickAt = now()
     while (!stopped.signal.aborted) {
       updateSubscriptions()
       if (documents.version() === 0) fetchHandouts()
-      surveyEvacuations()
+      evacuationState.update()
       if (now() - lastTickAt >= messages.TICK_INTERVAL_MS) {
         lastTickAt = now()
         const self = opts.self()
@@ -309,7 +271,7 @@
           break
         }
         case 'version': noteVersion(sub, event.version); break
-        case 'evacuations': noteControlEvacuations(event.evacuations, sub.address); break
+        case 'evacuations': evacuationState.noteControl(event.evacuations, sub.address); break
         case 'tick': {
           const signs = intake.heartbeats(event.signs, sub.address)
           sub.lastTickAt = now()
@@ -322,7 +284,7 @@
           }
           // A control instance without a quorum may know former members only.
           if (event.isCurrent || controls.length === 0) controls = intake.addresses(event.controls, sub.address)
-          noteControlEvacuations(event.evacuations, sub.address)
+          evacuationState.noteControl(event.evacuations, sub.address)
           for (const heartbeat of signs) opts.table.applyHeartbeat(heartbeat, now())
           sub.live?.applyChanges({ late: intake.ids(event.late ?? [], sub.address), revived: signs })
           sub.live?.refresh(opts.table, now())
@@ -342,8 +304,8 @@
       if (version > documents.version()) documents.scheduleFetch(SECONDARY_FETCH_DELAY_MS)
     },
     version: documents.version,
-    noteEvacuations,
-    areEvacuationsKnown: () => areEvacuationsKnown,
+    noteEvacuations: evacuationState.note,
+    areEvacuationsKnown: evacuationState.isComplete,
     newestVersion: documents.newestVersion,
     confirmDocument: async () => isNewestHeld() && await checkDocument() && isNewestHeld(),
     describeSubscriptions: () => [...open].filter(sub => sub.isEstablished).map(sub => subscriptions.describeSubscription(sub, now())).join('; '),
--- a/packages/forwarding/__tests__/draining.test.ts
+++ b/packages/forwarding/__tests__/draining.test.ts
@@ -71,6 +71,15 @@
   for (let ms = 0; ms <= 5000; ms += 100) t.false(durations.isNearlySure('r', ms), `${ms} ms`)
 })
 
+test('the routes of former documents are forgotten', t => {
+  const { durations, run, advance } = createHistory()
+  run(20, 10, 50)
+  advance(1000)
+  t.true(durations.isNearlySure('r', 5000))
+  for (let i = 0; i < 1000; i++) durations.recordStart(`r${i}`)
+  t.false(durations.isNearlySure('r', 5000))
+})
+
 test('a route is expected to be as slow as all but one in a hundred of its requests', t => {
   const { durations, run, advance } = createHistory()
   run(195, 10, 400)
--- a/packages/forwarding/src/admission/routeDurations.ts
+++ b/packages/forwarding/src/admission/routeDurations.ts
@@ -16,6 +16,8 @@
 
 /** Requests of a route that are remembered. */
 const MAX_OBSERVATIONS = 200
+/** Routes that are remembered, those that were used first are forgotten: routes come and go with the documents. */
+const MAX_ROUTES = 200
 /** Requests of a route that must have been observed for long enough. */
 const MIN_OBSERVATIONS = 10
 /** Highest share of the requests of a route that may last longer. */
@@ -31,8 +33,12 @@
   const observations = new Map<string, Observation[]>()
 
   const listOf = (route: string): Observation[] => {
-    const list = observations.get(route) ?? []
-    if (list.length === 0) observations.set(route, list)
+    const known = observations.get(route)
+    if (known !== undefined) return known
+    const [oldest] = observations.keys()
+    if (observations.size >= MAX_ROUTES) observations.delete(oldest)
+    const list: Observation[] = []
+    observations.set(route, list)
     return list
   }
 
