--- a/packages/forwarding/__tests__/draining.test.ts
+++ b/packages/forwarding/__tests__/draining.test.ts
@@ -55,7 +55,7 @@
 test('without enough requests nothing is expected of a route', t => {
   const { durations, run, advance } = createHistory()
   t.false(durations.isNearlySure('r', 5000))
-  run(9, 10, 50)
+  run(4, 10, 50)
   advance(1000)
   t.false(durations.isNearlySure('r', 5000))
   run(1, 10, 50)
--- a/packages/forwarding/src/admission/routeDurations.ts
+++ b/packages/forwarding/src/admission/routeDurations.ts
@@ -19,7 +19,7 @@
 /** Routes that are remembered, those that were used first are forgotten: routes come and go with the documents. */
 const MAX_ROUTES = 200
 /** Requests of a route that must have been observed for long enough. */
-const MIN_OBSERVATIONS = 10
+const MIN_OBSERVATIONS = 5
 /** Highest share of the requests of a route that may last longer. */
 const MAX_LONGER_SHARE = 0.01
 /** Requests must have ended within this share of the time, so that a somewhat longer one still does. */
