--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -111,7 +111,10 @@
     controls: () => [...toInitialSources(), ...[...open].flatMap(toSources)],
     peerAddresses: opts.peerAddresses ?? (() => []),
     getPeerLink: opts.getPeerLink ?? (async address => { throw new Error(`no link to entry instance ${address}: links between entry instances are not configured`) }),
-    onDocument: opts.onDocument,
+    onDocument (document, waitedMs, from) {
+      opts.onDocument(document, waitedMs, from)
+      evacuationState.update()
+    },
     budget: opts.budget ?? sendBudgets.createSendBudget(Infinity),
     signal: stopped.signal,
     log: opts.log,
@@ -184,7 +187,6 @@
       }
       evacuationState.noteControl(reply.evacuations, address)
       documents.accept(reply.document, address)
-      evacuationState.update()
       noteVersion(sub, reply.version)
       void link.closed.then(reason => { drop(sub, reason) })
     } catch (err) {
@@ -235,7 +237,6 @@
         if (controls.length === 0) controls = intake.addresses(reply.controls, address)
         evacuationState.noteControl(report, address)
         documents.accept(reply.document, address)
-        evacuationState.update()
       },
       log: opts.log
     })
