perf(forwarding): streams and short responses cost no account, and events no closures

Nothing is registered before bytes are held, a request's account ends with its handling instead of an event, and a chunk is split without a closure. The effect is not measured yet.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -256,7 +256,8 @@
       if (bytes > maxBytes) exceed(`the response is larger than ${maxBytes} bytes`)
       else {
         holder.add(chunk.length + CHUNK_OVERHEAD_BYTES)
-        gate.pauseFor(opts.pace.charge(chunk.length, 1))
+        const pauseMs = opts.pace.charge(chunk.length, 1)
+        if (pauseMs > 0) gate.pauseFor(pauseMs)
       }
     })
     res.on('end', () => {
--- a/packages/forwarding/src/attempts/clientResponse.ts
+++ b/packages/forwarding/src/attempts/clientResponse.ts
@@ -17,9 +17,12 @@
   ctx.log.event('headersInvalid', { request: attemptId, names })
 }
 
+/** Shorter responses leave at once, or wait in the buffers of their connections. */
+const MIN_HELD_BYTES = 16 * 1024
+
 /** Keeps a response in the account of held bytes until the client has it. A client that reads slowly is disconnected if it holds most. */
-export function holdUntilSent ({ res }: clientCalls.ClientCall, holder: heldBytes.Holder): void {
-  if (res.closed) {
+export function holdUntilSent ({ res }: clientCalls.ClientCall, holder: heldBytes.Holder, bytes: number): void {
+  if (res.closed || bytes < MIN_HELD_BYTES) {
     holder.release()
     return
   }
--- a/packages/forwarding/src/attempts/openAttempt.ts
+++ b/packages/forwarding/src/attempts/openAttempt.ts
@@ -116,7 +116,7 @@
     holder.release()
     return await recordBroken(call, sent, buffered.why)
   }
-  clientResponses.holdUntilSent(call, holder)
+  clientResponses.holdUntilSent(call, holder, buffered.body.length)
   onBody?.()
   const why = await unframedEnds.findCut(call, sent, response)
   if (why !== undefined) return await recordBroken(call, sent, why)
--- a/packages/forwarding/src/attempts/readPacer.ts
+++ b/packages/forwarding/src/attempts/readPacer.ts
@@ -38,9 +38,9 @@
       return {
         charge (bytes, events) {
           const added = bytes + EVENT_COST * events
-          const free = Math.max(0, Math.min(added, FREE_COST - cost))
           cost += added
-          if (added === free) return 0
+          if (cost <= FREE_COST) return 0
+          const free = Math.max(0, added - (cost - FREE_COST))
           paidAt = Math.max(paidAt, now()) + (added - free) / COST_PER_MS
           const pauseMs = paidAt - now()
           return pauseMs < MIN_PAUSE_MS ? 0 : pauseMs
@@ -63,15 +63,14 @@
 
 /** Creates a gate that is open. */
 export function createPauseGate (source: Pausable): PauseGate {
-  const reasons = new Set<string>()
+  const isPausedFor = { pace: false, receiver: false }
   let timer: NodeJS.Timeout | undefined
   const set: PauseGate['set'] = (reason, isPaused) => {
-    const wasPaused = reasons.size > 0
-    if (isPaused) reasons.add(reason)
-    else reasons.delete(reason)
-    if (wasPaused === (reasons.size > 0)) return
-    if (reasons.size > 0) source.pause()
-    else source.resume()
+    const wasPaused = isPausedFor.pace || isPausedFor.receiver
+    isPausedFor[reason] = isPaused
+    if (wasPaused === (isPausedFor.pace || isPausedFor.receiver)) return
+    if (wasPaused) source.resume()
+    else source.pause()
   }
   return {
     set,
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -41,7 +41,7 @@
 }
 
 /** A request that is being handled. */
-interface Exchange extends requestGuards.GuardedRequest { /** Name of its route, once it is admitted. */ route?: string, guard: requestGuards.RequestGuard }
+interface Exchange extends requestGuards.GuardedRequest { /** Name of its route, once it is admitted. */ route?: string, /** Account of its body. */ holder?: heldBytes.Holder, guard: requestGuards.RequestGuard }
 
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
@@ -83,6 +83,7 @@
       res.destroy()
     }).finally(() => {
       exchanges.delete(exchange)
+      exchange.holder?.release()
       exchange.guard.stop()
       onHandled()
     })
@@ -126,8 +127,7 @@
     }
     exchange.route = result.route.name
     guard.setDeadline(startedAt + waitMs - ctx.now())
-    const holder = ctx.heldBytes.open()
-    res.once('close', holder.release)
+    const holder = exchange.holder = ctx.heldBytes.open()
     const body = await requestReaders.readBody(req, table.limits.maxBodyBytes, holder)
     switch (body.kind) {
       case 'noRoom':
--- a/packages/forwarding/src/instance/heldBytes.ts
+++ b/packages/forwarding/src/instance/heldBytes.ts
@@ -66,22 +66,27 @@
 
   return {
     open () {
+      let held = 0
+      let isReleased = false
       const holder: Holder = {
         onExcess: undefined,
         set (bytes) {
-          const before = holders.get(holder)
-          if (before === undefined) return
+          // Most streams never hold anything.
+          if (isReleased || bytes === held) return
+          total += bytes - held
+          held = bytes
           holders.set(holder, bytes)
-          total += bytes - before
-          enforce()
+          if (total > limitBytes) enforce()
         },
-        add (bytes) { holder.set((holders.get(holder) ?? 0) + bytes) },
+        add (bytes) { holder.set(held + bytes) },
         release () {
-          total -= holders.get(holder) ?? 0
+          isReleased = true
+          if (held === 0) return
+          total -= held
+          held = 0
           holders.delete(holder)
         }
       }
-      holders.set(holder, 0)
       return holder
     },
     total: () => total
--- a/packages/forwarding/src/streams/streamReader.ts
+++ b/packages/forwarding/src/streams/streamReader.ts
@@ -114,15 +114,15 @@
     const all = splitter.push(chunk)
     const events = select(all)
     // Comments may be sent to keep a connection open, but not instead of events.
-    const hasEvent = events.some(event => !event.isComment)
-    bytesWithoutEvent = hasEvent ? splitter.pendingBytes() : bytesWithoutEvent + chunk.length
+    bytesWithoutEvent = events.some(isNoComment) ? splitter.pendingBytes() : bytesWithoutEvent + chunk.length
     putEvents(events)
     if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
       exceed(`no new event within ${MAX_BYTES_WITHOUT_EVENT} bytes of a stream`)
       return
     }
     holder.set(splitter.pendingBytes() + queuedBytes)
-    gate.pauseFor(opts.pace.charge(chunk.length, all.length))
+    const pauseMs = opts.pace.charge(chunk.length, all.length)
+    if (pauseMs > 0) gate.pauseFor(pauseMs)
   })
   res.on('end', () => {
     if (!attempts.isComplete(response)) end({ kind: 'broken', why: 'the connection closed' })
@@ -152,6 +152,10 @@
   }
 }
 
+function isNoComment (event: links.StreamEvent): boolean {
+  return !event.isComment
+}
+
 /** Event ids are increasing numbers. */
 function isAfter (id: string, last: string): boolean {
   return Number(id) > Number(last)
--- a/packages/links/src/eventStream.ts
+++ b/packages/links/src/eventStream.ts
@@ -58,7 +58,7 @@
     pendingBytes = 0
     hasLineEnded = false
     hasReturn = false
-    if (isComment(bytes)) return { bytes, id: undefined, isComment: true }
+    if (bytes[0] === COLON && isComment(bytes)) return { bytes, id: undefined, isComment: true }
     return { bytes, isComment: false, id: ID_LINE.exec(bytes.toString('latin1'))?.[1] }
   }
 
@@ -84,20 +84,16 @@
     push (chunk) {
       const events: StreamEvent[] = []
       let from = 0
-
-      const takeComments = (): void => {
-        const end = pending.length === 0 ? skipComments(chunk, from) : from
-        if (end > from) events.push({ bytes: chunk.subarray(from, end), id: undefined, isComment: true })
-        from = end
-      }
-
-      takeComments()
-      let end = findEnd(chunk, from)
-      while (end > 0) {
+      while (true) {
+        if (chunk[from] === COLON && pending.length === 0) {
+          const commentsEnd = skipComments(chunk, from)
+          if (commentsEnd > from) events.push({ bytes: chunk.subarray(from, commentsEnd), id: undefined, isComment: true })
+          from = commentsEnd
+        }
+        const end = findEnd(chunk, from)
+        if (end === 0) break
         events.push(take(chunk.subarray(from, end)))
         from = end
-        takeComments()
-        end = findEnd(chunk, from)
       }
       if (from < chunk.length) {
         pending.push(chunk.subarray(from))
