--- a/packages/forwarding/__tests__/heldBytes.test.ts
+++ b/packages/forwarding/__tests__/heldBytes.test.ts
@@ -43,6 +43,21 @@
   t.is(held.total(), 90)
 })
 
+// A stream holds its first event for a moment; each one stayed in the account for ever.
+test('what holds nothing any more is forgotten', t => {
+  const held = heldBytes.createHeldBytes(100)
+  const holder = held.open()
+  holder.set(40)
+  t.is(held.count(), 1)
+  holder.set(0)
+  t.is(held.count(), 0)
+  holder.set(10)
+  holder.release()
+  holder.set(20)
+  t.is(held.count(), 0)
+  t.is(held.total(), 0)
+})
+
 test('the limit follows the memory of the machine', t => {
   t.is(heldBytes.toHeldLimit(1000), 150)
   t.true(heldBytes.toHeldLimit(undefined) > 0)
--- a/packages/forwarding/src/instance/heldBytes.ts
+++ b/packages/forwarding/src/instance/heldBytes.ts
@@ -20,6 +20,8 @@
   open (): Holder
   /** Returns the sum. */
   total (): number
+  /** Returns the number of holders with bytes. */
+  count (): number
 }
 
 /** Share of the memory that may be held: the rest is for the program itself, and for what was released and not collected yet. */
@@ -75,7 +77,8 @@
           if (isReleased || bytes === held) return
           total += bytes - held
           held = bytes
-          holders.set(holder, bytes)
+          if (bytes > 0) holders.set(holder, bytes)
+          else holders.delete(holder)
           if (total > limitBytes) enforce()
         },
         add (bytes) { holder.set(held + bytes) },
@@ -89,6 +92,7 @@
       }
       return holder
     },
-    total: () => total
+    total: () => total,
+    count: () => holders.size
   }
 }
