--- a/packages/coordination/__tests__/acknowledgedEvacuations.test.ts
+++ b/packages/coordination/__tests__/acknowledgedEvacuations.test.ts
@@ -1,6 +1,5 @@
 /** Evacuations after a loss of all processes, as entry instances learn of them before there is a leader. */
 import * as fs from 'node:fs'
-import * as net from 'node:net'
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as timers from 'node:timers/promises'
@@ -10,6 +9,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coordination from '../src/index.js'
+import * as freeAddresses from './helpers/freeAddress.js'
 
 const test = ava.default
 const SECRET = 'test'
@@ -17,14 +17,6 @@
 /** How long an entry instance asks a control instance that may not know. */
 const ASK_MS = 3000
 
-async function findFreeAddress (): Promise<string> {
-  const server = net.createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as net.AddressInfo
-  await new Promise(resolve => { server.close(resolve) })
-  return `127.0.0.1:${port}`
-}
-
 function makeFolder (t: ava.ExecutionContext): string {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'evacuations-'))
   t.teardown(() => { fs.rmSync(folder, { recursive: true, force: true }) })
@@ -48,7 +40,7 @@
 interface Fleet { addresses: string[], controls: coordination.ControlInstance[], copyDisks: () => string[], stop: () => Promise<void> }
 
 async function startFleet (t: ava.ExecutionContext): Promise<Fleet> {
-  const addresses = await Promise.all([1, 2, 3].map(findFreeAddress))
+  const addresses = await Promise.all([1, 2, 3].map(freeAddresses.findFreeAddress))
   const folders = addresses.map(() => makeFolder(t))
   const controls = await Promise.all(addresses.map(async (inner, i) => await start(inner, addresses, folders[i], true)))
   t.true(await until(() => controls.every(item => item.store.isCurrent()), WAIT_MS))
--- a/packages/coordination/__tests__/controlInstance.test.ts
+++ b/packages/coordination/__tests__/controlInstance.test.ts
@@ -11,18 +11,11 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coordination from '../src/index.js'
+import * as freeAddresses from './helpers/freeAddress.js'
 
 const test = ava.default
 const WAIT_MS = 20_000
 
-async function findFreeAddress (): Promise<string> {
-  const server = net.createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const { port } = server.address() as net.AddressInfo
-  await new Promise(resolve => { server.close(resolve) })
-  return `127.0.0.1:${port}`
-}
-
 interface TestInstance { inner: string, folder: string, control: coordination.ControlInstance }
 
 async function start (inner: string, founders: string[], folder: string, mayFound: boolean): Promise<TestInstance> {
@@ -42,7 +35,7 @@
 }
 
 async function startFleet (count: number): Promise<TestInstance[]> {
-  const addresses = await Promise.all(Array.from({ length: count }, findFreeAddress))
+  const addresses = await Promise.all(Array.from({ length: count }, freeAddresses.findFreeAddress))
   return await Promise.all(addresses.map(async inner => await start(inner, addresses.slice(0, 3), await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-')), true)))
 }
 
@@ -140,7 +133,7 @@
 
 // Two processes must not write to one data folder, and a restart must not fail because it is quicker than the end of the process before.
 test('a start waits for the address of the process before, and then opens the data folder', async t => {
-  const inner = await findFreeAddress()
+  const inner = await freeAddresses.findFreeAddress()
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
   const before = net.createServer()
   await new Promise<void>(resolve => { before.listen({ ...links.parseAddress(inner) }, resolve) })
@@ -155,7 +148,7 @@
 
 // Guards against "Cannot access 'publisher' before initialization".
 test('calls and events of other instances during the start break nothing', async t => {
-  const [inner, other] = await Promise.all([findFreeAddress(), findFreeAddress()])
+  const [inner, other] = await Promise.all([freeAddresses.findFreeAddress(), freeAddresses.findFreeAddress()])
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'kcd-'))
   const records = path.join(folder, 'records')
   childProcess.execFileSync('mkfifo', [records])
