refactor(coordination): the result of an immediate write that nobody used is gone

Cause: saveNow told whether the write had succeeded, and its only caller dropped it in a wrapper. The wait, the log line and the repetition stay as they were.

--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -115,8 +115,6 @@
   const evacuationReport = (): discovery.EvacuationReport => logged?.toReport(latestEvacuations) ?? latestEvacuations
 
   const evacuationFile = evacuationFiles.createEvacuationFile(opts.dataFolder, evacuationReport, opts.log)
-  /** A failure is logged, and repeated later: the log has the orders too. */
-  const saveEvacuations = async (): Promise<void> => { await evacuationFile.saveNow() }
 
   const onChange = (packed?: contracts.PackedText): void => {
     const applied = machine.latest()
@@ -173,7 +171,7 @@
 
   const create = async (startedAt?: number): Promise<state.Replica> => {
     machine = documentMachines.createDocumentMachine(onChange, onEvacuations)
-    logged = loggedEvacuations.createLoggedEvacuations(await state.createFileStorage(path.join(opts.dataFolder, GROUP)), saveEvacuations)
+    logged = loggedEvacuations.createLoggedEvacuations(await state.createFileStorage(path.join(opts.dataFolder, GROUP)), evacuationFile.saveNow)
     return await state.createReplica({
       group: GROUP,
       name: opts.self,
--- a/packages/coordination/src/writeBehindFile.ts
+++ b/packages/coordination/src/writeBehindFile.ts
@@ -24,11 +24,8 @@
 export interface WriteBehindFile {
   /** Schedules a write of the current content. */
   save: () => void
-  /**
-   * Writes the current content.
-   * @returns whether it is on disk; a failed write is logged and repeated
-   */
-  saveNow: () => Promise<boolean>
+  /** Writes the current content, and waits for the first attempt; a failed write is logged and repeated. */
+  saveNow: () => Promise<void>
   /** Ignores further calls of `save` and waits for the scheduled write. */
   close: () => Promise<void>
 }
@@ -39,7 +36,7 @@
   let isWriteScheduled = false
   let pendingWrite: Promise<void> | undefined
   /** Callers whose content the next write includes. */
-  let waiting: Array<(isSaved: boolean) => void> = []
+  let waiting: Array<() => void> = []
 
   const write = async (): Promise<void> => {
     const content = opts.content()
@@ -54,10 +51,8 @@
       const included = waiting
       waiting = []
       try {
-        await write()
-        for (const resolve of included) resolve(true)
+        await write().finally(() => { for (const resolve of included) resolve() })
       } catch (err) {
-        for (const resolve of included) resolve(false)
         opts.log.event('recordsNotKept', { file: opts.name, detail: err instanceof Error ? err.message : String(err) })
         if (closing.signal.aborted) return
         isWriteScheduled = true
@@ -76,10 +71,10 @@
   return {
     save,
     async saveNow () {
-      if (closing.signal.aborted) return false
-      const saved = new Promise<boolean>(resolve => { waiting.push(resolve) })
+      if (closing.signal.aborted) return
+      const saved = new Promise<void>(resolve => { waiting.push(resolve) })
       save()
-      return await saved
+      await saved
     },
     async close () {
       closing.abort()
