fix(links): processes wait for held addresses without bound, and do meanwhile what they can without them

Meanwhile it served nothing: an entry instance without its directory answered no request, a control instance without its address for callers did not take part in its group. Cause: startListening gave up after 15 s, and the parts were started one after the other. Change: a wait has no bound, also for addresses that are not permitted; a line when it begins and every 10 s. An address that is invalid is still an error. The inner address is still waited for first: the process before may write to the same data folder. Commands of the product keep their bound of 15 s and their exit status.

--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -58,7 +58,7 @@
     await groups.get('fleet')?.propose({ t: 'put', operator: 'founding', operation: 'founding', baseVersion: 0, document: opts.document } satisfies state.FleetCommand)
   }
 
-  const peerServer = await links.listen(opts.peerListen, { identity, secret: opts.secret, log, countBytes, handlers }, link => { if (link.peer.role === 'control') peers.add(link) })
+  const peerServer = await links.listen(opts.peerListen, { identity, secret: opts.secret, log, countBytes, handlers }, link => { if (link.peer.role === 'control') peers.add(link) }, { timeoutMs: links.COMMAND_TIMEOUT_MS })
   groups.set('fleet', await replicaGroups.startReplica(groupOptions, 'fleet', fleetMachine, isLeader => {
     leases.onLeadershipChange(isLeader)
     if (isLeader) proposeInitialDocument().catch(() => {})
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -85,7 +85,7 @@
     region: opts.region,
     front: opts.front,
     inner: opts.inner,
-    state: drainStartedAt !== undefined ? 'leaving' : servedDocument() === undefined ? 'starting' : 'ready',
+    state: drainStartedAt !== undefined ? 'leaving' : canServe() ? 'ready' : 'starting',
     ...changes.fields()
   })
 
@@ -147,8 +147,11 @@
   /** Returns the document in force; none before it is known where requests may be sent. */
   const servedDocument = (): routeTables.CompiledTable | undefined => subscriber.areEvacuationsKnown() ? document : undefined
 
+  /** Returns whether clients can connect and requests can be sent on. */
+  const canServe = (): boolean => server.isListening() && servedDocument() !== undefined
+
   const announceIfReady = (): void => {
-    if (seq > 0 && servedDocument() !== undefined && table.get(opts.id)?.record.state !== 'ready') announce()
+    if (seq > 0 && canServe() && table.get(opts.id)?.record.state !== 'ready') announce()
   }
 
   const announce = (): void => {
@@ -292,9 +295,9 @@
     budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
     log
   })
-  // All parts exist before anything can arrive, and clients are served before other instances learn of this one.
+  // All parts exist before anything can arrive, and clients are served before other instances learn that this one is ready.
   const innerServer = await links.listen(opts.inner, linkSettings, link => { peerLinks.add(link) })
-  await server.listen(opts.front).catch(async err => { await innerServer.close(); throw err })
+  await server.listen(opts.front, announceIfReady).catch(async err => { await innerServer.close(); throw err })
   subscriber.start()
   gossip.start()
   changes.start()
@@ -307,9 +310,10 @@
 
   return {
     metrics,
-    isReady: () => drainStartedAt === undefined && servedDocument() !== undefined,
+    isReady: () => drainStartedAt === undefined && canServe(),
+    isListening: server.isListening,
     addresses (client) {
-      const isSelfReady = drainStartedAt === undefined && servedDocument() !== undefined
+      const isSelfReady = drainStartedAt === undefined && canServe()
       const ready = table.entries()
         .filter(item => item.record.id === opts.id ? isSelfReady : item.record.state === 'ready' && isResponsive(item.lastSeenAt))
         .map(item => item.record)
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -53,6 +53,8 @@
   metrics: entryMetrics.EntryMetrics
   /** Returns whether clients may be directed to this instance. */
   isReady: () => boolean
+  /** Returns whether clients can connect; false while the address for clients is not available. */
+  isListening: () => boolean
   /** Returns the addresses for a client. */
   addresses: (client: addresses.ClientLocation) => string[]
   /** Drains the instance: completes open requests within the grace period, then closes all connections. */
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -22,12 +22,15 @@
   /** Applies the limits of the document in force. */
   applyLimits (limits: routeTables.ClientLimits): void
   /**
-   * Starts accepting connections.
+   * Starts accepting connections; waits in the background for an address that is not available yet.
    * @param front IP address and port for clients
+   * @param onListening called once the server listens after such a wait
    * @returns the address, with the port that was selected for port 0
-   * @throws Error when the address is not available; see {@link links.startListening}
+   * @throws Error when the address is invalid; see {@link links.listenWhenAvailable}
    */
-  listen (front: string): Promise<string>
+  listen (front: string, onListening?: () => void): Promise<string>
+  /** Whether clients can connect. */
+  isListening (): boolean
   /** Number of requests whose response was not sent completely. */
   openRequests (): number
   /** Number of client connections. */
@@ -61,6 +64,7 @@
 export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
   const connections = clientConnections.createClientConnections()
   const exchanges = new Set<Exchange>()
+  const closing = new AbortController()
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -205,10 +209,11 @@
   server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
 
   return {
-    async listen (front) {
-      await links.startListening(server, front, { backlog: 1024, log: ctx.log })
-      return `${links.parseAddress(front).host}:${(server.address() as net.AddressInfo).port}`
+    async listen (front, onListening = () => {}) {
+      const isListening = await links.listenWhenAvailable(server, front, { backlog: 1024, log: ctx.log, signal: closing.signal }, onListening)
+      return isListening ? `${links.parseAddress(front).host}:${(server.address() as net.AddressInfo).port}` : front
     },
+    isListening: () => server.listening,
     applyLimits (limits) {
       server.headersTimeout = limits.headerTimeoutMs
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
@@ -216,6 +221,7 @@
     openRequests: connections.openCount,
     connections: connections.count,
     stopListening () {
+      closing.abort()
       server.close()
       server.closeIdleConnections()
     },
--- a/packages/links/__tests__/startListening.test.ts
+++ b/packages/links/__tests__/startListening.test.ts
@@ -1,9 +1,12 @@
 /** Listening on addresses that are not available, and errors of servers that listen. */
 import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as links from '../src/index.js'
 
 const test = ava.default
+/** Longer than any bound that such waits ever had. */
+const LONG_WAIT_MS = 16_000
 
 async function takeAddress (t: ava.ExecutionContext): Promise<{ address: string, release: () => void }> {
   const server = net.createServer()
@@ -22,6 +25,44 @@
   t.is((server.address() as net.AddressInfo).port, links.parseAddress(taken.address).port)
 })
 
+// Guards against processes that end one after the other because an address stays taken: a restart meets it again.
+test('waits without bound, and says so', async t => {
+  const taken = await takeAddress(t)
+  const server = net.createServer()
+  t.teardown(() => { server.close() })
+  const events: string[] = []
+  const waiting = links.startListening(server, taken.address, { log: { event (name) { events.push(name) } } })
+  t.is(await Promise.race([waiting.then(() => 'listens', () => 'failed'), timers.setTimeout(LONG_WAIT_MS, 'waits')]), 'waits')
+  t.deepEqual(events, ['listenRetried', 'listenRetried'])
+  taken.release()
+  await waiting
+  t.is(events.at(-1), 'listenStarted')
+})
+
+test('an address that is not permitted yet is waited for', async t => {
+  const server = net.createServer()
+  t.teardown(() => { server.close() })
+  const { listen } = server
+  let attempts = 0
+  server.listen = ((...args: Parameters<typeof listen>) => {
+    if (++attempts === 3) return listen.apply(server, args)
+    process.nextTick(() => { server.emit('error', Object.assign(new Error('listen EACCES'), { code: 'EACCES' })) })
+    return server
+  }) as typeof listen
+  await links.startListening(server, '127.0.0.1:0')
+  t.is(attempts, 3)
+})
+
+test('a wait for an address can be ended', async t => {
+  const taken = await takeAddress(t)
+  const stopped = new AbortController()
+  const server = net.createServer()
+  const waiting = links.startListening(server, taken.address, { signal: stopped.signal })
+  stopped.abort()
+  await t.throwsAsync(waiting, { name: 'AbortError' })
+  t.false(server.listening)
+})
+
 test('an address that stays taken, is not of this machine, or is invalid is an error that names it', async t => {
   const taken = await takeAddress(t)
   for (const address of [taken.address, '192.0.2.1:80', '127.0.0.1:70000']) {
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -89,9 +89,10 @@
  * Listens for links.
  * @param address IP address and port; port 0 selects a free one
  * @param onLink receives each link, once both sides are authenticated
- * @throws Error when the address is not available; see {@link listening.startListening}
+ * @param opts bounds of the wait for the address
+ * @throws Error when the address cannot be listened on; see {@link listening.startListening}
  */
-export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void): Promise<LinkServer> {
+export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void, opts: Pick<listening.ListeningOptions, 'timeoutMs' | 'signal'> = {}): Promise<LinkServer> {
   const sockets = new Set<net.Socket>()
   const server = net.createServer(socket => {
     sockets.add(socket)
@@ -99,7 +100,7 @@
     socket.on('error', () => {})
     accept(socket, cfg).then(link => { if (link !== undefined) onLink(link) }, () => { socket.destroy() })
   })
-  await listening.startListening(server, address, { log: cfg.log })
+  await listening.startListening(server, address, { log: cfg.log, ...opts })
   return {
     port: (server.address() as net.AddressInfo).port,
     close: async () => {
--- a/packages/links/src/startListening.ts
+++ b/packages/links/src/startListening.ts
@@ -6,21 +6,26 @@
 import * as timers from 'node:timers/promises'
 import * as telemetry from '@kingcupdeck/telemetry'
 
-/** How long a process waits for an address; longer than a shutdown of the process before it. */
-const TIMEOUT_MS = 15_000
 const FIRST_PAUSE_MS = 25
 const MAX_PAUSE_MS = 500
-/** Codes of errors that end when the process before has ended or the network is up. */
-const PASSING_ERRORS: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL'])
+/** A wait is logged when it begins and then once in this time. */
+const WAIT_LOG_INTERVAL_MS = 10_000
+/** Codes of errors that a new process would meet again, and that end without one. */
+const PASSING_ERRORS: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'EPERM', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'ENETDOWN'])
 /** Errors of accepting connections, such as a lack of file descriptors, are logged once in this time. */
 const ERROR_LOG_INTERVAL_MS = 10_000
 
-/** Options of {@link startListening}. */
+/** How long a command waits for its address, milliseconds: an operator who starts it by hand sees that it cannot start. */
+export const COMMAND_TIMEOUT_MS = 15_000
+
+/** Options of {@link startListening} and {@link listenWhenAvailable}. */
 export interface ListeningOptions {
   /** Length of the queue of connections that are not accepted yet; the default of Node.js otherwise. */
   backlog?: number
-  /** Default: {@link TIMEOUT_MS}. */
+  /** How long to wait for the address, milliseconds; without bound by default. */
   timeoutMs?: number
+  /** Ends the wait. */
+  signal?: AbortSignal
   /** Receives repeated attempts, and errors of the server while it listens; nothing is logged by default. */
   log?: telemetry.Log
 }
@@ -34,22 +39,65 @@
 /**
  * Starts listening, and handles the errors of the server from then on: a connection that cannot be accepted must not end the process.
  * @param address IP address and port; port 0 selects a free one
- * @throws Error that names the address, when it is invalid, not permitted, or not available within the timeout
+ * @throws Error that names the address, when it is invalid, not available within the timeout, or the wait was ended
  */
 export async function startListening (server: net.Server, address: string, opts: ListeningOptions = {}): Promise<void> {
+  const failure = await tryListening(server, address, opts.backlog)
+  if (failure !== undefined) await waitForAddress(server, address, failure, opts)
+  handleErrors(server, address, opts.log)
+}
+
+/**
+ * Like {@link startListening}, but waits in the background for an address that is not available yet, until the signal ends the wait.
+ * @param onListening called once the server listens after such a wait
+ * @returns whether the server listens already
+ * @throws Error that names the address, when it is invalid
+ */
+export async function listenWhenAvailable (server: net.Server, address: string, opts: Omit<ListeningOptions, 'timeoutMs'>, onListening: () => void): Promise<boolean> {
+  const failure = await tryListening(server, address, opts.backlog)
+  if (failure === undefined) {
+    handleErrors(server, address, opts.log)
+    return true
+  }
+  if (!PASSING_ERRORS.has(failure.code)) throw toError(address, 0, failure)
+  waitForAddress(server, address, failure, opts).then(() => {
+    handleErrors(server, address, opts.log)
+    onListening()
+  }).catch(err => {
+    if (opts.signal?.aborted !== true) opts.log?.event('uncaught', { step: 'listen', detail: String(err) })
+  })
+  return false
+}
+
+/** Resolves once the server listens. @param failure why it does not yet */
+async function waitForAddress (server: net.Server, address: string, failure: NodeJS.ErrnoException, opts: ListeningOptions): Promise<void> {
   const startedAt = performance.now()
-  const timeoutMs = opts.timeoutMs ?? TIMEOUT_MS
-  let pauseMs = FIRST_PAUSE_MS
-  while (true) {
-    const failure = await tryListening(server, address, opts.backlog)
-    if (failure === undefined) break
-    const ms = Math.round(performance.now() - startedAt)
-    if (!PASSING_ERRORS.has(failure.code) || ms >= timeoutMs) throw new Error(`cannot listen on ${address} after ${ms} ms: ${failure.message}`, { cause: failure })
-    if (pauseMs === FIRST_PAUSE_MS) opts.log?.event('listenRetried', { address, detail: failure.message })
-    await timers.setTimeout(pauseMs)
-    pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS)
+  let loggedAt = -Infinity
+  for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS)) {
+    const now = performance.now()
+    const ms = Math.round(now - startedAt)
+    if (!PASSING_ERRORS.has(failure.code) || ms >= (opts.timeoutMs ?? Infinity)) throw toError(address, ms, failure)
+    if (now - loggedAt >= WAIT_LOG_INTERVAL_MS) {
+      opts.log?.event('listenRetried', { address, ms, detail: failure.message })
+      loggedAt = now
+    }
+    await timers.setTimeout(pauseMs, undefined, { signal: opts.signal })
+    const next = await tryListening(server, address, opts.backlog)
+    if (next !== undefined) {
+      failure = next
+      continue
+    }
+    if (opts.signal?.aborted === true) {
+      server.close()
+      opts.signal.throwIfAborted()
+    }
+    opts.log?.event('listenStarted', { address, ms: Math.round(performance.now() - startedAt) })
+    return
   }
-  handleErrors(server, address, opts.log)
+}
+
+function toError (address: string, ms: number, failure: Error): Error {
+  return new Error(`cannot listen on ${address} after ${ms} ms: ${failure.message}`, { cause: failure })
 }
 
 /** Resolves to why the server does not listen, undefined if it does. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -90,7 +90,7 @@
     handlers: { onEvent: (body, link) => { onEvent(body, link) }, onCall: async body => await onCall(body) }
   }
   const peers = links.createPeerLinks(linkSettings)
-  const peerServer = await links.listen(opts.peerListen, linkSettings, link => { peers.add(link) })
+  const peerServer = await links.listen(opts.peerListen, linkSettings, link => { peers.add(link) }, { timeoutMs: links.COMMAND_TIMEOUT_MS })
   const peerAddress = opts.advertisePeer ?? `${links.parseAddress(opts.peerListen).host}:${peerServer.port}`
 
   const callPeer = async (peer: contracts.Instance, msg: contracts.PeerCall): Promise<contracts.PeerReply> => {
