fix(platform): signals that come before the program is loaded are handled, not deadly

Cause: both signals had their default action until the whole program was loaded, which takes a second with a small share of a core; a control instance has its first stage before. Change: the first lines of target/entry.cjs and target/control.cjs, inlined so that no file is loaded first, note both signals.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -44,6 +44,12 @@
 /** esbuild options of every bundle. */
 const BUNDLE_OPTIONS = { absWorkingDir: root, bundle: true, minify: !options['no-minify'], platform: 'node', target: 'node20', format: 'cjs', logLevel: 'warning', write: false }
 
+/** Returns the first lines of the files that are run: they are not loaded from a file of their own, so that signals are handled as early as possible. */
+async function bundleFirstLines () {
+  const { outputFiles } = await esbuild.build({ ...BUNDLE_OPTIONS, minify: true, format: 'iife', entryPoints: ['platform/src/noteSignals.ts'] })
+  return outputFiles[0].text
+}
+
 /** Bundles an entry point. @returns the source of the bundle, and the files that it loads */
 async function bundle (entryPoint, outfile, more) {
   const { outputFiles } = await esbuild.build({ ...BUNDLE_OPTIONS, entryPoints: [entryPoint], outfile: path.join(target, outfile), ...more })
@@ -68,6 +74,7 @@
 }
 
 fs.mkdirSync(target, { recursive: true })
+const firstLines = await bundleFirstLines()
 /** Files of this build, and the beginnings of the names of those of this build and of the one before. */
 const current = new Set()
 
@@ -86,12 +93,12 @@
   for (const { name: asset, content } of assets) durableFiles.replaceFile(target, asset, content)
   durableFiles.replaceFile(target, codeCaches.toBundleFile(name, digest), source)
   writeCache(name, digest)
-  durableFiles.replaceFile(target, toLoaderFile(name), codeCaches.createLoader(name, digest))
+  durableFiles.replaceFile(target, toLoaderFile(name), (name === 'control' ? '' : firstLines) + codeCaches.createLoader(name, digest))
   current.add(toLoaderFile(name))
   if (name === 'control') {
     const first = await bundle('platform/src/firstStage.ts', 'control.first.cjs', { alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') } })
     durableFiles.replaceFile(target, 'control.first.cjs', first.source)
-    durableFiles.replaceFile(target, 'control.cjs', CONTROL_ENTRY)
+    durableFiles.replaceFile(target, 'control.cjs', firstLines + CONTROL_ENTRY)
     for (const file of ['control.first.cjs', 'control.cjs']) current.add(file)
   }
   current.add(`${name}.${digest}`)
