fix(platform): a process waits for valid settings without bound

Cause: the settings were read for 1 s, in a loop that blocked the process, and a restart meets the same file. Change: the process waits, reads the file every 100 ms and at once after SIGHUP, says what is wrong when the wait begins and every 5 s (settingsAwaited, as a line of the log), and ends with status 0 after SIGTERM. Settings that lack what the role needs (listen.front; listen.control, dataDir) are waited for, too; they ended the start with status 1. Unexpected errors are caught from the first turn on.

Changed tests: 'a file that is half-written at the start is read again' had the read of a missing file fail after a second; it is replaced by four cases (half-written, missing, another shape, a needed folder is missing), each of which must wait, name its cause once, and go on with the valid file. 'a build that is killed at any moment leaves programs that start' took status 2 and a message on standard error for a start; now the program must say that it waits for the file named, and end with status 0 at SIGTERM.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -98,6 +98,7 @@
   accountsUnusable: spec(1613, 'warn', 'names of client accounts in the configuration document cannot be sent as a header; their requests are rejected', 'Rename the accounts; new documents with such names are refused.'),
   documentDamaged: spec(1614, 'warn', 'configuration document that an instance sent is damaged; it is fetched from another one', 'Check that instance and its disk.'),
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address. Repeated while the process waits; its other parts work.'),
+  settingsAwaited: spec(1630, 'warn', 'process waits for valid settings; repeated meanwhile', 'Correct the settings file as its detail says. SIGHUP has it read at once.'),
   signalNoted: spec(1637, 'info', 'signal came while the process started and is handled now'),
   listenStarted: spec(1638, 'info', 'server listens on an address that was not available at first'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
--- a/scripts/codeCache.mjs
+++ b/scripts/codeCache.mjs
@@ -63,7 +63,7 @@
 }
 
 /**
- * Returns the source of the program that creates the code cache: runs a bundle until it exits for lack of settings, so that its
+ * Returns the source of the program that creates the code cache: runs a bundle until it waits for settings, so that its
  * startup code is compiled. Its arguments are its folder and the temporary file to write; it prints the name of the cache file.
  */
 export function createCacheBuilder (name, digest) {
