--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -101,6 +101,7 @@
   settingsAwaited: spec(1630, 'warn', 'process waits for valid settings; repeated meanwhile', 'Correct the settings file as its detail says. SIGHUP has it read at once.'),
   signalNoted: spec(1637, 'info', 'signal came while the process started and is handled now'),
   listenStarted: spec(1638, 'info', 'server listens on an address that was not available at first'),
+  settingsMoved: spec(1639, 'warn', 'name, address or data folder of a process changed in its settings during its start; it ends, to be started with them', 'None, if the platform starts it again.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
   metricsUnavailable: spec(1626, 'warn', 'metrics cannot be served; trying again', 'Check which process has the address of the metrics.'),
