fix(forwarding): a stop keeps the grace period that is in effect when it begins

What callers saw: after `graceS` was changed from 8 to 3 in the settings file of a running entry instance, its stop accepted what fits into 8 s, and the process ended after 2.8 s: accepted requests, unsafe ones too, ended without an answer.

Cause: the entry instance took the grace period from the settings of its start; the forced end of the process and the platform follow those in effect.

'a stop keeps the grace period that is in effect when it begins' cannot be expressed with the interface before, which took a number.

--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -129,7 +129,7 @@
     readDocument: text => JSON.parse(text.toString()) as routeTables.RouteTable,
     retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 100 },
     announceIntervalMs: 1000,
-    graceMs: 100,
+    graceMs: () => 100,
     log,
     droppedLines: () => 0,
     ...opts
--- a/packages/forwarding/__tests__/lostPaths.test.ts
+++ b/packages/forwarding/__tests__/lostPaths.test.ts
@@ -72,7 +72,7 @@
   const path = cutPaths.createCutPath()
   const events: string[] = []
   const log = telemetry.createLog({ instance: 'cut', json: true, write: line => { events.push(JSON.parse(line).event) } })
-  const others = await Promise.all(Array.from({ length: opts.others ?? 1 }, async (_, i) => await fleets.startInstance(`other-${i}`, [control.inner], { connectEndpoint: opts.connectOthers, ...(opts.graceMs === undefined ? {} : { graceMs: opts.graceMs }) })))
+  const others = await Promise.all(Array.from({ length: opts.others ?? 1 }, async (_, i) => await fleets.startInstance(`other-${i}`, [control.inner], { connectEndpoint: opts.connectOthers, ...(opts.graceMs === undefined ? {} : { graceMs: () => opts.graceMs ?? 0 }) })))
   const cut = await fleets.startInstance('cut', [control.inner], { connectEndpoint: path.connect, log })
   for (const endpoint of endpoints) await control.announce(endpoint)
   for (const instance of [cut, ...others]) {
--- a/packages/forwarding/__tests__/plannedStop.test.ts
+++ b/packages/forwarding/__tests__/plannedStop.test.ts
@@ -12,7 +12,7 @@
 interface Stopping { /** Sends a request. @returns its status, or why there is none */ send: (path: string, deadlineMs: number) => Promise<number | string>, stop: () => Promise<void> }
 
 /** Starts an instance with routes of all kinds whose requests may last as long as given. */
-async function start (t: ava.ExecutionContext, timeoutMs: number, respond: helper.Behaviour, graceMs = GRACE_MS): Promise<Stopping> {
+async function start (t: ava.ExecutionContext, timeoutMs: number, respond: helper.Behaviour, graceMs = () => GRACE_MS): Promise<Stopping> {
   const endpoint = await helper.startEndpoint('e1', respond)
   const control = await fleet.startControl()
   const routes = routeTables.requestKind.options.map(kind => helper.toRoute({ timeoutMs, kind, name: kind, pathPrefix: `/${kind}/` }))
@@ -69,7 +69,7 @@
   const { send, stop } = await start(t, 5000, (req, res, count) => {
     if (req.url?.endsWith('/long') === true) setTimeout(() => { helper.healthy(req, res, count) }, 780)
     else helper.healthy(req, res, count)
-  }, graceMs)
+  }, () => graceMs)
   const long = routeTables.requestKind.options.map(async kind => await send(`/${kind}/long`, 5000))
   await timers.setTimeout(30)
   const startedAt = performance.now()
@@ -82,3 +82,20 @@
   await stopped
   t.true(performance.now() - startedAt < graceMs)
 })
+
+// The settings were read at the start only, while the end of the process and the platform follow those in effect.
+test('a stop keeps the grace period that is in effect when it begins', async t => {
+  let graceMs = 8000
+  const { send, stop } = await start(t, 5000, (req, res, count) => {
+    if (req.url?.endsWith('/first') === true) helper.healthy(req, res, count)
+  }, () => graceMs)
+  graceMs = 1000
+  const endless = routeTables.requestKind.options.map(async kind => await send(`/${kind}/endless`, 5000))
+  await timers.setTimeout(30)
+  const startedAt = performance.now()
+  const stopped = stop()
+  t.is(await send('/once/late', 1000), 503)
+  t.deepEqual(await Promise.all(endless), [502, 502, 502])
+  await stopped
+  t.true(performance.now() - startedAt < graceMs)
+})
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -317,7 +317,7 @@
       return addresses.selectInstances(ready, client, isReachable).map(item => item.front)
     },
     async stop () {
-      const times = drainTimes.toDrainTimes(opts.graceMs)
+      const times = drainTimes.toDrainTimes(opts.graceMs())
       drain = { startedAt: now(), times }
       log.event('stopping', { open: server.openRequests(), connections: server.connections() })
       announce()
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -35,8 +35,8 @@
   coldBound?: coldLimiters.ColdBound
   /** Interval of endpoint announcements, in milliseconds. */
   announceIntervalMs: number
-  /** Grace period of a stop, in milliseconds. */
-  graceMs: number
+  /** Returns the grace period of a stop that begins now, in milliseconds. */
+  graceMs: () => number
   log: telemetry.Log
   /** Returns the number of log lines dropped so far. */
   droppedLines: () => number
