--- a/packages/forwarding/__tests__/plannedStop.test.ts
+++ b/packages/forwarding/__tests__/plannedStop.test.ts
@@ -4,6 +4,8 @@
 import * as ava from 'ava'
 import * as helper from './helpers/testEntry.js'
 import * as fleet from './helpers/testFleet.js'
+import * as drainTimes from '../src/admission/drainTimes.js'
+import * as drainWorks from '../src/instance/drainWork.js'
 import * as routeTables from '../src/admission/routeTable.js'
 
 const test = ava.default
@@ -90,3 +92,29 @@
   await stopped
   t.true(performance.now() - startedAt < 10_000)
 })
+
+// Connections were reset as soon as no request was open.
+test('connections that were opened just before the end have time for their first request', async t => {
+  let clockMs = 0
+  let checks = 0
+  let open = 0
+  let answered = 0
+  await drainWorks.drainWork({
+    times: drainTimes.toDrainTimes(1000),
+    now () {
+      clockMs += 5
+      return clockMs
+    },
+    connections () {
+      if (++checks === 3) open = 1
+      return 1 - answered
+    },
+    openWork: () => open,
+    stopListening () {},
+    answerOpen () {
+      answered += open
+      open = 0
+    }
+  })
+  t.is(answered, 1)
+})
