fix(links): a refused connection holds nothing of what it has sent

Callers saw: any process that can reach the port for links could take an instance's memory before it proved anything. 3,000 connections that send 60 KB of zeros brought a control instance from 75 to 261 MB and an entry instance from 59 to 247 MB; small machines allow 250.

Cause: a handshake that failed for a malformed frame left its timer of 3 s running, and the timer kept the reader with all that had been read, up to 64 KB a connection. A trace of the collector shows full collections that freed none of it (175 MB of buffers in use with all 3,000 connections closed). The size was no question of how many connections are open: 30 to 85 were at a time.

Change: an accepted connection whose handshake fails ends its handshake, which cancels the timer.

--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -54,7 +54,9 @@
   })
 }
 
-interface Dialled { socket: net.Socket, peer: handshake.Identity, pipe: ReturnType<typeof createHandshakePipe> }
+type HandshakePipe = ReturnType<typeof createHandshakePipe>
+
+interface Dialled { socket: net.Socket, peer: handshake.Identity, pipe: HandshakePipe }
 
 /** Connects and authenticates both sides; closes the connection if that or the rest of the work fails. */
 async function dialSocket<T> (address: string, cfg: LinkSettings, timeoutMs: number, target: string | undefined, complete: (dialled: Dialled) => Promise<T>): Promise<T> {
@@ -109,9 +111,23 @@
   }
 }
 
-/** Completes the handshake of an accepted connection. @returns its link, or undefined if it is a tunnel */
+/** Completes the handshake of an accepted connection; a connection that fails holds nothing. @returns its link, or undefined if it is a tunnel */
 async function accept (socket: net.Socket, cfg: LinkSettings): Promise<links.Link | undefined> {
   const pipe = createHandshakePipe(socket, HANDSHAKE_TIMEOUT_MS)
+  try {
+    const { peer, target } = await proveBoth(socket, cfg, pipe)
+    const { reader } = pipe.finish()
+    if (target === undefined) return links.createLink({ socket, peer, log: cfg.log, handlers: cfg.handlers, countBytes: cfg.countBytes, reader })
+    await tunnels.serveTunnel(socket, async () => await openTarget(cfg.handlers, target))
+    return undefined
+  } catch (err) {
+    pipe.finish()
+    throw err
+  }
+}
+
+/** Authenticates both sides of an accepted connection. @returns the peer, and the target if it asks for a tunnel */
+async function proveBoth (socket: net.Socket, cfg: LinkSettings, pipe: HandshakePipe): Promise<{ peer: handshake.Identity, target: string | undefined }> {
   const hello = handshake.clientHello.parse(await pipe.next())
   const nonce = handshake.createNonce()
   const proof = handshake.createProof(cfg.secret, 'listens', hello.nonce, nonce, cfg.identity)
@@ -123,12 +139,7 @@
     cfg.log.event('linkRefused', { claims: hello.who.id, address: socket.remoteAddress ?? '' })
     throw new Error(`${hello.who.id} could not prove the fleet secret`)
   }
-  if (target !== undefined) {
-    pipe.finish()
-    await tunnels.serveTunnel(socket, async () => await openTarget(cfg.handlers, target))
-    return undefined
-  }
-  return links.createLink({ socket, peer: hello.who, log: cfg.log, handlers: cfg.handlers, countBytes: cfg.countBytes, ...pipe.finish() })
+  return { peer: hello.who, target }
 }
 
 async function openTarget ({ onTunnel }: links.LinkHandlers, target: string): Promise<net.Socket> {
