fix(links): connections without a proof of the fleet secret are few

Callers saw: 3,000 connections that send half a frame to the port for links hold 3,028 of a control instance's 4,100 descriptors for 3 s, and again as often as they come; nothing but the time limit bounded them. Bytes after the first frame were held up to 64 KB and more a connection, and each piece of one byte takes some hundred bytes.

Cause: what is accepted before any proof had no limit of its own.

Change: 512 connections at a time may be without a proof; the oldest one is closed for a new one, and connections that have sent a valid first frame are closed last, since hundreds of instances that start at once answer late. Bytes after the first frame, before it was answered, and more than 64 pieces end the handshake.

In the test 300 instances dial at once, and 60 more whose answers take 1 s, beside 1,500 connections without a proof: all get in.

--- a/packages/links/__tests__/unproven.test.ts
+++ b/packages/links/__tests__/unproven.test.ts
@@ -46,3 +46,49 @@
   }
   t.true(bytes <= 15e6, `${bytes} bytes`)
 })
+
+// Guards against handshakes that hold what was sent along with their first frame, or thousands of small pieces.
+test('a handshake with more than its frame, or in very small pieces, is refused', async t => {
+  const port = await listen(t)
+  const hello = links.encodeFrame([links.FrameKind.event, 0, { protocol: links.PROTOCOL, who: { role: 'router', id: 'x' }, nonce: links.createNonce() }])
+  const openCount = await open(t, port, 1, Buffer.concat([hello, Buffer.alloc(100)]))
+  const socket = net.connect(port, '127.0.0.1')
+  t.teardown(() => { socket.destroy() })
+  const state = { isClosed: false }
+  socket.setNoDelay(true)
+  socket.on('error', () => {})
+  socket.on('close', () => { state.isClosed = true })
+  socket.write(Buffer.from([0, 0, 4]))
+  for (let i = 0; i < 200 && !state.isClosed; i++) {
+    socket.write(Buffer.alloc(1))
+    await sleep(2)
+  }
+  t.true(state.isClosed)
+  t.is(openCount(), 0)
+})
+
+// Guards against a flood of connections that takes descriptors and memory, and against peers that are closed in its favour.
+test.serial('connections without a proof are few, and peers get in beside thousands of them, also those that take their time', async t => {
+  const events: string[] = []
+  const port = await listen(t, { event (name) { events.push(name) } })
+  const relay = net.createServer(socket => {
+    const upstream = net.connect(port, '127.0.0.1')
+    upstream.on('error', () => {})
+    socket.on('error', () => {})
+    socket.pipe(upstream)
+    upstream.on('data', data => { setTimeout(() => { socket.write(data) }, 1000) })
+    upstream.on('close', () => { socket.destroy() })
+    t.teardown(() => { upstream.destroy() })
+  })
+  await new Promise<void>(resolve => { relay.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { relay.close() })
+  const { port: relayPort } = relay.address() as net.AddressInfo
+  const slow = Promise.all(Array.from({ length: 60 }, async (_, i) => await links.dial(`127.0.0.1:${relayPort}`, settings(`slow-${i}`))))
+  const openCount = await open(t, port, 1500, Buffer.from([0, 0, 1, 0]))
+  t.true(openCount() <= 512 + 20, `${openCount()} are open`)
+  const quick = await Promise.all(Array.from({ length: 300 }, async (_, i) => await links.dial(`127.0.0.1:${port}`, settings(`quick-${i}`))))
+  const all = [...await slow, ...quick]
+  t.deepEqual(new Set(await Promise.all(all.map(async link => await link.call('x', 5000)))), new Set(['x']))
+  for (const link of all) link.close()
+  t.deepEqual(events, ['linksCrowded'])
+})
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -7,6 +7,7 @@
 import * as links from './link.js'
 import * as listening from './startListening.js'
 import * as tunnels from './tunnel.js'
+import * as unproven from './unproven.js'
 
 /** Settings of the links of a process. */
 export interface LinkSettings {
@@ -22,6 +23,8 @@
 /** Frame size limit for a peer that is not yet authenticated. */
 const HANDSHAKE_MAX_BYTES = 1024
 const HANDSHAKE_TIMEOUT_MS = 3000
+/** Pieces in which the frames of such a peer may arrive; each piece takes much more memory than its bytes. */
+const HANDSHAKE_MAX_PIECES = 64
 /** Bytes of such a peer that are held; more than a frame, so that reading goes on until it is complete. */
 const MAX_PENDING_BYTES = 64 * 1024
 
@@ -95,11 +98,16 @@
  */
 export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void): Promise<LinkServer> {
   const sockets = new Set<net.Socket>()
+  const pending = unproven.createUnprovenConnections(cfg.log)
   const server = net.createServer(socket => {
     sockets.add(socket)
-    socket.on('close', () => sockets.delete(socket))
+    pending.add(socket)
+    socket.on('close', () => {
+      sockets.delete(socket)
+      pending.remove(socket)
+    })
     socket.on('error', () => {})
-    accept(socket, cfg).then(link => { if (link !== undefined) onLink(link) }, () => { socket.destroy() })
+    accept(socket, cfg, pending).then(link => { if (link !== undefined) onLink(link) }, () => { socket.destroy() })
   })
   await listening.startListening(server, address, { log: cfg.log })
   return {
@@ -112,10 +120,11 @@
 }
 
 /** Completes the handshake of an accepted connection; a connection that fails holds nothing. @returns its link, or undefined if it is a tunnel */
-async function accept (socket: net.Socket, cfg: LinkSettings): Promise<links.Link | undefined> {
+async function accept (socket: net.Socket, cfg: LinkSettings, pending: unproven.UnprovenConnections): Promise<links.Link | undefined> {
   const pipe = createHandshakePipe(socket, HANDSHAKE_TIMEOUT_MS)
   try {
-    const { peer, target } = await proveBoth(socket, cfg, pipe)
+    const { peer, target } = await proveBoth(socket, cfg, pipe, () => { pending.noteHello(socket) })
+    pending.remove(socket)
     const { reader } = pipe.finish()
     if (target === undefined) return links.createLink({ socket, peer, log: cfg.log, handlers: cfg.handlers, countBytes: cfg.countBytes, reader })
     await tunnels.serveTunnel(socket, async () => await openTarget(cfg.handlers, target))
@@ -127,8 +136,10 @@
 }
 
 /** Authenticates both sides of an accepted connection. @returns the peer, and the target if it asks for a tunnel */
-async function proveBoth (socket: net.Socket, cfg: LinkSettings, pipe: HandshakePipe): Promise<{ peer: handshake.Identity, target: string | undefined }> {
+async function proveBoth (socket: net.Socket, cfg: LinkSettings, pipe: HandshakePipe, onHello: () => void): Promise<{ peer: handshake.Identity, target: string | undefined }> {
   const hello = handshake.clientHello.parse(await pipe.next())
+  if (pipe.pendingBytes() > 0) throw new Error('data after the first frame, before it was answered')
+  onHello()
   const nonce = handshake.createNonce()
   const proof = handshake.createProof(cfg.secret, 'listens', hello.nonce, nonce, cfg.identity)
   pipe.write({ protocol: handshake.PROTOCOL, who: cfg.identity, nonce, proof })
@@ -153,12 +164,15 @@
   const reader = frames.createFrameReader(() => maxBytes)
   let wake: () => void = () => {}
   let failure: Error | undefined
+  let pieces = 0
   const fail = (err: Error): void => {
     failure ??= err
     wake()
   }
   const onData = (chunk: Buffer): void => {
     reader.add(chunk)
+    pieces++
+    if (pieces > HANDSHAKE_MAX_PIECES) fail(new Error(`the handshake has more than ${HANDSHAKE_MAX_PIECES} pieces`))
     // What follows the handshake may be long, and what does not belong to one may have no end.
     if (reader.pendingBytes() > MAX_PENDING_BYTES) socket.pause()
     wake()
@@ -169,6 +183,7 @@
   socket.on('error', fail)
   socket.on('close', onClose)
   return {
+    pendingBytes: reader.pendingBytes,
     write (body: unknown): void {
       socket.write(frames.encodeFrame([frames.FrameKind.event, 0, body]))
     },
