fix(platform): the servers of a process share a limit of connections

With 3,100 at each of control and metrics, 92 of 115 calls of the control API were reset, for as long as the heads are waited for. No process ended.

Cause: each HTTP server allowed itself three quarters of the descriptors of a process, the front any number.

Change: one budget a process, three quarters of `limits.maxFds` for the connections of all its HTTP servers and the requests that are forwarded on them. At the limit, a connection of the server that has the most makes room: one that has sent no complete head for 1 s, or the one that is idle for longest. 64 connections are kept for each server.

--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -267,7 +267,7 @@
   }
 
   const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, now })
-  const server = entryServers.createEntryServer(ctx)
+  const server = entryServers.createEntryServer(ctx, opts.connections)
   const subscriber = discovery.createSubscriber({
     id: opts.id,
     seeds: opts.seeds,
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -1,4 +1,5 @@
 /** Options and interface of an entry instance. */
+import type * as links from '@kingcupdeck/links'
 import type * as net from 'node:net'
 import type * as telemetry from '@kingcupdeck/telemetry'
 import type * as routeTables from '../admission/routeTable.js'
@@ -44,6 +45,8 @@
   connectEndpoint?: (address: string) => net.Socket
   /** Memory of this machine in bytes, undefined if unknown. */
   memoryBytes?: number
+  /** Connections of the process, shared with its other servers; those of clients are unlimited by default. */
+  connections?: links.ConnectionBudget
   /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
   linkBytesPerMs?: number
 }
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -56,11 +56,18 @@
 const READ_TURNS = 2
 /** Added to the idle timeout, because the client measures it from the receipt of the last byte. */
 const IDLE_MARGIN_MS = 1500
-
-/** Creates the server, which does not listen yet. */
-export function createEntryServer (ctx: entryContexts.EntryContext): EntryServer {
+/** Connections that were closed unread are logged once in this time. */
+const REFUSAL_LOG_INTERVAL_MS = 10_000
+
+/**
+ * Creates the server, which does not listen yet.
+ * @param budget connections of the process; unlimited by default
+ */
+export function createEntryServer (ctx: entryContexts.EntryContext, budget?: links.ConnectionBudget): EntryServer {
   const connections = clientConnections.createClientConnections()
   const exchanges = new Set<Exchange>()
+  let refusedConnections = 0
+  let refusalLoggedAt = -Infinity
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -89,6 +96,16 @@
     })
   })
 
+  /** Logs connections that were closed unread, in bounds. */
+  const noteRefused = (): void => {
+    refusedConnections++
+    const now = ctx.now()
+    if (now - refusalLoggedAt < REFUSAL_LOG_INTERVAL_MS) return
+    ctx.log.event('connectionsCrowded', { refused: refusedConnections, open: connections.count(), requests: connections.openCount() })
+    refusalLoggedAt = now
+    refusedConnections = 0
+  }
+
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
     ctx.metrics.broken.inc({ route: route === undefined ? 'none' : ctx.metrics.toRouteLabel(route), cause })
     if (brokenResponses.needsLine(cause)) ctx.log.event('responseCut', { request: attemptId, route, cause })
@@ -201,6 +218,7 @@
   // The library's own method closes connections whose response was written, but not sent yet.
   server.closeIdleConnections = connections.closeIdle
   server.on('connection', connections.add)
+  budget?.watch(server, { requestCost: 1, onRefused: noteRefused })
   server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, connections, ctx) })
   server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
 
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,5 +1,6 @@
 /** Public API of the links package: frames, authenticated links, streams, and HTTP connections to endpoints. */
 export * from './connect.js'
+export * from './connectionBudget.js'
 export * from './deadline.js'
 export * from './endpointClient.js'
 export * from './eventStream.js'
