test(discovery): which control instances send a large first document is drawn evenly, not by chance

Cause: chance, more often than the test said. Each entry instance draws one of the control instances that its contact names; the test's control instances named themselves twice (as themselves and among the others, which those of the product leave out), so that a draw met one of the three others with probability 3/7, not 1/2. Fewer than 4 of 24 are then expected once in 662 runs, not once in 7,216 (binomial). Ruled out: load.

The test's control instances leave themselves out, and the test draws from even numbers, through an option of the subscriber, so that exactly four of the 24 instances choose each of the three others; it wants four fetches or more at each of them instead of four at all three.

--- a/packages/discovery/__tests__/documentFetcher.test.ts
+++ b/packages/discovery/__tests__/documentFetcher.test.ts
@@ -48,11 +48,11 @@
   const controls = await Promise.all([0, 1, 2, 3, 4, 5].map(async () => await helper.startControl({ peerAddresses: others })))
   others.push(...controls.map(item => item.address))
   for (const control of controls) control.put(toDocument(1, 8000))
-  const entries = Array.from({ length: 24 }, (_, i) => helper.startEntry(`e${i}`, controls.slice(0, 3).map(item => item.address)))
+  // The draws are spread evenly, so that four of the 24 choose each of the others.
+  const entries = Array.from({ length: 24 }, (_, i) => helper.startEntry(`e${i}`, controls.slice(0, 3).map(item => item.address), undefined, undefined, undefined, () => (i + 0.5) / 24))
   await helper.until('all have the document', () => entries.every(item => item.documents.at(-1)?.version === 1))
-  const byOthers = controls.slice(3).reduce((sum, item) => sum + item.fetchCount(), 0)
-  // Half of 24 on average; fewer than 4 by chance once in 5,000 runs.
-  t.true(byOthers >= 4, `${byOthers} of 24`)
+  const byOthers = controls.slice(3).map(item => item.fetchCount())
+  t.true(byOthers.every(count => count >= 4), `${byOthers.join(', ')} of 24`)
   for (const entry of entries) entry.stop()
   await Promise.all(controls.map(async item => { await item.close() }))
 })
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -37,7 +37,7 @@
   isTicking?: boolean
   /** Returns the address under which entry instances reach it; its own by default. */
   advertisedAddress?: () => string
-  /** Addresses of the other control instances. */
+  /** Addresses of the control instances; its own one is left out. */
   peerAddresses?: string[]
   /** Version to report, regardless of the document. */
   reportedVersion?: number
@@ -65,7 +65,7 @@
   const publisher = discovery.createPublisher({
     get self () { return opts.advertisedAddress?.() ?? `127.0.0.1:${port()}` },
     table: discovery.createRecordTable(),
-    peerAddresses: () => opts.peerAddresses ?? [],
+    peerAddresses: () => (opts.peerAddresses ?? []).filter(address => address !== `127.0.0.1:${port()}`),
     getPeerLink: async () => { throw new Error('there are no other control instances') },
     version: () => opts.reportedVersion ?? versions.at(-1)?.version ?? 0,
     packDocumentSince: packSince,
@@ -110,7 +110,7 @@
 export interface TestEntry { documents: contracts.VersionedText[], evacuatedZones: () => string[], areEvacuationsKnown: () => boolean, seeds: string[], subscriptionCount: () => number, quorumSince: () => number, confirmDocument: () => Promise<boolean>, stop: () => void }
 
 /** Starts an entry instance that subscribes. With a constant clock, no control instance becomes unresponsive. */
-export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: discovery.SubscriberOptions['fetchHandout'], dialTimeoutMs?: number): TestEntry {
+export function startEntry (id: string, seeds: string[], now?: () => number, fetchHandout?: discovery.SubscriberOptions['fetchHandout'], dialTimeoutMs?: number, random?: () => number): TestEntry {
   const documents: contracts.VersionedText[] = []
   let evacuatedZones: string[] = []
   const handlers: links.LinkHandlers = {
@@ -128,6 +128,7 @@
     onRecords: () => {},
     log,
     now,
+    random,
     fetchHandout
   })
   subscriber.start()
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -39,6 +39,7 @@
 /** Creates a subscriber without subscriptions, which answers calls until it is started. */
 export function createSubscriber (opts: subscriberOptions.SubscriberOptions): subscriberOptions.Subscriber {
   const now = opts.now ?? (() => performance.now())
+  const random = opts.random ?? Math.random
   const intake = intakes.createIntake(refusals.createRefusals(opts.log, now))
   const open = new Set<subscriptions.Subscription>()
   const backoff = dialBackoffs.createDialBackoff(now)
@@ -92,7 +93,7 @@
    */
   const toInitialSources = (): documentFetchers.DocumentSource[] => {
     if (documents.version() > 0 || controls.length <= subscriptionChoices.SUBSCRIPTIONS) return []
-    const address = controls[Math.floor(Math.random() * controls.length)]
+    const address = controls[Math.floor(random() * controls.length)]
     return [{
       address,
       version: Math.max(0, ...[...open].map(sub => sub.version)),
@@ -218,7 +219,7 @@
     for (const address of candidates.slice(0, missing)) void subscribe(address)
     // The surplus that follows is the least preferred subscription.
     if (missing > 0 || candidates.length === 0 || now() < nextMoveAt || !subscriptionChoices.isImprovement(opts.id, [...open], candidates[0])) return
-    nextMoveAt = now() + MOVE_INTERVAL_MS * (0.5 + Math.random())
+    nextMoveAt = now() + MOVE_INTERVAL_MS * (0.5 + random())
     void subscribe(candidates[0])
   }
 
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -46,6 +46,8 @@
   onRecords: (list: readonly records.Record[]) => void
   log: telemetry.Log
   now?: () => number
+  /** Returns random numbers in [0, 1); `Math.random` by default. */
+  random?: () => number
 }
 
 /** Maintains subscriptions. */
