test(coordination): a disk fault is put in place once a write in progress has ended

It puts folders in place of the temporary files of the term and the vote, and assumed that no replica writes one at that moment. On a slow disk one still does: the third replica of the group, which the acknowledged document did not wait for. mkdir then fails with EEXIST.

The test waits until the write in progress has ended; what it demands is unchanged.

--- a/packages/coordination/__tests__/documentStore.test.ts
+++ b/packages/coordination/__tests__/documentStore.test.ts
@@ -139,6 +139,20 @@
   await group.close()
 })
 
+/** Puts a folder in place of a file, once a write of it that is in progress has ended. */
+async function blockFile (file: string): Promise<void> {
+  const deadline = performance.now() + WAIT_MS
+  while (true) {
+    try {
+      await fs.mkdir(file)
+      return
+    } catch (err) {
+      if ((err as NodeJS.ErrnoException).code !== 'EEXIST' || performance.now() > deadline) throw err
+    }
+    await timers.setTimeout(1)
+  }
+}
+
 // After a temporary disk failure a replica must restart by itself: its vote may be needed for the next election.
 test('a replica restarts after a temporary disk failure', async t => {
   const group = await startGroup(['a', 'b', 'c'])
@@ -147,7 +161,7 @@
   const others = ['a', 'b', 'c'].filter(name => name !== leader)
   // A folder in place of the temporary file makes each write of a term or a vote fail.
   const blocked = others.map(name => path.join(group.folderOf(name), 'document', 'meta.new'))
-  for (const folder of blocked) await fs.mkdir(folder)
+  for (const folder of blocked) await blockFile(folder)
   group.partition(leader)
   await timers.setTimeout(2500)
   t.false(others.some(name => get(group, name).isLeader()), 'no leader without working disks')
