fix(discovery): an unexpected error in a heartbeat does not end all of them

Callers would see: an entry instance that runs on, without a line after the first one, and gets no requests any more: other instances count it as silent, and it subscribes to no other control instance.

Cause: uncaughtException and unhandledRejection let the process go on, but the loop that updates subscriptions and sends heartbeats is one async function, which the first error ends for good; the rounds of gossip alike. Found by reading all loops: those of the replica end in a restart of the replica, intervals go on, the others catch.

Change: both loops run each step under a guard that logs the error (`uncaught`, at most every 10 s) and goes on.

Tests: 'an error in a heartbeat costs this one only' failed before (2 calls, none after the error); 'an error in one round costs this round only' fails when the guard throws the error on. 57 tests of seven files pass.

--- a/packages/discovery/__tests__/oddRecords.test.ts
+++ b/packages/discovery/__tests__/oddRecords.test.ts
@@ -106,10 +106,10 @@
 interface TestSubscriber { table: discovery.RecordTable, dialed: string[], send: (body: unknown) => void, isSubscribed: () => boolean, stop: () => void }
 
 /** Starts a subscriber of a control instance that gives one reply. */
-async function startSubscriber (reply: Partial<discovery.DiscoveryReply>): Promise<TestSubscriber> {
+async function startSubscriber (reply: Partial<discovery.DiscoveryReply>, self = (): discovery.EntryRecord => SELF, onSent = (): void => {}): Promise<TestSubscriber> {
   const table = discovery.createRecordTable()
   const dialed: string[] = []
-  const link = { call: async () => ({ records: null, controls: [], version: 0, document: null, ...reply }), send () {}, close () {}, closed: new Promise(() => {}) } as unknown as links.Link
+  const link = { call: async () => ({ records: null, controls: [], version: 0, document: null, ...reply }), send: onSent, close () {}, closed: new Promise(() => {}) } as unknown as links.Link
   const subscriber = discovery.createSubscriber({
     id: 'r1',
     seeds: () => ['10.0.0.9:1'],
@@ -118,7 +118,7 @@
       dialed.push(address)
       return link
     },
-    self: () => SELF,
+    self,
     onDocument () {},
     onRecords () {},
     log
@@ -143,6 +143,20 @@
   stop()
 })
 
+// Guards against an entry instance that runs on without heartbeats, and so without requests, after one unexpected error.
+test('an error in a heartbeat costs this one only', async t => {
+  let calls = 0
+  const state = { sent: 0 }
+  const { stop } = await startSubscriber({}, () => {
+    calls++
+    if (calls === 2 || calls === 3) throw new Error('unexpected')
+    return SELF
+  }, () => { state.sent++ })
+  t.teardown(stop)
+  for (let i = 0; i < 600 && state.sent === 0; i++) await new Promise(resolve => { setTimeout(resolve, 10) })
+  t.true(state.sent > 0, `${calls} calls`)
+})
+
 /** Fails if a record cannot be used as it is. */
 function assertUsable (t: ava.ExecutionContext, record: discovery.Record): void {
   t.true(Number.isSafeInteger(record.startedAt) && Number.isSafeInteger(record.seq))
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -3,6 +3,7 @@
  * those that are unresponsive or have lost their quorum.
  */
 import * as timers from 'node:timers/promises'
+import * as telemetry from '@kingcupdeck/telemetry'
 import * as links from '@kingcupdeck/links'
 import * as dialBackoffs from './dialBackoff.js'
 import * as documentChecks from './documentCheck.js'
@@ -241,17 +242,27 @@
       log: opts.log
     })
 
+  const update = (): void => {
+    updateSubscriptions()
+    if (documents.version() === 0) fetchHandouts()
+    evacuationState.update()
+  }
+
+  const sendHeartbeat = (): void => {
+    const self = opts.self()
+    const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: documents.version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
+    for (const sub of open) sub.link?.send(event)
+  }
+
   const run = async (): Promise<void> => {
+    const guardUpdate = telemetry.createStepGuard(opts.log, 'subscriptions')
+    const guardHeartbeat = telemetry.createStepGuard(opts.log, 'heartbeat')
     let lastTickAt = now()
     while (!stopped.signal.aborted) {
-      updateSubscriptions()
-      if (documents.version() === 0) fetchHandouts()
-      evacuationState.update()
+      guardUpdate(update)
       if (now() - lastTickAt >= messages.TICK_INTERVAL_MS) {
         lastTickAt = now()
-        const self = opts.self()
-        const event: messages.DiscoveryEvent = { t: 'tick', isCurrent: true, version: documents.version(), signs: [[self.id, self.startedAt, self.seq]], controls: [] }
-        for (const sub of open) sub.link?.send(event)
+        guardHeartbeat(sendHeartbeat)
       }
       await timers.setTimeout(isBeforeContact() ? POLL_INTERVAL_BEFORE_CONTACT_MS : POLL_INTERVAL_MS, undefined, { ref: false })
     }
--- a/packages/forwarding/__tests__/helpers/testGossip.ts
+++ b/packages/forwarding/__tests__/helpers/testGossip.ts
@@ -2,6 +2,7 @@
 import type * as ava from 'ava'
 import * as discovery from '@kingcupdeck/discovery'
 import type * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as endpointPools from '../../src/endpoints/endpointPool.js'
 import * as gossipTypes from '../../src/gossip/gossipTypes.js'
@@ -24,6 +25,8 @@
   gossip: gossipTypes.Gossip
   sentCount: number
   isUp: boolean
+  /** Rounds that are still to fail. */
+  failures: number
 }
 
 /** A fleet whose links are function calls. */
@@ -60,12 +63,16 @@
       pool: { all: () => endpoints, get: (id: string) => endpoints.find(item => item.id === id) } as unknown as endpointPools.EndpointPool,
       quarantine,
       outliers: { ...outliers, merge (list, now) { for (const [, attempts] of list) merged += attempts; outliers.merge(list, now) } },
-      documentVersion: () => 1,
+      documentVersion () {
+        if (instance.failures-- > 0) throw new Error('unexpected')
+        return 1
+      },
       evacuations: () => instance.evacuations,
       onEvacuations (received) { if (received.revision > instance.evacuations.revision) instance.evacuations = received },
-      onDocumentVersion: () => {}
+      onDocumentVersion: () => {},
+      log: telemetry.createLog({ instance: 'test', level: 'silent' })
     })
-    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, evacuations: discovery.NO_EVACUATIONS, gossip, sentCount: 0, isUp: true }
+    const instance: Instance = { inner: record.inner, endpoints, quarantine, outliers, merged: () => merged, evacuations: discovery.NO_EVACUATIONS, gossip, sentCount: 0, isUp: true, failures: 0 }
     instances.set(record.inner, instance)
     gossip.start()
   }
--- a/packages/forwarding/__tests__/loadGossip.test.ts
+++ b/packages/forwarding/__tests__/loadGossip.test.ts
@@ -108,3 +108,14 @@
   await stallClocks.sleep(helper.SETTLE_MS)
   for (const instance of fleet) t.deepEqual(instance.evacuations, { revision: 3, zones: ['z1'] })
 })
+
+// Guards against an instance that sends no loads any more after one unexpected error.
+test('an error in one round costs this round only', async t => {
+  const fleet = helper.startFleet(t, 3).instances
+  fleet[0].failures = 2
+  await stallClocks.sleep(helper.SETTLE_MS)
+  setLoads(fleet)
+  await stallClocks.sleep(helper.SETTLE_MS)
+  t.true(fleet[0].failures <= 0)
+  for (const instance of fleet) t.deepEqual(toKnownLoads(instance), toActualLoads(fleet))
+})
--- a/packages/forwarding/src/gossip/gossipTypes.ts
+++ b/packages/forwarding/src/gossip/gossipTypes.ts
@@ -4,6 +4,7 @@
 import * as discovery from '@kingcupdeck/discovery'
 import * as boundedLists from './boundedList.js'
 import type * as links from '@kingcupdeck/links'
+import type * as telemetry from '@kingcupdeck/telemetry'
 import type * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import * as crashReports from '../quarantine/crashReport.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
@@ -56,6 +57,7 @@
   onEvacuations: (received: discovery.Evacuations, from: string) => void
   /** Called with the document version of another instance. */
   onDocumentVersion: (address: string, version: number) => void
+  log: telemetry.Log
 }
 
 export interface Gossip {
--- a/packages/forwarding/src/gossip/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -5,6 +5,7 @@
 import * as timers from 'node:timers/promises'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
 import * as crashGossips from './crashGossip.js'
 import type * as gossipTypes from './gossipTypes.js'
 import * as loadSums from './loadSums.js'
@@ -148,39 +149,45 @@
     return ownLoads.length === 0 && fleetLoads.length === 0 && memberOutcomes.length === 0
   }
 
+  let wasIdle = false
+  let sentVersion = 0
+  let sentRevision = 0
+  let intervalMs = GOSSIP_INTERVAL_MS
+
+  const sendRound = (): void => {
+    const peers = opts.peers()
+    peerCount = peers.length
+    const wasDirect = isDirect
+    isDirect = peers.length < relayChoices.MAX_DIRECT_INSTANCES
+    // Reports of the other mode cover other sets of instances.
+    if (isDirect !== wasDirect) memberReports = loadSums.createLoadReports()
+    applyLoads()
+    const loads = toOwnLoads()
+    const outcomes = opts.outliers.takeDeltas(now())
+    const version = opts.documentVersion()
+    const { revision } = opts.evacuations()
+    const hasNews = version !== sentVersion || revision !== sentRevision
+    const isIdle = loads.length === 0 && outcomes.length === 0
+    if (!isDirect) {
+      updateRelays(peers)
+      const isQuiet = relay({ loads, outcomes }) && !hasNews
+      intervalMs = (isQuiet ? IDLE_RELAY_INTERVAL_MS : RELAY_INTERVAL_MS) * (1 - RELAY_JITTER * Math.random())
+    } else if (!isIdle || !wasIdle || hasNews) {
+      // An idle instance sends one empty update, and then only new document versions and evacuations; an expired update counts as no load.
+      sendTo(peers.map(item => item.inner), { loads, outcomes, scope: 'instance', holders: [] })
+    }
+    crashGossip.tick()
+    if (isDirect) intervalMs = GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * memberReports.senders(now()).length
+    wasIdle = isIdle
+    sentVersion = version
+    sentRevision = revision
+  }
+
   const run = async (): Promise<void> => {
-    let wasIdle = false
-    let sentVersion = 0
-    let sentRevision = 0
-    let intervalMs = GOSSIP_INTERVAL_MS
+    const guard = telemetry.createStepGuard(opts.log, 'gossip')
     while (!aborter.signal.aborted) {
       await timers.setTimeout(intervalMs, undefined, { ref: false })
-      const peers = opts.peers()
-      peerCount = peers.length
-      const wasDirect = isDirect
-      isDirect = peers.length < relayChoices.MAX_DIRECT_INSTANCES
-      // Reports of the other mode cover other sets of instances.
-      if (isDirect !== wasDirect) memberReports = loadSums.createLoadReports()
-      applyLoads()
-      const loads = toOwnLoads()
-      const outcomes = opts.outliers.takeDeltas(now())
-      const version = opts.documentVersion()
-      const { revision } = opts.evacuations()
-      const hasNews = version !== sentVersion || revision !== sentRevision
-      const isIdle = loads.length === 0 && outcomes.length === 0
-      if (!isDirect) {
-        updateRelays(peers)
-        const isQuiet = relay({ loads, outcomes }) && !hasNews
-        intervalMs = (isQuiet ? IDLE_RELAY_INTERVAL_MS : RELAY_INTERVAL_MS) * (1 - RELAY_JITTER * Math.random())
-      } else if (!isIdle || !wasIdle || hasNews) {
-        // An idle instance sends one empty update, and then only new document versions and evacuations; an expired update counts as no load.
-        sendTo(peers.map(item => item.inner), { loads, outcomes, scope: 'instance', holders: [] })
-      }
-      crashGossip.tick()
-      if (isDirect) intervalMs = GOSSIP_INTERVAL_MS + GOSSIP_INTERVAL_PER_INSTANCE_MS * memberReports.senders(now()).length
-      wasIdle = isIdle
-      sentVersion = version
-      sentRevision = revision
+      guard(sendRound)
     }
   }
 
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -218,7 +218,8 @@
     documentVersion: () => subscriber.version(),
     evacuations: () => ({ revision: evacuations.revision, zones: evacuations.committed }),
     onEvacuations: (received, from) => { subscriber.noteEvacuations(received, from) },
-    onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) }
+    onDocumentVersion: (address, version) => { subscriber.notePeerVersion(address, version) },
+    log
   })
 
   const permits = trialPermits.createTrialPermits({
