fix(state): any majority of the founders that were told so founds the group

What callers saw: a process that ended in its first second, or a founder that was away, kept the whole system from ever starting: no configuration was acknowledged in 25, 60 and 150 s (docs/incidents/unfinished-starts.md).

Cause: only the first founder by name founded, only while its process had been started with `bootstrap`, and only once each other founder had said that it is new. What a process was told at its first start was not on its disk.

Change (option `founding`; without it the old rule stays, as for the groups of the chat fleet): what a replica was told is synced before anything else, and any later start goes on with it. A founder that was told so takes an incarnation derived from the founders' names and writes the founding entry by itself, so any majority elects a leader. One that was told nothing takes its identity only if replies of all founders show that no group ever existed. A line each 5 s says what is missing (K1220), one names a claim (K1221).

In tests, the storage in memory moved from VirtualCluster to MemoryDisk as it was, and the cluster's file storage lies in a folder whose parent exists: a folder that an earlier process created and did not sync was lost with the power.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -35,6 +35,8 @@
   votersChanged: spec(1211, 'info', 'voters of the replica group changed'),
   electionLost: spec(1212, 'info', 'this replica stood for election and was not elected', 'Expected for seconds while control instances restart. If no replica is elected, compare the voters named with the control instances that run: a quorum of the voters must be up.'),
   joinPending: spec(1213, 'info', 'this replica asks to be admitted to its group', 'If it repeats for minutes, check that the addresses named can be reached and that the group has a leader.'),
+  groupNotFounded: spec(1220, 'warn', 'this replica knows no leader of its group; what is missing for one is named', 'Expected for seconds at the first start, and after a restart of all control instances. If it repeats, start the founders named as "no reply" and check that they can be reached.'),
+  founderClaimed: spec(1221, 'warn', 'this replica was not told that the whole system starts for the first time, and founds its group with the others because none ever existed', 'Expected if a process ended during the first second of the first start. At any other time, check what became of the disks of the control instances.'),
   leaseGranted: spec(1301, 'info', 'this instance holds a lease and is serving'),
   leaseLost: spec(1302, 'warn', 'lease expired; nothing is dispatched until it is renewed', 'Check the links from this instance to the control instances.'),
   instanceJoined: spec(1303, 'info', 'instance joined the view'),
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -52,6 +52,14 @@
   timing: state.ReplicaTiming | undefined
   /** Names that replicas contact for joining; the founders by default. */
   seeds: readonly string[] | undefined
+  /** Number of disks that may be lost at once; if set, replicas found their group by what they were told at their first start. */
+  maxFailedDisks: number | undefined
+  /** Whether there are signs of a group beyond its replicas. */
+  mayHaveGroup = false
+  /** Replicas that have claimed the identity of a founder. */
+  readonly claims: string[] = []
+  /** Replicas that have logged that there is no group, and what is missing. */
+  readonly reports: Array<{ name: string, missing: string }> = []
   /** Replicas that reported a storage failure. */
   readonly failed: string[] = []
   /** Leader of each term. */
@@ -72,9 +80,9 @@
   node (name: string): Node { return this.nodes.get(name) as Node }
 
   /** Adds a replica with an empty disk that is not a founder. */
-  async add (name: string): Promise<void> {
+  async add (name: string, canBootstrap = true): Promise<void> {
     this.addNode(name)
-    await this.start(name)
+    await this.start(name, canBootstrap)
   }
 
   private addNode (name: string): void {
@@ -92,7 +100,7 @@
     const process: Process = { isDead: false, replica: undefined, applied: [] }
     node.process = process
     node.starts++
-    const log = telemetry.createLog({ instance: name, level: 'silent' })
+    const log = this.createLog(name)
     const invariants: telemetry.Invariants = {
       check: (invariant, holds, detail) => { if (!holds) this.violations.push(`${invariant}: ${detail()}`) },
       tallies: () => ({} as ReturnType<telemetry.Invariants['tallies']>)
@@ -109,6 +117,7 @@
       name,
       founderNames: this.names,
       canBootstrap,
+      founding: this.maxFailedDisks === undefined ? undefined : { isFirstStart: canBootstrap, maxFailedDisks: this.maxFailedDisks, mayHaveGroup: () => this.mayHaveGroup },
       contacts: () => this.seeds ?? this.names,
       isDynamic: this.isDynamic,
       timing: this.timing,
@@ -136,6 +145,18 @@
     })
   }
 
+  private createLog (name: string): telemetry.Log {
+    const log = telemetry.createLog({ instance: name, level: 'silent' })
+    return {
+      ...log,
+      event: (event, fields) => {
+        if (event === 'founderClaimed') this.claims.push(name)
+        if (event === 'groupNotFounded') this.reports.push({ name, missing: String(fields?.missing) })
+        log.event(event, fields)
+      }
+    }
+  }
+
   private restartLater (name: string, failed: Process): void {
     this.clock.schedule(RESTART_PAUSE_MS, () => {
       if (failed.isDead || this.node(name).process !== failed) return
@@ -215,7 +236,8 @@
 
   private async openStorage (node: Node, process: Process): Promise<state.Storage> {
     if (!this.usesFiles) return this.createStorage(node, process)
-    return await state.createFileStorage('/data/test', node.files.connect(async isSync => {
+    // The folder above exists before the first start, as the platform's data folder does.
+    return await state.createFileStorage('/test', node.files.connect(async isSync => {
       if (isSync) await this.sleep(this.draw(this.syncMs))
       if (process.isDead) await new Promise(() => {})
     }))
@@ -240,27 +262,7 @@
       queue = turn.catch(() => {})
       await turn
     }
-    return {
-      load: async () => {
-        if (disk.entries.some((item, i) => i > 0 && item.index !== disk.entries[i - 1].index + 1)) this.violations.push(`gap in the log of ${node.name}: ${disk.entries.map(item => item.index).join(' ')}`)
-        return disk.meta === undefined ? { kind: 'empty' } : { kind: 'found', meta: disk.meta, snapshot: disk.snapshot, entries: [...disk.entries], tornBytes: 0, commitIndex: disk.committed }
-      },
-      wipe: async () => { await write(() => { disk.wipe() }) },
-      saveMeta: async meta => { await write(() => { disk.meta = meta }) },
-      append: async list => {
-        const copy = [...list]
-        await write(() => { disk.entries.push(...copy) }, () => { disk.entries.push(...copy.slice(0, 1)) })
-      },
-      saveCommitIndex: index => { write(() => { disk.committed = index }).catch(() => {}) },
-      truncateFrom: async index => { await write(() => { disk.entries = disk.entries.filter(item => item.index < index) }) },
-      saveSnapshot: async (snapshot, keepFrom) => {
-        await write(() => {
-          disk.snapshot = snapshot
-          disk.entries = disk.entries.filter(item => item.index >= keepFrom)
-        }, () => { disk.snapshot = snapshot })
-      },
-      close: async () => {}
-    }
+    return disk.createStorage(write, gap => { this.violations.push(`gap in the log of ${node.name}: ${gap}`) })
   }
 
   private async call (from: string, caller: Process, to: string, msg: state.Rpc): Promise<state.RpcReply> {
--- a/packages/state/src/entries.ts
+++ b/packages/state/src/entries.ts
@@ -48,11 +48,28 @@
 })
 export type Snapshot = z.infer<typeof snapshot>
 
+/** What a replica says of the start of its group to one that is not part of it. */
+export const standing = z.object({
+  /** Sorted names of the founders that it was told, or whose identity it claimed; null if there are none. */
+  founders: z.array(z.string()).nullable(),
+  /** Sorted names of the founders by its current settings. */
+  seeds: z.array(z.string()),
+  term: position,
+  /** Whether it is or was a member of a group that has had a leader. */
+  isMember: z.boolean(),
+  /** Whether its disk belonged to a replica whose state was damaged. */
+  isFormer: z.boolean(),
+  /** Whether there are other signs of a group, such as a document. */
+  mayHaveGroup: z.boolean()
+})
+export type Standing = z.infer<typeof standing>
+
 const ballot = { term: position, candidate: member, lastIndex: position, lastTerm: position, isTransfer: z.boolean() }
 
 /** Calls between replicas. */
 export const rpc = z.discriminatedUnion('t', [
-  z.object({ t: z.literal('hello'), from: member }),
+  /** `standing` is absent from earlier versions. */
+  z.object({ t: z.literal('hello'), from: member, standing: standing.optional() }),
   z.object({ t: z.literal('join'), from: member }),
   z.object({ t: z.literal('preVote'), ...ballot }),
   z.object({ t: z.literal('vote'), ...ballot }),
@@ -76,7 +93,7 @@
 
 /** Replies. `from` identifies the incarnation, since a replica with a wiped disk is a new member under the same name. */
 export const rpcReply = z.discriminatedUnion('t', [
-  z.object({ t: z.literal('hello'), from: member, founding: z.array(member).nullable() }),
+  z.object({ t: z.literal('hello'), from: member, founding: z.array(member).nullable(), standing: standing.optional() }),
   z.object({ t: z.literal('join'), from: member, leader: z.string().nullable(), isVoter: z.boolean() }),
   z.object({ t: z.literal('ballot'), from: member, term: position, isGranted: z.boolean() }),
   z.object({ t: z.literal('append'), from: member, term: position, isOk: z.boolean(), match: position, tryNext: position }),
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -1,10 +1,11 @@
 /**
- * File-based storage of a replica, one folder with the files `meta`, `snapshot`, `log`, `synced` and `committed`. Records
- * are framed with their length and a CRC.
+ * File-based storage of a replica, one folder with the files `meta`, `snapshot`, `log`, `synced` and `committed`, beside those of
+ * firstStart.ts. Records are framed with their length and a CRC.
  */
 import * as path from 'node:path'
 import * as entries from './entries.js'
 import * as fileSystems from './fileSystem.js'
+import * as firstStarts from './firstStart.js'
 import * as records from './records.js'
 import * as replaceFiles from './replaceFile.js'
 import * as storage from './storage.js'
@@ -16,7 +17,7 @@
  */
 export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
   const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
-  const folderDurable = syncNames(folder, firstCreated, fs)
+  const folderDurable = replaceFiles.syncNames(folder, firstCreated, fs)
   // A failure is reported where it is waited for.
   folderDurable.catch(() => {})
   const toPath = (name: string) => path.join(folder, name)
@@ -90,7 +91,11 @@
       synced: await readFile('synced'),
       committed: await readFile('committed')
     })
-    if (stored.kind !== 'found') return stored
+    if (stored.kind === 'damaged') return stored
+    const { founders, isFormer } = await firstStarts.readFirstStart(folder, fs)
+    if (founders !== null) stored.founders = founders
+    if (isFormer) stored.isFormer = true
+    if (stored.kind === 'empty') return stored
     commitIndex = stored.commitIndex
     ends = stored.ends
     size = log.length
@@ -115,6 +120,7 @@
       await enqueue(async () => {
         await log.close()
         await syncedFile.close()
+        await firstStarts.saveFormer(folder, fs)
         // Without its metadata, what an interrupted removal leaves is wiped at the next start too.
         await fs.rm(toPath('meta'), { force: true })
         await replaceFiles.syncFolder(folder, fs)
@@ -127,6 +133,7 @@
         commitIndex = 0
       })
     },
+    saveFounders: async founders => { await enqueue(async () => { await firstStarts.saveFounders(folder, founders, fs) }) },
     saveMeta: async meta => { await enqueue(async () => { await replaceFiles.replaceFile(folder, 'meta', records.encodeRecord(meta), fs) }) },
     append: async list => {
       const encoded = list.map(records.encodeRecord)
@@ -180,17 +187,6 @@
   }
 }
 
-/**
- * Syncs the names of a folder and of its ancestors that were created with it. An earlier process may have ended before it did so.
- * @param firstCreated the outermost folder that was created
- */
-async function syncNames (folder: string, firstCreated: string, fs: fileSystems.FileSystem): Promise<void> {
-  for (let created = path.resolve(folder); ; created = path.dirname(created)) {
-    await replaceFiles.syncFolder(path.dirname(created), fs)
-    if (created.length <= path.resolve(firstCreated).length) return
-  }
-}
-
 /** Opens a file for reading and writing; creates it if it is missing. */
 async function openForUpdate (file: string, fs: fileSystems.FileSystem): Promise<fileSystems.OpenFile> {
   await (await fs.open(file, 'a')).close()
--- a/packages/state/src/replaceFile.ts
+++ b/packages/state/src/replaceFile.ts
@@ -6,10 +6,11 @@
  * Replaces a file atomically: writes a temporary file, syncs it, renames it and syncs the folder. After a power loss either
  * the old or the new content is found.
  * @param before what must be durable before the new content is found
+ * @param tempName name of the temporary file
  * @throws Error when the disk is full or fails
  */
-export async function replaceFile (folder: string, name: string, content: string | Buffer, fs = fileSystems.nodeFileSystem, before: Promise<void> = Promise.resolve()): Promise<void> {
-  const tempFile = path.join(folder, `${name}.new`)
+export async function replaceFile (folder: string, name: string, content: string | Buffer, fs = fileSystems.nodeFileSystem, before: Promise<void> = Promise.resolve(), tempName = `${name}.new`): Promise<void> {
+  const tempFile = path.join(folder, tempName)
   // What an earlier attempt left is removed, not overwritten: a file whose sync has failed once is not relied on.
   await fs.rm(tempFile, { force: true })
   const handle = await fs.open(tempFile, 'w')
@@ -29,3 +30,14 @@
   const handle = await fs.open(folder, 'r')
   await handle.sync().finally(async () => { await handle.close() })
 }
+
+/**
+ * Syncs the names of a folder and of its ancestors that were created with it. An earlier process may have ended before it did so.
+ * @param firstCreated the outermost folder that was created
+ */
+export async function syncNames (folder: string, firstCreated: string, fs = fileSystems.nodeFileSystem): Promise<void> {
+  for (let created = path.resolve(folder); ; created = path.dirname(created)) {
+    await syncFolder(path.dirname(created), fs)
+    if (created.length <= path.resolve(firstCreated).length) return
+  }
+}
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -25,6 +25,8 @@
   leader: string | null
   voters: string[]
   learners: string[]
+  /** What is missing until this replica knows a leader of its group; null if it knows one, or is not told how the group is founded. */
+  missing: string | null
 }
 
 /** Interval at which a pending confirmation checks for acknowledgements. */
@@ -135,7 +137,7 @@
     async handle (msg) {
       if (!core.isRunning) throw new Error(`replica ${opts.name} has stopped: call it again after its restart`)
       switch (msg.t) {
-        case 'hello': return bootstrap.onHello(core)
+        case 'hello': return bootstrap.onHello(core, msg)
         case 'join': return membershipChanges.onJoinRequest(core, msg.from)
         case 'preVote':
         case 'vote': return await election.onVoteRequest(core, msg)
@@ -184,7 +186,8 @@
       lastIndex: core.log.lastIndex(),
       leader: core.leader,
       voters: core.voters().map(entries.toMemberId),
-      learners: core.role.kind === 'leader' ? [...core.role.leadership.learners.keys()] : []
+      learners: core.role.kind === 'leader' ? [...core.role.leadership.learners.keys()] : [],
+      missing: opts.founding === undefined || core.leader !== null ? null : core.start.missing
     }),
     async stop () {
       await transferLeadership()
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -3,6 +3,7 @@
  * replication.ts, membershipChanges.ts and bootstrap.ts.
  */
 import * as entries from './entries.js'
+import * as foundings from './founding.js'
 import * as memoryLog from './memoryLog.js'
 import * as replicaOptions from './replicaOptions.js'
 import type * as roles from './roles.js'
@@ -43,8 +44,8 @@
     votedAt: -Infinity,
     /** Votes of the latest lost election that was logged. */
     lastLostVotes: '',
-    /** The latest join request that was logged. */
-    lastJoinRequest: '',
+    /** What is known of the start of the group. */
+    start: foundings.createStart(clock.now()),
     isRunning: true,
     /** Whether the stored state was loaded; an earlier failure is reported by the loading itself. */
     isLoaded: false,
--- a/packages/state/src/replicaOptions.ts
+++ b/packages/state/src/replicaOptions.ts
@@ -34,14 +34,28 @@
 /** Timing of the control instances. */
 export const DEFAULT_TIMING: ReplicaTiming = { heartbeatMs: contracts.HEARTBEAT_INTERVAL_MS, electionMinMs: contracts.ELECTION_TIMEOUT_MIN_MS, electionMaxMs: contracts.ELECTION_TIMEOUT_MAX_MS }
 
+/** How a group is founded whose processes may end, or be away, at its first start. */
+export interface FoundingOptions {
+  /** Whether the whole system starts for the first time, with empty disks. All founders are told the same names then. */
+  isFirstStart: boolean
+  /** Number of disks that may be lost at the same time. */
+  maxFailedDisks: number
+  /** Returns whether there is a sign that the group exists, such as a document that it has stored. */
+  mayHaveGroup?: () => boolean
+}
+
 export interface ReplicaOptions {
   /** Name of the replica group, for logs. */
   group: string
   name: string
   /** Names of the replicas that bootstrap the group; without dynamic membership these are all its replicas. */
   founderNames: readonly string[]
-  /** Whether this replica may bootstrap the group; false after a restart with an empty disk. Default: true. */
+  /**
+   * Whether this replica may bootstrap the group; false after a restart with an empty disk. Default: true. Not used with `founding`.
+   */
   canBootstrap?: boolean
+  /** How the group is founded if not all founders live through the first start. Default: only while all of them are up, by the first one. */
+  founding?: FoundingOptions
   /** Names of replicas to contact for joining. Default: the founders. */
   contacts?: () => readonly string[]
   /** Whether replicas other than the founders are admitted, and unresponsive voters removed. Default: false. */
