fix(state): a replica that replaces its former self does not yield to its own messages

What callers would see: a group without a leader for good, although no disk is lost and all replicas run.

Cause: a replica that starts with an empty disk is admitted under its name before its former incarnation is removed. If it stands for election between the two, it also asked the former incarnation, at its own address: its own request made it yield, and once it led, its own entries made it a follower. It has the longest log, so nobody else is elected.

Change: no request and no entries are sent to an earlier incarnation of the sender. It still counts as a voter.

--- a/packages/state/__tests__/drawnFoundings.test.ts
+++ b/packages/state/__tests__/drawnFoundings.test.ts
@@ -231,3 +231,22 @@
   t.log(JSON.stringify(totals))
   t.pass()
 })
+
+// Guards against a replica that replaces its former self, which is still a voter, and yields to its own requests and messages for ever.
+test('a replica is elected beside its earlier incarnation', async t => {
+  const play = new Play({
+    numFounders: 3,
+    numOthers: 1,
+    usesFiles: true,
+    startMs: [97, 211, 4, 33, 9883, 1, 98],
+    earlyEnds: [{ afterMs: 2, downMs: 423, isTold: false }, null, null, { afterMs: 7, downMs: 45, isTold: true }, { afterMs: 5, downMs: 381, isTold: true }, { afterMs: 20, downMs: 230, isTold: true }, null],
+    faults: [
+      { at: 13321, kind: 'kill', target: 4, other: 2, downMs: 4426, isTold: false, losesPower: true },
+      { at: 1224, kind: 'killAll', target: 1, other: 5, downMs: 329, isTold: false, losesPower: true },
+      { at: 61, kind: 'kill', target: 1, other: 1, downMs: 9053, isTold: false, losesPower: false }
+    ],
+    seed: 851900
+  })
+  await play.run()
+  t.deepEqual(await play.judge(), [])
+})
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -84,12 +84,14 @@
 
 /** Requests votes from all voters in parallel and resolves as soon as the result is decided. */
 async function collectVotes (core: replicaCore.Core, msg: VoteRequest): Promise<boolean> {
-  const others = core.voters().filter(voter => entries.toMemberId(voter) !== core.selfId())
+  // Guards against yielding to its own request, which is sent to an earlier incarnation of this replica.
+  const others = core.voters().filter(voter => voter.name !== core.opts.name)
   const quorum = core.quorum()
   const results = new Map(others.map(voter => [entries.toMemberId(voter), 'no reply yet']))
   let granted = 1
   let outstanding = others.length
   if (granted >= quorum) return true
+  if (granted + outstanding < quorum) return false
   return await new Promise<boolean>(resolve => {
     let isDecided = false
     const lose = (): void => {
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -40,7 +40,8 @@
   const members = [...core.voters(), ...leadership.learners.values()]
   for (const member of members) {
     const id = entries.toMemberId(member)
-    if (id === core.selfId() || leadership.peers.has(id)) continue
+    // An earlier incarnation of this replica is gone: its messages would reach this one.
+    if (member.name === core.opts.name || leadership.peers.has(id)) continue
     const progress: roles.PeerProgress = { member, nextIndex: core.log.lastIndex() + 1, matchIndex: 0, lastAckedSentAt: -Infinity, wake: () => {} }
     leadership.peers.set(id, progress)
     void replicateToPeer(core, leadership, progress)
