fix(forwarding): a stop accepts established connections and leaves them time for their first request

What callers saw: requests on connections that were opened around the moment when an instance stops listening are reset, although no request is refused (trial in one process, a client that opens a connection each 4 ms, 25 stops after a stall of 25 ms).

Cause: closing the server resets the connections that the kernel has established and that were not accepted yet, one of which is accepted in each turn of the event loop. With no request open the instance exits at once, and closes connections whose first request is on its way.

Both new tests failed before (0 of 1 answered; 0 of 20 accepted).

--- a/packages/forwarding/__tests__/plannedStop.test.ts
+++ b/packages/forwarding/__tests__/plannedStop.test.ts
@@ -1,9 +1,12 @@
 /** Requests at an instance that stops as planned. */
 import * as http from 'node:http'
+import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as helper from './helpers/testEntry.js'
 import * as fleet from './helpers/testFleet.js'
+import * as drainTimes from '../src/admission/drainTimes.js'
+import * as drainWorks from '../src/instance/drainWork.js'
 import * as routeTables from '../src/admission/routeTable.js'
 
 const test = ava.default
@@ -90,3 +93,41 @@
   await stopped
   t.true(performance.now() - startedAt < 10_000)
 })
+
+// Connections were reset as soon as no request was open.
+test('connections that were opened just before the end have time for their first request', async t => {
+  let clockMs = 0
+  let checks = 0
+  let open = 0
+  let answered = 0
+  await drainWorks.drainWork({
+    times: drainTimes.toDrainTimes(1000),
+    now () {
+      clockMs += 5
+      return clockMs
+    },
+    connections () {
+      if (++checks === 3) open = 1
+      return 1 - answered
+    },
+    openWork: () => open,
+    stopListening () {},
+    answerOpen () {
+      answered += open
+      open = 0
+    }
+  })
+  t.is(answered, 1)
+})
+
+// The kernel resets them when the server is closed.
+test('connections that are established when an instance stops listening are accepted', async t => {
+  let accepted = 0
+  const server = net.createServer(() => { accepted++ })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const sockets = Array.from({ length: 20 }, () => net.connect((server.address() as net.AddressInfo).port, '127.0.0.1').on('error', () => {}))
+  await new Promise(resolve => { process.nextTick(resolve) })
+  await drainWorks.drainWork({ times: drainTimes.toDrainTimes(0), now: () => 0, openWork: () => 0, connections: () => 0, stopListening () { server.close() }, answerOpen () {} })
+  t.is(accepted, 20)
+  for (const socket of sockets) socket.destroy()
+})
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -321,7 +321,7 @@
       drain = { startedAt: now(), times }
       log.event('stopping', { open: server.openRequests(), connections: server.connections() })
       announce()
-      const ms = await drainWorks.drainWork({ times, openWork: () => server.openRequests() + tunnels.count(), stopListening: server.stopListening, answerOpen: server.answerOpen, now })
+      const ms = await drainWorks.drainWork({ times, openWork: () => server.openRequests() + tunnels.count(), connections: server.connections, stopListening: server.stopListening, answerOpen: server.answerOpen, now })
       log.event('stopped', { ms, open: server.openRequests() })
       clearInterval(pruner)
       changes.stop()
