--- a/packages/forwarding/__tests__/plannedStop.test.ts
+++ b/packages/forwarding/__tests__/plannedStop.test.ts
@@ -1,5 +1,6 @@
 /** Requests at an instance that stops as planned. */
 import * as http from 'node:http'
+import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as helper from './helpers/testEntry.js'
@@ -118,3 +119,15 @@
   })
   t.is(answered, 1)
 })
+
+// The kernel resets them when the server is closed.
+test('connections that are established when an instance stops listening are accepted', async t => {
+  let accepted = 0
+  const server = net.createServer(() => { accepted++ })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const sockets = Array.from({ length: 20 }, () => net.connect((server.address() as net.AddressInfo).port, '127.0.0.1').on('error', () => {}))
+  await new Promise(resolve => { process.nextTick(resolve) })
+  await drainWorks.drainWork({ times: drainTimes.toDrainTimes(0), now: () => 0, openWork: () => 0, connections: () => 0, stopListening () { server.close() }, answerOpen () {} })
+  t.is(accepted, 20)
+  for (const socket of sockets) socket.destroy()
+})
--- a/packages/forwarding/src/instance/drainWork.ts
+++ b/packages/forwarding/src/instance/drainWork.ts
@@ -18,6 +18,8 @@
 /** A draining instance without open requests for this time stops early: its clients have been directed to other instances. */
 const DRAIN_IDLE_MS = 2500
 const DRAIN_POLL_MS = 50
+/** Turns of the event loop, each of which accepts one connection. */
+const ACCEPT_TURNS = 50
 /** Time for the first request on connections that were opened shortly before the instance stopped listening. */
 const FIRST_REQUEST_MS = 100
 
@@ -34,6 +36,8 @@
     return now() - idleSince > DRAIN_IDLE_MS
   }
   await pollUntil(times.stopListeningMs, isIdle)
+  // The kernel resets established connections that were not accepted.
+  for (let turn = 0; turn < ACCEPT_TURNS; turn++) await timers.setImmediate()
   stopListening()
   await pollUntil(Math.min(times.answerMs, elapsed() + FIRST_REQUEST_MS), () => connections() === 0)
   await pollUntil(times.answerMs, () => openWork() === 0)
