fix(platform): that the whole fleet starts for the first time is stored before the program is loaded

What callers saw: no configuration was ever acknowledged after one control instance had ended in its first second and was started again with `bootstrap` false; "no leader known within 1500 ms" did not say why, and no metric did.

The replica of the document is founded by what was told (`founding`), and only at the first creation in a process. A document that any instance reports, or a handout on the disk, excludes a claim. Calls that are answered 503 name what is missing, and `kingcupdeck_group_founded` is 0 meanwhile. Seeds are read by one module, since the first stage has to name the same founders.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -2,6 +2,8 @@
  * A control instance: a replica of the configuration document, the records of all endpoints and entry instances, and the links
  * to the other instances.
  */
+import * as fs from 'node:fs'
+import * as path from 'node:path'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
 import * as links from '@kingcupdeck/links'
@@ -17,7 +19,7 @@
   inner: string
   /** Inner addresses of the first voters of the group. */
   founders: readonly string[]
-  /** Whether the group may be created: true only at the first start of the fleet. */
+  /** Whether the whole fleet starts for the first time, with empty disks. */
   mayFound: boolean
   /** Inner addresses of control instances, from the current settings. */
   contacts: () => readonly string[]
@@ -65,16 +67,24 @@
 
   // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
   const starting = createPendingParts()
+  let isDocumentKnown = fs.existsSync(path.join(opts.dataFolder, discovery.HANDOUT_FILE))
+  const noteVersion = (msg: discovery.DiscoveryEvent | discovery.DiscoveryCall): void => {
+    if ((msg.t === 'tick' || msg.t === 'version' || msg.t === 'subscribe') && msg.version > 0) isDocumentKnown = true
+  }
   const handlers: links.LinkHandlers = {
     onEvent (body, link) {
       const event = discovery.discoveryEvent.safeParse(body)
-      if (event.success) starting.peek()?.publisher.onEvent(event.data)
-      else refusals.note('recordsRefused', 'event', { from: link.peer.id, why: event.error.message })
+      if (event.success) {
+        noteVersion(event.data)
+        starting.peek()?.publisher.onEvent(event.data)
+      } else refusals.note('recordsRefused', 'event', { from: link.peer.id, why: event.error.message })
     },
     async onCall (body, link) {
       const { store, publisher } = await starting.get()
       if (documentCalls.isDocumentCall(body)) return await store.onCall(documentCalls.documentCall.parse(body))
-      return await publisher.onCall(discovery.discoveryCall.parse(body), link)
+      const call = discovery.discoveryCall.parse(body)
+      noteVersion(call)
+      return await publisher.onCall(call, link)
     }
   }
   const linkCfg: links.LinkSettings = { identity: { role: 'control', id: opts.inner }, secret: opts.secret, log, handlers }
@@ -92,6 +102,7 @@
     self: opts.inner,
     founders: opts.founders,
     mayFound: opts.mayFound,
+    isDocumentKnown: () => isDocumentKnown,
     contacts: opts.contacts,
     maxFailedDisks: opts.maxFailedDisks,
     dataFolder: opts.dataFolder,
--- a/packages/coordination/src/controlMetrics.ts
+++ b/packages/coordination/src/controlMetrics.ts
@@ -26,6 +26,7 @@
   gauge('kingcupdeck_document_version', 'Version of the document held here', () => instance.store.latest()?.version ?? 0)
   gauge('kingcupdeck_evacuated_zones', 'Evacuated availability zones held here', () => instance.store.evacuations().zones.length)
   gauge('kingcupdeck_control_current', 'Whether this instance had applied all committed entries a short time ago', () => instance.store.isCurrent() ? 1 : 0)
+  gauge('kingcupdeck_group_founded', 'Whether this instance knows a leader of the group of the document', () => instance.store.status()?.missing === null ? 1 : 0)
   gauge('kingcupdeck_control_leads', 'Whether this instance leads the group of the document', () => instance.store.isLeader() ? 1 : 0)
   gauge('kingcupdeck_records', 'Endpoints and entry instances that are known and not gone', () => instance.table.all().filter(item => item.state !== 'gone').length)
   gauge('kingcupdeck_links_open', 'Open links to other instances', links.openLinkCount)
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -15,6 +15,7 @@
 import * as documentMachines from './documentMachine.js'
 import * as evacuationFiles from './evacuationFile.js'
 import * as evacuationOrders from './evacuationOrders.js'
+import * as firstStarts from './firstStart.js'
 import * as loggedEvacuations from './loggedEvacuations.js'
 
 const readReply = z.object({ packed: contracts.packedText.nullable(), isSame: z.boolean() })
@@ -26,8 +27,10 @@
   self: string
   /** Inner addresses of the first voters of the group. */
   founders: readonly string[]
-  /** Whether the group may be created: true only at the first start of the fleet. */
+  /** Whether the whole fleet starts for the first time, with empty disks. */
   mayFound: boolean
+  /** Returns whether other instances have, or this one's disk had, a document, so that there was a group. Default: no. */
+  isDocumentKnown?: () => boolean
   /** Inner addresses of control instances, from the current settings. */
   contacts: () => readonly string[]
   /** Number of disks that may fail at the same time without loss of the document. */
@@ -80,7 +83,6 @@
   stop (): Promise<void>
 }
 
-const GROUP = 'document'
 /**
  * Short, since after a kill of all replicas most of the time without a confirmed document is the wait for a leader. The shortest
  * election timeout must exceed the sync of a slow disk (150 ms) plus a stall of the process.
@@ -169,14 +171,15 @@
     }
   }
 
+  let mayFound = opts.mayFound
   const create = async (startedAt?: number): Promise<state.Replica> => {
     machine = documentMachines.createDocumentMachine(onChange, onEvacuations)
-    logged = loggedEvacuations.createLoggedEvacuations(await state.createFileStorage(path.join(opts.dataFolder, GROUP)), evacuationFile.saveNow)
-    return await state.createReplica({
-      group: GROUP,
+    logged = loggedEvacuations.createLoggedEvacuations(await state.createFileStorage(path.join(opts.dataFolder, firstStarts.GROUP)), evacuationFile.saveNow)
+    const created = await state.createReplica({
+      group: firstStarts.GROUP,
       name: opts.self,
       founderNames: opts.founders,
-      canBootstrap: opts.mayFound,
+      founding: { isFirstStart: mayFound, maxFailedDisks: opts.maxFailedDisks, mayHaveGroup: () => latest !== null || opts.isDocumentKnown?.() === true },
       contacts: opts.contacts,
       isDynamic: true,
       timing: TIMING,
@@ -193,6 +196,9 @@
       snapshotEvery: SNAPSHOT_ENTRIES,
       onFailed: () => { void restart() }
     })
+    // What this process was told is stored now. A disk that is empty later has lost it.
+    mayFound = false
+    return created
   }
 
   const leaderName = (): string | null => replica?.leaderName() ?? null
@@ -224,7 +230,8 @@
   /** Runs an operation at the leader, local or remote; retries until it succeeds or the timeout expires. */
   const retry = async <T>(timeoutMs: number, locally: (leftMs: number) => Promise<T>, remotely: (link: links.Link, leftMs: number) => Promise<T>): Promise<T> => {
     const deadline = performance.now() + timeoutMs
-    let lastErr: unknown = new Error(`no leader known within ${timeoutMs} ms`)
+    const missing = replica?.status().missing ?? null
+    let lastErr: unknown = new Error(`no leader known within ${timeoutMs} ms${missing === null ? '' : `: ${missing}`}`)
     while (true) {
       const leftMs = deadline - performance.now()
       if (leftMs <= RETRY_PAUSE_MS) throw lastErr
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -44,6 +44,11 @@
 /** esbuild options of every bundle. */
 const BUNDLE_OPTIONS = { absWorkingDir: root, bundle: true, minify: !options['no-minify'], platform: 'node', target: 'node20', format: 'cjs', logLevel: 'warning', write: false }
 
+/** Returns the source files of modules, so that no other module of their packages is bundled. */
+function toSourceAliases (...modules) {
+  return Object.fromEntries(modules.map(name => [`@kingcupdeck/${name}`, path.join(root, 'packages', name.replace('/', '/src/') + '.ts')]))
+}
+
 /** Bundles an entry point. @returns the source of the bundle, and the files that it loads */
 async function bundle (entryPoint, outfile, more) {
   const { outputFiles } = await esbuild.build({ ...BUNDLE_OPTIONS, entryPoints: [entryPoint], outfile: path.join(target, outfile), ...more })
@@ -78,6 +83,7 @@
     define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
     alias: {
       '@kingcupdeck/coordination/metrics': path.join(root, 'packages/coordination/src/controlMetrics.ts'),
+      ...toSourceAliases('state/firstStart'),
       ...Object.fromEntries(packages.map(item => [`@kingcupdeck/${item}`, path.join(root, 'packages', item, 'src', 'index.ts')]))
     }
   })
@@ -89,7 +95,7 @@
   durableFiles.replaceFile(target, toLoaderFile(name), codeCaches.createLoader(name, digest))
   current.add(toLoaderFile(name))
   if (name === 'control') {
-    const first = await bundle('platform/src/firstStage.ts', 'control.first.cjs', { alias: { '@kingcupdeck/discovery/handout': path.join(root, 'packages/discovery/src/handout.ts') } })
+    const first = await bundle('platform/src/firstStage.ts', 'control.first.cjs', { alias: toSourceAliases('discovery/handout', 'coordination/firstStart', 'state/firstStart') })
     durableFiles.replaceFile(target, 'control.first.cjs', first.source)
     durableFiles.replaceFile(target, 'control.cjs', CONTROL_ENTRY)
     for (const file of ['control.first.cjs', 'control.cjs']) current.add(file)
