fix(coordination): an instance whose disk has a handout takes part in no founding

Cause: a replica's folder that is gone while the rest of the disk is there, with `bootstrap` true, counted as the first start; its founder's identity would be taken a second time, without what it had acknowledged.

Change: a handout on the disk at the start excludes the first start, as it excludes a claim.

Measured: the new test fails without the change and passes with it.

--- a/packages/coordination/__tests__/firstStart.test.ts
+++ b/packages/coordination/__tests__/firstStart.test.ts
@@ -5,6 +5,7 @@
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as contracts from '@kingcupdeck/contracts'
+import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as coordination from '../src/index.js'
 import * as controlMetrics from '../src/controlMetrics.js'
@@ -15,8 +16,9 @@
 /** What each process knows: told at this start, told before it ended in its first moments, or nothing. */
 type Told = 'now' | 'before' | 'never'
 
-async function start (t: ava.ExecutionContext, inner: string, founders: string[], told: Told): Promise<coordination.ControlInstance> {
+async function start (t: ava.ExecutionContext, inner: string, founders: string[], told: Told, prepare: (folder: string) => Promise<void> = async () => {}): Promise<coordination.ControlInstance> {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'first-start-'))
+  await prepare(folder)
   if (told === 'before') await firstStarts.saveFirstStart(folder, founders)
   const log = telemetry.createLog({ instance: inner, level: 'silent' })
   const instance = await coordination.startControlInstance({ inner, founders, mayFound: told === 'now', contacts: () => founders, maxFailedDisks: 1, dataFolder: folder, secret: 'test', log, invariants: telemetry.createInvariants({ log, isFatal: true }) })
@@ -49,6 +51,14 @@
   })
 }
 
+// Guards against a founder that takes part a second time, with a disk that has lost its replica and not the rest.
+test('an instance whose disk has a handout does not found a group, whatever it is told', async t => {
+  const inner = await freeAddresses.findFreeAddress()
+  const instance = await start(t, inner, [inner], 'now', async folder => { await fs.writeFile(path.join(folder, discovery.HANDOUT_FILE), '') })
+  await timers.setTimeout(1000)
+  t.deepEqual(instance.store.status()?.voters, [])
+})
+
 // Guards against callers and operators who are not told why the fleet does not start.
 test('an instance whose group is not founded says what is missing', async t => {
   const founders = await Promise.all([1, 2, 3].map(freeAddresses.findFreeAddress))
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -67,7 +67,9 @@
 
   // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
   const starting = createPendingParts()
-  let isDocumentKnown = fs.existsSync(path.join(opts.dataFolder, discovery.HANDOUT_FILE))
+  // A disk with a handout belonged to a member of a group, whatever became of its replica.
+  const hasHandout = fs.existsSync(path.join(opts.dataFolder, discovery.HANDOUT_FILE))
+  let isDocumentKnown = hasHandout
   const noteVersion = (msg: discovery.DiscoveryEvent | discovery.DiscoveryCall): void => {
     if ((msg.t === 'tick' || msg.t === 'version' || msg.t === 'subscribe') && msg.version > 0) isDocumentKnown = true
   }
@@ -101,7 +103,7 @@
   const store = await documentStores.startDocumentStore({
     self: opts.inner,
     founders: opts.founders,
-    mayFound: opts.mayFound,
+    mayFound: opts.mayFound && !hasHandout,
     isDocumentKnown: () => isDocumentKnown,
     contacts: opts.contacts,
     maxFailedDisks: opts.maxFailedDisks,
