fix(forwarding): an instance whose clock is behind its previous start is used

Callers saw (test): an entry instance that starts again with a clock before the time of its previous start is named to no client; the record of the earlier run, "leaving", stays until it expires (120 s after it was heard last). It takes a run that was shorter than the step of the clock.

Cause: of two records of an instance the one with the later start counts, and the start is the local clock's.

Change: an instance that learns within its first 30 s of a record of its own with a later start announces a start right behind that one, and logs it (1652). A process that has been running for longer leaves a later start alone: that is the process which replaces it.

Not run with real processes, whose clocks cannot be set here.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -98,6 +98,7 @@
   accountsUnusable: spec(1613, 'warn', 'names of client accounts in the configuration document cannot be sent as a header; their requests are rejected', 'Rename the accounts; new documents with such names are refused.'),
   documentDamaged: spec(1614, 'warn', 'configuration document that an instance sent is damaged; it is fetched from another one', 'Check that instance and its disk.'),
   listenRetried: spec(1621, 'warn', 'address is not available yet; trying again', 'Expected when a process starts before the one before it has ended. Otherwise check which process has the address.'),
+  clockBehind: spec(1652, 'warn', 'clock was behind the previous start of this instance, whose time is announced instead', 'Check the clock of the machine.'),
   connectionsCrowded: spec(1651, 'warn', 'connections of clients were closed unread because too many are open', 'Find out who keeps so many connections open, or add instances.'),
   linksCrowded: spec(1650, 'warn', 'connection of a peer that had not proven the fleet secret was closed for a newer one, because too many are open', 'Find out who opens connections to the port for links. Instances try again by themselves.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -33,6 +33,7 @@
 import * as retryBudgets from '../attempts/retryBudget.js'
 import * as routeDurations from '../admission/routeDurations.js'
 import * as routeTables from '../admission/routeTable.js'
+import * as startTimes from './startTime.js'
 import * as zoneOutages from '../endpoints/zoneOutage.js'
 import * as zoneProbers from '../endpoints/zoneProber.js'
 
@@ -76,10 +77,12 @@
   let drainStartedAt: number | undefined
   let seq = 0
 
+  const startTime = startTimes.createStartTime({ startedAt: opts.startedAt, known: () => table.get(opts.id)?.record, log, now })
+
   const self = (): discovery.EntryRecord => ({
     kind: 'entry',
     id: opts.id,
-    startedAt: opts.startedAt,
+    startedAt: startTime.get(),
     seq: ++seq,
     zone: opts.zone,
     region: opts.region,
@@ -283,6 +286,7 @@
       announceIfReady()
     },
     onRecords (list) {
+      if (drainStartedAt === undefined && startTime.update()) announce()
       endpoints.update(list)
       if (evacuations.zones.length > 0) updateEvacuatedZones()
       paths.update(list)
