fix(discovery): the handout keeps no connection that proves nothing

Callers would see: a control instance that loses a descriptor for good to each connection that is opened to its handout, in the first 80 to 300 ms of a start, and says nothing; nothing closed it, also after the server had been closed.

Cause: the server waited for 32 bytes without a limit, and closing it leaves accepted connections open.

Change: a connection without a proof is closed after 0.8 s, when a client has given up its fetch.

Result: the new test failed before (open 10 s later) and passes; no run with real processes.

--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -43,6 +43,24 @@
   await helper.until('all connections are closed', () => !server.activity().isBusy)
 })
 
+// Guards against descriptors that a process loses at each start to connections that say nothing.
+test('a connection without a proof is closed, also after the server was', async t => {
+  const inner = await findInnerAddress()
+  const server = await serve(t, inner, crypto.randomBytes(1000))
+  const { host, port } = discovery.toHandoutAddress(inner)
+  for (const bytes of [0, 10]) {
+    await new Promise<void>(resolve => {
+      const socket = net.connect({ host, port }, () => { socket.write(Buffer.alloc(bytes), () => { resolve() }) })
+      socket.on('error', () => {})
+      t.teardown(() => { socket.destroy() })
+    })
+  }
+  await helper.until('both are accepted', () => server.activity().isBusy)
+  server.close()
+  await helper.until('all connections are closed', () => !server.activity().isBusy)
+  t.false(server.activity().isBusy)
+})
+
 // Serving a large document to all instances of a fleet would saturate a slow link while control instances need it to connect.
 test('the total bytes of handouts are limited', async t => {
   const inner = await findInnerAddress()
--- a/packages/discovery/src/handout.ts
+++ b/packages/discovery/src/handout.ts
@@ -101,7 +101,12 @@
   const server = net.createServer(socket => {
     sockets.add(socket)
     lastConnectionAt = performance.now()
-    socket.on('close', () => sockets.delete(socket))
+    // By then a client has given up.
+    const timer = setTimeout(() => { socket.destroy() }, FETCH_TIMEOUT_MS)
+    socket.on('close', () => {
+      clearTimeout(timer)
+      sockets.delete(socket)
+    })
     // Nothing to do if the client disconnects: 'close' follows.
     socket.on('error', () => {})
     socket.setNoDelay(true)
@@ -112,6 +117,7 @@
       received = Buffer.concat([received, chunk])
       if (received.length < PROOF_BYTES) return
       socket.removeAllListeners('data')
+      clearTimeout(timer)
       const part = (['all', 'evacuations'] as const).find(item => isEqual(received, createProof(opts.secret, toRequest(item), nonce, Buffer.alloc(0))))
       if (part === 'all') sentBytes += payloads.all.length
       if (part === undefined || (part === 'all' && sentBytes > opts.maxTotalBytes)) {
