--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -290,7 +290,7 @@
       announceIfReady()
     },
     onRecords (list) {
-      if (drainStartedAt === undefined && startTime.update()) announce()
+      if (drain === undefined && startTime.update()) announce()
       endpoints.update(list)
       if (evacuations.zones.length > 0) updateEvacuatedZones()
       paths.update(list)
