fix(state): a vote does not count for an identity that is claimed while it is written

What callers could see: two leaders in one term during a first start, and an acknowledged command lost.

Cause: the reply to a request for a vote named the replica as it was after the vote was stored. If the replica claimed a founder's identity meanwhile, a vote in an earlier term counted as that founder's, whose lost disk may have voted for another one in this term.

Change: the reply names the replica that was asked, whose vote counts for nobody.

Measured: by reading; the new test gives the vote as founder without the change.

--- a/packages/state/__tests__/founding.test.ts
+++ b/packages/state/__tests__/founding.test.ts
@@ -251,6 +251,21 @@
   t.is(cluster.leader(), undefined)
 })
 
+// Guards against a vote that counts for a founder's identity although it was given before that was claimed: its former disk may have voted too.
+test('a vote counts for the identity that was asked for it', async t => {
+  const cluster = createCluster(29)
+  cluster.syncMs = { min: 50, max: 50 }
+  for (const name of cluster.names.slice(0, 2)) await cluster.start(name, name === 'a')
+  await run(cluster, 200)
+  await cluster.start('c', false)
+  while (cluster.node('c').process.replica === undefined) await cluster.clock.advance(1)
+  const candidate = { name: 'b', incarnation: 'any' }
+  const vote = cluster.node('c').process.replica?.handle({ t: 'vote', term: 1, candidate, lastIndex: 1, lastTerm: 0, isTransfer: true })
+  await run(cluster, 200)
+  t.deepEqual(cluster.claims, ['c'])
+  t.like(await vote, { isGranted: true, from: { incarnation: 'c-1' } })
+})
+
 // Guards against a system that does not start, and does not say why.
 test('replicas without a leader say what is missing', async t => {
   const cluster = createCluster(21)
--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -161,7 +161,9 @@
  * to judge, by incarnation: a new voter that the quorum needs may not have received the entry that makes it one.
  */
 export async function onVoteRequest (core: replicaCore.Core, msg: VoteRequest): Promise<entries.RpcReply> {
-  const reject = (): entries.RpcReply => ({ t: 'ballot', from: core.self(), term: core.meta.term, isGranted: false })
+  // Guards against a vote that is counted for a founder whose identity this replica claims while the vote is written.
+  const from = core.self()
+  const reject = (): entries.RpcReply => ({ t: 'ballot', from, term: core.meta.term, isGranted: false })
   // Guards the leader's lease: no other candidate may win while the lease can be valid. A replica whose process just started may
   // have acknowledged a leader before, so it waits as long.
   if (!msg.isTransfer && isLeaderAlive(core)) return reject()
@@ -169,7 +171,7 @@
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
   if (msg.t === 'preVote') {
     const isGranted = isUpToDate && msg.term > core.meta.term && !hasJustVotedForAnother(core, msg.candidate) && yieldsTo(core, msg)
-    return { t: 'ballot', from: core.self(), term: msg.term, isGranted }
+    return { t: 'ballot', from, term: msg.term, isGranted }
   }
   const candidate = entries.toMemberId(msg.candidate)
   const votedFor = msg.term > core.meta.term ? null : core.meta.votedFor
@@ -188,7 +190,7 @@
   }
   core.votedAt = core.opts.clock.now()
   checkVoteSynced(core, msg.term, candidate)
-  return { t: 'ballot', from: core.self(), term: msg.term, isGranted: true }
+  return { t: 'ballot', from, term: msg.term, isGranted: true }
 }
 
 /**
