--- a/packages/discovery/src/refusals.ts
+++ b/packages/discovery/src/refusals.ts
@@ -1,6 +1,6 @@
 /** Counts refused input by its kind, and logs the kinds at a bounded rate. */
 import type * as contracts from '@kingcupdeck/contracts'
-import type * as telemetry from '@kingcupdeck/telemetry'
+import * as telemetry from '@kingcupdeck/telemetry'
 
 /** Refused input of a process. */
 export interface Refusals {
@@ -20,19 +20,18 @@
 /** The longest text of a field, characters. */
 const MAX_FIELD_LENGTH = 200
 
-interface KindState { count: number, loggedCount: number, loggedAt: number }
+interface KindState { count: number, loggedCount: number, toUnlogged: () => number | undefined }
 
 /** Creates the counts; nothing was refused yet. */
 export function createRefusals (log: telemetry.Log, now: () => number = () => performance.now()): Refusals {
   const stateByKind = new Map<string, KindState>()
   return {
     note (event, kind, fields, count = 1) {
-      const state = stateByKind.get(kind) ?? { count: 0, loggedCount: 0, loggedAt: -Infinity }
+      const state = stateByKind.get(kind) ?? { count: 0, loggedCount: 0, toUnlogged: telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS, now) }
       stateByKind.set(kind, state)
       state.count += count
-      if (now() - state.loggedAt < REFUSAL_LOG_INTERVAL_MS) return
+      if (state.toUnlogged() === undefined) return
       log.event(event, { kind, count: state.count - state.loggedCount, ...toShort(fields) })
-      state.loggedAt = now()
       state.loggedCount = state.count
     },
     counts: () => new Map([...stateByKind].map(([kind, { count }]) => [kind, count]))
--- a/packages/links/src/link.ts
+++ b/packages/links/src/link.ts
@@ -97,8 +97,7 @@
   let busyCount = 0
   let lastReceivedAt = performance.now()
   let pingSentAt: number | undefined
-  let failureLoggedAt = -Infinity
-  let unloggedFailures = 0
+  const toUnloggedFailures = telemetry.createLineLimit(FAILURE_LOG_INTERVAL_MS)
   let closeReason: CloseReason = 'ended'
   let resolveClosed: (reason: CloseReason) => void = () => {}
   const closed = new Promise<CloseReason>(resolve => { resolveClosed = resolve })
@@ -166,14 +165,9 @@
     try {
       handlers.onEvent(body, link)
     } catch (err) {
-      const now = performance.now()
-      if (now - failureLoggedAt < FAILURE_LOG_INTERVAL_MS) {
-        unloggedFailures++
-        return
-      }
-      log.event('messageFailed', { peer: peer.id, unlogged: unloggedFailures, detail: (err instanceof Error ? err.stack ?? err.message : String(err)).slice(0, MAX_DETAIL_LENGTH) })
-      failureLoggedAt = now
-      unloggedFailures = 0
+      const unlogged = toUnloggedFailures()
+      if (unlogged === undefined) return
+      log.event('messageFailed', { peer: peer.id, unlogged, detail: (err instanceof Error ? err.stack ?? err.message : String(err)).slice(0, MAX_DETAIL_LENGTH) })
     }
   }
 
--- a/packages/links/src/startListening.ts
+++ b/packages/links/src/startListening.ts
@@ -72,15 +72,11 @@
 /** Resolves once the server listens. @param failure why it does not yet */
 async function waitForAddress (server: net.Server, address: string, failure: NodeJS.ErrnoException, opts: ListeningOptions): Promise<void> {
   const startedAt = performance.now()
-  let loggedAt = -Infinity
+  const toUnlogged = telemetry.createLineLimit(WAIT_LOG_INTERVAL_MS)
   for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS)) {
-    const now = performance.now()
-    const ms = Math.round(now - startedAt)
+    const ms = Math.round(performance.now() - startedAt)
     if (!PASSING_ERRORS.has(failure.code) || ms >= (opts.timeoutMs ?? Infinity)) throw toError(address, ms, failure)
-    if (now - loggedAt >= WAIT_LOG_INTERVAL_MS) {
-      opts.log?.event('listenRetried', { address, ms, detail: failure.message })
-      loggedAt = now
-    }
+    if (toUnlogged() !== undefined) opts.log?.event('listenRetried', { address, ms, detail: failure.message })
     await timers.setTimeout(pauseMs, undefined, { signal: opts.signal })
     const next = await tryListening(server, address, opts.backlog)
     if (next !== undefined) {
@@ -124,16 +120,9 @@
 }
 
 function handleErrors (server: net.Server, address: string, log: telemetry.Log | undefined): void {
-  let loggedAt = -Infinity
-  let unlogged = 0
+  const toUnlogged = telemetry.createLineLimit(ERROR_LOG_INTERVAL_MS)
   server.on('error', err => {
-    const now = performance.now()
-    if (now - loggedAt < ERROR_LOG_INTERVAL_MS) {
-      unlogged++
-      return
-    }
-    log?.event('acceptFailed', { address, detail: err.message, unlogged })
-    loggedAt = now
-    unlogged = 0
+    const unlogged = toUnlogged()
+    if (unlogged !== undefined) log?.event('acceptFailed', { address, detail: err.message, unlogged })
   })
 }
--- a/packages/links/src/unproven.ts
+++ b/packages/links/src/unproven.ts
@@ -4,7 +4,7 @@
  * as many do that start at once, are not closed for connections that say nothing.
  */
 import type * as net from 'node:net'
-import type * as telemetry from '@kingcupdeck/telemetry'
+import * as telemetry from '@kingcupdeck/telemetry'
 
 /** More than the peers of an instance in the largest fleet, which may all dial at once. */
 export const MAX_UNPROVEN = 512
@@ -25,20 +25,14 @@
   /** In the order in which they were added. */
   const silent = new Set<net.Socket>()
   const greeted = new Set<net.Socket>()
-  let loggedAt = -Infinity
-  let unlogged = 0
+  const toUnlogged = telemetry.createLineLimit(LOG_INTERVAL_MS)
 
   const closeOldest = (): void => {
     const [oldest] = silent.size > 0 ? silent : greeted
     silent.delete(oldest)
     greeted.delete(oldest)
-    const now = performance.now()
-    if (now - loggedAt < LOG_INTERVAL_MS) unlogged++
-    else {
-      log.event('linksCrowded', { address: oldest.remoteAddress ?? '', limit: MAX_UNPROVEN, unlogged })
-      loggedAt = now
-      unlogged = 0
-    }
+    const unlogged = toUnlogged()
+    if (unlogged !== undefined) log.event('linksCrowded', { address: oldest.remoteAddress ?? '', limit: MAX_UNPROVEN, unlogged })
     oldest.destroy()
   }
 
--- a/packages/telemetry/src/stepGuard.ts
+++ b/packages/telemetry/src/stepGuard.ts
@@ -1,4 +1,5 @@
 /** Keeps periodic work going: an unexpected error in one step must not end the steps after it, without which the process serves nothing. */
+import * as lineLimits from './lineLimit.js'
 import type * as logs from './log.js'
 
 /** The errors of a step are logged once in this time. */
@@ -10,20 +11,14 @@
  * @param step name for the log and the metrics
  */
 export function createStepGuard (log: logs.Log, step: string): (run: () => void) => void {
-  let loggedAt = -Infinity
-  let unlogged = 0
+  const toUnlogged = lineLimits.createLineLimit(LOG_INTERVAL_MS)
   return run => {
     try {
       run()
     } catch (err) {
-      const now = performance.now()
-      if (now - loggedAt < LOG_INTERVAL_MS) {
-        unlogged++
-        return
-      }
+      const unlogged = toUnlogged()
+      if (unlogged === undefined) return
       log.event('uncaught', { step, unlogged, detail: (err instanceof Error ? err.stack ?? err.message : String(err)).slice(0, MAX_DETAIL_LENGTH) })
-      loggedAt = now
-      unlogged = 0
     }
   }
 }
