fix(platform): requests for tunnels are answered, and refused connections have a line in the log

Callers that sent CONNECT to an API of a process had their connection closed without an answer, while the front answered 501, and nothing in the log named connections whose bytes were malformed. Cause: the APIs and the front each had their own handling of malformed requests.

--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -3,12 +3,12 @@
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as links from '@kingcupdeck/links'
+import * as telemetry from '@kingcupdeck/telemetry'
 import * as admission from '../admission/admission.js'
 import * as admittedRequests from './admittedRequest.js'
 import * as brokenResponses from './brokenResponses.js'
 import * as clientCalls from '../attempts/clientCall.js'
 import * as clientConnections from './clientConnections.js'
-import * as clientErrors from './clientErrors.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
 import * as heldBytes from './heldBytes.js'
@@ -70,8 +70,7 @@
   const connections = clientConnections.createClientConnections()
   const exchanges = new Set<Exchange>()
   const closing = new AbortController()
-  let refusedConnections = 0
-  let refusalLoggedAt = -Infinity
+  const toUnloggedRefusals = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS, ctx.now)
 
   const server = http.createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -102,12 +101,8 @@
 
   /** Logs connections that were closed unread, in bounds. */
   const noteRefused = (): void => {
-    refusedConnections++
-    const now = ctx.now()
-    if (now - refusalLoggedAt < REFUSAL_LOG_INTERVAL_MS) return
-    ctx.log.event('connectionsCrowded', { refused: refusedConnections, open: connections.count(), requests: connections.openCount() })
-    refusalLoggedAt = now
-    refusedConnections = 0
+    const unlogged = toUnloggedRefusals()
+    if (unlogged !== undefined) ctx.log.event('connectionsCrowded', { refused: unlogged + 1, open: connections.count(), requests: connections.openCount() })
   }
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -223,8 +218,10 @@
   server.closeIdleConnections = connections.closeIdle
   server.on('connection', connections.add)
   budget?.watch(server, { requestCost: 1, onRefused: noteRefused })
-  server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => { clientErrors.onClientError(err, socket, connections, ctx) })
-  server.on('connect', (req, socket: net.Socket) => { clientErrors.onConnect(req, socket, connections, ctx) })
+  links.handleClientErrors(server, {
+    lastResponse: socket => connections.responsesOn(socket).at(-1),
+    onRefused (status, why, isBusy) { ctx.log.event('requestRefused', { status, why, isBusy }) }
+  })
 
   return {
     async listen (front, onListening = () => {}) {
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,4 +1,5 @@
 /** Public API of the links package: frames, authenticated links, streams, and HTTP connections to endpoints. */
+export * from './clientErrors.js'
 export * from './connect.js'
 export * from './connectionBudget.js'
 export * from './deadline.js'
