--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -1,10 +1,10 @@
 /** How a replica becomes part of its group: by bootstrapping it with the other founders, from its own disk, or by joining. */
 import * as entries from './entries.js'
 import * as firstStarts from './firstStart.js'
+import * as following from './following.js'
 import * as foundings from './founding.js'
 import * as replicaCore from './replicaCore.js'
 import type * as replicaOptions from './replicaOptions.js'
-import * as replication from './replication.js'
 
 /** Restores the replica from its storage, or initializes empty storage. */
 export async function loadReplica (core: replicaCore.Core): Promise<void> {
@@ -66,7 +66,7 @@
   core.meta = { ...meta, founding: meta.founding ?? findFounding(list) }
   if (snapshot !== undefined) {
     core.log.reset(snapshot.lastIndex, snapshot.lastTerm)
-    replication.restoreSnapshot(core, snapshot)
+    following.restoreSnapshot(core, snapshot)
   }
   core.log.append(findSuffix(list, snapshot))
   core.queuedIndex = core.log.lastIndex()
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -5,6 +5,7 @@
 import * as entries from './entries.js'
 import * as election from './election.js'
 import * as bootstrap from './bootstrap.js'
+import * as following from './following.js'
 import * as membershipChanges from './membershipChanges.js'
 import * as replicaCore from './replicaCore.js'
 import * as replicaOptions from './replicaOptions.js'
@@ -65,7 +66,7 @@
 /** Loads a replica from its storage and starts its tasks. */
 export async function createReplica (opts: replicaOptions.ReplicaOptions): Promise<Replica> {
   const core = replicaCore.createCore(opts)
-  const assembly: replication.SnapshotAssembly = { lastIndex: 0, lastTerm: 0, chunks: [], bytes: 0 }
+  const assembly: following.SnapshotAssembly = { lastIndex: 0, lastTerm: 0, chunks: [], bytes: 0 }
   let isFlushing = false
 
   try {
@@ -141,9 +142,9 @@
         case 'join': return membershipChanges.onJoinRequest(core, msg.from)
         case 'preVote':
         case 'vote': return await election.onVoteRequest(core, msg)
-        case 'append': return await replication.onAppend(core, msg)
-        case 'heartbeat': return await replication.onHeartbeat(core, msg)
-        case 'snapshot': return await replication.onSnapshotChunk(core, assembly, msg)
+        case 'append': return await following.onAppend(core, msg)
+        case 'heartbeat': return await following.onHeartbeat(core, msg)
+        case 'snapshot': return await following.onSnapshotChunk(core, assembly, msg)
         case 'takeOver':
           if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') election.campaign(core, true, onElected).catch(core.fail)
           return { t: 'takeOver', from: core.self() }
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -1,6 +1,6 @@
 /**
  * State shared by the tasks of a replica, and its operations that must not be interleaved. The tasks are in election.ts,
- * replication.ts, membershipChanges.ts and bootstrap.ts.
+ * replication.ts, following.ts, membershipChanges.ts and bootstrap.ts.
  */
 import * as entries from './entries.js'
 import * as foundings from './founding.js'
