fix(forwarding): an instance asks for suspected requests once it knows another one

Cause in the product: the first question for suspected requests, and the first repetition, were sent to nobody and put off the next one by 1 s and 0.5 s. Change: an instance that knows no other one has not asked. Test: crashGossip, failed before.

--- a/packages/forwarding/__tests__/crashGossip.test.ts
+++ b/packages/forwarding/__tests__/crashGossip.test.ts
@@ -1,7 +1,8 @@
 /** Exchange of requests that are suspected of crashing endpoints. */
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
-import type * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
+import * as crashGossips from '../src/gossip/crashGossip.js'
+import * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
 import * as helper from './helpers/testGossip.js'
 
 const test = ava.default
@@ -142,3 +143,22 @@
   await timers.setTimeout(100)
   t.true(fleet.instances[0].sentCount <= 2 * SMALL, `${fleet.instances[0].sentCount} messages`)
 })
+
+// Guards against crashes that an instance learns of a second late, because it asked for them before it knew anyone.
+test('an instance asks for suspected requests as soon as it knows another one', t => {
+  let at = 0
+  let neighbours: string[] = []
+  const asked: Array<readonly string[]> = []
+  const gossip = crashGossips.createCrashGossip({
+    quarantine: crashQuarantines.createCrashQuarantine(),
+    neighbours: () => neighbours,
+    isDirect: () => true,
+    send (addresses, { asksForCrashes }) { if (asksForCrashes && addresses.length > 0) asked.push(addresses) },
+    now: () => at
+  })
+  gossip.tick()
+  at = 100
+  neighbours = ['other']
+  gossip.tick()
+  t.deepEqual(asked, [['other']])
+})
--- a/packages/forwarding/src/gossip/crashGossip.ts
+++ b/packages/forwarding/src/gossip/crashGossip.ts
@@ -70,13 +70,16 @@
     },
     tick () {
       const at = now()
+      const others = neighbours()
+      // What is sent to nobody must not put off what is sent to the first instance that becomes known.
+      if (others.length === 0) return
       if (at - startedAt < ASK_PERIOD_MS && at - askedAt > ASK_INTERVAL_MS) {
         askedAt = at
-        opts.send(neighbours(), { crashes: [], asksForCrashes: true })
+        opts.send(others, { crashes: [], asksForCrashes: true })
       }
       if (at - repeatedAt < REPEAT_INTERVAL_MS) return
       repeatedAt = at
-      sendReports(discovery.toShuffled(neighbours()).slice(0, 1), quarantine.toReports(at))
+      sendReports(discovery.toShuffled(others).slice(0, 1), quarantine.toReports(at))
     }
   }
 }
