--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -14,7 +14,7 @@
 }
 
 /**
- * Starts a relay on a free loopback port.
+ * Starts a relay on a free port of the target's host.
  * @param host IP address of the target
  * @param port port of the target
  */
@@ -41,7 +41,7 @@
     pass(left, right)
     pass(right, left)
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  await new Promise<void>(resolve => { server.listen(0, host, resolve) })
   const closeAll = (): void => {
     for (const pair of pairs) {
       pair.left.destroy()
@@ -50,7 +50,7 @@
     pairs.clear()
   }
   return {
-    address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+    address: `${host}:${(server.address() as net.AddressInfo).port}`,
     setMode (next) {
       mode = next
       if (next === 'cut') closeAll()
