--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -60,6 +60,8 @@
   readonly claims: string[] = []
   /** Replicas that have logged that there is no group, and what is missing. */
   readonly reports: Array<{ name: string, missing: string }> = []
+  /** Slow writes that replicas have logged. */
+  readonly slowWrites: Array<{ name: string, step: string, ms: number }> = []
   /** Replicas that reported a storage failure. */
   readonly failed: string[] = []
   /** Leader of each term. */
@@ -152,6 +154,7 @@
       event: (event, fields) => {
         if (event === 'founderClaimed') this.claims.push(name)
         if (event === 'groupNotFounded') this.reports.push({ name, missing: String(fields?.missing) })
+        if (event === 'writeSlow') this.slowWrites.push({ name, step: String(fields?.step), ms: Number(fields?.ms) })
         log.event(event, fields)
       }
     }
--- a/packages/state/__tests__/storageFailures.test.ts
+++ b/packages/state/__tests__/storageFailures.test.ts
@@ -91,3 +91,19 @@
   t.not(cluster.leader(), undefined)
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against a delayed commit whose cause no log tells.
+test('slow writes are logged with their duration', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 41)
+  for (const name of cluster.names) await cluster.start(name)
+  await cluster.clock.advance(15_000)
+  cluster.propose('before')
+  await cluster.clock.advance(2000)
+  t.deepEqual(cluster.slowWrites, [])
+  cluster.syncMs = { min: 1100, max: 1500 }
+  cluster.propose('slow')
+  await cluster.clock.advance(5000)
+  t.true(cluster.acknowledged.includes('slow'))
+  t.deepEqual([...new Set(cluster.slowWrites.map(item => item.name))].sort(), cluster.names)
+  t.true(cluster.slowWrites.every(item => item.step === 'entries' && item.ms >= 1000))
+})
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -77,7 +77,7 @@
     async saveMeta (): Promise<void> {
       core.hasQueuedMeta = true
       const copy = { ...core.meta }
-      core.lastWrite = write(async () => {
+      core.lastWrite = write('meta', async () => {
         await storage.saveMeta(copy)
         core.syncedMeta = copy
       })
@@ -127,7 +127,7 @@
       const last = list.at(-1)
       if (last !== undefined) {
         core.queuedIndex = last.index
-        core.lastWrite = write(async () => {
+        core.lastWrite = write('entries', async () => {
           await storage.append(list)
           // Another leader's entries may have replaced these in memory meanwhile.
           if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
@@ -144,14 +144,14 @@
       core.syncedIndex = Math.min(core.syncedIndex, index - 1)
       if (index > core.queuedIndex) return
       core.queuedIndex = index - 1
-      core.lastWrite = write(async () => { await storage.truncateFrom(index) })
+      core.lastWrite = write('truncation', async () => { await storage.truncateFrom(index) })
       await core.lastWrite
     },
 
     /** Stores a snapshot received from the leader, in place of the entries that it covers. */
     async saveInstalledSnapshot (snapshot: entries.Snapshot, keepFrom: number): Promise<void> {
       core.rewriteLoadedMeta()
-      core.lastWrite = write(async () => {
+      core.lastWrite = write('snapshot', async () => {
         await storage.saveSnapshot(snapshot, keepFrom)
         core.syncedIndex = Math.max(core.syncedIndex, snapshot.lastIndex)
       })
@@ -251,7 +251,7 @@
       if (keepFrom - 1 > log.base().index) log.compactTo(keepFrom - 1)
       opts.log.event('snapshotTaken', { group: opts.group, replica: opts.name, index: snapshot.lastIndex })
       // Acknowledgements do not wait for it: the entries that it covers are synced. A failure ends the replica.
-      write(async () => { await storage.saveSnapshot(snapshot, keepFrom) }).catch(() => {})
+      write('snapshot', async () => { await storage.saveSnapshot(snapshot, keepFrom) }).catch(() => {})
     },
 
     /** Stops the replica after a failure of its storage or of one of its tasks, since it can no longer guarantee what it acknowledges. */
@@ -264,7 +264,13 @@
     }
   }
 
-  const write = writeChains.createWriteChain({ isRunning: () => core.isRunning, onFailed: err => { core.fail(err) } })
+  const write = writeChains.createWriteChain({
+    isRunning: () => core.isRunning,
+    onFailed: err => { core.fail(err) },
+    slowMs: core.timing.electionMinMs,
+    onSlow (step, ms) { opts.log.event('writeSlow', { group: opts.group, replica: opts.name, role: core.role.kind, term: core.meta.term, step, ms: Math.round(ms) }) },
+    now: clock.now
+  })
 
   const votersAt = (index: number): entries.Member[] => {
     const latest = log.membership()
--- a/packages/state/src/writeChain.ts
+++ b/packages/state/src/writeChain.ts
@@ -6,10 +6,19 @@
   isRunning: () => boolean
   /** Called with the error of a write, before it is rejected. */
   onFailed: (err: unknown) => void
+  /** Duration from which on a write is slow, without its wait for earlier ones, milliseconds. */
+  slowMs: number
+  /** Called after a slow write with its duration, milliseconds. */
+  onSlow: (step: WriteStep, ms: number) => void
+  /** Returns the monotonic time, milliseconds. */
+  now: () => number
 }
 
+/** What is written. */
+export type WriteStep = 'meta' | 'entries' | 'truncation' | 'snapshot'
+
 /** Performs a write after all earlier ones. @throws Error when it, or an earlier one, has failed, or the replica has stopped */
-export type Write = (perform: () => Promise<void>) => Promise<void>
+export type Write = (step: WriteStep, perform: () => Promise<void>) => Promise<void>
 
 /**
  * Creates a chain of writes. After a failed one no later one is performed: the stored state would no longer be a prefix of the decisions
@@ -17,10 +26,13 @@
  */
 export function createWriteChain (opts: WriteChainOptions): Write {
   let last: Promise<void> = Promise.resolve()
-  return async perform => {
+  return async (step, perform) => {
     const turn = last.then(async () => {
       if (!opts.isRunning()) throw new Error('the replica has stopped and writes nothing any more')
+      const startedAt = opts.now()
       await perform()
+      const ms = opts.now() - startedAt
+      if (ms >= opts.slowMs) opts.onSlow(step, ms)
     })
     last = turn
     turn.catch(opts.onFailed)
