fix(trials): a relay passes nothing more on a connection whose bytes it dropped

Cause, by reading: in the mode 'silent' the relay dropped what was sent and passed on what followed once it was open again, so that a chunked response could lose whole chunks in its middle. TCP delivers no later bytes without the earlier ones.

Change: a connection whose data was dropped stays without traffic, as one that the network has forgotten.

--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -1,7 +1,10 @@
 /** A TCP relay between two processes that can close connections or drop their traffic. */
 import * as net from 'node:net'
 
-/** How a relay treats traffic: `cut` closes and refuses connections; `silent` keeps them open and drops all data. */
+/**
+ * How a relay treats traffic: `cut` closes and refuses connections; `silent` keeps them open and drops all data. Nothing more passes on a
+ * connection whose data was dropped: TCP delivers no later bytes without the earlier ones.
+ */
 export type RelayMode = 'open' | 'silent' | 'cut'
 
 /** A relay in front of one target address. */
@@ -30,7 +33,10 @@
     const pair = { left, right, isBlackholed: false }
     pairs.add(pair)
     const pass = (from: net.Socket, to: net.Socket): void => {
-      from.on('data', data => { if (mode === 'open' && !pair.isBlackholed) to.write(data) })
+      from.on('data', data => {
+        if (mode === 'silent') pair.isBlackholed = true
+        if (!pair.isBlackholed) to.write(data)
+      })
       from.on('error', () => {})
       from.on('close', () => {
         if (pair.isBlackholed || mode === 'silent') return
