test(state): disks that fail, hang or lose their process at each step of a founding

The drawn first starts know operations of single files: refused, slow, never completed until the process is killed, and a process that ends between two operations, beside damaged files.

--- a/packages/state/__tests__/helpers/powerLossDisk.ts
+++ b/packages/state/__tests__/helpers/powerLossDisk.ts
@@ -5,7 +5,8 @@
 /** Larger writes are split, as Node.js does with larger ones. */
 const CHUNK_BYTES = 160
 
-type Change = { kind: 'write', at: number, content: Buffer } | { kind: 'truncate', size: number }
+/** A change of which a sync has failed is not written by a later sync: its pages pass for written. */
+type Change = ({ kind: 'write', at: number, content: Buffer } | { kind: 'truncate', size: number }) & { hasFailed?: boolean }
 
 /** A file: its content, and the content and the later changes that a power loss finds. */
 interface File { content: Buffer, synced: Buffer, changes: Change[] }
@@ -78,9 +79,12 @@
 
     const openFile = (file: File): state.OpenFile => {
       const sync = async (): Promise<void> => {
-        await begin(true)
-        file.synced = file.content
-        file.changes = []
+        await begin(true).catch(err => {
+          for (const item of file.changes) item.hasFailed = true
+          throw err
+        })
+        file.synced = file.changes.filter(item => item.hasFailed !== true).reduce(applyChange, file.synced)
+        file.changes = file.changes.filter(item => item.hasFailed === true)
       }
       return {
         async write (content, offset, length, position) { await writeAt(file, content.subarray(offset, offset + length), position) },
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -8,12 +8,13 @@
 import * as powerLossDisks from './powerLossDisk.js'
 import * as seededRandom from './seededRandom.js'
 import * as virtualClocks from './virtualClock.js'
+import * as virtualDisks from './virtualDisk.js'
 
 /** Pause before a replica whose storage failed is started again. */
 const RESTART_PAUSE_MS = 700
 
 /** One running incarnation of a replica process. */
-interface Process { isDead: boolean, replica: state.Replica | undefined, applied: string[] }
+interface Process { isDead: boolean, /** Whether a replica that it creates is told to found the group. */ mayFound: boolean, replica: state.Replica | undefined, applied: string[] }
 
 interface Node { name: string, disk: memoryDisks.MemoryDisk, /** Used in place of `disk` if the cluster uses files. */ files: powerLossDisks.PowerLossDisk, process: Process, starts: number }
 
@@ -42,6 +43,8 @@
   restartsFailed = false
   /** Whether replicas store their state in files, on disks that lose power. */
   usesFiles = false
+  /** Called before each file operation of a process, which it may delay or reject; counted from the start of the process. */
+  beforeFileOperation: ((name: string, start: number, operation: number) => Promise<void>) | undefined
   /** How long a disk takes to sync. */
   syncMs: Range = { min: 1, max: 9 }
   /** How long a process takes from its start until its replica starts. */
@@ -86,7 +89,7 @@
   }
 
   private addNode (name: string): void {
-    this.nodes.set(name, { name, disk: new memoryDisks.MemoryDisk(), files: powerLossDisks.createPowerLossDisk(this.random), process: { isDead: true, replica: undefined, applied: [] }, starts: 0 })
+    this.nodes.set(name, { name, disk: new memoryDisks.MemoryDisk(), files: powerLossDisks.createPowerLossDisk(this.random), process: { isDead: true, mayFound: false, replica: undefined, applied: [] }, starts: 0 })
   }
 
   private draw (range: Range): number { return range.min + this.random() * (range.max - range.min) }
@@ -97,7 +100,7 @@
 
   async start (name: string, canBootstrap = true): Promise<void> {
     const node = this.node(name)
-    const process: Process = { isDead: false, replica: undefined, applied: [] }
+    const process: Process = { isDead: false, mayFound: canBootstrap, replica: undefined, applied: [] }
     node.process = process
     node.starts++
     const log = this.createLog(name)
@@ -139,7 +142,10 @@
         if (this.restartsFailed) this.restartLater(name, process)
       }
     }
-    create().then(replica => { process.replica = replica }, err => {
+    create().then(replica => {
+      process.replica = replica
+      process.mayFound = false
+    }, err => {
       if (!this.restartsFailed) throw err
       this.restartLater(name, process)
     })
@@ -161,7 +167,7 @@
     this.clock.schedule(RESTART_PAUSE_MS, () => {
       if (failed.isDead || this.node(name).process !== failed) return
       this.crash(name)
-      void this.start(name)
+      void this.start(name, this.maxFailedDisks === undefined || failed.mayFound)
     })
   }
 
@@ -235,34 +241,15 @@
   }
 
   private async openStorage (node: Node, process: Process): Promise<state.Storage> {
-    if (!this.usesFiles) return this.createStorage(node, process)
-    // The folder above exists before the first start, as the platform's data folder does.
-    return await state.createFileStorage('/test', node.files.connect(async isSync => {
-      if (isSync) await this.sleep(this.draw(this.syncMs))
-      if (process.isDead) await new Promise(() => {})
-    }))
-  }
-
-  private createStorage (node: Node, process: Process): state.Storage {
-    let queue: Promise<void> = Promise.resolve()
-    const { disk } = node
-    // A write is synced after a delay; a crash before that loses it.
-    const write = async (apply: () => void, applyPart: () => void = () => {}): Promise<void> => {
-      const turn = queue.then(async () => {
-        await this.sleep(this.draw(this.syncMs))
-        while (this.stalledDisks.has(node.name) && !process.isDead) await this.sleep(10)
-        if (process.isDead) await new Promise(() => {})
-        if (this.fullDisks.has(node.name)) throw new Error('no space left on device')
-        if (this.faultyDisks.has(node.name) && this.random() < 0.5) {
-          applyPart()
-          throw new Error('input/output error')
-        }
-        apply()
-      })
-      queue = turn.catch(() => {})
-      await turn
+    const { name, starts } = node
+    const access: virtualDisks.Access = { sleep: async ms => { await this.sleep(ms) }, drawSyncMs: () => this.draw(this.syncMs), isDead: () => process.isDead }
+    if (!this.usesFiles) {
+      const faults = { isStalled: () => this.stalledDisks.has(name), isFull: () => this.fullDisks.has(name), isFaulty: () => this.faultyDisks.has(name) && this.random() < 0.5 }
+      return virtualDisks.openValues(node.disk, access, faults, gap => { this.violations.push(`gap in the log of ${name}: ${gap}`) })
     }
-    return disk.createStorage(write, gap => { this.violations.push(`gap in the log of ${node.name}: ${gap}`) })
+    const files = virtualDisks.connectFiles(node.files, access, async operation => { await this.beforeFileOperation?.(name, starts, operation) })
+    if (process.mayFound && this.maxFailedDisks !== undefined) await virtualDisks.markFirstStart(files, this.names, access.sleep)
+    return await state.createFileStorage(virtualDisks.FOLDER, files)
   }
 
   private async call (from: string, caller: Process, to: string, msg: state.Rpc): Promise<state.RpcReply> {
