test(state): commands that were on lost disks alone are not asked of a new group

Its trace: three founders, two of whose disks may be lost; the first one is up from 20 s on, a command is acknowledged by the other two, whose disks are wiped at 5.4 s and, before the first was readmitted, at 10.5 s. No disk holds the command any more, no member of the former group is left, and those that remain are as at a first start of which two founders were told nothing (docs/STATE.md, claim b).

--- a/packages/state/__tests__/drawnFoundings.test.ts
+++ b/packages/state/__tests__/drawnFoundings.test.ts
@@ -74,3 +74,24 @@
   await play.run()
   t.deepEqual(await play.judge(), [])
 })
+
+// Guards against a check that blames a founding for commands whose disks are all lost while the other founder was never up.
+test('a group is founded anew only by founders that no disk of the former group is left to', async t => {
+  const play = new plays.Play({
+    numFounders: 3,
+    numOthers: 2,
+    usesFiles: true,
+    startMs: [19990, 106, 171, 11792, 7650, 19735, 9],
+    earlyEnds: [{ afterMs: 23, downMs: 27, isTold: true }, null, null, null, null, null, null],
+    faults: [
+      { at: 54, kind: 'noise', target: 0, other: 1, downMs: 14907, isTold: false, losesPower: true },
+      { at: 5438, kind: 'wipe', target: 1, other: 6, downMs: 331, isTold: false, losesPower: false },
+      { at: 10488, kind: 'wipe', target: 2, other: 4, downMs: 12551, isTold: true, losesPower: true }
+    ],
+    diskFaults: [],
+    seed: 7037
+  })
+  await play.run()
+  t.deepEqual(await play.judge(), [])
+  t.true(play.destroyed.size > 0)
+})
--- a/packages/state/__tests__/helpers/firstStartPlay.ts
+++ b/packages/state/__tests__/helpers/firstStartPlay.ts
@@ -29,6 +29,8 @@
   /** Whether a disk was lost while the group could not spare one: nothing may go wrong, but the group may have no leader. */
   isBeyondBudget = false
   private readonly started = new Set<string>()
+  /** Acknowledged commands that no disk holds any more: no group can have them. */
+  readonly destroyed = new Set<string>()
   private numAdded = 0
   private history: string[] = []
 
@@ -103,8 +105,17 @@
     return !this.lost.has(name) && this.lost.size < (this.cluster.maxFailedDisks ?? 0)
   }
 
+  private isHeldBy (name: string, command: string): boolean {
+    const { files, disk } = this.cluster.node(name)
+    return this.plan.usesFiles ? files.holds(command) : disk.holds(command)
+  }
+
   private noteLostDisk (name: string): void {
     this.lost.add(name)
+    const others = this.names().filter(other => other !== name)
+    for (const command of this.cluster.acknowledged) if (!others.some(other => this.isHeldBy(other, command))) this.destroyed.add(command)
+    // What was committed behind them is lost too.
+    if (this.destroyed.size > 0) this.history = []
     const voters = this.cluster.leader()?.process.replica?.status().voters ?? []
     const isComplete = this.names().every(other => other === name || this.isVoterAgain(other))
     // Replaced machines may still be voters, which cannot reply.
@@ -139,6 +150,7 @@
         if (!this.plan.usesFiles || !this.started.has(name) || !this.mayLoseDisk(name)) return
         this.noteLostDisk(name)
         cluster.crash(name)
+        cluster.node(name).process.applied = []
         void this.damage(name, ['meta', 'log', 'snapshot'][item.other % 3])
         return this.schedule(item.downMs, () => { this.startMachine(name, false) })
       case 'isolate':
@@ -223,9 +235,9 @@
     }
     if (leader !== undefined && !cluster.acknowledged.includes('last') && !this.isBeyondBudget) cluster.violations.push('the last command is not acknowledged')
     const known = new Set(this.history)
-    if (cluster.leader() !== undefined) for (const command of cluster.acknowledged) if (!known.has(command)) cluster.violations.push(`${command} was acknowledged and is lost`)
+    if (cluster.leader() !== undefined) for (const command of cluster.acknowledged) if (!known.has(command) && !this.destroyed.has(command)) cluster.violations.push(`${command} was acknowledged and is lost`)
     const leading = cluster.leader()
-    if (leading !== undefined) for (const command of cluster.acknowledged) if (!cluster.applied(leading.name).includes(command)) cluster.violations.push(`the leader lacks ${command}, which was acknowledged`)
+    if (leading !== undefined) for (const command of cluster.acknowledged) if (!cluster.applied(leading.name).includes(command) && !this.destroyed.has(command)) cluster.violations.push(`the leader lacks ${command}, which was acknowledged`)
     return cluster.violations
   }
 }
--- a/packages/state/__tests__/helpers/memoryDisk.ts
+++ b/packages/state/__tests__/helpers/memoryDisk.ts
@@ -64,6 +64,11 @@
     }
   }
 
+  /** Returns whether an entry or the snapshot holds the text. */
+  holds (text: string): boolean {
+    return JSON.stringify(this.entries).includes(text) || Buffer.from(this.snapshot?.state ?? []).includes(text)
+  }
+
   /** Checks what a replica acknowledges against its disk. @returns what is missing */
   findMissing (reply: state.RpcReply): string | undefined {
     if (reply.t === 'append' && reply.isOk && reply.match > this.lastIndex()) return `acknowledged entries up to ${reply.match}, but its disk ends at ${this.lastIndex()}`
--- a/packages/state/__tests__/helpers/powerLossDisk.ts
+++ b/packages/state/__tests__/helpers/powerLossDisk.ts
@@ -165,6 +165,10 @@
 
   return {
     connect,
+    /** Returns whether any file holds the text. */
+    holds (text: string): boolean {
+      return [...names.values()].some(node => node !== 'folder' && node.content.includes(text))
+    },
     /** Replaces the content of a file, synced. */
     put (name: string, content: Buffer): void {
       const file: File = { content, synced: content, changes: [] }
--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -178,6 +178,7 @@
 
   wipe (name: string): void {
     this.crash(name)
+    this.node(name).process.applied = []
     this.node(name).disk.wipe()
     this.node(name).files.wipe()
   }
