--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -53,13 +53,14 @@
     await syncedFile.datasync()
   }
 
-  const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
+  /** @param before what must be durable before the log is replaced */
+  const rewriteLog = async (kept: readonly entries.Entry[], before?: Promise<void>): Promise<void> => {
     const commitRecord = records.encodeRecord(commitIndex)
     const encoded = kept.map(records.encodeRecord)
-    const cleared = clearSyncedMark()
+    const prepared = Promise.all([clearSyncedMark(), before]).then(() => {})
     // A failure is reported where it is waited for.
-    cleared.catch(() => {})
-    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs, cleared)
+    prepared.catch(() => {})
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs, prepared)
     await log.close()
     log = await fs.open(toPath('log'), 'a+')
     size = commitRecord.length
@@ -99,14 +100,11 @@
     commitIndex = stored.commitIndex
     ends = stored.ends
     size = log.length
-    if (stored.isLogReplaced) {
-      // The process ended between the snapshot and the log. An entry behind the old ones would leave a gap.
-      await rewriteLog([])
-      return stored
-    }
     // What was not marked as synced may be lost at the next power loss although it can be read, also after a later sync of the same
-    // file: a failed sync drops the changes of a file.
-    if (size > stored.syncedEnd || stored.syncedEnd === 0) await rewriteLog(stored.entries)
+    // file: a failed sync drops the changes of a file. An entry behind those that a snapshot has replaced would leave a gap.
+    if (!stored.isLogReplaced && size <= stored.syncedEnd && stored.syncedEnd > 0) return stored
+    // The process may have ended between the rename of the metadata or the snapshot and the sync of the folder.
+    await rewriteLog(stored.entries, replaceFiles.syncFolder(folder, fs))
     return stored
   }
 
