fix(state): metadata without its log is a damaged disk

What callers saw (test of a folder that is cleared in part, three founders, one disk may be lost): a leader without the acknowledged commands, which are lost. A founder whose folder holds its metadata but no log, as an interrupted removal leaves it, wrote the founding entry again and voted as the member it had been; beside a founder that was away it was a majority.

Cause: opening the storage created the missing log, and an empty log beside metadata is what a process leaves that ended before the founding entry.

Change: whether log and mark exist is asked before they are created; metadata without them is damage, noted before anything else. For a new folder the names of both are durable before the first metadata.

--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -17,15 +17,19 @@
  */
 export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
   const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
-  const folderDurable = replaceFiles.syncNames(folder, firstCreated, fs)
-  // A failure is reported where it is waited for.
-  folderDurable.catch(() => {})
   const toPath = (name: string) => path.join(folder, name)
+  const hasMeta = await exists(toPath('meta'), fs)
+  // Metadata is written only beside both, and removed before them.
+  let isIncomplete = hasMeta && !(await exists(toPath('log'), fs) && await exists(toPath('synced'), fs))
+  if (isIncomplete) await removeMeta(folder, fs)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
     await log.close()
     throw err
   })
+  const folderDurable = Promise.all([replaceFiles.syncNames(folder, firstCreated, fs), hasMeta ? undefined : replaceFiles.syncFolder(folder, fs)])
+  // A failure is reported where it is waited for.
+  folderDurable.catch(() => {})
   let ends: Array<{ index: number, end: number }> = []
   let size = 0
   let queue: Promise<unknown> = Promise.resolve()
@@ -84,6 +88,7 @@
   }
 
   const load = async (): Promise<storage.LoadResult> => {
+    if (isIncomplete) return { kind: 'damaged', detail: 'file meta exists, but its log does not' }
     const log = await fs.readFile(toPath('log'))
     const stored = storedFiles.decodeFiles({
       log,
@@ -118,10 +123,7 @@
       await enqueue(async () => {
         await log.close()
         await syncedFile.close()
-        await firstStarts.saveFormer(folder, fs)
-        // Without its metadata, what an interrupted removal leaves is wiped at the next start too.
-        await fs.rm(toPath('meta'), { force: true })
-        await replaceFiles.syncFolder(folder, fs)
+        await removeMeta(folder, fs)
         for (const name of ['log', 'snapshot', 'synced', 'committed']) await fs.rm(toPath(name), { force: true })
         await replaceFiles.syncFolder(folder, fs)
         log = await fs.open(toPath('log'), 'a+')
@@ -129,6 +131,7 @@
         ends = []
         size = 0
         commitIndex = 0
+        isIncomplete = false
       })
     },
     saveFounders: async founders => { await enqueue(async () => { await firstStarts.saveFounders(folder, founders, fs) }) },
@@ -185,6 +188,23 @@
   }
 }
 
+/** Notes that there was state, then removes its metadata: what an interrupted removal leaves is wiped at the next start too. */
+async function removeMeta (folder: string, fs: fileSystems.FileSystem): Promise<void> {
+  await firstStarts.saveFormer(folder, fs)
+  await fs.rm(path.join(folder, 'meta'), { force: true })
+  await replaceFiles.syncFolder(folder, fs)
+}
+
+async function exists (file: string, fs: fileSystems.FileSystem): Promise<boolean> {
+  try {
+    await (await fs.open(file, 'r')).close()
+    return true
+  } catch (err) {
+    if ((err as NodeJS.ErrnoException).code === 'ENOENT') return false
+    throw err
+  }
+}
+
 /** Opens a file for reading and writing; creates it if it is missing. */
 async function openForUpdate (file: string, fs: fileSystems.FileSystem): Promise<fileSystems.OpenFile> {
   await (await fs.open(file, 'a')).close()
