fix(state): the mark of the first start is removed once the founder has taken its identity

What callers saw (the same test, folders cleared but for the mark, or for the mark and an empty or later file): a leader without the acknowledged commands. A founder whose folder was cleared in part and that kept the mark took its identity anew, without a higher term, and was a majority beside a founder that had been away.

Cause: the mark stayed for good, though it is of no use once metadata and founding entry are stored.

Change: it is removed then, and at the next start if the process ended before.

--- a/packages/state/__tests__/clearedFolder.test.ts
+++ b/packages/state/__tests__/clearedFolder.test.ts
@@ -51,3 +51,8 @@
     t.deepEqual(await clearAll(FILES.filter(name => name !== 'founders'), numCommands), {})
   })
 }
+
+// Guards against a founder that founds once more because the mark of the first start is all that is left in its folder.
+test('the mark of the first start does not outlast the metadata', async t => {
+  for (const numCommands of [3, 50]) t.deepEqual(await clearAll(FILES, numCommands), {})
+})
--- a/packages/state/__tests__/helpers/memoryDisk.ts
+++ b/packages/state/__tests__/helpers/memoryDisk.ts
@@ -47,6 +47,7 @@
         })
       },
       saveFounders: async founders => { await write(() => { this.founders = [...founders] }) },
+      removeFounders: async () => { await write(() => { this.founders = null }) },
       saveMeta: async meta => { await write(() => { this.meta = meta }) },
       append: async list => {
         const copy = [...list]
--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -15,6 +15,7 @@
       if (loaded.tornBytes > 0) log.event('logTornTail', { group, replica: name, bytes: loaded.tornBytes })
       core.start.told = { founders: loaded.founders ?? null, isFormer: loaded.isFormer === true }
       restoreLoaded(core, loaded.meta, loaded.snapshot, loaded.entries, loaded.commitIndex)
+      if (loaded.founders != null && core.meta.founding !== null) forgetFirstStart(core)
       return
     case 'damaged':
       // Entries that this replica acknowledged are lost, so it restarts as a new member.
@@ -49,6 +50,13 @@
   await core.saveMeta()
   await core.persist()
   logFounded(core, founders.length)
+  forgetFirstStart(core)
+}
+
+/** Removes what this replica was told once it has taken part: left alone in a folder that is cleared, it would found again. */
+function forgetFirstStart (core: replicaCore.Core): void {
+  // It is ignored beside the metadata, and removed at the next start.
+  core.opts.storage.removeFounders?.().catch(() => {})
 }
 
 function takeIdentity (core: replicaCore.Core, founders: readonly string[], term: number): void {
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -135,6 +135,7 @@
       })
     },
     saveFounders: async founders => { await enqueue(async () => { await firstStarts.saveFounders(folder, founders, fs) }) },
+    removeFounders: async () => { await enqueue(async () => { await firstStarts.removeFounders(folder, fs) }) },
     saveMeta: async meta => { await enqueue(async () => { await replaceFiles.replaceFile(folder, 'meta', records.encodeRecord(meta), fs) }) },
     append: async list => {
       const encoded = list.map(records.encodeRecord)
--- a/packages/state/src/firstStart.ts
+++ b/packages/state/src/firstStart.ts
@@ -38,6 +38,11 @@
   await writeFounders(folder, founders, fs)
 }
 
+/** Removes the founders. Until that is durable they are ignored beside the replica's metadata. */
+export async function removeFounders (folder: string, fs: fileSystems.FileSystem): Promise<void> {
+  await fs.rm(path.join(folder, FOUNDERS_FILE), { force: true })
+}
+
 /**
  * Stores the founders, synced, before a replica exists that could do so; only in a folder without any state of a replica.
  * @param folder the replica's folder; created if missing
@@ -57,7 +62,7 @@
 /** Notes that damaged state is about to be removed. @throws Error when the disk is full or fails */
 export async function saveFormer (folder: string, fs: fileSystems.FileSystem): Promise<void> {
   await replaceFiles.replaceFile(folder, FORMER_FILE, 'stored state was damaged and removed\n', fs)
-  await fs.rm(path.join(folder, FOUNDERS_FILE), { force: true })
+  await removeFounders(folder, fs)
 }
 
 async function writeFounders (folder: string, founders: readonly string[], fs: fileSystems.FileSystem, before?: Promise<void>, tempName?: string): Promise<void> {
--- a/packages/state/src/storage.ts
+++ b/packages/state/src/storage.ts
@@ -15,6 +15,8 @@
   wipe (): Promise<void>
   /** Stores the founders that this replica was told at the first start of the whole system. */
   saveFounders? (founders: readonly string[]): Promise<void>
+  /** Removes what {@link saveFounders} stored. */
+  removeFounders? (): Promise<void>
   saveMeta (meta: entries.Meta): Promise<void>
   append (list: readonly entries.Entry[]): Promise<void>
   /** Records the commit index without syncing, so a restart may find a lower one. */
