--- a/packages/state/__tests__/drawnFoundings.test.ts
+++ b/packages/state/__tests__/drawnFoundings.test.ts
@@ -8,7 +8,7 @@
 const SEED = Number(process.env.KINGCUPDECK_FOUNDINGS_SEED ?? 20_261_206)
 const fault = fc.record<plays.Fault>({
   at: fc.oneof(fc.integer({ min: 0, max: 80 }), fc.integer({ min: 0, max: 3000 }), fc.integer({ min: 0, max: 25_000 })),
-  kind: fc.constantFrom<plays.Kind>('kill', 'kill', 'kill', 'killAll', 'wipe', 'wipe', 'damage', 'isolate', 'cut', 'noise', 'replace', 'seeds'),
+  kind: fc.constantFrom<plays.Kind>('kill', 'kill', 'kill', 'killAll', 'wipe', 'wipe', 'damage', 'clear', 'isolate', 'cut', 'noise', 'replace', 'seeds'),
   target: fc.nat(6),
   other: fc.nat(6),
   downMs: fc.oneof(fc.integer({ min: 20, max: 400 }), fc.integer({ min: 20, max: 15_000 })),
--- a/packages/state/__tests__/helpers/firstStartPlay.ts
+++ b/packages/state/__tests__/helpers/firstStartPlay.ts
@@ -5,8 +5,9 @@
 const TIMING = { heartbeatMs: 200, electionMinMs: 700, electionMaxMs: 1300 }
 /** Time after which there is a leader once all are up and connected, milliseconds. */
 const LEADER_MS = 20_000
+const FILES = ['meta', 'log', 'synced', 'committed', 'snapshot', 'founders', 'former']
 
-export type Kind = 'kill' | 'killAll' | 'wipe' | 'damage' | 'isolate' | 'cut' | 'noise' | 'replace' | 'seeds'
+export type Kind = 'kill' | 'killAll' | 'wipe' | 'damage' | 'clear' | 'isolate' | 'cut' | 'noise' | 'replace' | 'seeds'
 
 export interface Fault { at: number, kind: Kind, target: number, other: number, downMs: number, isTold: boolean, losesPower: boolean }
 
@@ -100,6 +101,12 @@
     if (content.length > 0) files.put(`${virtualDisks.FOLDER}/${file}`, Buffer.alloc(content.length, 'x'))
   }
 
+  /** Removes the files of a replica, in any order, but for those whose bit is set. */
+  private async clear (name: string, left: number): Promise<void> {
+    const files = this.cluster.node(name).files.connect()
+    for (const [i, file] of FILES.entries()) if ((left >> i) % 2 === 0) await files.rm(`${virtualDisks.FOLDER}/${file}`, { force: true })
+  }
+
   private mayLoseDisk (name: string): boolean {
     for (const other of this.lost) if (this.isVoterAgain(other)) this.lost.delete(other)
     return !this.lost.has(name) && this.lost.size < (this.cluster.maxFailedDisks ?? 0)
@@ -147,11 +154,13 @@
         cluster.wipe(name)
         return this.schedule(item.downMs, () => { this.startMachine(name, false) })
       case 'damage':
+      case 'clear':
         if (!this.plan.usesFiles || !this.started.has(name) || !this.mayLoseDisk(name)) return
         this.noteLostDisk(name)
         cluster.crash(name)
         cluster.node(name).process.applied = []
-        void this.damage(name, ['meta', 'log', 'snapshot'][item.other % 3])
+        if (item.kind === 'clear') void this.clear(name, item.at % 2 ** FILES.length)
+        else void this.damage(name, ['meta', 'log', 'snapshot'][item.other % 3])
         return this.schedule(item.downMs, () => { this.startMachine(name, false) })
       case 'isolate':
         cluster.network.isolated.add(name)
