--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -179,7 +179,7 @@
     await surveyGroup(core)
     start.missing = foundings.describe({ self: name, survey: start.survey, now: clock.now(), ownFounders: founders }, founders)
   }
-  if (core.leader === null) core.opts.log.event('groupNotFounded', { group, replica: name, missing: start.missing })
+  if (core.leader === null) core.opts.log.event('groupNotFounded', { group, replica: name, missing: start.missing, lastTerm: core.log.lastTerm(), lastIndex: core.log.lastIndex() })
 }
 
 /** @returns whether a group exists that this replica is not part of, which means that its disk was lost */
