--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -17,15 +17,19 @@
  */
 export async function createFileStorage (folder: string, fs = fileSystems.nodeFileSystem): Promise<storage.Storage> {
   const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
-  const folderDurable = replaceFiles.syncNames(folder, firstCreated, fs)
-  // A failure is reported where it is waited for.
-  folderDurable.catch(() => {})
   const toPath = (name: string) => path.join(folder, name)
+  const hasMeta = await exists(toPath('meta'), fs)
+  // Metadata is written only beside both, and removed before them.
+  let isIncomplete = hasMeta && !(await exists(toPath('log'), fs) && await exists(toPath('synced'), fs))
+  if (isIncomplete) await removeMeta(folder, fs)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
     await log.close()
     throw err
   })
+  const folderDurable = Promise.all([replaceFiles.syncNames(folder, firstCreated, fs), hasMeta ? undefined : replaceFiles.syncFolder(folder, fs)])
+  // A failure is reported where it is waited for.
+  folderDurable.catch(() => {})
   let ends: Array<{ index: number, end: number }> = []
   let size = 0
   let queue: Promise<unknown> = Promise.resolve()
@@ -53,13 +57,14 @@
     await syncedFile.datasync()
   }
 
-  const rewriteLog = async (kept: readonly entries.Entry[]): Promise<void> => {
+  /** @param before what must be durable before the log is replaced */
+  const rewriteLog = async (kept: readonly entries.Entry[], before?: Promise<void>): Promise<void> => {
     const commitRecord = records.encodeRecord(commitIndex)
     const encoded = kept.map(records.encodeRecord)
-    const cleared = clearSyncedMark()
+    const prepared = Promise.all([clearSyncedMark(), before]).then(() => {})
     // A failure is reported where it is waited for.
-    cleared.catch(() => {})
-    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs, cleared)
+    prepared.catch(() => {})
+    await replaceFiles.replaceFile(folder, 'log', Buffer.concat([commitRecord, ...encoded]), fs, prepared)
     await log.close()
     log = await fs.open(toPath('log'), 'a+')
     size = commitRecord.length
@@ -83,6 +88,7 @@
   }
 
   const load = async (): Promise<storage.LoadResult> => {
+    if (isIncomplete) return { kind: 'damaged', detail: 'file meta exists, but its log does not' }
     const log = await fs.readFile(toPath('log'))
     const stored = storedFiles.decodeFiles({
       log,
@@ -99,14 +105,11 @@
     commitIndex = stored.commitIndex
     ends = stored.ends
     size = log.length
-    if (stored.isLogReplaced) {
-      // The process ended between the snapshot and the log. An entry behind the old ones would leave a gap.
-      await rewriteLog([])
-      return stored
-    }
     // What was not marked as synced may be lost at the next power loss although it can be read, also after a later sync of the same
-    // file: a failed sync drops the changes of a file.
-    if (size > stored.syncedEnd || stored.syncedEnd === 0) await rewriteLog(stored.entries)
+    // file: a failed sync drops the changes of a file. An entry behind those that a snapshot has replaced would leave a gap.
+    if (!stored.isLogReplaced && size <= stored.syncedEnd && stored.syncedEnd > 0) return stored
+    // The process may have ended between the rename of the metadata or the snapshot and the sync of the folder.
+    await rewriteLog(stored.entries, replaceFiles.syncFolder(folder, fs))
     return stored
   }
 
@@ -120,10 +123,7 @@
       await enqueue(async () => {
         await log.close()
         await syncedFile.close()
-        await firstStarts.saveFormer(folder, fs)
-        // Without its metadata, what an interrupted removal leaves is wiped at the next start too.
-        await fs.rm(toPath('meta'), { force: true })
-        await replaceFiles.syncFolder(folder, fs)
+        await removeMeta(folder, fs)
         for (const name of ['log', 'snapshot', 'synced', 'committed']) await fs.rm(toPath(name), { force: true })
         await replaceFiles.syncFolder(folder, fs)
         log = await fs.open(toPath('log'), 'a+')
@@ -131,9 +131,11 @@
         ends = []
         size = 0
         commitIndex = 0
+        isIncomplete = false
       })
     },
     saveFounders: async founders => { await enqueue(async () => { await firstStarts.saveFounders(folder, founders, fs) }) },
+    removeFounders: async () => { await enqueue(async () => { await firstStarts.removeFounders(folder, fs) }) },
     saveMeta: async meta => { await enqueue(async () => { await replaceFiles.replaceFile(folder, 'meta', records.encodeRecord(meta), fs) }) },
     append: async list => {
       const encoded = list.map(records.encodeRecord)
@@ -187,6 +189,23 @@
   }
 }
 
+/** Notes that there was state, then removes its metadata: what an interrupted removal leaves is wiped at the next start too. */
+async function removeMeta (folder: string, fs: fileSystems.FileSystem): Promise<void> {
+  await firstStarts.saveFormer(folder, fs)
+  await fs.rm(path.join(folder, 'meta'), { force: true })
+  await replaceFiles.syncFolder(folder, fs)
+}
+
+async function exists (file: string, fs: fileSystems.FileSystem): Promise<boolean> {
+  try {
+    await (await fs.open(file, 'r')).close()
+    return true
+  } catch (err) {
+    if ((err as NodeJS.ErrnoException).code === 'ENOENT') return false
+    throw err
+  }
+}
+
 /** Opens a file for reading and writing; creates it if it is missing. */
 async function openForUpdate (file: string, fs: fileSystems.FileSystem): Promise<fileSystems.OpenFile> {
   await (await fs.open(file, 'a')).close()
