fix(forwarding): endpoints that are sent nothing have neither an agent nor an estimator

Each known endpoint had an http.Agent and an estimator of its queue delay from its first announcement on, 3,968 bytes with its records, though an instance sends to a part of a large fleet at a time. Both are now created with the first request, and dropped once no connection and no recent observation is left.

--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -237,7 +237,7 @@
     close () {
       server.stopListening()
       server.destroy()
-      for (const endpoint of pool.all()) endpoint.agent.destroy()
+      for (const endpoint of pool.all()) endpoint.agent?.destroy()
     }
   }
 }
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as links from '@kingcupdeck/links'
+import * as endpointAgents from '../endpoints/endpointAgent.js'
 import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as brittleLimiters from '../placement/brittleLimiter.js'
@@ -103,7 +104,7 @@
     const req = http.request({
       host,
       port,
-      agent: endpoint.agent,
+      agent: endpointAgents.toAgent(endpoint),
       method: request.method,
       path: request.url,
       headers: request.headers,
--- a/packages/forwarding/src/attempts/forward.ts
+++ b/packages/forwarding/src/attempts/forward.ts
@@ -12,7 +12,6 @@
 import * as clientCalls from './clientCall.js'
 import * as clientResponses from './clientResponse.js'
 import * as crashEvidences from '../quarantine/crashEvidence.js'
-import type * as endpointPools from '../endpoints/endpointPool.js'
 import * as openAttempts from './openAttempt.js'
 import * as priorities from '../admission/priority.js'
 import * as queueDelays from '../placement/queueDelay.js'
@@ -179,12 +178,13 @@
   const { call, state, selected, sent } = attempt
   const { endpoint, sentAt } = sent
   const { ctx, route } = call
-  const pending = endpoint.queueDelay.onSent(sentAt)
+  const queueDelay = endpoint.queueDelay ??= queueDelays.createQueueDelayEstimator()
+  const pending = queueDelay.onSent(sentAt)
   const timeoutMs = toResponseTimeoutMs(call, call.deadlineAt - sentAt)
   let headersAt: number | undefined
   const isOverdue = (): boolean => {
     if (headersAt !== undefined) return ctx.now() - headersAt >= silenceTimers.STALL_TIMEOUT_MS
-    return ctx.now() - sentAt >= timeoutMs && !isQueued(call, endpoint, pending)
+    return ctx.now() - sentAt >= timeoutMs && !isQueued(call, queueDelay, pending)
   }
   const stopWatchdog = attemptWatchdogs.startWatchdog({
     sent,
@@ -204,13 +204,13 @@
       isOtherOpen,
       onHeaders () {
         headersAt = ctx.now()
-        endpoint.queueDelay.onResponse(pending, headersAt)
+        queueDelay.onResponse(pending, headersAt)
       },
       onBody: stopWatchdog
     })
   } finally {
     stopWatchdog()
-    if (headersAt === undefined) endpoint.queueDelay.onAbandoned(pending)
+    if (headersAt === undefined) queueDelay.onAbandoned(pending)
   }
 }
 
@@ -229,6 +229,6 @@
  * Returns whether a slow request is still queued at its endpoint. Moving a queued request to another endpoint would process its prompt
  * twice and increase the overload.
  */
-function isQueued (call: clientCalls.ClientCall, endpoint: endpointPools.Endpoint, pending: queueDelays.PendingRequest): boolean {
-  return call.route.hasPrompt && endpoint.queueDelay.classify(pending) === 'queued'
+function isQueued (call: clientCalls.ClientCall, queueDelay: queueDelays.QueueDelayEstimator, pending: queueDelays.PendingRequest): boolean {
+  return call.route.hasPrompt && queueDelay.classify(pending) === 'queued'
 }
--- a/packages/forwarding/src/endpoints/endpointBackoff.ts
+++ b/packages/forwarding/src/endpoints/endpointBackoff.ts
@@ -15,7 +15,7 @@
   endpoint.backoffUntil = now + backoffMs
   endpoint.suspectedColdAt = now
   // Its requests have waited for a connection, not in a queue.
-  endpoint.queueDelay.reset()
+  endpoint.queueDelay?.reset()
 }
 
 /**
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -12,7 +12,7 @@
 import * as endpointIndexes from './endpointIndex.js'
 import type * as endpointProbes from './endpointProbe.js'
 import * as newEndpoints from './newEndpoint.js'
-import type * as queueDelays from '../placement/queueDelay.js'
+import * as queueDelays from '../placement/queueDelay.js'
 import * as supersededEndpoints from './supersededEndpoints.js'
 import * as usableRecords from './usableRecord.js'
 
@@ -20,7 +20,10 @@
 export interface Endpoint {
   readonly id: string
   record: discovery.EndpointRecord
-  agent: http.Agent
+  /** Its connections, from its first request until none is left; {@link endpointAgents.toAgent} creates it. */
+  agent: http.Agent | undefined
+  /** Returns whether a connection to it may be used for a further request. */
+  mayReuse: (socket: net.Socket) => boolean
   /**
    * Opens a connection to it.
    * @param helper inner address of the entry instance to connect through, by default the present path
@@ -37,8 +40,8 @@
   inFlight: number
   /** Requests in flight of the other entry instances, by their last gossip update. */
   peerInFlight: number
-  /** Queue delay of the requests of this instance. */
-  queueDelay: queueDelays.QueueDelayEstimator
+  /** Queue delay of the requests of this instance; undefined while it has sent none for a while. */
+  queueDelay: queueDelays.QueueDelayEstimator | undefined
   /** Queue delay at the other entry instances in milliseconds, undefined without a recent gossip update. */
   peerQueueDelayMs: number | undefined
   /** Not used before this time, after a connection failure. */
@@ -162,7 +165,7 @@
     if (superseded.has(record)) return
     const known = index.get(record.id)
     if (record.state === 'gone') {
-      if (known !== undefined) endpointAgents.release(known.agent)
+      if (known !== undefined) endpointAgents.release(known)
       index.remove(record.id)
       return
     }
@@ -174,14 +177,14 @@
     }
     if (known !== undefined) {
       noteRestart(known, record)
-      endpointAgents.release(known.agent)
+      endpointAgents.release(known)
     }
     const endpoint = newEndpoints.createEndpoint(record, { dial, mayReuse: opts.mayReuse, coldUntil: toColdUntil(record) })
     index.put(endpoint)
     // A process that started later at the same address has replaced the earlier one, whose last announcement may arrive late.
     for (const earlier of index.addStart(endpoint)) {
       noteRestart(earlier, record)
-      endpointAgents.release(earlier.agent)
+      endpointAgents.release(earlier)
       index.remove(earlier.id)
       superseded.add(earlier.record)
     }
@@ -289,18 +292,21 @@
     },
     markMisdirected (endpoint, now) {
       endpoint.misdirectedAt = now
-      endpointAgents.release(endpoint.agent)
+      endpointAgents.release(endpoint)
       opts.log.event('endpointGone', { endpoint: endpoint.id, why: 'another process has its address' })
     },
     prune () {
       for (const endpoint of index.all()) {
-        if (opts.table.get(endpoint.id) !== undefined || endpoint.inFlight > 0) continue
-        endpointAgents.release(endpoint.agent)
+        if (endpoint.inFlight > 0) continue
+        endpointAgents.dropUnused(endpoint)
+        if (now() - endpoint.answeredAt >= queueDelays.MAX_AGE_MS) endpoint.queueDelay = undefined
+        if (opts.table.get(endpoint.id) !== undefined) continue
+        endpointAgents.release(endpoint)
         index.remove(endpoint.id)
       }
       index.pruneStarts()
       restore(superseded.takeHeard())
     },
-    closeIdleConnections: ({ agent }, helper) => { endpointAgents.closeIdleConnections(agent, helper) }
+    closeIdleConnections: endpointAgents.closeIdleConnections
   }
 }
--- a/packages/forwarding/src/endpoints/newEndpoint.ts
+++ b/packages/forwarding/src/endpoints/newEndpoint.ts
@@ -1,9 +1,7 @@
 /** Endpoints as they are first announced. */
 import type * as net from 'node:net'
 import type * as discovery from '@kingcupdeck/discovery'
-import * as endpointAgents from './endpointAgent.js'
 import type * as endpointPools from './endpointPool.js'
-import * as queueDelays from '../placement/queueDelay.js'
 
 /** Options of {@link createEndpoint}. */
 export interface EndpointOptions {
@@ -20,14 +18,15 @@
   const endpoint: endpointPools.Endpoint = {
     id: record.id,
     record,
-    agent: endpointAgents.createAgent({ dial: async () => await endpoint.dial(), mayReuse }),
+    agent: undefined,
+    mayReuse: mayReuse ?? (() => true),
     dial: async helper => await dial(endpoint, helper),
     helpers: undefined,
     answeredAt: -Infinity,
     acceptedAt: -Infinity,
     inFlight: 0,
     peerInFlight: 0,
-    queueDelay: queueDelays.createQueueDelayEstimator(),
+    queueDelay: undefined,
     peerQueueDelayMs: undefined,
     backoffUntil: 0,
     failures: 0,
--- a/packages/forwarding/src/gossip/loadGossip.ts
+++ b/packages/forwarding/src/gossip/loadGossip.ts
@@ -64,7 +64,7 @@
   let sumTimer: NodeJS.Timeout | undefined
 
   const toOwnLoads = (): loadSums.EndpointLoad[] => opts.pool.all().filter(item => item.inFlight > 0).map(item => {
-    const delayMs = item.queueDelay.estimateMs(now())
+    const delayMs = item.queueDelay?.estimateMs(now())
     return [item.id, item.inFlight, delayMs === undefined ? null : Math.round(delayMs)]
   })
 
--- a/packages/forwarding/src/paths/lostPaths.ts
+++ b/packages/forwarding/src/paths/lostPaths.ts
@@ -98,7 +98,7 @@
     pool.clearBackoff(endpoint)
     // Requests on silent connections have waited for the path, not for the endpoint. Open connections may outlive a refusal.
     if (failure.isSilent) {
-      endpoint.queueDelay.reset()
+      endpoint.queueDelay?.reset()
       pool.closeIdleConnections(endpoint)
     }
     if (lost.has(endpoint)) return
--- a/packages/forwarding/src/placement/queueDelay.ts
+++ b/packages/forwarding/src/placement/queueDelay.ts
@@ -29,6 +29,8 @@
 const WAIT_MAX_AGE_MS = 700
 /** Maximum age of the response interval in the estimate. */
 const INTERVAL_MAX_AGE_MS = 5000
+/** Observations older than this have no effect. */
+export const MAX_AGE_MS = Math.max(WAIT_MAX_AGE_MS, INTERVAL_MAX_AGE_MS)
 /** Weight of the latest response interval in the moving average. */
 const INTERVAL_WEIGHT = 0.15
 /** Number of completed waits whose median is used, since a lost packet alone makes a single one long. */
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -133,7 +133,7 @@
     ownInFlight: item.inFlight,
     slots: Math.max(1, item.record.slots),
     isCold: item.coldUntil > now,
-    delayMs: item.queueDelay.estimateMs(now) ?? item.peerQueueDelayMs ?? 0,
+    delayMs: item.queueDelay?.estimateMs(now) ?? item.peerQueueDelayMs ?? 0,
     freeConnections: connectionLimit - item.inFlight,
     ageMs: toAgeMs(item, unixNow)
   }))
