fix(forwarding): requests hold less memory while the rest of the process takes more

An entry instance could hold 15% of the machine's memory for requests and responses whatever its records and documents took: at 30,000 records, within the bound of a record table, 285 MB where the machine allows 250.

The limit is now what is left of 80% of the memory, at most 15% as before and at least 4%: memory that was released and not returned to the system counts as taken, and requests must be served beside it. The memory of the machine is that of the present settings.

--- a/packages/forwarding/__tests__/heldBytes.test.ts
+++ b/packages/forwarding/__tests__/heldBytes.test.ts
@@ -6,7 +6,7 @@
 const test = ava.default
 
 test('what holds most is ended when the limit is exceeded', t => {
-  const held = heldBytes.createHeldBytes(100)
+  const held = heldBytes.createHeldBytes(() => 100)
   const ended: string[] = []
   const open = (name: string, bytes: number): heldBytes.Holder => {
     const holder = held.open()
@@ -31,7 +31,7 @@
 })
 
 test('what must not be ended counts, and leaves less for the others', t => {
-  const held = heldBytes.createHeldBytes(100)
+  const held = heldBytes.createHeldBytes(() => 100)
   held.open().set(90)
   const other = held.open()
   let isEnded = false
@@ -45,7 +45,7 @@
 
 // A stream holds its first event for a moment; each one stayed in the account for ever.
 test('what holds nothing any more is forgotten', t => {
-  const held = heldBytes.createHeldBytes(100)
+  const held = heldBytes.createHeldBytes(() => 100)
   const holder = held.open()
   holder.set(40)
   t.is(held.count(), 1)
@@ -63,6 +63,43 @@
   t.true(heldBytes.toHeldLimit(undefined) > 0)
 })
 
+// Guards against bodies that take their full share beside records and documents, and end the process for lack of memory.
+test('the limit shrinks with what else the process takes, and grows again', t => {
+  let clockMs = 0
+  let othersBytes = 300
+  const ended: string[] = []
+  const held: heldBytes.HeldBytes = heldBytes.createHeldBytes(heldBytes.createHeldLimit({ memoryBytes: () => 1000, total: () => held.total(), readUsed: () => othersBytes + held.total(), now: () => clockMs }))
+  const open = (name: string, bytes: number): heldBytes.Holder => {
+    const holder = held.open()
+    holder.onExcess = () => { ended.push(name) }
+    holder.add(bytes)
+    return holder
+  }
+  const large = open('large', 90)
+  const small = open('small', 40)
+  t.deepEqual(ended, [])
+  othersBytes = 730
+  clockMs += 1000
+  small.add(1)
+  t.deepEqual(ended, ['large'], 'the largest makes room')
+  t.is(held.total(), 41)
+  othersBytes = 2000
+  clockMs += 1000
+  open('least', 39)
+  t.deepEqual(ended, ['large', 'small'], 'a small share is left whatever else is taken')
+  t.is(held.total(), 39)
+  othersBytes = 300
+  clockMs += 1000
+  open('again', 100)
+  t.is(ended.length, 2)
+  large.release()
+})
+
+test('a memory that cannot be read leaves the limit as it is', t => {
+  const toLimit = heldBytes.createHeldLimit({ memoryBytes: () => 1000, total: () => 0, readUsed: () => { throw new Error('EMFILE') }, now: () => 0 })
+  t.is(toLimit(), 150)
+})
+
 test('responses of a usual length are read at once', t => {
   const pacer = readPacers.createReadPacer(() => 0)
   for (let i = 0; i < 100; i++) t.is(pacer.open().charge(200_000, 10), 0)
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -186,7 +186,7 @@
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
     durations: routeDurations.createRouteDurations(now),
-    heldBytes: heldBytes.createHeldBytes(opts.heldLimit ?? heldBytes.toHeldLimit(undefined)),
+    heldBytes: heldBytes.createHeldBytes(() => opts.heldLimit ?? heldBytes.toHeldLimit(undefined)),
     readPacer: readPacers.createReadPacer(now),
     now
   }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -66,7 +66,7 @@
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
-  const held = heldBytes.createHeldBytes(heldBytes.toHeldLimit(opts.memoryBytes))
+  const held = heldBytes.createHeldBytes(heldBytes.createHeldLimit({ memoryBytes: opts.memoryBytes ?? (() => undefined), total: () => held.total(), now }))
   const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), heldBytes: held.total, lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
   const durations = routeDurations.createRouteDurations(now)
   const waiters = documentWaiters.createDocumentWaiters()
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -43,8 +43,8 @@
   droppedLines: () => number
   /** Opens a TCP connection to the address of an endpoint; `net.connect` by default. */
   connectEndpoint?: (address: string) => net.Socket
-  /** Memory of this machine in bytes, undefined if unknown. */
-  memoryBytes?: number
+  /** Returns the memory of this machine in bytes, which may change; unknown by default. */
+  memoryBytes?: () => number
   /** Connections of the process, shared with its other servers; those of clients are unlimited by default. */
   connections?: links.ConnectionBudget
   /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
--- a/packages/forwarding/src/instance/heldBytes.ts
+++ b/packages/forwarding/src/instance/heldBytes.ts
@@ -1,6 +1,6 @@
 /**
  * One account of the bytes that an instance holds for requests and responses. Each of them has a bound of its own; the sum is bounded here, by
- * the memory of the machine. When it is exceeded, what holds most is ended.
+ * the memory of the machine and what else the process takes of it. When it is exceeded, what holds most is ended.
  */
 
 /** Bytes that one request or response holds. */
@@ -28,19 +28,57 @@
 const MEMORY_SHARE = 0.15
 /** Why a request or response is ended when the limit is exceeded. */
 export const EXCESS = 'this instance holds too many bytes, and most of them for this request'
+/** What is held shrinks when the process takes more than this share of the memory. */
+const MAX_USED_SHARE = 0.8
+/** It does not shrink below this share: memory that was released and not returned counts as taken, and requests must be served beside it. */
+const MIN_SHARE = 0.04
 /** Limit if the memory of the machine is not known. */
 const DEFAULT_LIMIT_BYTES = 48 * 2 ** 20
+const READ_INTERVAL_MS = 500
 
 /**
  * Returns the limit of the sum.
  * @param memoryBytes memory of the machine, undefined if unknown
+ * @param othersBytes memory of the process without what is held
  */
-export function toHeldLimit (memoryBytes: number | undefined): number {
-  return memoryBytes === undefined ? DEFAULT_LIMIT_BYTES : MEMORY_SHARE * memoryBytes
+export function toHeldLimit (memoryBytes: number | undefined, othersBytes = 0): number {
+  if (memoryBytes === undefined) return DEFAULT_LIMIT_BYTES
+  return Math.max(MIN_SHARE * memoryBytes, Math.min(MEMORY_SHARE * memoryBytes, MAX_USED_SHARE * memoryBytes - othersBytes))
 }
 
-/** Creates an account without holders. */
-export function createHeldBytes (limitBytes: number): HeldBytes {
+/** Options of {@link createHeldLimit}. */
+export interface HeldLimitOptions {
+  /** Memory of the machine, undefined if unknown. */
+  memoryBytes: () => number | undefined
+  /** Returns the sum of what is held. */
+  total: () => number
+  /** Returns the memory of the process. @throws Error when it cannot be read, as without a free file descriptor */
+  readUsed?: () => number
+  now: () => number
+}
+
+/** Creates a function that returns the present limit of the sum. */
+export function createHeldLimit ({ memoryBytes, total, readUsed = process.memoryUsage.rss, now }: HeldLimitOptions): () => number {
+  let othersBytes = 0
+  let readAt = -Infinity
+  return () => {
+    if (now() - readAt >= READ_INTERVAL_MS) {
+      readAt = now()
+      try {
+        othersBytes = readUsed() - total()
+      } catch {
+        // The memory watch logs it; what was read last holds.
+      }
+    }
+    return toHeldLimit(memoryBytes(), othersBytes)
+  }
+}
+
+/**
+ * Creates an account without holders.
+ * @param toLimit returns the present limit of the sum
+ */
+export function createHeldBytes (toLimit: () => number): HeldBytes {
   /** Bytes of each holder. */
   const holders = new Map<Holder, number>()
   let total = 0
@@ -57,7 +95,7 @@
   }
 
   const enforce = (): void => {
-    if (total <= limitBytes) return
+    if (total <= toLimit()) return
     const largest = findLargest()
     if (largest === undefined) return
     const { onExcess } = largest
@@ -79,7 +117,7 @@
           held = bytes
           if (bytes > 0) holders.set(holder, bytes)
           else holders.delete(holder)
-          if (total > limitBytes) enforce()
+          if (bytes > 0) enforce()
         },
         add (bytes) { holder.set(held + bytes) },
         release () {
