fix(coordination): a control instance starts with the document of its handout file

Callers saw: after a loss of all processes requests with a key that an acknowledged document had removed were served until there was a leader, also where the handout file of the control instance had that document.

Cause: what is handed out is committed, but a starting replica applies its log only up to the commit index on its disk, which lags. The started program published the older document, and wrote it over the handout file with the next change of a record.

Change: the document of the handout file is the latest known one from the start on. It is committed, so it is published, answers repeated puts, and is not replaced by an older one from the log.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -110,6 +110,7 @@
     dataFolder: opts.dataFolder,
     ownsProcess: opts.ownsProcess,
     getPeerLink,
+    known: handoutFiles.readHandoutDocument(opts.dataFolder, log),
     onChange: () => { onDocumentChange() },
     onEvacuations: () => { onEvacuations() },
     log,
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -40,6 +40,8 @@
   ownsProcess?: boolean
   /** Returns a link to another control instance. */
   getPeerLink: (address: string) => Promise<links.Link>
+  /** A document that is known to be committed before the log is read; none by default. */
+  known?: contracts.VersionedText | null
   /** Called when the local document changed. */
   onChange: () => void
   /** Called when the evacuated zones changed. */
@@ -50,9 +52,9 @@
 
 /** The configuration document on one control instance. */
 export interface DocumentStore {
-  /** Returns the document as applied locally, which may be stale. */
+  /** Returns the latest document that is known here to be committed, which may be stale. */
   latest (): contracts.VersionedText | null
-  /** Packs the document as applied locally for a reader of a version of it; null if the reader has the latest. */
+  /** Packs {@link DocumentStore.latest} for a reader of a version of it; null if the reader has the latest. */
   packSince (version: number): contracts.PackedText | null
   /**
    * Stores a document through the leader.
@@ -105,8 +107,9 @@
   let machine = documentMachines.createDocumentMachine()
   let lastVoters: string[] = []
   const history = discovery.createDocumentHistory()
-  /** The newest document applied by any incarnation of the replica in this process. */
-  let latest: contracts.VersionedText | null = null
+  /** The newest document that is known to be committed: applied by any incarnation of the replica in this process, or known before. */
+  let latest = opts.known ?? null
+  if (latest !== null) history.add(latest)
   /** The document proposed last by this leader, base of the next delta because it precedes it in the log. */
   let lastProposed: contracts.VersionedText | null = null
   let isNotificationPending = false
@@ -260,7 +263,7 @@
     latest: () => latest,
     packSince: history.packSince,
     async put (document, timeoutMs) {
-      // Applied entries are committed, so a repeated or older put is answered without the leader.
+      // What is known to be committed stays so: a repeated or older put is answered without the leader.
       const staleResult = documentMachines.resolveStalePut(latest, document)
       if (staleResult !== undefined) return staleResult
       return await retry(timeoutMs, async () => await putLocally(document), async (link, leftMs) => {
--- a/packages/coordination/src/handoutFile.ts
+++ b/packages/coordination/src/handoutFile.ts
@@ -2,6 +2,7 @@
  * Writes the handout of a control instance to its disk, to be served at its next start. A lost or damaged file only delays entry
  * instances until the control instance has started.
  */
+import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as writeBehindFiles from './writeBehindFile.js'
@@ -26,3 +27,18 @@
     log
   })
 }
+
+/**
+ * Reads the document of an instance's handout file. What is handed out is committed; the log may not say so yet.
+ * @returns null if the file is missing or damaged
+ */
+export function readHandoutDocument (folder: string, log: telemetry.Log): contracts.VersionedText | null {
+  try {
+    const body = discovery.readHandout(folder)
+    const packed = body === undefined ? null : discovery.decodeReply(body).document
+    return packed === null ? null : contracts.unpackText(packed, null) ?? null
+  } catch (err) {
+    log.event('recordFileUnreadable', { file: discovery.HANDOUT_FILE, detail: err instanceof Error ? err.message : String(err) })
+    return null
+  }
+}
