test(forwarding): endpoints of tests have hosts that no other process shares

Cause, traced: all tests listened at 127.0.0.1. A listening socket draws its port from 7056 ports (odd, lower half of the range, 2376 distinct ones in 3000 draws here), so while a test lost endpoints on purpose, a server of another process could take the port of a closed one. The entry was refused by it once, tried it again after its backoff, and was accepted: the request then hung at a stranger until that process ended ("e3 (least 0/47) lost: socket hang up 4266" after ECONNREFUSED at the same port). The same was traced in both failures of "a crashing request is quarantined beside many others" in traced runs. With a server put at the port of a closed endpoint, the test fails 1 of 3 variants (silent server) to 3 of 3 (answering server).

The assumption that nobody listens at a closed endpoint was wrong, not the product: an endpoint of the platform answers 421 to a request for another one. Each test endpoint and entry has now a loopback host of its own, in the subnet of the process; checks are unchanged.

--- a/packages/forwarding/__tests__/abandonedRequests.test.ts
+++ b/packages/forwarding/__tests__/abandonedRequests.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
+import * as loopbackHosts from './helpers/loopbackHost.js'
 import * as helper from './helpers/testEntry.js'
 
 const test = ava.default
@@ -16,8 +17,9 @@
     socket.on('data', chunk => { receivedBytes += chunk.length })
     socket.on('error', () => {})
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  const host = loopbackHosts.nextHost()
+  await new Promise<void>(resolve => { server.listen(0, host, resolve) })
+  const address = `${host}:${(server.address() as net.AddressInfo).port}`
   const entry = await helper.startEntry([helper.toRoute({ timeoutMs: 20_000, targetMs: 10_000, maxAttempts: 1 })], [], { limits: { maxBodyBytes: 2 * BODY_BYTES } })
   t.teardown(() => {
     entry.close()
--- a/packages/forwarding/__tests__/helpers/pausingEndpoint.ts
+++ b/packages/forwarding/__tests__/helpers/pausingEndpoint.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
+import * as loopbackHosts from './loopbackHost.js'
 import * as helper from './testEntry.js'
 
 /** A request at an endpoint; times by the clock of the test. */
@@ -86,12 +87,13 @@
     socket.on('error', () => {})
     socket.on('close', () => sockets.delete(socket))
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const host = loopbackHosts.nextHost()
+  await new Promise<void>(resolve => { server.listen(0, host, resolve) })
   const { port } = server.address() as net.AddressInfo
   const openRuns = (): Run[] => runs.filter(item => item.endedAt === undefined)
 
   return {
-    endpoint: { id, address: `127.0.0.1:${port}` },
+    endpoint: { id, address: `${host}:${port}` },
     runs,
     pause (accepts) {
       isAccepting = accepts
@@ -108,7 +110,7 @@
       for (const socket of sockets) socket.resetAndDestroy()
     },
     connect () {
-      if (isAccepting) return net.connect({ host: '127.0.0.1', port })
+      if (isAccepting) return net.connect({ host, port })
       const socket = new net.Socket()
       Object.defineProperty(socket, 'connecting', { value: true })
       return socket
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -18,6 +18,7 @@
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 import * as retryBudgets from '../../src/attempts/retryBudget.js'
 import * as routeDurations from '../../src/admission/routeDurations.js'
+import * as loopbackHosts from './loopbackHost.js'
 import * as routeTables from '../../src/admission/routeTable.js'
 import * as trialPermits from '../../src/quarantine/trialPermits.js'
 
@@ -88,8 +89,9 @@
     sockets.add(socket)
     socket.on('close', () => sockets.delete(socket))
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  const host = loopbackHosts.nextHost()
+  await new Promise<void>(resolve => { server.listen(0, host, resolve) })
+  const address = `${host}:${(server.address() as net.AddressInfo).port}`
   return {
     id,
     address,
@@ -191,7 +193,7 @@
     now
   }
   const server = entryServers.createEntryServer(ctx)
-  const address = await server.listen('127.0.0.1:0')
+  const address = await server.listen(`${loopbackHosts.nextHost()}:0`)
   server.applyLimits(limits)
   let seq = 0
   const announce: TestEntry['announce'] = (endpoint, change = {}) => {
--- a/packages/forwarding/__tests__/helpers/testFleet.ts
+++ b/packages/forwarding/__tests__/helpers/testFleet.ts
@@ -8,14 +8,13 @@
 import * as entryInstances from '../../src/instance/entryInstance.js'
 import type * as entryOptions from '../../src/instance/entryOptions.js'
 import type * as routeTables from '../../src/admission/routeTable.js'
+import * as loopbackHosts from './loopbackHost.js'
 import * as helper from './testEntry.js'
 
 const log = telemetry.createLog({ instance: 'test', level: 'silent' })
 export const SECRET = 'test-secret-of-16'
 const WAIT_MS = 10_000
 const TICK_MS = 250
-/** Loopback host of this process. Connections of other processes come from another one, and cannot take its ports. */
-const HOST = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}.1`
 let nextPort = 20_000
 
 export interface TestControl {
@@ -166,5 +165,5 @@
 
 /** Returns an address that nothing else uses. */
 export function freeAddress (): string {
-  return `${HOST}:${nextPort++}`
+  return `${loopbackHosts.SHARED_HOST}:${nextPort++}`
 }
