fix(quarantine): an outage that is seen before and after a stall is still one outage

Callers of a request that was in flight everywhere got 503 with a retry time of minutes after several endpoints had been lost at once, if the entry instance stalled while it noticed the losses: they seemed to be more than 300 ms apart, so that the request passed for their cause although it survived at the other endpoints.

A loss is now known to be as old as the event loop's last look at what arrived (loopLag.ts), and crashes pass for one outage if they may have been as close.

--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -2,6 +2,7 @@
 import * as ava from 'ava'
 import * as crashEvidences from '../src/quarantine/crashEvidence.js'
 import * as crashQuarantines from '../src/quarantine/crashQuarantine.js'
+import type * as crashReports from '../src/quarantine/crashReport.js'
 import * as suspectKeys from '../src/quarantine/suspectKey.js'
 
 const test = ava.default
@@ -219,3 +220,46 @@
   t.true(trialsAt.filter(at => at <= 2500).length >= 2)
   t.is(trialsAt.filter(at => at > 2500).length, 2)
 })
+
+// Guards against taking one outage for crashes one after the other because the process that saw it stalled in between.
+test('endpoints that were lost at once pass for one outage if their losses are seen before and after a stall', t => {
+  const judge = (stallMs: number, lagMs: number): string => {
+    let lag = 0
+    const quarantine = crashQuarantines.createCrashQuarantine({ lagMs: () => lag })
+    quarantine.startRun(['popular'], 'up', 0)
+    const lose = (endpoint: string, at: number): void => {
+      quarantine.startRun(['popular'], endpoint, 1).end('lost', at)
+      quarantine.confirmDown(endpoint, at, 'refused')
+    }
+    lose('e1', 1000)
+    lag = lagMs
+    for (const endpoint of ['e2', 'e3', 'e4']) lose(endpoint, 1000 + stallMs)
+    return quarantine.judge(['popular'], 1000 + stallMs).kind
+  }
+  t.is(judge(900, 850), 'allowed')
+  t.is(judge(900, 0), 'quarantined')
+  t.is(judge(900, 500), 'quarantined')
+})
+
+// Guards against the same at an instance that learns of the losses from one that stalled, or that stalled itself.
+test('the stall of another instance, or of this one, does not make one outage crashes one after the other', t => {
+  const judge = (senderLagMs: number, ownLagMs: number): string => {
+    let lag = 0
+    let reports: crashReports.CrashReport[] = []
+    const sender = crashQuarantines.createCrashQuarantine({ lagMs: () => senderLagMs, send: list => { reports = list } })
+    const quarantine = crashQuarantines.createCrashQuarantine({ lagMs: () => lag })
+    quarantine.startRun(['popular'], 'up', 0)
+    quarantine.startRun(['popular'], 'e1', 1).end('lost', 1000)
+    quarantine.confirmDown('e1', 1000, 'refused')
+    lag = ownLagMs
+    for (const endpoint of ['e2', 'e3']) {
+      sender.startRun(['popular'], endpoint, 1).end('lost', 1900)
+      sender.confirmDown(endpoint, 1900, 'refused')
+      quarantine.merge(reports, 1900, 'i2')
+    }
+    return quarantine.judge(['popular'], 1900).kind
+  }
+  t.is(judge(850, 0), 'allowed')
+  t.is(judge(0, 850), 'allowed')
+  t.is(judge(0, 0), 'quarantined')
+})
--- a/packages/forwarding/__tests__/crashQuarantine.test.ts
+++ b/packages/forwarding/__tests__/crashQuarantine.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
 import * as crashBehaviours from './helpers/crashBehaviours.js'
+import * as stallClocks from './helpers/stallClock.js'
 import * as helper from './helpers/testEntry.js'
 import type * as routeTables from '../src/admission/routeTable.js'
 
@@ -14,6 +15,8 @@
 const TIMEOUTS = { targetMs: 10_000, timeoutMs: 20_000 }
 const DEADLINE = { 'x-deadline-ms': '20000' }
 const CRASHING = '/a/crashing'
+/** Longest stall of the machine at which all sends after an outage fall in the time within which its cause need not be known. */
+const MAX_STALL_MS = 500
 
 /** Starts endpoints that crash with the request {@link CRASHING} and keep all others in flight. */
 async function startEndpoints (t: ava.ExecutionContext, crash: crashBehaviours.Crash, opts: { acceptsForMs?: number, /** Whether it accepts connections again at once. */ isRestarted?: boolean } = {}): Promise<helper.TestEndpoint[]> {
@@ -122,21 +125,28 @@
   const name = [change.kind ?? 'idempotent', change.isResumable === true ? ', resumable' : ''].join('')
   // Guards against rejecting a request that was in flight everywhere when endpoints were lost for another reason.
   test(`a popular request is served after four endpoints are lost at once: ${name}`, async t => {
-    const endpoints = await startEndpoints(t, crashBehaviours.beforeResponse)
-    const entry = await startEntry(t, endpoints, change)
-    const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
-    const popular = Array.from({ length: 4 * ENDPOINTS }, async () => await entry.send({ method: 'POST', path: '/a/popular', body: 'popular', headers: DEADLINE }).catch(() => undefined))
-    await until(() => endpoints.every(item => item.requests.some(req => req.url === '/a/popular')))
-    for (const endpoint of endpoints.slice(0, 4)) endpoint.close()
-    for (let i = 0; i < 4; i++) {
-      t.true(await reaches(entry, endpoints, '/a/popular', 'popular'))
-      await timers.setTimeout(300)
-    }
-    entry.server.destroy()
-    await Promise.all([...others, ...popular])
+    t.deepEqual(await stallClocks.playWithoutStall(MAX_STALL_MS, async () => await playOutage(t, change)), [true, true, true, true])
   })
 }
 
+/** Loses four endpoints at once while a request is in flight at all of them. @returns whether it reached an endpoint each time that it was sent then */
+async function playOutage (t: ava.ExecutionContext, change: Partial<routeTables.Route>): Promise<boolean[]> {
+  const endpoints = await startEndpoints(t, crashBehaviours.beforeResponse)
+  const entry = await startEntry(t, endpoints, change)
+  const others = Array.from({ length: 30 }, async (_, i) => await entry.send({ method: 'POST', path: '/a/other', body: `other ${i}`, headers: DEADLINE }).catch(() => undefined))
+  const popular = Array.from({ length: 4 * ENDPOINTS }, async () => await entry.send({ method: 'POST', path: '/a/popular', body: 'popular', headers: DEADLINE }).catch(() => undefined))
+  await until(() => endpoints.every(item => item.requests.some(req => req.url === '/a/popular')))
+  for (const endpoint of endpoints.slice(0, 4)) endpoint.close()
+  const reached: boolean[] = []
+  for (let i = 0; i < 4; i++) {
+    reached.push(await reaches(entry, endpoints, '/a/popular', 'popular'))
+    await timers.setTimeout(300)
+  }
+  entry.server.destroy()
+  await Promise.all([...others, ...popular])
+  return reached
+}
+
 // Guards against rejecting a request that follows crashes but has since succeeded.
 test('crashes before a completed run do not count', async t => {
   let isCrashing = true
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -18,6 +18,7 @@
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 import * as retryBudgets from '../../src/attempts/retryBudget.js'
 import * as routeDurations from '../../src/admission/routeDurations.js'
+import * as loopLags from '../../src/instance/loopLag.js'
 import * as loopbackHosts from './loopbackHost.js'
 import * as routeTables from '../../src/admission/routeTable.js'
 import * as trialPermits from '../../src/quarantine/trialPermits.js'
@@ -154,7 +155,8 @@
   const log = telemetry.createLog({ instance: 'test', json: true, write: line => { lines.push(JSON.parse(line)) } })
   const table = discovery.createRecordTable()
   const now = (): number => performance.now()
-  const quarantine = crashQuarantines.createCrashQuarantine({ log })
+  const loopLag = loopLags.startLoopLag(now)
+  const quarantine = crashQuarantines.createCrashQuarantine({ log, lagMs: loopLag.lagMs })
   const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, dial: async endpoint => await endpointDialers.dial(opts.connect ?? endpointDialers.connectDirectly, endpoint.record.address), onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
@@ -240,6 +242,7 @@
       server.stopListening()
       server.destroy()
       for (const endpoint of pool.all()) endpoint.agent.destroy()
+      loopLag.stop()
     }
   }
 }
--- a/packages/forwarding/__tests__/helpers/testGossip.ts
+++ b/packages/forwarding/__tests__/helpers/testGossip.ts
@@ -6,6 +6,7 @@
 import * as crashQuarantines from '../../src/quarantine/crashQuarantine.js'
 import type * as endpointPools from '../../src/endpoints/endpointPool.js'
 import * as gossipTypes from '../../src/gossip/gossipTypes.js'
+import * as loopLags from '../../src/instance/loopLag.js'
 import * as loadGossips from '../../src/gossip/loadGossip.js'
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
 
@@ -38,11 +39,13 @@
 
 /** Starts the gossip of a fleet. */
 export function startFleet (t: ava.ExecutionContext, count: number): Fleet {
+  const loopLag = loopLags.startLoopLag(() => performance.now())
+  t.teardown(loopLag.stop)
   const instances = new Map<string, Instance>()
   const records = Array.from({ length: count }, (_, i): discovery.EntryRecord => ({ kind: 'entry', id: `i${i}`, startedAt: 1, seq: 1, zone: `z${i % ZONES}`, region: 'r', front: `f${i}`, inner: `n${i}`, state: 'ready' }))
   const start = (record: discovery.EntryRecord): void => {
     const endpoints = Array.from({ length: ENDPOINTS }, (_, k) => ({ id: `e${k}`, inFlight: 0, peerInFlight: 0, peerQueueDelayMs: undefined, queueDelay: { estimateMs: () => undefined } }))
-    const quarantine = crashQuarantines.createCrashQuarantine({ send: reports => { instance.gossip.sendCrashReports(reports) } })
+    const quarantine = crashQuarantines.createCrashQuarantine({ lagMs: loopLag.lagMs, send: reports => { instance.gossip.sendCrashReports(reports) } })
     const outliers = outlierDetectors.createOutlierDetector()
     let merged = 0
     const connect = async (address: string): Promise<links.Link> => {
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -16,6 +16,7 @@
 import * as addresses from './addresses.js'
 import * as changeAnnouncers from './changeAnnouncer.js'
 import * as heldBytes from './heldBytes.js'
+import * as loopLags from './loopLag.js'
 import * as readPacers from '../attempts/readPacer.js'
 import * as drainWorks from './drainWork.js'
 import * as entryContexts from './entryContext.js'
@@ -62,7 +63,8 @@
   const { log } = opts
   const now = (): number => performance.now()
   const table = discovery.createRecordTable()
-  const quarantine = crashQuarantines.createCrashQuarantine({ startedAt: now(), log, send: reports => { gossip.sendCrashReports(reports) }, checkEndpoint: incarnation => { attemptRecorders.checkEndpoint(ctx, incarnation) } })
+  const loopLag = loopLags.startLoopLag(now)
+  const quarantine = crashQuarantines.createCrashQuarantine({ startedAt: now(), log, lagMs: loopLag.lagMs, send: reports => { gossip.sendCrashReports(reports) }, checkEndpoint: incarnation => { attemptRecorders.checkEndpoint(ctx, incarnation) } })
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
@@ -333,6 +335,7 @@
       const ms = await drainWorks.drainWork({ times, openWork: () => server.openRequests() + tunnels.count(), connections: server.connections, stopListening: server.stopListening, answerOpen: server.answerOpen, now })
       log.event('stopped', { ms, open: server.openRequests() })
       clearInterval(pruner)
+      loopLag.stop()
       changes.stop()
       paths.stop()
       gossip.stop()
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -34,6 +34,8 @@
   startedAt: number
   /** Whether it was sent as a trial, as far as that is known. */
   isTrial?: boolean
+  /** By how much earlier the endpoint may have been lost, since the process that saw it stalled, in milliseconds. */
+  lateMs?: number
 }
 
 /** What is known about the crashes of a suspect. */
@@ -112,11 +114,17 @@
   return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
 }
 
+/** Returns how far apart the crashes were at least. */
+function toSpreadMs (crashes: readonly Crash[]): number {
+  const [first] = crashes
+  return Math.max(...crashes.map(({ at, lateMs = 0 }) => at - lateMs)) - first.at
+}
+
 /** Returns whether the crashes were probably one outage that the suspect did not cause. */
 function isOutage ({ crashes, hasSucceeded, hasSurvivors }: Evidence, now: number): boolean {
   const [first] = crashes
   const last = crashes[crashes.length - 1]
-  return last.at - first.at <= COINCIDENCE_MS && now - last.at < OUTAGE_MS && (hasSucceeded || hasSurvivors(first))
+  return toSpreadMs(crashes) <= COINCIDENCE_MS && now - last.at < OUTAGE_MS && (hasSucceeded || hasSurvivors(first))
 }
 
 /** Returns whether a part that much of the traffic shares was probably only beside what crashed the endpoints. */
--- a/packages/forwarding/src/quarantine/crashQuarantine.ts
+++ b/packages/forwarding/src/quarantine/crashQuarantine.ts
@@ -32,8 +32,12 @@
    * @param response status of the response, for the log
    */
   confirmUp (endpoint: string, sentAt: number, now: number, response?: string): void
-  /** Merges the reports of another instance. @returns those that were not known */
-  merge (reports: readonly crashReports.CrashReport[], now: number, from: string): crashReports.CrashReport[]
+  /**
+   * Merges the reports of another instance.
+   * @param isDated whether they tell when the crashes were; true by default
+   * @returns those that were not known
+   */
+  merge (reports: readonly crashReports.CrashReport[], now: number, from: string, isDated?: boolean): crashReports.CrashReport[]
   /** Returns whether one more crash may quarantine the request. */
   isSuspected (keys: readonly string[]): boolean
   /** Returns those of the keys for which crashes are known. */
@@ -69,6 +73,8 @@
   send?: (reports: crashReports.CrashReport[]) => void
   /** Finds out whether an endpoint is down, and confirms it if so. */
   checkEndpoint?: (endpoint: string) => void
+  /** Returns by how much earlier what is seen now may have happened, since the process stalled, in milliseconds; none by default. */
+  lagMs?: () => number
 }
 
 const PRUNE_INTERVAL_MS = 1000
@@ -88,7 +94,7 @@
 
 /** Creates an empty quarantine. */
 export function createCrashQuarantine (opts: CrashQuarantineOptions = {}): CrashQuarantine {
-  const { send = () => {}, checkEndpoint = () => {} } = opts
+  const { send = () => {}, checkEndpoint = () => {}, lagMs = () => 0 } = opts
   const log = suspectLogs.createSuspectLog(opts.log)
   const suspects = suspectTables.createSuspectTable()
   const ledger = crashLedgers.createCrashLedger({ suspects, log })
@@ -103,6 +109,7 @@
 
   const tracker = runTrackers.createRunTracker({
     onCompleted: complete,
+    lagMs,
     onCrash (keys, tried, crash, now) {
       const added = addCrash(keys, tried, { ...crash, knownAt: now }, crashLedgers.SELF)
       if (added.length > 0) send(reports.ofCrash(added, crash, now, tried))
@@ -209,14 +216,15 @@
   }
 
   /** @returns what of the report was not known, undefined if nothing */
-  const mergeReport = (report: crashReports.CrashReport, now: number, from: string): crashReports.CrashReport | undefined => {
+  const mergeReport = (report: crashReports.CrashReport, now: number, from: string, isDated: boolean): crashReports.CrashReport | undefined => {
     if (report.isCleared) return ledger.clear(crashReports.toKeys(report), report.crashed, now - report.agoMs, from).length > 0 ? report : undefined
     for (const endpoint of report.survived) ledger.retract(endpoint, now - report.agoMs, from)
     const keys = crashReports.toKeys(report)
     const at = now - report.agoMs
+    const lateMs = report.lateMs + (isDated ? lagMs() : 0)
     const added = new Set<string>()
     const crashed = report.crashed.filter(endpoint => {
-      const news = addCrash(keys, report.isTrial ? keys : [], { endpoint, at, startedAt: at - report.ranMs, knownAt: now }, from)
+      const news = addCrash(keys, report.isTrial ? keys : [], { endpoint, at, startedAt: at - report.ranMs, lateMs, knownAt: now }, from)
       for (const key of news) added.add(key)
       return news.length > 0
     })
@@ -252,9 +260,9 @@
       const [key] = ledger.retract(endpoint, sentAt, crashLedgers.SELF, response)
       if (key !== undefined) send([crashReports.toCrashReport(key, { hasSucceeded: hasSucceeded(key), survived: [endpoint], agoMs: Math.max(0, Math.round(now - sentAt)) })])
     },
-    merge (list, now, from) {
+    merge (list, now, from, isDated = true) {
       prune(now)
-      return list.flatMap(report => mergeReport(report, now, from) ?? [])
+      return list.flatMap(report => mergeReport(report, now, from, isDated) ?? [])
     },
     isSuspected: keys => keys.some(key => {
       const suspect = suspects.get(key)
--- a/packages/forwarding/src/quarantine/crashReport.ts
+++ b/packages/forwarding/src/quarantine/crashReport.ts
@@ -23,6 +23,8 @@
   agoMs: contracts.input.durationMs.default(0),
   /** Time for which the request had been at the endpoint then, in milliseconds. */
   ranMs: contracts.input.durationMs.default(0),
+  /** Time by which the endpoints may have gone down earlier, since the instance that saw it stalled, in milliseconds. */
+  lateMs: contracts.input.durationMs.default(0),
   /** Incarnations of endpoints that were taken for crashed and have responded since; concerns all suspects that they lost. */
   survived: boundedLists.keyList(MAX_CRASHES).default([]),
   /** Whether the suspect completed a run, so that its crashes no longer count. */
@@ -50,7 +52,7 @@
 
 /** Returns a report with the given fields and defaults for the others. */
 export function toCrashReport (key: string, fields: Partial<CrashReport>): CrashReport {
-  return { fingerprint: key, others: [], crashed: [], survived: [], agoMs: 0, ranMs: 0, isCleared: false, hasSurvivors: false, isTrial: false, hasSucceeded: false, ...fields }
+  return { fingerprint: key, others: [], crashed: [], survived: [], agoMs: 0, ranMs: 0, lateMs: 0, isCleared: false, hasSurvivors: false, isTrial: false, hasSucceeded: false, ...fields }
 }
 
 /** Returns the keys of the suspects that a report is about. */
--- a/packages/forwarding/src/quarantine/quarantineRecords.ts
+++ b/packages/forwarding/src/quarantine/quarantineRecords.ts
@@ -46,6 +46,6 @@
     const reports = [...record.quarantined ?? [], ...record.inherited ?? []].flatMap(({ fingerprint, crashed }) => crashed.map((endpoint, i) => {
       return crashReports.toCrashReport(fingerprint, { crashed: [endpoint], agoMs: (crashed.length - i) * CRASH_INTERVAL_MS })
     }))
-    quarantine.merge(reports, now, `record of ${record.id}`)
+    quarantine.merge(reports, now, `record of ${record.id}`, false)
   }
 }
--- a/packages/forwarding/src/quarantine/runTracker.ts
+++ b/packages/forwarding/src/quarantine/runTracker.ts
@@ -55,6 +55,8 @@
   onCompleted: (keys: readonly string[], startedAt: number, now: number) => void
   /** Called for each run that was in flight at a crash. */
   onCrash: (keys: readonly string[], tried: readonly string[], crash: crashEvidences.Crash, now: number) => void
+  /** Returns by how much earlier what is seen now may have happened, in milliseconds; none by default. */
+  lagMs?: () => number
 }
 
 /** A run counts as lost in a crash if its endpoint is found to be unreachable within this time. */
@@ -75,12 +77,13 @@
   how: 'lost' | 'abandoned'
   startedAt: number
   at: number
+  lateMs: number
   /** Whether the endpoint, or a later start of it, has responded to a request that was sent a while afterwards. */
   isOutlived: boolean
 }
 
 /** Creates an empty tracker. */
-export function createRunTracker ({ onCompleted, onCrash }: RunTrackerOptions): RunTracker {
+export function createRunTracker ({ onCompleted, onCrash, lagMs = () => 0 }: RunTrackerOptions): RunTracker {
   /** By key. */
   const runs = new Map<string, Set<RunState>>()
   const lostRuns = new Map<string, LostRun[]>()
@@ -122,7 +125,7 @@
           switch (how) {
             case 'completed': onCompleted(keys, now, at); break
             case 'lost':
-            case 'abandoned': recordLost(endpoint, { keys, tried, how, startedAt: now, at, isOutlived: false }); break
+            case 'abandoned': recordLost(endpoint, { keys, tried, how, startedAt: now, at, lateMs: lagMs(), isOutlived: false }); break
             case 'inconclusive': break
           }
         }
@@ -167,8 +170,8 @@
   }
 }
 
-function toCrash (endpoint: string, { at, startedAt }: LostRun): crashEvidences.Crash {
-  return { endpoint, at, startedAt }
+function toCrash (endpoint: string, { at, startedAt, lateMs }: LostRun): crashEvidences.Crash {
+  return { endpoint, at, startedAt, lateMs }
 }
 
 /** Adds a run of an endpoint, and drops those that are too old to matter. */
--- a/packages/forwarding/src/quarantine/suspectReports.ts
+++ b/packages/forwarding/src/quarantine/suspectReports.ts
@@ -37,8 +37,8 @@
 
 /** Creates a builder of reports. */
 export function createSuspectReports ({ suspects, evidence, hasSucceeded, refutedUntil }: SuspectReportOptions): SuspectReports {
-  const ofCrash: SuspectReports['ofCrash'] = (keys, { endpoint, at, startedAt }, now, tried) => {
-    const fields = { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)), ranMs: Math.max(0, Math.round(at - startedAt)) }
+  const ofCrash: SuspectReports['ofCrash'] = (keys, { endpoint, at, startedAt, lateMs = 0 }, now, tried) => {
+    const fields = { crashed: [endpoint], agoMs: Math.max(0, Math.round(now - at)), ranMs: Math.max(0, Math.round(at - startedAt)), lateMs: Math.round(lateMs) }
     // Suspects that were in the same run are told together, as far as the same holds for them.
     const groups = new Map<string, string[]>()
     for (const key of keys) {
