fix(coordination): an acknowledged document is in the handout files of all control instances that can be reached

Callers saw: a document without an API key is acknowledged, right after it all instances are killed and start again, the control instances one after the other: requests with the key were served up to 6.3 s after the acknowledgement (target 5 s).

Cause: a put was acknowledged once a majority had the entry in its log. The other control instances learnt of the commit with the next heartbeat, and wrote the file that is served at a start 250 ms later. Until a majority had started again nothing told that the entry is committed, so entry instances served by the file.

Change: before it acknowledges a document, a control instance calls the others (`keep`), which answer once their handout file has it, and waits for those that can be reached, at most 0.7 s. Repeated and older puts are acknowledged the same way. The leader tells its followers of the commit at once. The file is written without the delay if a caller waits for it. An instance of an earlier version rejects the call and is not waited for.

What is handed out is still committed, so no entry instance can get a document that is taken back.

--- a/packages/coordination/__tests__/acknowledgedDocuments.test.ts
+++ b/packages/coordination/__tests__/acknowledgedDocuments.test.ts
@@ -6,7 +6,9 @@
 import * as ava from 'ava'
 import * as contracts from '@kingcupdeck/contracts'
 import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as documentKeepings from '../src/documentKeeping.js'
 import * as coordination from '../src/index.js'
 import * as freeAddresses from './helpers/freeAddress.js'
 
@@ -24,7 +26,7 @@
 
 async function start (inner: string, founders: string[], folder: string, mayFound: boolean): Promise<coordination.ControlInstance> {
   const log = telemetry.createLog({ instance: inner, level: 'silent' })
-  return await coordination.startControlInstance({ inner, founders, mayFound, contacts: () => founders, maxFailedDisks: 1, dataFolder: folder, secret: SECRET, log, invariants: telemetry.createInvariants({ log, isFatal: true }) })
+  return await coordination.startControlInstance({ inner, founders, mayFound, contacts: () => founders, maxFailedDisks: 1, dataFolder: folder, keepTimeoutMs: WAIT_MS, secret: SECRET, log, invariants: telemetry.createInvariants({ log, isFatal: true }) })
 }
 
 async function until (isTrue: () => boolean): Promise<boolean> {
@@ -52,7 +54,7 @@
   const folders = addresses.map(() => makeFolder(t))
   const controls = await Promise.all(addresses.map(async (inner, i) => await start(inner, addresses, folders[i], true)))
   t.true(await until(() => controls.every(item => item.store.isCurrent())))
-  await controls[0].store.put(toDocument(7), 5000)
+  await controls[0].store.put(toDocument(7), WAIT_MS)
   t.true(await until(() => controls.every(item => item.store.latest()?.version === 7)))
   return {
     addresses,
@@ -66,6 +68,18 @@
   }
 }
 
+// Instances whose handout had missed the document served by it until a majority had started.
+test('an acknowledged document is in the handout files of all control instances that can be reached', async t => {
+  const fleet = await startFleet(t)
+  for (let i = 0; i < 9; i++) {
+    const document = toDocument(8 + Math.floor(i / 3))
+    // Each version is sent three times, to other instances: repeats are acknowledgements too.
+    await fleet.controls[i % 3].store.put(document, WAIT_MS)
+    t.deepEqual(fleet.copyDisks().map(readHandoutVersion), [1, 2, 3].map(() => document.version))
+  }
+  await fleet.stop()
+})
+
 // Without a leader, the replica does not know that the last entry of its log is committed, and its older document replaced the handout.
 test('a control instance that starts alone has the document of its handout file, and keeps it', async t => {
   const fleet = await startFleet(t)
@@ -82,3 +96,97 @@
     await control.stop()
   }
 })
+
+// The next document is sent as a delta from the document that the log has.
+test('a fleet whose logs are behind its handout files goes on with the next document', async t => {
+  const fleet = await startFleet(t)
+  await fleet.controls[0].store.put(toDocument(8), WAIT_MS)
+  const copies = fleet.copyDisks()
+  await fleet.stop()
+  const controls = await Promise.all(copies.map(async (folder, i) => await start(fleet.addresses[i], fleet.addresses, folder, false)))
+  t.deepEqual(controls.map(item => item.store.latest()?.version), [8, 8, 8])
+  t.true(await until(() => controls.every(item => item.store.isCurrent())))
+  t.is((await controls[1].store.put(toDocument(9), WAIT_MS)).kind, 'stored')
+  t.is((await controls[2].store.read(WAIT_MS))?.version, 9)
+  t.true(await until(() => controls.every(item => item.store.latest()?.version === 9)))
+  await Promise.all(controls.map(async item => { await item.stop() }))
+})
+
+async function listen (t: ava.ExecutionContext, onCall: links.LinkHandlers['onCall']): Promise<string> {
+  const log = telemetry.createLog({ instance: 'peer', level: 'silent' })
+  const opened: links.Link[] = []
+  const server = await links.listen('127.0.0.1:0', { identity: { role: 'control', id: 'peer' }, secret: SECRET, log, handlers: { onEvent () {}, onCall } }, link => { opened.push(link) })
+  t.teardown(async () => {
+    for (const link of opened) link.close()
+    await server.close()
+  })
+  return `127.0.0.1:${server.port}`
+}
+
+function createKeeping (t: ava.ExecutionContext, addresses: string[]): ReturnType<typeof documentKeepings.createFleetKeeping> {
+  const log = telemetry.createLog({ instance: 'self', level: 'silent' })
+  const dial = async (address: string): Promise<links.Link> => {
+    const link = await links.dial(address, { identity: { role: 'control', id: 'self' }, secret: SECRET, log, handlers: { onEvent () {}, async onCall () {} } })
+    t.teardown(() => { link.close() })
+    return link
+  }
+  return documentKeepings.createFleetKeeping({ keep: async version => ({ version }), peerAddresses: () => addresses, getPeerLink: dial, timeoutMs: WAIT_MS })
+}
+
+// Earlier versions do not know the call.
+test('an instance that is down or rejects the call does not fail an acknowledgement, and is asked again', async t => {
+  const calls: unknown[] = []
+  const rejecting = await listen(t, async body => {
+    calls.push(body)
+    throw new Error('unknown call')
+  })
+  const keepEverywhere = createKeeping(t, [rejecting, await freeAddresses.findFreeAddress()])
+  for (let i = 0; i < 2; i++) await keepEverywhere(8, WAIT_MS)
+  t.true(await until(() => calls.length === 2))
+})
+
+test('an instance that does not answer delays the acknowledgement for no longer than the given time', async t => {
+  const calls: unknown[] = []
+  const silent = await listen(t, async body => {
+    calls.push(body)
+    return await new Promise(() => {})
+  })
+  const keepEverywhere = createKeeping(t, [silent])
+  t.is(await Promise.race([keepEverywhere(8, 50).then(() => 'over'), timers.setTimeout(WAIT_MS, 'late')]), 'over')
+  t.true(await until(() => calls.length === 1))
+  t.deepEqual(calls, [{ t: 'keep', version: 8 }])
+})
+
+test('what an instance is known to keep is not asked again', async t => {
+  const calls: unknown[] = []
+  const peer = await listen(t, async body => {
+    calls.push(body)
+    return { version: 9 } satisfies documentKeepings.KeepReply
+  })
+  const keepEverywhere = createKeeping(t, [peer])
+  for (const version of [8, 9, 8, 10]) await keepEverywhere(version, WAIT_MS)
+  t.deepEqual(calls, [{ t: 'keep', version: 8 }, { t: 'keep', version: 10 }])
+})
+
+test('a document is kept once its file is written, and not if the instance does not get it', async t => {
+  let held = 7
+  let written = 7
+  const keep = documentKeepings.createKeepDocument({ version: () => held, file: { writtenVersion: () => written, async saveNow () { written = held } }, timeoutMs: 100 })
+  t.deepEqual(await keep(7), { version: 7 })
+  await t.throwsAsync(async () => await keep(8), { message: /version 8 is not in the handout file/ })
+  const kept = keep(9)
+  held = 9
+  t.deepEqual(await kept, { version: 9 })
+})
+
+// A loop that does not wait would keep the process from everything else.
+test('an instance whose disk refuses the file goes on with other work', async t => {
+  let attempts = 0
+  const keep = documentKeepings.createKeepDocument({ version: () => 8, file: { writtenVersion: () => 7, async saveNow () { attempts++ } }, timeoutMs: 100 })
+  let turns = 0
+  const timer = setInterval(() => { turns++ }, 1)
+  await t.throwsAsync(async () => await keep(8))
+  clearInterval(timer)
+  t.true(turns > 0)
+  t.true(attempts > 0)
+})
--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -9,6 +9,7 @@
 import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentCalls from './documentCall.js'
+import * as documentKeepings from './documentKeeping.js'
 import * as documentStores from './documentStore.js'
 import * as handoutFiles from './handoutFile.js'
 import * as recordFiles from './recordFile.js'
@@ -28,6 +29,8 @@
   dataFolder: string
   /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
   ownsProcess?: boolean
+  /** See {@link documentStores.DocumentStoreOptions.keepTimeoutMs}. */
+  keepTimeoutMs?: number
   /** Secret shared by all instances of the fleet. */
   secret: string
   /** Capacity of this machine's link, bytes per millisecond; unlimited by default. */
@@ -64,6 +67,7 @@
   let isStopping = false
   let onDocumentChange = (): void => {}
   let onEvacuations = (): void => {}
+  let keepDocument: documentKeepings.KeepDocument = async () => { throw new Error('this instance is starting') }
 
   // Calls wait while the instance starts. Events are dropped: what they say follows with the comparison of records.
   const starting = createPendingParts()
@@ -111,6 +115,8 @@
     ownsProcess: opts.ownsProcess,
     getPeerLink,
     known: handoutFiles.readHandoutDocument(opts.dataFolder, log),
+    keepDocument: async version => await keepDocument(version),
+    keepTimeoutMs: opts.keepTimeoutMs,
     onChange: () => { onDocumentChange() },
     onEvacuations: () => { onEvacuations() },
     log,
@@ -157,6 +163,7 @@
   })
 
   const handoutFile = handoutFiles.createHandoutFile(opts.dataFolder, () => store.latest() === null ? undefined : publisher.toFullReply(), log)
+  keepDocument = documentKeepings.createKeepDocument({ version, file: handoutFile, timeoutMs: opts.keepTimeoutMs ?? documentKeepings.KEEP_TIMEOUT_MS })
 
   onDocumentChange = () => {
     log.event('documentAccepted', { version: version() })
--- a/packages/coordination/src/documentCall.ts
+++ b/packages/coordination/src/documentCall.ts
@@ -8,6 +8,8 @@
   z.object({ t: z.literal('replica'), msg: z.unknown() }),
   z.object({ t: z.literal('put'), packed: contracts.packedText }),
   z.object({ t: z.literal('read'), version: z.number() }),
+  /** Waits until the receiver's handout file has a committed document of this or a later version. */
+  z.object({ t: z.literal('keep'), version: z.number() }),
   ...evacuationOrders.evacuationCall.options
 ])
 /** Calls between control instances about the document and the evacuations. */
--- a/packages/coordination/src/documentStore.ts
+++ b/packages/coordination/src/documentStore.ts
@@ -12,6 +12,7 @@
 import * as state from '@kingcupdeck/state'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as documentCalls from './documentCall.js'
+import * as documentKeepings from './documentKeeping.js'
 import * as documentMachines from './documentMachine.js'
 import * as evacuationFiles from './evacuationFile.js'
 import * as evacuationOrders from './evacuationOrders.js'
@@ -42,6 +43,10 @@
   getPeerLink: (address: string) => Promise<links.Link>
   /** A document that is known to be committed before the log is read; none by default. */
   known?: contracts.VersionedText | null
+  /** Keeps the local document for the next start; by default nothing is kept. */
+  keepDocument?: documentKeepings.KeepDocument
+  /** How long an acknowledgement waits until all control instances keep the document, milliseconds. Default: {@link documentKeepings.KEEP_TIMEOUT_MS}. */
+  keepTimeoutMs?: number
   /** Called when the local document changed. */
   onChange: () => void
   /** Called when the evacuated zones changed. */
@@ -57,7 +62,7 @@
   /** Packs {@link DocumentStore.latest} for a reader of a version of it; null if the reader has the latest. */
   packSince (version: number): contracts.PackedText | null
   /**
-   * Stores a document through the leader.
+   * Stores a document through the leader, and waits a short time until all control instances that can be reached keep it for their next start.
    * @throws Error when the outcome is unknown after the timeout; the put may be repeated
    */
   put (document: contracts.VersionedText, timeoutMs: number): Promise<documentMachines.PutResult>
@@ -212,7 +217,9 @@
   }
 
   const propose = async (packed: contracts.PackedText): Promise<documentMachines.PutResult> => {
-    return await requireReplica().propose(packed) as documentMachines.PutResult
+    const result = await requireReplica().propose(packed) as documentMachines.PutResult
+    replica?.announceCommit()
+    return result
   }
 
   /** Proposes a document at this replica, the leader; as a delta if possible, since full documents would saturate slow links. */
@@ -249,6 +256,25 @@
     }
   }
 
+  const peerAddresses = (): string[] => {
+    const voters = replica?.status().voters.map(id => id.split('#')[0]) ?? []
+    if (voters.length > 0) lastVoters = voters
+    const all = new Set([...lastVoters, ...opts.contacts()])
+    all.delete(opts.self)
+    return [...all]
+  }
+
+  const keepDocument: documentKeepings.KeepDocument = opts.keepDocument ?? (async version => ({ version }))
+  const keepEverywhere = documentKeepings.createFleetKeeping({ keep: keepDocument, peerAddresses, getPeerLink: opts.getPeerLink, timeoutMs: opts.keepTimeoutMs ?? documentKeepings.KEEP_TIMEOUT_MS })
+
+  /** Stores a document at the leader; a repeated or older one is answered here, since what is known to be committed stays so. */
+  const store = async (document: contracts.VersionedText, timeoutMs: number): Promise<documentMachines.PutResult> => {
+    return documentMachines.resolveStalePut(latest, document) ?? await retry(timeoutMs, async () => await putLocally(document), async (link, leftMs) => {
+      const call: documentCalls.DocumentCall = { t: 'put', packed: contracts.packFull(document) }
+      return documentMachines.putResult.parse(await link.call(call, leftMs))
+    })
+  }
+
   const orders = evacuationOrders.createEvacuationOrders({ replica: requireReplica, machine: () => machine, runAtLeader: retry, readTimeoutMs: RPC_TIMEOUT_MS })
 
   try {
@@ -263,13 +289,10 @@
     latest: () => latest,
     packSince: history.packSince,
     async put (document, timeoutMs) {
-      // What is known to be committed stays so: a repeated or older put is answered without the leader.
-      const staleResult = documentMachines.resolveStalePut(latest, document)
-      if (staleResult !== undefined) return staleResult
-      return await retry(timeoutMs, async () => await putLocally(document), async (link, leftMs) => {
-        const call: documentCalls.DocumentCall = { t: 'put', packed: contracts.packFull(document) }
-        return documentMachines.putResult.parse(await link.call(call, leftMs))
-      })
+      const deadline = performance.now() + timeoutMs
+      const result = await store(document, timeoutMs)
+      if (result.kind !== 'conflict') await keepEverywhere(document.version, deadline - performance.now())
+      return result
     },
     async read (timeoutMs) {
       return await retry(timeoutMs, readLocally, async (link, leftMs) => {
@@ -295,19 +318,15 @@
           const isSame = document !== null && document.version === call.version
           return { packed: isSame || document === null ? null : contracts.packFull(document), isSame } satisfies ReadReply
         }
+        case 'keep':
+          return await keepDocument(call.version)
         case 'readEvacuations':
         case 'evacuation':
           return await orders.onCall(call)
       }
     },
     isCurrent: () => replica !== undefined && performance.now() - replica.lastCurrentAt() < CURRENT_TIMEOUT_MS,
-    peerAddresses () {
-      const voters = replica?.status().voters.map(id => id.split('#')[0]) ?? []
-      if (voters.length > 0) lastVoters = voters
-      const all = new Set([...lastVoters, ...opts.contacts()])
-      all.delete(opts.self)
-      return [...all]
-    },
+    peerAddresses,
     status: () => replica?.status(),
     isLeader: () => leaderName() === opts.self,
     async stop () {
--- a/packages/coordination/src/handoutFile.ts
+++ b/packages/coordination/src/handoutFile.ts
@@ -10,22 +10,34 @@
 /** Changes within this time are written together, since each write packs the full document. */
 const BATCH_DELAY_MS = 250
 
+/** The handout file of an instance. */
+export interface HandoutFile extends writeBehindFiles.WriteBehindFile {
+  /** Returns the version of the document that this process has written, 0 without one. */
+  writtenVersion: () => number
+}
+
 /**
  * Creates the handout file.
  * @param folder the instance's data folder
  * @param content returns the current handout, undefined before the first document
  */
-export function createHandoutFile (folder: string, content: () => discovery.DiscoveryReply | undefined, log: telemetry.Log): writeBehindFiles.WriteBehindFile {
-  return writeBehindFiles.createWriteBehindFile({
+export function createHandoutFile (folder: string, content: () => discovery.DiscoveryReply | undefined, log: telemetry.Log): HandoutFile {
+  let packedVersion = 0
+  let writtenVersion = 0
+  const file = writeBehindFiles.createWriteBehindFile({
     folder,
     name: discovery.HANDOUT_FILE,
     batchDelayMs: BATCH_DELAY_MS,
     content () {
       const reply = content()
-      return reply === undefined ? undefined : discovery.packHandout(discovery.encodeReply(reply))
+      if (reply === undefined) return undefined
+      packedVersion = reply.version
+      return discovery.packHandout(discovery.encodeReply(reply))
     },
+    onWritten () { writtenVersion = packedVersion },
     log
   })
+  return { ...file, writtenVersion: () => writtenVersion }
 }
 
 /**
--- a/packages/coordination/src/writeBehindFile.ts
+++ b/packages/coordination/src/writeBehindFile.ts
@@ -17,6 +17,8 @@
   batchDelayMs: number
   /** Returns the current content, undefined if there is nothing to write yet. */
   content: () => string | Buffer | undefined
+  /** Called when the last content was written. */
+  onWritten?: () => void
   log: telemetry.Log
 }
 
@@ -24,7 +26,7 @@
 export interface WriteBehindFile {
   /** Schedules a write of the current content. */
   save: () => void
-  /** Writes the current content, and waits for the first attempt; a failed write is logged and repeated. */
+  /** Writes the current content without a delay, and waits for the first attempt; a failed write is logged and repeated. */
   saveNow: () => Promise<void>
   /** Ignores further calls of `save` and waits for the scheduled write. */
   close: () => Promise<void>
@@ -37,16 +39,31 @@
   let pendingWrite: Promise<void> | undefined
   /** Callers whose content the next write includes. */
   let waiting: Array<() => void> = []
+  let endDelay = (): void => {}
+
+  /** Waits for further changes, unless a caller waits for the write. */
+  const delay = async (): Promise<void> => {
+    if (waiting.length > 0) return
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, opts.batchDelayMs)
+      endDelay = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
 
   const write = async (): Promise<void> => {
     const content = opts.content()
-    if (content !== undefined) await state.replaceFile(opts.folder, opts.name, content)
+    if (content === undefined) return
+    await state.replaceFile(opts.folder, opts.name, content)
+    opts.onWritten?.()
   }
 
   /** Writes until the file has the current content, or the last write before the close has failed. */
   const runWrites = async (): Promise<void> => {
     while (isWriteScheduled) {
-      if (opts.batchDelayMs > 0) await timers.setTimeout(opts.batchDelayMs)
+      if (opts.batchDelayMs > 0) await delay()
       isWriteScheduled = false
       const included = waiting
       waiting = []
@@ -74,6 +91,7 @@
       if (closing.signal.aborted) return
       const saved = new Promise<void>(resolve => { waiting.push(resolve) })
       save()
+      endDelay()
       await saved
     },
     async close () {
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -52,6 +52,8 @@
    * readers that ask fewer replicas.
    */
   awaitAllVoters (timeoutMs: number): Promise<void>
+  /** Tells the other replicas how far entries are committed, if this replica is the leader, instead of with the next heartbeat. */
+  announceCommit (): void
   /** @returns whether this replica is the leader, has applied all entries of earlier terms, and its lease is valid */
   isReady (): boolean
   leaderName (): string | null
@@ -173,6 +175,10 @@
       const hasAll = (): boolean => [...role.leadership.peers.values()].filter(peer => isVoter(peer.member)).every(peer => peer.matchIndex >= index)
       while (!hasAll() && replication.isLeading(core, role.leadership) && opts.clock.now() - startedAt < timeoutMs) await opts.clock.sleep(CONFIRM_POLL_MS)
     },
+    announceCommit () {
+      if (core.role.kind !== 'leader') return
+      for (const peer of core.role.leadership.peers.values()) peer.wake()
+    },
     isReady: core.isReady,
     lastCurrentAt: core.lastCurrentAt,
     leaderName: () => core.leader,
