fix(discovery): an entry instance takes the newer of two documents that are handed out

Callers saw: after a loss of all processes an entry instance that had taken the handout of a control instance which had missed a document served by it until it was subscribed to another one, although a second handout with the newer document had arrived.

Cause: two handouts are fetched at the same time, and the document of the second one was dropped.

Change: it is accepted if it is newer, like any other document.

Evidence: `handout`, a newer document in a second handout is used: fails without the change (10 s without the newer document), passes with it.

--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -136,6 +136,23 @@
   t.deepEqual(entry.documents.map(item => item.version), [5])
 })
 
+// An instance served by the handout of a control instance that had missed the document until it was subscribed to another one.
+test('a newer document in a second handout is used', async t => {
+  let first: string | undefined
+  let release: () => void = () => {}
+  const released = new Promise<void>(resolve => { release = resolve })
+  const entry = helper.startEntry('i1', ['127.0.0.1:1', '127.0.0.1:2'], undefined, async address => {
+    first ??= address
+    if (address !== first) await released
+    return { body: Buffer.from(discovery.encodeReply(toReply(address === first ? 4 : 5))), evacuations: Buffer.alloc(0) }
+  })
+  t.teardown(entry.stop)
+  await helper.until('the first handout is used', () => entry.documents.length === 1)
+  release()
+  await helper.until('the newer document is used', () => entry.documents.at(-1)?.version === 5)
+  t.deepEqual(entry.documents.map(item => item.version), [4, 5])
+})
+
 // An instance served by the first handout, that of a control instance which had missed the order.
 test('an instance serves once the evacuations of a majority of the control instances are known', async t => {
   const [stale, knowing, down] = [await findInnerAddress(), await findInnerAddress(), await findInnerAddress()]
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -231,6 +231,8 @@
       fetch: opts.fetchHandout,
       onReply (reply, report, address) {
         if (documents.version() > 0) {
+          // The first one may be that of an instance which was down when its document was replaced.
+          documents.accept(reply.document, address)
           evacuationState.noteControl(report, address)
           return
         }
