fix(links): processes wait for an address that is invalid until the settings change

A process whose settings named an address that can never be listened on, such as a link-local one without its interface, ended with status 1; each restart read the same settings and ended again, three ends in a few seconds. Meanwhile its other servers served nothing.

Commands and daemons with a timeout still fail at once.

--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -26,7 +26,6 @@
    * @param front IP address and port for clients
    * @param onListening called once the server listens after such a wait
    * @returns the address, with the port that was selected for port 0
-   * @throws Error when the address is invalid; see {@link links.listenWhenAvailable}
    */
   listen (front: string, onListening?: () => void): Promise<string>
   /** Whether clients can connect. */
--- a/packages/links/__tests__/startListening.test.ts
+++ b/packages/links/__tests__/startListening.test.ts
@@ -71,6 +71,21 @@
   }
 })
 
+// Guards against processes that end one after the other because their settings name an address that can never be listened on.
+test('an invalid address is waited for without a timeout, and named', async t => {
+  const events: string[] = []
+  const log: links.ListeningOptions['log'] = { event (name, fields) { events.push(`${name} ${String(fields?.address)}`) } }
+  const stopped = new AbortController()
+  const servers = [net.createServer(), net.createServer()]
+  const waiting = links.startListening(servers[0], '[fe80::1]:8083', { log, signal: stopped.signal })
+  t.is(await Promise.race([waiting.then(() => 'listens', () => 'failed'), timers.setTimeout(300, 'waits')]), 'waits')
+  t.false(await links.listenWhenAvailable(servers[1], '127.0.0.1:70000', { log, signal: stopped.signal }, () => {}))
+  t.deepEqual(events, ['listenRetried [fe80::1]:8083', 'listenRetried 127.0.0.1:70000'])
+  stopped.abort()
+  await t.throwsAsync(waiting, { name: 'AbortError' })
+  t.false(servers.some(server => server.listening))
+})
+
 // Guards against an end of the process for lack of file descriptors.
 test('errors of a server that listens are not thrown, and are logged in bounds', async t => {
   const events: string[] = []
--- a/packages/links/src/connect.ts
+++ b/packages/links/src/connect.ts
@@ -95,7 +95,7 @@
  * @param address IP address and port; port 0 selects a free one
  * @param onLink receives each link, once both sides are authenticated
  * @param opts bounds of the wait for the address
- * @throws Error when the address cannot be listened on; see {@link listening.startListening}
+ * @throws Error when the wait for the address ends; see {@link listening.startListening}
  */
 export async function listen (address: string, cfg: LinkSettings, onLink: (link: links.Link) => void, opts: Pick<listening.ListeningOptions, 'timeoutMs' | 'signal'> = {}): Promise<LinkServer> {
   const sockets = new Set<net.Socket>()
--- a/packages/links/src/startListening.ts
+++ b/packages/links/src/startListening.ts
@@ -1,6 +1,6 @@
 /**
  * Starts listening; waits while the address is not available yet, as at a restart that overlaps the process before, or on a machine
- * whose network is not up.
+ * whose network is not up. A process without a timeout waits for an invalid address too: its next start would find the same settings.
  */
 import type * as net from 'node:net'
 import * as timers from 'node:timers/promises'
@@ -10,7 +10,7 @@
 const MAX_PAUSE_MS = 500
 /** A wait is logged when it begins and then once in this time. */
 const WAIT_LOG_INTERVAL_MS = 10_000
-/** Codes of errors that a new process would meet again, and that end without one. */
+/** Codes of errors that end by themselves; all others end a wait with a timeout at once. */
 const PASSING_ERRORS: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'EPERM', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'ENETDOWN'])
 /** Errors of accepting connections, such as a lack of file descriptors, are logged once in this time. */
 const ERROR_LOG_INTERVAL_MS = 10_000
@@ -39,7 +39,7 @@
 /**
  * Starts listening, and handles the errors of the server from then on: a connection that cannot be accepted must not end the process.
  * @param address IP address and port; port 0 selects a free one
- * @throws Error that names the address, when it is invalid, not available within the timeout, or the wait was ended
+ * @throws Error that names the address, when it is invalid or not available within the timeout, or the wait was ended
  */
 export async function startListening (server: net.Server, address: string, opts: ListeningOptions = {}): Promise<void> {
   const failure = await tryListening(server, address, opts.backlog)
@@ -48,10 +48,9 @@
 }
 
 /**
- * Like {@link startListening}, but waits in the background for an address that is not available yet, until the signal ends the wait.
+ * Like {@link startListening}, but waits in the background for an address that is not available, until the signal ends the wait.
  * @param onListening called once the server listens after such a wait
  * @returns whether the server listens already
- * @throws Error that names the address, when it is invalid
  */
 export async function listenWhenAvailable (server: net.Server, address: string, opts: Omit<ListeningOptions, 'timeoutMs'>, onListening: () => void): Promise<boolean> {
   const failure = await tryListening(server, address, opts.backlog)
@@ -59,7 +58,6 @@
     handleErrors(server, address, opts.log)
     return true
   }
-  if (!PASSING_ERRORS.has(failure.code)) throw toError(address, 0, failure)
   waitForAddress(server, address, failure, opts).then(() => {
     handleErrors(server, address, opts.log)
     onListening()
@@ -76,7 +74,7 @@
   for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS)) {
     const now = performance.now()
     const ms = Math.round(now - startedAt)
-    if (!PASSING_ERRORS.has(failure.code) || ms >= (opts.timeoutMs ?? Infinity)) throw toError(address, ms, failure)
+    if (opts.timeoutMs !== undefined && (!PASSING_ERRORS.has(failure.code) || ms >= opts.timeoutMs)) throw toError(address, ms, failure)
     if (now - loggedAt >= WAIT_LOG_INTERVAL_MS) {
       opts.log?.event('listenRetried', { address, ms, detail: failure.message })
       loggedAt = now
