fix(control): a majority of the control instances founds the groups of the chat fleet

What callers saw (test, three control instances of which the first one is not up): no leader, for good. The groups 'fleet' and 'ledger' were founded by the first instance by name alone, once all others had answered; one that was away, or had lost its disk, kept the whole fleet from starting.

K1220 is logged for members that are the founders for good, too.

--- a/packages/control/src/controlInstance.ts
+++ b/packages/control/src/controlInstance.ts
@@ -20,6 +20,8 @@
   secret: string
   ledgerGroups: number
   snapshotEvery?: number
+  /** Whether the whole fleet starts for the first time, with empty folders. Default: false. */
+  isFirstStart?: boolean
   /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
   ownsProcess?: boolean
   /** Configuration document to propose while the fleet has none. */
--- a/packages/control/src/replicaGroups.ts
+++ b/packages/control/src/replicaGroups.ts
@@ -18,6 +18,8 @@
   log: telemetry.Log
   invariants: telemetry.Invariants
   snapshotEvery?: number
+  /** Whether the whole fleet starts for the first time, with empty folders. Default: false. */
+  isFirstStart?: boolean
   /** Whether no other instance has run in this process, so that what this one acknowledged earlier precedes the process. Default: false. */
   ownsProcess?: boolean
 }
@@ -46,6 +48,8 @@
     group,
     name: opts.id,
     founderNames: opts.controls.map(control => control.id),
+    // A majority must be left of a fixed set of replicas.
+    founding: { isFirstStart: opts.isFirstStart === true, maxFailedDisks: Math.floor((opts.controls.length - 1) / 2) },
     storage: await state.createFileStorage(path.join(opts.dataFolder, group)),
     transport: createTransport(opts, group),
     stateMachine: machine,
--- a/packages/kingcupdeck/src/daemons.ts
+++ b/packages/kingcupdeck/src/daemons.ts
@@ -51,6 +51,7 @@
     secret: values['fleet-secret'],
     ledgerGroups: values['ledger-groups'],
     snapshotEvery: values['snapshot-every'],
+    isFirstStart: values.bootstrap,
     ownsProcess: true,
     document: values.document === '' ? undefined : readDocument(values.document),
     log,
--- a/packages/kingcupdeck/src/settings.ts
+++ b/packages/kingcupdeck/src/settings.ts
@@ -60,6 +60,7 @@
 export const controlSettings = {
   ...common,
   'data-folder': setting(z.string().min(1), 'a folder', 'Folder for the replicated state'),
+  bootstrap: setting(booleanText, 'true or false', 'Whether all control instances start for the first time, with empty folders', { fallback: 'false' }),
   document: setting(z.string(), 'a file, or empty', 'Initial configuration document, used while the fleet has none', { fallback: '' }),
   'snapshot-every': setting(wholeNumber.pipe(z.number().min(10)), 'an integer, 10 or more', 'Number of applied log entries between snapshots', { fallback: '500' })
 }
--- a/packages/state/__tests__/drawnFoundings.test.ts
+++ b/packages/state/__tests__/drawnFoundings.test.ts
@@ -34,7 +34,8 @@
   earlyEnds: fc.array(fc.option(fc.record({ afterMs: fc.integer({ min: 0, max: 25 }), downMs: fc.integer({ min: 20, max: 500 }), isTold: fc.boolean() }), { freq: 2 }), { minLength: 7, maxLength: 7 }),
   faults: fc.array(fault, { minLength: 1, maxLength: 12 }),
   diskFaults: fc.array(diskFault, { maxLength: 8 }),
-  seed: fc.integer({ min: 1, max: 1e6 })
+  seed: fc.integer({ min: 1, max: 1e6 }),
+  isFixed: fc.constantFrom(false, false, true)
 })
 
 const totals = { plans: 0, claims: 0, beyond: 0, withoutLeader: 0 }
--- a/packages/state/__tests__/helpers/firstStartPlay.ts
+++ b/packages/state/__tests__/helpers/firstStartPlay.ts
@@ -19,7 +19,7 @@
 /** What becomes of one file operation of a machine. */
 export interface DiskFault { target: number, /** Which of its processes, from 1. */ start: number, /** Which operation of this process. */ operation: number, kind: DiskFaultKind, /** How long it is slow, or until the process is killed. */ ms: number, isTold: boolean, losesPower: boolean }
 
-export interface Plan { numFounders: number, numOthers: number, usesFiles: boolean, startMs: number[], earlyEnds: Array<EarlyEnd | null>, faults: Fault[], diskFaults: DiskFault[], seed: number }
+export interface Plan { numFounders: number, numOthers: number, usesFiles: boolean, startMs: number[], earlyEnds: Array<EarlyEnd | null>, faults: Fault[], diskFaults: DiskFault[], seed: number, /** Whether the members are the founders for good. Default: false. */ isFixed?: boolean }
 
 /** A first start of a group under a plan, and what its rules allow next. */
 export class Play {
@@ -37,7 +37,7 @@
 
   constructor (private readonly plan: Plan) {
     const names = ['a', 'b', 'c', 'd', 'e'].slice(0, plan.numFounders)
-    this.cluster = new virtual.VirtualCluster(names, plan.seed, 20, true)
+    this.cluster = new virtual.VirtualCluster(names, plan.seed, 20, plan.isFixed !== true)
     // Three founders, too, may be part of a fleet that may lose two disks.
     this.cluster.maxFailedDisks = plan.numFounders === 5 || (plan.numFounders === 3 && plan.seed % 2 === 1) ? 2 : plan.numFounders === 1 ? 0 : 1
     this.cluster.usesFiles = plan.usesFiles
@@ -179,7 +179,7 @@
         })
       case 'replace':
         // Machines are replaced once there is a group that can spare one.
-        if (cluster.leader() === undefined || !this.mayLoseDisk(name) || this.numAdded >= 2 || names.length < 4) return
+        if (this.plan.isFixed === true || cluster.leader() === undefined || !this.mayLoseDisk(name) || this.numAdded >= 2 || names.length < 4) return
         this.noteLostDisk(name)
         this.retired.add(name)
         cluster.crash(name)
@@ -192,7 +192,7 @@
           cluster.seeds = [...new Set([fresh, ...this.names()])].slice(0, 3)
         })
       case 'seeds':
-        if (cluster.leader() !== undefined) cluster.seeds = [...names.slice(item.target % names.length), ...names].slice(0, 3)
+        if (this.plan.isFixed !== true && cluster.leader() !== undefined) cluster.seeds = [...names.slice(item.target % names.length), ...names].slice(0, 3)
     }
   }
 
@@ -209,7 +209,7 @@
 
   async run (): Promise<void> {
     const { cluster, plan } = this
-    for (const name of ['v', 'w'].slice(0, plan.numOthers)) {
+    for (const name of ['v', 'w'].slice(0, plan.isFixed === true ? 0 : plan.numOthers)) {
       await cluster.add(name)
       cluster.crash(name)
     }
--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -112,8 +112,9 @@
   while (core.isRunning) {
     await reportNotFounded(core)
     if (core.isVoter()) {
-      if (core.opts.isDynamic !== true) return
-      const mayHaveBeenRemoved = core.role.kind !== 'leader' && core.opts.clock.now() - core.lastContactOrStartAt > REJOIN_AFTER_TIMEOUTS * core.timing.electionMaxMs
+      const { isDynamic, founding } = core.opts
+      if (isDynamic !== true && (founding === undefined || core.leader !== null)) return
+      const mayHaveBeenRemoved = isDynamic === true && core.role.kind !== 'leader' && core.opts.clock.now() - core.lastContactOrStartAt > REJOIN_AFTER_TIMEOUTS * core.timing.electionMaxMs
       if (mayHaveBeenRemoved) await requestJoin(core)
       await core.opts.clock.sleep(core.timing.heartbeatMs)
       continue
--- a/packages/trials/src/fleet.ts
+++ b/packages/trials/src/fleet.ts
@@ -118,7 +118,7 @@
     const flags = { ...common, id: item.id, 'peer-listen': `127.0.0.1:${item.peer}`, listen: `127.0.0.1:${item.http}`, control: await createControlFlag(relays, item.id), 'data-folder': dataFolder, document: documentFile, 'snapshot-every': String(opts.snapshotEvery ?? 500) }
     const node = { id: item.id, url: `http://127.0.0.1:${item.http}`, dataFolder, relays } as unknown as ControlNode
     node.start = () => { node.process = processes.startInstance(item.id, 'control', flags, logFolder) }
-    node.start()
+    node.process = processes.startInstance(item.id, 'control', { ...flags, bootstrap: 'true' }, logFolder)
     return node
   }))
 
--- a/packages/trials/src/localFleet.ts
+++ b/packages/trials/src/localFleet.ts
@@ -71,7 +71,7 @@
   const controls = ports.map((port, i) => ({ id: `c${i + 1}`, address: `127.0.0.1:${port}` }))
   const common = { secret: SECRET, ledgerGroups: 1, isFatal: true, controls }
   const controlInstances = await Promise.all(controls.map(async item => await control.createControl({
-    ...common, id: item.id, peerListen: item.address, listen: '127.0.0.1:0', dataFolder: path.join(folder, item.id), document, log: createInstanceLog(item.id)
+    ...common, id: item.id, peerListen: item.address, listen: '127.0.0.1:0', dataFolder: path.join(folder, item.id), isFirstStart: true, document, log: createInstanceLog(item.id)
   })))
 
   const relays: relay.Relay[] = []
