fix(kingcupdeck): a daemon is not ended by SIGHUP, nor by SIGTERM while it is loaded

What callers saw (test): a control instance of the chat fleet ends by SIGHUP at any time, and by SIGTERM itself, without status 0, until it runs. The default action of SIGHUP was in effect for good, that of SIGTERM until the instance had been created.

Change: a module without imports handles them before the rest is loaded, for the commands 'router' and 'control' alone. SIGHUP is ignored with a line (K1008), SIGTERM ends a daemon that does not run yet with status 0. The start of Node.js itself remains.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -13,6 +13,7 @@
   started: spec(1001, 'info', 'process started'),
   stopping: spec(1002, 'info', 'graceful shutdown started'),
   stopped: spec(1003, 'info', 'process stopped'),
+  signalIgnored: spec(1008, 'info', 'signal without a meaning for this process ignored', 'Settings of this program are read at its start only; restart it to change them.'),
   settingsInvalid: spec(1004, 'error', 'settings are invalid', 'Correct the flags, environment variables or settings file named in the message.'),
   startFailed: spec(1007, 'error', 'process could not start', 'Check that its addresses are free and that its data folder is writable.'),
   uncaught: spec(1005, 'error', 'unexpected error caught', 'Report it together with the surrounding log lines.'),
--- a/packages/kingcupdeck/bin/kingcupdeck.js
+++ b/packages/kingcupdeck/bin/kingcupdeck.js
@@ -1,2 +1,6 @@
 #!/usr/bin/env node
-import '../dist/src/main.js'
+import { watchSignals } from '../dist/src/daemonSignals.js'
+
+// Loading the program takes longer than a signal may wait.
+if (['router', 'control'].includes(process.argv[2])) watchSignals()
+await import('../dist/src/main.js')
--- a/packages/kingcupdeck/src/daemons.ts
+++ b/packages/kingcupdeck/src/daemons.ts
@@ -1,10 +1,11 @@
-/** Daemons: start a router or control instance from settings and stop it on SIGTERM or SIGINT. */
+/** Daemons: start a router or control instance from settings and stop it on SIGTERM or SIGINT; SIGHUP is ignored. */
 import * as fs from 'node:fs'
 import * as crypto from 'node:crypto'
 import * as contracts from '@kingcupdeck/contracts'
 import * as control from '@kingcupdeck/control'
 import * as router from '@kingcupdeck/router'
 import * as telemetry from '@kingcupdeck/telemetry'
+import * as daemonSignals from './daemonSignals.js'
 import * as exitCodes from './exitCodes.js'
 import * as settings from './settings.js'
 
@@ -80,8 +81,7 @@
       process.exit(exitCodes.ExitCode.failed)
     })
   }
-  process.on('SIGTERM', stop)
-  process.on('SIGINT', stop)
+  daemonSignals.handleSignals({ stop, ignore: signal => { log.event('signalIgnored', { signal }) } })
 }
 
 /** Logs uncaught exceptions and unhandled rejections, then ends the process. */
--- a/packages/trials/__tests__/firstStart.test.ts
+++ b/packages/trials/__tests__/firstStart.test.ts
@@ -51,3 +51,31 @@
   await smallFleet.waitUntil(async () => lines.filter(line => line.includes('"event":"replicaRepaired"') && line.includes('"replica":"c1"')).length === 2, 10_000)
   t.pass()
 })
+
+// Guards against a daemon that ends because of a signal that asks for nothing, or by SIGTERM itself while it starts.
+test('a daemon ignores SIGHUP, and stops on SIGTERM whenever it comes', async t => {
+  const folder = createFolder(t)
+  const [peer, http] = await processes.findPorts(2)
+  const start = (name: string): processes.TrialProcess => processes.startInstance(name, 'control', {
+    id: 'c1', 'peer-listen': `127.0.0.1:${peer}`, listen: `127.0.0.1:${http}`, control: `c1=127.0.0.1:${peer}`, 'data-folder': path.join(folder, name), 'fleet-secret': SECRET, 'log-json': 'true', bootstrap: 'true'
+  }, path.join(folder, 'logs'))
+  const hungUp = start('hungUp')
+  // Before the first line of the program Node.js itself handles no signal.
+  await smallFleet.waitUntil(async () => hungUp.handlesSignals(), 10_000)
+  for (const ms of [0, 50, 100, 200, 400]) {
+    await smallFleet.pause(ms)
+    hungUp.hangUp()
+  }
+  await smallFleet.waitUntil(async () => await fetch(`http://127.0.0.1:${http}/health`).then(res => res.ok, () => false), 10_000)
+  hungUp.hangUp()
+  await smallFleet.waitUntil(async () => fs.readFileSync(path.join(folder, 'logs', 'hungUp.log'), 'utf8').includes('"event":"signalIgnored"'), 10_000)
+  t.true(hungUp.isRunning())
+  t.is(await hungUp.stop(), 0)
+
+  for (const ms of [0, 100, 300]) {
+    const stopped = start(`stopped-${ms}`)
+    await smallFleet.waitUntil(async () => stopped.handlesSignals(), 10_000)
+    await smallFleet.pause(ms)
+    t.is(await stopped.stop(), 0, `SIGTERM after ${ms} ms`)
+  }
+})
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -2,6 +2,7 @@
 import * as childProcess from 'node:child_process'
 import * as fs from 'node:fs'
 import * as net from 'node:net'
+import * as os from 'node:os'
 import * as path from 'node:path'
 import * as url from 'node:url'
 
@@ -20,10 +21,18 @@
   freeze (): void
   /** Resumes a frozen process. */
   thaw (): void
+  /** Whether the program handles SIGHUP yet; always true where the system does not tell. */
+  handlesSignals (): boolean
+  /** Sends SIGHUP, as when a terminal is closed. */
+  hangUp (): void
   /** Sends SIGTERM and returns the exit code. */
   stop (): Promise<number | null>
 }
 
+/** Hexadecimal digits of the mask of caught signals that hold the first 16 of them. */
+const SIGNAL_DIGITS = 4
+const SIGHUP_BIT = 1 << (os.constants.signals.SIGHUP - 1)
+
 const running = new Set<childProcess.ChildProcess>()
 process.on('exit', () => { for (const child of running) child.kill('SIGKILL') })
 
@@ -53,6 +62,8 @@
     },
     freeze () { child.kill('SIGSTOP') },
     thaw () { child.kill('SIGCONT') },
+    handlesSignals: () => isCaught(child.pid),
+    hangUp () { child.kill('SIGHUP') },
     async stop () {
       child.kill('SIGTERM')
       return await exited
@@ -60,6 +71,16 @@
   }
 }
 
+/** Returns whether a process has a handler for SIGHUP; Node.js itself has none. */
+function isCaught (pid: number | undefined): boolean {
+  try {
+    const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(fs.readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? ''
+    return (parseInt(caught.slice(-SIGNAL_DIGITS), 16) & SIGHUP_BIT) !== 0
+  } catch {
+    return !fs.existsSync('/proc/self/status')
+  }
+}
+
 /** Starts a router or control instance with the given flags. */
 export function startInstance (name: string, command: string, flags: Record<string, string>, logFolder: string): TrialProcess {
   const args = Object.entries(flags).flatMap(([key, value]) => [`--${key}`, value])
