fix(state): a founder of an earlier version is named so in what is missing

What operators saw (trial, two founders of beside one of this version at a first start): 'no reply' for machines that ran. They reply, but say nothing of their start; the remedy is an upgrade, not a look at the network.

'a founder of an earlier version is named as such' failed before ('no reply').

--- a/packages/state/__tests__/foundingEvidence.test.ts
+++ b/packages/state/__tests__/foundingEvidence.test.ts
@@ -39,6 +39,17 @@
   for (const [name, heard, more] of cases) t.is(judge(heard, more).kind, 'wait', name)
 })
 
+// Guards against an operator who looks for a machine that is down although its program has to be upgraded.
+test('a founder of an earlier version is named as such', t => {
+  const { survey } = foundings.createStart(0)
+  foundings.noteReply(survey, 'a', undefined, false, 1000)
+  const describeAt = (now: number): string => foundings.describe({ self: 'c', survey, now }, FOUNDERS)
+  t.true(describeAt(1000).startsWith('a: earlier version, b: no reply, c: untold'))
+  t.true(describeAt(5000).startsWith('a: no reply'))
+  foundings.noteReply(survey, 'a', TOLD, false, 1500)
+  t.true(describeAt(1600).startsWith('a: told'))
+})
+
 // Guards against a second group that replicas found which were never told anything, beside the one that they have not reached yet.
 test('if nobody was told, all founders must be found untold for 10 s', t => {
   const { survey } = foundings.createStart(0)
--- a/packages/state/src/founding.ts
+++ b/packages/state/src/founding.ts
@@ -13,6 +13,8 @@
 export interface Survey {
   /** The latest replies to calls of this process, so that they tell what was after the end of the process before it. */
   replies: Map<string, Reply>
+  /** When replicas of an earlier version, which say nothing of their start, replied last. */
+  earlierVersions: Map<string, number>
   /** Founders that any replica was told, by their names. */
   told: Map<string, readonly string[]>
   /** Whether any replica was or may have been a member. It is never forgotten: from then on this replica only asks to join. */
@@ -62,7 +64,7 @@
 }
 
 export function createStart (now: number): Start {
-  return { told: { founders: null, isFormer: false }, survey: { replies: new Map(), told: new Map(), hasSeenGroup: false, untoldSince: undefined, judgedAt: now }, missing: 'the founders were not asked yet', reportedAt: now, lastJoinRequest: '' }
+  return { told: { founders: null, isFormer: false }, survey: { replies: new Map(), earlierVersions: new Map(), told: new Map(), hasSeenGroup: false, untoldSince: undefined, judgedAt: now }, missing: 'the founders were not asked yet', reportedAt: now, lastJoinRequest: '' }
 }
 
 /** Returns the founding voters, the same at each founder that knows the same names. */
@@ -90,10 +92,14 @@
 
 /** Notes a reply to a call of this process. @param standing undefined if the sender's version does not say */
 export function noteReply (survey: Survey, name: string, standing: entries.Standing | undefined, hasFounding: boolean, now: number): void {
-  if (standing !== undefined) {
-    noteStanding(survey, standing)
-    survey.replies.set(name, { at: now, standing })
-  } else if (hasFounding) survey.hasSeenGroup = true
+  if (standing === undefined) {
+    survey.earlierVersions.set(name, now)
+    if (hasFounding) survey.hasSeenGroup = true
+    return
+  }
+  noteStanding(survey, standing)
+  survey.replies.set(name, { at: now, standing })
+  survey.earlierVersions.delete(name)
 }
 
 /** Judges whether the group was never founded, and cannot be without this founder. */
@@ -149,6 +155,8 @@
   const toState = (name: string): string => {
     if (name === evidence.self) return evidence.ownFounders == null ? 'untold' : 'told'
     const standing = fresh(evidence, name)
+    const earlierAt = evidence.survey.earlierVersions.get(name) ?? -Infinity
+    if (evidence.now - earlierAt <= EVIDENCE_MS) return 'earlier version'
     if (standing === undefined) return 'no reply'
     if (standing.isMember) return 'member'
     return standing.founders === null ? 'untold' : 'told'
