fix(state): the answer to a heartbeat acknowledges what is synced by then

Cause: a follower answers a call with entries once all that it has queued is synced, and the call is given up after 0.8 s. Where a write takes longer than that and further changes arrive, each repeat brings new entries to wait for: no call is ever answered, although the earlier entries have long been synced, and nothing is committed.

Change: a follower notes up to which entry its log matches the leader's, and its answers to heartbeats, which are sent while a call is pending, acknowledge what of that is synced. The leader counts it as it counts the reply to entries.

--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -62,6 +62,8 @@
     queuedIndex: 0,
     /** Last index synced to storage. */
     syncedIndex: 0,
+    /** Up to which entry the log matches that of the leader of a term, synced or not. */
+    matched: { term: 0, index: 0 },
     /** The commit index that was passed to the storage last. */
     savedCommitIndex: 0,
     /** The latest write that acknowledgements wait for. Writes are performed in order, so it completes after all earlier ones. */
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -1,6 +1,7 @@
 /** Log replication: appending entries, transferring snapshots and checking the leader's lease. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
+import * as matches from './matches.js'
 import * as replicaCore from './replicaCore.js'
 import type * as roles from './roles.js'
 
@@ -80,7 +81,11 @@
     const sentAt = clock.now()
     try {
       const reply = await transport.call(progress.member.name, { t: 'heartbeat', term: leadership.term, leader: core.self(), commit: core.commitIndex, quorumAgeMs: toQuorumAgeMs(core, sentAt) })
-      await acceptReply(core, leadership, progress, reply, sentAt)
+      const isAccepted = await acceptReply(core, leadership, progress, reply, sentAt)
+      if (isAccepted && reply.t === 'append' && reply.isOk && reply.match > progress.matchIndex) {
+        matches.acceptMatch(progress, reply.match, core.log.lastIndex())
+        core.commitAcknowledged()
+      }
     } catch {
       // The pending call fails too if the member is unreachable.
     }
@@ -105,9 +110,7 @@
     progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.tryNext))
     return true
   }
-  if (reply.match > prevIndex + batch.length) throw new Error(`${progress.member.name} acknowledged entry ${reply.match}, which it was not sent`)
-  progress.matchIndex = Math.max(progress.matchIndex, reply.match)
-  progress.nextIndex = progress.matchIndex + 1
+  matches.acceptMatch(progress, reply.match, prevIndex + batch.length)
   return true
 }
 
@@ -196,6 +199,7 @@
     await truncation
   }
   const matchIndex = msg.prevIndex + msg.entries.length
+  matches.noteMatch(core, msg.term, matchIndex)
   await core.persist()
   if (core.meta.term === msg.term) core.advanceCommit(Math.min(msg.commit, matchIndex))
   noteCurrency(core, msg, receivedAt)
@@ -220,12 +224,12 @@
   core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - Math.max(0, msg.quorumAgeMs ?? 0))
 }
 
-/** Acknowledges a leader without acknowledging any entry. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
+/** Acknowledges a leader, and the entries that are synced by now; later ones may still be written. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
 export async function onHeartbeat (core: replicaCore.Core, msg: Heartbeat): Promise<entries.RpcReply> {
   const receivedAt = core.opts.clock.now()
   const isOk = await follow(core, msg)
   if (isOk) noteCurrency(core, msg, receivedAt)
-  return toReply(core, msg, isOk)
+  return toReply(core, msg, isOk, isOk ? matches.syncedMatch(core, msg.term) : 0)
 }
 
 function toReply (core: replicaCore.Core, { term }: Append | Heartbeat | SnapshotChunk, isOk: boolean, match = 0, tryNext = 0): entries.RpcReply {
