fix(state): entries that arrive during a write share the next one

Cause: a follower writes the entries of each call by themselves. The leader repeats a call each second while a write takes longer, each time with further entries, so that writes are queued faster than the disk does them.

Change: entries are added to the last write in the queue while that has not begun and nothing else is queued behind it, as the leader already did for its own. The order of writes stays.

--- a/packages/state/__tests__/slowDisks.test.ts
+++ b/packages/state/__tests__/slowDisks.test.ts
@@ -44,3 +44,11 @@
     t.true(first <= BOUND_MS, `seed ${seed}: ${first} ms`)
   }
 })
+
+// Guards against followers that write each call's entries by themselves, and fall behind further with each call.
+test('changes take no longer the more of them were made before', async t => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const longest = Math.max(...await measure(seed, 30_000))
+    t.true(longest <= BOUND_MS, `seed ${seed}: ${longest} ms`)
+  }
+})
--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -122,19 +122,17 @@
       if (!core.hasQueuedMeta) core.saveMeta().catch(() => {})
     },
 
-    /** Writes all entries that were not yet passed to the storage, and waits until everything to be acknowledged is synced. */
+    /**
+     * Writes all entries that were not yet passed to the storage, and waits until everything to be acknowledged is synced. Entries that arrive
+     * while a write is in progress share the next one.
+     */
     async persist (): Promise<void> {
       core.rewriteLoadedMeta()
       const list = log.from(core.queuedIndex + 1, Infinity)
       const last = list.at(-1)
       if (last !== undefined) {
         core.queuedIndex = last.index
-        core.lastWrite = write('entries', async () => {
-          await storage.append(list)
-          // Another leader's entries may have replaced these in memory meanwhile.
-          if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
-          core.saveCommitIndex()
-        })
+        core.lastWrite = queueAppend(list, core.lastWrite)
       }
       await core.lastWrite
     },
@@ -274,6 +272,14 @@
     now: clock.now
   })
 
+  const queueAppend = writeChains.createAppendQueue(write, async list => {
+    const last = list[list.length - 1]
+    await storage.append(list)
+    // Another leader's entries may have replaced these in memory meanwhile.
+    if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
+    core.saveCommitIndex()
+  })
+
   const votersAt = (index: number): entries.Member[] => {
     const latest = log.membership()
     if (latest === undefined || latest.index <= index) return core.voters()
--- a/packages/state/src/writeChain.ts
+++ b/packages/state/src/writeChain.ts
@@ -1,4 +1,5 @@
 /** Writes of one replica, performed one after the other. */
+import type * as entries from './entries.js'
 
 /** Options of {@link createWriteChain}. */
 export interface WriteChainOptions {
@@ -39,3 +40,26 @@
     await turn
   }
 }
+
+/**
+ * Creates a queue of entries to be appended: those that arrive while other writes are in progress share the next one.
+ * @param append appends entries to the storage
+ * @returns a function that queues entries behind the latest write, and returns the write that includes them
+ */
+export function createAppendQueue (write: Write, append: (list: readonly entries.Entry[]) => Promise<void>): (list: readonly entries.Entry[], latest: Promise<void>) => Promise<void> {
+  let waiting: { list: entries.Entry[], written: Promise<void> } | undefined
+  return (list, latest) => {
+    // Only the latest write may grow: what was queued behind another one must not overtake it.
+    if (waiting !== undefined && waiting.written === latest) {
+      waiting.list.push(...list)
+      return latest
+    }
+    const batch = [...list]
+    const written = write('entries', async () => {
+      if (waiting?.list === batch) waiting = undefined
+      await append(batch)
+    })
+    waiting = { list: batch, written }
+    return written
+  }
+}
