--- a/packages/state/src/following.ts
+++ b/packages/state/src/following.ts
@@ -1,6 +1,7 @@
 /** What a replica does on the messages of a leader: appends entries, installs snapshots and notes how current it is. */
 import * as contracts from '@kingcupdeck/contracts'
 import * as entries from './entries.js'
+import * as matches from './matches.js'
 import type * as replicaCore from './replicaCore.js'
 
 /** Larger than any state: a document and the evacuations. */
@@ -41,6 +42,7 @@
     await truncation
   }
   const matchIndex = msg.prevIndex + msg.entries.length
+  matches.noteMatch(core, msg.term, matchIndex)
   await core.persist()
   if (core.meta.term === msg.term) core.advanceCommit(Math.min(msg.commit, matchIndex))
   noteCurrency(core, msg, receivedAt)
@@ -65,12 +67,12 @@
   core.currentAsFollowerAt = Math.max(core.currentAsFollowerAt, receivedAt - Math.max(0, msg.quorumAgeMs ?? 0))
 }
 
-/** Acknowledges a leader without acknowledging any entry. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
+/** Acknowledges a leader, and the entries that are synced by now; later ones may still be written. The promise not to vote for another one meanwhile needs no disk: a start waits too. */
 export async function onHeartbeat (core: replicaCore.Core, msg: Heartbeat): Promise<entries.RpcReply> {
   const receivedAt = core.opts.clock.now()
   const isOk = await follow(core, msg)
   if (isOk) noteCurrency(core, msg, receivedAt)
-  return toReply(core, msg, isOk)
+  return toReply(core, msg, isOk, isOk ? matches.syncedMatch(core, msg.term) : 0)
 }
 
 function toReply (core: replicaCore.Core, { term }: Append | Heartbeat | SnapshotChunk, isOk: boolean, match = 0, tryNext = 0): entries.RpcReply {
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -1,5 +1,6 @@
 /** Log replication by a leader: sending entries and snapshots, and checking its lease. */
 import * as entries from './entries.js'
+import * as matches from './matches.js'
 import * as replicaCore from './replicaCore.js'
 import type * as roles from './roles.js'
 
@@ -73,7 +74,11 @@
     const sentAt = clock.now()
     try {
       const reply = await transport.call(progress.member.name, { t: 'heartbeat', term: leadership.term, leader: core.self(), commit: core.commitIndex, quorumAgeMs: toQuorumAgeMs(core, sentAt) })
-      await acceptReply(core, leadership, progress, reply, sentAt)
+      const isAccepted = await acceptReply(core, leadership, progress, reply, sentAt)
+      if (isAccepted && reply.t === 'append' && reply.isOk && reply.match > progress.matchIndex) {
+        matches.acceptMatch(progress, reply.match, core.log.lastIndex())
+        core.commitAcknowledged()
+      }
     } catch {
       // The pending call fails too if the member is unreachable.
     }
@@ -98,9 +103,7 @@
     progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.tryNext))
     return true
   }
-  if (reply.match > prevIndex + batch.length) throw new Error(`${progress.member.name} acknowledged entry ${reply.match}, which it was not sent`)
-  progress.matchIndex = Math.max(progress.matchIndex, reply.match)
-  progress.nextIndex = progress.matchIndex + 1
+  matches.acceptMatch(progress, reply.match, prevIndex + batch.length)
   return true
 }
 
