--- a/packages/state/src/founding.ts
+++ b/packages/state/src/founding.ts
@@ -64,7 +64,7 @@
 }
 
 export function createStart (now: number): Start {
-  return { told: { founders: null, isFormer: false }, survey: { replies: new Map(), earlierVersions: new Map(), told: new Map(), hasSeenGroup: false, untoldSince: undefined, judgedAt: now }, missing: 'the founders were not asked yet', reportedAt: now, lastJoinRequest: '' }
+  return { told: { founders: null, isFormer: false }, survey: { replies: new Map(), earlierVersions: new Map(), told: new Map(), hasSeenGroup: false, untoldSince: undefined, judgedAt: now }, missing: 'no leader is known yet', reportedAt: now, lastJoinRequest: '' }
 }
 
 /** Returns the founding voters, the same at each founder that knows the same names. */
