test(links): connections that were closed at the limit are given time to be seen as closed

'connections without a proof are few ...' failed in a run of all tests at load 50: 574 open where 532 are allowed. Server and clients share a process; the listener had closed the oldest ones, and the clients had not handled that yet.

--- a/packages/links/__tests__/unproven.test.ts
+++ b/packages/links/__tests__/unproven.test.ts
@@ -85,6 +85,8 @@
   const { port: relayPort } = relay.address() as net.AddressInfo
   const slow = Promise.all(Array.from({ length: 60 }, async (_, i) => await links.dial(`127.0.0.1:${relayPort}`, settings(`slow-${i}`))))
   const openCount = await open(t, port, 1500, Buffer.from([0, 0, 1, 0]))
+  // Connections that the listener has closed may not have been seen to close yet.
+  for (let i = 0; i < 100 && openCount() > 512 + 20; i++) await sleep(10)
   t.true(openCount() <= 512 + 20, `${openCount()} are open`)
   const quick = await Promise.all(Array.from({ length: 300 }, async (_, i) => await links.dial(`127.0.0.1:${port}`, settings(`quick-${i}`))))
   const all = [...await slow, ...quick]
