fix(discovery): an entry instance fetches a newer document from control instances that start later

Callers saw: all processes are lost after a document without an API key was acknowledged, and the control instance that starts first was down at the acknowledgement: entry instances served requests with the key until they were subscribed to another one.

Cause: an entry instance that had a document asked the other control instances that were starting for their evacuations only. What they handed out said the version, but inside of an encoded reply, which the first stage cannot decode.

Change: the version stands first in the encoded reply, where built-in modules can read it, and comes with the evacuations. If it is newer, the entry instance fetches the whole handout, one at a time, and counts the control instance as having reported then. Earlier versions ignore the bytes behind the evacuations; what they wrote or serve counts as version 0, as before.

Evidence: `handout`, a newer document of a control instance that starts later is used: fails without the change (10 s without the newer document), passes with it.

--- a/packages/discovery/__tests__/handout.test.ts
+++ b/packages/discovery/__tests__/handout.test.ts
@@ -144,7 +144,7 @@
   const entry = helper.startEntry('i1', ['127.0.0.1:1', '127.0.0.1:2'], undefined, async address => {
     first ??= address
     if (address !== first) await released
-    return { body: Buffer.from(discovery.encodeReply(toReply(address === first ? 4 : 5))), evacuations: Buffer.alloc(0) }
+    return { body: Buffer.from(discovery.encodeReply(toReply(address === first ? 4 : 5))), evacuations: Buffer.alloc(0), version: 0 }
   })
   t.teardown(entry.stop)
   await helper.until('the first handout is used', () => entry.documents.length === 1)
@@ -153,6 +153,37 @@
   t.deepEqual(entry.documents.map(item => item.version), [4, 5])
 })
 
+// An instance asked other control instances that were starting for their evacuations only.
+test('a newer document of a control instance that starts later is used', async t => {
+  const [stale, knowing, down] = [await findInnerAddress(), await findInnerAddress(), await findInnerAddress()]
+  const controls = [stale, knowing, down]
+  await serve(t, stale, Buffer.from(discovery.encodeReply({ ...toReply(4), controls })))
+  const entry = helper.startEntry('i1', [stale], undefined, async (address, part) => await discovery.fetchHandout(discovery.toHandoutAddress(address), SECRET, part))
+  t.teardown(entry.stop)
+  await helper.until('the first handout is used', () => entry.documents.length === 1)
+  await serve(t, knowing, Buffer.from(discovery.encodeReply({ ...toReply(5), controls })))
+  await helper.until('the newer document is used', () => entry.documents.at(-1)?.version === 5)
+  t.deepEqual(entry.documents.map(item => item.version), [4, 5])
+})
+
+test('the version of a handout is read without decoding it', t => {
+  const versions = [0, 1, 23, 24, 255, 256, 65_535, 65_536, 2 ** 32 - 1, 2 ** 32, Number.MAX_SAFE_INTEGER]
+  for (const version of versions) t.is(discovery.readVersion(Buffer.from(discovery.encodeReply({ ...toReply(1), version }))), version)
+  const encoded = Buffer.from(discovery.encodeReply(toReply(300)))
+  for (let length = 0; length < 20; length++) t.is(discovery.readVersion(encoded.subarray(0, length)), 0)
+  t.is(discovery.readVersion(Buffer.from(encoded.subarray(20))), 0)
+})
+
+test('the version of the document comes with the evacuations, and not from an earlier version', async t => {
+  const [inner, earlier] = [await findInnerAddress(), await findInnerAddress()]
+  await serve(t, inner, Buffer.from(discovery.encodeReply(toReply(4))))
+  const { body, version } = await discovery.fetchHandout(discovery.toHandoutAddress(inner), SECRET, 'evacuations')
+  t.deepEqual({ bytes: body.length, version }, { bytes: 0, version: 4 })
+  // An earlier version wrote the version behind the records.
+  await serve(t, earlier, Buffer.from(new Uint8Array([0xb9, 0, 1, 0x67, ...Buffer.from('records'), 0xf6])))
+  t.is((await discovery.fetchHandout(discovery.toHandoutAddress(earlier), SECRET, 'evacuations')).version, 0)
+})
+
 // An instance served by the first handout, that of a control instance which had missed the order.
 test('an instance serves once the evacuations of a majority of the control instances are known', async t => {
   const [stale, knowing, down] = [await findInnerAddress(), await findInnerAddress(), await findInnerAddress()]
--- a/packages/discovery/src/evacuationState.ts
+++ b/packages/discovery/src/evacuationState.ts
@@ -5,9 +5,7 @@
 import * as evacuationTrackers from './evacuationTracker.js'
 
 /** Options of {@link createEvacuationState}. */
-export interface EvacuationStateOptions extends Pick<evacuationSurveys.EvacuationSurveyOptions, 'fetchHandout' | 'dial' | 'now'> {
-  /** Returns whether this instance has a document; before, it serves nobody. */
-  hasDocument: () => boolean
+export interface EvacuationStateOptions extends Pick<evacuationSurveys.EvacuationSurveyOptions, 'fetchHandout' | 'dial' | 'version' | 'onNewer' | 'now'> {
   /** Returns whether a control instance with a quorum is heard. */
   hasQuorum: () => boolean
   /** Returns the addresses of the control instances. */
@@ -62,6 +60,9 @@
   const survey = evacuationSurveys.createEvacuationSurvey({
     fetchHandout: opts.fetchHandout,
     dial: opts.dial,
+    version: opts.version,
+    onNewer: opts.onNewer,
+    onEvacuations: note,
     onReport (report, address) {
       opts.log.event('evacuationsReported', { address, revision: report?.revision ?? 0, zones: report?.zones.join(' '), pending: report?.pending?.join(' ') })
       noteControl(report, address)
@@ -77,7 +78,7 @@
   }
 
   const update = (): void => {
-    if (isSettled || !opts.hasDocument()) return
+    if (isSettled || opts.version() === 0) return
     startedAt ??= opts.now()
     const controls = opts.controls()
     const ms = opts.now() - startedAt
--- a/packages/discovery/src/evacuationSurvey.ts
+++ b/packages/discovery/src/evacuationSurvey.ts
@@ -1,6 +1,7 @@
 /**
  * Asks control instances for their evacuations until a majority has answered: an acknowledged order is in the logs of a majority, so of any
- * majority at least one instance has it. Needed after a start, until a control instance with a quorum is heard.
+ * majority at least one instance has it. Needed after a start, until a control instance with a quorum is heard. Documents that are newer than
+ * the first one are fetched on the way: the instance that handed it out may have been down when it was replaced.
  */
 import * as links from '@kingcupdeck/links'
 import type * as evacuations from './evacuations.js'
@@ -11,10 +12,17 @@
 /** Options of {@link createEvacuationSurvey}. */
 export interface EvacuationSurveyOptions {
   /** Fetches from the handout of a control instance that is still starting; absent if handouts are not used. */
-  fetchHandout?: (address: string, part: handouts.HandoutPart) => Promise<handouts.Handout>
+  fetchHandout?: (address: string, part: handouts.HandoutPart) => Promise<handouts.FetchedHandout>
   /** Opens a link to a control instance that has started. */
   dial: (address: string) => Promise<links.Link>
+  /** Called with the evacuations of an instance whose document is still to be fetched. */
+  onEvacuations: (report: evacuations.EvacuationReport, address: string) => void
+  /** Called once an instance has reported. */
   onReport: (report: evacuations.EvacuationReport | undefined, address: string) => void
+  /** Returns the version of the local document. */
+  version: () => number
+  /** Called with a reply that has a newer document. */
+  onNewer: (reply: messages.DiscoveryReply, address: string) => void
   now: () => number
 }
 
@@ -39,13 +47,33 @@
   const reported = new Set<string>()
   const pending = new Set<string>()
   const retryAt = new Map<string, number>()
+  let isFetchingNewer = false
+
+  /** Fetches the document of an instance that is starting, one at a time. */
+  const fetchNewer = async (address: string): Promise<void> => {
+    if (isFetchingNewer) return
+    isFetchingNewer = true
+    try {
+      const handout = await opts.fetchHandout?.(address, 'all')
+      if (handout !== undefined) opts.onNewer(messages.decodeReply(handout.body), address)
+    } catch {
+      // It follows with a subscription.
+    } finally {
+      isFetchingNewer = false
+    }
+  }
 
   /** Asks an instance that is starting. @returns whether it answered */
   const askHandout = async (address: string): Promise<boolean> => {
     try {
       const handout = await opts.fetchHandout?.(address, 'evacuations')
       if (handout === undefined) return false
-      opts.onReport(messages.decodeEvacuations(handout.evacuations), address)
+      const report = messages.decodeEvacuations(handout.evacuations)
+      if (handout.version > opts.version()) {
+        opts.onEvacuations(report, address)
+        await fetchNewer(address)
+      }
+      opts.onReport(report, address)
       return true
     } catch {
       // Expected of an instance that is down, or has started.
--- a/packages/discovery/src/handout.ts
+++ b/packages/discovery/src/handout.ts
@@ -22,6 +22,8 @@
 const PROOF_BYTES = 32
 /** The length of the evacuations precedes them in a response. */
 const LENGTH_BYTES = 4
+/** The version of the document follows the evacuations in a response without the body. */
+const VERSION_BYTES = 8
 /** Must exceed the time that a full document takes on a link of a few Mbit/s. */
 const FETCH_TIMEOUT_MS = 800
 const CONNECT_TIMEOUT_MS = 300
@@ -45,7 +47,13 @@
   evacuations: Buffer
 }
 
-/** What is fetched: everything, or the evacuations alone, which are short. */
+/** A handout that was fetched. */
+export interface FetchedHandout extends Handout {
+  /** Version of the document of the instance; 0 if it is not known, also to instances of earlier versions. */
+  version: number
+}
+
+/** What is fetched: everything, or the evacuations and the version of the document alone, which are short. */
 export type HandoutPart = 'all' | 'evacuations'
 
 /** Returns the content of a file of the handout: the SHA-256 digest of the body, then the body. */
@@ -67,6 +75,30 @@
   return digest.equals(content.subarray(0, PROOF_BYTES)) ? body : undefined
 }
 
+/** Start of an encoded reply: a map with a 16-bit count whose first key is "version". */
+const VERSION_KEY = Buffer.concat([Buffer.from([0x67]), Buffer.from('version')])
+const MAP_HEADER_BYTES = 3
+
+/**
+ * Reads the version of the document from an encoded reply without the library that decodes it.
+ * @returns 0 if the reply does not begin with it, as that of an earlier version
+ */
+export function readVersion (body: Buffer): number {
+  const at = MAP_HEADER_BYTES + VERSION_KEY.length
+  const value = body.subarray(at, at + 1 + VERSION_BYTES)
+  if (body[0] !== 0xb9 || !body.subarray(MAP_HEADER_BYTES, at).equals(VERSION_KEY) || value.length <= VERSION_BYTES) return 0
+  const [head] = value
+  if (head < 0x18) return head
+  switch (head) {
+    case 0x18: return value.readUInt8(1)
+    case 0x19: return value.readUInt16BE(1)
+    case 0x1a: return value.readUInt32BE(1)
+    case 0x1b: return Number(value.readBigUInt64BE(1))
+    case 0xfb: return value.readDoubleBE(1)
+    default: return 0
+  }
+}
+
 /** Options of {@link startHandoutServer}. */
 export interface HandoutServerOptions {
   address: { host: string, port: number }
@@ -97,7 +129,9 @@
   const { body, evacuations } = opts.handout
   const length = Buffer.alloc(LENGTH_BYTES)
   length.writeUInt32BE(evacuations.length)
-  const payloads: Record<HandoutPart, Buffer> = { all: Buffer.concat([length, evacuations, body]), evacuations: Buffer.concat([length, evacuations]) }
+  const version = Buffer.alloc(VERSION_BYTES)
+  version.writeDoubleBE(readVersion(body))
+  const payloads: Record<HandoutPart, Buffer> = { all: Buffer.concat([length, evacuations, body]), evacuations: Buffer.concat([length, evacuations, version]) }
   const server = net.createServer(socket => {
     sockets.add(socket)
     lastConnectionAt = performance.now()
@@ -142,7 +176,7 @@
  * @param secret secret shared by all instances of the fleet
  * @throws Error when there is no server, it does not answer in time, or it does not prove the secret
  */
-export async function fetchHandout (address: { host: string, port: number }, secret: string, part: HandoutPart = 'all'): Promise<Handout> {
+export async function fetchHandout (address: { host: string, port: number }, secret: string, part: HandoutPart = 'all'): Promise<FetchedHandout> {
   return await new Promise((resolve, reject) => {
     const socket = net.connect(address)
     const chunks: Buffer[] = []
@@ -176,7 +210,10 @@
       clearTimeout(timer)
       socket.destroy()
       const bodyStart = LENGTH_BYTES + payload.readUInt32BE(0)
-      resolve({ evacuations: payload.subarray(LENGTH_BYTES, bodyStart), body: payload.subarray(bodyStart) })
+      const evacuations = payload.subarray(LENGTH_BYTES, bodyStart)
+      const rest = payload.subarray(bodyStart)
+      if (part === 'all') resolve({ evacuations, body: rest, version: readVersion(rest) })
+      else resolve({ evacuations, body: Buffer.alloc(0), version: rest.length >= VERSION_BYTES ? rest.readDoubleBE() : 0 })
     })
   })
 }
--- a/packages/discovery/src/handoutPoller.ts
+++ b/packages/discovery/src/handoutPoller.ts
@@ -9,7 +9,7 @@
   /** Inner addresses of control instances, from the current settings. */
   seeds: () => readonly string[]
   /** Fetches from the handout of a control instance. */
-  fetch: (address: string, part: handouts.HandoutPart) => Promise<handouts.Handout>
+  fetch: (address: string, part: handouts.HandoutPart) => Promise<handouts.FetchedHandout>
   /** @param report the evacuations in the log of the control instance */
   onReply: (reply: messages.DiscoveryReply, report: evacuations.EvacuationReport, address: string) => void
   log: telemetry.Log
--- a/packages/discovery/src/messages.ts
+++ b/packages/discovery/src/messages.ts
@@ -113,9 +113,9 @@
   return codec.decode(zlib.inflateRawSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES }))
 }
 
-/** Encodes a reply for the handout file. */
-export function encodeReply (reply: DiscoveryReply): Uint8Array {
-  return codec.encode(reply)
+/** Encodes a reply for the handout file, the version first, which the first stage reads. */
+export function encodeReply ({ version, ...rest }: DiscoveryReply): Uint8Array {
+  return codec.encode({ version, ...rest })
 }
 
 /**
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -66,7 +66,8 @@
   const evacuationState = evacuationStates.createEvacuationState({
     fetchHandout: opts.fetchHandout,
     dial: opts.dial,
-    hasDocument: () => documents.version() > 0,
+    version: () => documents.version(),
+    onNewer: (reply, address) => { documents.accept(reply.document, address) },
     hasQuorum,
     controls: () => controls.length > 0 ? controls : opts.seeds(),
     subscribed: () => new Set([...open].filter(sub => sub.isEstablished).map(sub => sub.address)),
--- a/packages/discovery/src/subscriberOptions.ts
+++ b/packages/discovery/src/subscriberOptions.ts
@@ -20,7 +20,7 @@
   /** Opens a link to a control instance, whose events go to {@link Subscriber.onEvent}. */
   dial: (address: string) => Promise<links.Link>
   /** Fetches from the handout of a control instance that is still starting; absent if handouts are not used. */
-  fetchHandout?: (address: string, part: handouts.HandoutPart) => Promise<handouts.Handout>
+  fetchHandout?: (address: string, part: handouts.HandoutPart) => Promise<handouts.FetchedHandout>
   /** Returns the record that this instance announces. */
   self: () => records.EntryRecord
   /**
