fix(platform): limits follow the settings while a process runs

Entry and control instances used limits as they were at their start, whatever the settings said later: a retry budget that an operator lowered in an overload, an interval of announcements, the speed of the link, descriptors. Endpoints whose announcements became rarer would have counted as silent.

Tests pass limits as functions now.

--- a/packages/coordination/src/controlInstance.ts
+++ b/packages/coordination/src/controlInstance.ts
@@ -31,7 +31,7 @@
   /** Secret shared by all instances of the fleet. */
   secret: string
   /** Capacity of this machine's link, bytes per millisecond; unlimited by default. */
-  linkBytesPerMs?: number
+  linkBytesPerMs?: () => number
   log: telemetry.Log
   invariants: telemetry.Invariants
 }
@@ -145,7 +145,7 @@
     version,
     packDocumentSince: store.packSince,
     evacuations: store.evacuationReport,
-    budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
+    budget: discovery.createSendBudget(opts.linkBytesPerMs),
     isCurrent,
     onChange () {
       recordFile.save()
--- a/packages/discovery/__tests__/fleetStart.test.ts
+++ b/packages/discovery/__tests__/fleetStart.test.ts
@@ -106,7 +106,7 @@
     version: () => 0,
     packDocumentSince: () => null,
     isCurrent: () => true,
-    budget: discovery.createSendBudget(bytesPerMs),
+    budget: discovery.createSendBudget(() => bytesPerMs),
     log,
     now
   })
--- a/packages/discovery/__tests__/helpers/testControl.ts
+++ b/packages/discovery/__tests__/helpers/testControl.ts
@@ -70,7 +70,7 @@
     version: () => opts.reportedVersion ?? versions.at(-1)?.version ?? 0,
     packDocumentSince: packSince,
     evacuations: () => opts.evacuations ?? discovery.NO_EVACUATIONS,
-    budget: discovery.createSendBudget(opts.bytesPerMs ?? Infinity),
+    budget: discovery.createSendBudget(() => opts.bytesPerMs ?? Infinity),
     isCurrent: () => opts.isCurrent !== false,
     log
   })
--- a/packages/discovery/__tests__/sendBudget.test.ts
+++ b/packages/discovery/__tests__/sendBudget.test.ts
@@ -11,7 +11,7 @@
 
 // A document sent to all requesters at once would arrive at each of them after its timeout.
 test('a document is sent within the timeout of the requester', t => {
-  const budget = sendBudgets.createSendBudget(BYTES_PER_MS)
+  const budget = sendBudgets.createSendBudget(() => BYTES_PER_MS)
   const sentAt: number[] = []
   let sentUntil = 0
   for (let now = 0; now < 5000; now += 10) {
@@ -29,6 +29,16 @@
 })
 
 test('a link of unknown capacity is not limited', t => {
-  const budget = sendBudgets.createSendBudget(Infinity)
+  const budget = sendBudgets.createSendBudget()
   for (let i = 0; i < 1000; i++) t.true(budget.tryReserve(DOCUMENT_BYTES, 0))
 })
+
+// Guards against transfers at the speed of a link that has become slower.
+test('the budget follows the capacity of the link', t => {
+  let bytesPerMs = Infinity
+  const budget = sendBudgets.createSendBudget(() => bytesPerMs)
+  t.true(budget.tryReserve(DOCUMENT_BYTES, 0))
+  bytesPerMs = BYTES_PER_MS / 10
+  t.true(budget.tryReserve(DOCUMENT_BYTES, 0))
+  t.false(budget.tryReserve(DOCUMENT_BYTES, 0))
+})
--- a/packages/discovery/src/publisher.ts
+++ b/packages/discovery/src/publisher.ts
@@ -87,7 +87,7 @@
 /** Creates a publisher. */
 export function createPublisher (opts: PublisherOptions): Publisher {
   const { table } = opts
-  const budget = opts.budget ?? sendBudgets.createSendBudget(Infinity)
+  const budget = opts.budget ?? sendBudgets.createSendBudget()
   const now = opts.now ?? (() => performance.now())
   const refused = opts.refusals ?? refusals.createRefusals(opts.log, now)
   const intake = intakes.createIntake(refused)
--- a/packages/discovery/src/sendBudget.ts
+++ b/packages/discovery/src/sendBudget.ts
@@ -19,15 +19,15 @@
 
 /**
  * Creates the budget of an idle link.
- * @param bytesPerMs capacity of the link, bytes per millisecond; Infinity if unknown
+ * @param toBytesPerMs returns the present capacity of the link, bytes per millisecond; Infinity, the default, if unknown
  */
-export function createSendBudget (bytesPerMs: number): SendBudget {
+export function createSendBudget (toBytesPerMs: () => number = () => Infinity): SendBudget {
   let idleAt = -Infinity
   return {
     tryReserve (bytes, now) {
       const startsAt = Math.max(now, idleAt)
       if (startsAt - now > MAX_QUEUE_MS) return false
-      idleAt = startsAt + bytes / bytesPerMs
+      idleAt = startsAt + bytes / toBytesPerMs()
       return true
     }
   }
--- a/packages/discovery/src/subscriber.ts
+++ b/packages/discovery/src/subscriber.ts
@@ -117,7 +117,7 @@
       opts.onDocument(document, waitedMs, from)
       evacuationState.update()
     },
-    budget: opts.budget ?? sendBudgets.createSendBudget(Infinity),
+    budget: opts.budget ?? sendBudgets.createSendBudget(),
     signal: stopped.signal,
     log: opts.log,
     now
--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -17,7 +17,7 @@
   let lastQuorumAt = 0
   let quorumSince = -Infinity
   const evacuated = new Set<string>()
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => lastQuorumAt, quorumSince: () => quorumSince, evacuatedZones: () => [...evacuated], unresponsiveMs: UNRESPONSIVE_MS, log })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => lastQuorumAt, quorumSince: () => quorumSince, evacuatedZones: () => [...evacuated], unresponsiveMs: () => UNRESPONSIVE_MS, log })
   return {
     pool,
     events,
--- a/packages/forwarding/__tests__/endpointPoolCost.test.ts
+++ b/packages/forwarding/__tests__/endpointPoolCost.test.ts
@@ -13,7 +13,7 @@
 function createPool (): CountingPool {
   const table = discovery.createRecordTable()
   const log = telemetry.createLog({ instance: 'test', json: true, write: () => {} })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => 0, quorumSince: () => -Infinity, unresponsiveMs: 5000, log, now: () => 0 })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => 0, quorumSince: () => -Infinity, unresponsiveMs: () => 5000, log, now: () => 0 })
   let reads = 0
   return {
     pool,
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -153,7 +153,7 @@
   const table = discovery.createRecordTable()
   const now = (): number => performance.now()
   const quarantine = crashQuarantines.createCrashQuarantine({ log })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: 60_000, dial: async endpoint => await endpointDialers.dial(opts.connect ?? endpointDialers.connectDirectly, endpoint.record.address), onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: now, quorumSince: () => -Infinity, unresponsiveMs: () => 60_000, dial: async endpoint => await endpointDialers.dial(opts.connect ?? endpointDialers.connectDirectly, endpoint.record.address), onRestart: endpoint => { quarantine.confirmDown(endpointPools.toIncarnation(endpoint), now(), 'restarted') }, log })
   const outliers = outlierDetectors.createOutlierDetector()
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000, ...opts.limits }
   const document = routeTables.compileTable({ version: 1, routes, services: [routeTables.service.parse({ name: 'svc', maxConnections: 100, canFetch: true, ...opts.service })], accounts: opts.accounts?.map(item => routeTables.clientAccount.parse(item)) ?? null, limits })
@@ -161,7 +161,7 @@
   let isAccepting = true
   let hasDocument = opts.startsWithoutDocument !== true
   const waiters = documentWaiters.createDocumentWaiters()
-  const budget = retryBudgets.createRetryBudget({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 })
+  const budget = retryBudgets.createRetryBudget(() => ({ ratio: 0.2, windowMs: 10_000, slack: opts.retrySlack ?? 100 }))
   const ctx: entryContexts.EntryContext = {
     names: NAMES,
     zone: 'z1',
@@ -182,7 +182,7 @@
     retryBudget: () => budget,
     coldLimiter: coldLimiters.createColdLimiter({ self: 'self', instanceIds: () => opts.instanceIds ?? ['self'] }),
     brittleLimiter: brittleLimiters.createBrittleLimiter({ self: 'self', instanceIds: () => ['self'], endpointsOf: () => pool.all().map(item => item.record) }),
-    coldBound: { excess: 1.5, slack: 5 },
+    coldBound: () => ({ excess: 1.5, slack: 5 }),
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
     durations: routeDurations.createRouteDurations(now),
--- a/packages/forwarding/__tests__/memory.test.ts
+++ b/packages/forwarding/__tests__/memory.test.ts
@@ -27,7 +27,7 @@
   const collect = exposeCollect()
   const table = discovery.createRecordTable()
   const log = telemetry.createLog({ instance: 'test', json: true, write: () => {} })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => 0, quorumSince: () => -Infinity, unresponsiveMs: 5000, log, now: () => 0 })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => 0, quorumSince: () => -Infinity, unresponsiveMs: () => 5000, log, now: () => 0 })
   collect()
   const before = process.memoryUsage().heapUsed
   for (let i = 0; i < ENDPOINTS; i++) {
--- a/packages/forwarding/__tests__/supersededEndpoints.test.ts
+++ b/packages/forwarding/__tests__/supersededEndpoints.test.ts
@@ -23,7 +23,7 @@
   let seq = 1
   const table = discovery.createRecordTable()
   const log = telemetry.createLog({ instance: 'test', json: true, write: () => {} })
-  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => now, quorumSince: () => -Infinity, unresponsiveMs: 5000, log, now: () => now })
+  const pool = endpointPools.createEndpointPool({ table, lastQuorumAt: () => now, quorumSince: () => -Infinity, unresponsiveMs: () => 5000, log, now: () => now })
   const announce = (change: Partial<discovery.EndpointRecord>): void => {
     const record: discovery.EndpointRecord = { kind: 'endpoint', id: 'i-1', startedAt: 1000, seq: seq++, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 4, coldMs: 0, ...change }
     if (discovery.isContentChanged(table.merge(record, now))) pool.update([record])
--- a/packages/forwarding/src/attempts/retryBudget.ts
+++ b/packages/forwarding/src/attempts/retryBudget.ts
@@ -33,14 +33,27 @@
 /** Share of the budget that retries may use whose endpoint is only silent; the rest is left for those whose response was lost. */
 export const HEDGE_SHARE = 0.5
 
-export function createRetryBudget (opts: RetryBudgetOptions): RetryBudget {
-  const slotMs = opts.windowMs / SLOTS
+/** @param toOptions returns the present limits */
+export function createRetryBudget (toOptions: () => RetryBudgetOptions): RetryBudget {
   const requests = new Array<number>(SLOTS).fill(0)
   const retries = new Array<number>(SLOTS).fill(0)
+  let { windowMs } = toOptions()
   let slot = 0
 
+  /** What was counted in a window of another length counts for the whole of the present one. */
+  const changeWindow = (now: number): void => {
+    windowMs = toOptions().windowMs
+    slot = Math.floor(now * SLOTS / windowMs)
+    for (const counts of [requests, retries]) {
+      const total = numbers.sum(counts)
+      counts.fill(0)
+      counts[slot % SLOTS] = total
+    }
+  }
+
   const advance = (now: number): void => {
-    const current = Math.floor(now / slotMs)
+    if (toOptions().windowMs !== windowMs) changeWindow(now)
+    const current = Math.floor(now * SLOTS / windowMs)
     const steps = Math.min(SLOTS, current - slot)
     for (let i = 1; i <= steps; i++) {
       requests[(slot + i) % SLOTS] = 0
@@ -56,7 +69,8 @@
     },
     trySpend (now, instances, share = 1) {
       advance(now)
-      const allowed = share * SAFETY_SHARE * (opts.ratio * numbers.sum(requests) + opts.slack / Math.max(1, instances))
+      const { ratio, slack } = toOptions()
+      const allowed = share * SAFETY_SHARE * (ratio * numbers.sum(requests) + slack / Math.max(1, instances))
       if (numbers.sum(retries) + 1 > allowed) return false
       retries[slot % SLOTS]++
       return true
@@ -64,13 +78,16 @@
   }
 }
 
-/** Returns a function that finds the budget of a service, and creates it if there is none yet. */
-export function createRetryBudgets (opts: RetryBudgetOptions): (service: string) => RetryBudget {
+/**
+ * Returns a function that finds the budget of a service, and creates it if there is none yet.
+ * @param toOptions returns the present limits
+ */
+export function createRetryBudgets (toOptions: () => RetryBudgetOptions): (service: string) => RetryBudget {
   const budgets = new Map<string, RetryBudget>()
   return service => {
     const known = budgets.get(service)
     if (known !== undefined) return known
-    const created = createRetryBudget(opts)
+    const created = createRetryBudget(toOptions)
     budgets.set(service, created)
     return created
   }
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -123,7 +123,7 @@
   /** Returns whether a zone is unreachable while others are reachable; none by default. */
   isZoneAvoided?: (zone: string) => boolean
   /** An endpoint without an announcement for this time is unresponsive and not used, in milliseconds. */
-  unresponsiveMs: number
+  unresponsiveMs: () => number
   log: telemetry.Log
   /** Opens a connection to an endpoint, a direct one by default. @throws DialError when that fails */
   dial?: (endpoint: Endpoint, helper?: string) => Promise<net.Socket>
@@ -217,7 +217,8 @@
     // After an outage of the control instances all announcements are old. The time is counted from when updates resumed, so that not
     // all endpoints are considered unresponsive.
     const quorumSince = opts.quorumSince()
-    return id => lastQuorumAt - Math.max(opts.table.get(id)?.lastSeenAt ?? -Infinity, quorumSince) > opts.unresponsiveMs
+    const unresponsiveMs = opts.unresponsiveMs()
+    return id => lastQuorumAt - Math.max(opts.table.get(id)?.lastSeenAt ?? -Infinity, quorumSince) > unresponsiveMs
   }
 
   const superseded = supersededEndpoints.createSupersededEndpoints({ table: opts.table, createUnresponsiveCheck, now })
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -45,7 +45,7 @@
   retryBudget: (service: string) => retryBudgets.RetryBudget
   coldLimiter: coldLimiters.ColdLimiter
   brittleLimiter: brittleLimiters.BrittleLimiter
-  coldBound: coldLimiters.ColdBound
+  coldBound: () => coldLimiters.ColdBound
   /** Returns whether this instance is draining. */
   isDraining: () => boolean
   /** Returns whether a request of a route with this maximum duration, in milliseconds, is accepted. */
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -179,7 +179,7 @@
     evacuatedZones: () => evacuatedZones,
     dial: async (endpoint, helper) => await paths.dial(endpoint, helper),
     mayReuse: socket => paths.mayReuse(socket),
-    unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
+    unresponsiveMs: () => MISSED_ANNOUNCEMENTS * opts.announceIntervalMs() + ANNOUNCEMENT_MARGIN_MS,
     log
   })
 
@@ -259,7 +259,7 @@
     retryBudget: retryBudgets.createRetryBudgets(opts.retryBudget),
     coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: senderIds }),
     brittleLimiter: brittleLimiters.createBrittleLimiter({ self: opts.id, instanceIds: senderIds, endpointsOf: service => endpoints.all().filter(item => item.record.service === service).map(item => item.record) }),
-    coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
+    coldBound: opts.coldBound ?? (() => ({ excess: 1, slack: 0 })),
     isDraining: () => drain !== undefined,
     isAccepted: (route, waitMs) => drain === undefined || draining.isAccepted({
       elapsedMs: now() - drain.startedAt,
@@ -298,7 +298,7 @@
     },
     peerAddresses: () => discovery.toShuffled(otherEntries().map(item => item.inner)),
     getPeerLink: dialer.get,
-    budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
+    budget: discovery.createSendBudget(opts.linkBytesPerMs),
     log
   })
   // All parts exist before anything can arrive, and clients are served before other instances learn that this one is ready.
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -31,11 +31,12 @@
   names: headerNames.HeaderNames
   /** Parses a configuration document. @throws Error if it is invalid */
   readDocument: (text: Buffer) => routeTables.RouteTable
-  retryBudget: retryBudgets.RetryBudgetOptions
-  /** Limit of the requests to endpoints that are warming up; the rate that their service declares by default. */
-  coldBound?: coldLimiters.ColdBound
-  /** Interval of endpoint announcements, in milliseconds. */
-  announceIntervalMs: number
+  /** Returns the present limits of retries. */
+  retryBudget: () => retryBudgets.RetryBudgetOptions
+  /** Returns the present limit of the requests to endpoints that are warming up; the rate that their service declares by default. */
+  coldBound?: () => coldLimiters.ColdBound
+  /** Returns the present interval of endpoint announcements, in milliseconds. */
+  announceIntervalMs: () => number
   /** Returns the grace period of a stop that begins now, in milliseconds. */
   graceMs: () => number
   log: telemetry.Log
@@ -47,8 +48,8 @@
   memoryBytes?: () => number
   /** Connections of the process, shared with its other servers; those of clients are unlimited by default. */
   connections?: links.ConnectionBudget
-  /** Network bandwidth of this machine in bytes per millisecond, undefined if unknown. */
-  linkBytesPerMs?: number
+  /** Returns the present network bandwidth of this machine in bytes per millisecond; unknown by default. */
+  linkBytesPerMs?: () => number
 }
 
 /** A running entry instance. */
--- a/packages/forwarding/src/placement/selectEndpoint.ts
+++ b/packages/forwarding/src/placement/selectEndpoint.ts
@@ -37,7 +37,7 @@
   const endpoints = ctx.pool.usable(call.service, now).filter(item => isAllowed(call, item))
   const usable = toCandidates(endpoints, service?.maxConnections ?? Infinity, ctx.gossip.instanceCount(), now)
   const outliers = ctx.outliers.findOutliers(call.service, usable, now)
-  const maxColdPerSecond = coldLimiters.toMaxPerSecond(service?.coldPerSecond ?? 0, ctx.coldBound)
+  const maxColdPerSecond = coldLimiters.toMaxPerSecond(service?.coldPerSecond ?? 0, ctx.coldBound())
   const isLimited = (item: endpointPools.Endpoint): boolean => maxColdPerSecond < Infinity && endpointPools.mayBeCold(item, service?.coldStartMs ?? 0, now)
   const mayUse = (item: endpointPools.Endpoint): boolean => !isLimited(item) || ctx.coldLimiter.maySend(item.id, maxColdPerSecond, now)
   const isWorthRetry = (item: endpointPools.Endpoint): boolean => tried.size === 0 || item.failures <= MAX_RETRY_FAILURES
--- a/packages/links/__tests__/connectionBudget.test.ts
+++ b/packages/links/__tests__/connectionBudget.test.ts
@@ -49,7 +49,7 @@
 
 // Guards against callers of one server that leave the process no descriptors for the others, its links and its files.
 test('the servers of a process have a limit together, and each can always be reached', async t => {
-  const budget = links.createConnectionBudget(LIMIT)
+  const budget = links.createConnectionBudget(() => LIMIT)
   const [first, second] = [await startServer(t, budget), await startServer(t, budget)]
   const openFirst = await openMany(t, first.port, LIMIT + 10)
   t.is(openFirst(), LIMIT)
@@ -59,7 +59,7 @@
 
 // Guards against new callers that are turned away while others only keep connections open.
 test('idle connections of the server that has the most make room', async t => {
-  const budget = links.createConnectionBudget(LIMIT)
+  const budget = links.createConnectionBudget(() => LIMIT)
   const [first, second] = [await startServer(t, budget), await startServer(t, budget)]
   const idle = await openMany(t, first.port, LIMIT - 4, '/at-once')
   const busy = await openMany(t, second.port, 4, '/waits')
@@ -70,7 +70,7 @@
 
 // Guards against callers that are turned away for as long as others keep back the ends of their requests.
 test('connections without a request make room after a while', async t => {
-  const budget = links.createConnectionBudget(LIMIT)
+  const budget = links.createConnectionBudget(() => LIMIT)
   const server = await startServer(t, budget)
   const unused = await openMany(t, server.port, LIMIT)
   await new Promise(resolve => { setTimeout(resolve, 1100) })
@@ -80,7 +80,7 @@
 
 // Guards against a lack of descriptors for the connections on which requests are forwarded.
 test('requests that are forwarded count in addition to their connections', async t => {
-  const budget = links.createConnectionBudget(LIMIT)
+  const budget = links.createConnectionBudget(() => LIMIT)
   const server = await startServer(t, budget, 1)
   const busy = await openMany(t, server.port, LIMIT, '/waits')
   t.is(busy(), LIMIT / 2)
@@ -88,3 +88,16 @@
   const added = await openMany(t, server.port, 4, '/waits')
   t.is(added(), 4)
 })
+
+// Guards against a process that goes on taking descriptors which the settings no longer allow.
+test('the limit of connections may change', async t => {
+  let limit = LIMIT
+  const budget = links.createConnectionBudget(() => limit)
+  const server = await startServer(t, budget)
+  t.is((await openMany(t, server.port, LIMIT, '/waits'))(), LIMIT)
+  limit += 4
+  t.is((await openMany(t, server.port, 4, '/waits'))(), 4)
+  limit = LIMIT / 2
+  t.is((await openMany(t, server.port, 4, '/waits'))(), 0)
+  t.is(server.refused(), 4)
+})
--- a/packages/links/src/connectionBudget.ts
+++ b/packages/links/src/connectionBudget.ts
@@ -46,15 +46,16 @@
   return Math.floor(maxFds * CONNECTIONS_SHARE)
 }
 
-/** Creates a budget. @param limit connections, and descriptors of their requests */
-export function createConnectionBudget (limit: number): ConnectionBudget {
+/** Creates a budget. @param toLimit returns the present limit of connections, and descriptors of their requests */
+export function createConnectionBudget (toLimit: () => number): ConnectionBudget {
   const all = new Set<Watched>()
-  const reserved = Math.min(MAX_RESERVED, Math.floor(limit * RESERVED_SHARE))
+  const toReserved = (): number => Math.min(MAX_RESERVED, Math.floor(toLimit() * RESERVED_SHARE))
   let used = 0
 
   /** Returns whether one was closed. */
   const closeIdle = (): boolean => {
     const now = performance.now()
+    const reserved = toReserved()
     for (const item of [...all].sort((left, right) => right.open - left.open)) {
       const socket = item.open > reserved ? findIdle(item, now) : undefined
       if (socket === undefined) continue
@@ -85,7 +86,7 @@
       }
       all.add(watched)
       server.on('connection', (socket: net.Socket) => {
-        if (used >= limit && !closeIdle() && watched.open >= reserved) {
+        if (used >= toLimit() && !closeIdle() && watched.open >= toReserved()) {
           onRefused()
           socket.destroy()
           return
@@ -104,7 +105,7 @@
         watched.idle.delete(socket)
         watched.unused.delete(socket)
         used += requestCost
-        if (requestCost > 0 && used > limit) closeIdle()
+        if (requestCost > 0 && used > toLimit()) closeIdle()
         res.once('close', () => {
           const left = requests.get(socket)
           if (left === undefined) return
