fix(state): an error in a task of a leader ends its replica instead of the task alone

A replica fails, and is created again from its disk, if its elections or its joining fail; the tasks of a leader were started without that. An unexpected error in one of them left a leader that is no longer watched: it keeps its role without a quorum, repairs no membership, or sends a member nothing, while uncaught errors are logged and end nothing. They now end the replica like the others.

Evidence: the new test fails before (the leader goes on, its error is an unhandled rejection).

--- a/packages/state/__tests__/helpers/virtualCluster.ts
+++ b/packages/state/__tests__/helpers/virtualCluster.ts
@@ -26,6 +26,7 @@
 /** A replica group under test. */
 export class VirtualCluster {
   readonly clock = new virtualClocks.VirtualClock()
+  onLeadershipChange: (isLeader: boolean) => void = () => {}
   readonly network: Network = { loss: 0, delayMs: 3, isolated: new Set(), brokenLinks: new Set() }
   readonly nodes = new Map<string, Node>()
   /** Commands acknowledged to their proposer, in order. */
@@ -134,6 +135,7 @@
       log,
       invariants,
       snapshotEvery: this.snapshotEvery,
+      onLeadershipChange: isLeader => { this.onLeadershipChange(isLeader) },
       onFailed: () => {
         this.failed.push(name)
         if (this.restartsFailed) this.restartLater(name, process)
--- a/packages/state/__tests__/replicaSchedules.test.ts
+++ b/packages/state/__tests__/replicaSchedules.test.ts
@@ -228,3 +228,20 @@
   await cluster.clock.advance(100)
   t.deepEqual(seen, [true, true])
 })
+
+// Guards against a leader that stays one without a quorum, or repairs nothing, because one of its tasks has ended.
+test('an error in a task of the leader ends its replica, which starts again', async t => {
+  const cluster = new virtual.VirtualCluster(['a', 'b', 'c'], 5)
+  cluster.restartsFailed = true
+  let isThrown = false
+  cluster.onLeadershipChange = () => {
+    if (isThrown) return
+    isThrown = true
+    throw new Error('test')
+  }
+  for (const name of cluster.names) await cluster.start(name)
+  for (let at = 0; at < 20_000; at += 100) await cluster.clock.advance(100)
+  t.true(isThrown)
+  t.is(cluster.failed.length, 1)
+  t.truthy(cluster.leader())
+})
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -107,12 +107,12 @@
 
   const onElected = async (): Promise<void> => {
     const leadership = replication.becomeLeader(core)
-    void replication.watchLease(core, leadership)
+    void replication.watchLease(core, leadership).catch(core.fail)
     void membershipChanges.runMembershipChanges(core, leadership, async voters => {
       const committed = appendAsLeader({ kind: 'membership', voters })
       replication.replicateToPeers(core, leadership)
       await committed
-    })
+    }).catch(core.fail)
     await flush()
   }
 
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -44,7 +44,7 @@
     if (member.name === core.opts.name || leadership.peers.has(id)) continue
     const progress: roles.PeerProgress = { member, nextIndex: core.log.lastIndex() + 1, matchIndex: 0, lastAckedSentAt: -Infinity, wake: () => {} }
     leadership.peers.set(id, progress)
-    void replicateToPeer(core, leadership, progress)
+    void replicateToPeer(core, leadership, progress).catch(core.fail)
   }
 }
 
