fix(links): the failing check of one link keeps no other one from being checked

All links share one timer. An error in the check of one link left out those behind it at each turn: silent links stayed open, and calls on them waited for ever. Each check is now guarded, its error logged in bounds.

Evidence: the new test fails before (uncaught exceptions, no check of the second link).

--- a/packages/links/src/link.ts
+++ b/packages/links/src/link.ts
@@ -241,7 +241,7 @@
   }
 
   socket.setNoDelay(true)
-  const stopMonitoring = linkMonitor.monitorLink(check)
+  const stopMonitoring = linkMonitor.monitorLink(check, log)
   void read().finally(stopMonitoring)
   return link
 }
--- a/packages/links/src/linkMonitor.ts
+++ b/packages/links/src/linkMonitor.ts
@@ -1,4 +1,5 @@
 /** Periodic checks of all links of a process with one shared timer, to avoid a wake-up per link. */
+import * as telemetry from '@kingcupdeck/telemetry'
 
 /** A periodic check of a link. */
 export type LinkCheck = (now: number, /** Whether this process was suspended since the last check. */ wasSuspended: boolean) => void
@@ -11,18 +12,20 @@
 let lastCheckAt = 0
 
 /**
- * Starts the periodic check of a link.
+ * Starts the periodic check of a link. An error in it is logged, and keeps no other link from being checked.
  * @returns a function that stops it
  */
-export function monitorLink (check: LinkCheck): () => void {
-  checks.add(check)
+export function monitorLink (check: LinkCheck, log: telemetry.Log): () => void {
+  const guard = telemetry.createStepGuard(log, 'link')
+  const guarded: LinkCheck = (now, wasSuspended) => { guard(() => { check(now, wasSuspended) }) }
+  checks.add(guarded)
   if (timer === undefined) {
     lastCheckAt = performance.now()
     timer = setInterval(checkAll, CHECK_INTERVAL_MS)
     timer.unref()
   }
   return () => {
-    checks.delete(check)
+    checks.delete(guarded)
     if (checks.size > 0) return
     clearInterval(timer)
     timer = undefined
