fix(discovery): a document that cannot be packed does not hold up those after it

Replies that wait for room on the link form one chain. An error in one of them rejected all later ones for as long as the process lived, so that a control instance sent no document any more. An error now costs its own reply only.

Evidence: the new test fails before.

--- a/packages/discovery/__tests__/sendBudget.test.ts
+++ b/packages/discovery/__tests__/sendBudget.test.ts
@@ -42,3 +42,10 @@
   t.true(budget.tryReserve(DOCUMENT_BYTES, 0))
   t.false(budget.tryReserve(DOCUMENT_BYTES, 0))
 })
+
+// Guards against documents that are never sent again after one that could not be packed.
+test('a message that fails does not hold up those after it', async t => {
+  const wait = sendBudgets.createSendQueue(sendBudgets.createSendBudget(), () => 0)
+  await t.throwsAsync(wait(() => { throw new Error('test') }, () => true), { message: 'test' })
+  await t.notThrowsAsync(wait(() => 1, () => true))
+})
--- a/packages/discovery/src/sendBudget.ts
+++ b/packages/discovery/src/sendBudget.ts
@@ -44,9 +44,11 @@
 export function createSendQueue (budget: SendBudget, now: () => number): (toBytes: () => number, isWanted: () => boolean) => Promise<void> {
   let last: Promise<void> = Promise.resolve()
   return async (toBytes, isWanted) => {
-    last = last.then(async () => {
+    const turn = last.then(async () => {
       while (isWanted() && !budget.tryReserve(toBytes(), now())) await timers.setTimeout(ROOM_POLL_MS)
     })
-    await last
+    // A message that fails costs itself only.
+    last = turn.catch(() => {})
+    await turn
   }
 }
