fix(forwarding): an error while a record is applied costs no other record

Changed records are applied in one go and not sent again before they change. An error in one, or in a request that is told that its endpoint is down, left out all records behind it: their endpoints were never used. In the same way it ended the probes of a zone, which then stayed avoided. Each record and each listener is now guarded, errors are logged in bounds.

Evidence: both new tests fail before.

--- a/packages/forwarding/__tests__/endpointPool.test.ts
+++ b/packages/forwarding/__tests__/endpointPool.test.ts
@@ -149,3 +149,17 @@
   }
   t.is(events.filter(item => item === 'endpointGone').length, 2)
 })
+
+// Guards against endpoints that are never used because their records came together with one that failed.
+test('a record that cannot be applied costs no other one', t => {
+  const { pool, announce, usable, events } = createPool()
+  announce({ id: 'e1' })
+  pool.get('e1')?.downListeners.add(() => { throw new Error('test') })
+  const toRecord = (id: string, change: Partial<discovery.EndpointRecord>): discovery.EndpointRecord => ({ kind: 'endpoint', id, startedAt: 2, seq: 1, zone: 'z', state: 'ready', service: 's', address: '10.0.0.1:80', slots: 8, coldMs: 0, ...change })
+  const odd = new Proxy(toRecord('odd', {}), { get (target, name) { if (name === 'address') throw new Error('test'); return Reflect.get(target, name) } })
+  pool.update([toRecord('e1', {}), odd, toRecord('e2', { address: '10.0.0.2:80' })])
+  t.is(pool.get('e1')?.record.startedAt, 2)
+  t.truthy(pool.get('e2'))
+  t.deepEqual(usable(0), ['e1'])
+  t.is(events.filter(item => item === 'uncaught').length, 1)
+})
--- a/packages/forwarding/__tests__/zoneOutage.test.ts
+++ b/packages/forwarding/__tests__/zoneOutage.test.ts
@@ -117,3 +117,22 @@
   t.true(after <= INSTANCES, `${after} requests of ${INSTANCES} instances waited`)
   t.true(after < before / 3, `${after} requests, ${before} without the detection`)
 })
+
+// Guards against a zone that is avoided for ever because one request could not be ended.
+test('a request that cannot be ended does not end the probes of its zone', async t => {
+  const outages = zoneOutages.createZoneOutages(() => ZONES)
+  const endpoints = toEndpoints(3)
+  let aborted = 0
+  endpoints[0].downListeners.add(() => { throw new Error('test') })
+  for (const endpoint of endpoints) endpoint.downListeners.add(() => { aborted++ })
+  let isDown = true
+  const probeZone = zoneProbers.createZoneProber({ outages, endpointsIn: () => endpoints, probe: async () => isDown ? SILENT : undefined, log })
+  outages.recordSilence('z0', 'e0', 0)
+  outages.recordSilence('z0', 'e1', 0)
+  const ended = probeZone('z0')
+  await timers.setTimeout(50)
+  isDown = false
+  await t.notThrowsAsync(Promise.all([ended, timers.setTimeout(1000)]))
+  t.is(aborted, endpoints.length)
+  t.false(outages.isAvoided('z0'))
+})
--- a/packages/forwarding/src/endpoints/endpointPool.ts
+++ b/packages/forwarding/src/endpoints/endpointPool.ts
@@ -158,6 +158,8 @@
   const dial = opts.dial ?? (async endpoint => await endpointDialers.dial(endpointDialers.connectDirectly, endpoint.record.address))
 
   const isUsable = usableRecords.createRecordCheck(opts.log)
+  /** A record that is not applied is not sent again before it changes. */
+  const guard = telemetry.createStepGuard(opts.log, 'endpoints')
 
   const toColdUntil = (record: discovery.EndpointRecord): number => record.coldMs > 0 ? now() + record.coldMs : 0
 
@@ -197,7 +199,7 @@
 
   const noteRestart = (endpoint: Endpoint, later: discovery.EndpointRecord): void => {
     if (later.startedAt <= endpoint.record.startedAt) return
-    for (const listener of [...endpoint.downListeners]) listener({ why: 'a later start of the endpoint was announced', isSilent: false })
+    for (const listener of [...endpoint.downListeners]) guard(() => { listener({ why: 'a later start of the endpoint was announced', isSilent: false }) })
     if (endpoint.record.state === 'ready') opts.onRestart?.(endpoint)
   }
 
@@ -230,7 +232,7 @@
   return {
     update (list) {
       for (const record of list) {
-        if (record.kind === 'endpoint' && isUsable(record)) applyRecord(record)
+        if (record.kind === 'endpoint') guard(() => { if (isUsable(record)) applyRecord(record) })
       }
     },
     get: id => index.get(id),
--- a/packages/forwarding/src/endpoints/zoneProber.ts
+++ b/packages/forwarding/src/endpoints/zoneProber.ts
@@ -1,7 +1,7 @@
 /** Probes suspect availability zones until an endpoint accepts a connection, so that no request has to find out. */
 import * as timers from 'node:timers/promises'
 import * as discovery from '@kingcupdeck/discovery'
-import type * as telemetry from '@kingcupdeck/telemetry'
+import * as telemetry from '@kingcupdeck/telemetry'
 import type * as endpointPools from './endpointPool.js'
 import * as endpointProbes from './endpointProbe.js'
 import type * as zoneOutages from './zoneOutage.js'
@@ -27,6 +27,7 @@
  */
 export function createZoneProber (opts: ZoneProberOptions): (zone: string) => Promise<void> {
   const probe = opts.probe ?? endpointProbes.probeEndpoint
+  const guard = telemetry.createStepGuard(opts.log, 'zoneProbe')
 
   const probeSome = async (zone: string): Promise<boolean> => {
     const endpoints = opts.endpointsIn(zone)
@@ -49,7 +50,7 @@
         isConfirmed = true
         opts.log.event('zoneUnreachable', { zone, endpoints: opts.endpointsIn(zone).length })
         for (const endpoint of opts.endpointsIn(zone)) {
-          for (const listener of [...endpoint.downListeners]) listener({ why: `availability zone "${zone}" is unreachable`, isSilent: true })
+          for (const listener of [...endpoint.downListeners]) guard(() => { listener({ why: `availability zone "${zone}" is unreachable`, isSilent: true }) })
         }
       }
       await timers.setTimeout(PROBE_INTERVAL_MS, undefined, { ref: false })
