fix(forwarding): an announcement that fails is repeated

What an instance quarantines was announced once after each change. If that failed, no one heard of it before the next change: after a restart of the entry instances, requests that crash endpoints would have been sent again. The next check announces it, and errors of the checks are logged in bounds.

Evidence: the new test fails before (uncaught exception, one attempt).

--- a/packages/forwarding/src/instance/changeAnnouncer.ts
+++ b/packages/forwarding/src/instance/changeAnnouncer.ts
@@ -1,5 +1,6 @@
 /** What an entry instance announces of itself beside its state: requests that it quarantines, and that it has lost its paths. */
 import type * as discovery from '@kingcupdeck/discovery'
+import * as telemetry from '@kingcupdeck/telemetry'
 import type * as crashQuarantines from '../quarantine/crashQuarantine.js'
 import type * as lostPaths from '../paths/lostPaths.js'
 import * as quarantineRecords from '../quarantine/quarantineRecords.js'
@@ -19,6 +20,7 @@
   record: () => discovery.Record | undefined
   /** Announces the record of this instance. */
   announce: () => void
+  log: telemetry.Log
   now: () => number
 }
 
@@ -39,7 +41,9 @@
 export function createChangeAnnouncer (opts: ChangeAnnouncerOptions): ChangeAnnouncer {
   const { id, quarantine, paths, now } = opts
   const startedAt = now()
+  const guard = telemetry.createStepGuard(opts.log, 'changes')
   let current: ChangingFields = {}
+  let isAnnounced = true
 
   const findQuarantined = (): discovery.QuarantinedRequest[] | undefined => {
     const quarantined = quarantine.quarantined(now())
@@ -54,14 +58,16 @@
 
   const check = (): void => {
     const next: ChangingFields = { quarantined: findQuarantined(), isImpaired: paths.isImpaired() || undefined }
-    const isChanged = toKey(next) !== toKey(current)
+    if (toKey(next) !== toKey(current)) isAnnounced = false
     current = next
-    if (isChanged) opts.announce()
+    if (isAnnounced) return
+    opts.announce()
+    isAnnounced = true
   }
 
   return {
     fields: () => current,
-    start () { timer = setInterval(check, CHECK_INTERVAL_MS) },
+    start () { timer = setInterval(() => { guard(check) }, CHECK_INTERVAL_MS) },
     stop () { clearInterval(timer) }
   }
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -274,7 +274,7 @@
     now
   }
 
-  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, now })
+  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, log, now })
   const server = entryServers.createEntryServer(ctx, opts.connections)
   const subscriber = discovery.createSubscriber({
     id: opts.id,
