--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -181,7 +181,7 @@
     evacuatedZones: () => evacuatedZones,
     dial: async (endpoint, helper) => await paths.dial(endpoint, helper),
     mayReuse: socket => paths.mayReuse(socket),
-    unresponsiveMs: MISSED_ANNOUNCEMENTS * opts.announceIntervalMs + ANNOUNCEMENT_MARGIN_MS,
+    unresponsiveMs: () => MISSED_ANNOUNCEMENTS * opts.announceIntervalMs() + ANNOUNCEMENT_MARGIN_MS,
     log
   })
 
@@ -261,7 +261,7 @@
     retryBudget: retryBudgets.createRetryBudgets(opts.retryBudget),
     coldLimiter: coldLimiters.createColdLimiter({ self: opts.id, instanceIds: senderIds }),
     brittleLimiter: brittleLimiters.createBrittleLimiter({ self: opts.id, instanceIds: senderIds, endpointsOf: service => endpoints.all().filter(item => item.record.service === service).map(item => item.record) }),
-    coldBound: opts.coldBound ?? { excess: 1, slack: 0 },
+    coldBound: opts.coldBound ?? (() => ({ excess: 1, slack: 0 })),
     isDraining: () => drain !== undefined,
     isAccepted: (route, waitMs) => drain === undefined || draining.isAccepted({
       elapsedMs: now() - drain.startedAt,
@@ -276,7 +276,7 @@
     now
   }
 
-  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, now })
+  const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, log, now })
   const server = entryServers.createEntryServer(ctx, opts.connections)
   const subscriber = discovery.createSubscriber({
     id: opts.id,
@@ -300,7 +300,7 @@
     },
     peerAddresses: () => discovery.toShuffled(otherEntries().map(item => item.inner)),
     getPeerLink: dialer.get,
-    budget: discovery.createSendBudget(opts.linkBytesPerMs ?? Infinity),
+    budget: discovery.createSendBudget(opts.linkBytesPerMs),
     log
   })
   // All parts exist before anything can arrive, and clients are served before other instances learn that this one is ready.
