fix(state): a log without a mark of what is synced is read, not given up

That file does not matter there, since a log without it is read and written again, and folders of versions before it have none: an upgrade would have wiped them. Only a missing log file counts now.

--- a/packages/state/__tests__/fileStorage.test.ts
+++ b/packages/state/__tests__/fileStorage.test.ts
@@ -187,3 +187,12 @@
     t.deepEqual(again.kind === 'found' ? again.entries : again, [next])
   })
 }
+
+// Guards against an upgrade that gives up the folders of a version that kept no mark of what is synced.
+test('a log without a mark is read', async t => {
+  const folder = createFolder(t)
+  await writeEntries(folder, 5)
+  fs.rmSync(path.join(folder, 'synced'))
+  const loaded = await load(folder)
+  t.deepEqual(loaded.kind === 'found' ? loaded.entries.map(item => item.index) : loaded, [1, 2, 3, 4, 5])
+})
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -19,8 +19,8 @@
   const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
   const toPath = (name: string) => path.join(folder, name)
   const hasMeta = await exists(toPath('meta'), fs)
-  // Metadata is written only beside both, and removed before them.
-  let isIncomplete = hasMeta && !(await exists(toPath('log'), fs) && await exists(toPath('synced'), fs))
+  // Metadata is written only beside a log, and removed before it.
+  let isIncomplete = hasMeta && !await exists(toPath('log'), fs)
   if (isIncomplete) await removeMeta(folder, fs)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
