fix(state): a learner that has just lost its disk is not admitted

Cause (trace): c ended before it could store what it was told, and was fed as a learner; it lost its disk at 1.56 s and was admitted at 1.60 s, by what it had acknowledged before. The voters a b c c need three of four, and neither incarnation of c exists: the admission cannot be committed, so nothing can. The same for any machine that loses its disk again while it is admitted again.

Change: the leader asks a learner for a reply under its incarnation right before it proposes the admission.

'a learner that has lost its disk is not admitted' failed before. 'a new voter votes before it knows that it is one' rested on a leader that admits a learner that it does not reach: it has the new voter lose the entry that admits it instead, which leaves the same state ([4, 4, 3] voters); with a vote rule that asks for membership (tried) it fails as before.

--- a/packages/state/__tests__/drawnFoundings.test.ts
+++ b/packages/state/__tests__/drawnFoundings.test.ts
@@ -96,3 +96,26 @@
   t.deepEqual(await play.judge(), [])
   t.true(play.destroyed.size > 0)
 })
+
+// Guards against a group that commits nothing any more because a learner is admitted that has just lost its disk, beside its dead former self.
+test('a learner that has lost its disk is not admitted', async t => {
+  const play = new plays.Play({
+    numFounders: 3,
+    numOthers: 1,
+    usesFiles: true,
+    startMs: [277, 221, 0, 154, 226, 107, 233],
+    earlyEnds: [null, null, { afterMs: 17, downMs: 224, isTold: false }, null, null, null, null],
+    faults: [
+      { at: 31, kind: 'noise', target: 3, other: 1, downMs: 182, isTold: false, losesPower: true },
+      { at: 2088, kind: 'kill', target: 1, other: 4, downMs: 14892, isTold: true, losesPower: false },
+      { at: 5, kind: 'cut', target: 2, other: 3, downMs: 9657, isTold: false, losesPower: false },
+      { at: 1556, kind: 'damage', target: 2, other: 6, downMs: 34, isTold: true, losesPower: false },
+      { at: 1233, kind: 'seeds', target: 1, other: 1, downMs: 304, isTold: false, losesPower: true }
+    ],
+    diskFaults: [],
+    seed: 16,
+    isFixed: true
+  })
+  await play.run()
+  t.deepEqual(await play.judge(), [])
+})
--- a/packages/state/__tests__/replacedReplicas.test.ts
+++ b/packages/state/__tests__/replacedReplicas.test.ts
@@ -143,13 +143,18 @@
   const countVoters = (name: string): number => status(name)?.voters.length ?? 0
   const other = cluster.names.find(name => name !== leader && name !== lost) ?? ''
   for (let ms = 0; ms < 5000 && (status(lost)?.lastIndex ?? 0) < (status(leader)?.lastIndex ?? 0); ms++) await cluster.clock.advance(1)
-  // The leader has heard that the new replica is up to date, and reaches only the other one when it admits the new one.
-  await cluster.clock.advance(20)
-  cluster.network.brokenLinks.add([leader, lost].sort().join(' '))
+  // The leader has heard that the new replica is up and up to date, and reaches only the other one with the entry that admits it.
+  const replica = cluster.node(lost).process.replica as state.Replica
+  const { handle } = replica
+  const isAdmission = (item: state.Entry): boolean => item.body.kind === 'membership' && item.body.voters.length === 4
+  replica.handle = async msg => {
+    if (msg.t === 'append' && msg.entries.some(isAdmission)) throw new Error('no reply')
+    return await handle(msg)
+  }
   await cluster.clock.advance(500)
   t.deepEqual([leader, other, lost].map(countVoters), [4, 4, 3])
   cluster.crash(leader)
-  cluster.network.brokenLinks.clear()
+  replica.handle = handle
   await cluster.start(leader)
   await cluster.clock.advance(20_000)
   t.truthy(cluster.leader())
--- a/packages/state/src/membershipChanges.ts
+++ b/packages/state/src/membershipChanges.ts
@@ -44,6 +44,18 @@
     if (!core.isReady() || !isLastChangeCommitted(core)) continue
     const change = findChange(core, leadership)
     if (change === undefined) continue
+    if (change.kind === 'admit') {
+      const isAlive = await isReachable(core, change.member)
+      const id = entries.toMemberId(change.member)
+      // It may have been replaced, or the leadership lost, meanwhile.
+      if (!replication.isLeading(core, leadership) || !core.isReady() || !isLastChangeCommitted(core) || !leadership.learners.has(id)) continue
+      if (!isAlive) {
+        // Another one goes first next time.
+        leadership.learners.delete(id)
+        leadership.learners.set(id, change.member)
+        continue
+      }
+    }
     await commitVoters(change.voters).catch(() => {})
     if (change.kind === 'admit') {
       leadership.learners.delete(entries.toMemberId(change.member))
@@ -57,6 +69,15 @@
   }
 }
 
+/**
+ * Asks a learner for a sign of life. One that has lost its disk meanwhile would be a voter that never replies beside its former self, which
+ * does not either: the change could never be committed, nor any later entry.
+ */
+async function isReachable (core: replicaCore.Core, member: entries.Member): Promise<boolean> {
+  const reply = await core.opts.transport.call(member.name, { t: 'hello', from: core.self() }).catch(() => undefined)
+  return reply !== undefined && entries.toMemberId(reply.from) === entries.toMemberId(member)
+}
+
 /** Guards against two uncommitted membership changes, whose quorums might not overlap. */
 function isLastChangeCommitted (core: replicaCore.Core): boolean {
   return (core.log.membership()?.index ?? 0) <= core.commitIndex
