--- a/packages/state/__tests__/operatorRecovery.test.ts
+++ b/packages/state/__tests__/operatorRecovery.test.ts
@@ -1,5 +1,6 @@
 /** What an operator does when too few founders are left to elect a leader: docs/OPERATIONS.md, "A group that waits for good". */
 import * as ava from 'ava'
+import type * as state from '../src/index.js'
 import * as virtual from './helpers/virtualCluster.js'
 import * as virtualDisks from './helpers/virtualDisk.js'
 
@@ -80,3 +81,35 @@
   t.deepEqual(cluster.leader()?.process.replica?.status().voters.map(id => id.split('#')[0]).sort(), ['a', 'c', 'd'])
   t.deepEqual(cluster.violations, [])
 })
+
+// Guards against an operator without a way out when a machine loses its disk between the proposal of its admission and the commit.
+test('a machine that lost its disk while it was admitted takes part with a copy', async t => {
+  const cluster = createCluster()
+  for (const name of cluster.names) void cluster.start(name)
+  await cluster.clock.advance(3000)
+  const before = await propose(cluster, 'before', 2000)
+  const leader = cluster.leader()?.name ?? ''
+  const lost = cluster.names.find(name => name !== leader) ?? ''
+  cluster.wipe(lost)
+  void cluster.start(lost, false)
+  await cluster.clock.advance(100)
+  const replica = cluster.node(lost).process.replica as state.Replica
+  const { handle } = replica
+  replica.handle = async msg => {
+    if (msg.t !== 'append' || !msg.entries.some(item => item.body.kind === 'membership' && item.body.voters.length === 4)) return await handle(msg)
+    cluster.wipe(lost)
+    throw new Error('no reply')
+  }
+  await cluster.clock.advance(5000)
+  t.false(cluster.isUp(lost))
+  void cluster.start(lost, false)
+  t.deepEqual(await propose(cluster, 'waiting', 30_000), [])
+
+  for (const name of cluster.names) cluster.crash(name)
+  await copyFolder(cluster, leader, lost)
+  for (const name of cluster.names) void cluster.start(name, false)
+  t.true((await propose(cluster, 'after', 20_000)).length > 50)
+  for (const name of cluster.names) for (const command of before) t.true(cluster.applied(name).includes(command), `${name} lacks ${command}`)
+  t.is(cluster.leader()?.process.replica?.status().voters.length, 3)
+  t.deepEqual(cluster.violations, [])
+})
