refactor(platform): the server of metrics waits like all others

Its own loop of retries, and K1626, were reached for an invalid address alone; since such an address is waited for like one that is taken, nothing reaches them.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -111,7 +111,6 @@
   linksCrowded: spec(1650, 'warn', 'connection of a peer that had not proven the fleet secret was closed for a newer one, because too many are open', 'Find out who opens connections to the port for links. Instances try again by themselves.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
-  metricsUnavailable: spec(1626, 'warn', 'metrics cannot be served; trying again', 'Check which process has the address of the metrics.'),
   previousEnd: spec(1623, 'info', 'how the process before this one ended', 'After "abrupt", compare the memory named with its limit: below it, the process was killed. After "startFailed", the cause is named.'),
   memoryUnknown: spec(1627, 'warn', 'use of memory could not be read', 'Check the limit of open files of the process.'),
   memoryShort: spec(1624, 'warn', 'memory is nearly used up', 'If it repeats, give the process more memory, or find out which documents or requests are large.'),
