fix(gossip): reports of crashes tell the time for which they waited to be sent

Reports are collected for 5 ms before they are sent, and for longer if the process stalls meanwhile; that time was missing in their age, so that crashes of one outage seemed to be apart at the instances that received them.

--- a/packages/forwarding/src/gossip/crashGossip.ts
+++ b/packages/forwarding/src/gossip/crashGossip.ts
@@ -46,14 +46,15 @@
   const startedAt = now()
   let askedAt = -Infinity
   let repeatedAt = -Infinity
-  let collected: crashReports.CrashReport[] = []
+  let collected: Array<{ report: crashReports.CrashReport, since: number }> = []
 
   const sendReports = (addresses: readonly string[], crashes: crashReports.CrashReport[]): void => {
     if (crashes.length > 0) opts.send(addresses, { crashes, asksForCrashes: false })
   }
 
   const flush = (): void => {
-    const reports = collected
+    const at = now()
+    const reports = collected.map(({ report, since }) => ({ ...report, agoMs: report.agoMs + Math.round(at - since) }))
     collected = []
     sendReports(neighbours(), reports)
   }
@@ -66,7 +67,9 @@
     },
     sendReports (crashes) {
       if (collected.length === 0) setTimeout(flush, COLLECT_MS).unref()
-      collected.push(...crashes)
+      // They may wait for longer if the process stalls.
+      const since = now()
+      for (const report of crashes) collected.push({ report, since })
     },
     tick () {
       const at = now()
