--- a/packages/state/__tests__/foundingDisks.test.ts
+++ b/packages/state/__tests__/foundingDisks.test.ts
@@ -1,6 +1,7 @@
 /** First starts on disks that refuse an operation, delay it, never complete it, or whose process ends between two operations. */
 import * as ava from 'ava'
 import * as virtual from './helpers/virtualCluster.js'
+import * as virtualDisks from './helpers/virtualDisk.js'
 
 const test = ava.default
 /** One operation in so many is tried; 1 for all. */
@@ -78,3 +79,45 @@
     t.deepEqual(violations.slice(0, 8), [])
   })
 }
+
+/** More than the removal of a damaged state takes, with the new identity and the first entries. */
+const REMOVAL_OPERATIONS = 60
+/** Each removal performs so many. */
+const MIN_REMOVAL_OPERATIONS = 30
+
+// Guards against a replica that takes up its former identity, or none, because its process ends while it removes damaged state.
+for (const [file, losesPower] of [['log', false], ['meta', false], ['meta', true], ['log', true]] as const) {
+  test(`a replica whose removal of a damaged ${file} is interrupted${losesPower ? ' by a power loss' : ''} is admitted again`, async t => {
+    const violations: string[] = []
+    for (let operation = 0; operation < REMOVAL_OPERATIONS; operation += STRIDE) {
+      const cluster = createCluster(operation + 1)
+      for (const name of cluster.names) void cluster.start(name)
+      await cluster.clock.advance(3000)
+      cluster.propose('first')
+      await cluster.clock.advance(500)
+      const leader = cluster.leader()?.name ?? ''
+      const damaged = cluster.names.find(name => name !== leader) ?? ''
+      cluster.crash(damaged)
+      cluster.node(damaged).files.put(`${virtualDisks.FOLDER}/${file}`, Buffer.alloc(200, 'x'))
+      const startOfRemoval = cluster.node(damaged).starts + 1
+      let isHit = false
+      cluster.beforeFileOperation = async (name, start, at) => {
+        if (name !== damaged || start !== startOfRemoval || at !== operation) return
+        isHit = true
+        if (losesPower) cluster.losePower(name, 'drawn')
+        else cluster.crash(name)
+        cluster.clock.schedule(100, () => { void cluster.start(name, false) })
+      }
+      void cluster.start(damaged, false)
+      await cluster.clock.advance(10_000)
+      cluster.propose('last')
+      await cluster.clock.advance(1000)
+      if (operation < MIN_REMOVAL_OPERATIONS && !isHit) cluster.violations.push('the process was not ended')
+      const voters = cluster.leader()?.process.replica?.status().voters ?? []
+      if (voters.length !== 3 || voters.some(id => id === `${damaged}#${voters[0].split('#')[1]}`)) cluster.violations.push(`voters: ${voters.join(' ')}`)
+      for (const command of ['first', 'last']) if (!cluster.acknowledged.includes(command) || !cluster.applied(damaged).includes(command)) cluster.violations.push(`${command} is missing`)
+      violations.push(...cluster.violations.map(text => `operation ${operation}: ${text}`))
+    }
+    t.deepEqual(violations.slice(0, 8), [])
+  })
+}
