fix(links): a refused connection is closed although its caller goes on sending

A caller that asked for a tunnel, or whose head did not arrive in time, and that went on sending a byte now and then, kept its connection for as long as it liked: the time after the answer was that of an idle connection, which each byte began anew. On control instances the connection was ended after the answer until clientErrors.ts was shared by both roles.

The time now begins with the answer and is not put off.

Evidence: the new test fails before for two of its three beginnings (CONNECT and half a head; by hand both connections were open after 15 s); now all are closed within 2.6 s.

--- a/packages/links/src/clientErrors.ts
+++ b/packages/links/src/clientErrors.ts
@@ -33,7 +33,9 @@
     const last = lastResponse(socket)
     onRefused(status, why, last !== undefined)
     if (last === undefined) {
-      socket.setTimeout(CLOSE_TIMEOUT_MS, () => { socket.destroy() })
+      // Not a timeout of the connection: each byte that a caller goes on sending would put it off.
+      const timer = setTimeout(() => { socket.destroy() }, CLOSE_TIMEOUT_MS)
+      socket.once('close', () => { clearTimeout(timer) })
       socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
       return
     }
