fix(state): entries that are about to be removed and written again are not acknowledged

While a write of entries was in progress, a follower could hear from two further leaders: one that replaces the entries, and one that sends them again. The write then completed with the log in memory holding the same entries, so they passed for synced, although their removal and their second write were still queued. An answer to a heartbeat in between acknowledged them; a loss of power would have taken them. A commit was not reached that way, as it needs an entry of the leader's own term, which cannot come back like this; but the rule that entries are acknowledged only after they are synced did not hold.

What is written while a truncation is queued behind it no longer counts as synced; the write behind the truncation does.

--- a/packages/state/src/replicaCore.ts
+++ b/packages/state/src/replicaCore.ts
@@ -62,6 +62,8 @@
     queuedIndex: 0,
     /** Last index synced to storage. */
     syncedIndex: 0,
+    /** Truncations that are not written yet; what is written before them may be removed again, also if the log holds it anew. */
+    queuedTruncations: 0,
     /** Up to which entry the log matches that of the leader of a term, synced or not. */
     matched: { term: 0, index: 0 },
     /** The commit index that was passed to the storage last. */
@@ -144,7 +146,11 @@
       core.syncedIndex = Math.min(core.syncedIndex, index - 1)
       if (index > core.queuedIndex) return
       core.queuedIndex = index - 1
-      core.lastWrite = write('truncation', async () => { await storage.truncateFrom(index) })
+      core.queuedTruncations++
+      core.lastWrite = write('truncation', async () => {
+        await storage.truncateFrom(index)
+        core.queuedTruncations--
+      })
       await core.lastWrite
     },
 
@@ -276,7 +282,7 @@
     const last = list[list.length - 1]
     await storage.append(list)
     // Another leader's entries may have replaced these in memory meanwhile.
-    if (log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
+    if (core.queuedTruncations === 0 && log.termAt(last.index) === last.term) core.syncedIndex = Math.max(core.syncedIndex, last.index)
     core.saveCommitIndex()
   })
 
