fix(state): a message of an earlier leader no longer hides what matches the present one

A call of an earlier leader that waited for its truncation to be written noted its entries when it went on, after the present leader's had been noted. Answers to heartbeats then acknowledged nothing until the next call of the present leader, which on a slow disk is what they are for.

Evidence: the new test fails before; slowDisks and replacedEntries pass.

--- a/packages/state/__tests__/matches.test.ts
+++ b/packages/state/__tests__/matches.test.ts
@@ -20,3 +20,15 @@
   t.is(matches.syncedMatch({ matched, syncedIndex: 3, syncedMeta: toMeta(2) }, 2), 3)
   t.is(matches.syncedMatch({ matched, syncedIndex: 7, syncedMeta: toMeta(3) }, 3), 0)
 })
+
+// Guards against answers that acknowledge nothing to a leader because a message of the one before it waited for the disk.
+test('what matches an earlier leader does not replace what matches the present one', t => {
+  const core = { matched: { term: 0, index: 0 } }
+  matches.noteMatch(core, 3, 5)
+  matches.noteMatch(core, 2, 7)
+  t.deepEqual(core.matched, { term: 3, index: 5 })
+  matches.noteMatch(core, 3, 4)
+  t.deepEqual(core.matched, { term: 3, index: 5 })
+  matches.noteMatch(core, 4, 2)
+  t.deepEqual(core.matched, { term: 4, index: 2 })
+})
--- a/packages/state/src/matches.ts
+++ b/packages/state/src/matches.ts
@@ -3,7 +3,9 @@
 import type * as roles from './roles.js'
 
 /** As follower, notes up to which entry the log matches that of the leader of a term, synced or not. */
-export function noteMatch (core: replicaCore.Core, term: number, index: number): void {
+export function noteMatch (core: Pick<replicaCore.Core, 'matched'>, term: number, index: number): void {
+  // A message of an earlier leader may have waited for the disk until another one was heard from.
+  if (term < core.matched.term) return
   core.matched = { term, index: term === core.matched.term ? Math.max(core.matched.index, index) : index }
 }
 
