fix(state): a replica that is a term behind the others can be elected, and elects

A group was without a leader for good if one voter was lost, and of the two that a quorum needs the one with more entries was a term behind: a candidate asks for votes while its own is still written, so a process that ends then leaves the others a term ahead. Its pre-votes for the term that the other one was in were rejected, and the reply, which repeats the term asked for, did not tell why; the other one's pre-votes were rejected for its shorter log. A replica that has lost its disk is admitted by a leader only, so nothing ended this but the return of the third one's disk.

Who is asked for a pre-vote and knows no live leader now adopts the term before the one asked for, in which the candidate is.

--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -170,6 +170,9 @@
   if (msg.term < core.meta.term || msg.term - core.meta.term > replicaCore.MAX_TERM_GAP) return reject()
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
   if (msg.t === 'preVote') {
+    // Its sender is in the term before. One that is behind it could neither win, asking for votes in a term that others are in, nor support
+    // the sender if it has more entries. A failure ends the replica.
+    core.observeTerm(msg.term - 1).catch(() => {})
     const isGranted = isUpToDate && msg.term > core.meta.term && !hasJustVotedForAnother(core, msg.candidate) && yieldsTo(core, msg)
     return { t: 'ballot', from, term: msg.term, isGranted }
   }
