fix(coordination): an acknowledgement does not wait again and again for an instance that does not answer

Cause: every acknowledgement waited for every address. Change: an instance whose latest call failed is asked, but waited for only once it has answered again.

--- a/packages/coordination/__tests__/acknowledgedDocuments.test.ts
+++ b/packages/coordination/__tests__/acknowledgedDocuments.test.ts
@@ -157,6 +157,33 @@
   t.deepEqual(calls, [{ t: 'keep', version: 8 }])
 })
 
+// Guards against each acknowledgement being late while one instance is frozen.
+test('an instance that did not answer is not waited for until it has answered again', async t => {
+  const calls: unknown[] = []
+  let answer = (): void => {}
+  const peer = await listen(t, async body => {
+    calls.push(body)
+    if (calls.length === 1) throw new Error('not now')
+    await new Promise<void>(resolve => { answer = resolve })
+    return { version: 7 + calls.length } satisfies documentKeepings.KeepReply
+  })
+  const keepEverywhere = createKeeping(t, [peer])
+  await keepEverywhere(8, WAIT_MS)
+  t.is(await Promise.race([keepEverywhere(9, WAIT_MS).then(() => 'over'), timers.setTimeout(WAIT_MS / 2, 'late')]), 'over')
+  t.true(await until(() => calls.length === 2))
+  answer()
+  let isWaitedFor = false
+  for (let version = 10; !isWaitedFor && version < 100; version++) {
+    let isOver = false
+    const kept = keepEverywhere(version, WAIT_MS).then(() => { isOver = true })
+    t.true(await until(() => calls.length === version - 7))
+    isWaitedFor = !isOver
+    answer()
+    await kept
+  }
+  t.true(isWaitedFor)
+})
+
 test('what an instance is known to keep is not asked again', async t => {
   const calls: unknown[] = []
   const peer = await listen(t, async body => {
--- a/packages/coordination/src/documentKeeping.ts
+++ b/packages/coordination/src/documentKeeping.ts
@@ -60,11 +60,14 @@
 
 /**
  * Creates a function that waits until all control instances that can be reached keep a committed document, but no longer than the given
- * time. It never rejects: an instance that is down, or of an earlier version, is not waited for.
+ * time. It never rejects. An instance that did not answer, as one that is down or of an earlier version, is asked but not waited for until
+ * it has answered again.
  */
 export function createFleetKeeping (opts: FleetKeepingOptions): (version: number, timeoutMs: number) => Promise<void> {
   /** The latest version that each instance is known to keep. */
   const keptBy = new Map<string, number>()
+  /** Instances that did not answer the latest call. */
+  const silent = new Set<string>()
 
   const keepAt = async (address: string, version: number): Promise<void> => {
     if ((keptBy.get(address) ?? 0) >= version) return
@@ -72,13 +75,21 @@
       const link = await opts.getPeerLink(address)
       const reply = keepReply.parse(await link.call({ t: 'keep', version } satisfies documentCalls.DocumentCall, opts.timeoutMs))
       keptBy.set(address, Math.max(keptBy.get(address) ?? 0, reply.version))
+      silent.delete(address)
     } catch {
       // It takes the document from the log later.
+      silent.add(address)
     }
   }
 
   return async (version, timeoutMs) => {
-    const kept = Promise.all([opts.keep(version).catch(() => {}), ...opts.peerAddresses().map(async address => { await keepAt(address, version) })])
+    const awaited = [opts.keep(version).catch(() => {})]
+    for (const address of opts.peerAddresses()) {
+      const wasSilent = silent.has(address)
+      const kept = keepAt(address, version)
+      if (!wasSilent) awaited.push(kept)
+    }
+    const kept = Promise.all(awaited)
     await Promise.race([kept, timers.setTimeout(Math.min(opts.timeoutMs, timeoutMs), undefined, { ref: false })])
   }
 }
