--- a/packages/forwarding/__tests__/crashEvidence.test.ts
+++ b/packages/forwarding/__tests__/crashEvidence.test.ts
@@ -239,6 +239,7 @@
   t.is(judge(900, 850), 'allowed')
   t.is(judge(900, 0), 'quarantined')
   t.is(judge(900, 500), 'quarantined')
+  t.is(judge(5000, 5000), 'quarantined', 'a stall that is longer than an outage')
 })
 
 // Guards against the same at an instance that learns of the losses from one that stalled, or that stalled itself.
--- a/packages/forwarding/src/quarantine/crashEvidence.ts
+++ b/packages/forwarding/src/quarantine/crashEvidence.ts
@@ -114,10 +114,10 @@
   return Math.min(MAX_HOLD_MS, HOLD_MS * HOLD_GROWTH ** failedTrials)
 }
 
-/** Returns how far apart the crashes were at least. */
+/** Returns how far apart the crashes were at least. A stall excuses no more than an outage, whatever an instance reports. */
 function toSpreadMs (crashes: readonly Crash[]): number {
   const [first] = crashes
-  return Math.max(...crashes.map(({ at, lateMs = 0 }) => at - lateMs)) - first.at
+  return Math.max(...crashes.map(({ at, lateMs = 0 }) => at - Math.min(lateMs, OUTAGE_MS))) - first.at
 }
 
 /** Returns whether the crashes were probably one outage that the suspect did not cause. */
