fix(state): a candidate learns the term of a voter that is exactly one ahead

Two of three voters were up; a had the longer log and term 1, b term 2.

Cause (trace): a asks for a pre-vote in term 2. b has that term and rejects, but its reply echoed the term asked for, so that a never raised its own above it; b cannot win for its log. A voter two terms ahead was learnt from, one that is one ahead was not. Any group can come into this state: a candidate that has stored its vote for itself ends, or loses, and a log that is shorter is left with the higher term.

Change: a rejected pre-vote has the voter's own term, and a candidate takes over a term above its own from any rejection.

electionTerms.test.ts failed before for one term ahead (no leader in 10 s), not for 0, 2 and 3; all hold now.

--- a/packages/state/src/election.ts
+++ b/packages/state/src/election.ts
@@ -124,7 +124,7 @@
 async function requestVote (core: replicaCore.Core, voter: entries.Member, msg: VoteRequest): Promise<VoteResult> {
   const reply = await core.opts.transport.call(voter.name, msg)
   if (reply.t !== 'ballot') return 'rejected'
-  if (reply.term > msg.term) await core.observeTerm(reply.term)
+  if (!reply.isGranted && reply.term > core.meta.term) await core.observeTerm(reply.term)
   // Guards against counting the vote of a replica that lost its disk: it has the same name, but is a new member.
   if (entries.toMemberId(reply.from) !== entries.toMemberId(voter)) return 'lost its disk'
   return reply.isGranted && reply.term === msg.term ? 'granted' : 'rejected'
@@ -171,7 +171,8 @@
   const isUpToDate = msg.lastTerm > core.log.lastTerm() || (msg.lastTerm === core.log.lastTerm() && msg.lastIndex >= core.log.lastIndex())
   if (msg.t === 'preVote') {
     const isGranted = isUpToDate && msg.term > core.meta.term && !hasJustVotedForAnother(core, msg.candidate) && yieldsTo(core, msg)
-    return { t: 'ballot', from, term: msg.term, isGranted }
+    // The candidate learns a term that it must exceed, also one that equals the one it asks for.
+    return isGranted ? { t: 'ballot', from, term: msg.term, isGranted } : reject()
   }
   const candidate = entries.toMemberId(msg.candidate)
   const votedFor = msg.term > core.meta.term ? null : core.meta.votedFor
