fix(state): a founder that is late at the first start is not replaced by who is admitted meanwhile

Trace: control-1 leads from 22.4 s on; the first write of founder control-3 takes 1.8 s, so that it first replies at 25.6 s; control-4 and control-5 are admitted at 23.4 and 24.6 s, which counts as the replacement of control-3, and it is removed at 25.62 s, 3 s after the leader began. control-3 asks to join at 25.63 s; the case kills control-4 and control-5 in the same moment: two of four voters are left, and nobody can be admitted without a leader. Three of five control instances ran. Cause: 3 s without a reply suffice for a removal if a voter was admitted since the last contact, and a founder that was not heard yet counts as lost since the leader began. Change: a founder that the first leader of a group has not heard is removed after 12 s like any voter that nobody replaces. The new test failed before (voters without c); founding, dynamicMembership and replacedReplicas pass (29 tests).

--- a/packages/state/__tests__/founding.test.ts
+++ b/packages/state/__tests__/founding.test.ts
@@ -277,3 +277,19 @@
   await run(cluster, LEADER_MS)
   t.is(cluster.node('a').process.replica?.status().missing, null)
 })
+
+// Guards against a founder that is removed because its first writes are slow, so that the group has no leader after two further losses.
+test('a founder that is late at the first start is not removed for the replicas that were admitted meanwhile', async t => {
+  const cluster = createCluster(17)
+  for (const name of ['a', 'b']) await cluster.start(name)
+  for (const name of ['d', 'e']) await cluster.add(name)
+  await run(cluster, 8000)
+  t.deepEqual(voters(cluster), ['a', 'b', 'c', 'd', 'e'])
+  await cluster.start('c')
+  for (const name of ['d', 'e']) cluster.crash(name)
+  await run(cluster, 5000)
+  cluster.propose('first')
+  await run(cluster, 3000)
+  t.deepEqual(cluster.acknowledged, ['first'])
+  t.deepEqual(cluster.violations, [])
+})
--- a/packages/state/src/membershipChanges.ts
+++ b/packages/state/src/membershipChanges.ts
@@ -95,6 +95,8 @@
 /** Number of responsive voters that may be lost during a removal, and the group still has a quorum. */
 const SPARE_VOTERS = 1
 const DEFAULT_MIN_VOTERS = 3
+/** Index of the first entry of the first leader of a group: the founding entry precedes it. */
+const FIRST_TERM_START = 2
 
 /**
  * Finds a voter to remove because it is unresponsive, as when hosts are replaced by new ones with other names: their quorum would
@@ -106,9 +108,12 @@
   const voters = core.voters()
   if (voters.length <= (core.opts.minVoters ?? DEFAULT_MIN_VOTERS)) return undefined
   const others = voters.filter(voter => entries.toMemberId(voter) !== core.selfId())
-  const lastContactAt = (voter: entries.Member): number => Math.max(leadership.startedAt, leadership.peers.get(entries.toMemberId(voter))?.lastAckedSentAt ?? -Infinity)
+  const lastAckedAt = (voter: entries.Member): number => leadership.peers.get(entries.toMemberId(voter))?.lastAckedSentAt ?? -Infinity
+  const lastContactAt = (voter: entries.Member): number => Math.max(leadership.startedAt, lastAckedAt(voter))
   const unresponsive = others.sort((a, b) => lastContactAt(a) - lastContactAt(b))[0]
-  const isReplaced = leadership.lastAdmittedAt > lastContactAt(unresponsive)
+  // A founder that the first leader has not heard yet is still starting; who is admitted meanwhile replaces nobody.
+  const isStarting = leadership.termStartIndex === FIRST_TERM_START && lastAckedAt(unresponsive) === -Infinity
+  const isReplaced = !isStarting && leadership.lastAdmittedAt > lastContactAt(unresponsive)
   if (now - lastContactAt(unresponsive) <= (isReplaced ? REMOVE_REPLACED_MS : REMOVE_UNRESPONSIVE_MS)) return undefined
   const responsive = 1 + others.filter(voter => now - lastContactAt(voter) <= RESPONSIVE_MS).length
   const quorumAfterwards = Math.floor((voters.length - 1) / 2) + 1
