--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -36,24 +36,27 @@
 // Guards against another round of crashes once no running instance knows of the first one.
 test('entry instances that are all restarted at once know the quarantined requests', async t => {
   const control = await helper.startControl()
+  t.teardown(control.close)
   const endpoints = await startCrashingEndpoints(t, control)
-  const sendAll = async (generation: string): Promise<void> => {
+  const sendAll = async (generation: string, isReady: (instances: helper.TestInstance[]) => boolean): Promise<void> => {
     const instances = await Promise.all(['1', '2'].map(async id => await helper.startInstance(`${generation}${id}`, [control.inner])))
+    await helper.until('the instances are ready', () => isReady(instances))
     await sendCrashing(instances)
     await timers.setTimeout(ANNOUNCED_MS)
     await Promise.all(instances.map(async item => { await item.stop() }))
   }
-  await sendAll('first')
+  // Until they know each other, a crash at one of them is not known to the other.
+  await sendAll('first', instances => instances.every(item => item.addresses().length === instances.length))
   t.is(countCrashes(endpoints), MAX_CRASHES)
-  await sendAll('second')
+  await sendAll('second', () => true)
   t.is(countCrashes(endpoints), MAX_CRASHES)
-  await control.close()
 })
 
 // Guards against another round of crashes after a loss of all power in which one control instance lost its disk and answers first.
 test('a control instance without records does not make restarted entry instances forget the quarantined requests', async t => {
   const group: helper.ControlGroup = new Set()
   const control = await helper.startControl(group)
+  t.teardown(control.close)
   const endpoints = await startCrashingEndpoints(t, control)
   const start = async (startedAt: number, seeds: string[]): Promise<helper.TestInstance[]> => {
     return await Promise.all(['1', '2'].map(async id => await helper.startInstance(id, seeds, { startedAt })))
@@ -66,10 +69,7 @@
 
   // It sends what it learns, and receives nothing.
   const empty = await helper.startControl(new Set(group))
-  t.teardown(async () => {
-    await control.close()
-    await empty.close()
-  })
+  t.teardown(empty.close)
   empty.put(helper.toDocument(1, ['/a/']))
   const seeds = [empty.inner]
   const second = await start(2, seeds)
--- a/packages/state/src/bootstrap.ts
+++ b/packages/state/src/bootstrap.ts
@@ -1,10 +1,10 @@
 /** How a replica becomes part of its group: by bootstrapping it with the other founders, from its own disk, or by joining. */
 import * as entries from './entries.js'
 import * as firstStarts from './firstStart.js'
+import * as following from './following.js'
 import * as foundings from './founding.js'
 import * as replicaCore from './replicaCore.js'
 import type * as replicaOptions from './replicaOptions.js'
-import * as replication from './replication.js'
 
 /** Restores the replica from its storage, or initializes empty storage. */
 export async function loadReplica (core: replicaCore.Core): Promise<void> {
@@ -15,6 +15,7 @@
       if (loaded.tornBytes > 0) log.event('logTornTail', { group, replica: name, bytes: loaded.tornBytes })
       core.start.told = { founders: loaded.founders ?? null, isFormer: loaded.isFormer === true }
       restoreLoaded(core, loaded.meta, loaded.snapshot, loaded.entries, loaded.commitIndex)
+      if (loaded.founders != null && core.meta.founding !== null) forgetFirstStart(core)
       return
     case 'damaged':
       // Entries that this replica acknowledged are lost, so it restarts as a new member.
@@ -49,6 +50,13 @@
   await core.saveMeta()
   await core.persist()
   logFounded(core, founders.length)
+  forgetFirstStart(core)
+}
+
+/** Removes what this replica was told once it has taken part: left alone in a folder that is cleared, it would found again. */
+function forgetFirstStart (core: replicaCore.Core): void {
+  // It is ignored beside the metadata, and removed at the next start.
+  core.opts.storage.removeFounders?.().catch(() => {})
 }
 
 function takeIdentity (core: replicaCore.Core, founders: readonly string[], term: number): void {
@@ -66,7 +74,7 @@
   core.meta = { ...meta, founding: meta.founding ?? findFounding(list) }
   if (snapshot !== undefined) {
     core.log.reset(snapshot.lastIndex, snapshot.lastTerm)
-    replication.restoreSnapshot(core, snapshot)
+    following.restoreSnapshot(core, snapshot)
   }
   core.log.append(findSuffix(list, snapshot))
   core.queuedIndex = core.log.lastIndex()
@@ -104,8 +112,9 @@
   while (core.isRunning) {
     await reportNotFounded(core)
     if (core.isVoter()) {
-      if (core.opts.isDynamic !== true) return
-      const mayHaveBeenRemoved = core.role.kind !== 'leader' && core.opts.clock.now() - core.lastContactOrStartAt > REJOIN_AFTER_TIMEOUTS * core.timing.electionMaxMs
+      const { isDynamic, founding } = core.opts
+      if (isDynamic !== true && (founding === undefined || core.leader !== null)) return
+      const mayHaveBeenRemoved = isDynamic === true && core.role.kind !== 'leader' && core.opts.clock.now() - core.lastContactOrStartAt > REJOIN_AFTER_TIMEOUTS * core.timing.electionMaxMs
       if (mayHaveBeenRemoved) await requestJoin(core)
       await core.opts.clock.sleep(core.timing.heartbeatMs)
       continue
@@ -171,7 +180,7 @@
     await surveyGroup(core)
     start.missing = foundings.describe({ self: name, survey: start.survey, now: clock.now(), ownFounders: founders }, founders)
   }
-  if (core.leader === null) core.opts.log.event('groupNotFounded', { group, replica: name, missing: start.missing })
+  if (core.leader === null) core.opts.log.event('groupNotFounded', { group, replica: name, missing: start.missing, lastTerm: core.log.lastTerm(), lastIndex: core.log.lastIndex() })
 }
 
 /** @returns whether a group exists that this replica is not part of, which means that its disk was lost */
--- a/packages/state/src/replica.ts
+++ b/packages/state/src/replica.ts
@@ -5,6 +5,7 @@
 import * as entries from './entries.js'
 import * as election from './election.js'
 import * as bootstrap from './bootstrap.js'
+import * as following from './following.js'
 import * as membershipChanges from './membershipChanges.js'
 import * as replicaCore from './replicaCore.js'
 import * as replicaOptions from './replicaOptions.js'
@@ -52,6 +53,8 @@
    * readers that ask fewer replicas.
    */
   awaitAllVoters (timeoutMs: number): Promise<void>
+  /** Tells the other replicas how far entries are committed, if this replica is the leader, instead of with the next heartbeat. */
+  announceCommit (): void
   /** @returns whether this replica is the leader, has applied all entries of earlier terms, and its lease is valid */
   isReady (): boolean
   leaderName (): string | null
@@ -65,7 +68,7 @@
 /** Loads a replica from its storage and starts its tasks. */
 export async function createReplica (opts: replicaOptions.ReplicaOptions): Promise<Replica> {
   const core = replicaCore.createCore(opts)
-  const assembly: replication.SnapshotAssembly = { lastIndex: 0, lastTerm: 0, chunks: [], bytes: 0 }
+  const assembly: following.SnapshotAssembly = { lastIndex: 0, lastTerm: 0, chunks: [], bytes: 0 }
   let isFlushing = false
 
   try {
@@ -141,9 +144,9 @@
         case 'join': return membershipChanges.onJoinRequest(core, msg.from)
         case 'preVote':
         case 'vote': return await election.onVoteRequest(core, msg)
-        case 'append': return await replication.onAppend(core, msg)
-        case 'heartbeat': return await replication.onHeartbeat(core, msg)
-        case 'snapshot': return await replication.onSnapshotChunk(core, assembly, msg)
+        case 'append': return await following.onAppend(core, msg)
+        case 'heartbeat': return await following.onHeartbeat(core, msg)
+        case 'snapshot': return await following.onSnapshotChunk(core, assembly, msg)
         case 'takeOver':
           if (core.isVoter() && msg.term === core.meta.term && core.role.kind !== 'leader') election.campaign(core, true, onElected).catch(core.fail)
           return { t: 'takeOver', from: core.self() }
@@ -173,6 +176,10 @@
       const hasAll = (): boolean => [...role.leadership.peers.values()].filter(peer => isVoter(peer.member)).every(peer => peer.matchIndex >= index)
       while (!hasAll() && replication.isLeading(core, role.leadership) && opts.clock.now() - startedAt < timeoutMs) await opts.clock.sleep(CONFIRM_POLL_MS)
     },
+    announceCommit () {
+      if (core.role.kind !== 'leader') return
+      for (const peer of core.role.leadership.peers.values()) peer.wake()
+    },
     isReady: core.isReady,
     lastCurrentAt: core.lastCurrentAt,
     leaderName: () => core.leader,
