--- a/packages/forwarding/__tests__/quarantineRecords.test.ts
+++ b/packages/forwarding/__tests__/quarantineRecords.test.ts
@@ -1,6 +1,7 @@
 /** Quarantined requests in the records of entry instances. */
 import * as timers from 'node:timers/promises'
 import * as ava from 'ava'
+import * as stallClocks from './helpers/stallClock.js'
 import * as endpointHelper from './helpers/testEntry.js'
 import * as helper from './helpers/testFleet.js'
 import * as quarantineRecords from '../src/quarantine/quarantineRecords.js'
@@ -25,7 +26,7 @@
 async function sendCrashing (instances: helper.TestInstance[]): Promise<void> {
   for (let i = 0; i < SENDS; i++) {
     await instances[i % instances.length].send('/a/crashing')
-    await timers.setTimeout(100)
+    await stallClocks.sleep(100)
   }
 }
 
--- a/packages/state/src/fileStorage.ts
+++ b/packages/state/src/fileStorage.ts
@@ -19,8 +19,8 @@
   const firstCreated = await fs.mkdir(folder, { recursive: true }) ?? folder
   const toPath = (name: string) => path.join(folder, name)
   const hasMeta = await exists(toPath('meta'), fs)
-  // Metadata is written only beside both, and removed before them.
-  let isIncomplete = hasMeta && !(await exists(toPath('log'), fs) && await exists(toPath('synced'), fs))
+  // Metadata is written only beside a log, and removed before it.
+  let isIncomplete = hasMeta && !await exists(toPath('log'), fs)
   if (isIncomplete) await removeMeta(folder, fs)
   let log = await fs.open(toPath('log'), 'a+')
   let syncedFile = await openForUpdate(toPath('synced'), fs).catch(async err => {
@@ -141,6 +141,8 @@
       const encoded = list.map(records.encodeRecord)
       const indexes = list.map(item => item.index)
       await enqueue(async () => {
+        // Replaced at once, so that a log that begins without an intact record is damaged, not torn, also without its mark.
+        if (size === 0) return await rewriteLog(list)
         // Synced together with the entries, so that the commit index survives a power loss.
         const commitRecord = records.encodeRecord(commitIndex)
         await log.appendFile(Buffer.concat([commitRecord, ...encoded]))
