fix(forwarding): responses in chunks of a byte cost little more than their bytes

Cause: each chunk was kept as an object of its own, some hundred bytes for one, in the list of readBody, in the incomplete event of the splitter, and in the buffer of a response that is paused to pace it, which the account of held bytes does not see.

Change: chunks are copied into one buffer that grows (growingBuffer.ts), which the account counts by its capacity. A pause stops reading the connection and still takes what was read, so that no chunks pile up in the response.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -221,25 +221,20 @@
   onExcess: (what: string) => void
 }
 
-/** Overhead of a chunk that is held, bytes. */
-const CHUNK_OVERHEAD_BYTES = 128
-
 /** Reads a body to its end. */
 export async function readBody (response: OpenResponse, opts: BodyOptions): Promise<BodyResult> {
   const { res } = response
   const { signal, maxBytes, holder } = opts
   return await new Promise(resolve => {
-    let chunks: Buffer[] = []
-    let bytes = 0
+    const buffer = links.createGrowingBuffer(maxBytes)
     let isSettled = false
-    const gate = readPacers.createPauseGate(res)
+    const gate = readPacers.createPauseGate(readPacers.toPausable(res))
     const settle = (outcome: BodyResult): void => {
       if (isSettled) return
       isSettled = true
       holder.onExcess = undefined
       signal.removeEventListener('abort', onAbort)
       gate.stop()
-      chunks = []
       resolve(outcome)
       if (outcome.kind === 'broken') res.destroy()
     }
@@ -252,17 +247,16 @@
     const onAbort = (): void => { settle({ kind: 'broken', why: String(signal.reason) }) }
     res.on('data', (chunk: Buffer) => {
       if (isSettled) return
-      chunks.push(chunk)
-      bytes += chunk.length
-      if (bytes > maxBytes) exceed(`the response is larger than ${maxBytes} bytes`)
+      buffer.append(chunk)
+      if (buffer.size() > maxBytes) exceed(`the response is larger than ${maxBytes} bytes`)
       else {
-        holder.add(chunk.length + CHUNK_OVERHEAD_BYTES)
+        holder.set(buffer.capacity())
         const pauseMs = opts.pace.charge(chunk.length, 1)
         if (pauseMs > 0) gate.pauseFor(pauseMs)
       }
     })
     res.on('end', () => {
-      settle(isComplete(response) ? { kind: 'complete', body: Buffer.concat(chunks, bytes) } : { kind: 'broken', why: 'the response body is truncated' })
+      settle(isComplete(response) ? { kind: 'complete', body: buffer.view() } : { kind: 'broken', why: 'the response body is truncated' })
     })
     res.on('error', err => { settle({ kind: 'broken', why: err.message }) })
     res.on('close', () => { settle({ kind: 'broken', why: 'the connection closed' }) })
--- a/packages/forwarding/src/attempts/readPacer.ts
+++ b/packages/forwarding/src/attempts/readPacer.ts
@@ -2,6 +2,8 @@
  * Shares the time that an instance spends on long responses. What a response sends up to a usual length is read at once; the rest of all
  * responses together is read at a limited rate, by turns, so that endpoints which send without end do not keep the event loop from others.
  */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
 
 /** Pace of one response. */
 export interface Pace {
@@ -80,6 +82,28 @@
       clearTimeout(timer)
       timer = setTimeout(() => { set('pace', false) }, ms)
     },
-    stop () { clearTimeout(timer) }
+    stop () {
+      clearTimeout(timer)
+      set('pace', false)
+      set('receiver', false)
+    }
+  }
+}
+
+/**
+ * Returns how the body of a response is paused. The connection is not read meanwhile, but what was read of it is still passed on: each
+ * chunk that waited in the response would be an object of its own.
+ */
+export function toPausable ({ socket }: http.IncomingMessage): Pausable {
+  return {
+    pause () {
+      // The response resumes its connection whenever it has nothing left.
+      socket.resume = () => socket
+      socket.pause()
+    },
+    resume () {
+      delete (socket as Partial<net.Socket>).resume
+      socket.resume()
+    }
   }
 }
--- a/packages/forwarding/src/streams/streamReader.ts
+++ b/packages/forwarding/src/streams/streamReader.ts
@@ -47,7 +47,7 @@
   const { response, lastEventId, holder } = opts
   const { res } = response
   const splitter = links.createEventSplitter()
-  const gate = readPacers.createPauseGate(res)
+  const gate = readPacers.createPauseGate(readPacers.toPausable(res))
   const queued: StreamPart[] = []
   let queuedBytes = 0
   /** Events without an id that precede the first new one. */
--- a/packages/links/src/eventStream.ts
+++ b/packages/links/src/eventStream.ts
@@ -1,4 +1,5 @@
 /** Splits an event stream into complete events. */
+import * as growingBuffers from './growingBuffer.js'
 
 /** A complete event: its bytes including the blank line, and its id; or consecutive ones that consist of comments alone. */
 export interface StreamEvent { bytes: Buffer, id: string | undefined, isComment: boolean }
@@ -45,17 +46,16 @@
 
 /** Creates a splitter. Its cost is linear in the number of bytes, however many chunks an event has. */
 export function createEventSplitter (): EventSplitter {
-  /** Chunks of the incomplete event. */
-  let pending: Buffer[] = []
-  let pendingBytes = 0
+  /** Bytes of the incomplete event. */
+  const pending = growingBuffers.createGrowingBuffer()
   /** Whether the last line of the incomplete event has ended, and whether a carriage return followed. */
   let hasLineEnded = false
   let hasReturn = false
 
   const take = (last: Buffer): StreamEvent => {
-    const bytes = pending.length === 0 ? last : Buffer.concat([...pending, last])
-    pending = []
-    pendingBytes = 0
+    pending.append(last)
+    const bytes = pending.view()
+    pending.skip(bytes.length)
     hasLineEnded = false
     hasReturn = false
     if (bytes[0] === COLON && isComment(bytes)) return { bytes, id: undefined, isComment: true }
@@ -85,7 +85,7 @@
       const events: StreamEvent[] = []
       let from = 0
       while (true) {
-        if (chunk[from] === COLON && pending.length === 0) {
+        if (chunk[from] === COLON && pending.size() === 0) {
           const commentsEnd = skipComments(chunk, from)
           if (commentsEnd > from) events.push({ bytes: chunk.subarray(from, commentsEnd), id: undefined, isComment: true })
           from = commentsEnd
@@ -95,12 +95,9 @@
         events.push(take(chunk.subarray(from, end)))
         from = end
       }
-      if (from < chunk.length) {
-        pending.push(chunk.subarray(from))
-        pendingBytes += chunk.length - from
-      }
+      if (from < chunk.length) pending.append(chunk.subarray(from))
       return events
     },
-    pendingBytes: () => pendingBytes
+    pendingBytes: pending.size
   }
 }
