fix(links): a connection holds no more than its turn, and all together no more than one account

Cause: Node's parser makes objects of all bytes of one read (64 KB) at once: thousands of requests with their responses, or ten thousand chunks. Nothing bounded what waited on a connection; a refusal beyond 16 pipelined requests was one more response that waits. The accounts counted bytes, not what they cost, and each server had bounds of its own.

Change: links/boundedServer.ts makes every HTTP server of the platform's programs. A gate before the parser gives it a head, or a part of a body, at a time, and the next request once the response to the one before was sent; beyond 16 KB in the queue the connection is not read. A scheduler shares the turns of the event loop between connections, input that costs more per byte counting more. All servers of a process share one account (heldBytes.ts, moved here) for queues, heads, bodies and responses that were not read, bounded by the machine's memory and by the heap; what holds most is closed. Bodies are read by one reader into one buffer. The rest of refused bodies is dropped at 16 MB/s together. Refusals are counted by cause.

--- a/packages/contracts/src/events.ts
+++ b/packages/contracts/src/events.ts
@@ -108,6 +108,7 @@
   settingsMoved: spec(1639, 'warn', 'name, address or data folder of a process changed in its settings during its start; it ends, to be started with them', 'None, if the platform starts it again.'),
   clockBehind: spec(1652, 'warn', 'clock was behind the previous start of this instance, whose time is announced instead', 'Check the clock of the machine.'),
   connectionsCrowded: spec(1651, 'warn', 'connections of clients were closed unread because too many are open', 'Find out who keeps so many connections open, or add instances.'),
+  connectionsHeavy: spec(1653, 'warn', 'connections of clients were closed because they held most of the memory for requests', 'Find out who sends so much ahead, or does not read responses.'),
   linksCrowded: spec(1650, 'warn', 'connection of a peer that had not proven the fleet secret was closed for a newer one, because too many are open', 'Find out who opens connections to the port for links. Instances try again by themselves.'),
   acceptFailed: spec(1622, 'error', 'server could not accept a connection', 'Check the limit of open files of the process, and how many connections are open.'),
   messageFailed: spec(1625, 'warn', 'message of another instance could not be handled; it is skipped', 'Check that both run compatible versions; report it together with its detail.'),
--- a/packages/forwarding/__tests__/heldBytes.test.ts
+++ b/packages/forwarding/__tests__/heldBytes.test.ts
@@ -1,6 +1,6 @@
 /** The account of held bytes, and the pace at which long responses are read. */
 import * as ava from 'ava'
-import * as heldBytes from '../src/instance/heldBytes.js'
+import * as heldBytes from '@kingcupdeck/links'
 import * as readPacers from '../src/attempts/readPacer.js'
 
 const test = ava.default
--- a/packages/forwarding/__tests__/helpers/testEntry.ts
+++ b/packages/forwarding/__tests__/helpers/testEntry.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as discovery from '@kingcupdeck/discovery'
+import * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import * as brittleLimiters from '../../src/placement/brittleLimiter.js'
 import * as coldLimiters from '../../src/placement/coldLimiter.js'
@@ -12,7 +13,6 @@
 import * as entryContexts from '../../src/instance/entryContext.js'
 import * as entryMetrics from '../../src/instance/entryMetrics.js'
 import * as entryServers from '../../src/instance/entryServer.js'
-import * as heldBytes from '../../src/instance/heldBytes.js'
 import * as readPacers from '../../src/attempts/readPacer.js'
 import type * as headerNames from '../../src/attempts/headerNames.js'
 import * as outlierDetectors from '../../src/placement/outlierDetector.js'
@@ -190,7 +190,7 @@
     isDraining: () => isDraining,
     isAccepted: () => isAccepting,
     durations: routeDurations.createRouteDurations(now),
-    heldBytes: heldBytes.createHeldBytes(() => opts.heldLimit ?? heldBytes.toHeldLimit(undefined)),
+    heldBytes: links.createHeldBytes(() => opts.heldLimit ?? links.toHeldLimit(undefined)),
     readPacer: readPacers.createReadPacer(now),
     now
   }
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -7,7 +7,6 @@
 import * as endpointProbes from '../endpoints/endpointProbe.js'
 import * as brittleLimiters from '../placement/brittleLimiter.js'
 import type * as headerNames from './headerNames.js'
-import * as heldBytes from '../instance/heldBytes.js'
 import * as readPacers from './readPacer.js'
 
 /** Status of the response of a process that is not the endpoint that the request names; it did not run the request. */
@@ -216,7 +215,7 @@
   maxBytes: number
   pace: readPacers.Pace
   /** Account of the bytes, released by the caller. */
-  holder: heldBytes.Holder
+  holder: links.Holder
   /** Called when the endpoint sends more than it may. */
   onExcess: (what: string) => void
 }
@@ -243,7 +242,7 @@
       opts.onExcess(why)
       settle({ kind: 'broken', why })
     }
-    holder.onExcess = () => { exceed(heldBytes.EXCESS) }
+    holder.onExcess = () => { exceed(links.HELD_EXCESS) }
     const onAbort = (): void => { settle({ kind: 'broken', why: String(signal.reason) }) }
     res.on('data', (chunk: Buffer) => {
       if (isSettled) return
--- a/packages/forwarding/src/attempts/clientResponse.ts
+++ b/packages/forwarding/src/attempts/clientResponse.ts
@@ -1,10 +1,10 @@
 /** Completion of a client request, with the response of an endpoint or with an error response. */
 import * as http from 'node:http'
+import * as links from '@kingcupdeck/links'
 import * as clientCalls from './clientCall.js'
 import * as forwardHeaders from './forwardHeaders.js'
 import * as abortResponses from '../streams/abortResponse.js'
 import * as brokenResponses from '../instance/brokenResponses.js'
-import type * as heldBytes from '../instance/heldBytes.js'
 
 /** With less time until the deadline, no further attempt is made, in milliseconds. */
 export const MIN_REMAINING_MS = 10
@@ -17,21 +17,13 @@
   ctx.log.event('headersInvalid', { request: attemptId, names })
 }
 
-/** Shorter responses leave at once, or wait in the buffers of their connections. */
-const MIN_HELD_BYTES = 16 * 1024
-
 /** Keeps a response in the account of held bytes until the client has it. A client that reads slowly is disconnected if it holds most. */
-export function holdUntilSent ({ res }: clientCalls.ClientCall, holder: heldBytes.Holder, bytes: number): void {
-  if (res.closed || bytes < MIN_HELD_BYTES) {
-    holder.release()
-    return
-  }
-  res.once('close', holder.release)
-  holder.onExcess = () => {
+export function holdUntilSent ({ res }: clientCalls.ClientCall, holder: links.Holder, bytes: number): void {
+  links.holdResponse(res, holder, bytes, () => {
     if (!res.headersSent) return
     brokenResponses.noteCause(res, 'memory')
     abortResponses.abortResponse(res)
-  }
+  })
 }
 
 /** Sends the response of an endpoint to the client and returns the outcome for the log. */
--- a/packages/forwarding/src/instance/clientConnections.ts
+++ b/packages/forwarding/src/instance/clientConnections.ts
@@ -8,8 +8,6 @@
   /** Adds a response. @returns a function to be called when its request was handled */
   addResponse (res: http.ServerResponse): () => void
   responses (): Iterable<http.ServerResponse>
-  /** Returns the open responses of a connection, in order. */
-  responsesOn (socket: net.Socket): http.ServerResponse[]
   /** Number of connections. */
   count (): number
   /** Number of responses that are open. */
@@ -19,7 +17,8 @@
   destroyAll (): void
 }
 
-export function createClientConnections (): ClientConnections {
+/** @param hasQueued returns whether bytes of a connection were read that no request was made of yet */
+export function createClientConnections (hasQueued: (socket: net.Socket) => boolean): ClientConnections {
   const sockets = new Set<net.Socket>()
   const responses = new Set<http.ServerResponse>()
   /** Bytes that were read from a connection when its last response was complete; with more, the next request is on its way. */
@@ -46,12 +45,11 @@
       }
     },
     responses: () => responses,
-    responsesOn: socket => [...responses].filter(res => res.req.socket === socket),
     count: () => sockets.size,
     openCount: () => responses.size,
     closeIdle () {
       const busy = new Set([...responses].map(res => res.req.socket))
-      for (const socket of sockets) if (!busy.has(socket) && bytesWhenIdle.get(socket) === socket.bytesRead) socket.destroy()
+      for (const socket of sockets) if (!busy.has(socket) && bytesWhenIdle.get(socket) === socket.bytesRead && !hasQueued(socket)) socket.destroy()
     },
     destroyAll () {
       for (const socket of sockets) socket.destroy()
--- a/packages/forwarding/src/instance/entryContext.ts
+++ b/packages/forwarding/src/instance/entryContext.ts
@@ -1,4 +1,5 @@
 /** State that all requests of an entry instance share. */
+import type * as links from '@kingcupdeck/links'
 import * as telemetry from '@kingcupdeck/telemetry'
 import type * as brittleLimiters from '../placement/brittleLimiter.js'
 import * as coldLimiters from '../placement/coldLimiter.js'
@@ -8,7 +9,6 @@
 import * as entryMetrics from './entryMetrics.js'
 import * as headerNames from '../attempts/headerNames.js'
 import type * as gossipTypes from '../gossip/gossipTypes.js'
-import type * as heldBytes from './heldBytes.js'
 import type * as readPacers from '../attempts/readPacer.js'
 import type * as lostPaths from '../paths/lostPaths.js'
 import * as outlierDetectors from '../placement/outlierDetector.js'
@@ -51,7 +51,7 @@
   /** Returns whether a request of a route with this maximum duration, in milliseconds, is accepted. */
   isAccepted: (route: routeTables.Route, waitMs: number) => boolean
   durations: routeDurations.RouteDurations
-  heldBytes: heldBytes.HeldBytes
+  heldBytes: links.HeldBytes
   readPacer: readPacers.ReadPacer
   now: () => number
 }
--- a/packages/forwarding/src/instance/entryInstance.ts
+++ b/packages/forwarding/src/instance/entryInstance.ts
@@ -15,7 +15,6 @@
 import * as endpointPools from '../endpoints/endpointPool.js'
 import * as addresses from './addresses.js'
 import * as changeAnnouncers from './changeAnnouncer.js'
-import * as heldBytes from './heldBytes.js'
 import * as loopLags from './loopLag.js'
 import * as readPacers from '../attempts/readPacer.js'
 import * as drainWorks from './drainWork.js'
@@ -68,8 +67,8 @@
   const outliers = outlierDetectors.createOutlierDetector((endpoint, isEjected, share) => {
     log.event('endpointSetAside', { endpoint, isAside: isEjected, missedShare: Number(share.toFixed(2)) })
   })
-  const held = heldBytes.createHeldBytes(heldBytes.createHeldLimit({ memoryBytes: opts.memoryBytes ?? (() => undefined), total: () => held.total(), now }))
-  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), heldBytes: held.total, lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
+  const limits = opts.limits ?? links.createClientLimits()
+  const metrics = entryMetrics.createEntryMetrics(opts.droppedLines, { quorumAgeMs: () => now() - subscriber.lastQuorumAt(), heldBytes: limits.held.total, lostPaths: () => paths.count(), tunnels: () => tunnels.count() })
   const durations = routeDurations.createRouteDurations(now)
   const waiters = documentWaiters.createDocumentWaiters()
   let document: routeTables.CompiledTable | undefined
@@ -271,13 +270,13 @@
       isExpectedWithin: ms => route.kind !== 'once' && durations.isNearlySure(route.name, ms)
     }),
     durations,
-    heldBytes: held,
+    heldBytes: limits.held,
     readPacer: readPacers.createReadPacer(now),
     now
   }
 
   const changes = changeAnnouncers.createChangeAnnouncer({ id: opts.id, otherIds: () => otherEntries().map(item => item.id), quarantine, paths, record: () => table.get(opts.id)?.record, announce, log, now })
-  const server = entryServers.createEntryServer(ctx, opts.connections)
+  const server = entryServers.createEntryServer(ctx, limits)
   const subscriber = discovery.createSubscriber({
     id: opts.id,
     seeds: opts.seeds,
--- a/packages/forwarding/src/instance/entryOptions.ts
+++ b/packages/forwarding/src/instance/entryOptions.ts
@@ -44,10 +44,8 @@
   droppedLines: () => number
   /** Opens a TCP connection to the address of an endpoint; `net.connect` by default. */
   connectEndpoint?: (address: string) => net.Socket
-  /** Returns the memory of this machine in bytes, which may change; unknown by default. */
-  memoryBytes?: () => number
-  /** Connections of the process, shared with its other servers; those of clients are unlimited by default. */
-  connections?: links.ConnectionBudget
+  /** Limits of the process, shared with its other servers; those of this instance alone by default. */
+  limits?: links.ClientLimits
   /** Returns the present network bandwidth of this machine in bytes per millisecond; unknown by default. */
   linkBytesPerMs?: () => number
 }
--- a/packages/forwarding/src/instance/entryServer.ts
+++ b/packages/forwarding/src/instance/entryServer.ts
@@ -11,7 +11,6 @@
 import * as clientConnections from './clientConnections.js'
 import * as documentWaiters from '../admission/documentWaiters.js'
 import * as entryContexts from './entryContext.js'
-import * as heldBytes from './heldBytes.js'
 import * as requestGuards from './requestGuard.js'
 import * as requestReaders from './requestReader.js'
 import * as unexpectedErrors from './unexpectedError.js'
@@ -43,7 +42,7 @@
 }
 
 /** A request that is being handled. */
-interface Exchange extends requestGuards.GuardedRequest { /** Name of its route, once it is admitted. */ route?: string, /** Account of its body. */ holder?: heldBytes.Holder, guard: requestGuards.RequestGuard }
+interface Exchange extends requestGuards.GuardedRequest { /** Name of its route, once it is admitted. */ route?: string, /** Account of its body. */ holder?: links.Holder, guard: requestGuards.RequestGuard }
 
 /** The document that a request was checked against, and the result of the check. */
 type Admitted = { table: undefined, result?: undefined } | { table: routeTables.CompiledTable, result: admission.Admission }
@@ -58,26 +57,20 @@
 const READ_TURNS = 2
 /** Added to the idle timeout, because the client measures it from the receipt of the last byte. */
 const IDLE_MARGIN_MS = 1500
-/** Connections that were closed unread are logged once in this time. */
+/** Connections that were closed are logged once in this time and for each cause. */
 const REFUSAL_LOG_INTERVAL_MS = 10_000
 
 /**
  * Creates the server, which does not listen yet.
- * @param budget connections of the process; unlimited by default
+ * @param limits of the process; of this server alone by default
  */
-export function createEntryServer (ctx: entryContexts.EntryContext, budget?: links.ConnectionBudget): EntryServer {
-  const connections = clientConnections.createClientConnections()
+export function createEntryServer (ctx: entryContexts.EntryContext, limits: links.ClientLimits = { ...links.createClientLimits(), held: ctx.heldBytes }): EntryServer {
   const exchanges = new Set<Exchange>()
   const closing = new AbortController()
-  const toUnloggedRefusals = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS, ctx.now)
-
-  const server = http.createServer({
-    maxHeaderSize: PARSER_HEADER_BYTES,
-    connectionsCheckingInterval: CHECK_MS,
-    requestTimeout: 0,
-    keepAlive: true,
-    noDelay: true
-  }, (req, res) => {
+  const toUnloggedCrowded = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS, ctx.now)
+  const toUnloggedHeavy = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS, ctx.now)
+
+  const onRequest = (req: http.IncomingMessage, res: http.ServerResponse): void => {
     const onHandled = connections.addResponse(res)
     const request: requestGuards.GuardedRequest = { req, res, attemptId: admission.findHeader(req.rawHeaders, ctx.names.attemptId) }
     const exchange: Exchange = Object.assign(request, { guard: requestGuards.createGuard(request, ctx) })
@@ -96,12 +89,24 @@
       exchange.guard.stop()
       onHandled()
     })
-  })
+  }
 
-  /** Logs connections that were closed unread, in bounds. */
-  const noteRefused = (): void => {
-    const unlogged = toUnloggedRefusals()
-    if (unlogged !== undefined) ctx.log.event('connectionsCrowded', { refused: unlogged + 1, open: connections.count(), requests: connections.openCount() })
+  /** Logs what was refused before it was a request, in bounds. */
+  const logRefused = ({ cause, status, why, isBusy }: links.Refused): void => {
+    switch (cause) {
+      case 'connections': {
+        const unlogged = toUnloggedCrowded()
+        if (unlogged !== undefined) ctx.log.event('connectionsCrowded', { refused: unlogged + 1, open: connections.count(), requests: connections.openCount() })
+        return
+      }
+      case 'memory': {
+        const unlogged = toUnloggedHeavy()
+        if (unlogged !== undefined) ctx.log.event('connectionsHeavy', { closed: unlogged + 1, heldBytes: limits.held.total(), open: connections.count() })
+        return
+      }
+      case 'malformed':
+      case 'slow': ctx.log.event('requestRefused', { status, why, isBusy })
+    }
   }
 
   const recordBroken = ({ attemptId, route }: Exchange, cause: brokenResponses.BrokenCause): void => {
@@ -143,12 +148,14 @@
     exchange.route = result.route.name
     guard.setDeadline(startedAt + waitMs - ctx.now())
     const holder = exchange.holder = ctx.heldBytes.open()
-    const body = await requestReaders.readBody(req, table.limits.maxBodyBytes, holder)
+    const body = await links.readRequestBody(req, { maxBytes: table.limits.maxBodyBytes, holder })
     switch (body.kind) {
       case 'noRoom':
-        refuse({ kind: 'unavailable', why: heldBytes.EXCESS, cause: { kind: 'error' } })
+        req.pause()
+        refuse({ kind: 'unavailable', why: links.HELD_EXCESS, cause: { kind: 'error' } })
         return
       case 'tooLarge':
+        req.pause()
         refuse({ kind: 'rejected', status: 413, why: `the body is larger than ${table.limits.maxBodyBytes} bytes: send a smaller one` })
         return
       case 'broken':
@@ -212,15 +219,17 @@
     return ctx.table()
   }
 
+  const { server, hasQueued } = links.createBoundedServer({
+    server: { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CHECK_MS, requestTimeout: 0, keepAlive: true, noDelay: true },
+    limits,
+    requestCost: 1,
+    onRefused: logRefused
+  }, onRequest)
+  const connections = clientConnections.createClientConnections(hasQueued)
   server.keepAliveTimeout = 0
   // The library's own method closes connections whose response was written, but not sent yet.
   server.closeIdleConnections = connections.closeIdle
   server.on('connection', connections.add)
-  budget?.watch(server, { requestCost: 1, onRefused: noteRefused })
-  links.handleClientErrors(server, {
-    lastResponse: socket => connections.responsesOn(socket).at(-1),
-    onRefused (status, why, isBusy) { ctx.log.event('requestRefused', { status, why, isBusy }) }
-  })
 
   return {
     async listen (front, onListening = () => {}) {
--- a/packages/forwarding/src/streams/streamReader.ts
+++ b/packages/forwarding/src/streams/streamReader.ts
@@ -4,7 +4,6 @@
  */
 import * as links from '@kingcupdeck/links'
 import * as attempts from '../attempts/attempt.js'
-import * as heldBytes from '../instance/heldBytes.js'
 import * as readPacers from '../attempts/readPacer.js'
 
 /** A part of a stream. */
@@ -32,7 +31,7 @@
   lastEventId: string | undefined
   pace: readPacers.Pace
   /** Account of the bytes that are held, released at the end of the stream. */
-  holder: heldBytes.Holder
+  holder: links.Holder
   /** Called when data arrives. */
   onData: () => void
   /** Called when the endpoint sent more than it may without a new event. */
@@ -96,7 +95,7 @@
     response.abort()
   }
 
-  holder.onExcess = () => { exceed(heldBytes.EXCESS) }
+  holder.onExcess = () => { exceed(links.HELD_EXCESS) }
 
   /** Returns the events to pass on now. */
   const select = (events: links.StreamEvent[]): links.StreamEvent[] => {
--- a/packages/links/src/eventStream.ts
+++ b/packages/links/src/eventStream.ts
@@ -52,10 +52,15 @@
   let hasLineEnded = false
   let hasReturn = false
 
-  const take = (last: Buffer): StreamEvent => {
+  const takePending = (last: Buffer): Buffer => {
     pending.append(last)
     const bytes = pending.view()
     pending.skip(bytes.length)
+    return bytes
+  }
+
+  const take = (last: Buffer): StreamEvent => {
+    const bytes = pending.size() === 0 ? last : takePending(last)
     hasLineEnded = false
     hasReturn = false
     if (bytes[0] === COLON && isComment(bytes)) return { bytes, id: undefined, isComment: true }
--- a/packages/links/src/growingBuffer.ts
+++ b/packages/links/src/growingBuffer.ts
@@ -1,6 +1,8 @@
 /** Bytes that arrive in chunks, in one buffer: an object for each chunk would take a multiple of the bytes of small ones. */
 
 const EMPTY = Buffer.alloc(0)
+/** A first chunk is kept as it is if the memory that it is a part of is at most this much larger. */
+const MAX_KEPT_FACTOR = 2
 
 /** A buffer that grows. */
 export interface GrowingBuffer {
@@ -23,7 +25,7 @@
   let buffer: Buffer = EMPTY
   let start = 0
   let end = 0
-  /** The first chunk is not copied, and must not be written to. */
+  /** A first chunk that was not copied must not be written to. */
   let isOwned = false
 
   const grow = (chunk: Buffer): void => {
@@ -40,10 +42,11 @@
   return {
     append (chunk) {
       if (start === end) {
-        buffer = chunk
+        // A small part would keep all of what it is a part of.
+        isOwned = chunk.buffer.byteLength > MAX_KEPT_FACTOR * chunk.length
+        buffer = isOwned ? Buffer.from(chunk) : chunk
         start = 0
         end = chunk.length
-        isOwned = false
         return
       }
       if (!isOwned || end + chunk.length > buffer.length) grow(chunk)
--- a/packages/forwarding/src/instance/heldBytes.ts
+++ b/packages/links/src/heldBytes.ts
@@ -1,7 +1,9 @@
 /**
- * One account of the bytes that an instance holds for requests and responses. Each of them has a bound of its own; the sum is bounded here, by
- * the memory of the machine and what else the process takes of it. When it is exceeded, what holds most is ended.
+ * One account of the bytes that a process holds for connections, requests and responses. Each of them has a bound of its own; the sum is
+ * bounded here, by the memory of the machine and the limit of the heap, and what else the process takes of both. When it is exceeded, what
+ * holds most is ended.
  */
+import * as v8 from 'node:v8'
 
 /** Bytes that one request or response holds. */
 export interface Holder {
@@ -27,7 +29,7 @@
 /** Share of the memory that may be held: the rest is for the program itself, and for what was released and not collected yet. */
 const MEMORY_SHARE = 0.15
 /** Why a request or response is ended when the limit is exceeded. */
-export const EXCESS = 'this instance holds too many bytes, and most of them for this request'
+export const HELD_EXCESS = 'this instance holds too many bytes, and most of them for this request'
 /** What is held shrinks when the process takes more than this share of the memory. */
 const MAX_USED_SHARE = 0.8
 /** It does not shrink below this share: memory that was released and not returned counts as taken, and requests must be served beside it. */
@@ -36,14 +38,19 @@
 const DEFAULT_LIMIT_BYTES = 48 * 2 ** 20
 const READ_INTERVAL_MS = 500
 
+/** Use of the heap, bytes. */
+export interface HeapUse { used: number, limit: number }
+
 /**
  * Returns the limit of the sum.
  * @param memoryBytes memory of the machine, undefined if unknown
  * @param othersBytes memory of the process without what is held
+ * @param heap a process ends at the limit of its heap, whatever memory the machine has left
  */
-export function toHeldLimit (memoryBytes: number | undefined, othersBytes = 0): number {
+export function toHeldLimit (memoryBytes: number | undefined, othersBytes = 0, heap: HeapUse = { used: 0, limit: Infinity }): number {
   if (memoryBytes === undefined) return DEFAULT_LIMIT_BYTES
-  return Math.max(MIN_SHARE * memoryBytes, Math.min(MEMORY_SHARE * memoryBytes, MAX_USED_SHARE * memoryBytes - othersBytes))
+  const room = Math.min(MAX_USED_SHARE * memoryBytes - othersBytes, MAX_USED_SHARE * heap.limit - heap.used)
+  return Math.max(MIN_SHARE * memoryBytes, Math.min(MEMORY_SHARE * memoryBytes, room))
 }
 
 /** Options of {@link createHeldLimit}. */
@@ -54,23 +61,32 @@
   total: () => number
   /** Returns the memory of the process. @throws Error when it cannot be read, as without a free file descriptor */
   readUsed?: () => number
-  now: () => number
+  readHeap?: () => HeapUse
+  now?: () => number
+}
+
+/** Returns the present use of the heap. */
+function readHeapUse (): HeapUse {
+  const heap = v8.getHeapStatistics()
+  return { used: heap.used_heap_size, limit: heap.heap_size_limit }
 }
 
 /** Creates a function that returns the present limit of the sum. */
-export function createHeldLimit ({ memoryBytes, total, readUsed = process.memoryUsage.rss, now }: HeldLimitOptions): () => number {
+export function createHeldLimit ({ memoryBytes, total, readUsed = process.memoryUsage.rss, readHeap = readHeapUse, now = () => performance.now() }: HeldLimitOptions): () => number {
   let othersBytes = 0
+  let heap = readHeap()
   let readAt = -Infinity
   return () => {
     if (now() - readAt >= READ_INTERVAL_MS) {
       readAt = now()
+      heap = readHeap()
       try {
         othersBytes = readUsed() - total()
       } catch {
         // The memory watch logs it; what was read last holds.
       }
     }
-    return toHeldLimit(memoryBytes(), othersBytes)
+    return toHeldLimit(memoryBytes(), othersBytes, heap)
   }
 }
 
