fix(router): the chat fleet's servers have the same limits for clients

What callers would see: as at the platform's programs, requests sent ahead and bodies in chunks of a byte make a router or control instance hold a multiple of what was sent; by reading, these servers were made by http.createServer with no bound for either, and read each body as a list of chunks.

Change: both servers are made by createBoundedServer; bodies are read by readRequestBody within the account, and rejected as overloaded (503, not run) without room; bodies of endpoints are read into one buffer, too.

--- a/packages/control/src/operatorServer.ts
+++ b/packages/control/src/operatorServer.ts
@@ -21,12 +21,18 @@
   toHealth (): Record<string, unknown>
 }
 
+/** Options of the handling of a request. */
+interface HandlerOptions extends OperatorServerOptions { /** Account of what the process holds for its clients. */ held: links.HeldBytes }
+
 /** A running operator server. */
 export interface OperatorServer { readonly url: string, close (): Promise<void> }
 
 const CALL_TIMEOUT_MS = 6000
 const REQUEST_TIMEOUT_MS = 30_000
 const HEADERS_TIMEOUT_MS = 10_000
+/** What was refused before it was a request is logged once in this time. */
+const REFUSAL_LOG_INTERVAL_MS = 1000
+const NO_ROOM_RETRY_MS = 1000
 const MAX_OPERATION_ID_LENGTH = 100
 const DOCUMENT_LIMITS: contracts.input.JsonLimits = { maxBytes: contracts.MAX_DOCUMENT_BYTES, maxDepth: 32, maxValues: 1_000_000 }
 
@@ -35,7 +41,16 @@
  * @param address `ip:port`; port 0 selects a free port
  */
 export async function startOperatorServer (address: string, opts: OperatorServerOptions): Promise<OperatorServer> {
-  const server = http.createServer({ requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: HEADERS_TIMEOUT_MS }, (req, res) => { void handleRequest(opts, req, res) })
+  const limits = links.createClientLimits()
+  const toUnlogged = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS)
+  const { server } = links.createBoundedServer({
+    server: { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: HEADERS_TIMEOUT_MS },
+    limits,
+    onRefused (refused) {
+      const omitted = toUnlogged()
+      if (omitted !== undefined) opts.log.event('callRefused', { ...refused, omitted })
+    }
+  }, (req, res) => { void handleRequest({ ...opts, held: limits.held }, req, res) })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(links.parseAddress(address), resolve)
@@ -51,7 +66,7 @@
   }
 }
 
-async function handleRequest (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+async function handleRequest (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
   try {
     await route(opts, req, res)
   } catch (err) {
@@ -63,7 +78,7 @@
   }
 }
 
-async function route (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+async function route (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
   const url = new URL(req.url ?? '/', 'http://instance')
   const page = consolePages.findPage(url.pathname)
   if (page !== undefined && req.method === 'GET') {
@@ -108,15 +123,21 @@
   throw new contracts.FailureError({ kind: 'unauthenticated', what: 'The bearer token does not belong to an operator' })
 }
 
-async function readDocument (req: http.IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = []
-  let size = 0
-  for await (const part of req) {
-    size += (part as Buffer).length
-    if (size > contracts.MAX_DOCUMENT_BYTES) throw new contracts.FailureError({ kind: 'body_too_large', limitBytes: contracts.MAX_DOCUMENT_BYTES })
-    parts.push(part as Buffer)
+/** Reads a body of up to the size of a document. @throws FailureError if it is larger, does not end, or there is no room for it */
+async function readBody ({ held }: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<Buffer> {
+  const holder = held.open()
+  res.once('close', holder.release)
+  const read = await links.readRequestBody(req, { maxBytes: contracts.MAX_DOCUMENT_BYTES, holder })
+  switch (read.kind) {
+    case 'complete': return read.body
+    case 'tooLarge': throw new contracts.FailureError({ kind: 'body_too_large', limitBytes: contracts.MAX_DOCUMENT_BYTES })
+    case 'noRoom': throw new contracts.FailureError({ kind: 'overloaded', retryAfterMs: NO_ROOM_RETRY_MS })
+    case 'broken': throw new contracts.FailureError({ kind: 'cancelled', ran: 'no' })
   }
-  const parsed = contracts.input.parseJson(Buffer.concat(parts), DOCUMENT_LIMITS)
+}
+
+async function readDocument (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<unknown> {
+  const parsed = contracts.input.parseJson(await readBody(opts, req, res), DOCUMENT_LIMITS)
   if (parsed.kind === 'invalid') throw new contracts.FailureError({ kind: 'bad_request', detail: `The document cannot be read: ${parsed.message}` })
   return parsed.value
 }
@@ -129,14 +150,14 @@
 }
 
 /** Handles `PUT /v1/config?base=<version>&operation=<id>`. A retry with the same operation id returns the original result. */
-async function putDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse, url: URL): Promise<void> {
+async function putDocument (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse, url: URL): Promise<void> {
   const operator = authenticateOperator(opts, req)
   const baseVersion = Number(url.searchParams.get('base') ?? NaN)
   const operation = url.searchParams.get('operation') ?? ''
   if (!Number.isInteger(baseVersion) || operation === '' || operation.length > MAX_OPERATION_ID_LENGTH) {
     throw new contracts.FailureError({ kind: 'bad_request', detail: `The query parameters base (integer: the version that the document is based on) and operation (id of 1 to ${MAX_OPERATION_ID_LENGTH} characters) are required: PUT /v1/config?base=<version>&operation=<id>.` })
   }
-  const reply = await opts.client.call('fleet', { t: 'documentPut', operator, operation, baseVersion, document: await readDocument(req) }, CALL_TIMEOUT_MS)
+  const reply = await opts.client.call('fleet', { t: 'documentPut', operator, operation, baseVersion, document: await readDocument(opts, req, res) }, CALL_TIMEOUT_MS)
   switch (reply.t) {
     case 'put': sendJson(res, 200, { version: reply.version }); return
     case 'conflict': {
@@ -149,9 +170,9 @@
   }
 }
 
-async function checkDocument (opts: OperatorServerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+async function checkDocument (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
   authenticateOperator(opts, req)
-  const validation = contracts.checkDocument(await readDocument(req))
+  const validation = contracts.checkDocument(await readDocument(opts, req, res))
   sendJson(res, 200, validation.kind === 'valid' ? { valid: true, faults: [] } : { valid: false, faults: validation.faults })
 }
 
--- a/packages/router/src/boundedBody.ts
+++ b/packages/router/src/boundedBody.ts
@@ -1,4 +1,5 @@
 /** Reads bodies of endpoints up to a size: an endpoint in trouble may send bytes without end. */
+import * as links from '@kingcupdeck/links'
 
 /** A body is larger than its reader accepts. */
 export class BodyTooLargeError extends Error {
@@ -10,14 +11,12 @@
 
 /** Reads until a body ends or is larger than `maxBytes`; the rest is not read. */
 async function readUpTo (body: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Buffer> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
+  const buffer = links.createGrowingBuffer(maxBytes)
   for await (const chunk of body) {
-    chunks.push(chunk)
-    bytes += chunk.length
-    if (bytes > maxBytes) break
+    buffer.append(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength))
+    if (buffer.size() > maxBytes) break
   }
-  return Buffer.concat(chunks, bytes)
+  return buffer.view()
 }
 
 /**
--- a/packages/router/src/chatEntry.ts
+++ b/packages/router/src/chatEntry.ts
@@ -17,7 +17,7 @@
  * @throws FailureError if the request is invalid, cannot be placed or fails
  */
 export async function serveChat (ctx: context.EntryContext, exchange: helpers.Exchange, account: auths.Account): Promise<void> {
-  const body = await helpers.readBody(exchange.req, ctx.maxBodyBytes)
+  const body = await helpers.readBody(exchange, ctx.maxBodyBytes)
   const chat = chatRequest.parseChat(helpers.parseJson(body))
   const doc = ctx.requireDocument()
   const model = doc.models[chat.model]
--- a/packages/router/src/http.ts
+++ b/packages/router/src/http.ts
@@ -1,6 +1,7 @@
 /** Helpers for Node's HTTP server: size-limited bodies, JSON responses, and errors in the format of the OpenAI API. */
 import * as http from 'node:http'
 import * as contracts from '@kingcupdeck/contracts'
+import * as links from '@kingcupdeck/links'
 
 /** Limits of the bodies of callers and endpoints; how many bytes are read is the limit of each call. A prompt may be a list of token ids. */
 const JSON_LIMITS: contracts.input.JsonLimits = { maxBytes: Infinity, maxDepth: 100, maxValues: 2_000_000 }
@@ -11,23 +12,27 @@
   res: http.ServerResponse
   url: URL
   requestId: string
+  /** Account of what the process holds for its clients. */
+  held: links.HeldBytes
 }
 
+const NO_ROOM_RETRY_MS = 1000
+
 /**
  * Reads a request body.
- * @throws FailureError `body_too_large` as soon as the limit is exceeded, without reading the rest
+ * @throws FailureError `body_too_large` as soon as the limit is exceeded, without reading the rest; `overloaded` if the process holds too
+ * much for its clients; `cancelled` if the client left
  */
-export async function readBody (req: http.IncomingMessage, limitBytes: number): Promise<Buffer> {
-  const reject = (): never => { throw new contracts.FailureError({ kind: 'body_too_large', limitBytes }) }
-  if (Number(req.headers['content-length'] ?? 0) > limitBytes) reject()
-  const parts: Buffer[] = []
-  let size = 0
-  for await (const part of req) {
-    size += (part as Buffer).length
-    if (size > limitBytes) reject()
-    parts.push(part as Buffer)
+export async function readBody ({ req, res, held }: Exchange, limitBytes: number): Promise<Buffer> {
+  const holder = held.open()
+  res.once('close', holder.release)
+  const read = await links.readRequestBody(req, { maxBytes: limitBytes, holder })
+  switch (read.kind) {
+    case 'complete': return read.body
+    case 'tooLarge': throw new contracts.FailureError({ kind: 'body_too_large', limitBytes })
+    case 'noRoom': throw new contracts.FailureError({ kind: 'overloaded', retryAfterMs: NO_ROOM_RETRY_MS })
+    case 'broken': throw new contracts.FailureError({ kind: 'cancelled', ran: 'no' })
   }
-  return Buffer.concat(parts)
 }
 
 /**
--- a/packages/router/src/plainEntry.ts
+++ b/packages/router/src/plainEntry.ts
@@ -30,7 +30,7 @@
   const isAllowed = account.spec.services.includes(service)
   const callSpec = spec?.kind === 'plain' && isAllowed ? spec.calls[call] : undefined
   if (callSpec === undefined) throw new contracts.FailureError({ kind: 'unknown_service', service: `${service}/${call}` })
-  const body = await helpers.readBody(exchange.req, ctx.maxBodyBytes)
+  const body = await helpers.readBody(exchange, ctx.maxBodyBytes)
   ctx.enforceRateLimit(account)
   const plain: PlainCall = { service, call, isIdempotent: callSpec.idempotent, priority: callSpec.priority }
   const request = toRequest(ctx, exchange, account, plain, body)
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -115,7 +115,7 @@
 
   // The HTTP port must be known before the instance joins, because its URL is part of the view. No request can arrive
   // before `handle` below is assigned, since nothing is awaited in between.
-  const server = await servers.startServer(opts.listen, async (req, res) => { await handle(req, res) })
+  const server = await servers.startServer(opts.listen, log, async (req, res, held) => { await handle(req, res, held) })
   const url = opts.advertiseUrl ?? `http://${links.parseAddress(opts.listen).host}:${server.port}`
 
   const member: membership.Membership = membership.createMembership({
--- a/packages/router/src/server.ts
+++ b/packages/router/src/server.ts
@@ -39,26 +39,34 @@
 const REQUEST_TIMEOUT_MS = 30_000
 const HEADERS_TIMEOUT_MS = 10_000
 const KEEP_ALIVE_TIMEOUT_MS = 5000
+/** What was refused before it was a request is logged once in this time. */
+const REFUSAL_LOG_INTERVAL_MS = 1000
 
-/** Handles one request. */
-export type Handle = (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>
+/** Handles one request. @param held account of what the process holds for its clients */
+export type Handle = (req: http.IncomingMessage, res: http.ServerResponse, held: links.HeldBytes) => Promise<void>
 
 /**
  * Starts an HTTP server.
  * @param address IP address and port; port 0 selects a free one
  */
-export async function startServer (address: string, handle: Handle): Promise<EntryServer> {
+export async function startServer (address: string, log: telemetry.Log, handle: Handle): Promise<EntryServer> {
   let openRequests = 0
   let isClosing = false
-  const server = http.createServer({ requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (req, res) => {
+  const limits = links.createClientLimits()
+  const toUnlogged = telemetry.createLineLimit(REFUSAL_LOG_INTERVAL_MS)
+  const { server } = links.createBoundedServer({
+    server: { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS },
+    limits,
+    requestCost: 1,
+    onRefused (refused) {
+      const omitted = toUnlogged()
+      if (omitted !== undefined) log.event('callRefused', { ...refused, omitted })
+    }
+  }, (req, res) => {
     openRequests++
     res.on('close', () => { openRequests-- })
     if (isClosing) res.setHeader('connection', 'close')
-    void handle(req, res)
-  })
-  server.on('clientError', (err, socket) => {
-    const isTooLarge = (err as { code?: string }).code === 'HPE_HEADER_OVERFLOW'
-    if (socket.writable) socket.end(`HTTP/1.1 ${isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+    void handle(req, res, limits.held)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -78,13 +86,13 @@
 
 /** Creates the handler of all paths. Errors are sent to the caller as responses. */
 export function createHandler (opts: HandlerOptions): Handle {
-  return async (req, res) => { await serve(opts, req, res) }
+  return async (req, res, held) => { await serve(opts, req, res, held) }
 }
 
-async function serve (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+async function serve (opts: HandlerOptions, req: http.IncomingMessage, res: http.ServerResponse, held: links.HeldBytes): Promise<void> {
   const { ctx } = opts
   const requestId = ids.createRequestId(ctx.member.self().id)
-  const exchange: helpers.Exchange = { req, res, requestId, url: toUrl(req) }
+  const exchange: helpers.Exchange = { req, res, requestId, url: toUrl(req), held }
   res.on('error', () => {})
   try {
     await route(opts, exchange)
@@ -187,7 +195,7 @@
   if (exchange.req.method !== 'POST') throw notFound(exchange)
   // Checked first, so that the body of a request without a token is not read.
   if (exchange.req.headers.authorization === undefined) throw new contracts.FailureError({ kind: 'unauthenticated', what: 'The bearer token is missing' })
-  const parsed = contracts.announcement.safeParse(helpers.parseJson(await helpers.readBody(exchange.req, MAX_ANNOUNCEMENT_BYTES)))
+  const parsed = contracts.announcement.safeParse(helpers.parseJson(await helpers.readBody(exchange, MAX_ANNOUNCEMENT_BYTES)))
   if (!parsed.success) throw new contracts.FailureError({ kind: 'bad_request', detail: parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ') })
   const announcement = parsed.data
   ctx.requireDocument()
