fix(forwarding): a response that only its connection ends is not complete before its request was sent

Cause: the end of the connection is the end of such a response, and an endpoint that breaks off closes it in the same way; with the upload unread, its system sends a FIN first and a reset only for what still arrives. In the chat fleet the HTTP library also takes a reset for the end of a response with neither a length nor chunks, and nothing looked at the connection.

Change: a response of this kind whose head comes before its request was written completely is broken; its end is never passed on as complete. In the chat fleet, EndpointConnection.isBroken tells of a reset, or of an end before all was sent.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -127,7 +127,11 @@
       res = received
       // Without a listener, an error of the response after this point would be uncaught.
       received.on('error', () => {})
-      if (isUnframed(received, request.method)) received.socket.prependListener('end', () => { isBroken ||= links.isReset(received.socket) })
+      if (isUnframed(received, request.method)) {
+        // An endpoint that stops reading a request, and ends, closes the connection in the same way as one that has responded.
+        isBroken ||= !req.writableFinished
+        received.socket.prependListener('end', () => { isBroken ||= links.isReset(received.socket) })
+      }
       if (isSettled) {
         req.destroy()
         return
--- a/packages/links/src/endpointClient.ts
+++ b/packages/links/src/endpointClient.ts
@@ -5,10 +5,13 @@
 import * as net from 'node:net'
 import * as undici from 'undici'
 import * as deadlines from './deadline.js'
+import * as tunnels from './tunnel.js'
 
 /** A connection acquired for one request. */
 export interface EndpointConnection {
   client: undici.Client
+  /** Returns whether the connection was reset, or ended before all that was written to it was sent. */
+  isBroken (): boolean
   /** Returns the connection to the idle ones. */
   release (): void
   destroy (): void
@@ -45,6 +48,7 @@
 export function createEndpointClient (origin: string): EndpointClient {
   let idle: Array<{ client: undici.Client, idleSince: number }> = []
   const acquired = new Set<undici.Client>()
+  const broken = new WeakSet<undici.Client>()
   let isClosed = false
 
   const destroyClient = (client: undici.Client): void => {
@@ -70,10 +74,12 @@
       socket.once('error', reject)
     })
     socket.removeAllListeners('error')
-    socket.on('error', () => {})
+    // The HTTP library destroys connections with errors of its own.
+    socket.on('error', (err: NodeJS.ErrnoException) => { if (err.syscall !== undefined) broken.add(client) })
+    socket.prependListener('end', () => { if (tunnels.isReset(socket) || socket.writableLength > 0) broken.add(client) })
     socket.setNoDelay(true)
     let isUsed = false
-    return new undici.Client(origin, {
+    const client = new undici.Client(origin, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -87,6 +93,7 @@
         })
       }
     })
+    return client
   }
 
   return {
@@ -96,6 +103,7 @@
       let isReleased = false
       return {
         client,
+        isBroken: () => broken.has(client),
         release () {
           if (isReleased) return
           isReleased = true
--- a/packages/router/src/plainCall.ts
+++ b/packages/router/src/plainCall.ts
@@ -40,6 +40,11 @@
       signal
     })
     const body = await boundedBodies.readBounded(res.body, MAX_ANSWER_BYTES)
+    // The HTTP library takes a body that was reset for complete if it has neither a length nor chunks.
+    if (res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined && lease.isBroken()) {
+      lease.destroy()
+      return { kind: 'cut', detail: 'the connection broke off in a response without a length' }
+    }
     const echoed = res.headers[contracts.HEADERS.attempt]
     if (echoed !== undefined && echoed !== msg.attempt) {
       lease.destroy()
