fix(forwarding): a response with a status above 599 is none

Cause: the parser accepts three digits, and only statuses below 200 were checked; the chat fleet's calls checked none.

Change: a status outside of 200 to 599 is a lost response, as one without a seal: 502, or another attempt where the request may be repeated.

Tests, failing before: 'a response with the status 600 is none', 'with the status 999' in both fleets.

--- a/packages/forwarding/__tests__/earlyResponses.test.ts
+++ b/packages/forwarding/__tests__/earlyResponses.test.ts
@@ -1,4 +1,4 @@
-/** Responses that come before their request was sent. */
+/** Responses that come before their request was sent, and responses with a status that the protocol does not have. */
 import * as net from 'node:net'
 import * as ava from 'ava'
 import * as loopbackHosts from './helpers/loopbackHost.js'
@@ -50,3 +50,11 @@
   const response = await entry.send({ method: 'POST', body: 'x', headers })
   t.deepEqual([response.status, response.body, response.isComplete], [200, 'whole', true])
 })
+
+for (const status of ['600', '999', '000', '099']) {
+  // Guards against clients that get what is no response of the protocol.
+  test(`a response with the status ${status} is none`, async t => {
+    const entry = await startEarly(t, (socket, head) => { socket.write(`HTTP/1.1 ${status} Odd\r\n${head}Content-Length: 2\r\n\r\nok`) })
+    t.is((await entry.send({ method: 'POST', body: 'x', headers })).status, 502)
+  })
+}
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -11,6 +11,8 @@
 
 /** Status of the response of a process that is not the endpoint that the request names; it did not run the request. */
 export const MISDIRECTED_STATUS = 421
+/** Highest status of the protocol. */
+const MAX_STATUS = 599
 
 /** A request to an endpoint. */
 export interface OutgoingRequest {
@@ -175,7 +177,11 @@
     discardBody(res, opts)
     return { kind: 'notRun', status, brittleLimit: brittleLimiters.parseBrittleLimit(res.headers[names.brittle]) }
   }
-  if (status < 200 || (status < 300 && res.headers[names.seal] === undefined)) {
+  if (status < 200 || status > MAX_STATUS) {
+    discard()
+    return { kind: 'lost', why: `the response has the status ${status}, which the protocol does not have` }
+  }
+  if (status < 300 && res.headers[names.seal] === undefined) {
     discard()
     return { kind: 'lost', why: 'the success response has no endpoint seal' }
   }
--- a/packages/router/__tests__/plainCall.test.ts
+++ b/packages/router/__tests__/plainCall.test.ts
@@ -1,4 +1,4 @@
-/** Responses of plain services that break off. */
+/** Responses of plain services that break off, or are none. */
 import * as net from 'node:net'
 import * as ava from 'ava'
 import * as links from '@kingcupdeck/links'
@@ -33,3 +33,10 @@
   const end = await call(t, socket => { socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole') })
   t.is(end.kind === 'answer' ? Buffer.from(end.body).toString() : end.kind, 'whole')
 })
+
+// Guards against callers that get what is no response of the protocol.
+for (const status of [600, 999]) {
+  test(`a response with the status ${status} is none`, async t => {
+    t.is((await call(t, socket => { socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nok`) })).kind, 'cut')
+  })
+}
--- a/packages/router/src/plainCall.ts
+++ b/packages/router/src/plainCall.ts
@@ -4,6 +4,9 @@
 import * as boundedBodies from './boundedBody.js'
 import type * as session from './session.js'
 
+/** Statuses of final responses. */
+const MIN_STATUS = 200
+const MAX_STATUS = 599
 /** Maximum size of an answer. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
@@ -40,6 +43,10 @@
       signal
     })
     const body = await boundedBodies.readBounded(res.body, MAX_ANSWER_BYTES)
+    if (res.statusCode < MIN_STATUS || res.statusCode > MAX_STATUS) {
+      lease.destroy()
+      return { kind: 'cut', detail: `response has the status ${res.statusCode}, which the protocol does not have` }
+    }
     // The HTTP library takes a body that was reset for complete if it has neither a length nor chunks.
     if (res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined && lease.isBroken()) {
       lease.destroy()
