perf(links): an ordinary request is parsed in the turn in which it arrives

Cause: the gate parsed one slice of what had arrived, and queued the rest.

Change: slices up to a cost of 4096 are parsed as they arrive; the end of a response is followed up only if input waits.

--- a/packages/links/src/inputGate.ts
+++ b/packages/links/src/inputGate.ts
@@ -33,11 +33,15 @@
 const CHUNKED_COST = 64
 /** Bytes of a body with a length that cost as much as one byte of other input. */
 const CHEAP_BYTES = 16
+/** Cost of the slices that are parsed as soon as they arrive. */
+const MAX_DIRECT_COST = 4096
 /** Bytes that wait in the process before no more are read: with few of them, the end of the connection is noticed. */
 const MAX_QUEUED_BYTES = 16 * 1024
 /** What waits or is parsed of most requests is shorter, and not counted. */
 const MIN_HELD_BYTES = 4096
 
+const EMPTY = Buffer.alloc(0)
+
 /** Puts a gate before each connection of a server, which must not have accepted any yet. */
 export function gateInput (server: http.Server, opts: InputGateOptions): InputGates {
   const gates = new WeakMap<net.Socket, Gate>()
@@ -55,6 +59,9 @@
   }
 }
 
+/** Bytes that are parsed at once. */
+interface Slice { bytes: number, cost: number }
+
 interface Gate {
   addRequest: (req: http.IncomingMessage, res: http.ServerResponse) => void
   hasQueued: () => boolean
@@ -94,7 +101,7 @@
   }
 
   /** Returns the length of the next slice. */
-  const toSlice = (data: Buffer): { bytes: number, cost: number } => {
+  const toSlice = (data: Buffer): Slice => {
     if (req?.complete !== false) {
       const bytes = lines.scan(data)
       headBytes += bytes
@@ -111,12 +118,10 @@
     return { bytes, cost: Math.max(CHUNKED_COST, bytes) }
   }
 
-  /** Parses the beginning of some bytes. @returns their number */
-  const parseSlice = (data: Buffer): number => {
-    const { bytes, cost } = toSlice(data)
+  /** Parses the beginning of some bytes. */
+  const parseSlice = (data: Buffer, { bytes, cost }: Slice): void => {
     scheduler.charge(cost)
     parse.call(socket, bytes === data.length ? data : data.subarray(0, bytes))
-    return bytes
   }
 
   const update = (): void => {
@@ -132,7 +137,12 @@
   const source: inputSchedulers.InputSource = {
     run () {
       if (isStopped) return
-      if (queue.size() > 0 && isOpen()) queue.skip(parseSlice(queue.view()))
+      if (queue.size() > 0 && isOpen()) {
+        const data = queue.view()
+        const slice = toSlice(data)
+        parseSlice(data, slice)
+        queue.skip(slice.bytes)
+      }
       pump()
     }
   }
@@ -162,8 +172,13 @@
   const onData = (data: Buffer): void => {
     if (isStopped) return
     let rest = data
-    // Most requests arrive in one piece.
-    if (queue.size() === 0 && isOpen() && scheduler.hasTime()) rest = data.subarray(parseSlice(data))
+    // Most requests arrive in one piece, and are short.
+    for (let cost = 0; rest.length > 0 && cost < MAX_DIRECT_COST && queue.size() === 0 && isOpen() && scheduler.hasTime();) {
+      const slice = toSlice(rest)
+      parseSlice(rest, slice)
+      cost += slice.cost
+      rest = slice.bytes === rest.length ? EMPTY : rest.subarray(slice.bytes)
+    }
     if (isStopped) return
     if (rest.length > 0) queue.append(rest)
     if (rest.length > 0 || headBytes >= MIN_HELD_BYTES) pump()
@@ -211,8 +226,9 @@
       nextRes.once('close', () => {
         if (res !== nextRes) return
         res = undefined
+        const isHeld = queue.size() > 0 || headBytes >= MIN_HELD_BYTES
         headBytes = 0
-        pump()
+        if (isHeld) pump()
       })
     },
     hasQueued: () => queue.size() > 0,
--- a/packages/links/src/requestBody.ts
+++ b/packages/links/src/requestBody.ts
@@ -10,14 +10,16 @@
 export interface RequestBodyOptions {
   /** Limit of this body, bytes. */
   maxBytes: number
-  /** Account of the memory of the body, released by the caller. */
+  /** Account of the memory of the body, released by the caller once it no longer needs a complete one. */
   holder: heldBytes.Holder
   /** Reserves bytes of a further limit. @returns whether there was room */
   reserve?: (bytes: number) => boolean
+  /** Called at once when the body is not read to its end, so that others have its room. */
+  onRefused?: () => void
 }
 
 /** Reads a body; one that announces a length over its limit is not read. After a refusal the rest is left to the caller. */
-export async function readRequestBody (req: http.IncomingMessage, { maxBytes, holder, reserve = () => true }: RequestBodyOptions): Promise<RequestBody> {
+export async function readRequestBody (req: http.IncomingMessage, { maxBytes, holder, reserve = () => true, onRefused }: RequestBodyOptions): Promise<RequestBody> {
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) return { kind: 'tooLarge' }
   return await new Promise(resolve => {
     const buffer = growingBuffers.createGrowingBuffer(maxBytes)
@@ -26,6 +28,10 @@
       req.off('data', onData).off('end', onEnd).off('close', onClose)
       // A complete body is needed until the request has a response.
       holder.onExcess = undefined
+      if (result.kind !== 'complete') {
+        holder.release()
+        onRefused?.()
+      }
       resolve(result)
     }
     const onData = (chunk: Buffer): void => {
