fix(forwarding): a reset that follows the end of a response is seen

Cause: the buffers of a connection take uploads of some MB, so that the request counts as written while its endpoint has read the head alone. The endpoint's system sends the end first and resets the connection for the rest; by then the HTTP library had closed it.

Change: where the end of the connection ends a response and more than 16 KB were sent, the end is passed on 100 ms later, and a reset meanwhile makes the response incomplete; the same in tunnels, on the side of the endpoint. A response with a length or chunks does not wait.

Test: 'a response that only its connection ends is not complete if a reset follows its end' fails without the change.

--- a/packages/forwarding/__tests__/earlyResponses.test.ts
+++ b/packages/forwarding/__tests__/earlyResponses.test.ts
@@ -39,6 +39,12 @@
   t.is((await entry.send({ method: 'POST', body: BODY, headers })).status, 502)
 })
 
+// Guards against the same where the buffers of the connection took the whole request: the reset comes after the end.
+test('a response that only its connection ends is not complete if a reset follows its end', async t => {
+  const entry = await startEarly(t, (socket, head) => { socket.end(`HTTP/1.1 200 OK\r\n${head}\r\nbeginning`, () => { setTimeout(() => { socket.destroy() }, 20) }) })
+  t.is((await entry.send({ method: 'POST', body: BODY.slice(0, 500_000), headers })).status, 502)
+})
+
 test('a response with a length is complete although its request was not sent completely', async t => {
   const entry = await startEarly(t, (socket, head) => { socket.write(`HTTP/1.1 200 OK\r\n${head}Content-Length: 5\r\n\r\nwhole`) })
   const response = await entry.send({ method: 'POST', body: BODY, headers })
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -132,6 +132,7 @@
       if (isUnframed(received, request.method)) {
         // An endpoint that stops reading a request, and ends, closes the connection in the same way as one that has responded.
         isBroken ||= !req.writableFinished
+        links.delayEnd(received.socket)
         received.socket.prependListener('end', () => { isBroken ||= links.isReset(received.socket) })
       }
       if (isSettled) {
--- a/packages/links/src/tunnel.ts
+++ b/packages/links/src/tunnel.ts
@@ -58,8 +58,31 @@
   return socket.remoteAddress === undefined
 }
 
+/** Bytes that a peer has read once it responds to them: those of a head, and of a body that came with it. */
+const MAX_READ_BYTES = 16 * 1024
+/** Time in which a reset follows the end of what a connection receives, if its peer closed it without having read all that was sent. */
+const RESET_WAIT_MS = 100
+
+/**
+ * Delays the end of what a connection receives if much was sent on it: a peer that closes it meanwhile sends the end first, and a reset for
+ * what still arrives. {@link isReset} tells at the end.
+ */
+export function delayEnd (socket: net.Socket): void {
+  const push = socket.push.bind(socket)
+  socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+    if (chunk !== null || socket.bytesWritten <= MAX_READ_BYTES) return push(chunk, encoding)
+    setTimeout(() => {
+      if (socket.destroyed) return
+      push(null)
+      socket.read(0)
+    }, RESET_WAIT_MS)
+    return false
+  }
+}
+
 /** Passes bytes on in both directions until either side ends. */
 function join (near: net.Socket, target: net.Socket): void {
+  delayEnd(target)
   for (const [from, to] of [[near, target], [target, near]]) {
     from.setNoDelay(true)
     from.setKeepAlive(true, KEEP_ALIVE_DELAY_MS)
