fix(links): a connection that asked for a tunnel leaves its parser alone

By reading: after CONNECT the HTTP library gives the parser to another connection, while the gate would still have told it of the end of this one, which may break off the other's request. Not reproduced: the test passes without the change, too (20 connections, 1 of 1 runs).

Change: the gate takes its listeners off such a connection; nothing is parsed of a connection that was destroyed in between.

--- a/packages/links/__tests__/boundedServer.test.ts
+++ b/packages/links/__tests__/boundedServer.test.ts
@@ -128,6 +128,30 @@
   await closed
 })
 
+// Guards against a request that is broken off by the end of another connection, which had its parser before.
+test('the end of a connection with a request for a tunnel concerns no other one', async t => {
+  const { port } = await startServer(t)
+  for (let i = 0; i < 20; i++) {
+    const tunnel = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+    tunnel.on('error', () => {})
+    tunnel.write('CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n')
+    await new Promise(resolve => { tunnel.once('data', resolve) })
+    const client = net.connect(port, '127.0.0.1')
+    client.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Le')
+    await timers.setTimeout(10)
+    tunnel.end()
+    await timers.setTimeout(10)
+    client.write('ngth: 2\r\n\r\nab')
+    const answer = await new Promise(resolve => {
+      client.once('data', data => { resolve(String(data)) })
+      client.once('close', () => { resolve('closed') })
+    })
+    t.regex(String(answer), /^HTTP\/1\.1 200 /)
+    client.destroy()
+    tunnel.destroy()
+  }
+})
+
 // Guards against one connection that keeps the others waiting with input that costs much per byte.
 test('a request is served between the chunks of others', async t => {
   const { port } = await startServer(t)
--- a/packages/links/src/inputGate.ts
+++ b/packages/links/src/inputGate.ts
@@ -50,8 +50,8 @@
     if (gate !== undefined) gates.set(socket, gate)
   })
   server.on('request', (req: http.IncomingMessage, res: http.ServerResponse) => { gates.get(req.socket)?.addRequest(req, res) })
-  // The connection is no longer read by the parser.
-  server.on('connect', (req: http.IncomingMessage) => { gates.get(req.socket)?.stop() })
+  // The parser is given to another connection.
+  server.on('connect', (req: http.IncomingMessage) => { gates.get(req.socket)?.detach() })
   server.on('clientError', (_, socket: net.Socket) => { gates.get(socket)?.stop() })
   return {
     hasQueued: socket => gates.get(socket)?.hasQueued() === true,
@@ -68,6 +68,8 @@
   lastResponse: () => http.ServerResponse | undefined
   /** Drops all further input. */
   stop: () => void
+  /** Leaves the connection to others; the parser is told nothing more of it. */
+  detach: () => void
 }
 
 /** @returns undefined if the parser reads from the connection in another way */
@@ -94,7 +96,7 @@
 
   /** Returns whether the present input may be parsed now. */
   const isOpen = (): boolean => {
-    if (isPausedByParser) return false
+    if (isPausedByParser || socket.destroyed) return false
     // A body that is not read would be kept as one object for each chunk.
     if (req?.complete === false) return req.readableLength === 0
     return res === undefined
@@ -233,7 +235,12 @@
     },
     hasQueued: () => queue.size() > 0,
     lastResponse: () => res,
-    stop
+    stop,
+    detach () {
+      stop()
+      socket.off('data', onData)
+      socket.off('end', onEnd)
+    }
   }
 }
 
