fix(links): a request does not wait for the chunked bodies of all other connections

Cause: all waiting input took turns alike, and a turn could be used up by chunked bodies, so that a request went through the whole queue for its head and again for its body.

Change: the scheduler handles heads and bodies with a length first, and less of chunked bodies in a turn; what fits into a slice is parsed in one go.

--- a/packages/links/src/inputGate.ts
+++ b/packages/links/src/inputGate.ts
@@ -33,7 +33,7 @@
 const CHUNKED_COST = 64
 /** Bytes of a body with a length that cost as much as one byte of other input. */
 const CHEAP_BYTES = 16
-/** Cost of the slices that are parsed as soon as they arrive. */
+/** Cost of the slices of a connection that are parsed at once. */
 const MAX_DIRECT_COST = 4096
 /** Bytes that wait in the process before no more are read: with few of them, the end of the connection is noticed. */
 const MAX_QUEUED_BYTES = 16 * 1024
@@ -120,10 +120,21 @@
     return { bytes, cost: Math.max(CHUNKED_COST, bytes) }
   }
 
-  /** Parses the beginning of some bytes. */
-  const parseSlice = (data: Buffer, { bytes, cost }: Slice): void => {
-    scheduler.charge(cost)
-    parse.call(socket, bytes === data.length ? data : data.subarray(0, bytes))
+  /** Returns the kind of the next input. */
+  const toKind = (): inputSchedulers.InputKind => req?.complete === false && bodyBytes === 0 ? 'chunked' : 'prompt'
+
+  /** Parses the beginning of some bytes, up to a cost. @returns the rest */
+  const parseSlices = (data: Buffer): Buffer => {
+    let rest = data
+    for (let spent = 0; rest.length > 0 && spent < MAX_DIRECT_COST && isOpen() && scheduler.hasTime(toKind());) {
+      const kind = toKind()
+      const { bytes, cost } = toSlice(rest)
+      scheduler.charge(kind, cost)
+      spent += cost
+      parse.call(socket, bytes === rest.length ? rest : rest.subarray(0, bytes))
+      rest = bytes === rest.length ? EMPTY : rest.subarray(bytes)
+    }
+    return rest
   }
 
   const update = (): void => {
@@ -139,12 +150,8 @@
   const source: inputSchedulers.InputSource = {
     run () {
       if (isStopped) return
-      if (queue.size() > 0 && isOpen()) {
-        const data = queue.view()
-        const slice = toSlice(data)
-        parseSlice(data, slice)
-        queue.skip(slice.bytes)
-      }
+      const data = queue.view()
+      queue.skip(data.length - parseSlices(data).length)
       pump()
     }
   }
@@ -158,7 +165,7 @@
       setImmediate(() => { end.call(socket) })
       return
     }
-    if (queue.size() > 0 && isOpen()) scheduler.defer(source)
+    if (queue.size() > 0 && isOpen()) scheduler.defer(toKind(), source)
     update()
   }
 
@@ -173,14 +180,8 @@
 
   const onData = (data: Buffer): void => {
     if (isStopped) return
-    let rest = data
     // Most requests arrive in one piece, and are short.
-    for (let cost = 0; rest.length > 0 && cost < MAX_DIRECT_COST && queue.size() === 0 && isOpen() && scheduler.hasTime();) {
-      const slice = toSlice(rest)
-      parseSlice(rest, slice)
-      cost += slice.cost
-      rest = slice.bytes === rest.length ? EMPTY : rest.subarray(slice.bytes)
-    }
+    const rest = queue.size() > 0 ? data : parseSlices(data)
     if (isStopped) return
     if (rest.length > 0) queue.append(rest)
     if (rest.length > 0 || headBytes >= MIN_HELD_BYTES) pump()
